--- /dev/null
+++ b/src/configuration/configuration.hpp
@@ -0,0 +1,10 @@
+/// Umbrella header of the `configuration` package: objects, release notes, their fold, snapshots, spreading.
+#pragma once
+
+#include "configuration/fold.hpp"
+#include "configuration/forward_declarations.hpp"
+#include "configuration/note.hpp"
+#include "configuration/objects.hpp"
+#include "configuration/snapshot.hpp"
+#include "configuration/spreading.hpp"
+#include "configuration/state.hpp"
--- /dev/null
+++ b/src/configuration/note.hpp
@@ -0,0 +1,81 @@
+/// Release notes: what an operator wants added, changed and withdrawn.
+#pragma once
+
+#include "base/result.hpp"
+#include "configuration/objects.hpp"
+
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+namespace bilberryseam::configuration {
+
+/// Schema version that this release reads.
+constexpr uint32_t supportedNoteSchema = 1;
+
+/// Largest release note, in bytes.
+constexpr size_t maxNoteBytes = 1024 * 1024;
+
+/// An object as a note gives it.
+template <typename Object>
+struct proposal {
+    Object value;
+    /// Revision the operator saw; must be that in force. Unused for added objects.
+    uint64_t basedOn = 0;
+};
+
+/// An object to withdraw.
+struct withdrawal {
+    std::string name;
+    uint64_t basedOn = 0;
+};
+
+/// Edits of all objects of one type.
+template <typename Object>
+struct edits {
+    std::vector<proposal<Object>> added;
+    std::vector<proposal<Object>> changed;
+    std::vector<withdrawal> withdrawn;
+};
+
+/// A release note that passed the schema.
+struct note {
+    uint32_t schema = supportedNoteSchema;
+    std::string name;
+    std::string author;
+    bool allowsEmptyStages = false;
+    std::tuple<edits<service>, edits<target>, edits<pipeline>, edits<account>, edits<model>, edits<region_price>, edits<policy>> objects;
+
+    template <typename Object>
+    [[nodiscard]] const edits<Object>& of() const
+    {
+        return std::get<edits<Object>>(objects);
+    }
+};
+
+/// @param text  The note's JSON text.
+/// @param name  Name of the document, for errors.
+/// @return The note, or `InvalidNote`, `LimitExceeded`, or `UnsupportedVersion` for a newer schema.
+[[nodiscard]] result<note> parseNote(std::string_view text, std::string_view name = "note");
+
+/// The key of each object type in a note.
+template <typename Object>
+[[nodiscard]] constexpr std::string_view listNameOf()
+{
+    if constexpr (std::is_same_v<Object, service>)
+        return "services";
+    else if constexpr (std::is_same_v<Object, target>)
+        return "targets";
+    else if constexpr (std::is_same_v<Object, pipeline>)
+        return "pipelines";
+    else if constexpr (std::is_same_v<Object, account>)
+        return "accounts";
+    else if constexpr (std::is_same_v<Object, model>)
+        return "models";
+    else if constexpr (std::is_same_v<Object, region_price>)
+        return "prices";
+    else
+        return "policies";
+}
+}
--- /dev/null
+++ b/src/configuration/snapshot.cpp
@@ -0,0 +1,98 @@
+#include "configuration/snapshot.hpp"
+
+#include "base/hash.hpp"
+#include "base/json_schema.hpp"
+#include "configuration/note.hpp"
+
+namespace bilberryseam::configuration {
+
+namespace {
+    using nlohmann::json;
+
+    constexpr uint32_t snapshotVersion = 1;
+
+    template <typename Object>
+    json tableToJson(const table<Object>& objects)
+    {
+        json list = json::array();
+        for (const auto& [name, entry] : objects)
+            list.push_back({ { "value", toJson(*entry.value) }, { "revision", entry.revision }, { "note", entry.note }, { "author", entry.author }, { "appendedMs", entry.appendedMs } });
+        return list;
+    }
+
+    template <typename Object>
+    void tableFromJson(const json& list, table<Object>& out)
+    {
+        for (const json& item : list) {
+            Object value;
+            fromJson(item.at("value"), value);
+            const std::string name = nameOf(value);
+            out[name] = { std::make_shared<const Object>(std::move(value)), item.at("revision"), item.at("note"), item.at("author"), item.at("appendedMs") };
+        }
+    }
+
+    json verdictsToJson(const state& current)
+    {
+        json list = json::array();
+        for (const std::string& name : current.verdictOrder) {
+            const note_verdict& verdict = current.verdicts.at(name);
+            list.push_back(json::array({ name, verdict.offset, verdict.isAccepted, verdict.reason, verdict.winner }));
+        }
+        return list;
+    }
+
+    void verdictsFromJson(const json& list, state& out)
+    {
+        for (const json& item : list) {
+            out.verdictOrder.push_back(item.at(0));
+            out.verdicts[item.at(0)] = { item.at(1), item.at(2), item.at(3), item.at(4) };
+        }
+    }
+
+    json tablesToJson(const state& current)
+    {
+        json tables;
+        const auto add = [&]<typename Object>(const table<Object>& objects) { tables[std::string(listNameOf<Object>())] = tableToJson(objects); };
+        std::apply([&](const auto&... each) { (add(each), ...); }, current.tables);
+        return tables;
+    }
+
+    state stateFromJson(const json& body)
+    {
+        state made;
+        made.nextOffset = body.at("nextOffset");
+        const auto read = [&]<typename Object>(table<Object>& objects) { tableFromJson(body.at("tables").at(std::string(listNameOf<Object>())), objects); };
+        std::apply([&](auto&... each) { (read(each), ...); }, made.tables);
+        verdictsFromJson(body.at("verdicts"), made);
+        for (const auto& [name, entry] : made.of<target>())
+            ++made.targetCounts[entry.value->service];
+        return made;
+    }
+}
+
+std::string writeSnapshot(const state& current)
+{
+    const json body { { "nextOffset", current.nextOffset }, { "tables", tablesToJson(current) }, { "verdicts", verdictsToJson(current) } };
+    const std::string text = body.dump();
+    return json { { "version", snapshotVersion }, { "hash", hashOf(text) }, { "body", text } }.dump();
+}
+
+result<state> readSnapshot(std::string_view text)
+{
+    const result<json> document = parseJson(text, "snapshot", error_kind::InvalidMessage);
+    if (!document)
+        return document.error();
+    try {
+        if (document.value().at("version").get<uint32_t>() > snapshotVersion)
+            return error(error_kind::UnsupportedVersion, "The snapshot is of a newer release.", "Upgrade this daemon.", "snapshot");
+        const std::string body = document.value().at("body");
+        if (hashOf(body) != document.value().at("hash").get<uint64_t>())
+            return error(error_kind::InvalidMessage, "The snapshot's hash is wrong.", "Take another snapshot or a peer's state.", "snapshot");
+        return stateFromJson(json::parse(body));
+    } catch (const json::exception& problem) {
+        return error(error_kind::InvalidMessage, "The snapshot is malformed.", "Take another snapshot or a peer's state.", "snapshot");
+    } catch (const error& problem) {
+        return problem;
+    }
+}
+}
--- /dev/null
+++ b/src/configuration/state.hpp
@@ -0,0 +1,76 @@
+/// The state that the fold over the log's release notes gives.
+#pragma once
+
+#include "configuration/objects.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+
+namespace bilberryseam::configuration {
+
+/// An object in force, and where it came from.
+template <typename Object>
+struct versioned {
+    /// Shared, so that requests in progress keep what they began with.
+    std::shared_ptr<const Object> value;
+    /// Log offset of the note that gave it its present value.
+    uint64_t revision = 0;
+    std::string note;
+    std::string author;
+    /// When the log took the note, in milliseconds since 1970.
+    int64_t appendedMs = 0;
+};
+
+template <typename Object>
+using table = std::map<std::string, versioned<Object>, std::less<>>;
+
+/// What became of a note.
+struct note_verdict {
+    uint64_t offset = 0;
+    bool isAccepted = false;
+    /// Empty if accepted.
+    std::string reason;
+    /// The note that won, if this one lost a race.
+    std::string winner;
+};
+
+/// Most note verdicts that are kept: a day's notes at the size to design for.
+constexpr size_t maxKeptVerdicts = 20000;
+
+/// Everything in force after a prefix of the log.
+struct state {
+    /// Offset of the next record to apply.
+    uint64_t nextOffset = 0;
+    /// Set when a note of a newer schema stopped the fold; `nextOffset` is that note's.
+    std::string haltReason;
+    std::tuple<table<service>, table<target>, table<pipeline>, table<account>, table<model>, table<region_price>, table<policy>> tables;
+    std::unordered_map<std::string, note_verdict> verdicts;
+    std::deque<std::string> verdictOrder;
+    /// Derived: number of targets of each service.
+    std::map<std::string, uint32_t, std::less<>> targetCounts;
+
+    template <typename Object>
+    [[nodiscard]] const table<Object>& of() const
+    {
+        return std::get<table<Object>>(tables);
+    }
+
+    template <typename Object>
+    [[nodiscard]] table<Object>& of()
+    {
+        return std::get<table<Object>>(tables);
+    }
+
+    /// @return The object of that name, or null.
+    template <typename Object>
+    [[nodiscard]] std::shared_ptr<const Object> find(std::string_view name) const
+    {
+        const auto found = of<Object>().find(name);
+        return found == of<Object>().end() ? nullptr : found->second.value;
+    }
+};
+}
--- /dev/null
+++ b/src/entry/caller_server.hpp
@@ -0,0 +1,46 @@
+/// The callers' HTTP interface. docs/API.md documents it.
+#pragma once
+
+#include "entry/pipeline_run.hpp"
+#include "loop/http.hpp"
+#include "settings/entry_settings.hpp"
+
+#include <list>
+#include <memory>
+
+namespace bilberryseam::entry {
+
+/// Reads requests, runs them, and writes their answers.
+class caller_server {
+public:
+    struct callbacks {
+        /// @return The configuration in force, or null before there is one.
+        std::function<const configuration::state*()> configuration;
+    };
+
+    /// @throws error (`Unavailable`) if the address cannot be taken.
+    caller_server(const settings::entry_settings& settings, run_context& context, callbacks calls);
+    ~caller_server();
+
+    /// Lets waiting runs look again for targets.
+    void capacityChanged();
+
+    [[nodiscard]] size_t openRequests() const noexcept { return m_exchanges.size(); }
+
+private:
+    class exchange;
+
+    static void handle(SoupServer* server, SoupServerMessage* message, const char* path, GHashTable* query, gpointer self);
+    void takeRequest(SoupServerMessage* message, std::string_view path);
+    void drop(exchange* ended);
+
+    const settings::entry_settings& m_settings;
+    run_context& m_context;
+    callbacks m_calls;
+    gobject_ptr<SoupServer> m_server;
+    std::list<std::unique_ptr<exchange>> m_exchanges;
+    timer m_cleanup;
+    timer m_capacity;
+    std::list<std::unique_ptr<exchange>> m_ended;
+};
+}
--- /dev/null
+++ b/src/entry/entry.hpp
@@ -0,0 +1,9 @@
+/// Umbrella header of the `entry` package: what stands between callers and sides.
+#pragma once
+
+#include "entry/attempt.hpp"
+#include "entry/caller_server.hpp"
+#include "entry/links.hpp"
+#include "entry/outcome.hpp"
+#include "entry/pipeline_run.hpp"
+#include "entry/request.hpp"
--- /dev/null
+++ b/src/entry/links.cpp
@@ -0,0 +1,278 @@
+#include "entry/links.hpp"
+
+#include "telemetry/log.hpp"
+
+namespace bilberryseam::entry {
+
+namespace {
+    constexpr std::string_view part = "links";
+    constexpr milliseconds tickPeriod { 100 };
+
+    /// How long a link may be down before its attempts are reported as stalled.
+    constexpr milliseconds stallDelay { 1200 };
+}
+
+/// A session with one side.
+struct links::link {
+    identifier id;
+    std::unique_ptr<wire::session> session;
+    size_t attempts = 0;
+    std::optional<time_point> downSince;
+    bool isStallReported = false;
+    bool isRefused = false;
+    bool isUsed = true;
+};
+
+/// An attempt that has not come to its end.
+struct links::flying_attempt {
+    identifier request;
+    link* via = nullptr;
+    known_target* target = nullptr;
+    uint32_t nextIndex = 0;
+    attempt_handler handler;
+};
+
+links::links(std::string ownName, std::string ownRegion, metrics& metrics, callbacks calls)
+    : m_ownName(std::move(ownName))
+    , m_ownRegion(std::move(ownRegion))
+    , m_metrics(metrics)
+    , m_calls(std::move(calls))
+    , m_identifiers(identifier_generator::fromSystem())
+{
+    m_tick.startEvery(tickPeriod, [this] { tick(); });
+}
+
+links::~links() = default;
+
+void links::follow(const configuration::state& state)
+{
+    for (auto& [side, link] : m_links)
+        link->isUsed = false;
+    for (auto& [name, known] : m_targets)
+        known->isWithdrawn = true;
+    m_byService.clear();
+    for (const auto& [name, entry] : state.of<configuration::target>()) {
+        auto& known = m_targets[name];
+        if (!known)
+            known = std::make_unique<known_target>();
+        const bool hasMoved = known->target && known->target->side != entry.value->side;
+        known->target = entry.value;
+        known->isWithdrawn = false;
+        known->isReported = known->isReported && !hasMoved;
+        known->isInstanceLeaving = m_leavingInstances.contains(entry.value->instance);
+        linkTo(entry.value->side).isUsed = true;
+        m_byService[entry.value->service].push_back(known.get());
+    }
+    // A withdrawn target's record goes once nothing is in flight there.
+    std::erase_if(m_targets, [](const auto& item) { return item.second->isWithdrawn && item.second->inFlight == 0; });
+    m_calls.onCapacityChanged();
+}
+
+links::link& links::linkTo(const ip_endpoint& side)
+{
+    auto& made = m_links[side];
+    if (made)
+        return *made;
+    made = std::make_unique<link>();
+    link* raw = made.get();
+    raw->id = m_identifiers.next();
+    m_peers[raw->id] = raw;
+    raw->downSince = monotonicNow();
+    wire::session::callbacks calls;
+    calls.onMessage = [this, raw](wire::message& item) { take(*raw, item); };
+    calls.onAttached = [this, raw](bool) {
+        raw->downSince.reset();
+        raw->isStallReported = false;
+        raw->isRefused = false;
+        m_calls.onPeerAttached(raw->id);
+    };
+    calls.onLost = [this, raw] { linkLost(*raw); };
+    calls.onDetached = [this, raw](std::string_view reason, bool isRefused) {
+        m_metrics.count("link_detached_total", { { "reason", std::string(reason) } });
+        raw->isRefused = isRefused;
+        if (!raw->downSince)
+            raw->downSince = monotonicNow();
+    };
+    raw->session = std::make_unique<wire::session>(side, m_ownName, raw->id, wire::link_times {}, std::move(calls));
+    return *raw;
+}
+
+void links::setLeavingInstances(const std::set<std::string, std::less<>>& leaving)
+{
+    m_leavingInstances = leaving;
+    for (auto& [name, known] : m_targets)
+        known->isInstanceLeaving = leaving.contains(known->target->instance);
+}
+
+std::span<known_target* const> links::targetsOf(std::string_view service) const
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return {};
+    return found->second;
+}
+
+bool links::isUsable(const known_target& target) const
+{
+    if (target.isWithdrawn || target.isInstanceLeaving || !target.isReported || target.load.isLeaving || target.load.isDown)
+        return false;
+    const auto found = m_links.find(target.target->side);
+    return found != m_links.end() && found->second->session->isUp();
+}
+
+void links::dispatch(known_target& target, wire::start_call call, attempt_handler handler)
+{
+    link& via = linkTo(target.target->side);
+    ++via.attempts;
+    ++target.inFlight;
+    m_attempts[call.attempt] = { call.request, &via, &target, 0, std::move(handler) };
+    via.session->post(std::move(call));
+}
+
+void links::cancel(identifier attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end())
+        return;
+    flying_attempt& flying = found->second;
+    flying.via->session->post(wire::cancel_call { attempt });
+    --flying.via->attempts;
+    --flying.target->inFlight;
+    m_attempts.erase(found);
+}
+
+void links::post(identifier peer, wire::message item)
+{
+    if (const auto found = m_peers.find(peer); found != m_peers.end())
+        found->second->session->post(std::move(item));
+}
+
+void links::take(link& from, wire::message& item)
+{
+    if (auto* output = std::get_if<wire::call_output>(&item))
+        takeOutput(from, *output);
+    else if (auto* finished = std::get_if<wire::call_finished>(&item))
+        deliver(from, finished->attempt, finished->request, std::move(*finished), true);
+    else if (auto* refused = std::get_if<wire::call_refused>(&item))
+        deliver(from, refused->attempt, refused->request, *refused, true);
+    else if (auto* started = std::get_if<wire::call_started>(&item))
+        deliver(from, started->attempt, {}, *started, false);
+    else if (auto* load = std::get_if<wire::target_load>(&item))
+        takeLoad(*load);
+    else
+        m_calls.onOther(from.id, item);
+}
+
+void links::takeOutput(link& from, wire::call_output& output)
+{
+    const auto found = m_attempts.find(output.attempt);
+    if (found == m_attempts.end())
+        return;
+    if (output.index != found->second.nextIndex) {
+        violate("output_index");
+        return;
+    }
+    ++found->second.nextIndex;
+    const identifier attempt = output.attempt;
+    const identifier request = output.request;
+    deliver(from, attempt, request, std::move(output), false);
+}
+
+void links::deliver(link& from, identifier attempt, identifier request, attempt_event event, bool isFinal)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end())
+        return;
+    flying_attempt& flying = found->second;
+    if (flying.via != &from || (request && request != flying.request)) {
+        violate("crossed_result");
+        return;
+    }
+    const auto* finished = std::get_if<wire::call_finished>(&event);
+    if (finished && finished->outputCount != flying.nextIndex) {
+        violate("output_count");
+        event = attempt_lost {};
+    }
+    if (!isFinal) {
+        const attempt_handler handler = flying.handler;
+        handler(event);
+        return;
+    }
+    const attempt_handler handler = std::move(flying.handler);
+    --flying.via->attempts;
+    --flying.target->inFlight;
+    m_attempts.erase(found);
+    handler(event);
+}
+
+void links::violate(std::string_view rule)
+{
+    m_metrics.count("protocol_violations_total", { { "rule", std::string(rule) } });
+    logLine(log_level::Error, part, "A side broke the protocol.", { { "rule", std::string(rule) } });
+}
+
+void links::takeLoad(wire::target_load& load)
+{
+    const auto found = m_targets.find(load.target);
+    if (found == m_targets.end())
+        return;
+    known_target& known = *found->second;
+    known.load = std::move(load);
+    known.isReported = true;
+    m_calls.onCapacityChanged();
+}
+
+void links::linkLost(link& lost)
+{
+    m_metrics.count("sessions_lost_total");
+    m_calls.onPeerGone(lost.id);
+    std::vector<identifier> fates;
+    for (const auto& [attempt, flying] : m_attempts) {
+        if (flying.via == &lost)
+            fates.push_back(attempt);
+    }
+    for (const identifier& attempt : fates)
+        deliver(lost, attempt, {}, attempt_lost {}, true);
+}
+
+void links::stall(link& stalled)
+{
+    stalled.isStallReported = true;
+    std::vector<identifier> waiting;
+    for (const auto& [attempt, flying] : m_attempts) {
+        if (flying.via == &stalled)
+            waiting.push_back(attempt);
+    }
+    for (const identifier& attempt : waiting)
+        deliver(stalled, attempt, {}, attempt_stalled {}, false);
+}
+
+void links::tick()
+{
+    const time_point now = monotonicNow();
+    for (auto& [side, link] : m_links) {
+        link->session->tick(now, link->attempts > 0);
+        const bool isStalled = link->downSince && (link->isRefused || now - *link->downSince > stallDelay);
+        if (isStalled && !link->isStallReported && link->attempts > 0)
+            stall(*link);
+    }
+    std::erase_if(m_links, [this](const auto& item) {
+        const bool isDone = !item.second->isUsed && item.second->attempts == 0;
+        if (isDone) {
+            m_peers.erase(item.second->id);
+            m_calls.onPeerGone(item.second->id);
+        }
+        return isDone;
+    });
+}
+
+nlohmann::json links::status() const
+{
+    nlohmann::json targets = nlohmann::json::array();
+    for (const auto& [name, known] : m_targets) {
+        targets.push_back({ { "name", name }, { "service", known->target->service }, { "region", known->target->region }, { "usable", isUsable(*known) },
+            { "inFlight", known->inFlight }, { "running", known->load.running }, { "queued", known->load.queued }, { "leaving", known->load.isLeaving || known->isInstanceLeaving || known->isWithdrawn } });
+    }
+    return targets;
+}
+}
--- /dev/null
+++ b/src/entry/links.hpp
@@ -0,0 +1,96 @@
+/// An entry's links to sides: which targets there are, their load, and the attempts in flight.
+#pragma once
+
+#include "configuration/state.hpp"
+#include "entry/attempt.hpp"
+#include "policy/routing.hpp"
+#include "telemetry/metrics.hpp"
+#include "wire/session.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace bilberryseam::entry {
+
+/// A target as this entry knows it.
+struct known_target {
+    std::shared_ptr<const configuration::target> target;
+    wire::target_load load;
+    uint32_t inFlight = 0;
+    bool isWithdrawn = false;
+    bool isInstanceLeaving = false;
+    /// The side has reported this target's load on the present connection.
+    bool isReported = false;
+};
+
+/// Sessions with all sides, and the attempts on them.
+class links {
+public:
+    struct callbacks {
+        std::function<void(identifier peer)> onPeerAttached;
+        std::function<void(identifier peer)> onPeerGone;
+        /// A message that is not about an attempt or a load.
+        std::function<void(identifier peer, wire::message&)> onOther;
+        /// A target's load or eligibility changed: waiting requests may look again.
+        std::function<void()> onCapacityChanged;
+    };
+
+    links(std::string ownName, std::string ownRegion, metrics& metrics, callbacks calls);
+    ~links();
+
+    /// Connects to the sides of all targets; forgets sides without any.
+    void follow(const configuration::state& state);
+
+    /// Instances that the platform says are leaving get no new work.
+    void setLeavingInstances(const std::set<std::string, std::less<>>& leaving);
+
+    /// @return The targets of a service, in the order of their names.
+    [[nodiscard]] std::span<known_target* const> targetsOf(std::string_view service) const;
+
+    /// @return Whether a target may be given work now.
+    [[nodiscard]] bool isUsable(const known_target& target) const;
+
+    /// Sends a call to its target's side.
+    void dispatch(known_target& target, wire::start_call call, attempt_handler handler);
+
+    /// Gives an attempt up; its handler hears nothing more.
+    void cancel(identifier attempt);
+
+    void post(identifier peer, wire::message item);
+
+    [[nodiscard]] nlohmann::json status() const;
+    [[nodiscard]] size_t attemptCount() const noexcept { return m_attempts.size(); }
+
+private:
+    struct link;
+    struct flying_attempt;
+
+    link& linkTo(const ip_endpoint& side);
+    void take(link& from, wire::message& item);
+    void deliver(link& from, identifier attempt, identifier request, attempt_event event, bool isFinal);
+    void takeOutput(link& from, wire::call_output& output);
+    void takeLoad(wire::target_load& load);
+    void linkLost(link& lost);
+    void stall(link& stalled);
+    void tick();
+    void violate(std::string_view rule);
+
+    std::string m_ownName;
+    std::string m_ownRegion;
+    metrics& m_metrics;
+    callbacks m_calls;
+    identifier_generator m_identifiers;
+    std::map<ip_endpoint, std::unique_ptr<link>> m_links;
+    std::unordered_map<identifier, link*> m_peers;
+    std::map<std::string, std::unique_ptr<known_target>, std::less<>> m_targets;
+    std::map<std::string, std::vector<known_target*>, std::less<>> m_byService;
+    std::unordered_map<identifier, flying_attempt> m_attempts;
+    std::set<std::string, std::less<>> m_leavingInstances;
+    timer m_tick;
+};
+}
--- /dev/null
+++ b/src/entry/pipeline_run.cpp
@@ -0,0 +1,459 @@
+#include "entry/pipeline_run.hpp"
+
+#include "base/hash.hpp"
+#include "telemetry/log.hpp"
+
+namespace bilberryseam::entry {
+
+using nlohmann::json;
+
+namespace {
+    constexpr std::string_view part = "run";
+
+    /// Sides get a little less time than the entry has, so that their word arrives before the deadline.
+    constexpr milliseconds deadlineMargin { 20 };
+
+    /// How long a run waits for a target when there are some but none is usable.
+    constexpr milliseconds targetPatience { 400 };
+
+    /// Pause before a later stage asks full targets again.
+    constexpr milliseconds fullBackoff { 25 };
+
+    constexpr uint32_t maxRetriesPerStage = 8;
+    constexpr milliseconds defaultRetryAfter { 1000 };
+
+    outcome_reason reasonOf(wire::refusal refusal)
+    {
+        switch (refusal) {
+        case wire::refusal::KeyExpired:
+            return outcome_reason::KeyExpired;
+        case wire::refusal::KeyReused:
+            return outcome_reason::KeyReused;
+        case wire::refusal::RunsElsewhere:
+            return outcome_reason::KeyRunsElsewhere;
+        case wire::refusal::LogUnavailable:
+        case wire::refusal::ClaimsNotReady:
+            return outcome_reason::LogUnavailable;
+        case wire::refusal::Quarantined:
+            return outcome_reason::Quarantined;
+        case wire::refusal::DeadlinePassed:
+        case wire::refusal::Cancelled:
+            return outcome_reason::DeadlinePassed;
+        case wire::refusal::QueueFull:
+            return outcome_reason::Overloaded;
+        case wire::refusal::Draining:
+        case wire::refusal::UnknownTarget:
+        case wire::refusal::TargetDown:
+            break;
+        }
+        return outcome_reason::NoTarget;
+    }
+}
+
+pipeline_run::pipeline_run(request asked, run_context& context, callbacks calls)
+    : m_request(std::move(asked))
+    , m_context(context)
+    , m_calls(std::move(calls))
+{
+}
+
+pipeline_run::~pipeline_run()
+{
+    cancelAttempts(std::nullopt);
+}
+
+bool pipeline_run::isEngineStage() const
+{
+    return stage().service->kind == configuration::service_kind::Engine;
+}
+
+void pipeline_run::start()
+{
+    const milliseconds remaining = std::chrono::ceil<milliseconds>(m_request.deadline - monotonicNow());
+    m_deadline.startOnce(remaining, [this] { deadlinePassed(); });
+    startStage();
+}
+
+void pipeline_run::startStage()
+{
+    m_text.clear();
+    m_tried.clear();
+    m_retries = 0;
+    m_stageStartedAt = monotonicNow();
+    tryDispatch();
+}
+
+void pipeline_run::tryDispatch()
+{
+    m_isWaiting = false;
+    m_patience.stop();
+    std::string body = stageBody();
+    const std::vector<policy::candidate> choices = candidates();
+    const std::optional<size_t> chosen = choose(choices, static_cast<double>(body.size()));
+    if (chosen) {
+        dispatchTo(*m_context.sides.targetsOf(stage().service->name)[*chosen], std::move(body));
+        return;
+    }
+    if (m_waitReason != outcome_reason::None && !m_tried.empty()) {
+        waitForTarget(m_waitReason, m_waitRetryAfter);
+        return;
+    }
+    waitForTarget(outcome_reason::NoTarget, defaultRetryAfter);
+}
+
+std::vector<policy::candidate> pipeline_run::candidates() const
+{
+    std::vector<policy::candidate> made;
+    for (const known_target* known : m_context.sides.targetsOf(stage().service->name)) {
+        const configuration::target& target = *known->target;
+        policy::candidate& choice = made.emplace_back();
+        choice.name = target.name;
+        choice.hash = hashOf(target.name);
+        choice.isInOwnRegion = target.region == m_context.ownRegion;
+        choice.isEligible = m_context.sides.isUsable(*known) && !m_tried.contains(target.name);
+        choice.reportedWaitSeconds = known->load.expectedWaitMs / 1000.0;
+        choice.inFlight = known->inFlight;
+        choice.reportedLoad = known->load.running + known->load.queued;
+        choice.capacity = std::max(1u, target.capacity);
+        choice.pricePerGib = m_context.priceOf(m_context.ownRegion, target.region);
+    }
+    return made;
+}
+
+std::optional<size_t> pipeline_run::choose(std::span<const policy::candidate> candidates, double bytes)
+{
+    service_figures& figures = m_context.services[stage().service->name];
+    if (!stage().service->isRepeatable)
+        return policy::chooseByKey(candidates, hashOf(m_request.idempotencyKey));
+    if (m_request.policy->mode == "baseline")
+        return policy::chooseRoundRobin(candidates, figures.roundRobinTurn);
+    const policy::routing_weights weights { m_request.policy->attainmentWeight, m_request.policy->costWeight };
+    return policy::chooseByCost(candidates, { bytes, 0, figures.meanRunSeconds }, weights, m_context.random);
+}
+
+std::string pipeline_run::stageBody() const
+{
+    const configuration::stage& step = stage().stage;
+    if (!isEngineStage())
+        return json { { "stage", step.name }, { "input", m_request.input }, { "previous", m_previous } }.dump();
+    std::string prompt;
+    if (m_previous.is_object() && m_previous.contains("context"))
+        prompt = m_previous["context"].is_string() ? m_previous["context"].get<std::string>() : m_previous["context"].dump();
+    if (!prompt.empty())
+        prompt += "\n\n";
+    prompt += m_request.input.is_object() ? m_request.input.value("prompt", m_request.input.dump()) : m_request.input.dump();
+    json body { { "model", step.model }, { "prompt", prompt }, { "max_tokens", step.maxTokens }, { "stream", true } };
+    if (m_request.input.is_object() && m_request.input.contains("max_tokens"))
+        body["max_tokens"] = m_request.input["max_tokens"];
+    if (!m_text.empty())
+        body["resume_text"] = m_text;
+    return body.dump();
+}
+
+wire::start_call pipeline_run::callFor(const known_target& target, identifier attempt, std::string body) const
+{
+    const milliseconds remaining = std::chrono::floor<milliseconds>(m_request.deadline - monotonicNow()) - deadlineMargin;
+    wire::start_call call;
+    call.request = m_request.id;
+    call.attempt = attempt;
+    call.target = target.target->name;
+    call.pipeline = m_request.pipeline->name;
+    call.stage = stage().stage.name;
+    call.account = m_request.account->name;
+    call.remainingMs = static_cast<uint32_t>(std::max<int64_t>(0, remaining.count()));
+    call.priority = m_request.priority;
+    call.isStreamed = isEngineStage();
+    call.isRepeatable = stage().service->isRepeatable;
+    call.idempotencyKey = call.isRepeatable ? "" : m_request.idempotencyKey;
+    call.keyIssuedMs = m_request.keyIssuedMs;
+    call.fingerprint = m_request.fingerprint;
+    call.body = std::move(body);
+    return call;
+}
+
+void pipeline_run::dispatchTo(known_target& target, std::string body)
+{
+    const identifier attempt = m_context.identifiers.next();
+    m_tried.insert(target.target->name);
+    m_attempts[attempt] = { &target, target.target->region, monotonicNow(), body.size(), 0, false };
+    m_context.counters.count("attempts_total", { { "stage", stage().stage.name }, { "target_region", target.target->region } });
+    m_context.sides.dispatch(target, callFor(target, attempt, std::move(body)), [weak = weak_from_this(), attempt](attempt_event& event) {
+        if (const auto self = weak.lock())
+            self->take(attempt, event);
+    });
+}
+
+void pipeline_run::take(identifier attempt, attempt_event& event)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end() || m_isOver)
+        return;
+    if (std::holds_alternative<wire::call_started>(event)) {
+        found->second.hasStarted = true;
+        m_hasBegun = true;
+        return;
+    }
+    if (const auto* output = std::get_if<wire::call_output>(&event)) {
+        takeOutput(attempt, output->text);
+        return;
+    }
+    if (std::holds_alternative<attempt_stalled>(event)) {
+        takeStall(attempt);
+        return;
+    }
+    live_attempt ended = std::move(found->second);
+    m_attempts.erase(found);
+    if (const auto* finished = std::get_if<wire::call_finished>(&event))
+        ended.bytesBack += finished->body.size();
+    account(ended);
+    if (auto* finished = std::get_if<wire::call_finished>(&event))
+        takeFinish(ended, *finished);
+    else if (const auto* refused = std::get_if<wire::call_refused>(&event))
+        takeRefusal(ended, *refused);
+    else
+        takeLoss();
+}
+
+void pipeline_run::account(const live_attempt& ended)
+{
+    const std::string& own = m_context.ownRegion;
+    const std::string& stageName = stage().stage.name;
+    m_context.counters.count("stage_bytes_total", { { "stage", stageName }, { "from", own }, { "to", ended.region } }, static_cast<double>(ended.bytesOut));
+    m_context.counters.count("stage_bytes_total", { { "stage", stageName }, { "from", ended.region }, { "to", own } }, static_cast<double>(ended.bytesBack));
+    if (ended.region == own)
+        return;
+    constexpr double bytesPerGib = 1024.0 * 1024.0 * 1024.0;
+    const double cost = (m_context.priceOf(own, ended.region) * ended.bytesOut + m_context.priceOf(ended.region, own) * ended.bytesBack) / bytesPerGib;
+    m_context.counters.count("stage_cost_total", { { "stage", stageName } }, cost);
+}
+
+void pipeline_run::takeOutput(identifier attempt, const std::string& text)
+{
+    if (m_attempts.size() > 1)
+        cancelAttempts(attempt);
+    m_attempts.at(attempt).bytesBack += text.size();
+    if (m_text.empty() && isLastStage())
+        m_context.counters.observeSeconds("first_token_seconds", { { "pipeline", m_request.pipeline->name } }, asSeconds(monotonicNow() - m_request.arrivedAt));
+    m_text += text;
+    if (isLastStage() && m_request.isStreamed)
+        m_calls.onOutput(text);
+}
+
+void pipeline_run::takeRefusal(const live_attempt& ended, const wire::call_refused& refused)
+{
+    m_context.counters.count("attempts_refused_total", { { "stage", stage().stage.name }, { "reason", std::string(nameOf(refused.reason)) } });
+    if (!m_attempts.empty())
+        return;
+    const outcome_reason reason = reasonOf(refused.reason);
+    const milliseconds retryAfter = std::max(defaultRetryAfter, milliseconds(refused.retryAfterMs));
+    switch (refused.reason) {
+    case wire::refusal::RunsElsewhere:
+        m_isUnclear = true;
+        m_isUnclearOnce = true;
+        giveUp(reason, retryAfter, "The same key is running or has run elsewhere.");
+        return;
+    case wire::refusal::KeyExpired:
+        // What ran under an expired key can no longer be told.
+        m_isUnclear = true;
+        m_isUnclearOnce = true;
+        giveUp(reason, milliseconds(0), "The key is older than the window in which repeats are recognised.");
+        return;
+    case wire::refusal::KeyReused:
+    case wire::refusal::Quarantined:
+        giveUp(reason, milliseconds(0), "");
+        return;
+    case wire::refusal::DeadlinePassed:
+    case wire::refusal::Cancelled:
+    case wire::refusal::LogUnavailable:
+    case wire::refusal::ClaimsNotReady:
+    case wire::refusal::QueueFull:
+    case wire::refusal::Draining:
+    case wire::refusal::UnknownTarget:
+    case wire::refusal::TargetDown:
+        break;
+    }
+    static_cast<void>(ended);
+    m_context.counters.count("retries_total", { { "stage", stage().stage.name }, { "reason", std::string(nameOf(refused.reason)) } });
+    m_waitReason = reason;
+    m_waitRetryAfter = retryAfter;
+    tryDispatch();
+}
+
+void pipeline_run::waitForTarget(outcome_reason reason, milliseconds retryAfter)
+{
+    const bool isFull = reason == outcome_reason::Overloaded || reason == outcome_reason::DeadlinePassed || reason == outcome_reason::LogUnavailable;
+    const bool isFirstStage = m_stageIndex == 0;
+    const bool hasTargets = !m_context.sides.targetsOf(stage().service->name).empty();
+    if (!hasTargets || (isFull && isFirstStage)) {
+        giveUp(reason, retryAfter, "");
+        return;
+    }
+    m_isWaiting = true;
+    if (isFull) {
+        // Earlier stages have run: their work is worth another try until the deadline.
+        m_patience.startOnce(fullBackoff, [this] {
+            m_tried.clear();
+            tryDispatch();
+        });
+        return;
+    }
+    m_patience.startOnce(targetPatience, [this, reason, retryAfter] { giveUp(reason, retryAfter, ""); });
+}
+
+void pipeline_run::capacityChanged()
+{
+    if (!m_isWaiting || m_isOver)
+        return;
+    const std::vector<policy::candidate> choices = candidates();
+    const bool hasChoice = std::any_of(choices.begin(), choices.end(), [](const policy::candidate& choice) { return choice.isEligible; });
+    if (hasChoice)
+        tryDispatch();
+}
+
+void pipeline_run::takeFinish(const live_attempt& ended, wire::call_finished& finished)
+{
+    m_hasBegun = true;
+    service_figures& figures = m_context.services[stage().service->name];
+    switch (finished.end) {
+    case wire::call_end::Answered:
+        figures.meanRunSeconds += 0.1 * (finished.ranMs / 1000.0 - figures.meanRunSeconds);
+        cancelAttempts(std::nullopt);
+        m_context.counters.observeSeconds("stage_seconds", { { "stage", stage().stage.name } }, asSeconds(monotonicNow() - ended.sentAt));
+        completeStage(finished);
+        return;
+    case wire::call_end::Rejected:
+        giveUp(outcome_reason::TargetRejected, milliseconds(0), finished.detail);
+        return;
+    case wire::call_end::TargetCrashed:
+        retryOr(outcome_reason::TargetCrashed, finished.detail);
+        return;
+    case wire::call_end::TimedOut:
+        retryOr(outcome_reason::RetriesSpent, finished.detail);
+        return;
+    case wire::call_end::Cancelled:
+        retryOr(outcome_reason::LinkLost, finished.detail);
+        return;
+    case wire::call_end::Unknown:
+        m_isUnclear = true;
+        m_isUnclearOnce = true;
+        giveUp(outcome_reason::TargetCrashed, defaultRetryAfter, finished.detail);
+        return;
+    }
+}
+
+void pipeline_run::takeLoss()
+{
+    m_isUnclear = true;
+    if (!stage().service->isRepeatable) {
+        m_isUnclearOnce = true;
+        giveUp(outcome_reason::LinkLost, defaultRetryAfter, "The side restarted while it had the call.");
+        return;
+    }
+    retryOr(outcome_reason::LinkLost, "The side restarted while it had the call.");
+}
+
+void pipeline_run::takeStall(identifier attempt)
+{
+    // A call that may not be repeated waits for its link until the deadline.
+    if (!stage().service->isRepeatable)
+        return;
+    m_isUnclear = true;
+    account(m_attempts.at(attempt));
+    m_context.sides.cancel(attempt);
+    m_attempts.erase(attempt);
+    retryOr(outcome_reason::LinkLost, "The link to the side is down.");
+}
+
+void pipeline_run::retryOr(outcome_reason reason, std::string detail)
+{
+    if (!m_attempts.empty())
+        return;
+    if (++m_retries > maxRetriesPerStage) {
+        giveUp(outcome_reason::RetriesSpent, milliseconds(0), std::move(detail));
+        return;
+    }
+    m_context.counters.count("retries_total", { { "stage", stage().stage.name }, { "reason", std::string(nameOf(reason)) } });
+    logLine(log_level::Info, part, "A stage is tried again.", { { "request", m_request.id.toString() }, { "stage", stage().stage.name }, { "reason", std::string(nameOf(reason)) } });
+    m_waitReason = reason;
+    m_waitRetryAfter = defaultRetryAfter;
+    tryDispatch();
+}
+
+void pipeline_run::completeStage(wire::call_finished& finished)
+{
+    json output;
+    if (isEngineStage()) {
+        output = { { "text", m_text } };
+        if (json usage = json::parse(finished.body, nullptr, false); usage.is_object())
+            output["usage"] = std::move(usage);
+    } else {
+        output = json::parse(finished.body, nullptr, false);
+        if (output.is_discarded())
+            output = finished.body;
+    }
+    if (isLastStage()) {
+        end({ outcome_kind::Answered, outcome_reason::None, "", milliseconds(0), "", std::move(output) });
+        return;
+    }
+    m_previous = std::move(output);
+    ++m_stageIndex;
+    m_waitReason = outcome_reason::None;
+    startStage();
+}
+
+void pipeline_run::cancelAttempts(std::optional<identifier> except)
+{
+    for (auto found = m_attempts.begin(); found != m_attempts.end();) {
+        if (except && found->first == *except) {
+            ++found;
+            continue;
+        }
+        m_context.sides.cancel(found->first);
+        found = m_attempts.erase(found);
+    }
+}
+
+void pipeline_run::deadlinePassed()
+{
+    giveUp(outcome_reason::DeadlinePassed, defaultRetryAfter, "");
+}
+
+void pipeline_run::abandon(outcome_reason reason)
+{
+    if (!m_isOver)
+        giveUp(reason, milliseconds(0), "");
+}
+
+void pipeline_run::giveUp(outcome_reason reason, milliseconds retryAfter, std::string detail)
+{
+    for (const auto& [attempt, live] : m_attempts) {
+        account(live);
+        // A call that was sent and not refused may have begun.
+        m_isUnclear = m_isUnclear || !live.hasStarted;
+        m_isUnclearOnce = m_isUnclearOnce || !stage().service->isRepeatable;
+    }
+    cancelAttempts(std::nullopt);
+    outcome told { outcome_kind::NotRun, reason, stage().stage.name, retryAfter, std::move(detail), {} };
+    if (m_isUnclearOnce)
+        told.kind = outcome_kind::Unknown;
+    else if (m_hasBegun)
+        told.kind = outcome_kind::Failed;
+    else if (m_isUnclear)
+        told.kind = outcome_kind::Unknown;
+    end(std::move(told));
+}
+
+void pipeline_run::end(outcome told)
+{
+    if (m_isOver)
+        return;
+    m_isOver = true;
+    m_deadline.stop();
+    m_patience.stop();
+    m_isWaiting = false;
+    const auto self = shared_from_this();
+    const auto call = std::move(m_calls.onOutcome);
+    m_calls = {};
+    call(std::move(told));
+}
+}
--- /dev/null
+++ b/src/execution/configuration_follower.cpp
@@ -0,0 +1,185 @@
+#include "execution/configuration_follower.hpp"
+
+#include "telemetry/log.hpp"
+
+namespace bilberryseam::execution {
+
+namespace {
+    constexpr std::string_view part = "configuration";
+    constexpr uint32_t recordsPerRead = 500;
+    constexpr uint32_t snapshotsPerRead = 64;
+    constexpr milliseconds tickPeriod { 250 };
+
+    /// Log reads a second that the whole fleet may cause; the poll period grows with the fleet.
+    constexpr double fleetReadsPerSecond = 50;
+}
+
+configuration_follower::configuration_follower(const settings::platform_settings& platform, metrics& metrics, callbacks calls)
+    : m_platform(platform)
+    , m_metrics(metrics)
+    , m_calls(std::move(calls))
+    , m_log(platform.log)
+    , m_jitter(std::random_device {}())
+{
+    m_tick.startEvery(tickPeriod, [this] { perform(configuration::onTick(m_spreading, monotonicNow())); });
+    poll();
+}
+
+void configuration_follower::poll()
+{
+    m_reading = m_log.read(m_platform.configurationStream, m_state.nextOffset, recordsPerRead, [this](platform::read_reply reply) { takeLogAnswer(reply); });
+}
+
+void configuration_follower::scheduleNextPoll()
+{
+    const double daemons = 1 + static_cast<double>(m_state.of<configuration::target>().size());
+    const milliseconds fleetPeriod(static_cast<int64_t>(1000 * daemons / fleetReadsPerSecond));
+    const milliseconds period = std::max(m_platform.configurationPollPeriod, fleetPeriod);
+    const milliseconds jitter(m_jitter() % (period.count() + 1));
+    m_poll.startOnce(period / 2 + jitter, [this] { poll(); });
+}
+
+void configuration_follower::takeLogAnswer(const platform::read_reply& reply)
+{
+    m_metrics.count("configuration_reads_total", { { "result", reply.isOk ? "ok" : "failed" } });
+    if (!reply.isOk) {
+        scheduleNextPoll();
+        return;
+    }
+    if (reply.start > m_state.nextOffset) {
+        readSnapshots(reply.start);
+        return;
+    }
+    m_isReady = true;
+    bool hasAdvanced = false;
+    for (const auto& record : reply.records)
+        hasAdvanced |= apply({ record.offset, record.appendedMs, record.text });
+    if (hasAdvanced)
+        advanced();
+    if (hasAdvanced && reply.records.size() == recordsPerRead)
+        poll();
+    else
+        scheduleNextPoll();
+}
+
+void configuration_follower::readSnapshots(uint64_t logStart)
+{
+    logLine(log_level::Warning, part, "The log no longer keeps the next record. Reading snapshots.", { { "offset", std::to_string(m_state.nextOffset) }, { "log_start", std::to_string(logStart) } });
+    m_reading = m_log.read(m_platform.snapshotStream, 0, snapshotsPerRead, [this](platform::read_reply reply) {
+        takeSnapshots(reply);
+        scheduleNextPoll();
+    });
+}
+
+void configuration_follower::takeSnapshots(const platform::read_reply& reply)
+{
+    for (const auto& record : reply.records)
+        adoptSnapshot(record.text);
+}
+
+void configuration_follower::adoptSnapshot(std::string_view text)
+{
+    result<configuration::state> read = configuration::readSnapshot(text);
+    if (!read) {
+        m_metrics.count("configuration_snapshots_refused_total", { { "reason", std::string(nameOf(read.error().kind())) } });
+        return;
+    }
+    if (read.value().nextOffset <= m_state.nextOffset)
+        return;
+    m_state = std::move(read.value());
+    configuration::forget(m_window);
+    m_isReady = true;
+    advanced();
+}
+
+bool configuration_follower::apply(configuration::log_record record)
+{
+    switch (configuration::applyRecord(m_state, record)) {
+    case configuration::fold_step::Applied:
+        configuration::remember(m_window, std::move(record));
+        return true;
+    case configuration::fold_step::Halted:
+        raiseAlarm(m_state.haltReason);
+        return false;
+    case configuration::fold_step::OutOfOrder:
+        return false;
+    }
+    return false;
+}
+
+void configuration_follower::advanced()
+{
+    m_alarm.clear();
+    m_metrics.set("configuration_offset", {}, static_cast<double>(m_state.nextOffset));
+    logLine(log_level::Info, part, "A new configuration is in force.", { { "offset", std::to_string(m_state.nextOffset) } });
+    perform(configuration::onAdvanced(m_spreading, m_state.nextOffset, monotonicNow()));
+    m_calls.onAdvanced(m_state);
+}
+
+void configuration_follower::peerAttached(identifier peer)
+{
+    perform(configuration::onPeerAttached(m_spreading, peer));
+}
+
+void configuration_follower::peerGone(identifier peer)
+{
+    configuration::onPeerGone(m_spreading, peer);
+}
+
+bool configuration_follower::handle(identifier peer, wire::message& item)
+{
+    if (const auto* told = std::get_if<wire::configuration_offset>(&item)) {
+        perform(configuration::onPeerOffset(m_spreading, peer, told->offset, told->wantsRecords, monotonicNow()));
+        return true;
+    }
+    if (auto* records = std::get_if<wire::configuration_records>(&item)) {
+        takePeerRecords(*records);
+        return true;
+    }
+    return false;
+}
+
+void configuration_follower::takePeerRecords(wire::configuration_records& records)
+{
+    if (!records.snapshot.empty())
+        adoptSnapshot(records.snapshot);
+    bool hasAdvanced = false;
+    for (wire::configuration_record& record : records.records)
+        hasAdvanced |= apply({ record.offset, record.appendedMs, std::move(record.text) });
+    if (!hasAdvanced)
+        return;
+    m_isReady = true;
+    m_metrics.count("configuration_records_from_peers_total");
+    advanced();
+}
+
+void configuration_follower::perform(const std::vector<configuration::spreading_action>& actions)
+{
+    for (const auto& action : actions) {
+        if (action.kind == configuration::spreading_action_kind::SendRecords)
+            sendRecords(action.peer, action.fromOffset);
+        else
+            m_calls.send(action.peer, wire::configuration_offset { m_state.nextOffset, action.kind == configuration::spreading_action_kind::Pull });
+    }
+}
+
+void configuration_follower::sendRecords(identifier peer, uint64_t from)
+{
+    configuration::catch_up missing = configuration::recordsSince(m_window, m_state.nextOffset, from);
+    wire::configuration_records answer;
+    if (missing.needsSnapshot)
+        answer.snapshot = configuration::writeSnapshot(m_state);
+    for (auto& record : missing.records)
+        answer.records.push_back({ record.offset, record.appendedMs, std::move(record.text) });
+    m_calls.send(peer, std::move(answer));
+}
+
+void configuration_follower::raiseAlarm(std::string_view sentence)
+{
+    if (m_alarm == sentence)
+        return;
+    m_alarm = sentence;
+    m_metrics.count("configuration_alarms_total");
+    logLine(log_level::Error, part, sentence);
+}
+}
--- /dev/null
+++ b/src/execution/configuration_follower.hpp
@@ -0,0 +1,71 @@
+/// Keeps a daemon's configuration: reads the log, exchanges offsets with peers, and tells what changed.
+#pragma once
+
+#include "configuration/configuration.hpp"
+#include "loop/timer.hpp"
+#include "platform/log_client.hpp"
+#include "settings/entry_settings.hpp"
+#include "telemetry/metrics.hpp"
+#include "wire/message.hpp"
+
+#include <functional>
+#include <random>
+
+namespace bilberryseam::execution {
+
+/// Follows the configuration stream. The offset in force only moves forward.
+class configuration_follower {
+public:
+    struct callbacks {
+        /// The configuration in force changed.
+        std::function<void(const configuration::state&)> onAdvanced;
+        /// Sends a message to a peer.
+        std::function<void(identifier peer, wire::message)> send;
+    };
+
+    configuration_follower(const settings::platform_settings& platform, metrics& metrics, callbacks calls);
+
+    void peerAttached(identifier peer);
+    void peerGone(identifier peer);
+
+    /// Takes in a message that concerns the configuration.
+    /// @return False if it concerns something else.
+    [[nodiscard]] bool handle(identifier peer, wire::message& item);
+
+    [[nodiscard]] const configuration::state& current() const noexcept { return m_state; }
+
+    /// @return Whether a configuration is in force: the log or a peer has been heard.
+    [[nodiscard]] bool isReady() const noexcept { return m_isReady; }
+
+    /// @return A sentence for operators if something is wrong, else empty.
+    [[nodiscard]] const std::string& alarm() const noexcept { return m_alarm; }
+
+private:
+    void poll();
+    void scheduleNextPoll();
+    void takeLogAnswer(const platform::read_reply& reply);
+    void readSnapshots(uint64_t logStart);
+    void takeSnapshots(const platform::read_reply& reply);
+    void adoptSnapshot(std::string_view text);
+    void takePeerRecords(wire::configuration_records& records);
+    bool apply(configuration::log_record record);
+    void advanced();
+    void perform(const std::vector<configuration::spreading_action>& actions);
+    void sendRecords(identifier peer, uint64_t from);
+    void raiseAlarm(std::string_view sentence);
+
+    settings::platform_settings m_platform;
+    metrics& m_metrics;
+    callbacks m_calls;
+    platform::log_client m_log;
+    configuration::state m_state;
+    configuration::record_window m_window;
+    configuration::spreading_state m_spreading;
+    std::shared_ptr<void> m_reading;
+    timer m_poll;
+    timer m_tick;
+    std::minstd_rand m_jitter;
+    bool m_isReady = false;
+    std::string m_alarm;
+};
+}
--- /dev/null
+++ b/src/execution/configuration_pages.cpp
@@ -0,0 +1,60 @@
+#include "execution/configuration_pages.hpp"
+
+namespace bilberryseam::execution {
+
+using nlohmann::json;
+
+namespace {
+    std::string_view nameOf(platform::append_end end)
+    {
+        switch (end) {
+        case platform::append_end::Appended:
+            return "appended";
+        case platform::append_end::Refused:
+            return "refused";
+        case platform::append_end::Unknown:
+            return "unknown";
+        }
+        return "unknown";
+    }
+
+    json verdictToJson(const configuration::state& state, const std::string& note)
+    {
+        const auto found = state.verdicts.find(note);
+        if (found == state.verdicts.end())
+            return { { "note", note }, { "verdict", "none" }, { "offset", state.nextOffset } };
+        const configuration::note_verdict& verdict = found->second;
+        return { { "note", note }, { "verdict", verdict.isAccepted ? "accepted" : "rejected" }, { "offset", verdict.offset }, { "reason", verdict.reason }, { "winner", verdict.winner } };
+    }
+}
+
+void note_publisher::publish(std::string text, platform::log_client::on_append done)
+{
+    const uint64_t id = m_next++;
+    const std::vector<std::string> records { std::move(text) };
+    m_pending[id] = m_log.append(m_stream, records, [this, id, done = std::move(done)](platform::append_reply reply) {
+        done(reply);
+        m_pending.erase(id);
+    });
+}
+
+void serveConfiguration(operator_server& pages, const configuration_follower& follower, note_publisher& publisher)
+{
+    pages.onGet("/configuration", [&follower](std::string_view, const operator_server::responder& respond) {
+        respond(200, json::parse(configuration::writeSnapshot(follower.current())));
+    });
+    pages.onGet("/verdict", [&follower](std::string_view query, const operator_server::responder& respond) {
+        constexpr std::string_view key = "note=";
+        respond(200, verdictToJson(follower.current(), std::string(query.starts_with(key) ? query.substr(key.size()) : query)));
+    });
+    pages.onPost("/publish", [&publisher](std::string_view body, const operator_server::responder& respond) {
+        if (const auto parsed = configuration::parseNote(body); !parsed) {
+            respond(400, { { "append", "refused" }, { "detail", parsed.error().what() } });
+            return;
+        }
+        publisher.publish(std::string(body), [respond](const platform::append_reply& reply) {
+            respond(200, { { "append", nameOf(reply.end) }, { "offset", reply.firstOffset }, { "detail", reply.detail } });
+        });
+    });
+}
+}
--- /dev/null
+++ b/src/execution/execution.hpp
@@ -0,0 +1,6 @@
+/// Umbrella header of the `execution` package: what entries and sides share.
+#pragma once
+
+#include "execution/configuration_follower.hpp"
+#include "execution/configuration_pages.hpp"
+#include "execution/operator_server.hpp"
--- /dev/null
+++ b/src/execution/operator_server.cpp
@@ -0,0 +1,60 @@
+#include "execution/operator_server.hpp"
+
+namespace bilberryseam::execution {
+
+using nlohmann::json;
+
+operator_server::operator_server(const ip_endpoint& listen, metrics& metrics, callbacks calls)
+    : m_metrics(metrics)
+    , m_calls(std::move(calls))
+    , m_server(gobject_ptr<SoupServer>::adopt(soup_server_new(nullptr, nullptr)))
+{
+    soup_server_add_handler(m_server.get(), "/", &operator_server::handle, this, nullptr);
+    listenOn(m_server.get(), listen);
+}
+
+void operator_server::handle(SoupServer*, SoupServerMessage* message, const char* path, GHashTable*, gpointer self)
+{
+    static_cast<operator_server*>(self)->answer(message, path);
+}
+
+void operator_server::answer(SoupServerMessage* message, const std::string& path)
+{
+    const std::string_view method = soup_server_message_get_method(message);
+    if (method == "POST") {
+        const auto found = m_posts.find(path);
+        if (found == m_posts.end()) {
+            replyJson(message, 404, { { "error", "There is no such command." } });
+            return;
+        }
+        callHandler(found->second, message, bodyOf(message));
+        return;
+    }
+    if (path == "/metrics") {
+        const std::string text = m_metrics.serialize();
+        soup_server_message_set_status(message, 200, nullptr);
+        soup_server_message_set_response(message, "text/plain; version=0.0.4", SOUP_MEMORY_COPY, text.data(), text.size());
+    } else if (path == "/healthz") {
+        replyJson(message, 200, { { "healthy", true } });
+    } else if (path == "/readyz") {
+        const bool isReady = m_calls.isReady();
+        replyJson(message, isReady ? 200 : 503, { { "ready", isReady } });
+    } else if (path == "/status") {
+        replyJson(message, 200, m_calls.status());
+    } else if (const auto found = m_gets.find(path); found != m_gets.end()) {
+        const char* query = g_uri_get_query(soup_server_message_get_uri(message));
+        callHandler(found->second, message, query ? query : "");
+    } else {
+        replyJson(message, 404, { { "error", "There is no such page." } });
+    }
+}
+
+void operator_server::callHandler(const handler& called, SoupServerMessage* message, std::string_view input)
+{
+    soup_server_message_pause(message);
+    called(input, [kept = gobject_ptr<SoupServerMessage>::share(message)](unsigned status, const json& body) {
+        replyJson(kept.get(), status, body);
+        soup_server_message_unpause(kept.get());
+    });
+}
+}
--- /dev/null
+++ b/src/loop/http.cpp
@@ -0,0 +1,214 @@
+#include "loop/http.hpp"
+
+#include "base/error.hpp"
+#include "loop/timer.hpp"
+
+namespace bilberryseam {
+
+namespace {
+    constexpr size_t readBlockBytes = 16 * 1024;
+
+    /// One exchange; kept alive by its pending GIO operation and by the caller's handle.
+    class exchange : public std::enable_shared_from_this<exchange> {
+    public:
+        exchange(http_client::on_end onEnd, http_client::on_chunk onChunk, size_t maxAnswerBytes)
+            : m_onEnd(std::move(onEnd))
+            , m_onChunk(std::move(onChunk))
+            , m_cancellable(gobject_ptr<GCancellable>::adopt(g_cancellable_new()))
+            , m_maxAnswerBytes(maxAnswerBytes)
+        {
+        }
+
+        void start(SoupSession* session, SoupMessage* message, milliseconds timeout)
+        {
+            m_message = gobject_ptr<SoupMessage>::adopt(message);
+            g_signal_connect(message, "wrote-headers", G_CALLBACK(+[](SoupMessage*, gpointer self) { static_cast<exchange*>(self)->m_wroteHeaders = true; }), this);
+            if (timeout.count() > 0) {
+                m_timeout.startOnce(timeout, [this] {
+                    m_isTimedOut = true;
+                    g_cancellable_cancel(m_cancellable.get());
+                });
+            }
+            auto* keep = new std::shared_ptr<exchange>(shared_from_this());
+            soup_session_send_async(session, message, G_PRIORITY_DEFAULT, m_cancellable.get(), &exchange::onSent, keep);
+        }
+
+        void abandon()
+        {
+            m_onEnd = nullptr;
+            m_onChunk = nullptr;
+            m_timeout.stop();
+            g_cancellable_cancel(m_cancellable.get());
+        }
+
+        ~exchange()
+        {
+            if (m_message)
+                g_signal_handlers_disconnect_by_data(m_message.get(), this);
+        }
+
+    private:
+        static std::shared_ptr<exchange> take(gpointer data)
+        {
+            std::unique_ptr<std::shared_ptr<exchange>> keep(static_cast<std::shared_ptr<exchange>*>(data));
+            return *keep;
+        }
+
+        static void onSent(GObject* source, GAsyncResult* outcome, gpointer data)
+        {
+            const auto self = take(data);
+            GError* failure = nullptr;
+            self->m_stream = gobject_ptr<GInputStream>::adopt(soup_session_send_finish(SOUP_SESSION(source), outcome, &failure));
+            if (!self->m_stream) {
+                self->fail(failure, self->m_wroteHeaders ? exchange_end::NoAnswer : exchange_end::NotConnected);
+                return;
+            }
+            self->m_reply.status = soup_message_get_status(self->m_message.get());
+            self->readMore();
+        }
+
+        void readMore()
+        {
+            auto* keep = new std::shared_ptr<exchange>(shared_from_this());
+            g_input_stream_read_async(m_stream.get(), m_block.data(), m_block.size(), G_PRIORITY_DEFAULT, m_cancellable.get(), &exchange::onRead, keep);
+        }
+
+        static void onRead(GObject*, GAsyncResult* outcome, gpointer data)
+        {
+            const auto self = take(data);
+            GError* failure = nullptr;
+            const gssize count = g_input_stream_read_finish(self->m_stream.get(), outcome, &failure);
+            if (count < 0) {
+                self->fail(failure, exchange_end::Cut);
+                return;
+            }
+            if (count == 0) {
+                self->finish(exchange_end::Complete);
+                return;
+            }
+            if (self->takeBlock(static_cast<size_t>(count)))
+                self->readMore();
+        }
+
+        bool takeBlock(size_t count)
+        {
+            const std::string_view block(m_block.data(), count);
+            m_answerBytes += count;
+            if (m_answerBytes > m_maxAnswerBytes) {
+                m_reply.detail = "The answer is larger than the limit.";
+                finish(exchange_end::Cut);
+                g_cancellable_cancel(m_cancellable.get());
+                return false;
+            }
+            const bool isStreamed = m_onChunk && m_reply.status / 100 == 2;
+            if (const auto call = m_onChunk; isStreamed)
+                call(block);
+            else
+                m_reply.body.append(block);
+            return static_cast<bool>(m_onEnd);
+        }
+
+        void fail(GError* failure, exchange_end end)
+        {
+            const bool isCancelled = g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_CANCELLED);
+            m_reply.detail = m_isTimedOut ? "The exchange timed out." : failure->message;
+            g_error_free(failure);
+            finish(isCancelled && !m_isTimedOut ? exchange_end::Cancelled : end);
+        }
+
+        void finish(exchange_end end)
+        {
+            m_timeout.stop();
+            m_reply.end = end;
+            if (const auto call = std::exchange(m_onEnd, nullptr))
+                call(std::move(m_reply));
+        }
+
+        http_client::on_end m_onEnd;
+        http_client::on_chunk m_onChunk;
+        gobject_ptr<GCancellable> m_cancellable;
+        gobject_ptr<SoupMessage> m_message;
+        gobject_ptr<GInputStream> m_stream;
+        std::array<char, readBlockBytes> m_block;
+        http_reply m_reply;
+        size_t m_maxAnswerBytes;
+        size_t m_answerBytes = 0;
+        timer m_timeout;
+        bool m_isTimedOut = false;
+        bool m_wroteHeaders = false;
+    };
+
+    SoupMessage* messageOf(const http_request& request)
+    {
+        SoupMessage* message = soup_message_new(request.method.c_str(), request.url.c_str());
+        if (!message)
+            throw error(error_kind::InvalidSettings, "\"" + request.url + "\" is not a URL.", "Use http://IP:port/path.");
+        for (const auto& [name, value] : request.headers)
+            soup_message_headers_replace(soup_message_get_request_headers(message), name.c_str(), value.c_str());
+        if (!request.body.empty()) {
+            GBytes* bytes = g_bytes_new(request.body.data(), request.body.size());
+            soup_message_set_request_body_from_bytes(message, "application/json", bytes);
+            g_bytes_unref(bytes);
+        }
+        if (request.isOnNewConnection)
+            soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+        return message;
+    }
+}
+
+http_client::http_client(int maxConnections)
+    : m_session(gobject_ptr<SoupSession>::adopt(soup_session_new_with_options(
+        "max-conns", maxConnections, "max-conns-per-host", maxConnections, "idle-timeout", 30u, "timeout", 0u, nullptr)))
+{
+    // Peers are IP numbers: no proxies, no resolver.
+    soup_session_set_proxy_resolver(m_session.get(), nullptr);
+}
+
+std::shared_ptr<void> http_client::send(const http_request& request, on_end onEnd, on_chunk onChunk)
+{
+    const auto made = std::make_shared<exchange>(std::move(onEnd), std::move(onChunk), request.maxAnswerBytes);
+    made->start(m_session.get(), messageOf(request), request.timeout);
+    return std::shared_ptr<void>(made.get(), [made](void*) { made->abandon(); });
+}
+
+std::string urlOf(const ip_endpoint& endpoint, std::string_view path)
+{
+    return "http://" + endpoint.toString() + std::string(path);
+}
+
+void replyJson(SoupServerMessage* message, unsigned status, const nlohmann::json& body)
+{
+    const std::string text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    soup_server_message_set_status(message, status, nullptr);
+    soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, text.data(), text.size());
+}
+
+std::string_view bodyOf(SoupServerMessage* message)
+{
+    SoupMessageBody* body = soup_server_message_get_request_body(message);
+    GBytes* flat = soup_message_body_flatten(body);
+    gsize size = 0;
+    const auto* data = static_cast<const char*>(g_bytes_get_data(flat, &size));
+    g_bytes_unref(flat);
+    return { data, size };
+}
+
+std::string_view headerOf(SoupServerMessage* message, const char* name)
+{
+    const char* value = soup_message_headers_get_one(soup_server_message_get_request_headers(message), name);
+    return value ? std::string_view(value) : std::string_view();
+}
+
+void listenOn(SoupServer* server, const ip_endpoint& endpoint)
+{
+    GSocketAddress* address = g_inet_socket_address_new_from_string(endpoint.address.c_str(), endpoint.port);
+    GError* failure = nullptr;
+    const bool isListening = soup_server_listen(server, address, static_cast<SoupServerListenOptions>(0), &failure);
+    g_object_unref(address);
+    if (isListening)
+        return;
+    const std::string text = failure->message;
+    g_error_free(failure);
+    throw error(error_kind::Unavailable, "Cannot listen on " + endpoint.toString() + ": " + text + ".", "Choose a free address in the settings.");
+}
+}
--- /dev/null
+++ b/src/loop/loop.hpp
@@ -0,0 +1,8 @@
+/// Umbrella header of the `loop` package: GLib's main loop, timers, object pointers, HTTP helpers.
+#pragma once
+
+#include "loop/disconnect_watch.hpp"
+#include "loop/gobject_ptr.hpp"
+#include "loop/http.hpp"
+#include "loop/main_loop.hpp"
+#include "loop/timer.hpp"
--- /dev/null
+++ b/src/loop/main_loop.cpp
@@ -0,0 +1,30 @@
+#include "loop/main_loop.hpp"
+
+#include <csignal>
+#include <glib-unix.h>
+
+namespace bilberryseam {
+
+main_loop::main_loop()
+    : m_loop(g_main_loop_new(nullptr, FALSE))
+{
+    // A peer that closes its end must not end this process.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+main_loop::~main_loop()
+{
+    g_main_loop_unref(m_loop);
+}
+
+void main_loop::onTerminate(std::function<void()> function)
+{
+    m_terminate = std::move(function);
+    const auto call = [](void* self) -> gboolean {
+        static_cast<main_loop*>(self)->m_terminate();
+        return G_SOURCE_CONTINUE;
+    };
+    g_unix_signal_add(SIGTERM, call, this);
+    g_unix_signal_add(SIGINT, call, this);
+}
+}
--- /dev/null
+++ b/src/loop/main_loop.hpp
@@ -0,0 +1,27 @@
+/// The process's one loop, on its one thread.
+#pragma once
+
+#include <functional>
+#include <glib.h>
+
+namespace bilberryseam {
+
+/// Runs GLib's default main context until told to quit.
+class main_loop {
+public:
+    main_loop();
+    ~main_loop();
+    main_loop(const main_loop&) = delete;
+    main_loop& operator=(const main_loop&) = delete;
+
+    /// Calls `function` on SIGTERM and SIGINT, in the loop.
+    void onTerminate(std::function<void()> function);
+
+    void run() { g_main_loop_run(m_loop); }
+    void quit() { g_main_loop_quit(m_loop); }
+
+private:
+    GMainLoop* m_loop;
+    std::function<void()> m_terminate;
+};
+}
--- /dev/null
+++ b/src/platform/platform.hpp
@@ -0,0 +1,5 @@
+/// Umbrella header of the `platform` package: clients of the platform's log and instance list.
+#pragma once
+
+#include "platform/instance_list.hpp"
+#include "platform/log_client.hpp"
--- /dev/null
+++ b/src/policy/policy.hpp
@@ -0,0 +1,5 @@
+/// Umbrella header of the `policy` package: decisions as free functions over plain structs, without I/O or clocks.
+#pragma once
+
+#include "policy/gate.hpp"
+#include "policy/routing.hpp"
--- /dev/null
+++ b/src/programs/entry.cpp
@@ -0,0 +1,124 @@
+/// bilberryseam-entry: stands between callers and sides.
+#include "entry/entry.hpp"
+#include "execution/execution.hpp"
+#include "loop/main_loop.hpp"
+#include "platform/instance_list.hpp"
+#include "settings/settings.hpp"
+#include "telemetry/telemetry.hpp"
+
+#include <iostream>
+
+namespace bilberryseam {
+
+namespace {
+    constexpr std::string_view part = "entry";
+    constexpr milliseconds drainCheckPeriod { 50 };
+
+    /// How long a stopping entry still takes requests, for the balancer to notice.
+    constexpr milliseconds balancerGrace { 2000 };
+
+    /// All parts of the process, wired together.
+    class entry_process {
+    public:
+        explicit entry_process(const settings::entry_settings& settings)
+            : m_settings(settings)
+            , m_links(settings.name, settings.region, m_metrics, linkCalls())
+            , m_context { m_links, m_metrics, settings.region, identifier_generator::fromSystem(), std::mt19937_64(std::random_device {}()), {}, {} }
+            , m_follower(settings.platform, m_metrics, { [this](const configuration::state& state) { follow(state); }, [this](identifier peer, wire::message item) { m_links.post(peer, std::move(item)); } })
+            , m_callers(m_settings, m_context, { [this] { return m_follower.isReady() ? &m_follower.current() : nullptr; } })
+            , m_operators(settings.operatorListen, m_metrics, { [this] { return m_follower.isReady() && !m_isStopping; }, [this] { return status(); } })
+            , m_publisher(settings.platform)
+        {
+            if (settings.platform.instanceList)
+                m_instances.emplace(*settings.platform.instanceList, settings.platform.instanceListPeriod, [this](const platform::leaving_instances& leaving) { m_links.setLeavingInstances(leaving); });
+            execution::serveConfiguration(m_operators, m_follower, m_publisher);
+            m_loop.onTerminate([this] { stop(); });
+        }
+
+        void run()
+        {
+            logLine(log_level::Info, part, "Started.", { { "name", m_settings.name }, { "listen", m_settings.listen.toString() } });
+            m_loop.run();
+            logLine(log_level::Info, part, "Stopped.");
+        }
+
+    private:
+        entry::links::callbacks linkCalls()
+        {
+            entry::links::callbacks calls;
+            calls.onPeerAttached = [this](identifier peer) { m_follower.peerAttached(peer); };
+            calls.onPeerGone = [this](identifier peer) { m_follower.peerGone(peer); };
+            calls.onOther = [this](identifier peer, wire::message& item) { static_cast<void>(m_follower.handle(peer, item)); };
+            calls.onCapacityChanged = [this] { m_callers.capacityChanged(); };
+            return calls;
+        }
+
+        void follow(const configuration::state& state)
+        {
+            m_context.prices.clear();
+            for (const auto& [name, entry] : state.of<configuration::region_price>())
+                m_context.prices[{ entry.value->from, entry.value->to }] = entry.value->perGib;
+            m_links.follow(state);
+        }
+
+        nlohmann::json status()
+        {
+            return { { "role", "entry" }, { "name", m_settings.name }, { "region", m_settings.region }, { "version", BILBERRYSEAM_VERSION },
+                { "configurationOffset", m_follower.current().nextOffset }, { "alarm", m_follower.alarm() }, { "openRequests", m_callers.openRequests() },
+                { "attempts", m_links.attemptCount() }, { "stopping", m_isStopping }, { "targets", m_links.status() } };
+        }
+
+        void stop()
+        {
+            if (m_isStopping)
+                return;
+            m_isStopping = true;
+            m_stopSince = monotonicNow();
+            logLine(log_level::Info, part, "Stopping once the requests in progress are done.");
+            m_drainCheck.startEvery(drainCheckPeriod, [this] {
+                const auto waited = monotonicNow() - m_stopSince;
+                const bool isDone = m_callers.openRequests() == 0 && waited > balancerGrace;
+                if (isDone || waited > m_settings.limits.drainTimeout)
+                    m_loop.quit();
+            });
+        }
+
+        main_loop m_loop;
+        metrics m_metrics;
+        settings::entry_settings m_settings;
+        entry::links m_links;
+        entry::run_context m_context;
+        execution::configuration_follower m_follower;
+        entry::caller_server m_callers;
+        execution::operator_server m_operators;
+        execution::note_publisher m_publisher;
+        std::optional<platform::instance_list> m_instances;
+        timer m_drainCheck;
+        bool m_isStopping = false;
+        time_point m_stopSince {};
+    };
+
+    int run(int argc, const char* const* argv)
+    {
+        const auto options = settings::parseDaemonOptions(argc, argv, "bilberryseam-entry", "stands between callers and sides").value();
+        if (!options)
+            return 0;
+        const log_format format = parseLogFormat(options->logFormat).value();
+        const log_level level = parseLogLevel(options->logLevel).value();
+        const settings::entry_settings read = settings::entry_settings::fromFile(options->settingsPath).value();
+        if (options->isPrintOnly)
+            std::cout << read.toJson().dump(4) << "\n";
+        if (options->isPrintOnly || options->isCheckOnly)
+            return 0;
+        startLogging(format, level);
+        entry_process process(read);
+        process.run();
+        return 0;
+    }
+}
+}
+
+int main(int argc, char** argv)
+{
+    return bilberryseam::settings::runMain([&] { return bilberryseam::run(argc, argv); });
+}
--- /dev/null
+++ b/src/programs/operator.cpp
@@ -0,0 +1,303 @@
+/// bilberryseam: the operators' command line.
+#include "configuration/configuration.hpp"
+#include "loop/http.hpp"
+#include "settings/command_line.hpp"
+
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace bilberryseam {
+
+using nlohmann::json;
+
+namespace {
+    namespace options = boost::program_options;
+
+    constexpr milliseconds verdictPollPeriod { 50 };
+
+    /// What the command line asks for.
+    struct operator_options {
+        std::string command;
+        std::string argument;
+        std::vector<std::string> daemons;
+        uint32_t waitMs = 15000;
+        bool isJson = false;
+    };
+
+    error usage(std::string_view what)
+    {
+        return error(error_kind::InvalidSettings, what, "See --help.", "command line");
+    }
+
+    options::options_description describe(operator_options& out)
+    {
+        options::options_description described("Options");
+        auto add = described.add_options();
+        add("help,h", "print this text");
+        add("version", "print the version");
+        add("daemon,d", options::value(&out.daemons)->value_name("IP:PORT")->composing(), "operator port of an entry (or of any daemon, for status and drain); may be repeated");
+        add("wait-ms", options::value(&out.waitMs)->default_value(out.waitMs)->value_name("MS"), "how long publish waits for the verdict");
+        add("json", options::bool_switch(&out.isJson), "print JSON instead of text");
+        return described;
+    }
+
+    void printHelp(const options::options_description& described)
+    {
+        std::cout << "bilberryseam: the operators' command line\n\n"
+                     "  bilberryseam check NOTE.json                    check a release note offline\n"
+                     "  bilberryseam diff NOTE.json -d IP:PORT          show what a note would change\n"
+                     "  bilberryseam publish NOTE.json -d IP:PORT       publish a note and wait for its verdict\n"
+                     "  bilberryseam status -d IP:PORT [-d ...]         show daemons, offsets and alarms\n"
+                     "  bilberryseam explain LIST/NAME -d IP:PORT       show which note gave an object its value\n"
+                     "  bilberryseam drain [TARGET] -d IP:PORT          stop new work at a side or one target\n"
+                     "  bilberryseam undrain [TARGET] -d IP:PORT        allow it again\n\n"
+                  << described;
+    }
+
+    /// One HTTP exchange, waited for.
+    json exchangeWith(const ip_endpoint& daemon, const char* method, std::string_view path, const std::string& body = {})
+    {
+        SoupSession* session = soup_session_new();
+        SoupMessage* message = soup_message_new(method, urlOf(daemon, path).c_str());
+        if (!body.empty()) {
+            GBytes* bytes = g_bytes_new(body.data(), body.size());
+            soup_message_set_request_body_from_bytes(message, "application/json", bytes);
+            g_bytes_unref(bytes);
+        }
+        GError* failure = nullptr;
+        GBytes* answer = soup_session_send_and_read(session, message, nullptr, &failure);
+        const std::string problem = failure ? failure->message : "";
+        std::string text;
+        if (answer) {
+            gsize size = 0;
+            const auto* data = static_cast<const char*>(g_bytes_get_data(answer, &size));
+            text.assign(data, size);
+            g_bytes_unref(answer);
+        }
+        g_clear_error(&failure);
+        g_object_unref(message);
+        g_object_unref(session);
+        if (!problem.empty())
+            throw error(error_kind::Unavailable, "The daemon at " + daemon.toString() + " does not answer: " + problem + ".", "Check --daemon, or ask another daemon.");
+        json parsed = json::parse(text, nullptr, false);
+        if (parsed.is_discarded())
+            throw error(error_kind::Unavailable, "The daemon at " + daemon.toString() + " gave no JSON.", "Give its operatorListen address.");
+        return parsed;
+    }
+
+    ip_endpoint firstDaemon(const operator_options& asked)
+    {
+        if (asked.daemons.empty())
+            throw usage("No daemon is given.");
+        return ip_endpoint::parse(asked.daemons.front(), "--daemon").value();
+    }
+
+    std::string readNoteFile(const operator_options& asked)
+    {
+        if (asked.argument.empty())
+            throw usage("No note is given.");
+        std::ifstream file(asked.argument);
+        if (!file)
+            throw error(error_kind::InvalidSettings, "The file cannot be read.", "Give the path of a readable file.", asked.argument);
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+    configuration::state stateOf(const ip_endpoint& daemon)
+    {
+        return configuration::readSnapshot(exchangeWith(daemon, "GET", "/configuration").dump()).value();
+    }
+
+    int check(const operator_options& asked)
+    {
+        const configuration::note note = configuration::parseNote(readNoteFile(asked), asked.argument).value();
+        std::cout << "The note " << note.name << " is well formed.\n";
+        return 0;
+    }
+
+    template <typename Object>
+    void printEdits(const configuration::edits<Object>& wanted, const configuration::state& state)
+    {
+        constexpr std::string_view list = configuration::listNameOf<Object>();
+        for (const auto& item : wanted.added)
+            std::cout << "+ " << list << "/" << nameOf(item.value) << " " << toJson(item.value).dump() << "\n";
+        for (const auto& item : wanted.changed) {
+            if (const auto before = state.find<Object>(nameOf(item.value)))
+                std::cout << "- " << list << "/" << nameOf(item.value) << " " << toJson(*before).dump() << "\n";
+            std::cout << "+ " << list << "/" << nameOf(item.value) << " " << toJson(item.value).dump() << "\n";
+        }
+        for (const auto& item : wanted.withdrawn)
+            std::cout << "- " << list << "/" << item.name << "\n";
+    }
+
+    int diff(const operator_options& asked)
+    {
+        const configuration::note note = configuration::parseNote(readNoteFile(asked), asked.argument).value();
+        const configuration::state state = stateOf(firstDaemon(asked));
+        std::apply([&](const auto&... each) { (printEdits(each, state), ...); }, note.objects);
+        const configuration::note_verdict verdict = configuration::predictVerdict(state, note);
+        std::cout << (verdict.isAccepted ? "It would be accepted now.\n" : "It would be rejected now: " + verdict.reason + "\n");
+        return verdict.isAccepted ? 0 : 1;
+    }
+
+    int reportVerdict(const json& verdict)
+    {
+        if (verdict.at("verdict") == "accepted") {
+            std::cout << "accepted at offset " << verdict.at("offset") << "\n";
+            return 0;
+        }
+        std::cout << "rejected at offset " << verdict.at("offset") << ": " << verdict.at("reason").get<std::string>() << "\n";
+        if (const std::string winner = verdict.at("winner"); !winner.empty())
+            std::cout << "The note in force there is " << winner << ". Take its revision (bilberryseam explain) and publish under a new name.\n";
+        return 1;
+    }
+
+    int publish(const operator_options& asked)
+    {
+        const std::string text = readNoteFile(asked);
+        const configuration::note note = configuration::parseNote(text, asked.argument).value();
+        const ip_endpoint daemon = firstDaemon(asked);
+        const json appended = exchangeWith(daemon, "POST", "/publish", text);
+        if (appended.at("append") == "refused") {
+            std::cout << "not published: " << appended.value("detail", "the log refused it") << " Publish again when the log is back.\n";
+            return 1;
+        }
+        const auto until = monotonicNow() + milliseconds(asked.waitMs);
+        while (monotonicNow() < until) {
+            const json verdict = exchangeWith(daemon, "GET", "/verdict?note=" + note.name);
+            if (verdict.at("verdict") != "none")
+                return reportVerdict(verdict);
+            std::this_thread::sleep_for(verdictPollPeriod);
+        }
+        std::cout << "unknown: no verdict on " << note.name << " yet. Publish the same file again; a note counts once, by its name.\n";
+        return 1;
+    }
+
+    void printStatusRow(const json& status)
+    {
+        std::cout << std::left << std::setw(8) << status.value("role", "") << std::setw(24) << status.value("name", "") << std::setw(16) << status.value("region", "")
+                  << std::right << std::setw(8) << status.value("configurationOffset", 0) << "  " << (status.value("stopping", false) ? "stopping" : "running ") << "  "
+                  << (status.value("alarm", "").empty() ? "-" : status.value("alarm", "")) << "\n";
+        for (const json& target : status.value("targets", json::array())) {
+            std::cout << "          " << std::left << std::setw(24) << target.value("name", "") << std::setw(16) << target.value("service", "") << std::right << " running " << std::setw(4) << target.value("running", 0)
+                      << " queued " << std::setw(4) << target.value("queued", 0) << (target.value("leaving", false) ? "  leaving" : "") << (target.value("down", false) ? "  down" : "")
+                      << (target.value("usable", true) ? "" : "  unusable") << "\n";
+        }
+    }
+
+    int status(const operator_options& asked)
+    {
+        if (asked.daemons.empty())
+            throw usage("No daemon is given.");
+        int code = 0;
+        if (!asked.isJson)
+            std::cout << std::left << std::setw(8) << "role" << std::setw(24) << "name" << std::setw(16) << "region" << std::right << std::setw(8) << "offset"
+                      << "  state     alarm\n";
+        for (const std::string& daemon : asked.daemons) {
+            try {
+                const json page = exchangeWith(ip_endpoint::parse(daemon, "--daemon").value(), "GET", "/status");
+                if (asked.isJson)
+                    std::cout << page.dump() << "\n";
+                else
+                    printStatusRow(page);
+            } catch (const error& problem) {
+                std::cout << daemon << "  " << problem.what() << "\n";
+                code = 1;
+            }
+        }
+        return code;
+    }
+
+    template <typename Object>
+    bool explainIn(const configuration::state& state, std::string_view list, std::string_view name)
+    {
+        if (list != configuration::listNameOf<Object>())
+            return false;
+        const auto found = state.of<Object>().find(name);
+        if (found == state.of<Object>().end())
+            return false;
+        const auto& entry = found->second;
+        std::cout << json { { "value", toJson(*entry.value) }, { "revision", entry.revision }, { "note", entry.note }, { "author", entry.author }, { "appendedMs", entry.appendedMs } }.dump(2) << "\n";
+        return true;
+    }
+
+    int explain(const operator_options& asked)
+    {
+        const size_t slash = asked.argument.find('/');
+        if (slash == std::string::npos)
+            throw usage("Name an object as LIST/NAME, e.g. targets/engine-1.");
+        const std::string list = asked.argument.substr(0, slash);
+        const std::string name = asked.argument.substr(slash + 1);
+        const configuration::state state = stateOf(firstDaemon(asked));
+        const bool isFound = explainIn<configuration::service>(state, list, name) || explainIn<configuration::target>(state, list, name)
+            || explainIn<configuration::pipeline>(state, list, name) || explainIn<configuration::account>(state, list, name) || explainIn<configuration::model>(state, list, name)
+            || explainIn<configuration::region_price>(state, list, name) || explainIn<configuration::policy>(state, list, name);
+        if (!isFound)
+            std::cout << asked.argument << " is not in force.\n";
+        return isFound ? 0 : 1;
+    }
+
+    int drain(const operator_options& asked, const char* path)
+    {
+        const json answer = exchangeWith(firstDaemon(asked), "POST", path, json { { "target", asked.argument } }.dump());
+        std::cout << answer.dump() << "\n";
+        return answer.contains("leaving") ? 0 : 1;
+    }
+
+    int dispatch(const operator_options& asked)
+    {
+        if (asked.command == "check")
+            return check(asked);
+        if (asked.command == "diff")
+            return diff(asked);
+        if (asked.command == "publish")
+            return publish(asked);
+        if (asked.command == "status")
+            return status(asked);
+        if (asked.command == "explain")
+            return explain(asked);
+        if (asked.command == "drain")
+            return drain(asked, "/drain");
+        if (asked.command == "undrain")
+            return drain(asked, "/undrain");
+        throw usage("\"" + asked.command + "\" is not a command.");
+    }
+
+    int run(int argc, const char* const* argv)
+    {
+        operator_options asked;
+        const options::options_description described = describe(asked);
+        options::options_description hidden;
+        hidden.add(described);
+        hidden.add_options()("command", options::value(&asked.command))("argument", options::value(&asked.argument));
+        options::positional_options_description positions;
+        positions.add("command", 1).add("argument", 1);
+        options::variables_map values;
+        try {
+            options::store(options::command_line_parser(argc, argv).options(hidden).positional(positions).run(), values);
+            options::notify(values);
+        } catch (const options::error& problem) {
+            throw usage(std::string(problem.what()) + ".");
+        }
+        if (values.contains("version")) {
+            std::cout << "bilberryseam " << BILBERRYSEAM_VERSION << "\n";
+            return 0;
+        }
+        if (values.contains("help") || asked.command.empty()) {
+            printHelp(described);
+            return values.contains("help") ? 0 : static_cast<int>(settings::exit_code::InvalidSettings);
+        }
+        return dispatch(asked);
+    }
+}
+}
+
+int main(int argc, char** argv)
+{
+    return bilberryseam::settings::runMain([&] { return bilberryseam::run(argc, argv); });
+}
--- /dev/null
+++ b/src/settings/entry_settings.cpp
@@ -0,0 +1,140 @@
+#include "settings/entry_settings.hpp"
+
+#include "settings/settings_file.hpp"
+
+namespace bilberryseam::settings {
+
+using nlohmann::json;
+
+namespace {
+    constexpr std::string_view platformSchema = R"json({
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["log"],
+      "properties": {
+        "log": { "type": "string" },
+        "configurationStream": { "type": "string", "pattern": "^[a-z0-9-]+$" },
+        "snapshotStream": { "type": "string", "pattern": "^[a-z0-9-]+$" },
+        "claimsStream": { "type": "string", "pattern": "^[a-z0-9-]+$" },
+        "instanceList": { "type": "string" },
+        "instanceListPeriodMs": { "type": "integer", "minimum": 50, "maximum": 60000 },
+        "configurationPollPeriodMs": { "type": "integer", "minimum": 50, "maximum": 60000 }
+      }
+    })json";
+
+    constexpr std::string_view entrySchema = R"json({
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["name", "region", "listen", "operatorListen", "platform"],
+      "properties": {
+        "name": { "type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$" },
+        "region": { "type": "string", "minLength": 1 },
+        "failureDomain": { "type": "string", "minLength": 1 },
+        "listen": { "type": "string" },
+        "operatorListen": { "type": "string" },
+        "platform": @platform@,
+        "limits": {
+          "type": "object",
+          "additionalProperties": false,
+          "properties": {
+            "maxRequests": { "type": "integer", "minimum": 1, "maximum": 1000000 },
+            "maxBodyBytes": { "type": "integer", "minimum": 1, "maximum": 4000000 },
+            "maxUnreadBytes": { "type": "integer", "minimum": 1024, "maximum": 1000000000 },
+            "idempotencyWindowMs": { "type": "integer", "minimum": 1000, "maximum": 86400000 },
+            "drainTimeoutMs": { "type": "integer", "minimum": 0, "maximum": 3600000 }
+          }
+        }
+      }
+    })json";
+
+    entry_limits readLimits(const json& document)
+    {
+        entry_limits limits;
+        if (!document.contains("limits"))
+            return limits;
+        const json& given = document["limits"];
+        limits.maxRequests = given.value("maxRequests", limits.maxRequests);
+        limits.maxBodyBytes = given.value("maxBodyBytes", limits.maxBodyBytes);
+        limits.maxUnreadBytes = given.value("maxUnreadBytes", limits.maxUnreadBytes);
+        limits.idempotencyWindow = milliseconds(given.value("idempotencyWindowMs", limits.idempotencyWindow.count()));
+        limits.drainTimeout = milliseconds(given.value("drainTimeoutMs", limits.drainTimeout.count()));
+        return limits;
+    }
+
+    entry_settings readEntry(const json& document, const std::string& path)
+    {
+        entry_settings read;
+        read.name = document["name"];
+        read.region = document["region"];
+        read.failureDomain = document.value("failureDomain", read.region);
+        read.listen = detail::readEndpoint(document, "listen", path);
+        read.operatorListen = detail::readEndpoint(document, "operatorListen", path);
+        if (read.listen == read.operatorListen)
+            throw error(error_kind::InvalidSettings, "Callers and operators share one address.", "Give operatorListen a port of its own.", path + ": /operatorListen");
+        read.platform = detail::readPlatform(document["platform"], path);
+        read.limits = readLimits(document);
+        return read;
+    }
+}
+
+namespace detail {
+    ip_endpoint readEndpoint(const json& document, const char* key, const std::string& path)
+    {
+        return ip_endpoint::parse(document.at(key).get<std::string>(), path + ": /" + key).value();
+    }
+
+    platform_settings readPlatform(const json& document, const std::string& path)
+    {
+        platform_settings read;
+        read.log = readEndpoint(document, "log", path + ": /platform");
+        read.configurationStream = document.value("configurationStream", read.configurationStream);
+        read.snapshotStream = document.value("snapshotStream", read.snapshotStream);
+        read.claimsStream = document.value("claimsStream", read.claimsStream);
+        if (document.contains("instanceList"))
+            read.instanceList = readEndpoint(document, "instanceList", path + ": /platform");
+        read.instanceListPeriod = milliseconds(document.value("instanceListPeriodMs", read.instanceListPeriod.count()));
+        read.configurationPollPeriod = milliseconds(document.value("configurationPollPeriodMs", read.configurationPollPeriod.count()));
+        const bool isDistinct = read.configurationStream != read.snapshotStream && read.configurationStream != read.claimsStream && read.snapshotStream != read.claimsStream;
+        if (!isDistinct)
+            throw error(error_kind::InvalidSettings, "Two streams have the same name.", "Give each stream a name of its own.", path + ": /platform");
+        return read;
+    }
+
+    json platformToJson(const platform_settings& value)
+    {
+        json document { { "log", value.log.toString() }, { "configurationStream", value.configurationStream }, { "snapshotStream", value.snapshotStream },
+            { "claimsStream", value.claimsStream }, { "instanceListPeriodMs", value.instanceListPeriod.count() },
+            { "configurationPollPeriodMs", value.configurationPollPeriod.count() } };
+        if (value.instanceList)
+            document["instanceList"] = value.instanceList->toString();
+        return document;
+    }
+
+    std::string withPlatformSchema(std::string_view schema)
+    {
+        constexpr std::string_view mark = "@platform@";
+        std::string text(schema);
+        return text.replace(text.find(mark), mark.size(), platformSchema);
+    }
+}
+
+result<entry_settings> entry_settings::fromFile(const std::string& path)
+{
+    const json_schema schema(detail::withPlatformSchema(entrySchema));
+    const result<json> document = readSettingsFile(path, schema);
+    if (!document)
+        return document.error();
+    try {
+        return readEntry(document.value(), path);
+    } catch (const error& problem) {
+        return problem;
+    }
+}
+
+json entry_settings::toJson() const
+{
+    return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() },
+        { "operatorListen", operatorListen.toString() }, { "platform", detail::platformToJson(platform) },
+        { "limits", { { "maxRequests", limits.maxRequests }, { "maxBodyBytes", limits.maxBodyBytes }, { "maxUnreadBytes", limits.maxUnreadBytes }, { "idempotencyWindowMs", limits.idempotencyWindow.count() }, { "drainTimeoutMs", limits.drainTimeout.count() } } } };
+}
+}
--- /dev/null
+++ b/src/settings/entry_settings.hpp
@@ -0,0 +1,61 @@
+/// Settings of `bilberryseam-entry`.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/time.hpp"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+namespace bilberryseam::settings {
+
+/// Where the platform's services are.
+struct platform_settings {
+    ip_endpoint log;
+    std::string configurationStream = "configuration";
+    std::string snapshotStream = "configuration-snapshots";
+    std::string claimsStream = "claims";
+    std::optional<ip_endpoint> instanceList;
+    milliseconds instanceListPeriod { 1000 };
+    milliseconds configurationPollPeriod { 500 };
+};
+
+/// Limits of an entry.
+struct entry_limits {
+    /// Requests open at the same time.
+    uint32_t maxRequests = 20000;
+    size_t maxBodyBytes = 1024 * 1024;
+    /// Output that a slow reader may leave unread.
+    size_t maxUnreadBytes = 1024 * 1024;
+    /// Age after which an idempotency key is refused; shorter than the log's retention.
+    milliseconds idempotencyWindow { 600000 };
+    /// Longest time a planned stop waits for requests in progress.
+    milliseconds drainTimeout { 60000 };
+};
+
+/// All settings of an entry.
+struct entry_settings {
+    std::string name;
+    std::string region;
+    std::string failureDomain;
+    ip_endpoint listen;
+    ip_endpoint operatorListen;
+    platform_settings platform;
+    entry_limits limits;
+
+    /// @param path  The settings file.
+    /// @return The settings, or `InvalidSettings` with place and remedy.
+    [[nodiscard]] static result<entry_settings> fromFile(const std::string& path);
+
+    [[nodiscard]] nlohmann::json toJson() const;
+};
+
+namespace detail {
+    [[nodiscard]] platform_settings readPlatform(const nlohmann::json& document, const std::string& path);
+    [[nodiscard]] nlohmann::json platformToJson(const platform_settings& value);
+    [[nodiscard]] ip_endpoint readEndpoint(const nlohmann::json& document, const char* key, const std::string& path);
+    /// @return The schema with the platform's part inserted at `@platform@`.
+    [[nodiscard]] std::string withPlatformSchema(std::string_view schema);
+}
+}
--- /dev/null
+++ b/src/settings/settings.hpp
@@ -0,0 +1,7 @@
+/// Umbrella header of the `settings` package: command lines and checked settings files.
+#pragma once
+
+#include "settings/command_line.hpp"
+#include "settings/entry_settings.hpp"
+#include "settings/settings_file.hpp"
+#include "settings/side_settings.hpp"
--- /dev/null
+++ b/src/settings/side_settings.cpp
@@ -0,0 +1,86 @@
+#include "settings/side_settings.hpp"
+
+#include "settings/settings_file.hpp"
+
+namespace bilberryseam::settings {
+
+using nlohmann::json;
+
+namespace {
+    constexpr std::string_view sideSchema = R"json({
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["name", "region", "listen", "operatorListen", "platform"],
+      "properties": {
+        "name": { "type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$" },
+        "instance": { "type": "string", "minLength": 1 },
+        "region": { "type": "string", "minLength": 1 },
+        "failureDomain": { "type": "string", "minLength": 1 },
+        "listen": { "type": "string" },
+        "advertise": { "type": "string" },
+        "operatorListen": { "type": "string" },
+        "platform": @platform@,
+        "limits": {
+          "type": "object",
+          "additionalProperties": false,
+          "properties": {
+            "maxCalls": { "type": "integer", "minimum": 1, "maximum": 1000000 },
+            "idempotencyWindowMs": { "type": "integer", "minimum": 1000, "maximum": 86400000 },
+            "targetSilenceMs": { "type": "integer", "minimum": 10, "maximum": 600000 },
+            "drainTimeoutMs": { "type": "integer", "minimum": 0, "maximum": 3600000 }
+          }
+        }
+      }
+    })json";
+
+    side_limits readLimits(const json& document)
+    {
+        side_limits limits;
+        if (!document.contains("limits"))
+            return limits;
+        const json& given = document["limits"];
+        limits.maxCalls = given.value("maxCalls", limits.maxCalls);
+        limits.idempotencyWindow = milliseconds(given.value("idempotencyWindowMs", limits.idempotencyWindow.count()));
+        limits.targetSilence = milliseconds(given.value("targetSilenceMs", limits.targetSilence.count()));
+        limits.drainTimeout = milliseconds(given.value("drainTimeoutMs", limits.drainTimeout.count()));
+        return limits;
+    }
+
+    side_settings readSide(const json& document, const std::string& path)
+    {
+        side_settings read;
+        read.name = document["name"];
+        read.instance = document.value("instance", read.name);
+        read.region = document["region"];
+        read.failureDomain = document.value("failureDomain", read.region);
+        read.listen = detail::readEndpoint(document, "listen", path);
+        read.advertise = document.contains("advertise") ? detail::readEndpoint(document, "advertise", path) : read.listen;
+        read.operatorListen = detail::readEndpoint(document, "operatorListen", path);
+        if (read.listen == read.operatorListen)
+            throw error(error_kind::InvalidSettings, "Entries and operators share one address.", "Give operatorListen a port of its own.", path + ": /operatorListen");
+        read.platform = detail::readPlatform(document["platform"], path);
+        read.limits = readLimits(document);
+        return read;
+    }
+}
+
+result<side_settings> side_settings::fromFile(const std::string& path)
+{
+    const json_schema schema(detail::withPlatformSchema(sideSchema));
+    const result<json> document = readSettingsFile(path, schema);
+    if (!document)
+        return document.error();
+    try {
+        return readSide(document.value(), path);
+    } catch (const error& problem) {
+        return problem;
+    }
+}
+
+json side_settings::toJson() const
+{
+    return { { "name", name }, { "instance", instance }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "advertise", advertise.toString() },
+        { "operatorListen", operatorListen.toString() }, { "platform", detail::platformToJson(platform) },
+        { "limits", { { "maxCalls", limits.maxCalls }, { "idempotencyWindowMs", limits.idempotencyWindow.count() }, { "targetSilenceMs", limits.targetSilence.count() }, { "drainTimeoutMs", limits.drainTimeout.count() } } } };
+}
+}
--- /dev/null
+++ b/src/side/call_gate.hpp
@@ -0,0 +1,95 @@
+/// The only gate to the side's targets: accepts, queues, starts, cancels and drains calls.
+#pragma once
+
+#include "configuration/state.hpp"
+#include "policy/gate.hpp"
+#include "settings/side_settings.hpp"
+#include "side/target_call.hpp"
+#include "telemetry/metrics.hpp"
+#include "wire/message.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace bilberryseam::side {
+
+/// Why targets are leaving.
+enum class leaving_reason {
+    PlannedStop,
+    InstanceList,
+    Withdrawn,
+    Operator,
+};
+
+/// Runs calls for entries against the targets of this instance.
+class call_gate {
+public:
+    struct callbacks {
+        /// Sends a message to one session.
+        std::function<void(identifier session, wire::message)> send;
+        /// Sends a message to all sessions.
+        std::function<void(const wire::message&)> sendToAll;
+    };
+
+    call_gate(const settings::side_settings& settings, metrics& metrics, callbacks calls);
+    ~call_gate();
+
+    /// Takes over the targets whose side is this process; withdrawn ones drain.
+    void follow(const configuration::state& state);
+
+    /// A new call, or the end of one.
+    void start(identifier session, wire::start_call& call);
+    void cancel(identifier attempt);
+
+    /// Gives up everything that a session asked for.
+    void sessionExpired(identifier session);
+
+    /// Tells a session the load of all targets.
+    void greet(identifier session);
+
+    /// Stops new work at all targets, or allows it again.
+    void setLeaving(leaving_reason reason, bool isLeaving);
+
+    /// Stops new work at one target, or allows it again.
+    /// @return False if there is no such target.
+    [[nodiscard]] bool setTargetLeaving(std::string_view target, bool isLeaving);
+
+    [[nodiscard]] bool isIdle() const noexcept { return m_calls.empty(); }
+    [[nodiscard]] nlohmann::json status() const;
+
+private:
+    struct target_slot;
+    struct running_call;
+
+    target_slot* find(std::string_view target);
+    void enqueue(running_call& call);
+    void pump(target_slot& slot);
+    void launch(running_call& call);
+    void takeOutput(identifier attempt, std::string_view text);
+    void takeEnd(identifier attempt, target_answer answer);
+    void finish(running_call& call, wire::call_end end, std::string body, std::string detail);
+    void refuse(identifier session, const wire::start_call& call, wire::refusal reason);
+    void refuseWaiting(running_call& call, wire::refusal reason);
+    void giveUp(running_call& call, wire::call_end end);
+    void forget(running_call& call);
+    void targetRefusedConnection(target_slot& slot);
+    void probe(target_slot& slot);
+    void reportLoad(const target_slot& slot, identifier session);
+    void broadcastLoad(const target_slot& slot);
+    void refreshLeaving(target_slot& slot);
+    wire::target_load loadOf(const target_slot& slot) const;
+    void sweep();
+
+    settings::side_settings m_settings;
+    metrics& m_metrics;
+    callbacks m_callbacks;
+    http_client m_http;
+    std::map<std::string, std::unique_ptr<target_slot>, std::less<>> m_slots;
+    std::unordered_map<identifier, std::unique_ptr<running_call>> m_calls;
+    std::set<leaving_reason> m_leaving;
+    timer m_sweep;
+};
+}
--- /dev/null
+++ b/src/side/side.hpp
@@ -0,0 +1,6 @@
+/// Umbrella header of the `side` package: the process beside a target, its only gate.
+#pragma once
+
+#include "side/call_gate.hpp"
+#include "side/line_splitter.hpp"
+#include "side/target_call.hpp"
--- /dev/null
+++ b/src/side/target_call.cpp
@@ -0,0 +1,114 @@
+#include "side/target_call.hpp"
+
+namespace bilberryseam::side {
+
+using nlohmann::json;
+
+namespace {
+    constexpr std::string_view dataPrefix = "data:";
+    constexpr std::string_view doneMark = "[DONE]";
+
+    http_request requestFor(const configuration::service& service, const configuration::target& target, const wire::start_call& call)
+    {
+        http_request request;
+        request.method = "POST";
+        request.url = urlOf(target.address, service.path);
+        request.body = call.body;
+        request.headers.emplace_back("X-Request-Id", call.request.toString());
+        request.headers.emplace_back("X-Priority", std::to_string(call.priority));
+        if (!call.idempotencyKey.empty())
+            request.headers.emplace_back("Idempotency-Key", call.idempotencyKey);
+        request.isOnNewConnection = !service.isRepeatable;
+        return request;
+    }
+}
+
+target_call::target_call(http_client& http, const configuration::service& service, const configuration::target& target, const wire::start_call& call, milliseconds silence, callbacks calls)
+    : m_calls(std::move(calls))
+    , m_isEngine(service.kind == configuration::service_kind::Engine)
+    , m_isRepeatable(service.isRepeatable)
+    , m_silence(silence)
+{
+    http_client::on_chunk onChunk;
+    if (m_isEngine)
+        onChunk = [this](std::string_view bytes) { takeBytes(bytes); };
+    watchSilence();
+    m_exchange = http.send(
+        requestFor(service, target, call), [this](http_reply reply) { finish(reply); }, std::move(onChunk));
+}
+
+void target_call::watchSilence()
+{
+    m_silenceTimer.startOnce(m_silence, [this] {
+        m_exchange.reset();
+        end({ false, m_isRepeatable ? wire::call_end::TimedOut : wire::call_end::Unknown, "", "The target fell silent." });
+    });
+}
+
+void target_call::takeBytes(std::string_view bytes)
+{
+    watchSilence();
+    if (m_lines.feed(bytes, [this](std::string_view line) { return takeLine(line); }))
+        return;
+    m_exchange.reset();
+    end({ false, wire::call_end::Rejected, "", "The target broke the streaming protocol." });
+}
+
+bool target_call::takeLine(std::string_view line)
+{
+    if (!line.starts_with(dataPrefix))
+        return true;
+    line.remove_prefix(dataPrefix.size());
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    if (line == doneMark) {
+        m_isDone = true;
+        return true;
+    }
+    const json event = json::parse(line, nullptr, false);
+    if (event.is_discarded())
+        return false;
+    if (const auto usage = event.find("usage"); usage != event.end() && usage->is_object())
+        m_usage = usage->dump();
+    const json::json_pointer textPlace("/choices/0/text");
+    if (event.contains(textPlace) && event[textPlace].is_string())
+        m_calls.onOutput(event[textPlace].get_ref<const std::string&>());
+    return true;
+}
+
+void target_call::finish(const http_reply& reply)
+{
+    m_silenceTimer.stop();
+    end(answerOf(reply));
+}
+
+target_answer target_call::answerOf(const http_reply& reply) const
+{
+    if (reply.end != exchange_end::Complete)
+        return interruptedAnswer(reply);
+    if (!reply.isOk()) {
+        // A plain service may have acted before it failed with a 5xx; a 4xx is its refusal to act.
+        const bool isUnclear = !m_isRepeatable && reply.status >= 500;
+        return { false, isUnclear ? wire::call_end::Unknown : wire::call_end::Rejected, reply.body, "The target answered with status " + std::to_string(reply.status) + "." };
+    }
+    // A stream that ends without its mark was cut off, however cleanly the connection closed.
+    if (m_isEngine && !m_isDone)
+        return { false, wire::call_end::TargetCrashed, "", "The stream ended early." };
+    return { false, wire::call_end::Answered, m_isEngine ? m_usage : reply.body, "" };
+}
+
+target_answer target_call::interruptedAnswer(const http_reply& reply) const
+{
+    if (reply.end == exchange_end::NotConnected)
+        return { true, wire::call_end::Unknown, "", reply.detail };
+    return { false, m_isRepeatable ? wire::call_end::TargetCrashed : wire::call_end::Unknown, "", reply.detail };
+}
+
+void target_call::end(target_answer answer)
+{
+    m_silenceTimer.stop();
+    const auto call = std::exchange(m_calls.onEnd, nullptr);
+    if (call)
+        call(std::move(answer));
+}
+}
--- /dev/null
+++ b/src/side/target_call.hpp
@@ -0,0 +1,59 @@
+/// One call to a target over HTTP: an OpenAI-compatible stream for engines, JSON for the others.
+#pragma once
+
+#include "configuration/objects.hpp"
+#include "loop/http.hpp"
+#include "loop/timer.hpp"
+#include "side/line_splitter.hpp"
+#include "wire/message.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace bilberryseam::side {
+
+/// How a call ended at the target.
+struct target_answer {
+    /// The target never saw the call: it did not run.
+    bool isNotStarted = false;
+    wire::call_end end = wire::call_end::Unknown;
+    std::string body;
+    std::string detail;
+};
+
+/// A call under way. Dropping it closes the connection, which cancels the call at the target.
+class target_call {
+public:
+    struct callbacks {
+        std::function<void(std::string_view text)> onOutput;
+        std::function<void(target_answer)> onEnd;
+    };
+
+    /// @param http     Where connections come from.
+    /// @param service  How to talk to the target.
+    /// @param target   The target.
+    /// @param call     What to run.
+    /// @param silence  Longest time without a byte from the target.
+    /// @param calls    What the owner is told; it may drop the call inside `onEnd`.
+    target_call(http_client& http, const configuration::service& service, const configuration::target& target, const wire::start_call& call, milliseconds silence, callbacks calls);
+
+private:
+    void takeBytes(std::string_view bytes);
+    bool takeLine(std::string_view line);
+    void finish(const http_reply& reply);
+    target_answer answerOf(const http_reply& reply) const;
+    target_answer interruptedAnswer(const http_reply& reply) const;
+    void watchSilence();
+    void end(target_answer answer);
+
+    callbacks m_calls;
+    bool m_isEngine;
+    bool m_isRepeatable;
+    milliseconds m_silence;
+    line_splitter m_lines;
+    bool m_isDone = false;
+    std::string m_usage;
+    timer m_silenceTimer;
+    std::shared_ptr<void> m_exchange;
+};
+}
--- /dev/null
+++ b/src/telemetry/log.hpp
@@ -0,0 +1,46 @@
+/// Structured logs through Boost.Log: short sentences, a fixed prefix for each part.
+#pragma once
+
+#include "base/identifier.hpp"
+#include "base/result.hpp"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace bilberryseam {
+
+enum class log_level {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+enum class log_format {
+    Text,
+    Json,
+};
+
+/// @return The level of that name (`debug`, `info`, `warning`, `error`), or `InvalidSettings`.
+[[nodiscard]] result<log_level> parseLogLevel(std::string_view text);
+
+/// @return The format of that name (`text`, `json`), or `InvalidSettings`.
+[[nodiscard]] result<log_format> parseLogFormat(std::string_view text);
+
+/// A named value beside the sentence.
+struct log_field {
+    std::string_view name;
+    std::string value;
+};
+
+/// Sets up logging to standard error. Call once, before the first line.
+void startLogging(log_format format, log_level level);
+
+/// Writes one line.
+/// @param level     Severity.
+/// @param part      The fixed prefix of the part that speaks, e.g. `gate`.
+/// @param sentence  One short sentence.
+/// @param fields    Named values; a request's identifier goes under `request`.
+void logLine(log_level level, std::string_view part, std::string_view sentence, std::initializer_list<log_field> fields = {});
+}
--- /dev/null
+++ b/src/wire/codec.hpp
@@ -0,0 +1,31 @@
+/// CBOR encoding of frames and handshakes. Decoding checks every type, length and bound.
+#pragma once
+
+#include "base/result.hpp"
+#include "wire/message.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace bilberryseam::wire {
+
+/// Most messages in one frame.
+constexpr size_t maxMessagesPerFrame = 4096;
+
+/// Longest text in one field, in bytes.
+constexpr size_t maxTextBytes = 4 * 1024 * 1024;
+
+/// Most configuration records in one message.
+constexpr size_t maxRecordsPerMessage = 1024;
+
+/// @return The frame as CBOR.
+[[nodiscard]] std::string encodeFrame(const frame& value);
+
+/// @return The frame, or `InvalidMessage` or `LimitExceeded`.
+[[nodiscard]] result<frame> decodeFrame(std::string_view bytes);
+
+[[nodiscard]] std::string encodeHello(const hello& value);
+[[nodiscard]] result<hello> decodeHello(std::string_view bytes);
+[[nodiscard]] std::string encodeWelcome(const welcome& value);
+[[nodiscard]] result<welcome> decodeWelcome(std::string_view bytes);
+}
--- /dev/null
+++ b/src/wire/message.cpp
@@ -0,0 +1,54 @@
+#include "wire/message.hpp"
+
+namespace bilberryseam::wire {
+
+std::string_view nameOf(refusal reason) noexcept
+{
+    switch (reason) {
+    case refusal::Draining:
+        return "draining";
+    case refusal::QueueFull:
+        return "queue_full";
+    case refusal::DeadlinePassed:
+        return "deadline_passed";
+    case refusal::UnknownTarget:
+        return "unknown_target";
+    case refusal::Quarantined:
+        return "quarantined";
+    case refusal::KeyExpired:
+        return "key_expired";
+    case refusal::ClaimsNotReady:
+        return "claims_not_ready";
+    case refusal::LogUnavailable:
+        return "log_unavailable";
+    case refusal::TargetDown:
+        return "target_down";
+    case refusal::Cancelled:
+        return "cancelled";
+    case refusal::RunsElsewhere:
+        return "runs_elsewhere";
+    case refusal::KeyReused:
+        return "key_reused";
+    }
+    return "unknown";
+}
+
+std::string_view nameOf(call_end end) noexcept
+{
+    switch (end) {
+    case call_end::Answered:
+        return "answered";
+    case call_end::Rejected:
+        return "rejected";
+    case call_end::TargetCrashed:
+        return "target_crashed";
+    case call_end::TimedOut:
+        return "timed_out";
+    case call_end::Cancelled:
+        return "cancelled";
+    case call_end::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+}
--- /dev/null
+++ b/src/wire/message.hpp
@@ -0,0 +1,222 @@
+/// Typed messages between entries and sides. PROTOCOL.md describes them.
+#pragma once
+
+#include "base/identifier.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bilberryseam::wire {
+
+/// Version of the inner protocol. A peer with another version is refused at the handshake.
+constexpr uint32_t protocolVersion = 1;
+
+/// Why a side refused a call before it started. The call did not run.
+enum class refusal : uint8_t {
+    Draining,
+    QueueFull,
+    DeadlinePassed,
+    UnknownTarget,
+    Quarantined,
+    KeyExpired,
+    ClaimsNotReady,
+    LogUnavailable,
+    TargetDown,
+    Cancelled,
+    RunsElsewhere,
+    KeyReused,
+};
+
+/// How a call that a side accepted came to its end.
+enum class call_end : uint8_t {
+    Answered,
+    Rejected,
+    TargetCrashed,
+    TimedOut,
+    Cancelled,
+    Unknown,
+};
+
+/// @return The stable name of a refusal, used in logs, counters and answers.
+[[nodiscard]] std::string_view nameOf(refusal reason) noexcept;
+
+/// @return The stable name of a call's end, used in logs and counters.
+[[nodiscard]] std::string_view nameOf(call_end end) noexcept;
+
+/// Entry to side: run this call.
+struct start_call {
+    identifier request;
+    identifier attempt;
+    std::string target;
+    std::string pipeline;
+    std::string stage;
+    std::string account;
+    uint32_t remainingMs = 0;
+    uint8_t priority = 0;
+    bool isStreamed = false;
+    bool isRepeatable = true;
+    /// The call is suspected of crashing targets and must run with nothing beside it.
+    bool isAlone = false;
+    std::string idempotencyKey;
+    int64_t keyIssuedMs = 0;
+    uint64_t fingerprint = 0;
+    std::string body;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit)
+    {
+        visit(request, attempt, target, pipeline, stage, account, remainingMs, priority, isStreamed, isRepeatable, isAlone, idempotencyKey, keyIssuedMs, fingerprint, body);
+    }
+};
+
+/// Entry to side: give the call up.
+struct cancel_call {
+    identifier attempt;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(attempt); }
+};
+
+/// Side to entry: the call did not start and will not.
+struct call_refused {
+    identifier request;
+    identifier attempt;
+    refusal reason = refusal::Draining;
+    uint32_t retryAfterMs = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(request, attempt, reason, retryAfterMs); }
+};
+
+/// Side to entry: the target has the call.
+struct call_started {
+    identifier attempt;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(attempt); }
+};
+
+/// Side to entry: a piece of a streamed answer. Indices count up from zero without gaps.
+struct call_output {
+    identifier request;
+    identifier attempt;
+    uint32_t index = 0;
+    std::string text;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(request, attempt, index, text); }
+};
+
+/// Side to entry: the end of a call that was accepted.
+struct call_finished {
+    identifier request;
+    identifier attempt;
+    call_end end = call_end::Unknown;
+    /// Pieces that were sent before, so that the receiver can tell that it has them all.
+    uint32_t outputCount = 0;
+    uint32_t queuedMs = 0;
+    uint32_t ranMs = 0;
+    std::string body;
+    std::string detail;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(request, attempt, end, outputCount, queuedMs, ranMs, body, detail); }
+};
+
+/// Side to entry: the load of one target. Rides on replies.
+struct target_load {
+    std::string target;
+    uint32_t queued = 0;
+    uint32_t running = 0;
+    uint32_t capacity = 0;
+    uint32_t expectedWaitMs = 0;
+    bool isLeaving = false;
+    /// The target accepts no connections at present.
+    bool isDown = false;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(target, queued, running, capacity, expectedWaitMs, isLeaving, isDown); }
+};
+
+/// Both ways: the configuration offset in force at the sender.
+struct configuration_offset {
+    uint64_t offset = 0;
+    /// The sender wants the records from its offset on.
+    bool wantsRecords = false;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(offset, wantsRecords); }
+};
+
+/// One record of the configuration stream.
+struct configuration_record {
+    uint64_t offset = 0;
+    /// When the log took the record, in milliseconds since 1970.
+    int64_t appendedMs = 0;
+    std::string text;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(offset, appendedMs, text); }
+};
+
+/// Both ways: what a peer that is behind is missing: a snapshot, records after it, or both.
+struct configuration_records {
+    /// A snapshot of the fold; empty if the records alone suffice.
+    std::string snapshot;
+    std::vector<configuration_record> records;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(snapshot, records); }
+};
+
+/// Both ways: crashes that calls of one fingerprint are suspected of.
+struct crash_suspicion {
+    uint64_t fingerprint = 0;
+    uint32_t strikes = 0;
+    bool isQuarantined = false;
+    uint32_t remainingMs = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(fingerprint, strikes, isQuarantined, remainingMs); }
+};
+
+/// Any message inside a frame. The index in this list is the type number on the wire.
+using message = std::variant<start_call, cancel_call, call_refused, call_started, call_output, call_finished, target_load,
+    configuration_offset, configuration_records, crash_suspicion>;
+
+/// A numbered batch of messages. Sequence zero marks a heartbeat, which carries no messages.
+struct frame {
+    uint64_t sequence = 0;
+    uint64_t acknowledged = 0;
+    /// The sender wants an acknowledgement at once.
+    bool wantsReply = false;
+    std::vector<message> messages;
+};
+
+/// First message on a connection, from the entry.
+struct hello {
+    uint32_t version = protocolVersion;
+    identifier session;
+    std::string name;
+    /// Incarnation of the side that the session began with; zero on the first connection.
+    identifier sideIncarnation;
+    uint64_t received = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(version, session, name, sideIncarnation, received); }
+};
+
+/// Answer of the side.
+struct welcome {
+    uint32_t version = protocolVersion;
+    identifier incarnation;
+    std::string name;
+    bool isResumed = false;
+    uint64_t received = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(version, incarnation, name, isResumed, received); }
+};
+}
--- /dev/null
+++ b/src/wire/server.hpp
@@ -0,0 +1,74 @@
+/// The side's end of sessions: listens, greets entries, and keeps sessions across connections.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/identifier.hpp"
+#include "loop/gobject_ptr.hpp"
+#include "wire/session_channel.hpp"
+
+#include <gio/gio.h>
+#include <list>
+#include <unordered_map>
+
+namespace bilberryseam::wire {
+
+/// Limits of a session server.
+struct server_limits {
+    size_t maxSessions = 4096;
+    size_t maxConnectionsInHandshake = 256;
+    milliseconds handshakeTimeout { 2000 };
+    /// How long a session without a connection is kept; longer than any request's deadline.
+    milliseconds sessionExpiry { 30000 };
+};
+
+/// Accepts sessions from entries.
+class session_server {
+public:
+    struct callbacks {
+        std::function<void(identifier session, message&)> onMessage;
+        std::function<void(identifier session)> onAttached;
+        /// The session expired or broke a rule for good: give up what it asked for.
+        std::function<void(identifier session)> onExpired;
+        /// A peer broke a rule of the protocol.
+        std::function<void(std::string_view rule)> onViolation;
+    };
+
+    /// @throws error (`Unavailable`) if the address cannot be taken.
+    session_server(const ip_endpoint& listen, std::string name, identifier incarnation, server_limits limits, callbacks calls);
+    ~session_server();
+
+    /// Queues a message for a session; dropped if the session is gone.
+    void post(identifier session, message item);
+
+    /// Queues a message for all sessions.
+    void postToAll(const message& item);
+
+    /// @return Whether every session has acknowledged all that was sent to it; sessions that have
+    ///         been without a connection for longer than `grace` do not count.
+    [[nodiscard]] bool isAllAcknowledged(time_point now, milliseconds grace) const noexcept;
+
+    [[nodiscard]] size_t sessionCount() const noexcept { return m_sessions.size(); }
+    [[nodiscard]] identifier incarnation() const noexcept { return m_incarnation; }
+
+private:
+    struct kept_session;
+    struct greeting_connection;
+
+    static gboolean onIncoming(GSocketService* service, GSocketConnection* connection, GObject* origin, gpointer self);
+    void startGreeting(GSocketConnection* connection);
+    void dropGreeting(greeting_connection* greeting);
+    void greet(greeting_connection* greeting, std::string_view bytes);
+    kept_session& sessionFor(identifier id);
+    void condemn(identifier id);
+    void sweep();
+
+    std::string m_name;
+    identifier m_incarnation;
+    server_limits m_limits;
+    callbacks m_calls;
+    gobject_ptr<GSocketService> m_service;
+    std::unordered_map<identifier, std::unique_ptr<kept_session>> m_sessions;
+    std::list<std::unique_ptr<greeting_connection>> m_greetings;
+    timer m_sweep;
+};
+}
--- /dev/null
+++ b/src/wire/session.hpp
@@ -0,0 +1,83 @@
+/// The entry's end of a session: connects, resumes, and replaces connections that fall silent.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/identifier.hpp"
+#include "loop/gobject_ptr.hpp"
+#include "wire/session_channel.hpp"
+
+#include <gio/gio.h>
+#include <random>
+
+namespace bilberryseam::wire {
+
+/// Times that govern a link. All are durations.
+struct link_times {
+    milliseconds heartbeatBusy { 250 };
+    milliseconds silenceBusy { 800 };
+    milliseconds heartbeatIdle { 5000 };
+    milliseconds silenceIdle { 15000 };
+    milliseconds connectTimeout { 1000 };
+    milliseconds reconnectMin { 50 };
+    milliseconds reconnectMax { 2000 };
+};
+
+/// A session with one side.
+class session {
+public:
+    struct callbacks {
+        std::function<void(message&)> onMessage;
+        /// A connection is ready; `isResumed` is false if the peer knows nothing of earlier frames.
+        std::function<void(bool isResumed)> onAttached;
+        /// The peer restarted or dropped the session: whatever was in flight has an unknown fate.
+        std::function<void()> onLost;
+        /// The connection went away; a new one is being made. `isRefused` if nobody listens there.
+        std::function<void(std::string_view reason, bool isRefused)> onDetached;
+    };
+
+    /// @param peer        The side's address.
+    /// @param ownName     Name of this process, for the peer's logs.
+    /// @param identifier  Identifier of the session.
+    /// @param times       Timeouts.
+    /// @param calls       What the owner is told.
+    session(ip_endpoint peer, std::string ownName, identifier id, link_times times, callbacks calls);
+    ~session();
+
+    void post(message item) { m_channel.post(std::move(item)); }
+
+    /// Looks for silence; the owner calls it several times a second.
+    /// @param isBusy  Whether calls are in flight on this session.
+    void tick(time_point now, bool isBusy);
+
+    [[nodiscard]] bool isUp() const noexcept { return m_channel.isAttached(); }
+    [[nodiscard]] const ip_endpoint& peer() const noexcept { return m_peer; }
+    [[nodiscard]] const session_channel& channel() const noexcept { return m_channel; }
+
+private:
+    void connect();
+    static void onConnected(GObject* source, GAsyncResult* outcome, gpointer data);
+    void startHandshake(GSocketConnection* connection);
+    void finishHandshake(std::string_view bytes);
+    void reconnectLater(std::string_view reason, bool isRefused);
+    void abandonState(std::string_view rule);
+    void replaceConnection(std::string_view reason);
+
+    ip_endpoint m_peer;
+    std::string m_ownName;
+    identifier m_identifier;
+    link_times m_times;
+    callbacks m_calls;
+    session_channel m_channel;
+    identifier m_sideIncarnation;
+    gobject_ptr<GSocketClient> m_client;
+    gobject_ptr<GCancellable> m_connecting;
+    std::unique_ptr<websocket> m_handshaking;
+    timer m_reconnect;
+    timer m_handshakeTimeout;
+    milliseconds m_backoff { 0 };
+    time_point m_lastHeartbeat {};
+    time_point m_busySince {};
+    bool m_wasBusy = false;
+    std::minstd_rand m_jitter;
+};
+}
--- /dev/null
+++ b/src/wire/session_channel.hpp
@@ -0,0 +1,90 @@
+/// The common half of a session's two ends: batches messages into frames and delivers those that arrive.
+#pragma once
+
+#include "base/time.hpp"
+#include "loop/timer.hpp"
+#include "wire/session_state.hpp"
+#include "wire/websocket.hpp"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace bilberryseam::wire {
+
+/// Most unacknowledged bytes one session holds for its peer.
+constexpr size_t maxUnacknowledgedBytes = 32 * 1024 * 1024;
+
+/// Bytes of messages after which a batch is sent without waiting for the loop to idle.
+constexpr size_t maxBatchMessages = 256;
+
+/// Longest time that an acknowledgement waits for a frame to ride on.
+constexpr milliseconds acknowledgementDelay { 20 };
+
+/// One end of a session over whatever connection is attached at present.
+class session_channel {
+public:
+    struct callbacks {
+        std::function<void(message&)> onMessage;
+        /// The connection closed or its peer broke the protocol; the state is kept.
+        std::function<void(std::string_view reason)> onDetached;
+        /// The peer broke a rule of the protocol (also followed by `onDetached`).
+        std::function<void(std::string_view rule)> onViolation;
+    };
+
+    explicit session_channel(callbacks calls);
+
+    /// Queues a message; it leaves when the loop idles, with others in one frame.
+    void post(message item);
+
+    /// Uses a connection whose handshake is done; resends what the peer lacks.
+    /// @param connection    The connection.
+    /// @param peerReceived  The last sequence number that the peer has.
+    /// @return False if the peer claims frames that were never sent.
+    [[nodiscard]] bool attach(std::unique_ptr<websocket> connection, uint64_t peerReceived);
+
+    /// Drops the connection and keeps the state.
+    void detach();
+
+    /// Starts anew, for a peer that lost its state. Unsent messages are dropped too.
+    void reset();
+
+    /// Takes in the bytes of one WebSocket message.
+    void receive(std::string_view bytes);
+
+    /// Sends a frame without messages.
+    /// @param wantsReply  Whether the peer is to answer at once.
+    void sendHeartbeat(bool wantsReply);
+
+    [[nodiscard]] bool isAttached() const noexcept { return static_cast<bool>(m_connection); }
+    [[nodiscard]] bool isAwaitingAcknowledgement() const noexcept { return !m_state.unacknowledged.empty() || !m_batch.empty(); }
+    [[nodiscard]] bool isOverLimit() const noexcept { return m_state.unacknowledgedBytes > maxUnacknowledgedBytes; }
+    [[nodiscard]] time_point lastHeard() const noexcept { return m_lastHeard; }
+    [[nodiscard]] uint64_t received() const noexcept { return m_state.received; }
+    [[nodiscard]] uint64_t bytesSent() const noexcept { return m_bytesSent; }
+    [[nodiscard]] uint64_t bytesReceived() const noexcept { return m_bytesReceived; }
+
+private:
+    void flush();
+    void sendBytes(std::string_view bytes);
+    void deliver(frame& arrived);
+    void scheduleAcknowledgement();
+    void violate(std::string_view rule);
+
+    callbacks m_calls;
+    session_state m_state;
+    std::unique_ptr<websocket> m_connection;
+    std::vector<message> m_batch;
+    timer m_flush;
+    timer m_acknowledge;
+    time_point m_lastHeard {};
+    uint64_t m_bytesSent = 0;
+    uint64_t m_bytesReceived = 0;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+
+public:
+    ~session_channel() { *m_isAlive = false; }
+    session_channel(const session_channel&) = delete;
+    session_channel& operator=(const session_channel&) = delete;
+};
+}
--- /dev/null
+++ b/tests/support/check.hpp
@@ -0,0 +1,14 @@
+/// Comparisons that keep their operands alive while the message is composed.
+#pragma once
+
+#include <criterion/criterion.h>
+#include <string>
+
+namespace bilberryseam::tests {
+
+/// Fails the test unless both texts are equal.
+inline void checkEqual(const std::string& actual, const std::string& expected)
+{
+    cr_assert(actual == expected, "\"%s\" is not \"%s\"", actual.c_str(), expected.c_str());
+}
+}
--- /dev/null
+++ b/tests/support/cluster.hpp
@@ -0,0 +1,152 @@
+/// A small deployment of real processes on loopback, for tests that cause failures.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "loop/http.hpp"
+
+#include <functional>
+#include <gio/gio.h>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace bilberryseam::tests {
+
+/// Upper bound of any single wait; no test asserts on speed.
+constexpr milliseconds patience { 20000 };
+
+/// A target to set up, with the side process beside it.
+struct target_spec {
+    std::string name;
+    std::string service;
+    /// Kind of the stand-in: engine, encoder, retriever, reranker, plain.
+    std::string kind;
+    std::string region = "north";
+    uint32_t capacity = 8;
+    /// Behaviour switches of the stand-in.
+    nlohmann::json behaviour = nlohmann::json::object();
+    bool isRepeatable = true;
+    uint32_t maxQueue = 64;
+    /// Put a stand-in link between entries and the side.
+    bool isLinked = false;
+};
+
+/// What to set up.
+struct cluster_spec {
+    /// Distinguishes the ports of tests that run at the same time; below 200, one for each test.
+    int slot = 0;
+    std::vector<target_spec> targets;
+    nlohmann::json pipelines = nlohmann::json::array();
+    int entries = 1;
+    nlohmann::json accounts = nlohmann::json::array({ { { "name", "acme" } } });
+    nlohmann::json policies = nlohmann::json::array();
+    nlohmann::json entryLimits = nlohmann::json::object();
+    nlohmann::json sideLimits = nlohmann::json::object();
+    /// Wait until every entry can use every target.
+    bool isWaitingForTargets = true;
+};
+
+/// A request under way or done.
+struct sent_request {
+    std::shared_ptr<void> handle;
+    bool isDone = false;
+    http_reply reply;
+    /// Bytes of a streamed answer.
+    std::string stream;
+
+    /// @return The JSON body, or the data of the stream's outcome event.
+    [[nodiscard]] nlohmann::json outcome() const;
+    /// @return The text of all output events.
+    [[nodiscard]] std::string text() const;
+    [[nodiscard]] std::string kind() const { return outcome().value("outcome", ""); }
+    [[nodiscard]] std::string reason() const { return outcome().value("reason", ""); }
+};
+
+/// What to ask.
+struct question {
+    std::string pipeline;
+    nlohmann::json input = { { "prompt", "hello" } };
+    bool isStreamed = false;
+    std::string key;
+    std::string account = "acme";
+    int deadlineMs = 0;
+    int entry = 0;
+};
+
+/// A running deployment. Its processes end with it.
+class cluster {
+public:
+    explicit cluster(cluster_spec spec);
+    ~cluster();
+
+    [[nodiscard]] std::shared_ptr<sent_request> send(const question& asked);
+    [[nodiscard]] std::shared_ptr<sent_request> ask(const question& asked);
+
+    /// Runs the loop until the condition holds. Fails the test after `patience`.
+    void waitUntil(const std::function<bool()>& condition, const char* what);
+
+    /// Runs the loop for a time.
+    void runFor(milliseconds time);
+
+    [[nodiscard]] nlohmann::json get(const std::string& address, const std::string& path);
+    nlohmann::json post(const std::string& address, const std::string& path, const nlohmann::json& body);
+
+    void switchFakes(const nlohmann::json& switches);
+    [[nodiscard]] nlohmann::json fakeCounts();
+    [[nodiscard]] nlohmann::json targetCounts(const std::string& target);
+    [[nodiscard]] nlohmann::json entryStatus(int entry = 0);
+    [[nodiscard]] nlohmann::json sideStatus(const std::string& target);
+    /// @return The value of a series whose text starts so, summed over all that do; zero if none does.
+    [[nodiscard]] double metric(const std::string& operatorAddress, const std::string& prefix);
+    [[nodiscard]] double entryMetric(const std::string& prefix, int entry = 0);
+
+    /// Appends a release note to the log as it is.
+    void appendNote(const nlohmann::json& note);
+
+    /// Sends a signal to a process: `fake`, `entry-N` or `side-TARGET`.
+    void signal(const std::string& process, int number);
+    /// Ends a process at once and waits for it.
+    void kill(const std::string& process);
+    void start(const std::string& process);
+    [[nodiscard]] bool hasExited(const std::string& process) const;
+    void waitForTargets();
+
+    [[nodiscard]] std::string entryOperator(int entry = 0) const { return m_entryOperators.at(static_cast<size_t>(entry)); }
+    [[nodiscard]] std::string entryAddress(int entry = 0) const { return m_entryAddresses.at(static_cast<size_t>(entry)); }
+    [[nodiscard]] std::string sideOperator(const std::string& target) const { return m_sideOperators.at(target); }
+    [[nodiscard]] std::string sideAddress(const std::string& target) const { return m_sideAddresses.at(target); }
+    [[nodiscard]] nlohmann::json firstNote() const { return m_note; }
+    [[nodiscard]] std::string logAddress() const { return m_log; }
+
+private:
+    std::string address();
+    void writeSettings(const std::string& process, const nlohmann::json& settings);
+    void makeTarget(const target_spec& target, const nlohmann::json& platform);
+    nlohmann::json exchange(http_request request);
+
+    cluster_spec m_spec;
+    int m_nextPort;
+    std::string m_folder;
+    http_client m_http;
+    std::string m_control;
+    std::string m_log;
+    nlohmann::json m_fake;
+    nlohmann::json m_note;
+    std::vector<std::string> m_entryAddresses;
+    std::vector<std::string> m_entryOperators;
+    std::map<std::string, std::string> m_sideOperators;
+    std::map<std::string, std::string> m_sideAddresses;
+    std::map<std::string, gobject_ptr<GSubprocess>> m_processes;
+};
+
+/// @return An idempotency key issued now.
+[[nodiscard]] std::string keyNow(const std::string& text);
+
+/// @return A pipeline with one stage for each service, named like it.
+[[nodiscard]] nlohmann::json pipelineOf(const std::string& name, const std::vector<std::string>& services, int maxTokens = 16);
+
+/// @return The words that the stand-in engine gives for a prompt.
+[[nodiscard]] std::string wordsFor(const std::string& prompt, uint32_t count);
+}
--- /dev/null
+++ b/tests/unit/codec_test.cpp
@@ -0,0 +1,78 @@
+/// Encoding and decoding of the inner protocol.
+#include "wire/wire.hpp"
+
+#include <criterion/criterion.h>
+#include <random>
+
+using namespace bilberryseam;
+using namespace bilberryseam::wire;
+
+namespace {
+frame sampleFrame()
+{
+    frame made { 7, 3, true, {} };
+    start_call call;
+    call.request = { 1, 2 };
+    call.attempt = { 3, 4 };
+    call.target = "llm-1";
+    call.remainingMs = 11000;
+    call.body = R"({"prompt":"hello"})";
+    made.messages.push_back(call);
+    made.messages.push_back(call_output { { 1, 2 }, { 3, 4 }, 9, "w1 " });
+    made.messages.push_back(configuration_records { "", { { 5, 1234, "note" } } });
+    return made;
+}
+}
+
+Test(codec, a_frame_survives_the_round_trip)
+{
+    const frame decoded = decodeFrame(encodeFrame(sampleFrame())).value();
+    cr_assert_eq(decoded.sequence, 7u);
+    cr_assert_eq(decoded.acknowledged, 3u);
+    cr_assert(decoded.wantsReply);
+    cr_assert_eq(decoded.messages.size(), 3u);
+    const auto& call = std::get<start_call>(decoded.messages[0]);
+    cr_assert(call.attempt == (identifier { 3, 4 }));
+    cr_assert_eq(call.remainingMs, 11000u);
+    cr_assert_eq(std::get<call_output>(decoded.messages[1]).index, 9u);
+    cr_assert_eq(std::get<configuration_records>(decoded.messages[2]).records[0].appendedMs, 1234);
+}
+
+Test(codec, truncated_frames_are_refused)
+{
+    const std::string whole = encodeFrame(sampleFrame());
+    for (size_t length = 0; length < whole.size(); ++length)
+        cr_assert(!decodeFrame(std::string_view(whole).substr(0, length)), "a frame cut at %zu was accepted", length);
+}
+
+Test(codec, mutated_frames_never_crash)
+{
+    const std::string whole = encodeFrame(sampleFrame());
+    std::mt19937_64 random(20261204);
+    for (int round = 0; round < 200000; ++round) {
+        std::string mutated = whole;
+        const int changes = 1 + static_cast<int>(random() % 4);
+        for (int i = 0; i < changes; ++i)
+            mutated[random() % mutated.size()] = static_cast<char>(random());
+        static_cast<void>(decodeFrame(mutated));
+        static_cast<void>(decodeHello(mutated));
+        static_cast<void>(decodeWelcome(mutated));
+    }
+}
+
+Test(codec, huge_lengths_are_refused)
+{
+    // An array that claims 2^56 items.
+    const std::string hostile("\x9b\x01\x00\x00\x00\x00\x00\x00\x00", 9);
+    cr_assert(!decodeFrame(hostile));
+    // A text that claims 2^56 bytes.
+    const std::string longText("\x84\x01\x00\xf4\x7b\x01\x00\x00\x00\x00\x00\x00\x00", 13);
+    cr_assert(!decodeFrame(longText));
+}
+
+Test(codec, unknown_types_are_refused)
+{
+    // [1, 0, false, [[99]]]
+    const std::string unknown("\x84\x01\x00\xf4\x81\x81\x18\x63", 8);
+    cr_assert(!decodeFrame(unknown));
+}
