At most once: claims on the platform's log, read back in log order

Cause: a booking that was sent twice, or through two entries, ran twice; a side's death or a lost answer was followed by a second run elsewhere.

What: a side appends a claim (hash of account, pipeline, stage and key; a nonce for the attempt), reads the stream up to it, and starts the call only if its nonce holds the key. Answers are appended for repeats; a call that did not start releases its key; a released nonce never comes back, so a claim that arrives late is harmless. Keys older than the window, or than what the side has read, are refused. Claims travel in batches, one append at a time. Running calls are no longer cut off when their caller goes away: they run to their end so that a repeat can be answered.

Ruled out: one claims reader for all (a central process); rendezvous hashing alone (two views of who is up start two runs); refusing every call while one append is unanswered (one lost answer would be an outage): three failures in a row count as an outage, then calls get not_run at once.

--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -19,6 +19,9 @@
     /// Pause before a later stage asks full targets again.
     constexpr milliseconds fullBackoff { 25 };
 
+    /// Pause before a key that runs elsewhere is asked for again.
+    constexpr milliseconds heldKeyBackoff { 150 };
+
     constexpr uint32_t maxRetriesPerStage = 8;
     constexpr milliseconds defaultRetryAfter { 1000 };
 
@@ -248,10 +251,18 @@
     const milliseconds retryAfter = std::max(defaultRetryAfter, milliseconds(refused.retryAfterMs));
     switch (refused.reason) {
     case wire::refusal::RunsElsewhere:
+        // Its answer may come to be known: ask again until the deadline.
         m_isUnclear = true;
         m_isUnclearOnce = true;
-        giveUp(reason, retryAfter, "The same key is running or has run elsewhere.");
+        m_tried.clear();
+        m_waitReason = reason;
+        m_patience.startOnce(heldKeyBackoff, [this] { tryDispatch(); });
         return;
+    case wire::refusal::ClaimsNotReady:
+        // This side may have missed claims on the key; another one may not.
+        m_isUnclear = true;
+        m_isUnclearOnce = true;
+        break;
     case wire::refusal::KeyExpired:
         // What ran under an expired key can no longer be told.
         m_isUnclear = true;
@@ -265,7 +276,6 @@
     case wire::refusal::DeadlinePassed:
     case wire::refusal::Cancelled:
     case wire::refusal::LogUnavailable:
-    case wire::refusal::ClaimsNotReady:
     case wire::refusal::QueueFull:
     case wire::refusal::Draining:
     case wire::refusal::UnknownTarget:
@@ -391,6 +401,8 @@
         if (output.is_discarded())
             output = finished.body;
     }
+    // A key whose fate was unclear has been settled by its answer.
+    m_isUnclearOnce = false;
     if (isLastStage()) {
         end({ outcome_kind::Answered, outcome_reason::None, "", milliseconds(0), "", std::move(output) });
         return;
--- a/src/policy/gate.cpp
+++ b/src/policy/gate.cpp
@@ -30,7 +30,7 @@
     return ahead * gate.meanRunSeconds / gate.capacity;
 }
 
-gate_verdict admit(gate& gate, const waiting_call& call, time_point now)
+gate_verdict checkAdmission(const gate& gate, const waiting_call& call, time_point now)
 {
     if (gate.isLeaving)
         return gate_verdict::Leaving;
@@ -40,10 +40,17 @@
         return gate_verdict::QueueFull;
     if (asSeconds(call.deadline - now) <= expectedWaitSeconds(gate))
         return gate_verdict::Hopeless;
-    insertByPriority(gate.queue, call);
     return gate_verdict::Accept;
 }
 
+gate_verdict admit(gate& gate, const waiting_call& call, time_point now)
+{
+    const gate_verdict verdict = checkAdmission(gate, call, now);
+    if (verdict == gate_verdict::Accept)
+        insertByPriority(gate.queue, call);
+    return verdict;
+}
+
 gate_step startCalls(gate& gate, time_point now)
 {
     gate_step step;
--- a/src/policy/gate.hpp
+++ b/src/policy/gate.hpp
@@ -47,6 +47,9 @@
 /// @return How long a call that arrives now is expected to wait, in seconds.
 [[nodiscard]] double expectedWaitSeconds(const gate& gate) noexcept;
 
+/// @return What `admit` would say; changes nothing.
+[[nodiscard]] gate_verdict checkAdmission(const gate& gate, const waiting_call& call, time_point now);
+
 /// Queues a call or says why not.
 [[nodiscard]] gate_verdict admit(gate& gate, const waiting_call& call, time_point now);
 
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -1,5 +1,6 @@
 /// Umbrella header of the `policy` package: decisions as free functions over plain structs, without I/O or clocks.
 #pragma once
 
+#include "policy/claims.hpp"
 #include "policy/gate.hpp"
 #include "policy/routing.hpp"
--- a/src/side/call_gate.cpp
+++ b/src/side/call_gate.cpp
@@ -9,6 +9,28 @@
     constexpr milliseconds sweepPeriod { 50 };
     constexpr milliseconds probePeriod { 250 };
     constexpr uint32_t refusedRetryAfterMs = 500;
+    constexpr uint32_t claimsPerRead = 1000;
+
+    std::string_view nameOf(claim_end end)
+    {
+        switch (end) {
+        case claim_end::Won:
+            return "won";
+        case claim_end::Answered:
+            return "answered";
+        case claim_end::HeldElsewhere:
+            return "held_elsewhere";
+        case claim_end::KeyReused:
+            return "key_reused";
+        case claim_end::NotCovered:
+            return "not_covered";
+        case claim_end::LogUnavailable:
+            return "log_unavailable";
+        case claim_end::DeadlinePassed:
+            return "deadline_passed";
+        }
+        return "unknown";
+    }
 
     wire::refusal refusalOf(policy::gate_verdict verdict)
     {
@@ -46,6 +68,11 @@
     time_point acceptedAt;
     time_point startedAt;
     time_point deadline;
+    identifier key;
+    bool isClaiming = false;
+    bool hasKey = false;
+    /// Nobody waits for it any more; it runs to its end for the sake of its key.
+    bool isOrphaned = false;
     bool isRunning = false;
     uint32_t outputCount = 0;
     std::unique_ptr<target_call> exchange;
@@ -55,6 +82,7 @@
     : m_settings(settings)
     , m_metrics(metrics)
     , m_callbacks(std::move(calls))
+    , m_log(settings.platform.log)
 {
     m_sweep.startEvery(sweepPeriod, [this] { sweep(); });
 }
@@ -84,6 +112,9 @@
         refreshLeaving(*slot);
         if (isNew)
             broadcastLoad(*slot);
+        // Reading the claims starts before the first call needs them.
+        if (slot->service && !slot->service->isRepeatable)
+            claims();
     }
     for (auto& [name, slot] : m_slots) {
         const auto current = state.find<configuration::target>(name);
@@ -117,7 +148,96 @@
     accepted->acceptedAt = now;
     accepted->deadline = now + milliseconds(call.remainingMs);
     accepted->call = std::move(call);
-    enqueue(*accepted);
+    if (slot->service->isRepeatable)
+        enqueue(*accepted);
+    else
+        askForKey(*accepted);
+}
+
+claim_keeper& call_gate::claims()
+{
+    if (m_claims)
+        return *m_claims;
+    // A handle stays until the next exchange of its kind, which comes only after its end.
+    claim_ports ports;
+    ports.append = [this](std::string record, platform::log_client::on_append done) {
+        const std::vector<std::string> records { std::move(record) };
+        m_appending = m_log.append(m_settings.platform.claimsStream, records, std::move(done));
+    };
+    ports.read = [this](uint64_t from, platform::log_client::on_read done) {
+        m_reading = m_log.read(m_settings.platform.claimsStream, from, claimsPerRead, std::move(done));
+    };
+    ports.wallNow = [] { return wallNow(); };
+    m_claims = std::make_unique<claim_keeper>(std::move(ports), m_settings.limits.idempotencyWindow);
+    m_claims->tick(monotonicNow());
+    return *m_claims;
+}
+
+void call_gate::askForKey(running_call& call)
+{
+    const int64_t ageMs = wallNow().time_since_epoch().count() - call.call.keyIssuedMs;
+    if (ageMs > m_settings.limits.idempotencyWindow.count()) {
+        refuseWaiting(call, wire::refusal::KeyExpired);
+        return;
+    }
+    call.key = policy::hashOfKey(call.call.account, call.call.pipeline, call.call.stage, call.call.idempotencyKey);
+    call.isClaiming = true;
+    const identifier attempt = call.call.attempt;
+    const claim_request request { call.key, attempt, call.call.fingerprint, call.call.keyIssuedMs, call.deadline };
+    // A call that the gate would refuse is worth no claim, unless its key is known already.
+    const policy::waiting_call waiting { attempt, call.deadline, call.call.priority, call.call.isAlone };
+    const policy::gate_verdict verdict = policy::checkAdmission(call.slot->gate, waiting, monotonicNow());
+    if (verdict != policy::gate_verdict::Accept && claims().known(request) == policy::claim_verdict::Unclaimed) {
+        refuseWaiting(call, refusalOf(verdict));
+        return;
+    }
+    claims().claim(request, [this, attempt](claim_reply reply) { takeClaim(attempt, reply); });
+}
+
+void call_gate::takeClaim(identifier attempt, const claim_reply& reply)
+{
+    const auto found = m_calls.find(attempt);
+    if (found == m_calls.end())
+        return;
+    running_call& call = *found->second;
+    call.isClaiming = false;
+    m_metrics.count("claims_total", { { "end", std::string(nameOf(reply.end)) } });
+    switch (reply.end) {
+    case claim_end::Won:
+        call.hasKey = true;
+        enqueue(call);
+        return;
+    case claim_end::Answered:
+        call.startedAt = call.acceptedAt;
+        finish(call, reply.isAnswerKept ? wire::call_end::Answered : wire::call_end::Unknown, reply.answer, "The key ran before; this is its answer.");
+        return;
+    case claim_end::HeldElsewhere:
+        refuseWaiting(call, wire::refusal::RunsElsewhere);
+        return;
+    case claim_end::KeyReused:
+        refuseWaiting(call, wire::refusal::KeyReused);
+        return;
+    case claim_end::NotCovered:
+        refuseWaiting(call, wire::refusal::ClaimsNotReady);
+        return;
+    case claim_end::LogUnavailable:
+        refuseWaiting(call, wire::refusal::LogUnavailable);
+        return;
+    case claim_end::DeadlinePassed:
+        refuseWaiting(call, wire::refusal::DeadlinePassed);
+        return;
+    }
+}
+
+void call_gate::settleClaim(const running_call& call, const target_answer& answer)
+{
+    if (!call.hasKey)
+        return;
+    if (answer.isNotStarted || answer.end == wire::call_end::Rejected)
+        claims().release(call.key, call.call.attempt);
+    else if (answer.end == wire::call_end::Answered)
+        claims().answer(call.key, call.call.attempt, answer.body);
+    // Otherwise it may have run: the key stays held for good.
 }
 
 void call_gate::enqueue(running_call& call)
@@ -165,13 +285,19 @@
     const double ranSeconds = asSeconds(monotonicNow() - call.startedAt);
     const bool isTypical = answer.end == wire::call_end::Answered;
     policy::finishCall(slot.gate, call.call.isAlone, isTypical ? std::optional(ranSeconds) : std::nullopt);
+    settleClaim(call, answer);
     if (answer.isNotStarted) {
-        refuse(call.session, call.call, wire::refusal::TargetDown);
+        call.hasKey = false;
+        if (!call.isOrphaned)
+            refuse(call.session, call.call, wire::refusal::TargetDown);
         forget(call);
         targetRefusedConnection(slot);
         return;
     }
-    finish(call, answer.end, std::move(answer.body), std::move(answer.detail));
+    if (call.isOrphaned)
+        forget(call);
+    else
+        finish(call, answer.end, std::move(answer.body), std::move(answer.detail));
     pump(slot);
 }
 
@@ -203,6 +329,10 @@
 
 void call_gate::refuseWaiting(running_call& call, wire::refusal reason)
 {
+    if (call.hasKey)
+        claims().release(call.key, call.call.attempt);
+    if (call.isClaiming && m_claims)
+        m_claims->forget(call.call.attempt);
     refuse(call.session, call.call, reason);
     forget(call);
 }
@@ -218,17 +348,34 @@
 void call_gate::giveUp(running_call& call, wire::call_end end)
 {
     target_slot& slot = *call.slot;
+    if (call.isClaiming) {
+        refuseWaiting(call, end == wire::call_end::Cancelled ? wire::refusal::Cancelled : wire::refusal::DeadlinePassed);
+        return;
+    }
     if (!call.isRunning) {
         static_cast<void>(policy::withdraw(slot.gate, call.call.attempt));
         refuseWaiting(call, end == wire::call_end::Cancelled ? wire::refusal::Cancelled : wire::refusal::DeadlinePassed);
         return;
     }
+    if (!slot.service->isRepeatable) {
+        orphan(call);
+        return;
+    }
     call.exchange.reset();
     policy::finishCall(slot.gate, call.call.isAlone, std::nullopt);
-    finish(call, call.call.isRepeatable ? end : wire::call_end::Unknown, "", "The call was given up.");
+    finish(call, end, "", "The call was given up.");
     pump(slot);
 }
 
+void call_gate::orphan(running_call& call)
+{
+    // It may be acting at this moment: it runs on, so that a repeat of its key can be answered.
+    if (std::exchange(call.isOrphaned, true))
+        return;
+    wire::call_finished finished { call.call.request, call.call.attempt, wire::call_end::Unknown, call.outputCount, 0, 0, "", "The call was given up while it ran." };
+    m_callbacks.send(call.session, std::move(finished));
+}
+
 void call_gate::forget(running_call& call)
 {
     // The target's call may be the one that is reporting; it is dropped when the loop is back.
@@ -253,6 +400,8 @@
 void call_gate::sweep()
 {
     const time_point now = monotonicNow();
+    if (m_claims)
+        m_claims->tick(now);
     std::vector<identifier> late;
     for (const auto& [attempt, call] : m_calls) {
         if (call->deadline <= now)
--- a/src/side/call_gate.hpp
+++ b/src/side/call_gate.hpp
@@ -4,6 +4,7 @@
 #include "configuration/state.hpp"
 #include "policy/gate.hpp"
 #include "settings/side_settings.hpp"
+#include "side/claim_keeper.hpp"
 #include "side/target_call.hpp"
 #include "telemetry/metrics.hpp"
 #include "wire/message.hpp"
@@ -65,6 +66,10 @@
     struct running_call;
 
     target_slot* find(std::string_view target);
+    void askForKey(running_call& call);
+    void takeClaim(identifier attempt, const claim_reply& reply);
+    void settleClaim(const running_call& call, const target_answer& answer);
+    claim_keeper& claims();
     void enqueue(running_call& call);
     void pump(target_slot& slot);
     void launch(running_call& call);
@@ -74,6 +79,7 @@
     void refuse(identifier session, const wire::start_call& call, wire::refusal reason);
     void refuseWaiting(running_call& call, wire::refusal reason);
     void giveUp(running_call& call, wire::call_end end);
+    void orphan(running_call& call);
     void forget(running_call& call);
     void targetRefusedConnection(target_slot& slot);
     void probe(target_slot& slot);
@@ -89,6 +95,11 @@
     http_client m_http;
     std::map<std::string, std::unique_ptr<target_slot>, std::less<>> m_slots;
     std::unordered_map<identifier, std::unique_ptr<running_call>> m_calls;
+    platform::log_client m_log;
+    /// Made with the first target whose calls may not be repeated.
+    std::unique_ptr<claim_keeper> m_claims;
+    std::shared_ptr<void> m_appending;
+    std::shared_ptr<void> m_reading;
     std::set<leaving_reason> m_leaving;
     timer m_sweep;
 };
--- a/src/side/side.hpp
+++ b/src/side/side.hpp
@@ -2,5 +2,6 @@
 #pragma once
 
 #include "side/call_gate.hpp"
+#include "side/claim_keeper.hpp"
 #include "side/line_splitter.hpp"
 #include "side/target_call.hpp"
