--- a/src/side/claim_keeper.cpp
+++ b/src/side/claim_keeper.cpp
@@ -40,6 +40,9 @@
     if (verdict != policy::claim_verdict::Unclaimed) {
         waiting.offset = 0;
         const std::optional<claim_reply> known = decide(waiting);
+        // The holder may have answered or released it since; whoever asks again shall not wait for the next idle read.
+        if (verdict == policy::claim_verdict::HeldElsewhere)
+            read();
         waiting.done(known.value_or(claim_reply { claim_end::NotCovered, false, "" }));
         return;
     }
@@ -203,9 +206,10 @@
     case policy::claim_verdict::Won:
         return claim_reply { claim_end::Won, false, "" };
     case policy::claim_verdict::HeldElsewhere:
-        return claim_reply { claim_end::HeldElsewhere, false, "" };
+        // Before the own record is read, the holder may still release, and the own claim would hold the key unnoticed.
+        return isRead ? std::optional(claim_reply { claim_end::HeldElsewhere, false, "" }) : std::nullopt;
     case policy::claim_verdict::KeyReused:
-        return claim_reply { claim_end::KeyReused, false, "" };
+        return isRead ? std::optional(claim_reply { claim_end::KeyReused, false, "" }) : std::nullopt;
     case policy::claim_verdict::Answered: {
         const policy::claim_entry& entry = m_table.entries.at(request.key);
         return claim_reply { claim_end::Answered, entry.isAnswerKept, entry.answer };
--- a/tests/process/at_most_once_test.cpp
+++ b/tests/process/at_most_once_test.cpp
@@ -242,3 +242,23 @@
     checkEqual(refused->reason(), "key_expired");
     cr_assert_eq(runsOf(running), 0);
 }
+
+Test(at_most_once, a_side_that_drains_after_its_claim_frees_the_key)
+{
+    cluster running(bookingDesk(35));
+    running.switchFakes({ { "log", { { "delayMs", 300 } } } });
+    std::vector<std::shared_ptr<sent_request>> sent;
+    for (int i = 0; i < 4; ++i) {
+        question asked = booking(keyNow("o" + std::to_string(i)));
+        asked.deadlineMs = 11000;
+        sent.push_back(running.send(asked));
+    }
+    running.runFor(milliseconds(100));
+    running.post(running.sideOperator("book-1"), "/drain", json::object());
+    for (const auto& one : sent) {
+        running.waitUntil([&] { return one->isDone; }, "an answer");
+        checkEqual(one->kind(), "answered");
+    }
+    cr_assert_eq(running.targetCounts("book-1")["runs"], 0);
+    cr_assert_eq(running.targetCounts("book-2")["runs"], 4);
+}
--- a/tests/unit/claims_explorer_test.cpp
+++ b/tests/unit/claims_explorer_test.cpp
@@ -25,6 +25,7 @@
     identifier key;
     identifier nonce;
     size_t side = 0;
+    uint64_t incarnation = 0;
     int64_t issuedMs = 0;
     int64_t deadlineMs = 0;
     bool mayStart = false;
@@ -52,6 +53,8 @@
     identifier_generator identifiers;
     /// Longer than the window, or, against the documentation, shorter.
     int64_t retentionMs;
+    /// Faults are over; what was begun comes to its end.
+    bool isReliable = false;
     int64_t nowMs = startMs;
     uint64_t start = 0;
     std::vector<platform::stored_record> records;
@@ -77,7 +80,7 @@
 /// The log may refuse, take, or take without an answer; what is late may also arrive after its sender gave up.
 void appendAtLog(world& run, size_t side, uint64_t incarnation, const std::string& record, const platform::log_client::on_append& done)
 {
-    const uint64_t fate = run.pick(10);
+    const uint64_t fate = run.isReliable ? 9 : run.pick(10);
     if (fate == 0) {
         answerAppend(run, side, incarnation, { platform::append_end::Refused, 0, "" }, done);
         return;
@@ -95,7 +98,7 @@
 
 void readAtLog(world& run, size_t side, uint64_t incarnation, uint64_t from, const platform::log_client::on_read& done)
 {
-    platform::read_reply reply { run.pick(10) != 0, run.start, run.start + run.records.size(), {}, "" };
+    platform::read_reply reply { run.isReliable || run.pick(10) != 0, run.start, run.start + run.records.size(), {}, "" };
     for (const auto& record : run.records) {
         if (record.offset >= from && reply.records.size() < 3)
             reply.records.push_back(record);
@@ -137,6 +140,7 @@
     made->key = key;
     made->nonce = run.identifiers.next();
     made->side = side;
+    made->incarnation = run.sides[side].incarnation;
     made->issuedMs = issuedMs;
     made->deadlineMs = run.nowMs + 11000;
     run.sides[side].keeper->claim({ key, made->nonce, 1, issuedMs, time_point(milliseconds(made->deadlineMs)) }, [made](claim_reply reply) {
@@ -152,11 +156,8 @@
 }
 
 /// Starts, finishes or gives up a call that won its key.
-void stepCall(world& run)
+void stepSubmission(world& run, submission& one)
 {
-    if (run.submissions.empty())
-        return;
-    submission& one = *run.submissions[run.submissions.size() - 1 - run.pick(std::min<size_t>(run.submissions.size(), 12))];
     auto& side = run.sides[one.side];
     if (side.isPaused)
         return;
@@ -178,6 +179,12 @@
     }
 }
 
+void stepCall(world& run)
+{
+    if (!run.submissions.empty())
+        stepSubmission(run, *run.submissions[run.submissions.size() - 1 - run.pick(std::min<size_t>(run.submissions.size(), 12))]);
+}
+
 void deliver(world& run)
 {
     if (run.deliveries.empty())
@@ -240,6 +247,37 @@
     }
 }
 
+/// Lets everything under way come to its end without further faults.
+void settle(world& run)
+{
+    run.isReliable = true;
+    for (auto& side : run.sides)
+        side.isPaused = false;
+    for (int round = 0; round < 40; ++round) {
+        run.nowMs += 1000;
+        for (auto& one : run.submissions) {
+            while (one->mayStart || one->isRunning)
+                stepSubmission(run, *one);
+        }
+        for (auto& side : run.sides)
+            side.keeper->tick(run.now());
+        while (!run.deliveries.empty())
+            deliver(run);
+    }
+}
+
+/// A submission that never ran, at a side that lives, does not hold its key for good.
+void checkKeysAreFree(const world& run, uint64_t seed)
+{
+    for (const auto& one : run.submissions) {
+        const auto& side = run.sides[one->side];
+        if (one->runs > 0 || one->incarnation != side.incarnation)
+            continue;
+        const claim_request request { one->key, one->nonce, 1, one->issuedMs, {} };
+        cr_assert(side.keeper->known(request) != policy::claim_verdict::Won, "seed %lu: a submission that did not run still holds its key", seed);
+    }
+}
+
 void checkPromises(const world& run, uint64_t seed)
 {
     std::map<identifier, uint32_t> runs;
@@ -262,6 +300,9 @@
         for (int i = 0; i < 4000; ++i)
             step(run);
         checkPromises(run, seed);
+        settle(run);
+        checkPromises(run, seed);
+        checkKeysAreFree(run, seed);
         for (const auto& one : run.submissions)
             ran += one->runs;
     }
