Bursts of connections are accepted

Failing check: the test of the retry budget failed in 0.00 s with an empty answer when the budget was taken out.

Cause: GLib listens with a backlog of 10, so callers that connect in one burst are reset before the entry sees them. Found by printing the reply's end: "Connection reset by peer", while the entry had logged 59 of 60 ends.

Ruled out: an entry that died (its log went on), the stand-in engine.

Change: entries, operator ports and sides listen with a backlog of 1024.

With the reset gone, the retry budget's test passed without the budget: 60 requests make 60 retries, under the burst of 64. It now sends 120 and fails without the budget.

--- a/src/loop/http.cpp
+++ b/src/loop/http.cpp
@@ -204,7 +204,13 @@
 {
     GSocketAddress* address = g_inet_socket_address_new_from_string(endpoint.address.c_str(), endpoint.port);
     GError* failure = nullptr;
-    const bool isListening = soup_server_listen(server, address, static_cast<SoupServerListenOptions>(0), &failure);
+    const auto socket = gobject_ptr<GSocket>::adopt(g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &failure));
+    bool isListening = static_cast<bool>(socket);
+    if (isListening) {
+        g_socket_set_listen_backlog(socket.get(), listenBacklog);
+        isListening = g_socket_bind(socket.get(), address, TRUE, &failure) && g_socket_listen(socket.get(), &failure)
+            && soup_server_listen_socket(server, socket.get(), static_cast<SoupServerListenOptions>(0), &failure);
+    }
     g_object_unref(address);
     if (isListening)
         return;
--- a/src/loop/http.hpp
+++ b/src/loop/http.hpp
@@ -80,6 +80,9 @@
 /// @return A request header, or an empty view.
 [[nodiscard]] std::string_view headerOf(SoupServerMessage* message, const char* name);
 
+/// Connections that may wait to be accepted; GLib's own default of 10 resets callers in a burst.
+constexpr int listenBacklog = 1024;
+
 /// Listens on an IP number and port.
 /// @throws error (`Unavailable`) if the address cannot be taken.
 void listenOn(SoupServer* server, const ip_endpoint& endpoint);
--- a/src/wire/server.cpp
+++ b/src/wire/server.cpp
@@ -1,6 +1,7 @@
 #include "wire/server.hpp"
 
 #include "base/error.hpp"
+#include "loop/http.hpp"
 #include "wire/codec.hpp"
 
 #include <algorithm>
@@ -35,6 +36,7 @@
     , m_calls(std::move(calls))
     , m_service(gobject_ptr<GSocketService>::adopt(g_socket_service_new()))
 {
+    g_socket_listener_set_backlog(G_SOCKET_LISTENER(m_service.get()), listenBacklog);
     GSocketAddress* address = g_inet_socket_address_new_from_string(listen.address.c_str(), listen.port);
     GError* failure = nullptr;
     const bool isListening = g_socket_listener_add_address(G_SOCKET_LISTENER(m_service.get()), address, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &failure);
--- a/tests/process/crash_test.cpp
+++ b/tests/process/crash_test.cpp
@@ -155,7 +155,7 @@
     spec.policies = json::array({ { { "name", "default" }, { "retryPercent", 0 } } });
     cluster running(spec);
     std::vector<std::shared_ptr<sent_request>> sent;
-    for (int i = 0; i < 60; ++i)
+    for (int i = 0; i < 120; ++i)
         sent.push_back(running.send({ .pipeline = "assistant", .input = { { "prompt", "cut " + std::to_string(i) } } }));
     for (const auto& one : sent) {
         running.waitUntil([&] { return one->isDone; }, "an answer");
--- a/tests/process/hostile_test.cpp
+++ b/tests/process/hostile_test.cpp
@@ -164,3 +164,15 @@
     running.switchFakes({ { "targets", { { "llm-1", { { "failStatus", 0 } } } } } });
     checkEqual(running.ask({ .pipeline = "assistant" })->kind(), "answered");
 }
+
+Test(hostile, a_burst_of_new_connections_is_accepted)
+{
+    cluster running(oneEngine(65));
+    std::vector<std::shared_ptr<sent_request>> sent;
+    for (int i = 0; i < 200; ++i)
+        sent.push_back(running.send({ .pipeline = "assistant", .input = { { "prompt", "burst " + std::to_string(i) } } }));
+    for (const auto& one : sent) {
+        running.waitUntil([&] { return one->isDone; }, "an answer");
+        cr_assert_eq(one->reply.end, exchange_end::Complete, "a connection was not served: %s", one->reply.detail.c_str());
+    }
+}
