Configuration in force everywhere; orders to engines with fences

The side compares each engine's report with the wanted models and orders until they agree, with fencing numbers from the notes' offsets; loads take turns at the weight store's rate. A side that notices that it was paused drops its orders and reads the configuration before it gives more.

--- a/src/configuration/snapshot.cpp
+++ b/src/configuration/snapshot.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/json_schema.hpp"
+#include "base/json_text.hpp"
 #include "configuration/note.hpp"
 
 namespace bilberryseam::configuration {
@@ -95,4 +96,46 @@
         return problem;
     }
 }
+
+std::vector<std::string> splitSnapshot(std::string_view text, uint64_t nextOffset)
+{
+    const size_t parts = (text.size() + snapshotPartBytes - 1) / snapshotPartBytes;
+    std::vector<std::string> records;
+    for (size_t part = 0; part < parts; ++part) {
+        const std::string_view piece = text.substr(part * snapshotPartBytes, snapshotPartBytes);
+        records.push_back(dumpText(json { { "snapshot", hashOf(text) }, { "nextOffset", nextOffset }, { "part", part }, { "parts", parts }, { "text", piece } }));
+    }
+    return records;
+}
+
+std::optional<assembled_snapshot> assembleSnapshot(std::span<const std::string> records)
+{
+    struct partial {
+        uint64_t nextOffset = 0;
+        std::map<size_t, std::string> parts;
+        size_t wanted = 0;
+    };
+    std::map<uint64_t, partial> found;
+    std::optional<assembled_snapshot> newest;
+    for (const std::string& record : records) {
+        try {
+            const json document = json::parse(record);
+            partial& one = found[document.at("snapshot").get<uint64_t>()];
+            one.nextOffset = document.at("nextOffset");
+            one.wanted = document.at("parts");
+            one.parts[document.at("part").get<size_t>()] = document.at("text");
+        } catch (const json::exception&) {
+            continue;
+        }
+    }
+    for (const auto& [hash, one] : found) {
+        const bool isNewer = !newest || one.nextOffset > newest->nextOffset;
+        if (one.parts.size() != one.wanted || !isNewer)
+            continue;
+        newest = assembled_snapshot { one.nextOffset, "" };
+        for (const auto& [part, text] : one.parts)
+            newest->text += text;
+    }
+    return newest;
+}
 }
--- a/src/execution/configuration_follower.cpp
+++ b/src/execution/configuration_follower.cpp
@@ -7,21 +7,29 @@
 namespace {
     constexpr std::string_view part = "configuration";
     constexpr uint32_t recordsPerRead = 500;
-    constexpr uint32_t snapshotsPerRead = 64;
+
+    /// Longest wait before a due snapshot is written, so that one entry writes it and the others see it.
+    constexpr milliseconds maxSnapshotDelay { 2000 };
+
     constexpr milliseconds tickPeriod { 250 };
 
     /// Log reads a second that the whole fleet may cause; the poll period grows with the fleet.
     constexpr double fleetReadsPerSecond = 50;
 }
 
-configuration_follower::configuration_follower(const settings::platform_settings& platform, metrics& metrics, callbacks calls)
+configuration_follower::configuration_follower(const settings::platform_settings& platform, metrics& metrics, bool isSnapshotWriter, callbacks calls)
     : m_platform(platform)
     , m_metrics(metrics)
     , m_calls(std::move(calls))
     , m_log(platform.log)
+    , m_snapshots(platform)
+    , m_isSnapshotWriter(isSnapshotWriter)
     , m_jitter(std::random_device {}())
 {
-    m_tick.startEvery(tickPeriod, [this] { perform(configuration::onTick(m_spreading, monotonicNow())); });
+    m_tick.startEvery(tickPeriod, [this] {
+        perform(configuration::onTick(m_spreading, monotonicNow()));
+        writeSnapshotIfDue();
+    });
     poll();
 }
 
@@ -47,34 +55,47 @@
         return;
     }
     if (reply.start > m_state.nextOffset) {
-        readSnapshots(reply.start);
+        readSnapshot(reply.start);
         return;
     }
-    m_isReady = true;
     bool hasAdvanced = false;
     for (const auto& record : reply.records)
         hasAdvanced |= apply({ record.offset, record.appendedMs, record.text });
     if (hasAdvanced)
         advanced();
+    heard();
     if (hasAdvanced && reply.records.size() == recordsPerRead)
         poll();
     else
         scheduleNextPoll();
 }
 
-void configuration_follower::readSnapshots(uint64_t logStart)
+void configuration_follower::readSnapshot(uint64_t logStart)
 {
-    logLine(log_level::Warning, part, "The log no longer keeps the next record. Reading snapshots.", { { "offset", std::to_string(m_state.nextOffset) }, { "log_start", std::to_string(logStart) } });
-    m_reading = m_log.read(m_platform.snapshotStream, 0, snapshotsPerRead, [this](platform::read_reply reply) {
-        takeSnapshots(reply);
+    logLine(log_level::Warning, part, "The log no longer keeps the next record. Reading the newest snapshot.", { { "offset", std::to_string(m_state.nextOffset) }, { "log_start", std::to_string(logStart) } });
+    m_snapshots.load([this, logStart](const std::optional<configuration::assembled_snapshot>& newest) {
+        if (newest) {
+            m_snapshotOffset = std::max(m_snapshotOffset, newest->nextOffset);
+            adoptSnapshot(newest->text);
+        }
+        if (m_state.nextOffset < logStart)
+            raiseAlarm("The log has dropped records that no snapshot holds. Remedy: wait for a peer, or publish the whole configuration anew.");
         scheduleNextPoll();
     });
 }
 
-void configuration_follower::takeSnapshots(const platform::read_reply& reply)
+void configuration_follower::writeSnapshotIfDue()
 {
-    for (const auto& record : reply.records)
-        adoptSnapshot(record.text);
+    const bool isDue = m_isSnapshotWriter && m_state.nextOffset >= m_snapshotOffset + m_platform.snapshotEveryNotes;
+    if (!isDue || m_snapshotDelay.isRunning())
+        return;
+    m_snapshotDelay.startOnce(milliseconds(m_jitter() % maxSnapshotDelay.count()), [this] {
+        m_snapshots.write(configuration::writeSnapshot(m_state), m_state.nextOffset, [this](uint64_t offset) {
+            m_metrics.count("configuration_snapshots_written_total", { { "result", offset > 0 ? "ok" : "failed" } });
+            m_snapshotOffset = std::max(m_snapshotOffset, offset);
+            m_metrics.set("configuration_snapshot_offset", {}, static_cast<double>(m_snapshotOffset));
+        });
+    });
 }
 
 void configuration_follower::adoptSnapshot(std::string_view text)
@@ -114,6 +135,21 @@
     logLine(log_level::Info, part, "A new configuration is in force.", { { "offset", std::to_string(m_state.nextOffset) } });
     perform(configuration::onAdvanced(m_spreading, m_state.nextOffset, monotonicNow()));
     m_calls.onAdvanced(m_state);
+    writeSnapshotIfDue();
+}
+
+void configuration_follower::heard()
+{
+    m_isReady = true;
+    if (const auto done = std::exchange(m_onRefreshed, nullptr))
+        done();
+}
+
+void configuration_follower::refresh(std::function<void()> done)
+{
+    m_onRefreshed = std::move(done);
+    m_poll.stop();
+    poll();
 }
 
 void configuration_follower::peerAttached(identifier peer)
@@ -148,7 +184,7 @@
         hasAdvanced |= apply({ record.offset, record.appendedMs, std::move(record.text) });
     if (!hasAdvanced)
         return;
-    m_isReady = true;
+    heard();
     m_metrics.count("configuration_records_from_peers_total");
     advanced();
 }
--- a/src/execution/configuration_follower.hpp
+++ b/src/execution/configuration_follower.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "configuration/configuration.hpp"
+#include "execution/snapshot_store.hpp"
 #include "loop/timer.hpp"
 #include "platform/log_client.hpp"
 #include "settings/entry_settings.hpp"
@@ -23,7 +24,12 @@
         std::function<void(identifier peer, wire::message)> send;
     };
 
-    configuration_follower(const settings::platform_settings& platform, metrics& metrics, callbacks calls);
+    /// @param isSnapshotWriter  Whether this daemon writes snapshots to the log; entries do.
+    configuration_follower(const settings::platform_settings& platform, metrics& metrics, bool isSnapshotWriter, callbacks calls);
+
+    /// Reads the log now, for a process that was paused and may be behind.
+    /// @param done  Called once the log or a peer has been heard.
+    void refresh(std::function<void()> done);
 
     void peerAttached(identifier peer);
     void peerGone(identifier peer);
@@ -37,6 +43,9 @@
     /// @return Whether a configuration is in force: the log or a peer has been heard.
     [[nodiscard]] bool isReady() const noexcept { return m_isReady; }
 
+    /// @return Offset of the newest snapshot that this daemon knows to be in the log.
+    [[nodiscard]] uint64_t snapshotOffset() const noexcept { return m_snapshotOffset; }
+
     /// @return A sentence for operators if something is wrong, else empty.
     [[nodiscard]] const std::string& alarm() const noexcept { return m_alarm; }
 
@@ -44,20 +53,26 @@
     void poll();
     void scheduleNextPoll();
     void takeLogAnswer(const platform::read_reply& reply);
-    void readSnapshots(uint64_t logStart);
-    void takeSnapshots(const platform::read_reply& reply);
+    void readSnapshot(uint64_t logStart);
+    void writeSnapshotIfDue();
     void adoptSnapshot(std::string_view text);
     void takePeerRecords(wire::configuration_records& records);
     bool apply(configuration::log_record record);
     void advanced();
     void perform(const std::vector<configuration::spreading_action>& actions);
     void sendRecords(identifier peer, uint64_t from);
+    void heard();
     void raiseAlarm(std::string_view sentence);
 
     settings::platform_settings m_platform;
     metrics& m_metrics;
     callbacks m_calls;
     platform::log_client m_log;
+    snapshot_store m_snapshots;
+    bool m_isSnapshotWriter;
+    uint64_t m_snapshotOffset = 0;
+    timer m_snapshotDelay;
+    std::function<void()> m_onRefreshed;
     configuration::state m_state;
     configuration::record_window m_window;
     configuration::spreading_state m_spreading;
--- a/src/execution/execution.hpp
+++ b/src/execution/execution.hpp
@@ -4,4 +4,5 @@
 #include "execution/configuration_follower.hpp"
 #include "execution/configuration_pages.hpp"
 #include "execution/operator_server.hpp"
+#include "execution/snapshot_store.hpp"
 #include "execution/suspicion_exchange.hpp"
--- /dev/null
+++ b/src/execution/snapshot_store.hpp
@@ -0,0 +1,32 @@
+/// Snapshots of the configuration on the platform's log.
+#pragma once
+
+#include "configuration/snapshot.hpp"
+#include "platform/log_client.hpp"
+#include "settings/entry_settings.hpp"
+
+#include <functional>
+#include <optional>
+
+namespace bilberryseam::execution {
+
+/// Reads and writes the snapshot stream.
+class snapshot_store {
+public:
+    explicit snapshot_store(const settings::platform_settings& platform);
+
+    /// Reads the newest whole snapshot.
+    /// @param done  Gets it, or nothing if there is none or the log does not answer.
+    void load(std::function<void(std::optional<configuration::assembled_snapshot>)> done);
+
+    /// Writes a snapshot, unless another daemon has written one that is as new.
+    /// @param done  Gets the offset of the newest snapshot that the stream now holds; zero if that is unknown.
+    void write(std::string text, uint64_t nextOffset, std::function<void(uint64_t)> done);
+
+private:
+    settings::platform_settings m_platform;
+    platform::log_client m_log;
+    std::shared_ptr<void> m_reading;
+    std::shared_ptr<void> m_appending;
+};
+}
--- a/src/fakes/fake_target.cpp
+++ b/src/fakes/fake_target.cpp
@@ -73,10 +73,50 @@
 {
     if (std::string_view(path) == "/health")
         replyJson(message, 200, { { "healthy", true } });
+    else if (std::string_view(path) == "/v1/models")
+        static_cast<fake_target*>(self)->reportModels(message);
+    else if (std::string_view(path) == "/v1/orders")
+        static_cast<fake_target*>(self)->takeOrder(message);
     else
         static_cast<fake_target*>(self)->take(message);
 }
 
+void fake_target::reportModels(SoupServerMessage* message)
+{
+    json models = json::array();
+    for (const auto& [name, version] : m_models)
+        models.push_back({ { "name", name }, { "version", version } });
+    replyJson(message, 200, { { "models", models } });
+}
+
+void fake_target::takeOrder(SoupServerMessage* message)
+{
+    const json order = json::parse(bodyOf(message));
+    const uint64_t fence = order.at("fence");
+    const bool isOld = fence < m_fence;
+    m_orders.push_back({ { "action", order.at("action") }, { "name", order.at("name") }, { "version", order.at("version") }, { "fence", fence }, { "old", isOld } });
+    if (m_behaviour.checksFencing && isOld) {
+        replyJson(message, 409, { { "fence", m_fence } });
+        return;
+    }
+    m_fence = std::max(m_fence, fence);
+    if (m_behaviour.forgottenOrders > 0) {
+        --m_behaviour.forgottenOrders;
+        replyJson(message, 200, json::object());
+        return;
+    }
+    if (order.at("action") == "load")
+        m_models[order.at("name")] = order.at("version");
+    else
+        m_models.erase(order.at("name").get<std::string>());
+    if (m_behaviour.lostOrderAnswers > 0) {
+        --m_behaviour.lostOrderAnswers;
+        dropConnection(message);
+        return;
+    }
+    replyJson(message, 200, json::object());
+}
+
 void fake_target::countRun(SoupServerMessage* message)
 {
     ++m_runs;
@@ -243,6 +283,9 @@
     to.lostAnswers = switches.value("lostAnswers", to.lostAnswers);
     to.failStatus = switches.value("failStatus", to.failStatus);
     to.cutAfterTokens = switches.value("cutAfterTokens", to.cutAfterTokens);
+    to.checksFencing = switches.value("checksFencing", to.checksFencing);
+    to.lostOrderAnswers = switches.value("lostOrderAnswers", to.lostOrderAnswers);
+    to.forgottenOrders = switches.value("forgottenOrders", to.forgottenOrders);
     to.poison = switches.value("poison", to.poison);
     to.restartTime = milliseconds(switches.value("restartMs", to.restartTime.count()));
     if (switches.value("die", false))
@@ -252,6 +295,6 @@
 json fake_target::counts() const
 {
     return { { "name", m_name }, { "runs", m_runs }, { "cancelled", m_cancelled }, { "deaths", m_deaths }, { "running", m_running }, { "mostRunning", m_mostRunning },
-        { "runsByKey", m_runsByKey }, { "runsByRequest", m_runsByRequest } };
+        { "models", m_models }, { "orders", m_orders }, { "runsByKey", m_runsByKey }, { "runsByRequest", m_runsByRequest } };
 }
 }
--- a/src/fakes/fake_target.hpp
+++ b/src/fakes/fake_target.hpp
@@ -33,6 +33,11 @@
     uint32_t cutAfterTokens = 0;
     /// A request whose body holds this text kills the target.
     std::string poison;
+    /// Refuses orders with an old fencing number.
+    bool checksFencing = false;
+    /// Orders that are obeyed but whose answers are lost, and orders that are forgotten.
+    uint32_t lostOrderAnswers = 0;
+    uint32_t forgottenOrders = 0;
     /// How long the target is away after it was killed.
     milliseconds restartTime { 500 };
 };
@@ -62,6 +67,8 @@
     void sendTokens(stream& open, uint32_t count);
     void streamFinished(stream* ended);
     void countRun(SoupServerMessage* message);
+    void reportModels(SoupServerMessage* message);
+    void takeOrder(SoupServerMessage* message);
 
     std::string m_name;
     target_kind m_kind;
@@ -69,6 +76,10 @@
     target_behaviour m_behaviour;
     gobject_ptr<SoupServer> m_server;
     timer m_restart;
+    /// Versions by model name.
+    std::map<std::string, std::string> m_models;
+    uint64_t m_fence = 0;
+    nlohmann::json m_orders = nlohmann::json::array();
     std::map<stream*, std::unique_ptr<stream>> m_streams;
     std::map<std::string, uint32_t> m_runsByKey;
     std::map<std::string, uint32_t> m_runsByRequest;
--- /dev/null
+++ b/src/policy/orders.cpp
@@ -0,0 +1,47 @@
+#include "policy/orders.hpp"
+
+#include <algorithm>
+
+namespace bilberryseam::policy {
+
+namespace {
+    template <typename Model>
+    const Model* findModel(std::span<const Model> models, std::string_view name)
+    {
+        const auto found = std::find_if(models.begin(), models.end(), [&](const Model& item) { return item.name == name; });
+        return found == models.end() ? nullptr : &*found;
+    }
+
+    bool agrees(const wanted_model& wanted, const reported_model& reported)
+    {
+        return wanted.version == reported.version && wanted.adapters == reported.adapters;
+    }
+}
+
+std::optional<engine_order> nextOrder(std::span<const wanted_model> wanted, std::span<const reported_model> reported, uint64_t fence, wall_time now)
+{
+    const bool isLoading = std::any_of(reported.begin(), reported.end(), [](const reported_model& item) { return item.isLoading; });
+    for (const wanted_model& model : wanted) {
+        const reported_model* present = findModel(reported, model.name);
+        if (present && agrees(model, *present))
+            continue;
+        // One load at a time, unless what is being loaded is no longer wanted.
+        const bool isOtherLoading = isLoading && !(present && present->isLoading);
+        if (!isOtherLoading && model.notBefore <= now)
+            return engine_order { order_kind::Load, model.name, model.version, model.adapters, model.fence };
+    }
+    for (const reported_model& present : reported) {
+        if (!findModel(wanted, present.name))
+            return engine_order { order_kind::Unload, present.name, present.version, {}, fence };
+    }
+    return std::nullopt;
+}
+
+wall_time loadTurn(wall_time since, size_t rank, uint64_t weightBytes, uint64_t bytesPerSecond) noexcept
+{
+    if (bytesPerSecond == 0)
+        return since;
+    const double seconds = static_cast<double>(rank) * static_cast<double>(weightBytes) / static_cast<double>(bytesPerSecond);
+    return since + milliseconds(static_cast<int64_t>(1000 * seconds));
+}
+}
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -5,5 +5,6 @@
 #include "policy/claims.hpp"
 #include "policy/gate.hpp"
 #include "policy/hedging.hpp"
+#include "policy/orders.hpp"
 #include "policy/routing.hpp"
 #include "policy/suspicion.hpp"
--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -25,7 +25,7 @@
             , m_links(settings.name, settings.region, m_metrics, linkCalls())
             , m_suspicions(m_metrics, [this](const wire::message& item) { m_links.postToAll(item); })
             , m_context { m_links, m_metrics, m_suspicions, settings.region, identifier_generator::fromSystem(), std::mt19937_64(std::random_device {}()), {}, {}, {} }
-            , m_follower(settings.platform, m_metrics, { [this](const configuration::state& state) { follow(state); }, [this](identifier peer, wire::message item) { m_links.post(peer, std::move(item)); } })
+            , m_follower(settings.platform, m_metrics, true, { [this](const configuration::state& state) { follow(state); }, [this](identifier peer, wire::message item) { m_links.post(peer, std::move(item)); } })
             , m_callers(m_settings, m_context, { [this] { return m_follower.isReady() ? &m_follower.current() : nullptr; } })
             , m_operators(settings.operatorListen, m_metrics, { [this] { return m_follower.isReady() && !m_isStopping; }, [this] { return status(); } })
             , m_publisher(settings.platform)
--- a/src/programs/side.cpp
+++ b/src/programs/side.cpp
@@ -25,8 +25,13 @@
             : m_settings(settings)
             , m_suspicions(m_metrics, [this](const wire::message& item) { m_server->postToAll(item); })
             , m_gate(settings, m_metrics, m_suspicions, { [this](identifier session, wire::message item) { m_server->post(session, std::move(item)); }, [this](const wire::message& item) { m_server->postToAll(item); } })
-            , m_follower(settings.platform, m_metrics, { [this](const configuration::state& state) { m_gate.follow(state); }, [this](identifier peer, wire::message item) { m_server->post(peer, std::move(item)); } })
+            , m_follower(settings.platform, m_metrics, false, { [this](const configuration::state& state) {
+                                                                   m_gate.follow(state);
+                                                                   m_orders.follow(state);
+                                                               },
+                                                                  [this](identifier peer, wire::message item) { m_server->post(peer, std::move(item)); } })
             , m_server(std::make_unique<wire::session_server>(settings.listen, settings.name, identifier_generator::fromSystem().next(), wire::server_limits {}, serverCalls()))
+            , m_orders(settings, m_metrics, [this](std::function<void()> done) { m_follower.refresh(std::move(done)); })
             , m_operators(settings.operatorListen, m_metrics, { [this] { return m_follower.isReady() && !m_isStopping; }, [this] { return status(); } })
         {
             if (settings.platform.instanceList)
@@ -91,7 +96,7 @@
         {
             return { { "role", "side" }, { "name", m_settings.name }, { "instance", m_settings.instance }, { "region", m_settings.region }, { "version", BILBERRYSEAM_VERSION },
                 { "configurationOffset", m_follower.current().nextOffset }, { "alarm", m_follower.alarm() }, { "sessions", m_server->sessionCount() },
-                { "stopping", m_isStopping }, { "targets", m_gate.status() } };
+                { "stopping", m_isStopping }, { "targets", m_gate.status() }, { "engines", m_orders.status() } };
         }
 
         void stop()
@@ -117,6 +122,7 @@
         side::call_gate m_gate;
         execution::configuration_follower m_follower;
         std::unique_ptr<wire::session_server> m_server;
+        side::order_keeper m_orders;
         execution::operator_server m_operators;
         std::optional<platform::instance_list> m_instances;
         timer m_drainCheck;
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -18,7 +18,9 @@
         "claimsStream": { "type": "string", "pattern": "^[a-z0-9-]+$" },
         "instanceList": { "type": "string" },
         "instanceListPeriodMs": { "type": "integer", "minimum": 50, "maximum": 60000 },
-        "configurationPollPeriodMs": { "type": "integer", "minimum": 50, "maximum": 60000 }
+        "configurationPollPeriodMs": { "type": "integer", "minimum": 50, "maximum": 60000 },
+        "snapshotEveryNotes": { "type": "integer", "minimum": 1, "maximum": 1000000 },
+        "weightBytesPerSecond": { "type": "integer", "minimum": 0 }
       }
     })json";
 
@@ -94,6 +96,8 @@
             read.instanceList = readEndpoint(document, "instanceList", path + ": /platform");
         read.instanceListPeriod = milliseconds(document.value("instanceListPeriodMs", read.instanceListPeriod.count()));
         read.configurationPollPeriod = milliseconds(document.value("configurationPollPeriodMs", read.configurationPollPeriod.count()));
+        read.snapshotEveryNotes = document.value("snapshotEveryNotes", read.snapshotEveryNotes);
+        read.weightBytesPerSecond = document.value("weightBytesPerSecond", read.weightBytesPerSecond);
         const bool isDistinct = read.configurationStream != read.snapshotStream && read.configurationStream != read.claimsStream && read.snapshotStream != read.claimsStream;
         if (!isDistinct)
             throw error(error_kind::InvalidSettings, "Two streams have the same name.", "Give each stream a name of its own.", path + ": /platform");
@@ -104,7 +108,8 @@
     {
         json document { { "log", value.log.toString() }, { "configurationStream", value.configurationStream }, { "snapshotStream", value.snapshotStream },
             { "claimsStream", value.claimsStream }, { "instanceListPeriodMs", value.instanceListPeriod.count() },
-            { "configurationPollPeriodMs", value.configurationPollPeriod.count() } };
+            { "configurationPollPeriodMs", value.configurationPollPeriod.count() },
+            { "snapshotEveryNotes", value.snapshotEveryNotes }, { "weightBytesPerSecond", value.weightBytesPerSecond } };
         if (value.instanceList)
             document["instanceList"] = value.instanceList->toString();
         return document;
--- a/src/settings/entry_settings.hpp
+++ b/src/settings/entry_settings.hpp
@@ -19,6 +19,10 @@
     std::optional<ip_endpoint> instanceList;
     milliseconds instanceListPeriod { 1000 };
     milliseconds configurationPollPeriod { 500 };
+    /// Notes after which an entry writes a snapshot; far fewer than the log keeps.
+    uint32_t snapshotEveryNotes = 500;
+    /// Rate of the weight store, in bytes a second; zero if loads need no pacing.
+    uint64_t weightBytesPerSecond = 0;
 };
 
 /// Limits of an entry.
--- a/src/side/side.hpp
+++ b/src/side/side.hpp
@@ -4,4 +4,5 @@
 #include "side/call_gate.hpp"
 #include "side/claim_keeper.hpp"
 #include "side/line_splitter.hpp"
+#include "side/order_keeper.hpp"
 #include "side/target_call.hpp"
--- a/tests/process/crash_test.cpp
+++ b/tests/process/crash_test.cpp
@@ -25,7 +25,8 @@
 int deaths(cluster& running)
 {
     int sum = 0;
-    for (const auto& [name, counts] : running.fakeCounts()["targets"].items())
+    const json all = running.fakeCounts();
+    for (const auto& [name, counts] : all["targets"].items())
         sum += counts["deaths"].get<int>();
     return sum;
 }
@@ -60,6 +61,7 @@
         checkEqual(sent[i]->kind(), "answered");
         checkEqual(sent[i]->text(), wordsFor("innocent " + std::to_string(i), tokens));
     }
+    cr_assert_geq(deaths(running), 1);
     cr_assert_leq(deaths(running), 3);
 }
 
@@ -73,6 +75,7 @@
     }
     for (int i = 0; i < 4; ++i)
         checkEqual(running.ask(guilty(i % 2))->reason(), "quarantined");
+    cr_assert_geq(deaths(running), 1);
     cr_assert_leq(deaths(running), 3);
 }
 
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -69,7 +69,8 @@
     m_control = address();
     m_log = address();
     const std::string instances = address();
-    const json platform { { "log", m_log }, { "instanceList", instances }, { "instanceListPeriodMs", 100 }, { "configurationPollPeriodMs", 100 } };
+    json platform { { "log", m_log }, { "instanceList", instances }, { "instanceListPeriodMs", 100 }, { "configurationPollPeriodMs", 100 } };
+    platform.update(m_spec.platform);
     m_fake = { { "control", m_control }, { "log", m_log }, { "instanceList", instances }, { "targets", json::array() }, { "links", json::array() } };
     m_note = { { "schema", 1 }, { "note", "first" }, { "added", { { "services", json::array() }, { "targets", json::array() }, { "pipelines", m_spec.pipelines }, { "accounts", m_spec.accounts }, { "policies", m_spec.policies } } } };
     for (const target_spec& target : m_spec.targets)
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -44,6 +44,8 @@
     nlohmann::json policies = nlohmann::json::array();
     nlohmann::json entryLimits = nlohmann::json::object();
     nlohmann::json sideLimits = nlohmann::json::object();
+    /// Additional platform settings of all daemons.
+    nlohmann::json platform = nlohmann::json::object();
     /// Wait until every entry can use every target.
     bool isWaitingForTargets = true;
 };
--- /dev/null
+++ b/tests/unit/fold_test.cpp
@@ -0,0 +1,143 @@
+/// The fold over release notes.
+#include "configuration/configuration.hpp"
+#include "support/notes.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace bilberryseam;
+using namespace bilberryseam::configuration;
+using namespace bilberryseam::tests;
+using nlohmann::json;
+
+namespace {
+state applyNote(state current, const json& note)
+{
+    cr_assert(applyRecord(current, { current.nextOffset, 1000, note.dump() }) == fold_step::Applied);
+    return current;
+}
+
+const note_verdict& verdictOf(const state& current, const std::string& note)
+{
+    return current.verdicts.at(note);
+}
+}
+
+Test(fold, an_accepted_note_is_in_force_with_its_origin)
+{
+    const state current = applyNote({}, firstNoteJson());
+    cr_assert(verdictOf(current, "first").isAccepted);
+    const auto& entry = current.of<target>().at("rank-1");
+    cr_assert_eq(entry.revision, 0u);
+    cr_assert(entry.note == "first" && entry.author == "anna" && entry.appendedMs == 1000);
+}
+
+Test(fold, a_race_has_one_winner_and_the_loser_is_told)
+{
+    state current = applyNote({}, firstNoteJson());
+    current = applyNote(current, weightNoteJson("a", 0, 2));
+    current = applyNote(current, weightNoteJson("b", 0, 3));
+    cr_assert_eq(current.find<account>("acme")->weight, 2);
+    cr_assert(!verdictOf(current, "b").isAccepted);
+    cr_assert(verdictOf(current, "b").winner == "a");
+}
+
+Test(fold, a_rejected_note_changes_nothing_at_all)
+{
+    const state before = applyNote({}, firstNoteJson());
+    json mixed = weightNoteJson("mixed", 0, 9);
+    mixed["withdrawn"]["targets"] = { { { "name", "rank-1" }, { "basedOn", 77 } } };
+    const state after = applyNote(before, mixed);
+    cr_assert_eq(after.find<account>("acme")->weight, 1);
+    cr_assert_eq(after.targetCounts.at("rank"), 1u);
+}
+
+Test(fold, a_repeat_counts_once)
+{
+    state current = applyNote({}, firstNoteJson());
+    current = applyNote(current, weightNoteJson("a", 0, 2));
+    current = applyNote(current, weightNoteJson("c", 1, 3));
+    current = applyNote(current, weightNoteJson("a", 0, 2));
+    cr_assert_eq(current.find<account>("acme")->weight, 3);
+    cr_assert(verdictOf(current, "a").isAccepted);
+    cr_assert_eq(current.nextOffset, 4u);
+}
+
+Test(fold, a_stage_without_targets_needs_to_be_meant)
+{
+    state current = applyNote({}, firstNoteJson());
+    json last = { { "schema", 1 }, { "note", "last" }, { "withdrawn", { { "targets", { { { "name", "rank-1" }, { "basedOn", 0 } } } } } } };
+    current = applyNote(current, last);
+    cr_assert(!verdictOf(current, "last").isAccepted);
+    last["note"] = "meant";
+    last["allowEmptyStages"] = true;
+    current = applyNote(current, last);
+    cr_assert(verdictOf(current, "meant").isAccepted);
+    cr_assert(current.of<target>().empty());
+}
+
+Test(fold, references_must_hold)
+{
+    state current = applyNote({}, firstNoteJson());
+    current = applyNote(current, { { "schema", 1 }, { "note", "x" }, { "withdrawn", { { "services", { { { "name", "rank" }, { "basedOn", 0 } } } } } } });
+    cr_assert(!verdictOf(current, "x").isAccepted);
+    current = applyNote(current, { { "schema", 1 }, { "note", "y" }, { "added", { { "pipelines", { { { "name", "q" }, { "stages", { { { "name", "s" }, { "service", "none" } } } } } } } } } });
+    cr_assert(!verdictOf(current, "y").isAccepted);
+}
+
+Test(fold, a_newer_schema_stops_the_fold_and_is_never_skipped)
+{
+    state current = applyNote({}, firstNoteJson());
+    json newer = weightNoteJson("newer", 0, 2);
+    newer["schema"] = 2;
+    cr_assert(applyRecord(current, { 1, 0, newer.dump() }) == fold_step::Halted);
+    cr_assert(applyRecord(current, { 2, 0, weightNoteJson("a", 0, 2).dump() }) == fold_step::OutOfOrder);
+    cr_assert_eq(current.nextOffset, 1u);
+    cr_assert(!current.haltReason.empty());
+}
+
+Test(fold, corrupt_and_oversize_records_are_rejected_and_passed)
+{
+    state current = applyNote({}, firstNoteJson());
+    for (const std::string& text : { std::string("{"), std::string("[]"), std::string(R"({"schema":1})"), std::string(maxNoteBytes + 1, 'x') })
+        cr_assert(applyRecord(current, { current.nextOffset, 0, text }) == fold_step::Applied);
+    cr_assert_eq(current.nextOffset, 5u);
+    cr_assert_eq(current.of<target>().size(), 1u);
+}
+
+Test(fold, a_snapshot_holds_all_and_notices_damage)
+{
+    state current = applyNote({}, firstNoteJson());
+    current = applyNote(current, weightNoteJson("a", 0, 2));
+    const std::string text = writeSnapshot(current);
+    const state read = readSnapshot(text).value();
+    cr_assert(writeSnapshot(read) == text, "equal states give equal bytes");
+    cr_assert(read.targetCounts == current.targetCounts);
+    std::string damaged = text;
+    damaged[damaged.find("north")] = 'N';
+    cr_assert(!readSnapshot(damaged));
+}
+
+Test(fold, a_snapshot_in_parts_is_whole_only_with_all_of_them)
+{
+    const std::string old(3 * snapshotPartBytes, 'a');
+    const std::string newer(2 * snapshotPartBytes + 5, 'b');
+    std::vector<std::string> records = splitSnapshot(old, 7);
+    const std::vector<std::string> more = splitSnapshot(newer, 9);
+    records.insert(records.end(), more.begin(), more.end());
+    cr_assert(assembleSnapshot(records)->text == newer);
+    records.pop_back();
+    records.push_back("nonsense");
+    cr_assert(assembleSnapshot(records)->text == old);
+    cr_assert_eq(assembleSnapshot(records)->nextOffset, 7u);
+}
+
+Test(fold, notes_name_the_place_and_the_remedy)
+{
+    json wrong = firstNoteJson();
+    wrong["added"]["targets"][0]["capacitee"] = 3;
+    const std::string message = parseNote(wrong.dump(2), "note.json").error().what();
+    cr_assert(message.find("note.json: /added/targets/0") != std::string::npos, "%s", message.c_str());
+    cr_assert(message.find("Remedy:") != std::string::npos);
+    const std::string syntax = parseNote("{\n  \"schema\": 1,\n  oops\n}", "note.json").error().what();
+    cr_assert(syntax.find("note.json:3:") != std::string::npos, "%s", syntax.c_str());
+}
