--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -98,7 +98,8 @@
         m_hasStreamStarted = true;
         auto* headers = soup_server_message_get_response_headers(m_message.get());
         soup_server_message_set_status(m_message.get(), 200, nullptr);
-        soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
+        // Delimited by its outcome event and the connection's end: a chunk would cost three writes for each token.
+        soup_message_headers_set_encoding(headers, SOUP_ENCODING_EOF);
         soup_message_headers_replace(headers, "Content-Type", "text/event-stream");
         soup_message_headers_replace(headers, "Bilberryseam-Request", m_id.toString().c_str());
         soup_message_body_set_accumulate(soup_server_message_get_response_body(m_message.get()), FALSE);
--- a/src/entry/links.cpp
+++ b/src/entry/links.cpp
@@ -281,4 +281,12 @@
     }
     return targets;
 }
+
+uint64_t links::byteCount() const noexcept
+{
+    uint64_t bytes = 0;
+    for (const auto& [side, link] : m_links)
+        bytes += link->session->channel().bytesSent() + link->session->channel().bytesReceived();
+    return bytes;
+}
 }
--- a/src/entry/links.hpp
+++ b/src/entry/links.hpp
@@ -68,6 +68,8 @@
     void postToAll(const wire::message& item);
 
     [[nodiscard]] nlohmann::json status() const;
+    /// @return Bytes of frames sent and received on all present links.
+    [[nodiscard]] uint64_t byteCount() const noexcept;
     [[nodiscard]] size_t attemptCount() const noexcept { return m_attempts.size(); }
 
 private:
--- a/src/loop/http.cpp
+++ b/src/loop/http.cpp
@@ -151,8 +151,10 @@
             soup_message_set_request_body_from_bytes(message, "application/json", bytes);
             g_bytes_unref(bytes);
         }
+        // Without the flag libsoup opens a connection for each POST and keeps the old ones idle.
+        soup_message_add_flags(message, request.isOnNewConnection ? SOUP_MESSAGE_NEW_CONNECTION : SOUP_MESSAGE_IDEMPOTENT);
         if (request.isOnNewConnection)
-            soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+            soup_message_headers_replace(soup_message_get_request_headers(message), "Connection", "close");
         return message;
     }
 }
--- a/src/loop/http.hpp
+++ b/src/loop/http.hpp
@@ -40,7 +40,9 @@
     std::string url;
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
-    /// Uses a connection of its own, so that a stale idle connection cannot blur what the server saw.
+    /// Uses a connection of its own and closes it after the answer, so that a stale idle connection
+    /// cannot blur what the server saw. Otherwise the request must be idempotent: libsoup may send
+    /// it again if an idle connection turns out to be closed.
     bool isOnNewConnection = false;
     /// Whole-exchange limit; zero for none.
     milliseconds timeout { 0 };
--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -72,7 +72,7 @@
         {
             return { { "role", "entry" }, { "name", m_settings.name }, { "region", m_settings.region }, { "version", BILBERRYSEAM_VERSION },
                 { "configurationOffset", m_follower.current().nextOffset }, { "alarm", m_follower.alarm() }, { "openRequests", m_callers.openRequests() },
-                { "attempts", m_links.attemptCount() }, { "stopping", m_isStopping }, { "targets", m_links.status() } };
+                { "attempts", m_links.attemptCount() }, { "linkBytes", m_links.byteCount() }, { "stopping", m_isStopping }, { "targets", m_links.status() } };
         }
 
         void stop()
--- a/src/programs/side.cpp
+++ b/src/programs/side.cpp
@@ -95,7 +95,7 @@
         nlohmann::json status()
         {
             return { { "role", "side" }, { "name", m_settings.name }, { "instance", m_settings.instance }, { "region", m_settings.region }, { "version", BILBERRYSEAM_VERSION },
-                { "configurationOffset", m_follower.current().nextOffset }, { "alarm", m_follower.alarm() }, { "sessions", m_server->sessionCount() },
+                { "configurationOffset", m_follower.current().nextOffset }, { "alarm", m_follower.alarm() }, { "sessions", m_server->sessionCount() }, { "linkBytes", m_server->byteCount() },
                 { "stopping", m_isStopping }, { "targets", m_gate.status() }, { "engines", m_orders.status() } };
         }
 
--- a/src/side/target_call.cpp
+++ b/src/side/target_call.cpp
@@ -40,6 +40,11 @@
 void target_call::watchSilence()
 {
     m_silenceTimer.startOnce(m_silence, [this] {
+        const milliseconds quiet = std::chrono::duration_cast<milliseconds>(monotonicNow() - m_lastByteAt);
+        if (quiet < m_silence) {
+            watchSilence();
+            return;
+        }
         m_exchange.reset();
         end({ false, m_isRepeatable ? wire::call_end::TimedOut : wire::call_end::Unknown, "", "The target fell silent." });
     });
@@ -47,7 +52,7 @@
 
 void target_call::takeBytes(std::string_view bytes)
 {
-    watchSilence();
+    m_lastByteAt = monotonicNow();
     if (m_lines.feed(bytes, [this](std::string_view line) { return takeLine(line); }))
         return;
     m_exchange.reset();
--- a/src/side/target_call.hpp
+++ b/src/side/target_call.hpp
@@ -53,6 +53,7 @@
     line_splitter m_lines;
     bool m_isDone = false;
     std::string m_usage;
+    time_point m_lastByteAt = monotonicNow();
     timer m_silenceTimer;
     std::shared_ptr<void> m_exchange;
 };
--- a/src/wire/server.cpp
+++ b/src/wire/server.cpp
@@ -187,4 +187,12 @@
         return !isGone && kept.channel.isAwaitingAcknowledgement();
     });
 }
+
+uint64_t session_server::byteCount() const noexcept
+{
+    uint64_t bytes = 0;
+    for (const auto& [id, kept] : m_sessions)
+        bytes += kept->channel.bytesSent() + kept->channel.bytesReceived();
+    return bytes;
+}
 }
--- a/src/wire/server.hpp
+++ b/src/wire/server.hpp
@@ -47,6 +47,9 @@
     ///         been without a connection for longer than `grace` do not count.
     [[nodiscard]] bool isAllAcknowledged(time_point now, milliseconds grace) const noexcept;
 
+    /// @return Bytes of frames sent and received on all present sessions.
+    [[nodiscard]] uint64_t byteCount() const noexcept;
+
     [[nodiscard]] size_t sessionCount() const noexcept { return m_sessions.size(); }
     [[nodiscard]] identifier incarnation() const noexcept { return m_incarnation; }
 
