--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -71,11 +71,8 @@
         m_account = asked.account->name;
         soup_server_message_pause(m_message.get());
         m_watch.emplace(m_message.get(), [this] { callerGone(); });
-        pipeline_run::callbacks calls;
-        calls.onOutput = [this](std::string_view text) { writeOutput(text); };
-        calls.onOutcome = [this](outcome told) { finish(told); };
-        m_run = std::make_shared<pipeline_run>(std::move(asked), m_server.m_context, std::move(calls));
-        m_run->start();
+        m_asked = std::move(asked);
+        m_server.m_admission.ask(*m_asked, [this](const admission_reply& reply) { takeAdmission(reply); });
     }
 
     void refuse(identifier id, const outcome& told)
@@ -93,6 +90,43 @@
     }
 
 private:
+    void takeAdmission(const admission_reply& reply)
+    {
+        if (!reply.isAdmitted) {
+            const outcome_reason reason = reply.isAccountLimit ? outcome_reason::AccountLimit : outcome_reason::Overloaded;
+            finish({ outcome_kind::NotRun, reason, "", reply.retryAfter, "", {} });
+            return;
+        }
+        m_asked->admittedAt = reply.place;
+        m_admittedSince = monotonicNow();
+        pipeline_run::callbacks calls;
+        calls.onOutput = [this](std::string_view text) { writeOutput(text); };
+        calls.onOutcome = [this](outcome told) {
+            giveBack(told);
+            finish(told);
+        };
+        m_run = std::make_shared<pipeline_run>(*m_asked, m_server.m_context, std::move(calls));
+        m_run->start();
+    }
+
+    /// Frees the place that the request held.
+    void giveBack(const outcome& told)
+    {
+        const bool isAnswered = told.kind == outcome_kind::Answered;
+        m_server.m_admission.ended(*m_asked, isAnswered ? std::optional(asSeconds(monotonicNow() - m_admittedSince)) : std::nullopt);
+    }
+
+    /// The caller does not wait any more.
+    void abandon(outcome_reason reason)
+    {
+        if (m_run) {
+            m_run->abandon(reason);
+            return;
+        }
+        m_server.m_admission.forget(*m_asked);
+        finish({ outcome_kind::NotRun, reason, "", milliseconds(0), "", {} });
+    }
+
     void startStream()
     {
         m_hasStreamStarted = true;
@@ -111,7 +145,7 @@
             startStream();
         append(eventText("output", { { "text", text } }));
         if (m_unreadBytes > m_server.m_settings.limits.maxUnreadBytes)
-            m_run->abandon(outcome_reason::SlowReader);
+            abandon(outcome_reason::SlowReader);
     }
 
     void append(const std::string& bytes)
@@ -128,6 +162,8 @@
 
     void finish(const outcome& told)
     {
+        if (std::exchange(m_isOver, true))
+            return;
         count(told);
         m_watch.reset();
         if (m_isCallerGone)
@@ -175,7 +211,7 @@
     {
         if (std::exchange(m_isCallerGone, true))
             return;
-        m_run->abandon(outcome_reason::CallerGone);
+        abandon(outcome_reason::CallerGone);
         // Writing the rest fails, which finishes the message.
         if (m_hasStreamStarted)
             soup_message_body_complete(soup_server_message_get_response_body(m_message.get()));
@@ -184,10 +220,8 @@
 
     void messageFinished()
     {
-        if (m_run && !m_isCallerGone) {
-            m_isCallerGone = true;
-            m_run->abandon(outcome_reason::CallerGone);
-        }
+        if (m_asked && !m_isOver && !std::exchange(m_isCallerGone, true))
+            abandon(outcome_reason::CallerGone);
         m_server.drop(this);
     }
 
@@ -199,18 +233,22 @@
     time_point m_arrivedAt {};
     std::string m_pipeline;
     std::string m_account;
+    std::optional<request> m_asked;
+    time_point m_admittedSince {};
     std::shared_ptr<pipeline_run> m_run;
     std::optional<disconnect_watch> m_watch;
     size_t m_unreadBytes = 0;
     bool m_isStreamed = false;
     bool m_hasStreamStarted = false;
     bool m_isCallerGone = false;
+    bool m_isOver = false;
 };
 
 caller_server::caller_server(const settings::entry_settings& settings, run_context& context, callbacks calls)
     : m_settings(settings)
     , m_context(context)
     , m_calls(std::move(calls))
+    , m_admission(context)
     , m_server(gobject_ptr<SoupServer>::adopt(soup_server_new(nullptr, nullptr)))
 {
     soup_server_add_handler(m_server.get(), "/", &caller_server::handle, this, nullptr);
@@ -276,6 +314,7 @@
     if (m_capacity.isRunning())
         return;
     m_capacity.startWhenIdle([this] {
+        m_admission.capacityChanged();
         for (const auto& open : m_exchanges)
             open->capacityChanged();
     });
--- a/src/entry/caller_server.hpp
+++ b/src/entry/caller_server.hpp
@@ -1,6 +1,7 @@
 /// The callers' HTTP interface. docs/API.md documents it.
 #pragma once
 
+#include "entry/admission.hpp"
 #include "entry/pipeline_run.hpp"
 #include "loop/http.hpp"
 #include "settings/entry_settings.hpp"
@@ -37,6 +38,7 @@
     const settings::entry_settings& m_settings;
     run_context& m_context;
     callbacks m_calls;
+    admission m_admission;
     gobject_ptr<SoupServer> m_server;
     std::list<std::unique_ptr<exchange>> m_exchanges;
     timer m_cleanup;
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -1,6 +1,7 @@
 /// Umbrella header of the `entry` package: what stands between callers and sides.
 #pragma once
 
+#include "entry/admission.hpp"
 #include "entry/attempt.hpp"
 #include "entry/caller_server.hpp"
 #include "entry/links.hpp"
--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -158,7 +158,7 @@
     if (m_request.policy->mode == "baseline")
         return policy::chooseRoundRobin(candidates, figures.roundRobinTurn);
     const policy::routing_weights weights { m_request.policy->attainmentWeight, m_request.policy->costWeight };
-    return policy::chooseByCost(candidates, { bytes, 0, figures.meanRunSeconds }, weights, m_context.random);
+    return policy::chooseByCost(candidates, { bytes, isEngineStage() ? m_request.prefixHash : 0, figures.meanRunSeconds }, weights, m_context.random);
 }
 
 std::string pipeline_run::stageBody() const
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -35,5 +35,9 @@
     int64_t keyIssuedMs = 0;
     /// Equal for equal requests: recognises a request that crashes targets when it is sent again.
     uint64_t fingerprint = 0;
+    /// Hash of the shared prompt prefix that the caller named; zero if none.
+    uint64_t prefixHash = 0;
+    /// Service whose place the request holds; set at its admission.
+    std::string admittedAt;
 };
 }
--- a/src/entry/request_reader.cpp
+++ b/src/entry/request_reader.cpp
@@ -94,6 +94,8 @@
             return refuse(outcome_reason::BadRequest, "\"stream\" is not true or false.");
         out.isStreamed = stream.get<bool>();
         out.input = std::move(body["input"]);
+        if (out.input.is_object() && out.input.contains("prefix"))
+            out.prefixHash = hashOf(dumpText(out.input["prefix"]));
         out.fingerprint = hashOf(dumpText(out.input), hashOf(out.pipeline->name));
         return std::nullopt;
     }
--- /dev/null
+++ b/src/policy/fairness.cpp
@@ -0,0 +1,75 @@
+#include "policy/fairness.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bilberryseam::policy {
+
+double shareOf(const fair_queue& queue, std::string_view account, double weight)
+{
+    double sum = weight;
+    for (const auto& [name, other] : queue.accounts) {
+        if (name != account && !other.waiting.empty())
+            sum += other.weight;
+    }
+    return weight / sum;
+}
+
+double predictFinishSeconds(const fair_queue& queue, std::string_view account, double weight, const bottleneck& place)
+{
+    const auto found = queue.accounts.find(account);
+    const double ahead = found == queue.accounts.end() ? 0 : static_cast<double>(found->second.waiting.size());
+    const double places = std::max(1.0, place.places) * shareOf(queue, account, weight);
+    // Places come free one after another; the account gets its share of them.
+    const double wait = queue.size == 0 ? 0 : (ahead + 1) * place.meanHoldSeconds / places;
+    return wait + place.meanHoldSeconds;
+}
+
+void enqueue(fair_queue& queue, const std::string& account, double weight, const queued_request& request)
+{
+    account_queue& own = queue.accounts[account];
+    if (own.waiting.empty())
+        own.paidUntil = std::max(own.paidUntil, queue.virtualTime);
+    own.weight = weight;
+    own.waiting.push_back(request);
+    ++queue.size;
+}
+
+std::optional<queued_request> dequeue(fair_queue& queue)
+{
+    account_queue* chosen = nullptr;
+    for (auto& [name, candidate] : queue.accounts) {
+        if (!candidate.waiting.empty() && (!chosen || candidate.paidUntil < chosen->paidUntil))
+            chosen = &candidate;
+    }
+    if (!chosen)
+        return std::nullopt;
+    queue.virtualTime = chosen->paidUntil;
+    chosen->paidUntil += 1 / chosen->weight;
+    const queued_request request = chosen->waiting.front();
+    chosen->waiting.pop_front();
+    --queue.size;
+    return request;
+}
+
+void removeQueued(fair_queue& queue, std::string_view account, identifier id)
+{
+    const auto found = queue.accounts.find(account);
+    if (found != queue.accounts.end())
+        queue.size -= std::erase_if(found->second.waiting, [&](const queued_request& item) { return item.id == id; });
+}
+
+std::vector<queued_request> takeHopeless(fair_queue& queue, time_point now, double meanHoldSeconds)
+{
+    std::vector<queued_request> hopeless;
+    for (auto& [name, own] : queue.accounts) {
+        queue.size -= std::erase_if(own.waiting, [&](const queued_request& item) {
+            const bool isHopeless = asSeconds(item.deadline - now) < meanHoldSeconds;
+            if (isHopeless)
+                hopeless.push_back(item);
+            return isHopeless;
+        });
+    }
+    return hopeless;
+}
+}
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -3,6 +3,7 @@
 
 #include "policy/budget.hpp"
 #include "policy/claims.hpp"
+#include "policy/fairness.hpp"
 #include "policy/gate.hpp"
 #include "policy/hedging.hpp"
 #include "policy/orders.hpp"
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -71,11 +71,33 @@
     return *std::max_element(indices.begin(), indices.end(), [&](size_t a, size_t b) { return mix(candidates[a].hash, keyHash) < mix(candidates[b].hash, keyHash); });
 }
 
+namespace {
+    /// The prefix's favourite among targets that cost no more than the best one, while its load is bounded.
+    std::optional<size_t> favouriteOf(std::span<const candidate> candidates, std::span<const size_t> indices, uint64_t prefixHash)
+    {
+        double loadSum = 0;
+        for (const size_t i : indices)
+            loadSum += loadOf(candidates[i]);
+        const double bound = affinityLoadBound * (loadSum / static_cast<double>(indices.size()) + 1.0 / candidates[indices.front()].capacity);
+        std::optional<size_t> favourite;
+        for (const size_t i : indices) {
+            const bool isWithinBound = loadOf(candidates[i]) <= bound && loadOf(candidates[i]) < 1;
+            if (isWithinBound && (!favourite || mix(candidates[i].hash, prefixHash) > mix(candidates[*favourite].hash, prefixHash)))
+                favourite = i;
+        }
+        return favourite;
+    }
+}
+
 std::optional<size_t> chooseByCost(std::span<const candidate> candidates, const routing_request& request, const routing_weights& weights, std::mt19937_64& random)
 {
     const std::vector<size_t> indices = eligibleIndices(candidates, false);
     if (indices.empty())
         return std::nullopt;
+    if (request.prefixHash != 0) {
+        if (const auto favourite = favouriteOf(candidates, nearestIndices(candidates), request.prefixHash))
+            return favourite;
+    }
     std::optional<size_t> best;
     double bestScore = 0;
     uint64_t bestTie = 0;
--- a/src/programs/side.cpp
+++ b/src/programs/side.cpp
@@ -24,7 +24,7 @@
         explicit side_process(const settings::side_settings& settings)
             : m_settings(settings)
             , m_suspicions(m_metrics, [this](const wire::message& item) { m_server->postToAll(item); })
-            , m_gate(settings, m_metrics, m_suspicions, { [this](identifier session, wire::message item) { m_server->post(session, std::move(item)); }, [this](const wire::message& item) { m_server->postToAll(item); } })
+            , m_gate(settings, m_metrics, m_suspicions, { [this](identifier session, wire::message item) { m_server->post(session, std::move(item)); }, [this](const wire::message& item) { m_server->postToAll(item); }, [this] { return m_server->sessionCount(); } })
             , m_follower(settings.platform, m_metrics, false, { [this](const configuration::state& state) {
                                                                    m_gate.follow(state);
                                                                    m_orders.follow(state);
--- a/src/side/call_gate.cpp
+++ b/src/side/call_gate.cpp
@@ -479,7 +479,7 @@
 wire::target_load call_gate::loadOf(const target_slot& slot) const
 {
     const auto waitMs = static_cast<uint32_t>(1000 * policy::expectedWaitSeconds(slot.gate));
-    return { slot.target.name, static_cast<uint32_t>(slot.gate.queue.size()), slot.gate.running, slot.gate.capacity, waitMs, slot.gate.isLeaving, slot.gate.isDown };
+    return { slot.target.name, static_cast<uint32_t>(slot.gate.queue.size()), slot.gate.running, slot.gate.capacity, waitMs, slot.gate.isLeaving, slot.gate.isDown, static_cast<uint32_t>(std::max<size_t>(1, m_callbacks.entryCount())) };
 }
 
 void call_gate::reportLoad(const target_slot& slot, identifier session)
--- a/src/side/call_gate.hpp
+++ b/src/side/call_gate.hpp
@@ -34,6 +34,8 @@
         std::function<void(identifier session, wire::message)> send;
         /// Sends a message to all sessions.
         std::function<void(const wire::message&)> sendToAll;
+        /// @return How many entries are connected.
+        std::function<size_t()> entryCount;
     };
 
     call_gate(const settings::side_settings& settings, metrics& metrics, execution::suspicion_exchange& suspicions, callbacks calls);
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -135,9 +135,11 @@
     bool isLeaving = false;
     /// The target accepts no connections at present.
     bool isDown = false;
+    /// Entries that share the target.
+    uint32_t entries = 1;
 
     template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(target, queued, running, capacity, expectedWaitMs, isLeaving, isDown); }
+    void visitFields(Visitor& visit) { visit(target, queued, running, capacity, expectedWaitMs, isLeaving, isDown, entries); }
 };
 
 /// Both ways: the configuration offset in force at the sender.
