--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -8,3 +8,6 @@
 #include "entry/outcome.hpp"
 #include "entry/pipeline_run.hpp"
 #include "entry/request.hpp"
+#include "entry/request_reader.hpp"
+#include "entry/run_context.hpp"
+#include "entry/stage_body.hpp"
--- a/src/entry/outcome.cpp
+++ b/src/entry/outcome.cpp
@@ -2,6 +2,33 @@
 
 namespace bilberryseam::entry {
 
+outcome_reason reasonOf(wire::refusal refusal) noexcept
+{
+    switch (refusal) {
+    case wire::refusal::KeyExpired:
+        return outcome_reason::KeyExpired;
+    case wire::refusal::KeyReused:
+        return outcome_reason::KeyReused;
+    case wire::refusal::RunsElsewhere:
+        return outcome_reason::KeyRunsElsewhere;
+    case wire::refusal::LogUnavailable:
+    case wire::refusal::ClaimsNotReady:
+        return outcome_reason::LogUnavailable;
+    case wire::refusal::Quarantined:
+        return outcome_reason::Quarantined;
+    case wire::refusal::DeadlinePassed:
+    case wire::refusal::Cancelled:
+        return outcome_reason::DeadlinePassed;
+    case wire::refusal::QueueFull:
+        return outcome_reason::Overloaded;
+    case wire::refusal::Draining:
+    case wire::refusal::UnknownTarget:
+    case wire::refusal::TargetDown:
+        break;
+    }
+    return outcome_reason::NoTarget;
+}
+
 std::string_view nameOf(outcome_kind kind) noexcept
 {
     switch (kind) {
--- a/src/entry/outcome.hpp
+++ b/src/entry/outcome.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "wire/message.hpp"
 
 #include <nlohmann/json.hpp>
 #include <string>
@@ -61,6 +62,9 @@
     nlohmann::json output;
 };
 
+/// @return The reason to tell if a side's refusal ends the request.
+[[nodiscard]] outcome_reason reasonOf(wire::refusal refusal) noexcept;
+
 /// @return The stable name that callers branch on.
 [[nodiscard]] std::string_view nameOf(outcome_kind kind) noexcept;
 [[nodiscard]] std::string_view nameOf(outcome_reason reason) noexcept;
--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -1,7 +1,7 @@
 #include "entry/pipeline_run.hpp"
 
 #include "base/hash.hpp"
-#include "base/json_text.hpp"
+#include "entry/stage_body.hpp"
 #include "telemetry/log.hpp"
 
 namespace bilberryseam::entry {
@@ -39,39 +39,6 @@
     {
         return monotonicNow() - known.lastRunAt > runMemory ? 0 : known.meanRunSeconds;
     }
-
-    /// @return A text as it is, and any other value as JSON.
-    std::string textOf(const json& value)
-    {
-        return value.is_string() ? value.get<std::string>() : dumpText(value);
-    }
-
-    outcome_reason reasonOf(wire::refusal refusal)
-    {
-        switch (refusal) {
-        case wire::refusal::KeyExpired:
-            return outcome_reason::KeyExpired;
-        case wire::refusal::KeyReused:
-            return outcome_reason::KeyReused;
-        case wire::refusal::RunsElsewhere:
-            return outcome_reason::KeyRunsElsewhere;
-        case wire::refusal::LogUnavailable:
-        case wire::refusal::ClaimsNotReady:
-            return outcome_reason::LogUnavailable;
-        case wire::refusal::Quarantined:
-            return outcome_reason::Quarantined;
-        case wire::refusal::DeadlinePassed:
-        case wire::refusal::Cancelled:
-            return outcome_reason::DeadlinePassed;
-        case wire::refusal::QueueFull:
-            return outcome_reason::Overloaded;
-        case wire::refusal::Draining:
-        case wire::refusal::UnknownTarget:
-        case wire::refusal::TargetDown:
-            break;
-        }
-        return outcome_reason::NoTarget;
-    }
 }
 
 pipeline_run::pipeline_run(request asked, run_context& context, callbacks calls)
@@ -86,11 +53,6 @@
     cancelAttempts(std::nullopt);
 }
 
-bool pipeline_run::isEngineStage() const
-{
-    return stage().service->kind == configuration::service_kind::Engine;
-}
-
 void pipeline_run::start()
 {
     const milliseconds remaining = std::chrono::ceil<milliseconds>(m_request.deadline - monotonicNow());
@@ -115,7 +77,7 @@
         giveUp(outcome_reason::Quarantined, milliseconds(0), "This request crashed the targets that ran it.");
         return;
     }
-    std::string body = stageBody();
+    std::string body = writeStageBody(stage(), m_request.input, m_previous, m_text);
     const std::vector<policy::candidate> choices = candidates();
     const std::optional<size_t> chosen = choose(choices, static_cast<double>(body.size()));
     if (chosen) {
@@ -164,25 +126,7 @@
     const double remaining = asSeconds(m_request.deadline - monotonicNow());
     const auto stagesLeft = static_cast<double>(m_request.stages.size() - m_stageIndex);
     const double slack = std::max(0.0, slackShare * remaining / stagesLeft);
-    return policy::chooseByCost(candidates, { bytes, isEngineStage() ? m_request.prefixHash : 0, figures.meanRunSeconds, slack }, weights, m_context.random);
-}
-
-std::string pipeline_run::stageBody() const
-{
-    const configuration::stage& step = stage().stage;
-    if (!isEngineStage())
-        return dumpText(json { { "stage", step.name }, { "input", m_request.input }, { "previous", m_previous } });
-    std::string prompt = m_previous.is_object() && m_previous.contains("context") ? textOf(m_previous["context"]) : "";
-    if (!prompt.empty())
-        prompt += "\n\n";
-    const bool hasPrompt = m_request.input.is_object() && m_request.input.contains("prompt");
-    prompt += textOf(hasPrompt ? m_request.input["prompt"] : m_request.input);
-    json body { { "model", step.model }, { "prompt", prompt }, { "max_tokens", step.maxTokens }, { "stream", true } };
-    if (m_request.input.is_object() && m_request.input.contains("max_tokens") && m_request.input["max_tokens"].is_number_unsigned())
-        body["max_tokens"] = std::min<uint64_t>(step.maxTokens, m_request.input["max_tokens"].get<uint64_t>());
-    if (!m_text.empty())
-        body["resume_text"] = m_text;
-    return dumpText(body);
+    return policy::chooseByCost(candidates, { bytes, isEngine(stage()) ? m_request.prefixHash : 0, figures.meanRunSeconds, slack }, weights, m_context.random);
 }
 
 wire::start_call pipeline_run::callFor(const known_target& target, identifier attempt, std::string body, bool isAlone) const
@@ -197,7 +141,7 @@
     call.account = m_request.account->name;
     call.remainingMs = static_cast<uint32_t>(std::max<int64_t>(0, remaining.count()));
     call.priority = m_request.priority;
-    call.isStreamed = isEngineStage();
+    call.isStreamed = isEngine(stage());
     call.isRepeatable = stage().service->isRepeatable;
     call.idempotencyKey = call.isRepeatable ? "" : m_request.idempotencyKey;
     call.keyIssuedMs = m_request.keyIssuedMs;
@@ -247,7 +191,7 @@
     if (auto* finished = std::get_if<wire::call_finished>(&event))
         takeFinish(ended, *finished);
     else if (const auto* refused = std::get_if<wire::call_refused>(&event))
-        takeRefusal(ended, *refused);
+        takeRefusal(*refused);
     else
         takeLoss(ended);
 }
@@ -279,7 +223,7 @@
         m_calls.onOutput(text);
 }
 
-void pipeline_run::takeRefusal(const live_attempt& ended, const wire::call_refused& refused)
+void pipeline_run::takeRefusal(const wire::call_refused& refused)
 {
     m_context.counters.count("attempts_refused_total", { { "stage", stage().stage.name }, { "reason", std::string(nameOf(refused.reason)) } });
     if (!m_attempts.empty())
@@ -319,7 +263,6 @@
     case wire::refusal::TargetDown:
         break;
     }
-    static_cast<void>(ended);
     m_context.counters.count("retries_total", { { "stage", stage().stage.name }, { "reason", std::string(nameOf(refused.reason)) } });
     m_waitReason = reason;
     m_waitRetryAfter = retryAfter;
@@ -433,7 +376,7 @@
     known_target& target = *ended.target;
     target.meanRunSeconds = target.meanRunSeconds == 0 ? seconds : target.meanRunSeconds + newestRunWeight * (seconds - target.meanRunSeconds);
     target.lastRunAt = monotonicNow();
-    if (!isEngineStage())
+    if (!isEngine(stage()))
         policy::recordLatency(figures.latencies, asSeconds(monotonicNow() - ended.sentAt));
     if (ended.isHedge)
         m_context.counters.count("hedges_won_total", { { "stage", stage().stage.name } });
@@ -453,10 +396,10 @@
 
 void pipeline_run::hedge()
 {
-    const bool isAnswering = isEngineStage() && !m_attempts.empty() && m_attempts.begin()->second.bytesBack > 0;
+    const bool isAnswering = isEngine(stage()) && !m_attempts.empty() && m_attempts.begin()->second.bytesBack > 0;
     if (m_isOver || m_attempts.size() != 1 || isAnswering)
         return;
-    std::string body = stageBody();
+    std::string body = writeStageBody(stage(), m_request.input, m_previous, m_text);
     const std::vector<policy::candidate> choices = candidates();
     const std::optional<size_t> chosen = choose(choices, static_cast<double>(body.size()));
     if (!chosen || !policy::trySpend(m_context.services[stage().service->name].hedges))
@@ -487,16 +430,7 @@
 
 void pipeline_run::completeStage(wire::call_finished& finished)
 {
-    json output;
-    if (isEngineStage()) {
-        output = { { "text", m_text } };
-        if (json usage = json::parse(finished.body, nullptr, false); usage.is_object())
-            output["usage"] = std::move(usage);
-    } else {
-        output = json::parse(finished.body, nullptr, false);
-        if (output.is_discarded())
-            output = finished.body;
-    }
+    json output = readStageOutput(stage(), m_text, finished.body);
     // A key whose fate was unclear has been settled by its answer.
     m_isUnclearOnce = false;
     if (isLastStage()) {
--- a/src/entry/pipeline_run.hpp
+++ b/src/entry/pipeline_run.hpp
@@ -50,18 +50,16 @@
 
     [[nodiscard]] const planned_stage& stage() const { return m_request.stages[m_stageIndex]; }
     [[nodiscard]] bool isLastStage() const { return m_stageIndex + 1 == m_request.stages.size(); }
-    [[nodiscard]] bool isEngineStage() const;
 
     void startStage();
     void tryDispatch();
     std::vector<policy::candidate> candidates() const;
     std::optional<size_t> choose(std::span<const policy::candidate> candidates, double bytes);
     void dispatchTo(known_target& target, std::string body, bool isHedge);
-    std::string stageBody() const;
     wire::start_call callFor(const known_target& target, identifier attempt, std::string body, bool isAlone) const;
 
     void take(identifier attempt, attempt_event& event);
-    void takeRefusal(const live_attempt& ended, const wire::call_refused& refused);
+    void takeRefusal(const wire::call_refused& refused);
     void takeOutput(identifier attempt, const std::string& text);
     void takeFinish(const live_attempt& ended, wire::call_finished& finished);
     void takeLoss(const live_attempt& ended);
--- /dev/null
+++ b/src/entry/stage_body.cpp
@@ -0,0 +1,58 @@
+#include "entry/stage_body.hpp"
+
+#include "base/json_text.hpp"
+
+namespace bilberryseam::entry {
+
+using nlohmann::json;
+
+namespace {
+    /// @return A text as it is, and any other value as JSON.
+    std::string textOf(const json& value)
+    {
+        return value.is_string() ? value.get<std::string>() : dumpText(value);
+    }
+
+    std::string promptOf(const json& input, const json& previous)
+    {
+        std::string prompt = previous.is_object() && previous.contains("context") ? textOf(previous["context"]) : "";
+        if (!prompt.empty())
+            prompt += "\n\n";
+        const bool hasPrompt = input.is_object() && input.contains("prompt");
+        return prompt + textOf(hasPrompt ? input["prompt"] : input);
+    }
+
+    /// The caller may ask for fewer tokens than the stage allows, not for more.
+    uint64_t maxTokensOf(const configuration::stage& step, const json& input)
+    {
+        const bool isGiven = input.is_object() && input.contains("max_tokens") && input["max_tokens"].is_number_unsigned();
+        return isGiven ? std::min<uint64_t>(step.maxTokens, input["max_tokens"].get<uint64_t>()) : step.maxTokens;
+    }
+}
+
+bool isEngine(const planned_stage& stage) noexcept
+{
+    return stage.service->kind == configuration::service_kind::Engine;
+}
+
+std::string writeStageBody(const planned_stage& stage, const json& input, const json& previous, std::string_view resumed)
+{
+    if (!isEngine(stage))
+        return dumpText(json { { "stage", stage.stage.name }, { "input", input }, { "previous", previous } });
+    json body { { "model", stage.stage.model }, { "prompt", promptOf(input, previous) }, { "max_tokens", maxTokensOf(stage.stage, input) }, { "stream", true } };
+    if (!resumed.empty())
+        body["resume_text"] = resumed;
+    return dumpText(body);
+}
+
+json readStageOutput(const planned_stage& stage, std::string_view text, std::string_view body)
+{
+    json parsed = json::parse(body, nullptr, false);
+    if (!isEngine(stage))
+        return parsed.is_discarded() ? json(body) : parsed;
+    json output { { "text", text } };
+    if (parsed.is_object())
+        output["usage"] = std::move(parsed);
+    return output;
+}
+}
--- /dev/null
+++ b/src/programs/daemon_main.hpp
@@ -0,0 +1,36 @@
+/// What the mains of both daemons share: command line, settings, logging, run.
+#pragma once
+
+#include "settings/command_line.hpp"
+#include "telemetry/log.hpp"
+
+#include <iostream>
+#include <string_view>
+
+namespace bilberryseam {
+
+/// Reads the command line and the settings, and runs the daemon unless only a check or a print was asked for.
+/// @tparam Settings  Has `fromFile` and `toJson`.
+/// @tparam Process   Is made from the settings and has `run`.
+/// @return The exit code.
+template <typename Settings, typename Process>
+int daemonMain(int argc, const char* const* argv, std::string_view program, std::string_view purpose)
+{
+    return settings::runMain([&] {
+        const auto options = settings::parseDaemonOptions(argc, argv, program, purpose).value();
+        if (!options)
+            return 0;
+        const log_format format = parseLogFormat(options->logFormat).value();
+        const log_level level = parseLogLevel(options->logLevel).value();
+        const Settings read = Settings::fromFile(options->settingsPath).value();
+        if (options->isPrintOnly)
+            std::cout << read.toJson().dump(4) << "\n";
+        if (options->isPrintOnly || options->isCheckOnly)
+            return 0;
+        startLogging(format, level);
+        Process process(read);
+        process.run();
+        return 0;
+    });
+}
+}
--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -3,11 +3,10 @@
 #include "execution/execution.hpp"
 #include "loop/main_loop.hpp"
 #include "platform/instance_list.hpp"
+#include "programs/daemon_main.hpp"
 #include "settings/settings.hpp"
 #include "telemetry/telemetry.hpp"
 
-#include <iostream>
-
 namespace bilberryseam {
 
 namespace {
@@ -105,28 +104,11 @@
         bool m_isStopping = false;
         time_point m_stopSince {};
     };
-
-    int run(int argc, const char* const* argv)
-    {
-        const auto options = settings::parseDaemonOptions(argc, argv, "bilberryseam-entry", "stands between callers and sides").value();
-        if (!options)
-            return 0;
-        const log_format format = parseLogFormat(options->logFormat).value();
-        const log_level level = parseLogLevel(options->logLevel).value();
-        const settings::entry_settings read = settings::entry_settings::fromFile(options->settingsPath).value();
-        if (options->isPrintOnly)
-            std::cout << read.toJson().dump(4) << "\n";
-        if (options->isPrintOnly || options->isCheckOnly)
-            return 0;
-        startLogging(format, level);
-        entry_process process(read);
-        process.run();
-        return 0;
-    }
 }
 }
 
 int main(int argc, char** argv)
 {
-    return bilberryseam::settings::runMain([&] { return bilberryseam::run(argc, argv); });
+    using namespace bilberryseam;
+    return daemonMain<settings::entry_settings, entry_process>(argc, argv, "bilberryseam-entry", "stands between callers and sides");
 }
