A number that is too large no longer ends a daemon; measurements by replay

Cause: the library throws another type than a parse error for a number such as 1e400, and parseJson caught only that one. Such a note, once on the log, would have ended every daemon that read it, again at each start.

Ruled out: the other places that parse (they ask for no exceptions or catch the library's base type).

Change: parseJson catches the base type and names the remedy. Also: a trace with one guilty request in 200 (398 innocents answered, two guilty ones refused, at most 6 deaths), refusals about keys apart from the others, one reader for what both daemons' settings share, replays by one process for each region (one process was the bottleneck in bursts), their results.

--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -17,7 +18,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from measure import BINARIES, ROOT, get, post, show  # noqa: E402
+from measure import BINARIES, ROOT, fetch, get, post, quantile, show  # noqa: E402
 
 SECONDS = 15
 ENGINE_PLACES = 4
@@ -137,22 +138,57 @@
             subprocess.run([sys.executable, ROOT / "traces" / "generate.py", name, seed, "--seconds", str(SECONDS), "--rate", str(rate), "--burst", str(burst)], stdout=out, check=True)
         for mode in ("baseline", "weighted"):
             run = Deployment(base, kind, mode)
-            command = [BINARIES / "bilberryseam-replay", "--trace", trace]
-            for region, address in run.entries.items():
-                command += ["--entry", f"{region}={address}"]
-            for operator in run.operators:
-                command += ["--operator", operator]
             thread = threading.Thread(target=fault, args=(run,)) if fault else None
             if thread:
                 thread.start()
-            report = json.loads(subprocess.run(command, capture_output=True, text=True).stdout)
+            results, cost = replay(run, trace)
             if thread:
                 thread.join()
             run.stop()
-            shares = {a: round(c["inTime"] / max(1, c["asked"]), 3) for a, c in report["accounts"].items()}
-            show(deployment=name, seed=int(seed), variant=variant, mode=mode, capacityPerSecond=round(capacity), requests=report["requests"], inTime=report["inTime"], attainment=round(report["attainment"], 4),
-                 outcomes=report["outcomes"], p50=round(report["p50Seconds"], 3), p99=round(report["p99Seconds"], 3), refusedP50=round(report["refusedP50Seconds"], 3),
-                 crossRegionBytes=round(report["cost"]["crossRegionBytes"]), cost=round(sum(report["cost"]["costByStage"].values()), 6), inTimeByAccount=shares)
+            show(deployment=name, seed=int(seed), variant=variant, mode=mode, capacityPerSecond=round(capacity), **summary(results), **cost)
+
+
+def replay(run, trace):
+    """One replaying process for each region, so that none of them is the bottleneck."""
+    before = counters(run.operators)
+    replays, files = [], []
+    for region, address in run.entries.items():
+        files.append(pathlib.Path(tempfile.mkdtemp(), "results.jsonl"))
+        replays.append(subprocess.Popen([BINARIES / "bilberryseam-replay", "--trace", trace, "--entry", f"{region}={address}", "--only-region", region, "--results", files[-1]], stdout=subprocess.DEVNULL))
+    for process in replays:
+        process.wait()
+    after = counters(run.operators)
+    cost = {key: round(after[key] - before[key], 6) for key in after}
+    return [json.loads(line) for file in files for line in file.read_text().splitlines()], cost
+
+
+def counters(operators):
+    """Bytes that crossed regions and their cost, over all entries."""
+    sums = {"crossRegionBytes": 0.0, "cost": 0.0}
+    for operator in operators:
+        for line in fetch(operator, "/metrics").splitlines():
+            labels = dict(re.findall(r'(\w+)="([^"]*)"', line))
+            if line.startswith("bilberryseam_stage_cost_total"):
+                sums["cost"] += float(line.rsplit(" ", 1)[1])
+            elif line.startswith("bilberryseam_stage_bytes_total") and labels["from"] != labels["to"]:
+                sums["crossRegionBytes"] += float(line.rsplit(" ", 1)[1])
+    return sums
+
+
+def summary(results):
+    answered = [r["seconds"] for r in results if r["outcome"] == "answered"]
+    refused = [r["seconds"] for r in results if r["outcome"] != "answered"]
+    burst = [r for r in results if SECONDS / 3 <= r["atMs"] / 1000 < 2 * SECONDS / 3]
+    outcomes, shares = {}, {}
+    for r in results:
+        outcomes[r["outcome"]] = outcomes.get(r["outcome"], 0) + 1
+        share = shares.setdefault(r["account"], [0, 0])
+        share[0] += r["inTime"]
+        share[1] += 1
+    in_time = sum(r["inTime"] for r in results)
+    return {"requests": len(results), "inTime": in_time, "attainment": round(in_time / len(results), 4), "middleThirdAsked": len(burst), "middleThirdInTime": sum(r["inTime"] for r in burst), "outcomes": outcomes,
+            "p50": round(quantile(answered or [0], .5), 3), "p99": round(quantile(answered or [0], .99), 3), "refusedP50": round(quantile(refused or [0], .5), 3),
+            "inTimeByAccount": {account: round(good / asked, 3) for account, (good, asked) in sorted(shares.items())}}
 
 
 main()
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -43,12 +43,16 @@
 
 
 def get(address, path):
+    return json.loads(fetch(address, path))
+
+
+def fetch(address, path):
     host, port = address.rsplit(":", 1)
     connection = http.client.HTTPConnection(host, int(port), timeout=30)
     connection.request("GET", path)
     answer = connection.getresponse().read()
     connection.close()
-    return json.loads(answer)
+    return answer.decode()
 
 
 class Cluster:
--- a/src/base/json_schema.cpp
+++ b/src/base/json_schema.cpp
@@ -78,6 +78,9 @@
         const size_t column = lineStart == std::string_view::npos ? before.size() : before.size() - lineStart - 1;
         return error(kind, "This is not valid JSON.", "Correct the syntax at this place.",
             std::string(name) + ":" + std::to_string(line) + ":" + std::to_string(column));
+    } catch (const nlohmann::json::exception&) {
+        // The library reports a number such as 1e400 without its position.
+        return error(kind, "A number is too large.", "Use a number that fits 64 bits.", name);
     }
 }
 }
--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -65,7 +65,6 @@
     m_text.clear();
     m_tried.clear();
     m_retries = 0;
-    m_stageStartedAt = monotonicNow();
     tryDispatch();
 }
 
@@ -226,47 +225,40 @@
 void pipeline_run::takeRefusal(const wire::call_refused& refused)
 {
     m_context.counters.count("attempts_refused_total", { { "stage", stage().stage.name }, { "reason", std::string(nameOf(refused.reason)) } });
-    if (!m_attempts.empty())
+    if (!m_attempts.empty() || takeKeyRefusal(refused.reason))
+        return;
+    m_waitReason = reasonOf(refused.reason);
+    m_waitRetryAfter = std::max(defaultRetryAfter, milliseconds(refused.retryAfterMs));
+    if (refused.reason == wire::refusal::Quarantined) {
+        giveUp(m_waitReason, milliseconds(0), "");
         return;
-    const outcome_reason reason = reasonOf(refused.reason);
-    const milliseconds retryAfter = std::max(defaultRetryAfter, milliseconds(refused.retryAfterMs));
-    switch (refused.reason) {
+    }
+    m_context.counters.count("retries_total", { { "stage", stage().stage.name }, { "reason", std::string(nameOf(refused.reason)) } });
+    tryDispatch();
+}
+
+bool pipeline_run::takeKeyRefusal(wire::refusal refusal)
+{
+    const bool isUnclear = refusal == wire::refusal::RunsElsewhere || refusal == wire::refusal::ClaimsNotReady || refusal == wire::refusal::KeyExpired;
+    m_isUnclear = m_isUnclear || isUnclear;
+    m_isUnclearOnce = m_isUnclearOnce || isUnclear;
+    switch (refusal) {
     case wire::refusal::RunsElsewhere:
         // Its answer may come to be known: ask again until the deadline.
-        m_isUnclear = true;
-        m_isUnclearOnce = true;
         m_tried.clear();
-        m_waitReason = reason;
+        m_waitReason = reasonOf(refusal);
         m_patience.startOnce(heldKeyBackoff, [this] { tryDispatch(); });
-        return;
-    case wire::refusal::ClaimsNotReady:
-        // This side may have missed claims on the key; another one may not.
-        m_isUnclear = true;
-        m_isUnclearOnce = true;
-        break;
+        return true;
     case wire::refusal::KeyExpired:
-        // What ran under an expired key can no longer be told.
-        m_isUnclear = true;
-        m_isUnclearOnce = true;
-        giveUp(reason, milliseconds(0), "The key is older than the window in which repeats are recognised.");
-        return;
+        giveUp(outcome_reason::KeyExpired, milliseconds(0), "The key is older than the window in which repeats are recognised.");
+        return true;
     case wire::refusal::KeyReused:
-    case wire::refusal::Quarantined:
-        giveUp(reason, milliseconds(0), "");
-        return;
-    case wire::refusal::DeadlinePassed:
-    case wire::refusal::Cancelled:
-    case wire::refusal::LogUnavailable:
-    case wire::refusal::QueueFull:
-    case wire::refusal::Draining:
-    case wire::refusal::UnknownTarget:
-    case wire::refusal::TargetDown:
-        break;
+        giveUp(outcome_reason::KeyReused, milliseconds(0), "");
+        return true;
+    default:
+        // A side that may have missed claims on the key is no reason to give up: another one may not have.
+        return false;
     }
-    m_context.counters.count("retries_total", { { "stage", stage().stage.name }, { "reason", std::string(nameOf(refused.reason)) } });
-    m_waitReason = reason;
-    m_waitRetryAfter = retryAfter;
-    tryDispatch();
 }
 
 void pipeline_run::waitForTarget(outcome_reason reason, milliseconds retryAfter)
--- a/src/entry/pipeline_run.hpp
+++ b/src/entry/pipeline_run.hpp
@@ -60,6 +60,8 @@
 
     void take(identifier attempt, attempt_event& event);
     void takeRefusal(const wire::call_refused& refused);
+    /// @return Whether the refusal was about the idempotency key and has been dealt with.
+    bool takeKeyRefusal(wire::refusal refusal);
     void takeOutput(identifier attempt, const std::string& text);
     void takeFinish(const live_attempt& ended, wire::call_finished& finished);
     void takeLoss(const live_attempt& ended);
@@ -89,7 +91,6 @@
     std::unordered_map<identifier, live_attempt> m_attempts;
     std::set<std::string> m_tried;
     uint32_t m_retries = 0;
-    time_point m_stageStartedAt;
     /// Some stage began for sure.
     bool m_hasBegun = false;
     /// Some attempt may have begun, and its fate is unknown.
--- a/src/programs/replay.cpp
+++ b/src/programs/replay.cpp
@@ -27,6 +27,8 @@
         double speed = 1;
         std::string reportPath;
         std::string plotPath;
+        std::string resultsPath;
+        std::string onlyRegion;
     };
 
     /// One recorded request.
@@ -251,6 +253,17 @@
             { "accounts", accountReport(done) }, { "cost", costReport(before, after) } };
     }
 
+    /// Writes what became of each request, for tools that put several replays together.
+    void writeResults(const std::string& path, const replay& done)
+    {
+        std::ofstream file(path);
+        for (size_t i = 0; i < done.trace().size(); ++i) {
+            const measured& result = done.results()[i];
+            const trace_line& line = done.trace()[i];
+            file << json { { "atMs", line.at.count() }, { "account", line.account }, { "outcome", result.outcome }, { "seconds", result.seconds }, { "inTime", result.isInTime } }.dump() << "\n";
+        }
+    }
+
     /// Plots the latencies of answers as a cumulative curve.
     void writePlot(const std::string& path, const replay& done)
     {
@@ -284,6 +297,8 @@
         add("operator,o", options::value(&out.operators)->composing()->value_name("IP:PORT"), "operator port of an entry, for bytes and cost; may be repeated");
         add("speed", options::value(&out.speed)->default_value(1)->value_name("FACTOR"), "how much faster than recorded");
         add("report", options::value(&out.reportPath)->value_name("FILE"), "write the report as JSON");
+        add("results", options::value(&out.resultsPath)->value_name("FILE"), "write one line of JSON for each request");
+        add("only-region", options::value(&out.onlyRegion)->value_name("REGION"), "send only the requests of one region, so that several processes can share a trace");
         add("plot", options::value(&out.plotPath)->value_name("FILE"), "write the latencies as SVG");
         return described;
     }
@@ -307,13 +322,18 @@
         }
         if (asked.speed <= 0)
             throw error(error_kind::InvalidSettings, "The speed is not above zero.", "Use 1 for real time.", "--speed");
-        replay done(readTrace(asked.tracePath), asked);
+        std::vector<trace_line> trace = readTrace(asked.tracePath);
+        if (!asked.onlyRegion.empty())
+            std::erase_if(trace, [&](const trace_line& line) { return line.region != asked.onlyRegion; });
+        replay done(std::move(trace), asked);
         const auto before = readCounters(asked.operators);
         done.run();
         const json report = reportOf(done, before, readCounters(asked.operators));
         std::cout << report.dump(2) << "\n";
         if (!asked.reportPath.empty())
             std::ofstream(asked.reportPath) << report.dump(2) << "\n";
+        if (!asked.resultsPath.empty())
+            writeResults(asked.resultsPath, done);
         if (!asked.plotPath.empty())
             writePlot(asked.plotPath, done);
         return report["mismatches"] == 0 ? 0 : 1;
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -66,14 +66,7 @@
     entry_settings readEntry(const json& document, const std::string& path)
     {
         entry_settings read;
-        read.name = document["name"];
-        read.region = document["region"];
-        read.failureDomain = document.value("failureDomain", read.region);
-        read.listen = detail::readEndpoint(document, "listen", path);
-        read.operatorListen = detail::readEndpoint(document, "operatorListen", path);
-        if (read.listen == read.operatorListen)
-            throw error(error_kind::InvalidSettings, "Callers and operators share one address.", "Give operatorListen a port of its own.", path + ": /operatorListen");
-        read.platform = detail::readPlatform(document["platform"], path);
+        detail::readCommon(document, path, read);
         read.limits = readLimits(document);
         return read;
     }
--- a/src/settings/entry_settings.hpp
+++ b/src/settings/entry_settings.hpp
@@ -59,6 +59,22 @@
     [[nodiscard]] platform_settings readPlatform(const nlohmann::json& document, const std::string& path);
     [[nodiscard]] nlohmann::json platformToJson(const platform_settings& value);
     [[nodiscard]] ip_endpoint readEndpoint(const nlohmann::json& document, const char* key, const std::string& path);
+
+    /// Reads what the settings of both daemons have.
+    /// @throws error (`InvalidSettings`) with place and remedy.
+    template <typename Settings>
+    void readCommon(const nlohmann::json& document, const std::string& path, Settings& out)
+    {
+        out.name = document["name"];
+        out.region = document["region"];
+        out.failureDomain = document.value("failureDomain", out.region);
+        out.listen = readEndpoint(document, "listen", path);
+        out.operatorListen = readEndpoint(document, "operatorListen", path);
+        if (out.listen == out.operatorListen)
+            throw error(error_kind::InvalidSettings, "listen and operatorListen are one address.", "Give operatorListen a port of its own.", path + ": /operatorListen");
+        out.platform = readPlatform(document["platform"], path);
+    }
+
     /// @return The schema with the platform's part inserted at `@platform@`.
     [[nodiscard]] std::string withPlatformSchema(std::string_view schema);
 }
--- a/src/settings/side_settings.cpp
+++ b/src/settings/side_settings.cpp
@@ -49,16 +49,9 @@
     side_settings readSide(const json& document, const std::string& path)
     {
         side_settings read;
-        read.name = document["name"];
+        detail::readCommon(document, path, read);
         read.instance = document.value("instance", read.name);
-        read.region = document["region"];
-        read.failureDomain = document.value("failureDomain", read.region);
-        read.listen = detail::readEndpoint(document, "listen", path);
         read.advertise = document.contains("advertise") ? detail::readEndpoint(document, "advertise", path) : read.listen;
-        read.operatorListen = detail::readEndpoint(document, "operatorListen", path);
-        if (read.listen == read.operatorListen)
-            throw error(error_kind::InvalidSettings, "Entries and operators share one address.", "Give operatorListen a port of its own.", path + ": /operatorListen");
-        read.platform = detail::readPlatform(document["platform"], path);
         read.limits = readLimits(document);
         return read;
     }
--- a/tests/process/crash_test.cpp
+++ b/tests/process/crash_test.cpp
@@ -80,6 +80,40 @@
     cr_assert_leq(deaths(running), 3);
 }
 
+Test(crash, a_trace_with_one_guilty_request_in_two_hundred)
+{
+    constexpr int requests = 400;
+    constexpr int everyNth = 200;
+    cluster running(engines(57, 4, { { "tokenMs", 5 }, { "poison", "poison pill" }, { "restartMs", 300 } }));
+    std::vector<std::shared_ptr<sent_request>> innocents;
+    std::vector<std::shared_ptr<sent_request>> guilties;
+    for (int i = 0; i < requests; ++i) {
+        if (i % everyNth == everyNth / 2) {
+            // Its caller sends it through both entries, one after the other.
+            for (int entry : { 0, 1 }) {
+                question asked = guilty(entry);
+                asked.input = { { "prompt", "poison pill " + std::to_string(i) } };
+                guilties.push_back(running.send(asked));
+                running.runFor(milliseconds(20));
+            }
+            continue;
+        }
+        innocents.push_back(running.send(innocent(i)));
+        running.runFor(milliseconds(5));
+    }
+    for (const auto& one : innocents) {
+        running.waitUntil([&] { return one->isDone; }, "an innocent answer");
+        checkEqual(one->reason(), "");
+        checkEqual(one->kind(), "answered");
+    }
+    for (const auto& one : guilties) {
+        running.waitUntil([&] { return one->isDone; }, "a guilty answer");
+        checkEqual(one->reason(), "quarantined");
+    }
+    cr_assert_geq(deaths(running), 2);
+    cr_assert_leq(deaths(running), 3 * requests / everyNth);
+}
+
 Test(crash, a_stream_that_its_target_cuts_is_resumed_elsewhere)
 {
     cluster running(engines(52, 2, { { "tokenMs", 5 } }));
