--- a/src/side/call_gate.cpp
+++ b/src/side/call_gate.cpp
@@ -11,7 +11,6 @@
     constexpr milliseconds firstProbeDelay { 50 };
     constexpr milliseconds probePeriod { 250 };
     constexpr uint32_t refusedRetryAfterMs = 500;
-
 }
 
 wire::refusal detail::refusalOf(policy::gate_verdict verdict) noexcept
