A call that its target never took is not said to have run

Failing check: the new test of no_target got "failed" in place of "not_run".

Cause: the side says "started" when it gives the call to its target, before the connection is made; the entry took that for proof, and a refusal that followed ("the target never saw it") did not take it back.

Ruled out: a run at the target (the stand-in counted none).

Change: "started" counts only while no verdict has come. A finish, a lost side, a stalled link or the deadline turn it into "began"; a refusal does not.

--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -169,8 +169,8 @@
     if (found == m_attempts.end() || m_isOver)
         return;
     if (std::holds_alternative<wire::call_started>(event)) {
+        // The side may still find that the target never took the call, and refuse it.
         found->second.hasStarted = true;
-        m_hasBegun = true;
         m_waitingSince.reset();
         return;
     }
@@ -326,6 +326,7 @@
 {
     m_isUnclear = true;
     // The side went down with the call; its target may have taken it along.
+    m_hasBegun = m_hasBegun || ended.hasStarted;
     if (ended.hasStarted)
         m_context.suspicions.strike(m_request.fingerprint, ended.isAlone, monotonicNow());
     if (!stage().service->isRepeatable) {
@@ -342,6 +343,7 @@
     if (!stage().service->isRepeatable)
         return;
     m_isUnclear = true;
+    m_hasBegun = m_hasBegun || m_attempts.at(attempt).hasStarted;
     account(m_attempts.at(attempt));
     m_context.sides.cancel(attempt);
     m_attempts.erase(attempt);
@@ -464,6 +466,7 @@
     for (const auto& [attempt, live] : m_attempts) {
         account(live);
         // A call that was sent and not refused may have begun.
+        m_hasBegun = m_hasBegun || live.hasStarted;
         m_isUnclear = m_isUnclear || !live.hasStarted;
         m_isUnclearOnce = m_isUnclearOnce || !stage().service->isRepeatable;
     }
