Read once more: dead members out, target names hashed once

What: links kept its own region and the claim keeper counted its appends; nobody asked for either, so both are gone. Each dispatch hashed the name of every candidate anew; the hash is now kept with the target when the configuration changes. Behaviour is as it was; no test was touched.

--- a/src/entry/links.cpp
+++ b/src/entry/links.cpp
@@ -1,5 +1,6 @@
 #include "entry/links.hpp"
 
+#include "base/hash.hpp"
 #include "telemetry/log.hpp"
 
 namespace bilberryseam::entry {
@@ -32,9 +33,8 @@
     attempt_handler handler;
 };
 
-links::links(std::string ownName, std::string ownRegion, metrics& metrics, callbacks calls)
+links::links(std::string ownName, metrics& metrics, callbacks calls)
     : m_ownName(std::move(ownName))
-    , m_ownRegion(std::move(ownRegion))
     , m_metrics(metrics)
     , m_calls(std::move(calls))
     , m_identifiers(identifier_generator::fromSystem())
@@ -57,6 +57,7 @@
             known = std::make_unique<known_target>();
         const bool hasMoved = known->target && known->target->side != entry.value->side;
         known->target = entry.value;
+        known->hash = hashOf(name);
         known->isWithdrawn = false;
         known->isReported = known->isReported && !hasMoved;
         known->isInstanceLeaving = m_leavingInstances.contains(entry.value->instance);
--- a/src/entry/links.hpp
+++ b/src/entry/links.hpp
@@ -20,6 +20,8 @@
 /// A target as this entry knows it.
 struct known_target {
     std::shared_ptr<const configuration::target> target;
+    /// Stable hash of the target's name.
+    uint64_t hash = 0;
     wire::target_load load;
     uint32_t inFlight = 0;
     bool isWithdrawn = false;
@@ -43,7 +45,7 @@
         std::function<void()> onCapacityChanged;
     };
 
-    links(std::string ownName, std::string ownRegion, metrics& metrics, callbacks calls);
+    links(std::string ownName, metrics& metrics, callbacks calls);
     ~links();
 
     /// Connects to the sides of all targets; forgets sides without any.
@@ -87,7 +89,6 @@
     void violate(std::string_view rule);
 
     std::string m_ownName;
-    std::string m_ownRegion;
     metrics& m_metrics;
     callbacks m_calls;
     identifier_generator m_identifiers;
--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -98,7 +98,7 @@
         const configuration::target& target = *known->target;
         policy::candidate& choice = made.emplace_back();
         choice.name = target.name;
-        choice.hash = hashOf(target.name);
+        choice.hash = known->hash;
         choice.isInOwnRegion = target.region == m_context.ownRegion;
         choice.isEligible = m_context.sides.isUsable(*known) && !m_tried.contains(target.name);
         choice.reportedWaitSeconds = known->load.expectedWaitMs / 1000.0;
--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -21,7 +21,7 @@
     public:
         explicit entry_process(const settings::entry_settings& settings)
             : m_settings(settings)
-            , m_links(settings.name, settings.region, m_metrics, linkCalls())
+            , m_links(settings.name, m_metrics, linkCalls())
             , m_suspicions(m_metrics, [this](const wire::message& item) { m_links.postToAll(item); })
             , m_context { m_links, m_metrics, m_suspicions, settings.region, identifier_generator::fromSystem(), std::mt19937_64(std::random_device {}()), {}, {}, {} }
             , m_follower(settings.platform, m_metrics, true, { [this](const configuration::state& state) { follow(state); }, [this](identifier peer, wire::message item) { m_links.post(peer, std::move(item)); } })
--- a/src/side/claim_keeper.cpp
+++ b/src/side/claim_keeper.cpp
@@ -88,7 +88,6 @@
     if (m_isAppending || m_outbox.empty())
         return;
     m_isAppending = true;
-    ++m_appends;
     const size_t count = std::min(m_outbox.size(), maxBatchItems);
     m_sent.assign(std::make_move_iterator(m_outbox.begin()), std::make_move_iterator(m_outbox.begin() + static_cast<ptrdiff_t>(count)));
     m_outbox.erase(m_outbox.begin(), m_outbox.begin() + static_cast<ptrdiff_t>(count));
--- a/src/side/claim_keeper.hpp
+++ b/src/side/claim_keeper.hpp
@@ -82,9 +82,6 @@
         return policy::decideClaim(m_table, request.key, request.nonce, request.fingerprint, request.issuedMs);
     }
 
-    [[nodiscard]] size_t entryCount() const noexcept { return m_table.entries.size(); }
-    [[nodiscard]] uint64_t appendCount() const noexcept { return m_appends; }
-
 private:
     struct waiting_claim {
         claim_request request;
@@ -120,6 +117,5 @@
     bool m_isBackedOff = false;
     time_point m_nextRead {};
     time_point m_retryAt {};
-    uint64_t m_appends = 0;
 };
 }
