One owner for each stage pool among the entries

Ruled out: processor (0.016 of 0.19 cores), model replicas (nothing queued). Change: pieces of a stage go to the entry that owns the pool (weighted rendezvous over the entries in keyed.entries, over the inner protocol); whoever cannot reach the owner does the work itself. Idle targets share what waits.

--- /dev/null
+++ b/src/gateway/entry_directory.cpp
@@ -0,0 +1,100 @@
+#include "gateway/entry_directory.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace bilberryseam::gateway {
+
+using nlohmann::json;
+
+namespace {
+    constexpr std::string_view topic = "keyed.entries";
+    constexpr std::string_view part = "directory";
+
+    /// Pause between two reads; entries change rarely, and links show at once who is gone.
+    constexpr milliseconds readPeriod { 2000 };
+    constexpr milliseconds announceAgainAfter { 1000 };
+}
+
+std::string entry_record::encode() const
+{
+    return json { { "peerListen", peerListen.toString() }, { "weight", weight }, { "startedAtMs", startedAtMs } }.dump();
+}
+
+result<entry_record> entry_record::decode(std::string_view name, std::string_view text)
+{
+    try {
+        const json document = json::parse(text);
+        entry_record record { std::string(name), ip_endpoint::parse(document.at("peerListen").get<std::string>(), name).value(), document.at("weight"), document.at("startedAtMs") };
+        if (!(record.weight > 0))
+            return error(error_kind::InvalidMessage, "An entry's weight is not positive.", "Run the same release on all entries.", name);
+        return record;
+    } catch (const json::exception& problem) {
+        return error(error_kind::InvalidMessage, problem.what(), "Run the same release on all entries.", name);
+    } catch (const error& problem) {
+        return problem;
+    }
+}
+
+entry_directory::entry_directory(context& context, entry_record own, std::function<void()> onChange)
+    : m_context(context)
+    , m_own(std::move(own))
+    , m_onChange(std::move(onChange))
+    , m_follower(context.client, context.settings.store, std::string(topic), { milliseconds(0), readPeriod }, followCalls())
+{
+    announce();
+}
+
+void entry_directory::announce()
+{
+    m_put = platform::putKey(m_context.client, m_context.settings.store, topic, m_own.name, m_own.encode(), [this](bool isAcknowledged) {
+        if (!isAcknowledged)
+            m_announceAgain.startOnce(announceAgainAfter, [this] { announce(); });
+    });
+}
+
+void entry_directory::withdraw()
+{
+    m_announceAgain.stop();
+    m_put = platform::putKey(m_context.client, m_context.settings.store, topic, m_own.name, {}, [](bool isAcknowledged) {
+        if (!isAcknowledged)
+            logLine(log_level::Warning, part, "The record could not be taken back; the others find out by their links.");
+    });
+}
+
+platform::follow_callbacks entry_directory::followCalls()
+{
+    platform::follow_callbacks calls;
+    calls.onSnapshot = [this](std::map<std::string, std::string> newest) {
+        m_others.clear();
+        for (auto& [name, text] : newest)
+            take({ name, std::move(text) });
+        m_onChange();
+    };
+    calls.onRecord = [this](const platform::keyed_record& record) {
+        take(record);
+        m_onChange();
+    };
+    calls.onContact = [](time_point) {};
+    // The two other followers log the loss of the store.
+    calls.onFailure = [](std::string_view) {};
+    return calls;
+}
+
+void entry_directory::take(const platform::keyed_record& record)
+{
+    if (record.key == m_own.name)
+        return;
+    if (!record.value) {
+        m_others.erase(record.key);
+        logLine(log_level::Info, part, "An entry has left.", { { "entry", record.key } });
+        return;
+    }
+    const auto decoded = entry_record::decode(record.key, *record.value);
+    if (!decoded) {
+        logLine(log_level::Warning, part, "An entry's record is unreadable.", { { "entry", record.key }, { "problem", decoded.error().what() } });
+        return;
+    }
+    m_others[record.key] = decoded.value();
+    logLine(log_level::Info, part, "An entry is there.", { { "entry", record.key }, { "address", decoded.value().peerListen.toString() } });
+}
+}
--- /dev/null
+++ b/src/gateway/entry_directory.hpp
@@ -0,0 +1,57 @@
+/// The entries of the deployment, as they tell one another through the store.
+#pragma once
+
+#include "gateway/context.hpp"
+#include "platform/topic_follower.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace bilberryseam::gateway {
+
+/// What an entry tells of itself.
+struct entry_record {
+    std::string name;
+    ip_endpoint peerListen;
+    /// Its share of the work on pools.
+    double weight = 1;
+    int64_t startedAtMs = 0;
+
+    bool operator==(const entry_record&) const = default;
+
+    [[nodiscard]] std::string encode() const;
+    /// @return The record, or `InvalidMessage`.
+    [[nodiscard]] static result<entry_record> decode(std::string_view name, std::string_view text);
+};
+
+/// Writes this entry's record and follows the others'.
+class entry_directory {
+public:
+    /// @param onChange  Called when the entries have changed.
+    entry_directory(context& context, entry_record own, std::function<void()> onChange);
+
+    /// @return The other entries by name. Some of them may be gone.
+    [[nodiscard]] const std::map<std::string, entry_record, std::less<>>& others() const noexcept { return m_others; }
+    [[nodiscard]] const entry_record& own() const noexcept { return m_own; }
+
+    /// Takes this entry's record back, for a planned stop.
+    void withdraw();
+
+    void setStore(const ip_endpoint& store) { m_follower.setStore(store); }
+
+private:
+    void announce();
+    void take(const platform::keyed_record& record);
+    platform::follow_callbacks followCalls();
+
+    context& m_context;
+    entry_record m_own;
+    std::function<void()> m_onChange;
+    std::map<std::string, entry_record, std::less<>> m_others;
+    std::shared_ptr<http1::client_call> m_put;
+    timer m_announceAgain;
+    platform::topic_follower m_follower;
+};
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -67,6 +67,9 @@
     m_operators.emplace(settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { answerOperator(*exchange); });
     m_configurationFollower.emplace(m_context.client, settings.store, std::string(platform::operatorTopic), platform::follow_options { configurationWait }, configurationCalls());
     m_targetFollower.emplace(m_context.client, settings.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), targetPeriod }, targetCalls());
+    const int64_t startedAtMs = wallNow().time_since_epoch().count();
+    m_directory.emplace(m_context, entry_record { settings.name, settings.peerListen, settings.processorShare, startedAtMs }, [this] { m_pools->membersChanged(); });
+    m_pools.emplace(m_context, m_pieces, *m_directory);
     m_tick.startEvery(tickPeriod, [this] { tick(); });
     m_loop.onTerminate([this] { stop(); });
 }
@@ -87,6 +90,7 @@
     m_context.settings.store = settings.store;
     m_configurationFollower->setStore(settings.store);
     m_targetFollower->setStore(settings.store);
+    m_directory->setStore(settings.store);
     logLine(log_level::Info, part, isMoved ? "Settings were reloaded; other listening addresses need a restart." : "Settings were reloaded.", { { "store", settings.store.toString() } });
 }
 
@@ -152,6 +156,7 @@
     const auto& state = *m_context.configuration;
     m_context.counters.count("configurations_total", { { "outcome", "in_force" } });
     m_context.counters.set("configuration_version", {}, static_cast<double>(state.version));
+    m_pools->membersChanged();
     logLine(log_level::Info, part, "A configuration is in force.", { { "version", std::to_string(state.version) }, { "before", before }, { "routes", std::to_string(state.routes.size()) }, { "keys", std::to_string(state.accountsByKey.size()) } });
 }
 
@@ -272,7 +277,7 @@
         earnRepeats(m_context, stage.service, now);
     logLine(log_level::Info, part, "Accepted.", { { "request", asked.id }, { "route", route->name }, { "service", service }, { "account", account }, { "version", std::to_string(state->version) }, { "checked_ms_ago", std::to_string(asMilliseconds(now - m_context.configurationCheckedAt)) }, { "open", std::to_string(m_runs.size()) } });
     accepted_request accepted { std::move(exchange), asked, state, route, service, account, fingerprint };
-    const auto run = std::make_shared<request_run>(m_context, m_pieces, std::move(accepted), [this](request_run* ended) {
+    const auto run = std::make_shared<request_run>(m_context, *m_pools, std::move(accepted), [this](request_run* ended) {
         const auto found = std::find_if(m_runs.begin(), m_runs.end(), [ended](const auto& item) { return item.get() == ended; });
         if (found == m_runs.end())
             return;
@@ -313,6 +318,7 @@
     m_over.clear();
     m_context.targets.tick(now);
     m_pieces.tick(now);
+    m_pools->tick(now);
     const auto runs = m_runs;
     for (const auto& run : runs)
         run->tick(now);
@@ -332,6 +338,8 @@
         return;
     m_stopSince = monotonicNow();
     m_callers->setClosing(true);
+    m_pools->setStopping();
+    m_directory->withdraw();
     logLine(log_level::Info, part, "Stopping once the requests in progress are done.", { { "open_requests", std::to_string(m_runs.size()) } });
 }
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -48,6 +48,8 @@
     main_loop m_loop;
     context m_context;
     piece_scheduler m_pieces;
+    std::optional<entry_directory> m_directory;
+    std::optional<pool_router> m_pools;
     std::list<std::shared_ptr<request_run>> m_runs;
     std::vector<std::shared_ptr<request_run>> m_over;
     std::optional<http1::server> m_callers;
--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -1,5 +1,6 @@
 #include "gateway/piece_scheduler.hpp"
 
+#include "base/hash.hpp"
 #include "platform/ingress.hpp"
 
 #include <algorithm>
@@ -25,6 +26,9 @@
     /// A call's results lie at its target for as long as the service keeps them, unless they are given up.
     constexpr milliseconds freeTimeout { 2000 };
 
+    /// Penalty of a target that gets no work at all.
+    constexpr double unusablePenalty = 1000;
+
     /// Time on the network that a call takes besides its work, as a share of nothing known better.
     constexpr milliseconds networkTime { 20 };
 }
@@ -55,19 +59,23 @@
     return found == state->services.end() || !found->second.pool ? nullptr : &*found->second.pool;
 }
 
-void piece_scheduler::add(piece_ptr piece)
+void piece_scheduler::add(const job_ptr& job)
 {
-    piece->since = monotonicNow();
-    m_pools[piece->service].queue.push_back(std::move(piece));
+    const time_point now = monotonicNow();
+    const uint64_t group = hashOf(job->requestId, job->stage);
+    auto& queue = m_pools[job->service].queue;
+    for (uint32_t piece = 0; piece < job->count; ++piece) {
+        if (!job->ended[piece])
+            queue.push_back(std::make_shared<queued_piece>(queued_piece { job, piece, group, now, 0 }));
+    }
     planSoon();
 }
 
-void piece_scheduler::drop(piece_job& piece)
+void piece_scheduler::drop(stage_job& job)
 {
-    piece.isDropped = true;
-    piece.onEnd = nullptr;
-    if (const auto found = m_pools.find(piece.service); found != m_pools.end())
-        found->second.queue.remove_if([&piece](const auto& item) { return item.get() == &piece; });
+    job.isDropped = true;
+    if (const auto found = m_pools.find(job.service); found != m_pools.end())
+        found->second.queue.remove_if([&job](const auto& item) { return item->job.get() == &job; });
 }
 
 void piece_scheduler::planSoon()
@@ -95,15 +103,14 @@
     for (auto& [service, pool] : m_pools) {
         std::vector<piece_ptr> over;
         std::erase_if(pool.queue, [&](const auto& piece) {
-            if (now + leastUsefulTime < piece->deadline)
+            if (now + leastUsefulTime < piece->job->deadline)
                 return false;
             over.push_back(piece);
             return true;
         });
         for (const auto& piece : over) {
             m_context.counters.count("pieces_late_total", { { "service", service } });
-            if (piece->onEnd)
-                piece->onEnd({ "", platform::piece_failure::Late });
+            piece->job->end(piece->piece, { "", platform::piece_failure::Late });
         }
         plan(service, pool, now);
     }
@@ -117,16 +124,19 @@
     const std::vector<piece_ptr> queue(pool.queue.begin(), pool.queue.end());
     std::vector<policy::waiting_piece> pieces;
     pieces.reserve(queue.size());
-    for (const auto& piece : queue)
-        pieces.push_back({ piece->latestStart, piece->deadline, piece->since, piece->resultBytes, piece->boundTo });
+    for (const auto& piece : queue) {
+        const stage_job& job = *piece->job;
+        pieces.push_back({ piece->group, job.latestStart, piece->since, job.resultBytes, job.rank, job.boundTo, job.preferred });
+    }
     const std::vector<target_ptr> listed = m_context.targets.ofService(service);
     std::vector<policy::pool_target> targets;
     targets.reserve(listed.size());
     for (const auto& target : listed) {
-        const bool isOwn = target->listed.failureDomain == m_context.settings.failureDomain;
         const bool isIdle = target->mayGetWork(now) && target->inFlight < static_cast<uint32_t>(profile->slots);
         const double total = profile->resultBytes > 0 ? profile->resultBytes : 1e18;
-        targets.push_back({ target->listed.failureDomain, isOwn && target->mayGetWork(now), isIdle, total - target->heldBytes, policy::penaltyOf(target->health) });
+        // A target that gets no work is not one to wait for.
+        const double penalty = target->mayGetWork(now) ? policy::penaltyOf(target->health) : unusablePenalty;
+        targets.push_back({ target->listed.failureDomain, isIdle, total - target->heldBytes, penalty });
     }
     const policy::batching_rules rules { static_cast<size_t>(profile->batch) };
     for (const auto& batch : policy::planBatches(pieces, targets, rules, now)) {
@@ -145,9 +155,10 @@
     for (const auto& piece : pieces) {
         pool.queue.remove(piece);
         ++piece->attempts;
-        call->resultBytes += piece->resultBytes;
-        const auto left = std::chrono::duration_cast<milliseconds>(piece->deadline - now);
-        items.push_back({ piece->requestId, piece->stage, piece->piece, left, piece->key, *piece->inputs });
+        const stage_job& job = *piece->job;
+        call->resultBytes += job.resultBytes;
+        const auto left = std::chrono::duration_cast<milliseconds>(job.deadline - now);
+        items.push_back({ job.requestId, job.stage, piece->piece, left, job.key, job.inputs });
     }
     call->target = target;
     call->sentAt = now;
@@ -195,13 +206,11 @@
     const auto failure = isFull ? policy::call_failure::Full : end == http1::call_end::NotSent ? policy::call_failure::Unreachable
                                                                                               : policy::call_failure::Failed;
     policy::recordFailure(target.health, failure, now);
-    logLine(log_level::Warning, part, "A call for pieces failed.", { { "target", target.listed.id }, { "service", service }, { "end", std::string(nameOf(end)) }, { "status", std::to_string(call->status) }, { "pieces", std::to_string(call->pieces.size()) }, { "firstRequest", call->pieces.front()->requestId } });
+    logLine(log_level::Warning, part, "A call for pieces failed.", { { "target", target.listed.id }, { "service", service }, { "end", std::string(nameOf(end)) }, { "status", std::to_string(call->status) }, { "pieces", std::to_string(call->pieces.size()) }, { "firstRequest", call->pieces.front()->job->requestId } });
     const bool wasSent = end != http1::call_end::NotSent;
     if (wasSent && !trySpendRepeat(m_context, service, now)) {
-        for (const auto& piece : call->pieces) {
-            if (piece->onEnd)
-                piece->onEnd({ "", platform::piece_failure::Failed });
-        }
+        for (const auto& piece : call->pieces)
+            piece->job->end(piece->piece, { "", platform::piece_failure::Failed });
         return;
     }
     for (const auto& piece : call->pieces)
@@ -213,22 +222,20 @@
     const auto pieces = call->pieces;
     std::vector<std::string> unused;
     for (size_t i = 0; i < pieces.size(); ++i) {
-        const auto& piece = pieces[i];
+        const piece_ptr& piece = pieces[i];
+        stage_job& job = *piece->job;
         const auto& answer = answers[i];
         if (answer.handle.empty())
-            call->target->heldBytes -= piece->resultBytes;
+            call->target->heldBytes -= job.resultBytes;
         else
-            m_results[answer.handle] = { call->target, piece->resultBytes, monotonicNow() + resultLifeOf(piece->service) };
-        if (piece->isDropped) {
-            if (!answer.handle.empty())
-                unused.push_back(answer.handle);
-            continue;
-        }
+            m_results[answer.handle] = { call->target, job.resultBytes, monotonicNow() + resultLifeOf(job.service) };
         const bool mayRetry = answer.failure == platform::piece_failure::NoMemory || answer.failure == platform::piece_failure::Failed;
-        if (mayRetry && trySpendRepeat(m_context, piece->service, monotonicNow()))
-            retry(piece->service, piece, answer.failure, true);
-        else if (piece->onEnd)
-            piece->onEnd({ answer.handle, answer.failure });
+        if (answer.failure == platform::piece_failure::NoMemory)
+            policy::recordFailure(call->target->health, policy::call_failure::Full, monotonicNow());
+        if (mayRetry && !job.isDropped && trySpendRepeat(m_context, job.service, monotonicNow()))
+            retry(job.service, piece, answer.failure, true);
+        else if (!job.end(piece->piece, { answer.handle, answer.failure }) && !answer.handle.empty())
+            unused.push_back(answer.handle);
     }
     if (!unused.empty())
         free(unused);
@@ -236,12 +243,11 @@
 
 void piece_scheduler::retry(const std::string& service, const piece_ptr& piece, platform::piece_failure why, bool wasSent)
 {
-    if (piece->isDropped)
+    if (piece->job->isDropped)
         return;
     m_context.counters.count("piece_retries_total", { { "service", service }, { "reason", wasSent ? std::string(platform::nameOf(why)) : "not_sent" } });
     if (piece->attempts >= maxSends) {
-        if (piece->onEnd)
-            piece->onEnd({ "", why });
+        piece->job->end(piece->piece, { "", why });
         return;
     }
     m_pools[service].queue.push_back(piece);
--- a/src/gateway/piece_scheduler.hpp
+++ b/src/gateway/piece_scheduler.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "gateway/context.hpp"
-#include "platform/stages.hpp"
+#include "gateway/stage_job.hpp"
 #include "policy/batching.hpp"
 
 #include <functional>
@@ -13,46 +13,16 @@
 
 namespace bilberryseam::gateway {
 
-/// How a piece ended.
-struct piece_outcome {
-    /// Where its result is kept; empty if it has none.
-    std::string handle;
-    platform::piece_failure failure = platform::piece_failure::None;
-};
-
-/// One piece to be made.
-struct piece_job {
-    std::string requestId;
-    std::string service;
-    size_t stage = 0;
-    uint32_t piece = 0;
-    std::string key;
-    std::shared_ptr<const std::vector<std::string>> inputs;
-    double resultBytes = 0;
-    time_point latestStart {};
-    time_point deadline {};
-    /// Failure domain that needs the result; empty for any.
-    std::string boundTo;
-    std::function<void(piece_outcome)> onEnd;
-
-    time_point since {};
-    unsigned attempts = 0;
-    /// The caller has no use for it any more.
-    bool isDropped = false;
-};
-
-using piece_ptr = std::shared_ptr<piece_job>;
-
 /// The queues of all pools.
 class piece_scheduler {
 public:
     explicit piece_scheduler(context& context);
 
-    /// Queues a piece; `onEnd` is called once unless the piece is dropped first, never from inside this call.
-    void add(piece_ptr piece);
+    /// Queues the pieces of a job that have not ended.
+    void add(const job_ptr& job);
 
-    /// Takes a piece out of its queue. If it is being made, its result is given up when it comes.
-    void drop(piece_job& piece);
+    /// Takes a job out of its queue. Results that are being made are given up when they come.
+    void drop(stage_job& job);
 
     /// Gives up results at their targets.
     void free(const std::vector<std::string>& handles);
@@ -65,6 +35,16 @@
 
 private:
     struct call_state;
+    /// One piece that waits or is being made.
+    struct queued_piece {
+        job_ptr job;
+        uint32_t piece = 0;
+        uint64_t group = 0;
+        time_point since {};
+        unsigned attempts = 0;
+    };
+    using piece_ptr = std::shared_ptr<queued_piece>;
+
     /// A result that takes memory at its maker.
     struct held_result {
         target_ptr maker;
--- /dev/null
+++ b/src/gateway/pool_router.hpp
@@ -0,0 +1,75 @@
+/// Brings the pieces of a stage to the entry that owns its pool, or works on them here.
+#pragma once
+
+#include "gateway/entry_directory.hpp"
+#include "gateway/piece_scheduler.hpp"
+#include "wire/server.hpp"
+#include "wire/session.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace bilberryseam::gateway {
+
+/// Nothing depends on ownership for truth: a piece may be made twice, and whoever cannot reach
+/// the owner does the work itself.
+class pool_router {
+public:
+    /// @throws error (`Unavailable`) if the address for peers cannot be taken.
+    pool_router(context& context, piece_scheduler& local, entry_directory& directory);
+    ~pool_router();
+
+    /// Has the pieces of a job made.
+    void run(const job_ptr& job);
+    /// Nobody needs the job's results any more.
+    void drop(const job_ptr& job);
+    /// Gives up results that the service's pool made.
+    void free(std::string_view service, const std::vector<std::string>& handles);
+
+    /// Tells the other entries what is held against a fingerprint.
+    void tellSuspicion(uint64_t fingerprint, const policy::suspicion& held, time_point now);
+
+    void tick(time_point now);
+    /// The directory or the configuration has changed.
+    void membersChanged();
+    /// From now on this entry serves no pool for others.
+    void setStopping() noexcept { m_isStopping = true; }
+
+private:
+    struct peer;
+    /// A job that another entry works on.
+    struct remote_job {
+        job_ptr job;
+        std::string owner;
+    };
+    /// A job of another entry.
+    struct hosted_job {
+        job_ptr job;
+        uint32_t left = 0;
+    };
+
+    [[nodiscard]] std::vector<std::string> ownersOf(std::string_view service) const;
+    [[nodiscard]] peer* usableOwner(std::string_view service);
+    void ask(peer& owner, const job_ptr& job);
+    void peerLost(const std::string& name, std::string_view why);
+    void heard(const std::string& name, wire::message& item);
+    void hear(identifier session, wire::message& item);
+    void host(identifier session, wire::pieces_asked& asked);
+    void sessionExpired(identifier session);
+    void hearSuspicion(const wire::crash_suspicion& told, identifier from);
+
+    context& m_context;
+    piece_scheduler& m_local;
+    entry_directory& m_directory;
+    std::map<std::string, std::unique_ptr<peer>, std::less<>> m_peers;
+    std::unordered_map<uint64_t, remote_job> m_remote;
+    std::unordered_map<const stage_job*, uint64_t> m_numbers;
+    uint64_t m_nextNumber = 1;
+    std::map<std::pair<identifier, uint64_t>, hosted_job> m_hosted;
+    identifier_generator m_identifiers;
+    wire::session_server m_server;
+    bool m_isStopping = false;
+};
+}
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -27,6 +27,9 @@
     /// Results from this size on are made where they are needed.
     constexpr uint64_t bulkyResultBytes = 500 * 1000;
 
+    /// Inputs of a stage up to this size, fetched by all its pieces, may come from anywhere.
+    constexpr double movableInputBytes = 500 * 1000;
+
     /// Time from the arrival at a target to the first event, without reading the prompt.
     constexpr milliseconds firstEventTime { 150 };
 
@@ -61,9 +64,9 @@
     }
 }
 
-request_run::request_run(context& context, piece_scheduler& pieces, accepted_request request, std::function<void(request_run*)> onOver)
+request_run::request_run(context& context, pool_router& pools, accepted_request request, std::function<void(request_run*)> onOver)
     : m_context(context)
-    , m_pieces(pieces)
+    , m_pools(pools)
     , m_request(std::move(request))
     , m_onOver(std::move(onOver))
     , m_arrivedAt(m_request.exchange->arrivedAt())
@@ -153,31 +156,49 @@
     progress.handles.resize(count);
     if (count == 0)
         return;
-    auto inputs = std::make_shared<std::vector<std::string>>();
-    for (const size_t before : stage.after)
-        inputs->insert(inputs->end(), m_stages[before].handles.begin(), m_stages[before].handles.end());
-    const time_point latestStart = m_arrivedAt + m_request.route->objective - remainingTime(index);
+    const auto job = std::make_shared<stage_job>();
+    double inputBytes = 0;
+    for (const size_t before : stage.after) {
+        const auto& handles = m_stages[before].handles;
+        job->inputs.insert(job->inputs.end(), handles.begin(), handles.end());
+        inputBytes += static_cast<double>(m_request.route->stages[before].resultBytes * handles.size());
+    }
+    job->requestId = m_request.asked.id;
+    job->service = stage.service;
+    job->stage = static_cast<uint32_t>(index);
+    job->count = count;
+    job->ended.resize(count);
+    job->key = m_request.asked.pieceKey;
+    job->resultBytes = static_cast<double>(stage.resultBytes);
+    job->latestStart = m_arrivedAt + m_request.route->objective - remainingTime(index);
+    job->deadline = m_deadline;
+    job->rank = static_cast<uint32_t>(std::clamp(m_request.route->priority, 0, 9));
+    if (stage.resultBytes >= bulkyResultBytes)
+        job->boundTo = m_domain;
+    // Each piece fetches all inputs.
+    job->preferred = domainOfInputs(job->inputs, inputBytes * count);
     const std::weak_ptr<request_run> weak = weak_from_this();
-    for (uint32_t piece = 0; piece < count; ++piece) {
-        const auto job = std::make_shared<piece_job>();
-        job->requestId = m_request.asked.id;
-        job->service = stage.service;
-        job->stage = index;
-        job->piece = piece;
-        job->key = m_request.asked.pieceKey;
-        job->inputs = inputs;
-        job->resultBytes = static_cast<double>(stage.resultBytes);
-        job->latestStart = latestStart;
-        job->deadline = m_deadline;
-        if (stage.resultBytes >= bulkyResultBytes)
-            job->boundTo = m_domain;
-        job->onEnd = [weak, index, piece](piece_outcome outcome) {
-            if (const auto self = weak.lock())
-                self->pieceEnded(index, piece, outcome);
-        };
-        progress.jobs.push_back(job);
-        m_pieces.add(job);
+    job->onEnd = [weak, index](uint32_t piece, const piece_outcome& outcome) {
+        if (const auto self = weak.lock())
+            self->pieceEnded(index, piece, outcome);
+    };
+    progress.job = job;
+    m_pools.run(job);
+}
+
+std::string request_run::domainOfInputs(const std::vector<std::string>& inputs, double inputBytes) const
+{
+    if (inputs.empty() || inputBytes < movableInputBytes)
+        return {};
+    std::map<std::string, size_t> counts;
+    for (const auto& handle : inputs) {
+        const auto maker = ip_endpoint::parse(handle.substr(0, handle.find('/')));
+        const target_ptr target = maker ? m_context.targets.atEndpoint(maker.value()) : nullptr;
+        if (target)
+            ++counts[target->listed.failureDomain];
     }
+    const auto most = std::max_element(counts.begin(), counts.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+    return most == counts.end() ? std::string() : most->first;
 }
 
 milliseconds request_run::remainingTime(size_t fromStage) const
@@ -234,14 +255,14 @@
             handles.push_back(std::exchange(handle, {}));
     }
     if (!handles.empty())
-        m_pieces.free(handles);
+        m_pools.free(m_request.route->stages[index].service, handles);
 }
 
 void request_run::freeAll()
 {
     for (size_t i = 0; i < m_stages.size(); ++i) {
-        for (const auto& job : m_stages[i].jobs)
-            m_pieces.drop(*job);
+        if (m_stages[i].job && !m_stages[i].isDone())
+            m_pools.drop(m_stages[i].job);
         freeStage(i);
     }
 }
@@ -443,8 +464,8 @@
     if (end != http1::call_end::Complete || !isOwnAnswer) {
         const bool isCrash = end == http1::call_end::NoAnswer || end == http1::call_end::Cut;
         policy::recordFailure(target->health, policy::call_failure::Failed, now);
-        if (isCrash && policy::strike(m_context.suspicions, m_request.fingerprint, false, now).strikes >= strikesToRefuse)
-            policy::strike(m_context.suspicions, m_request.fingerprint, true, now);
+        if (isCrash)
+            strike(now);
         answerFailed(end != http1::call_end::Complete ? nameOf(end) : "not_own_answer", true);
         return;
     }
@@ -468,6 +489,14 @@
     completeAnswer();
 }
 
+void request_run::strike(time_point now)
+{
+    policy::suspicion held = policy::strike(m_context.suspicions, m_request.fingerprint, false, now);
+    if (held.strikes >= strikesToRefuse)
+        held = policy::strike(m_context.suspicions, m_request.fingerprint, true, now);
+    m_pools.tellSuspicion(m_request.fingerprint, held, now);
+}
+
 void request_run::completeAnswer()
 {
     const bool isPromise = m_answer.status == statusUnavailable || m_answer.status == 429 || m_answer.status == 408;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -4,7 +4,7 @@
 #include "deployment/caller_request.hpp"
 #include "gateway/context.hpp"
 #include "gateway/event_stream.hpp"
-#include "gateway/piece_scheduler.hpp"
+#include "gateway/pool_router.hpp"
 #include "http1/server.hpp"
 #include "platform/ingress.hpp"
 
@@ -28,7 +28,7 @@
 /// Runs the stages of a request, sends it to a target, and relays the answer.
 class request_run : public std::enable_shared_from_this<request_run> {
 public:
-    request_run(context& context, piece_scheduler& pieces, accepted_request request, std::function<void(request_run*)> onOver);
+    request_run(context& context, pool_router& pools, accepted_request request, std::function<void(request_run*)> onOver);
     request_run(const request_run&) = delete;
     request_run& operator=(const request_run&) = delete;
     ~request_run();
@@ -44,7 +44,7 @@
 private:
     struct stage_progress {
         std::vector<std::string> handles;
-        std::vector<piece_ptr> jobs;
+        job_ptr job;
         size_t missing = 0;
         bool isStarted = false;
         [[nodiscard]] bool isDone() const noexcept { return isStarted && missing == 0; }
@@ -59,6 +59,7 @@
     void freeAll();
     [[nodiscard]] milliseconds remainingTime(size_t fromStage) const;
     [[nodiscard]] std::string domainOfResults() const;
+    [[nodiscard]] std::string domainOfInputs(const std::vector<std::string>& inputs, double inputBytes) const;
 
     // Attempts.
     [[nodiscard]] target_ptr chooseTarget(time_point now, std::string_view domain) const;
@@ -68,6 +69,7 @@
     void bytesCame(std::string_view bytes);
     void attemptEnded(http1::call_end end);
     void answerFailed(std::string_view why, bool mayHaveRun);
+    void strike(time_point now);
     void completeAnswer();
     void leaveTarget();
     void relay(std::string_view bytes);
@@ -82,7 +84,7 @@
     void over(std::string_view outcome, std::string_view reason, unsigned status);
 
     context& m_context;
-    piece_scheduler& m_pieces;
+    pool_router& m_pools;
     accepted_request m_request;
     std::function<void(request_run*)> m_onOver;
     time_point m_arrivedAt;
--- /dev/null
+++ b/src/gateway/stage_job.hpp
@@ -0,0 +1,58 @@
+/// The pieces of one stage of a request.
+#pragma once
+
+#include "base/time.hpp"
+#include "platform/stages.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bilberryseam::gateway {
+
+/// How a piece ended.
+struct piece_outcome {
+    /// Where its result is kept; empty if it has none.
+    std::string handle;
+    platform::piece_failure failure = platform::piece_failure::None;
+};
+
+/// All pieces of one stage, to be made by a pool.
+struct stage_job {
+    std::string requestId;
+    std::string service;
+    uint32_t stage = 0;
+    uint32_t count = 0;
+    std::string key;
+    std::vector<std::string> inputs;
+    double resultBytes = 0;
+    time_point latestStart {};
+    time_point deadline {};
+    uint32_t rank = 0;
+    /// Failure domains in which the results must, or should, be made; may be empty.
+    std::string boundTo;
+    std::string preferred;
+    /// Called once for each piece, never from inside the call that adds the job, and not after the job was dropped.
+    std::function<void(uint32_t piece, const piece_outcome&)> onEnd;
+
+    /// Nobody needs the results any more.
+    bool isDropped = false;
+    /// Pieces that have ended, so that none is reported twice.
+    std::vector<bool> ended;
+
+    /// Reports the end of a piece unless it was reported before.
+    /// @return False if nobody wants it.
+    bool end(uint32_t piece, const piece_outcome& outcome)
+    {
+        if (isDropped || piece >= count || ended[piece])
+            return false;
+        ended[piece] = true;
+        if (const auto call = onEnd)
+            call(piece, outcome);
+        return true;
+    }
+};
+
+using job_ptr = std::shared_ptr<stage_job>;
+}
--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -9,6 +9,7 @@
 using nlohmann::json;
 
 namespace {
+    constexpr milliseconds putTimeout { 2000 };
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusGone = 410;
 
@@ -31,6 +32,16 @@
 
 namespace detail {
 
+    std::string encodeRecord(std::string_view key, std::string_view value)
+    {
+        const size_t length = 1 + key.size() + value.size();
+        std::string bytes;
+        for (size_t i = 0; i < lengthBytes; ++i)
+            bytes.push_back(static_cast<char>(length >> (8 * (lengthBytes - 1 - i)) & 0xff));
+        bytes.push_back(static_cast<char>(key.size()));
+        return bytes.append(key).append(value);
+    }
+
     std::optional<std::vector<keyed_record>> decodeRead(std::string_view body)
     {
         if (body.size() < readHeadBytes)
@@ -71,6 +82,16 @@
     }
 }
 
+std::shared_ptr<http1::client_call> putKey(http1::client& client, const ip_endpoint& store, std::string_view topic, std::string_view key, std::string_view value, std::function<void(bool)> onEnd)
+{
+    const auto status = std::make_shared<unsigned>(0);
+    http1::client_call::callbacks calls;
+    calls.onHead = [status](const http1::answer_head& head) { *status = head.status; };
+    calls.onEnd = [status, onEnd = std::move(onEnd)](http1::call_end end) { onEnd(end == http1::call_end::Complete && *status == statusOk); };
+    http1::outgoing_request request { "POST", "/v1/log-append?topic=" + std::string(topic) + "&part=0", { { "Host", store.toString() } }, detail::encodeRecord(key, value) };
+    return client.send(store, request, { false, putTimeout, putTimeout }, std::move(calls));
+}
+
 topic_follower::topic_follower(http1::client& client, ip_endpoint store, std::string topic, follow_options options, follow_callbacks calls)
     : m_client(client)
     , m_store(std::move(store))
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -71,7 +71,14 @@
     timer m_timer;
 };
 
+/// Sets one key of a keyed topic. Dropping the handle forgets the answer.
+/// @param value   The new value; empty drops the key.
+/// @param onEnd   Told whether the store has acknowledged it.
+[[nodiscard]] std::shared_ptr<http1::client_call> putKey(http1::client& client, const ip_endpoint& store, std::string_view topic, std::string_view key, std::string_view value, std::function<void(bool isAcknowledged)> onEnd);
+
 namespace detail {
+    /// @return A record of a keyed topic, as an append sends it.
+    [[nodiscard]] std::string encodeRecord(std::string_view key, std::string_view value);
     /// @return The records of a read's answer, or nothing if it is malformed.
     [[nodiscard]] std::optional<std::vector<keyed_record>> decodeRead(std::string_view body);
     /// @return The bytes of a base64 text, or nothing if it is malformed.
--- a/src/policy/batching.cpp
+++ b/src/policy/batching.cpp
@@ -6,62 +6,96 @@
 namespace bilberryseam::policy {
 
 namespace {
-    /// A target with a higher penalty works only on what no better one is there for.
+    /// A target with a higher penalty works only on what has waited for a better one.
     constexpr double soundPenalty = 3;
 
-    /// Pieces in time order of their latest start; those that are too late come last.
-    std::vector<size_t> orderPieces(std::span<const waiting_piece> pieces, time_point now)
+    bool isSound(const pool_target& target) noexcept { return target.penalty < soundPenalty; }
+
+    /// Pieces in the order in which they should start: those that can still be in time come first.
+    std::vector<size_t> orderPieces(std::span<const waiting_piece> pieces, const batching_rules& rules, time_point now)
     {
         std::vector<size_t> order(pieces.size());
         std::iota(order.begin(), order.end(), size_t { 0 });
         const auto isLate = [&](size_t i) { return pieces[i].latestStart < now; };
+        const auto due = [&](size_t i) { return pieces[i].latestStart + rules.rankLead * pieces[i].rank; };
         std::stable_sort(order.begin(), order.end(), [&](size_t left, size_t right) {
             if (isLate(left) != isLate(right))
                 return isLate(right);
-            return pieces[left].latestStart < pieces[right].latestStart;
+            if (due(left) != due(right))
+                return due(left) < due(right);
+            return pieces[left].group < pieces[right].group;
         });
         return order;
     }
 
-    std::vector<size_t> orderTargets(std::span<const pool_target> targets)
+    std::vector<size_t> idleTargets(std::span<const pool_target> targets)
     {
-        std::vector<size_t> order(targets.size());
-        std::iota(order.begin(), order.end(), size_t { 0 });
-        std::stable_sort(order.begin(), order.end(), [&](size_t left, size_t right) {
-            const bool isLeftSound = targets[left].penalty < soundPenalty;
-            const bool isRightSound = targets[right].penalty < soundPenalty;
-            if (isLeftSound != isRightSound)
-                return isLeftSound;
-            if (targets[left].isOwn != targets[right].isOwn)
-                return targets[left].isOwn;
-            return targets[left].penalty < targets[right].penalty;
-        });
+        std::vector<size_t> order;
+        for (size_t i = 0; i < targets.size(); ++i) {
+            if (targets[i].isIdle)
+                order.push_back(i);
+        }
+        std::stable_sort(order.begin(), order.end(), [&](size_t left, size_t right) { return targets[left].penalty < targets[right].penalty; });
         return order;
     }
 
-    bool hasSoundTarget(std::span<const pool_target> targets, std::string_view domain)
-    {
-        return std::any_of(targets.begin(), targets.end(), [domain](const auto& item) { return item.failureDomain == domain && item.penalty < soundPenalty; });
-    }
-
     struct planner {
         std::span<const waiting_piece> pieces;
         std::span<const pool_target> targets;
         const batching_rules& rules;
         time_point now;
-        bool hasOwn = false;
         bool hasSound = false;
 
+        bool hasSoundIn(std::string_view domain) const
+        {
+            return std::any_of(targets.begin(), targets.end(), [domain](const auto& item) { return item.failureDomain == domain && isSound(item); });
+        }
+
         bool mayGo(const waiting_piece& piece, const pool_target& target) const
         {
             const auto waited = now - piece.since;
-            if (target.penalty >= soundPenalty && hasSound && waited < rules.patience * 4)
+            if (!isSound(target) && hasSound && waited < rules.bulkyPatience)
                 return false;
-            if (!piece.boundTo.empty()) {
-                const bool isThere = target.failureDomain == piece.boundTo;
-                return isThere || !hasSoundTarget(targets, piece.boundTo) || waited > rules.patience * 8;
+            if (!piece.boundTo.empty())
+                return target.failureDomain == piece.boundTo || waited >= rules.bulkyPatience || !hasSoundIn(piece.boundTo);
+            return piece.preferred.empty() || target.failureDomain == piece.preferred || waited >= rules.patience || !hasSoundIn(piece.preferred);
+        }
+
+        /// @return The idle target for the piece that heads a call: where it belongs if that is idle, else the best.
+        std::optional<size_t> targetFor(const waiting_piece& piece, std::span<const size_t> idle) const
+        {
+            std::optional<size_t> best;
+            for (const size_t index : idle) {
+                const pool_target& target = targets[index];
+                if (piece.resultBytes > target.freeBytes || !mayGo(piece, target))
+                    continue;
+                const bool isWanted = target.failureDomain == (piece.boundTo.empty() ? piece.preferred : piece.boundTo);
+                if (isWanted && isSound(target))
+                    return index;
+                if (!best)
+                    best = index;
             }
-            return target.isOwn || !hasOwn || waited >= rules.patience;
+            return best;
+        }
+
+        /// Takes pieces in order until the call is as large as it should be; a group that was begun is finished if it fits.
+        std::vector<size_t> fill(const pool_target& target, const std::vector<size_t>& order, size_t fairShare) const
+        {
+            std::vector<size_t> chosen;
+            double freeBytes = target.freeBytes;
+            for (const size_t index : order) {
+                if (chosen.size() >= rules.batch)
+                    break;
+                const waiting_piece& piece = pieces[index];
+                const bool isBegun = !chosen.empty() && pieces[chosen.back()].group == piece.group;
+                if (chosen.size() >= fairShare && !isBegun)
+                    break;
+                if (piece.resultBytes > freeBytes || !mayGo(piece, target))
+                    continue;
+                freeBytes -= piece.resultBytes;
+                chosen.push_back(index);
+            }
+            return chosen;
         }
     };
 }
@@ -69,27 +103,21 @@
 std::vector<piece_batch> planBatches(std::span<const waiting_piece> pieces, std::span<const pool_target> targets, const batching_rules& rules, time_point now)
 {
     planner plan { pieces, targets, rules, now };
-    plan.hasOwn = std::any_of(targets.begin(), targets.end(), [](const auto& item) { return item.isOwn && item.penalty < soundPenalty; });
-    plan.hasSound = std::any_of(targets.begin(), targets.end(), [](const auto& item) { return item.penalty < soundPenalty; });
-    std::vector<size_t> order = orderPieces(pieces, now);
+    plan.hasSound = std::any_of(targets.begin(), targets.end(), isSound);
+    std::vector<size_t> order = orderPieces(pieces, rules, now);
+    std::vector<size_t> idle = idleTargets(targets);
     std::vector<piece_batch> batches;
-    for (const size_t index : orderTargets(targets)) {
-        const pool_target& target = targets[index];
-        if (!target.isIdle)
+    for (size_t head = 0; head < order.size() && !idle.empty();) {
+        const auto target = plan.targetFor(pieces[order[head]], idle);
+        if (!target) {
+            ++head;
             continue;
-        piece_batch batch { index, {} };
-        double freeBytes = target.freeBytes;
-        for (const size_t piece : order) {
-            if (batch.pieces.size() >= rules.batch)
-                break;
-            const bool fits = pieces[piece].resultBytes <= freeBytes;
-            if (!fits || !plan.mayGo(pieces[piece], target))
-                continue;
-            freeBytes -= pieces[piece].resultBytes;
-            batch.pieces.push_back(piece);
         }
-        if (batch.pieces.empty())
-            continue;
+        // Several idle targets share what waits, so that each call is short.
+        const size_t fairShare = (order.size() + idle.size() - 1) / idle.size();
+        const std::vector<size_t> rest(order.begin() + static_cast<std::ptrdiff_t>(head), order.end());
+        piece_batch batch { *target, plan.fill(targets[*target], rest, fairShare) };
+        std::erase(idle, *target);
         std::erase_if(order, [&](size_t piece) { return std::find(batch.pieces.begin(), batch.pieces.end(), piece) != batch.pieces.end(); });
         batches.push_back(std::move(batch));
     }
--- a/src/policy/batching.hpp
+++ b/src/policy/batching.hpp
@@ -8,6 +8,7 @@
 #include "base/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -16,21 +17,23 @@
 
 /// A piece that waits for a target.
 struct waiting_piece {
+    /// Names the stage of the request that it belongs to; such pieces are best kept together.
+    uint64_t group = 0;
     /// Latest start with which its request can still be answered within its objective.
     time_point latestStart {};
-    /// When the request is given up.
-    time_point deadline {};
     time_point since {};
     double resultBytes = 0;
-    /// Failure domain in which the result is needed; empty if it is small enough to move.
+    /// Rank of its request; 0 is the most urgent.
+    uint32_t rank = 0;
+    /// Failure domain in which the result is needed, if it is too large to move; may be empty.
     std::string_view boundTo;
+    /// Failure domain where most of its inputs are; may be empty.
+    std::string_view preferred;
 };
 
 /// A target of the pool.
 struct pool_target {
     std::string_view failureDomain;
-    /// In the failure domain of this process.
-    bool isOwn = false;
     /// It has no call, is listed and not blocked.
     bool isIdle = false;
     double freeBytes = 0;
@@ -46,8 +49,12 @@
 
 struct batching_rules {
     size_t batch = 1;
-    /// How long a piece waits for a target of its own failure domain before another may take it.
+    /// How long a piece waits for a target of the failure domain that it prefers.
     milliseconds patience { 60 };
+    /// How long a piece waits for a target of the failure domain that it is bound to.
+    milliseconds bulkyPatience { 400 };
+    /// How much earlier a piece goes for each step of rank.
+    milliseconds rankLead { 100 };
 };
 
 /// @return Calls to send now; no target and no piece is in two of them.
--- /dev/null
+++ b/src/policy/ownership.cpp
@@ -0,0 +1,35 @@
+#include "policy/ownership.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace bilberryseam::policy {
+
+namespace {
+    /// Weighted rendezvous hashing: a candidate's chance to come first is its share of the weights.
+    double scoreOf(const owner_candidate& candidate, uint64_t pool)
+    {
+        constexpr double steps = 18446744073709551616.0;
+        const uint64_t both[2] { candidate.hash, pool };
+        const uint64_t hash = hashOf({ reinterpret_cast<const char*>(both), sizeof both });
+        const double evenly = (static_cast<double>(hash) + 0.5) / steps;
+        return -candidate.weight / std::log(std::min(evenly, 1 - 1e-16));
+    }
+}
+
+std::vector<size_t> rankOwners(std::span<const owner_candidate> candidates, uint64_t pool)
+{
+    std::vector<double> scores;
+    for (const auto& candidate : candidates)
+        scores.push_back(scoreOf(candidate, pool));
+    std::vector<size_t> order(candidates.size());
+    std::iota(order.begin(), order.end(), size_t { 0 });
+    std::sort(order.begin(), order.end(), [&](size_t left, size_t right) {
+        return scores[left] != scores[right] ? scores[left] > scores[right] : candidates[left].hash < candidates[right].hash;
+    });
+    return order;
+}
+}
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -10,14 +10,16 @@
     constexpr std::string_view gatewaySchema = R"json({
       "type": "object",
       "additionalProperties": false,
-      "required": ["name", "region", "failureDomain", "listen", "operatorListen", "store"],
+      "required": ["name", "region", "failureDomain", "listen", "operatorListen", "peerListen", "store"],
       "properties": {
         "name": { "type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$" },
         "region": { "type": "string", "minLength": 1 },
         "failureDomain": { "type": "string", "minLength": 1 },
         "listen": { "type": "string" },
         "operatorListen": { "type": "string" },
+        "peerListen": { "type": "string" },
         "store": { "type": "string" },
+        "processorShare": { "type": "number", "exclusiveMinimum": 0 },
         "regions": { "type": "object", "additionalProperties": { "type": "string" } },
         "bounds": {
           "type": "object",
@@ -72,7 +74,9 @@
         read.failureDomain = document.at("failureDomain");
         read.listen = readEndpoint(document, "listen", path);
         read.operatorListen = readEndpoint(document, "operatorListen", path);
+        read.peerListen = readEndpoint(document, "peerListen", path);
         read.store = readEndpoint(document, "store", path);
+        read.processorShare = document.value("processorShare", read.processorShare);
         const json regions = document.value("regions", json::object());
         for (const auto& [domain, region] : regions.items())
             read.regions.emplace(domain, region.get<std::string>());
@@ -100,7 +104,7 @@
 json gateway_settings::toJson() const
 {
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "operatorListen", operatorListen.toString() },
-        { "store", store.toString() }, { "regions", regions },
+        { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions },
         { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) } } },
         { "limits", { { "maxHeldBytes", limits.maxHeldBytes }, { "maxConnections", limits.maxConnections } } } };
 }
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -41,7 +41,11 @@
     ip_endpoint listen;
     /// Readiness and metrics.
     ip_endpoint operatorListen;
+    /// For the other entries.
+    ip_endpoint peerListen;
     ip_endpoint store;
+    /// Processor that the process may use, in cores; entries with more take more work on pools.
+    double processorShare = 1;
     /// Region of each failure domain.
     std::map<std::string, std::string, std::less<>> regions;
     gateway_bounds bounds;
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -184,9 +184,75 @@
     void visitFields(Visitor& visit) { visit(fingerprint, strikes, isQuarantined, remainingMs); }
 };
 
+/// A text in a list.
+struct text_item {
+    std::string text;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(text); }
+};
+
+/// Entry to the owner of a pool: make all pieces of one stage of a request.
+struct pieces_asked {
+    /// Names this message in the answers.
+    uint64_t number = 0;
+    std::string request;
+    std::string service;
+    uint32_t stage = 0;
+    uint32_t count = 0;
+    std::string key;
+    std::vector<text_item> inputs;
+    uint64_t resultBytes = 0;
+    /// Time from now until the latest useful start; negative if it is past.
+    int64_t latestStartMs = 0;
+    uint32_t remainingMs = 0;
+    uint32_t rank = 0;
+    /// Failure domains in which the results must, or should, be made; may be empty.
+    std::string boundTo;
+    std::string preferred;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(number, request, service, stage, count, key, inputs, resultBytes, latestStartMs, remainingMs, rank, boundTo, preferred); }
+};
+
+/// Owner to entry: one piece has its result, or has none for good.
+struct piece_ended {
+    uint64_t number = 0;
+    uint32_t piece = 0;
+    std::string handle;
+    uint32_t failure = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(number, piece, handle, failure); }
+};
+
+/// Owner to entry: it does not serve the pool now; no piece was begun.
+struct pieces_refused {
+    uint64_t number = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(number); }
+};
+
+/// Entry to owner: the pieces are not needed any more.
+struct pieces_dropped {
+    uint64_t number = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(number); }
+};
+
+/// Entry to owner: give these results up.
+struct results_freed {
+    std::vector<text_item> handles;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(handles); }
+};
+
 /// Any message inside a frame. The index in this list is the type number on the wire.
 using message = std::variant<start_call, cancel_call, call_refused, call_started, call_output, call_finished, target_load,
-    configuration_offset, configuration_records, crash_suspicion>;
+    configuration_offset, configuration_records, crash_suspicion, pieces_asked, piece_ended, pieces_refused, pieces_dropped, results_freed>;
 
 /// A numbered batch of messages. Sequence zero marks a heartbeat, which carries no messages.
 struct frame {
