Prefixes are placed alike by all entries, across regions

Reading 13,300 tokens again costs about ten times the bytes to another region. Ruled out: cache capacity (145,000 of 570,000 tokens a replica).

--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -4,6 +4,7 @@
 #include "platform/ingress.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace bilberryseam::gateway {
 
@@ -26,6 +27,9 @@
     /// A call's results lie at its target for as long as the service keeps them, unless they are given up.
     constexpr milliseconds freeTimeout { 2000 };
 
+    /// Part of a target's memory that is planned with, since sizes of results are approximate.
+    constexpr double usableMemoryShare = 0.88;
+
     /// Penalty of a target that gets no work at all.
     constexpr double unusablePenalty = 1000;
 
@@ -133,7 +137,7 @@
     targets.reserve(listed.size());
     for (const auto& target : listed) {
         const bool isIdle = target->mayGetWork(now) && target->inFlight < static_cast<uint32_t>(profile->slots);
-        const double total = profile->resultBytes > 0 ? profile->resultBytes : 1e18;
+        const double total = profile->resultBytes > 0 ? profile->resultBytes * usableMemoryShare : std::numeric_limits<double>::max();
         // A target that gets no work is not one to wait for.
         const double penalty = target->mayGetWork(now) ? policy::penaltyOf(target->health) : unusablePenalty;
         targets.push_back({ target->listed.failureDomain, isIdle, total - target->heldBytes, penalty });
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -276,8 +276,12 @@
     std::vector<uint64_t> hashes;
     if (m_request.asked.asked) {
         hashes = prefixHashes(*m_request.asked.asked);
-        wanted.promptTokens = m_request.asked.asked->promptTokens;
-        wanted.prefixHash = hashes.empty() ? 0 : hashes.front();
+        // The last part belongs to the request itself.
+        if (!hashes.empty())
+            hashes.pop_back();
+        for (size_t i = 0; i < hashes.size(); ++i)
+            wanted.sharedTokens += m_request.asked.asked->parts[i].tokens;
+        wanted.prefixHash = hashes.empty() ? 0 : hashes.back();
     }
     std::vector<policy::placement_candidate> candidates;
     candidates.reserve(listed.size());
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -1,8 +1,8 @@
 /// Which target runs a request.
 ///
-/// Load pattern: requests that share the beginning of a prompt come again within seconds. A target that has
-/// read it before answers sooner and delays the others less, unless too many gather there. Targets of other
-/// failure domains and regions cost bytes and time.
+/// Load pattern: requests that share the beginning of a prompt come again within seconds, through any entry. If
+/// all entries send them to one target, wherever it is, the beginning is read once; bytes to another region
+/// cost less than reading it again. A target that has too much to read is left alone.
 #pragma once
 
 #include "base/time.hpp"
@@ -33,26 +33,34 @@
 
 /// What is known of the request.
 struct placement_request {
-    uint64_t promptTokens = 0;
-    /// Hash of the part of the prompt that is shared most widely; zero if there is none.
+    /// Tokens of the parts that other requests share.
+    uint64_t sharedTokens = 0;
+    /// Hash of those parts; zero if there are none.
     uint64_t prefixHash = 0;
 };
 
-/// Costs in milliseconds of expected delay.
+/// Costs in milliseconds of delay, or what is worth as much.
 struct placement_costs {
-    double otherDomain = 250;
-    double otherRegion = 350;
-    /// Reading a thousand tokens.
-    double thousandTokens = 20;
+    double otherDomain = 20;
+    double otherRegion = 150;
+    /// Waiting until a thousand tokens of others are read, of which this process knows its own.
+    double thousandWaitingTokens = 40;
+    /// Reading a thousand shared tokens once more.
+    double thousandSharedTokens = 100;
     /// A call beside others.
     double inFlight = 4;
-    /// Being not the target that all entries choose for a prefix.
-    double notPreferred = 60;
+    /// A call where all places are taken, by the calls of this process alone.
+    double inFlightWhenFull = 40;
+    /// A target that seems twice as bad as a sound one.
+    double penalty = 200;
 };
 
 /// @return The index of the best candidate, or nothing if none is usable.
 [[nodiscard]] std::optional<size_t> chooseTarget(std::span<const placement_candidate> candidates, const placement_request& request, const placement_costs& costs);
 
 /// @return The expected delay at a candidate, in milliseconds.
-[[nodiscard]] double costOf(const placement_candidate& candidate, const placement_request& request, const placement_costs& costs, bool isPreferred) noexcept;
+[[nodiscard]] double costOf(const placement_candidate& candidate, const placement_request& request, const placement_costs& costs) noexcept;
+
+/// @return The usable candidate that all processes prefer for the shared parts, by rendezvous hashing.
+[[nodiscard]] std::optional<size_t> preferredTarget(std::span<const placement_candidate> candidates, uint64_t prefixHash);
 }
