--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -27,8 +27,11 @@
     /// A call's results lie at its target for as long as the service keeps them, unless they are given up.
     constexpr milliseconds freeTimeout { 2000 };
 
+    /// How long before the end of a call the next one is sent, for its way there.
+    constexpr milliseconds callLead { 20 };
+
     /// Part of a target's memory that is planned with, since sizes of results are approximate.
-    constexpr double usableMemoryShare = 0.88;
+    constexpr double usableMemoryShare = 0.96;
 
     /// Penalty of a target that gets no work at all.
     constexpr double unusablePenalty = 1000;
@@ -40,7 +43,8 @@
 struct piece_scheduler::call_state {
     target_ptr target;
     std::vector<piece_ptr> pieces;
-    time_point sentAt {};
+    /// When its work should begin at the target.
+    time_point startsAt {};
     milliseconds expected { 0 };
     double resultBytes = 0;
     std::shared_ptr<http1::client_call> call;
@@ -136,7 +140,10 @@
     std::vector<policy::pool_target> targets;
     targets.reserve(listed.size());
     for (const auto& target : listed) {
-        const bool isIdle = target->mayGetWork(now) && target->inFlight < static_cast<uint32_t>(profile->slots);
+        const auto slots = static_cast<uint32_t>(profile->slots);
+        // The next call is on its way when the running one ends, so that the target does not wait for it.
+        const bool isNearlyIdle = profile->queue > 0 && queue.size() >= static_cast<size_t>(profile->batch) && target->inFlight == slots && now + callLead >= target->busyUntil && now < target->busyUntil + callLead;
+        const bool isIdle = target->mayGetWork(now) && (target->inFlight < slots || isNearlyIdle);
         const double total = profile->resultBytes > 0 ? profile->resultBytes * usableMemoryShare : std::numeric_limits<double>::max();
         // A target that gets no work is not one to wait for.
         const double penalty = target->mayGetWork(now) ? policy::penaltyOf(target->health) : unusablePenalty;
@@ -165,12 +172,12 @@
         items.push_back({ job.requestId, job.stage, piece->piece, left, job.key, job.inputs });
     }
     call->target = target;
-    call->sentAt = now;
     call->expected = profile->timeOf(pieces.size());
     call->pieces = std::move(pieces);
     ++target->inFlight;
     target->heldBytes += call->resultBytes;
-    target->busyUntil = now + call->expected;
+    call->startsAt = target->inFlight > 1 ? std::max(now, target->busyUntil) : now;
+    target->busyUntil = call->startsAt + call->expected;
     pool.calls.push_back(call);
 
     http1::outgoing_request request { "POST", std::string(platform::runPiecesPath), platform::ownCallHeaders(target->listed), platform::encodePieces(items) };
@@ -181,8 +188,9 @@
     };
     calls.onBody = [call](std::string_view bytes) { call->body.append(bytes); };
     calls.onEnd = [this, service, call](http1::call_end end) { ended(service, call, end); };
-    const milliseconds timeout = std::max(patienceFloor, call->expected * patienceFactor);
+    const milliseconds timeout = std::chrono::duration_cast<milliseconds>(call->startsAt - now) + std::max(patienceFloor, call->expected * patienceFactor);
     call->call = m_context.client.send(target->listed.endpoint, request, { false, milliseconds(1000), timeout }, std::move(calls));
+    logLine(log_level::Info, part, "A call was sent.", { { "service", service }, { "target", target->listed.id }, { "pieces", std::to_string(items.size()) }, { "waiting", std::to_string(pool.queue.size()) }, { "free_bytes", std::to_string(static_cast<int64_t>(profile->resultBytes - target->heldBytes)) }, { "first_request", call->pieces.front()->job->requestId } });
     m_context.counters.count("piece_calls_total", { { "service", service } });
     m_context.counters.count("pieces_total", { { "service", service } }, static_cast<double>(items.size()));
 }
@@ -192,13 +200,14 @@
     const time_point now = monotonicNow();
     target_state& target = *call->target;
     --target.inFlight;
-    target.busyUntil = now;
+    if (target.inFlight == 0)
+        target.busyUntil = now;
     m_pools[service].calls.remove(call);
     const bool isAnswered = end == http1::call_end::Complete && call->status == statusOk;
     const auto answers = isAnswered ? platform::decodePieces(call->body, call->pieces.size()) : result<std::vector<platform::piece_answer>>(error());
     planSoon();
     if (answers) {
-        const double slowness = asSeconds(now - call->sentAt) / asSeconds(call->expected + networkTime);
+        const double slowness = asSeconds(now - call->startsAt) / asSeconds(call->expected + networkTime);
         policy::recordSuccess(target.health, slowness, now);
         settle(call, answers.value());
         return;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -4,6 +4,7 @@
 #include "policy/placement.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace bilberryseam::gateway {
 
@@ -36,6 +37,9 @@
     /// Tokens that an engine reads in a millisecond, as a planning figure.
     constexpr double readTokensPerMillisecond = 50;
 
+    /// Part of the shared tokens that a target has to read in the mean.
+    constexpr double sharedReadShare = 0.25;
+
     /// A prompt part counts as known at a target for this long after it was last read there.
     constexpr seconds knownPartLife { 60 };
 
@@ -49,6 +53,9 @@
     /// Longest wait for a target that could take a request, as a share of the time until its deadline.
     constexpr milliseconds longestPlacing { 1500 };
 
+    /// Times that the stages of one request are run at most.
+    constexpr int maxStageRuns = 3;
+
     /// Crashes after which a request is refused.
     constexpr uint32_t strikesToRefuse = 2;
 
@@ -113,24 +120,70 @@
 void request_run::startStages()
 {
     const auto& stages = m_request.route->stages;
-    m_stages.resize(stages.size());
+    m_stages.assign(stages.size(), {});
+    m_areInputsFreed = false;
     const bool hasPieces = std::any_of(m_request.asked.piecesOfStages.begin(), m_request.asked.piecesOfStages.end(), [](uint32_t count) { return count > 0; });
     if (stages.empty() || !hasPieces) {
         dispatch();
         return;
     }
-    const bool isBulky = std::any_of(stages.begin(), stages.end(), [](const auto& item) { return item.resultBytes >= bulkyResultBytes; });
-    if (isBulky)
-        m_domain = domainOfResults();
+    m_domain = domainOfBulkyResults();
     startReadyStages();
 }
 
-std::string request_run::domainOfResults() const
+void request_run::restartStages(std::string_view why)
 {
-    const target_ptr target = chooseTarget(monotonicNow(), {});
+    const time_point now = monotonicNow();
+    const bool mayRepeat = m_stageRuns < maxStageRuns && trySpendRepeat(m_context, m_request.route->stages.front().service, now);
+    if (!mayRepeat) {
+        endUnanswered(why, retryAfterBadLuck);
+        return;
+    }
+    ++m_stageRuns;
+    m_context.counters.count("stage_restarts_total", { { "reason", std::string(why) } });
+    logLine(log_level::Info, part, "The stages are run again.", { { "request", m_request.asked.id }, { "reason", std::string(why) } });
+    freeAll();
+    startStages();
+}
+
+std::string request_run::domainOfBulkyResults() const
+{
+    const auto& stages = m_request.route->stages;
+    const auto& counts = m_request.asked.piecesOfStages;
+    double bulkyBytes = 0;
+    for (size_t i = 0; i < stages.size() && i < counts.size(); ++i) {
+        if (stages[i].resultBytes >= bulkyResultBytes)
+            bulkyBytes += static_cast<double>(stages[i].resultBytes) * counts[i];
+    }
+    if (bulkyBytes == 0 || !m_request.asked.asked)
+        return {};
+    uint64_t sharedTokens = 0;
+    const auto& parts = m_request.asked.asked->parts;
+    for (size_t i = 0; i + 1 < parts.size(); ++i)
+        sharedTokens += parts[i].tokens;
+    const policy::placement_costs costs;
+    // The target for the prompt is chosen first only if the prompt weighs more than the results.
+    const bool isPromptHeavier = static_cast<double>(sharedTokens) * costs.thousandSharedTokens / 1000 > bulkyBytes * costs.inputMegabyte / 1e6;
+    const target_ptr target = isPromptHeavier ? chooseTarget(monotonicNow()) : nullptr;
     return target ? target->listed.failureDomain : std::string();
 }
 
+std::map<std::string, double, std::less<>> request_run::resultBytesByDomain() const
+{
+    std::map<std::string, double, std::less<>> bytes;
+    if (m_stages.empty())
+        return bytes;
+    for (const size_t index : deployment::finalStages(*m_request.route)) {
+        for (const auto& handle : m_stages[index].handles) {
+            const auto maker = ip_endpoint::parse(handle.substr(0, handle.find('/')));
+            const target_ptr target = maker ? m_context.targets.atEndpoint(maker.value()) : nullptr;
+            if (target)
+                bytes[target->listed.failureDomain] += static_cast<double>(m_request.route->stages[index].resultBytes);
+        }
+    }
+    return bytes;
+}
+
 void request_run::startReadyStages()
 {
     const auto& stages = m_request.route->stages;
@@ -214,7 +267,11 @@
         last = i;
         sum += found->second.pool->timeOf(static_cast<size_t>(found->second.pool->batch));
     }
-    const double tokens = m_request.asked.asked ? static_cast<double>(m_request.asked.asked->promptTokens) : 0;
+    double tokens = 0;
+    if (const auto& prompt = m_request.asked.asked; prompt && !prompt->parts.empty()) {
+        const double own = static_cast<double>(prompt->parts.back().tokens);
+        tokens = own + sharedReadShare * (static_cast<double>(prompt->promptTokens) - own);
+    }
     return sum + firstEventTime + milliseconds(static_cast<int64_t>(tokens / readTokensPerMillisecond));
 }
 
@@ -224,7 +281,10 @@
         return;
     if (outcome.handle.empty()) {
         logLine(log_level::Info, part, "A piece has no result.", { { "request", m_request.asked.id }, { "stage", std::to_string(stage) }, { "piece", std::to_string(piece) }, { "reason", std::string(platform::nameOf(outcome.failure)) } });
-        refuse(outcome.failure == platform::piece_failure::Late ? "stage_late" : "stage_failed", retryAfterBadLuck);
+        if (outcome.failure == platform::piece_failure::Late)
+            endUnanswered("stage_late", retryAfterBadLuck);
+        else
+            restartStages(platform::nameOf(outcome.failure));
         return;
     }
     stage_progress& progress = m_stages[stage];
@@ -260,6 +320,7 @@
 
 void request_run::freeAll()
 {
+    m_areInputsFreed = !m_stages.empty();
     for (size_t i = 0; i < m_stages.size(); ++i) {
         if (m_stages[i].job && !m_stages[i].isDone())
             m_pools.drop(m_stages[i].job);
@@ -269,7 +330,7 @@
 
 // Attempts.
 
-target_ptr request_run::chooseTarget(time_point now, std::string_view domain) const
+target_ptr request_run::chooseTarget(time_point now) const
 {
     const auto& listed = m_context.targets.ofService(m_request.service);
     policy::placement_request wanted;
@@ -283,6 +344,8 @@
             wanted.sharedTokens += m_request.asked.asked->parts[i].tokens;
         wanted.prefixHash = hashes.empty() ? 0 : hashes.back();
     }
+    const auto inputBytes = resultBytesByDomain();
+    const double allInputBytes = std::accumulate(inputBytes.begin(), inputBytes.end(), 0.0, [](double sum, const auto& item) { return sum + item.second; });
     std::vector<policy::placement_candidate> candidates;
     candidates.reserve(listed.size());
     for (const auto& target : listed) {
@@ -290,7 +353,9 @@
         candidate.hash = target->hash;
         const bool wasTried = std::find(m_tried.begin(), m_tried.end(), target->listed.id) != m_tried.end();
         candidate.isUsable = target->mayGetWork(now) && !wasTried;
-        candidate.isOwnDomain = target->listed.failureDomain == (domain.empty() ? std::string_view(m_context.settings.failureDomain) : domain);
+        candidate.isOwnDomain = target->listed.failureDomain == m_context.settings.failureDomain;
+        const auto inputsThere = inputBytes.find(target->listed.failureDomain);
+        candidate.inputBytesElsewhere = allInputBytes - (inputsThere == inputBytes.end() ? 0 : inputsThere->second);
         const auto region = m_context.settings.regions.find(target->listed.failureDomain);
         candidate.isOwnRegion = region != m_context.settings.regions.end() && region->second == m_context.settings.region;
         candidate.inFlight = target->inFlight;
@@ -313,7 +378,11 @@
 {
     const time_point now = monotonicNow();
     m_isWaitingForTarget = false;
-    const target_ptr target = chooseTarget(now, m_domain);
+    if (m_areInputsFreed) {
+        restartStages("inputs_freed");
+        return;
+    }
+    const target_ptr target = chooseTarget(now);
     if (target) {
         send(target);
         return;
@@ -389,8 +458,8 @@
         if (m_request.asked.asked && m_answer.status == statusOk) {
             for (const uint64_t hash : prefixHashes(*m_request.asked.asked))
                 m_target->readParts[hash] = now;
-            if (!m_request.route->isRepeatable())
-                freeAll();
+            // The target has fetched its inputs; memory for results is scarce.
+            freeAll();
         }
     }
     const bool isGood = m_answer.status == statusOk && m_answer.isForRequest && m_answer.isSealed && !m_answer.isEncoded;
@@ -530,17 +599,22 @@
         dispatch();
         return;
     }
+    endUnanswered(why, isTargetLeft ? retryAfterBadLuck : retryWithoutTargets);
+}
+
+// Ends.
+
+void request_run::endUnanswered(std::string_view reason, milliseconds retryAfter)
+{
     if (m_request.exchange->isStarted()) {
         m_request.exchange->cut();
-        over("cut", why, 0);
+        over("cut", reason, 0);
     } else if (m_mayHaveRun)
-        failed(statusBadGateway, why);
+        failed(statusBadGateway, reason);
     else
-        refuse(why, isTargetLeft ? retryAfterBadLuck : retryWithoutTargets);
+        refuse(reason, retryAfter);
 }
 
-// Ends.
-
 void request_run::refuse(std::string_view reason, milliseconds retryAfter)
 {
     m_request.exchange->respond(statusUnavailable, { platform::retryAfterHeader(retryAfter) }, {});
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -52,17 +52,20 @@
 
     // Stages.
     void startStages();
+    void restartStages(std::string_view why);
     void startReadyStages();
     void startStage(size_t index);
     void pieceEnded(size_t stage, uint32_t piece, const piece_outcome& outcome);
     void freeStage(size_t index);
     void freeAll();
     [[nodiscard]] milliseconds remainingTime(size_t fromStage) const;
-    [[nodiscard]] std::string domainOfResults() const;
+    [[nodiscard]] std::string domainOfBulkyResults() const;
     [[nodiscard]] std::string domainOfInputs(const std::vector<std::string>& inputs, double inputBytes) const;
+    /// Bytes of final results in each failure domain.
+    [[nodiscard]] std::map<std::string, double, std::less<>> resultBytesByDomain() const;
 
     // Attempts.
-    [[nodiscard]] target_ptr chooseTarget(time_point now, std::string_view domain) const;
+    [[nodiscard]] target_ptr chooseTarget(time_point now) const;
     void dispatch();
     void send(const target_ptr& target);
     void headCame(const http1::answer_head& head);
@@ -77,6 +80,7 @@
     [[nodiscard]] bool isStream() const noexcept { return m_request.route->kind == deployment::call_kind::Streaming; }
 
     // Ends.
+    void endUnanswered(std::string_view reason, milliseconds retryAfter);
     void refuse(std::string_view reason, milliseconds retryAfter);
     void failed(unsigned status, std::string_view reason);
     void giveUp(std::string_view reason);
@@ -91,6 +95,8 @@
     time_point m_deadline;
     std::vector<stage_progress> m_stages;
     std::string m_domain;
+    int m_stageRuns = 1;
+    bool m_areInputsFreed = false;
     bool m_isWaitingForTarget = false;
     time_point m_retryAt {};
 
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -8,6 +8,7 @@
 
 namespace {
     constexpr double tokensPerUnit = 1000;
+    constexpr double bytesPerMegabyte = 1e6;
 
     uint64_t mix(uint64_t left, uint64_t right) noexcept
     {
@@ -38,6 +39,7 @@
     cost += candidate.inFlight * (candidate.inFlight >= candidate.slots ? costs.inFlightWhenFull : costs.inFlight);
     cost = cost * candidate.penalty + (candidate.penalty - 1) * costs.penalty;
     cost += static_cast<double>(missing) / tokensPerUnit * costs.thousandSharedTokens;
+    cost += candidate.inputBytesElsewhere / bytesPerMegabyte * costs.inputMegabyte;
     if (!candidate.isOwnDomain)
         cost += candidate.isOwnRegion ? costs.otherDomain : costs.otherRegion;
     return cost;
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -27,6 +27,8 @@
     uint64_t unreadTokens = 0;
     /// Tokens of the request's prompt that the target has read before, as far as known.
     uint64_t knownTokens = 0;
+    /// Bytes of the request's inputs that lie in other failure domains.
+    double inputBytesElsewhere = 0;
     /// Factor of at least 1 by which it seems worse than a sound target.
     double penalty = 1;
 };
@@ -47,6 +49,8 @@
     double thousandWaitingTokens = 40;
     /// Reading a thousand shared tokens once more.
     double thousandSharedTokens = 100;
+    /// Fetching a megabyte of inputs from another failure domain.
+    double inputMegabyte = 39;
     /// A call beside others.
     double inFlight = 4;
     /// A call where all places are taken, by the calls of this process alone.
