--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -134,7 +134,7 @@
     pieces.reserve(queue.size());
     for (const auto& piece : queue) {
         const stage_job& job = *piece->job;
-        pieces.push_back({ piece->group, job.latestStart, piece->since, job.resultBytes, job.rank, job.boundTo, job.preferred });
+        pieces.push_back({ piece->group, job.isBegun, job.latestStart, piece->since, job.resultBytes, job.rank, job.boundTo, job.preferred });
     }
     const std::vector<target_ptr> listed = m_context.targets.ofService(service);
     std::vector<policy::pool_target> targets;
@@ -147,7 +147,7 @@
         const double total = profile->resultBytes > 0 ? profile->resultBytes * usableMemoryShare : std::numeric_limits<double>::max();
         // A target that gets no work is not one to wait for.
         const double penalty = target->mayGetWork(now) ? policy::penaltyOf(target->health) : unusablePenalty;
-        targets.push_back({ target->listed.failureDomain, isIdle, total - target->heldBytes, penalty });
+        targets.push_back({ target->listed.failureDomain, isIdle, total - target->heldBytes, total, penalty });
     }
     const policy::batching_rules rules { static_cast<size_t>(profile->batch) };
     for (const auto& batch : policy::planBatches(pieces, targets, rules, now)) {
@@ -166,7 +166,8 @@
     for (const auto& piece : pieces) {
         pool.queue.remove(piece);
         ++piece->attempts;
-        const stage_job& job = *piece->job;
+        stage_job& job = *piece->job;
+        job.isBegun = true;
         call->resultBytes += job.resultBytes;
         const auto left = std::chrono::duration_cast<milliseconds>(job.deadline - now);
         items.push_back({ job.requestId, job.stage, piece->piece, left, job.key, job.inputs });
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -187,17 +187,41 @@
 void request_run::startReadyStages()
 {
     const auto& stages = m_request.route->stages;
-    bool isAllDone = true;
-    for (size_t i = 0; i < stages.size() && !m_isOver; ++i) {
-        const bool isReady = std::all_of(stages[i].after.begin(), stages[i].after.end(), [this](size_t before) { return m_stages[before].isDone(); });
-        if (!m_stages[i].isStarted && isReady)
-            startStage(i);
-        isAllDone = isAllDone && m_stages[i].isDone();
-    }
+    // Stages without pieces are done at once, and others may be ready then.
+    for (size_t i = 0; i < stages.size(); ++i) {
+        const bool isEmpty = i >= m_request.asked.piecesOfStages.size() || m_request.asked.piecesOfStages[i] == 0;
+        m_stages[i].isStarted = m_stages[i].isStarted || isEmpty;
+    }
+    const auto startAll = [&] {
+        for (size_t i = 0; i < stages.size() && !m_isOver; ++i) {
+            const bool isReady = std::all_of(stages[i].after.begin(), stages[i].after.end(), [this](size_t before) { return m_stages[before].isDone(); });
+            if (!m_stages[i].isStarted && isReady && !mustWait(i))
+                startStage(i);
+        }
+    };
+    startAll();
+    // Bulky results that waited for the others may be made now.
+    startAll();
+    const bool isAllDone = std::all_of(m_stages.begin(), m_stages.end(), [](const auto& item) { return item.isDone(); });
     if (isAllDone && !m_isOver)
         dispatch();
 }
 
+bool request_run::mustWait(size_t index) const
+{
+    const auto& stages = m_request.route->stages;
+    const auto last = deployment::finalStages(*m_request.route);
+    const bool isFinal = std::find(last.begin(), last.end(), index) != last.end();
+    if (stages[index].resultBytes < bulkyResultBytes || !isFinal)
+        return false;
+    // Bulky results would take memory while the other stages go on: they are made beside the last of these.
+    for (size_t i = 0; i < stages.size(); ++i) {
+        if (stages[i].resultBytes < bulkyResultBytes && !m_stages[i].isStarted)
+            return true;
+    }
+    return false;
+}
+
 void request_run::startStage(size_t index)
 {
     const deployment::stage& stage = m_request.route->stages[index];
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -54,6 +54,7 @@
     void startStages();
     void restartStages(std::string_view why);
     void startReadyStages();
+    [[nodiscard]] bool mustWait(size_t index) const;
     void startStage(size_t index);
     void pieceEnded(size_t stage, uint32_t piece, const piece_outcome& outcome);
     void freeStage(size_t index);
--- a/src/gateway/stage_job.hpp
+++ b/src/gateway/stage_job.hpp
@@ -36,6 +36,8 @@
     /// Called once for each piece, never from inside the call that adds the job, and not after the job was dropped.
     std::function<void(uint32_t piece, const piece_outcome&)> onEnd;
 
+    /// A piece was sent to a target.
+    bool isBegun = false;
     /// Nobody needs the results any more.
     bool isDropped = false;
     /// Pieces that have ended, so that none is reported twice.
--- a/src/policy/batching.cpp
+++ b/src/policy/batching.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <numeric>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace bilberryseam::policy {
 
@@ -9,9 +11,12 @@
     /// A target with a higher penalty works only on what has waited for a better one.
     constexpr double soundPenalty = 3;
 
+    /// A group that needs more than this share of all memory is begun when that much is free.
+    constexpr double largestGroupShare = 0.5;
+
     bool isSound(const pool_target& target) noexcept { return target.penalty < soundPenalty; }
 
-    /// Pieces in the order in which they should start: those that can still be in time come first.
+    /// Pieces in the order in which they should start: those that were begun, then those that can still be in time.
     std::vector<size_t> orderPieces(std::span<const waiting_piece> pieces, const batching_rules& rules, time_point now)
     {
         std::vector<size_t> order(pieces.size());
@@ -19,6 +24,8 @@
         const auto isLate = [&](size_t i) { return pieces[i].latestStart < now; };
         const auto due = [&](size_t i) { return pieces[i].latestStart + rules.rankLead * pieces[i].rank; };
         std::stable_sort(order.begin(), order.end(), [&](size_t left, size_t right) {
+            if (pieces[left].isBegun != pieces[right].isBegun)
+                return pieces[left].isBegun;
             if (isLate(left) != isLate(right))
                 return isLate(right);
             if (due(left) != due(right))
@@ -28,6 +35,39 @@
         return order;
     }
 
+    /// Takes out the pieces of groups that would find memory for a part of their results only.
+    std::vector<size_t> keepWhatFits(const std::vector<size_t>& order, std::span<const waiting_piece> pieces, std::span<const pool_target> targets)
+    {
+        double freeBytes = 0;
+        double totalBytes = 0;
+        for (const auto& target : targets) {
+            if (target.penalty >= soundPenalty)
+                continue;
+            freeBytes += std::max(0.0, target.freeBytes);
+            totalBytes += target.totalBytes;
+        }
+        std::unordered_map<uint64_t, double> needs;
+        for (const auto& piece : pieces)
+            needs[piece.group] += piece.resultBytes;
+        std::unordered_set<uint64_t> admitted;
+        bool isMemoryShort = false;
+        std::vector<size_t> kept;
+        for (const size_t index : order) {
+            const waiting_piece& piece = pieces[index];
+            if (!piece.isBegun && !admitted.contains(piece.group)) {
+                // What the first group that does not fit needs is left for it.
+                const double need = std::min(needs[piece.group], totalBytes * largestGroupShare);
+                isMemoryShort = isMemoryShort || need > freeBytes;
+                if (isMemoryShort)
+                    continue;
+            }
+            if (admitted.insert(piece.group).second)
+                freeBytes -= needs[piece.group];
+            kept.push_back(index);
+        }
+        return kept;
+    }
+
     std::vector<size_t> idleTargets(std::span<const pool_target> targets)
     {
         std::vector<size_t> order;
@@ -104,7 +144,7 @@
 {
     planner plan { pieces, targets, rules, now };
     plan.hasSound = std::any_of(targets.begin(), targets.end(), isSound);
-    std::vector<size_t> order = orderPieces(pieces, rules, now);
+    std::vector<size_t> order = keepWhatFits(orderPieces(pieces, rules, now), pieces, targets);
     std::vector<size_t> idle = idleTargets(targets);
     std::vector<piece_batch> batches;
     for (size_t head = 0; head < order.size() && !idle.empty();) {
--- a/src/policy/batching.hpp
+++ b/src/policy/batching.hpp
@@ -3,6 +3,10 @@
 /// Load pattern: a pool's target works on one call at a time, and a call has a high price of its own,
 /// so that a full call costs little more than one piece. In a burst, pieces must go out in full calls
 /// to targets that are idle, those first whose requests can still be answered in time.
+///
+/// Results take memory until their request has all of them and has used them. If many requests had a part
+/// of their results each, all memory would be taken and none could go on. So a request's pieces are begun
+/// only if all of them will find memory, and pieces of a request that was begun go first.
 #pragma once
 
 #include "base/time.hpp"
@@ -19,6 +23,8 @@
 struct waiting_piece {
     /// Names the stage of the request that it belongs to; such pieces are best kept together.
     uint64_t group = 0;
+    /// Another piece of its group was sent before.
+    bool isBegun = false;
     /// Latest start with which its request can still be answered within its objective.
     time_point latestStart {};
     time_point since {};
@@ -37,6 +43,7 @@
     /// It has no call, is listed and not blocked.
     bool isIdle = false;
     double freeBytes = 0;
+    double totalBytes = 0;
     /// Factor of at least 1 by which it seems worse than a sound target.
     double penalty = 1;
 };
