Stand-ins for the platform's store and targets; process tests of the gateway; logs to standard output

Logs go to standard output, bounded (500 lines a second, 2,000 at once) and never waiting; lines left out are counted and told of.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,8 +26,8 @@
     /// Keys are refused this long before a removal that was missed must be in force.
     constexpr milliseconds revocationMargin { 700 };
 
-    /// Without contact for this long, a route or key that is not known may be new.
-    constexpr milliseconds unknownMayBeNew { 2000 };
+    /// Without contact for this part of the time in which a configuration comes into force, a route or key that is not known may be new.
+    constexpr double unknownMayBeNewShare = 0.6;
 
     /// A stopping entry takes new connections for this long, for the balancer to notice, and new requests a little longer.
     constexpr milliseconds listenAfterStop { 2300 };
@@ -237,7 +237,7 @@
         refuse(*exchange, asked.id, statusUnavailable, "no_configuration", retryWhenNotReady);
         return;
     }
-    const bool mayBeBehind = now - m_context.configurationCheckedAt > unknownMayBeNew;
+    const bool mayBeBehind = asSeconds(now - m_context.configurationCheckedAt) > asSeconds(m_context.settings.bounds.configuration) * unknownMayBeNewShare;
     const deployment::route* route = deployment::matchRoute(*state, asked.host, http1::pathOf(exchange->head().target));
     if (!route) {
         if (mayBeBehind)
@@ -302,6 +302,9 @@
 {
     const std::string_view path = http1::pathOf(exchange.head().target);
     if (path == "/metrics") {
+        m_context.counters.set("log_lines_left_out", {}, static_cast<double>(droppedLogLines()));
+        m_context.counters.set("open_requests", {}, static_cast<double>(m_runs.size()));
+        m_context.counters.set("connections_opened", {}, static_cast<double>(m_context.client.openedConnections()));
         exchange.respond(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.counters.serialize());
         return;
     }
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -28,7 +28,7 @@
         if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD" && request.method != "DELETE"))
             message.set(detail::http::field::content_length, std::to_string(request.body.size()));
         if (isClosing)
-            message.set(detail::http::field::connection, "close");
+            message.insert(detail::http::field::connection, "close");
         return detail::serializeHead(message) + request.body;
     }
 
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -305,7 +305,11 @@
 
 void server::accept(std::shared_ptr<tcp_stream> stream)
 {
-    if (m_connections.size() >= m_limits().maxConnections) {
+    const size_t maxConnections = m_limits().maxConnections;
+    // Connections that have closed are only counted until they are swept.
+    if (m_connections.size() >= maxConnections)
+        sweep();
+    if (m_connections.size() >= maxConnections) {
         if (m_onRefused)
             m_onRefused(0, "Too many connections are open.");
         stream->close();
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,14 +1,18 @@
 #include "telemetry/log.hpp"
 #include "base/json_text.hpp"
 
-#include <boost/core/null_deleter.hpp>
+#include "base/time.hpp"
+
+#include <algorithm>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/make_shared.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <iostream>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace bilberryseam {
 
@@ -80,15 +84,82 @@
     return error(error_kind::InvalidSettings, "\"" + std::string(text) + "\" is not a log format.", "Use text or json.", "--log-format");
 }
 
+namespace {
+    /// Lines that may be written at once, and each second; what goes beyond is counted and told of.
+    constexpr double burstLines = 2000;
+    constexpr double linesPerSecond = 500;
+
+    /// A pipe takes a write of this size whole or not at all.
+    constexpr size_t maxLineBytes = 4096;
+
+    /// Writes lines to standard output and never waits for it.
+    class bounded_output : public boost::log::sinks::basic_formatted_sink_backend<char> {
+    public:
+        void consume(const boost::log::record_view&, const std::string& line)
+        {
+            refill();
+            if (m_tokens < 1 || !isWritable()) {
+                ++m_suppressed;
+                return;
+            }
+            m_tokens -= 1;
+            if (const uint64_t suppressed = std::exchange(m_suppressed, 0)) {
+                m_dropped += suppressed;
+                writeLine(suppressedLine(suppressed));
+            }
+            writeLine(line);
+        }
+
+        [[nodiscard]] uint64_t droppedLines() const noexcept { return m_dropped + m_suppressed; }
+
+    private:
+        static std::string suppressedLine(uint64_t count)
+        {
+            const log_field fields[] { { "lines", std::to_string(count) } };
+            return chosenFormat == log_format::Json ? composeJson(log_level::Warning, "log", "Lines were left out.", { fields[0] }) : composeText(log_level::Warning, "log", "Lines were left out.", { fields[0] });
+        }
+
+        static bool isWritable()
+        {
+            pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+            return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT);
+        }
+
+        static void writeLine(const std::string& line)
+        {
+            std::string bytes = line.substr(0, maxLineBytes - 1);
+            bytes.push_back('\n');
+            // A line that cannot be written has nowhere to be reported.
+            static_cast<void>(!write(STDOUT_FILENO, bytes.data(), bytes.size()));
+        }
+
+        void refill()
+        {
+            const time_point now = monotonicNow();
+            m_tokens = std::min(burstLines, m_tokens + asSeconds(now - m_refilledAt) * linesPerSecond);
+            m_refilledAt = now;
+        }
+
+        double m_tokens = burstLines;
+        time_point m_refilledAt = monotonicNow();
+        uint64_t m_suppressed = 0;
+        uint64_t m_dropped = 0;
+    };
+
+    boost::shared_ptr<bounded_output> output;
+}
+
 void startLogging(log_format format, log_level level)
 {
-    namespace sinks = boost::log::sinks;
     chosenFormat = format;
     chosenLevel = level;
-    const auto backend = boost::make_shared<sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-    backend->auto_flush(true);
-    boost::log::core::get()->add_sink(boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
+    output = boost::make_shared<bounded_output>();
+    boost::log::core::get()->add_sink(boost::make_shared<boost::log::sinks::synchronous_sink<bounded_output>>(output));
+}
+
+uint64_t droppedLogLines() noexcept
+{
+    return output ? output->droppedLines() : 0;
 }
 
 void logLine(log_level level, std::string_view part, std::string_view sentence, std::initializer_list<log_field> fields)
--- a/src/telemetry/log.hpp
+++ b/src/telemetry/log.hpp
@@ -34,9 +34,13 @@
     std::string value;
 };
 
-/// Sets up logging to standard error. Call once, before the first line.
+/// Sets up logging to standard output. Call once, before the first line. Lines are left out and counted
+/// when there are too many, or when standard output takes no more; nothing waits for it.
 void startLogging(log_format format, log_level level);
 
+/// @return Lines that were left out so far.
+[[nodiscard]] uint64_t droppedLogLines() noexcept;
+
 /// Writes one line.
 /// @param level     Severity.
 /// @param part      The fixed prefix of the part that speaks, e.g. `gate`.
--- /dev/null
+++ b/tests/process/gateway_path_test.cpp
@@ -0,0 +1,191 @@
+/// A request's way through the gateway, and what decides where it may go.
+#include "support/deployment_fixture.hpp"
+
+#include <criterion/criterion.h>
+#include <csignal>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+using nlohmann::json;
+
+namespace {
+const json accounts { { { "name", "acme" }, { "api_keys", { "key-1", "key-2" } }, { "priority", 1 } } };
+
+std::string headerOf(const fakes::seen_request& request, std::string_view name)
+{
+    return std::string(http1::findHeader(request.head.headers, name).value_or(""));
+}
+}
+
+Test(gateway_path, bytes_pass_unchanged_and_the_system_sets_its_own_fields)
+{
+    deployment_fixture deployment(160);
+    auto& target = deployment.addTarget("t-1", "booking");
+    deployment.configure(3, { deployment.route("/book/", "non_idempotent", "booking") }, json::array(), accounts);
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto answer = deployment.ask("POST", "/book/a%2Fb/../c?x=%20y&z", { { "X-Attempt-Id", "id-1" }, { "X-Api-Key", "key-1" }, { "X-Tenant", "forged" }, { "X-Hold", "h" }, { "X-Own", "kept" }, { "Connection", "X-Own-Hop" }, { "X-Own-Hop", "1" }, { "X-Deadline-Ms", "3000" } }, std::string("by\0tes", 6));
+    cr_assert_eq(answer->head.status, 200);
+    cr_assert_eq(answer->body, "t-1");
+    cr_assert_eq(answer->header("X-Response-Seal"), "seal-t-1");
+    cr_assert_eq(answer->header("X-Attempt-Id"), "id-1");
+    cr_assert_eq(target.requests().size(), 1u);
+    const auto& seen = target.requests().front();
+    cr_assert_eq(seen.head.method, "POST");
+    cr_assert_eq(seen.head.target, "/book/a%2Fb/../c?x=%20y&z");
+    cr_assert_eq(seen.body, std::string("by\0tes", 6));
+    cr_assert_eq(headerOf(seen, "X-Tenant"), "acme");
+    cr_assert_eq(headerOf(seen, "X-Expect-Instance"), "t-1");
+    cr_assert_eq(headerOf(seen, "X-Own"), "kept");
+    for (const char* dropped : { "X-Api-Key", "X-Hold", "X-Own-Hop" })
+        cr_assert_eq(headerOf(seen, dropped), "", "%s was passed on", dropped);
+    const int left = std::stoi(headerOf(seen, "X-Deadline-Ms"));
+    cr_assert(left > 0 && left <= 3000);
+}
+
+Test(gateway_path, a_connection_field_cannot_take_the_request_s_identity_away)
+{
+    deployment_fixture deployment(161);
+    auto& target = deployment.addTarget("t-1", "booking");
+    deployment.configure(3, { deployment.route("/book/", "non_idempotent", "booking") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto answer = deployment.ask("POST", "/book/1", { { "X-Attempt-Id", "id-1" }, { "X-Model", "m" }, { "Connection", "X-Attempt-Id, X-Model" } });
+    cr_assert_eq(answer->head.status, 200);
+    cr_assert_eq(headerOf(target.requests().front(), "X-Attempt-Id"), "id-1");
+    cr_assert_eq(headerOf(target.requests().front(), "X-Model"), "m");
+}
+
+Test(gateway_path, the_longest_prefix_of_the_host_decides)
+{
+    deployment_fixture deployment(162);
+    deployment.addTarget("t-short", "short");
+    deployment.addTarget("t-long", "long");
+    deployment.configure(3, { deployment.route("/a/", "idempotent", "short"), deployment.route("/a/b/", "idempotent", "long") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    cr_assert_eq(deployment.ask("GET", "/a/x")->body, "t-short");
+    cr_assert_eq(deployment.ask("GET", "/a/b/x")->body, "t-long");
+    cr_assert_eq(deployment.ask("GET", "/a/bx")->body, "t-short");
+    cr_assert_eq(deployment.ask("GET", "/other")->head.status, 404);
+    cr_assert_eq(deployment.ask("GET", "/a/x", { { "Host", "other.example" } })->head.status, 404);
+}
+
+Test(gateway_path, keys_are_asked_for_unless_the_route_is_public)
+{
+    deployment_fixture deployment(163);
+    auto& target = deployment.addTarget("t-1", "pages");
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages"), deployment.route("/open/", "idempotent", "pages", { { "public", true } }) }, json::array(), accounts);
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    cr_assert_eq(deployment.ask("GET", "/p/1", { { "X-Api-Key", "wrong" } })->head.status, 401);
+    cr_assert_eq(deployment.ask("GET", "/p/1")->head.status, 401);
+    cr_assert_eq(target.requests().size(), 0u);
+    cr_assert_eq(deployment.ask("GET", "/p/1", { { "X-Api-Key", "key-2" } })->head.status, 200);
+    cr_assert_eq(deployment.ask("GET", "/open/1", { { "X-Tenant", "forged" } })->head.status, 200);
+    cr_assert_eq(headerOf(target.requests().back(), "X-Tenant"), "");
+}
+
+Test(gateway_path, without_a_configuration_it_is_not_ready_and_answers_503)
+{
+    deployment_fixture deployment(164);
+    deployment.addTarget("t-1", "pages");
+    deployment.startGateway();
+    deployment.waitUntil([&] { return deployment.logOf(0).find("Started.") != std::string::npos; }, "the start");
+    const auto refused = deployment.ask("GET", "/p/1");
+    cr_assert_eq(refused->head.status, 503);
+    cr_assert_neq(refused->header("Retry-After"), "");
+    cr_assert(!deployment.isReady());
+    deployment.configure(1, { deployment.route("/p/", "idempotent", "pages") });
+    deployment.waitUntilReady();
+    cr_assert_eq(deployment.ask("GET", "/p/1")->head.status, 200);
+}
+
+Test(gateway_path, a_newer_configuration_comes_into_force_and_an_older_one_never)
+{
+    deployment_fixture deployment(165);
+    deployment.addTarget("t-old", "old");
+    deployment.addTarget("t-new", "new");
+    deployment.configure(5, { deployment.route("/p/", "idempotent", "old") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    cr_assert_eq(deployment.ask("GET", "/p/1")->body, "t-old");
+    deployment.configure(9, { deployment.route("/p/", "idempotent", "new") });
+    deployment.waitUntil([&] { return deployment.ask("GET", "/p/1")->body == "t-new"; }, "the newer configuration");
+    deployment.configure(7, { deployment.route("/p/", "idempotent", "old") });
+    deployment.store().put("keyed.op", "config", "{ this is no configuration");
+    deployment.store().put("keyed.op", "other", "x");
+    deployment.pass(milliseconds(300));
+    cr_assert_eq(deployment.ask("GET", "/p/1")->body, "t-new");
+    deployment.store().forgetHistory("keyed.op");
+    deployment.configure(11, { deployment.route("/p/", "idempotent", "old") });
+    deployment.waitUntil([&] { return deployment.ask("GET", "/p/1")->body == "t-old"; }, "the configuration after the history was deleted");
+}
+
+Test(gateway_path, a_target_that_leaves_gets_no_new_work)
+{
+    deployment_fixture deployment(166);
+    auto& leaving = deployment.addTarget("t-1", "pages");
+    auto& staying = deployment.addTarget("t-2", "pages");
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    deployment.list(leaving, "pages", "draining");
+    deployment.waitUntil([&] { return deployment.logOf(0).find("\"leaving\"") != std::string::npos; }, "the news");
+    const size_t before = leaving.requests().size();
+    for (int i = 0; i < 10; ++i)
+        cr_assert_eq(deployment.ask("GET", "/p/1")->body, "t-2");
+    cr_assert_eq(leaving.requests().size(), before);
+    cr_assert_eq(staying.requests().size(), 10u);
+}
+
+Test(gateway_path, an_unreadable_entry_names_no_target)
+{
+    deployment_fixture deployment(167);
+    auto& target = deployment.addTarget("t-1", "pages");
+    const std::string address = target.endpoint().toString();
+    deployment.store().put("keyed.servers", "t-bytes", "\xff\xfe");
+    deployment.store().put("keyed.servers", "t-state", json { { "service", "pages" }, { "address", address }, { "zone", "north-1" }, { "slots", 4 }, { "state", "resting" } }.dump());
+    deployment.store().put("keyed.servers", "t-type", json { { "service", "pages" }, { "address", 7 }, { "zone", "north-1" }, { "slots", 4 }, { "state", "ready" } }.dump());
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    for (int i = 0; i < 10; ++i)
+        cr_assert_eq(deployment.ask("GET", "/p/1")->body, "t-1");
+    for (const auto& seen : target.requests())
+        cr_assert_eq(headerOf(seen, "X-Expect-Instance"), "t-1");
+}
+
+Test(gateway_path, no_target_is_said_at_once)
+{
+    deployment_fixture deployment(168);
+    deployment.configure(3, { deployment.route("/p/", "non_idempotent", "pages") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto refused = deployment.ask("POST", "/p/1");
+    cr_assert_eq(refused->head.status, 503);
+    cr_assert_neq(refused->header("Retry-After"), "");
+    cr_assert_neq(deployment.logOf(0).find("no_target"), std::string::npos);
+    cr_assert_neq(deployment.metricsOf(0).find("reason=\"no_target\""), std::string::npos);
+}
+
+Test(gateway_path, a_planned_stop_finishes_what_runs)
+{
+    deployment_fixture deployment(169);
+    auto& target = deployment.addTarget("t-1", "pages");
+    std::shared_ptr<http1::exchange> held;
+    target.setBehaviour([&](std::shared_ptr<http1::exchange> exchange) { held = std::move(exchange); });
+    deployment.configure(3, { deployment.route("/p/", "non_idempotent", "pages") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto running = deployment.send("POST", "/p/1");
+    deployment.waitUntil([&] { return held != nullptr; }, "the request at its target");
+    deployment.signal(0, SIGTERM);
+    deployment.waitUntil([&] { return !deployment.isReady(); }, "the end of readiness");
+    held->respond(200, target.answerHeaders(*held), "late but whole");
+    deployment.waitUntil([&] { return running->isOver; }, "the answer");
+    cr_assert_eq(running->body, "late but whole");
+    cr_assert_eq(running->header("Connection"), "close");
+    deployment.waitUntil([&] { return deployment.hasExited(0); }, "the exit");
+    cr_assert_neq(deployment.logOf(0).find("Stopped."), std::string::npos);
+}
--- /dev/null
+++ b/tests/process/gateway_repeat_test.cpp
@@ -0,0 +1,174 @@
+/// What the gateway repeats, what it never repeats, and what it tells the caller.
+#include "support/deployment_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+using nlohmann::json;
+
+namespace {
+void cutConnection(std::shared_ptr<http1::exchange> exchange)
+{
+    exchange->cut();
+}
+
+size_t countRequests(const fakes::platform_target& left, const fakes::platform_target& right)
+{
+    return left.requests().size() + right.requests().size();
+}
+}
+
+Test(gateway_repeat, a_call_that_may_run_once_is_never_sent_again)
+{
+    deployment_fixture deployment(170);
+    auto& first = deployment.addTarget("t-1", "booking");
+    auto& second = deployment.addTarget("t-2", "booking");
+    deployment.configure(3, { deployment.route("/book/", "non_idempotent", "booking", { { "max_attempts", 3 } }) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    // An earlier answer leaves a kept connection behind, if one is kept at all.
+    cr_assert_eq(deployment.ask("POST", "/book/1")->head.status, 200);
+    first.setBehaviour(cutConnection);
+    second.setBehaviour(cutConnection);
+    const size_t before = countRequests(first, second);
+    const auto answer = deployment.ask("POST", "/book/2");
+    cr_assert_eq(answer->head.status, 502);
+    cr_assert_eq(answer->header("X-Response-Seal"), "");
+    cr_assert_eq(countRequests(first, second), before + 1);
+}
+
+Test(gateway_repeat, a_call_that_may_be_repeated_is_sent_to_another_target)
+{
+    deployment_fixture deployment(171);
+    auto& first = deployment.addTarget("t-1", "pages");
+    auto& second = deployment.addTarget("t-2", "pages");
+    first.setBehaviour(cutConnection);
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    for (int i = 0; i < 6; ++i)
+        cr_assert_eq(deployment.ask("GET", "/p/" + std::to_string(i))->body, "t-2");
+    cr_assert_leq(first.requests().size(), 6u);
+    cr_assert_geq(second.requests().size(), 6u);
+}
+
+Test(gateway_repeat, max_attempts_bounds_the_runs)
+{
+    deployment_fixture deployment(172);
+    auto& first = deployment.addTarget("t-1", "pages");
+    auto& second = deployment.addTarget("t-2", "pages");
+    auto& third = deployment.addTarget("t-3", "pages");
+    for (auto* target : { &first, &second, &third })
+        target->setBehaviour(cutConnection);
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages", { { "max_attempts", 2 } }) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    cr_assert_eq(deployment.ask("GET", "/p/1")->head.status, 502);
+    cr_assert_eq(countRequests(first, second) + third.requests().size(), 2u);
+}
+
+Test(gateway_repeat, a_target_that_did_not_run_a_call_leaves_it_to_another)
+{
+    deployment_fixture deployment(173);
+    auto& full = deployment.addTarget("t-1", "booking");
+    auto& other = deployment.addTarget("t-2", "booking");
+    full.setBehaviour([](std::shared_ptr<http1::exchange> exchange) { exchange->respond(503, { { "X-Not-Executed", "1" } }, {}); });
+    deployment.configure(3, { deployment.route("/book/", "non_idempotent", "booking") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    for (int i = 0; i < 4; ++i)
+        cr_assert_eq(deployment.ask("POST", "/book/" + std::to_string(i))->body, "t-2");
+    cr_assert_eq(other.requests().size(), 4u);
+}
+
+Test(gateway_repeat, not_run_is_said_only_if_it_is_true)
+{
+    deployment_fixture deployment(174);
+    auto& target = deployment.addTarget("t-1", "booking");
+    deployment.configure(3, { deployment.route("/book/", "non_idempotent", "booking") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    // The target ran the call and says 503 all the same: that status would promise the contrary.
+    target.setBehaviour([&](std::shared_ptr<http1::exchange> exchange) { exchange->respond(503, target.answerHeaders(*exchange), "ran"); });
+    const auto ran = deployment.ask("POST", "/book/1");
+    cr_assert_eq(ran->head.status, 502);
+    cr_assert_eq(ran->header("X-Response-Seal"), "");
+    // Every target says that it did not run the call.
+    target.setBehaviour([](std::shared_ptr<http1::exchange> exchange) { exchange->respond(503, { { "X-Not-Executed", "1" } }, {}); });
+    const auto refused = deployment.ask("POST", "/book/2");
+    cr_assert_eq(refused->head.status, 503);
+    cr_assert_neq(refused->header("Retry-After"), "");
+}
+
+Test(gateway_repeat, an_answer_to_another_request_reaches_nobody)
+{
+    deployment_fixture deployment(175);
+    auto& target = deployment.addTarget("t-1", "booking");
+    deployment.configure(3, { deployment.route("/book/", "non_idempotent", "booking"), deployment.route("/p/", "idempotent", "booking") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    target.setBehaviour([](std::shared_ptr<http1::exchange> exchange) { exchange->respond(200, { { "X-Attempt-Id", "another" }, { "X-Response-Seal", "s" } }, "another's"); });
+    for (const char* path : { "/book/1", "/p/1" }) {
+        const auto answer = deployment.ask("POST", path);
+        cr_assert_eq(answer->head.status, 502);
+        cr_assert_eq(answer->body, "");
+    }
+    target.setBehaviour([](std::shared_ptr<http1::exchange> exchange) { exchange->respond(200, { { "X-Attempt-Id", std::string(*http1::findHeader(exchange->head().headers, "X-Attempt-Id")) } }, "without a seal"); });
+    cr_assert_eq(deployment.ask("POST", "/book/2")->head.status, 502);
+}
+
+Test(gateway_repeat, an_address_that_another_target_has_now_gets_no_more_calls)
+{
+    deployment_fixture deployment(176);
+    auto& replaced = deployment.addTarget("t-new", "booking");
+    deployment.unlist("t-new");
+    deployment.store().put("keyed.servers", "t-old", json { { "service", "pages" }, { "address", replaced.endpoint().toString() }, { "zone", "north-1" }, { "slots", 4 }, { "state", "ready" } }.dump());
+    deployment.addTarget("t-2", "pages");
+    deployment.configure(3, { deployment.route("/p/", "non_idempotent", "pages") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    for (int i = 0; i < 5; ++i)
+        cr_assert_eq(deployment.ask("POST", "/p/" + std::to_string(i))->body, "t-2");
+    cr_assert_eq(replaced.requests().size(), 0u);
+}
+
+Test(gateway_repeat, a_failure_of_a_target_keeps_its_status_and_seal)
+{
+    deployment_fixture deployment(177);
+    auto& target = deployment.addTarget("t-1", "booking");
+    target.setBehaviour([&](std::shared_ptr<http1::exchange> exchange) { exchange->respond(500, target.answerHeaders(*exchange), "broken"); });
+    deployment.configure(3, { deployment.route("/book/", "non_idempotent", "booking") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto answer = deployment.ask("POST", "/book/1");
+    cr_assert_eq(answer->head.status, 500);
+    cr_assert_eq(answer->header("X-Response-Seal"), "seal-t-1");
+    cr_assert_eq(answer->body, "broken");
+}
+
+Test(gateway_repeat, a_request_that_crashes_targets_is_refused_and_peers_are_told)
+{
+    deployment_fixture deployment(178);
+    auto& pool = deployment.addTarget("p-1", "pool");
+    static_cast<void>(pool);
+    auto& first = deployment.addTarget("t-1", "pages");
+    auto& second = deployment.addTarget("t-2", "pages");
+    first.setBehaviour(cutConnection);
+    second.setBehaviour(cutConnection);
+    const json poolService { { "name", "pool" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 4 }, { "call_ms", 10 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 4 } } } };
+    deployment.configure(3, { deployment.route("/p/", "non_idempotent", "pages") }, { poolService });
+    const size_t left = deployment.startGateway();
+    const size_t right = deployment.startGateway();
+    deployment.waitUntilReady(left);
+    deployment.waitUntilReady(right);
+    deployment.waitUntil([&] { return (deployment.logOf(left) + deployment.logOf(right)).find("An owner is in reach.") != std::string::npos; }, "a link between the entries");
+    for (int i = 0; i < 2; ++i)
+        cr_assert_eq(deployment.ask("POST", "/p/bad", {}, "poison", left)->head.status, 502);
+    const size_t before = countRequests(first, second);
+    cr_assert_eq(deployment.ask("POST", "/p/bad", {}, "poison", left)->head.status, 503);
+    deployment.waitUntil([&] { return deployment.logOf(right).find("\"quarantined\":\"true\"") != std::string::npos; }, "the news at the other entry");
+    cr_assert_eq(deployment.ask("POST", "/p/bad", {}, "poison", right)->head.status, 503);
+    cr_assert_eq(countRequests(first, second), before);
+    cr_assert_eq(deployment.ask("POST", "/p/good", {}, "harmless", right)->head.status, 502);
+}
--- /dev/null
+++ b/tests/process/gateway_stage_test.cpp
@@ -0,0 +1,185 @@
+/// Stages of a request, and the pools that entries share.
+#include "base/hash.hpp"
+#include "policy/ownership.hpp"
+#include "support/deployment_fixture.hpp"
+
+#include <criterion/criterion.h>
+#include <csignal>
+#include <set>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+using nlohmann::json;
+
+namespace {
+json poolService(const std::string& name)
+{
+    return { { "name", name }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 8 }, { "call_ms", 20 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 4 } } } };
+}
+
+json stagedRoute()
+{
+    const json stages { { { "service", "encode" }, { "after", json::array() }, { "bytes", 1000 } }, { { "service", "rank" }, { "after", { 0 } }, { "bytes", 1000 } } };
+    return deployment_fixture::route("/m/", "idempotent", "model", { { "stages", stages } });
+}
+
+http1::header_list staged(const std::string& pieces)
+{
+    return { { "X-Pieces", pieces }, { "X-Piece-Key", "piece-key" } };
+}
+
+/// True once each entry is linked to the first two owners of each pool.
+bool areLinked(const deployment_fixture& deployment, const std::vector<std::string>& pools, size_t entries)
+{
+    std::vector<policy::owner_candidate> candidates;
+    for (size_t i = 0; i < entries; ++i)
+        candidates.push_back({ hashOf("gateway-" + std::to_string(i)), 1 });
+    for (const auto& pool : pools) {
+        const auto ranked = policy::rankOwners(candidates, hashOf(pool));
+        for (size_t i = 0; i < entries; ++i) {
+            for (const size_t owner : { ranked[0], ranked[1] }) {
+                const std::string line = "\"An owner is in reach.\",\"entry\":\"gateway-" + std::to_string(owner) + "\"";
+                if (owner != i && deployment.logOf(i).find(line) == std::string::npos)
+                    return false;
+            }
+        }
+    }
+    return true;
+}
+
+std::vector<json> itemsOf(const fakes::platform_target& target)
+{
+    std::vector<json> items;
+    for (const auto& call : target.pieceCalls()) {
+        const json asked = json::parse(call);
+        for (const json& item : asked.at("items"))
+            items.push_back(item);
+    }
+    return items;
+}
+}
+
+Test(gateway_stage, each_stage_gets_the_results_of_the_one_before)
+{
+    deployment_fixture deployment(186);
+    auto& encoder = deployment.addTarget("e-1", "encode");
+    auto& ranker = deployment.addTarget("k-1", "rank");
+    auto& model = deployment.addTarget("t-1", "model");
+    deployment.configure(3, { stagedRoute() }, { poolService("encode"), poolService("rank") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    cr_assert_eq(deployment.ask("POST", "/m/1", staged("2,3"))->head.status, 200);
+
+    const auto encoded = itemsOf(encoder);
+    cr_assert_eq(encoded.size(), 2u);
+    for (const auto& item : encoded) {
+        cr_assert_eq(item.at("stage"), 0);
+        cr_assert_eq(item.at("key"), "piece-key");
+        cr_assert(!item.contains("inputs"));
+    }
+    const auto ranked = itemsOf(ranker);
+    cr_assert_eq(ranked.size(), 3u);
+    for (const auto& item : ranked)
+        cr_assert_eq(item.at("inputs").size(), 2u);
+    const auto inputs = http1::findHeader(model.requests().front().head.headers, "X-Inputs");
+    cr_assert(inputs && std::count(inputs->begin(), inputs->end(), ',') == 2);
+    cr_assert_eq(inputs->substr(0, inputs->find('/')), ranker.endpoint().toString());
+    deployment.waitUntil([&] { return encoder.freedResults().size() == 2 && ranker.freedResults().size() == 3; }, "the results to be given up");
+}
+
+Test(gateway_stage, a_piece_that_fails_is_made_elsewhere)
+{
+    deployment_fixture deployment(187);
+    auto& broken = deployment.addTarget("e-1", "encode");
+    auto& sound = deployment.addTarget("e-2", "encode");
+    deployment.addTarget("k-1", "rank");
+    deployment.addTarget("t-1", "model");
+    broken.setPieceBehaviour([](std::shared_ptr<http1::exchange> exchange) { exchange->cut(); });
+    deployment.configure(3, { stagedRoute() }, { poolService("encode"), poolService("rank") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    for (int i = 0; i < 3; ++i)
+        cr_assert_eq(deployment.ask("POST", "/m/" + std::to_string(i), staged("1,1"))->head.status, 200);
+    cr_assert_geq(sound.pieceCalls().size(), 3u);
+}
+
+Test(gateway_stage, an_input_that_is_gone_runs_the_stages_again)
+{
+    deployment_fixture deployment(188);
+    auto& encoder = deployment.addTarget("e-1", "encode");
+    auto& ranker = deployment.addTarget("k-1", "rank");
+    deployment.addTarget("t-1", "model");
+    int calls = 0;
+    ranker.setPieceBehaviour([&](std::shared_ptr<http1::exchange> exchange) {
+        if (++calls == 1)
+            exchange->respond(200, {}, R"({"items":[{"reason":"gone"}]})");
+        else
+            ranker.answerPieces(*exchange);
+    });
+    deployment.configure(3, { stagedRoute() }, { poolService("encode"), poolService("rank") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    cr_assert_eq(deployment.ask("POST", "/m/1", staged("1,1"))->head.status, 200);
+    cr_assert_eq(itemsOf(encoder).size(), 2u);
+}
+
+Test(gateway_stage, a_caller_that_leaves_takes_its_pieces_along)
+{
+    deployment_fixture deployment(189);
+    auto& encoder = deployment.addTarget("e-1", "encode");
+    deployment.addTarget("k-1", "rank");
+    deployment.addTarget("t-1", "model");
+    std::vector<std::shared_ptr<http1::exchange>> held;
+    encoder.setPieceBehaviour([&](std::shared_ptr<http1::exchange> exchange) { held.push_back(std::move(exchange)); });
+    deployment.configure(3, { stagedRoute() }, { poolService("encode"), poolService("rank") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto first = deployment.send("POST", "/m/1", staged("1,1"));
+    deployment.waitUntil([&] { return held.size() == 1; }, "the first piece");
+    auto second = deployment.send("POST", "/m/2", { { "X-Attempt-Id", "gone" }, { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } });
+    deployment.waitUntil([&] { return deployment.logOf(0).find("\"gone\"") != std::string::npos; }, "the second request");
+    second->call.reset();
+    deployment.waitUntil([&] { return deployment.logOf(0).find("caller_gone") != std::string::npos; }, "the caller's leaving");
+    encoder.setPieceBehaviour({});
+    encoder.answerPieces(*held.front());
+    deployment.waitUntil([&] { return first->isOver; }, "the first answer");
+    cr_assert_eq(first->head.status, 200);
+    for (const auto& item : itemsOf(encoder))
+        cr_assert_neq(item.at("id"), "gone");
+}
+
+Test(gateway_stage, entries_share_the_calls_of_a_pool_and_survive_its_owner)
+{
+    deployment_fixture deployment(190);
+    auto& encoder = deployment.addTarget("e-1", "encode");
+    deployment.addTarget("k-1", "rank");
+    deployment.addTarget("t-1", "model");
+    deployment.configure(3, { stagedRoute() }, { poolService("encode"), poolService("rank") });
+    for (size_t i = 0; i < 3; ++i)
+        deployment.startGateway();
+    for (size_t i = 0; i < 3; ++i)
+        deployment.waitUntilReady(i);
+    deployment.waitUntil([&] { return areLinked(deployment, { "encode", "rank" }, 3); }, "the links between the entries");
+    std::vector<std::shared_ptr<http1::exchange>> held;
+    encoder.setPieceBehaviour([&](std::shared_ptr<http1::exchange> exchange) { held.push_back(std::move(exchange)); });
+    const auto first = deployment.send("POST", "/m/first", staged("1,1"), "", 0);
+    deployment.waitUntil([&] { return held.size() == 1; }, "the first call");
+    std::vector<caller_ptr> others;
+    for (size_t i = 0; i < 3; ++i)
+        others.push_back(deployment.send("POST", "/m/" + std::to_string(i), staged("1,1"), "", i));
+    // All three wait at one entry: the target has one place, and only one entry knows that.
+    deployment.pass(milliseconds(300));
+    cr_assert_eq(encoder.pieceCalls().size(), 1u);
+    encoder.setPieceBehaviour({});
+    encoder.answerPieces(*held.front());
+    deployment.waitUntil([&] { return first->isOver && std::all_of(others.begin(), others.end(), [](const auto& item) { return item->isOver; }); }, "the answers");
+    for (const auto& item : others)
+        cr_assert_eq(item->head.status, 200);
+    cr_assert_eq(json::parse(encoder.pieceCalls().at(1)).at("items").size(), 3u, "the owner did not put the pieces of all entries into one call");
+
+    // Any one entry may go, also the owner: the others answer.
+    deployment.signal(0, SIGKILL);
+    deployment.waitUntil([&] { return deployment.hasExited(0); }, "the end of an entry");
+    for (size_t i = 1; i < 3; ++i)
+        cr_assert_eq(deployment.ask("POST", "/m/after", staged("1,1"), "", i)->head.status, 200);
+}
--- /dev/null
+++ b/tests/process/gateway_store_test.cpp
@@ -0,0 +1,76 @@
+/// The store is away, wrong or forgetful.
+#include "support/deployment_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+using nlohmann::json;
+
+namespace {
+const json accounts { { { "name", "acme" }, { "api_keys", { "key-1" } } } };
+const json routes { deployment_fixture::route("/p/", "idempotent", "pages"), deployment_fixture::route("/open/", "idempotent", "pages", { { "public", true } }) };
+}
+
+Test(gateway_store, keys_are_refused_before_a_missed_removal_must_be_in_force)
+{
+    deployment_fixture deployment(191);
+    deployment.addTarget("t-1", "pages");
+    deployment.configure(3, routes, json::array(), accounts);
+    deployment.startGateway({ { "revocationMs", 2500 } });
+    deployment.waitUntilReady();
+    cr_assert_eq(deployment.ask("GET", "/p/1", { { "X-Api-Key", "key-1" } })->head.status, 200);
+    deployment.store().setFaults({ false, true, 0 });
+    deployment.waitUntil([&] { return !deployment.isReady(); }, "the end of readiness");
+    cr_assert_eq(deployment.ask("GET", "/p/1", { { "X-Api-Key", "key-1" } })->head.status, 503);
+    cr_assert_eq(deployment.ask("GET", "/p/1", { { "X-Api-Key", "unknown" } })->head.status, 503, "an unknown key may be new");
+    cr_assert_eq(deployment.ask("GET", "/new/1")->head.status, 503, "an unknown route may be new");
+    cr_assert_eq(deployment.ask("GET", "/open/1")->head.status, 200);
+    deployment.store().setFaults({});
+    deployment.waitUntilReady();
+    cr_assert_eq(deployment.ask("GET", "/p/1", { { "X-Api-Key", "key-1" } })->head.status, 200);
+    const std::string log = deployment.logOf(0);
+    cr_assert_neq(log.find("The store does not answer"), std::string::npos);
+    cr_assert_neq(log.find("The store answers again"), std::string::npos);
+}
+
+Test(gateway_store, targets_that_lapse_while_it_is_away_are_kept_until_it_is_back)
+{
+    deployment_fixture deployment(192);
+    auto& target = deployment.addTarget("t-1", "pages");
+    auto& gone = deployment.addTarget("t-2", "pages");
+    deployment.configure(3, routes);
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    deployment.store().setFaults({ true, false, 0 });
+    deployment.waitUntil([&] { return deployment.logOf(0).find("The store does not answer") != std::string::npos; }, "the outage");
+    deployment.store().put("keyed.servers", "t-1", "");
+    deployment.store().put("keyed.servers", "t-2", "");
+    cr_assert_eq(deployment.ask("GET", "/p/1")->head.status, 200);
+    deployment.store().setFaults({});
+    deployment.waitUntil([&] { return deployment.logOf(0).find("The store answers again") != std::string::npos; }, "the return");
+    cr_assert_eq(deployment.ask("GET", "/p/1")->head.status, 200);
+    deployment.list(target, "pages");
+    deployment.waitUntil([&] { return deployment.logOf(0).find("\"lapsed\"") != std::string::npos; }, "the end of the target that did not come back");
+    const size_t before = gone.requests().size();
+    for (int i = 0; i < 6; ++i)
+        cr_assert_eq(deployment.ask("GET", "/p/1")->body, "t-1");
+    cr_assert_eq(gone.requests().size(), before);
+}
+
+Test(gateway_store, refusals_and_a_deleted_history_are_survived)
+{
+    deployment_fixture deployment(193);
+    deployment.addTarget("t-1", "pages");
+    deployment.configure(3, routes);
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    deployment.store().setFaults({ false, false, 429 });
+    deployment.waitUntil([&] { return deployment.logOf(0).find("status 429") != std::string::npos; }, "the refusal");
+    deployment.store().forgetHistory("keyed.servers");
+    deployment.store().forgetHistory("keyed.op");
+    deployment.unlist("t-1");
+    deployment.addTarget("t-3", "pages");
+    deployment.store().setFaults({});
+    deployment.waitUntil([&] { return deployment.ask("GET", "/p/1")->body == "t-3"; }, "the new target");
+}
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -146,7 +146,7 @@
     const std::string log = m_folder + "/" + process + ".log";
     const auto launcher = gobject_ptr<GSubprocessLauncher>::adopt(g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE));
     g_subprocess_launcher_set_child_setup(launcher.get(), endWithParent, nullptr, nullptr);
-    g_subprocess_launcher_set_stderr_file_path(launcher.get(), std::getenv("BILBERRYSEAM_TEST_LOGS") ? nullptr : log.c_str());
+    g_subprocess_launcher_set_stdout_file_path(launcher.get(), std::getenv("BILBERRYSEAM_TEST_LOGS") ? nullptr : log.c_str());
     const char* level = std::getenv("BILBERRYSEAM_TEST_LOGS") ? "debug" : "info";
     GError* failure = nullptr;
     m_processes[process] = gobject_ptr<GSubprocess>::adopt(g_subprocess_launcher_spawn(launcher.get(), &failure, binary.c_str(), "--settings", settings.c_str(), "--log-level", level, nullptr));
--- /dev/null
+++ b/tests/support/deployment_fixture.cpp
@@ -0,0 +1,199 @@
+#include "support/deployment_fixture.hpp"
+
+#include "support/cluster.hpp"
+
+#include <criterion/criterion.h>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <sys/prctl.h>
+
+namespace bilberryseam::tests {
+
+using nlohmann::json;
+
+namespace {
+    constexpr int firstPort = 2000;
+    constexpr int portsPerSlot = 150;
+
+    void endWithParent(gpointer)
+    {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+    }
+}
+
+deployment_fixture::deployment_fixture(int slot)
+    : m_folder(std::filesystem::temp_directory_path() / ("bilberryseam-deployment-" + std::to_string(getpid())))
+    , m_nextPort(firstPort + slot * portsPerSlot)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::filesystem::create_directories(m_folder);
+    m_storeAddress = address();
+    m_store = std::make_unique<fakes::platform_store>(m_storeAddress);
+}
+
+deployment_fixture::~deployment_fixture()
+{
+    for (auto& gateway : m_gateways)
+        g_subprocess_force_exit(gateway.process.get());
+    for (auto& gateway : m_gateways)
+        g_subprocess_wait(gateway.process.get(), nullptr, nullptr);
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
+}
+
+ip_endpoint deployment_fixture::address()
+{
+    return { "127.0.0.1", static_cast<uint16_t>(m_nextPort++) };
+}
+
+fakes::platform_target& deployment_fixture::addTarget(const std::string& id, const std::string& service, const std::string& domain)
+{
+    m_targets.push_back(std::make_unique<fakes::platform_target>(id, address()));
+    list(*m_targets.back(), service, "ready", domain);
+    return *m_targets.back();
+}
+
+void deployment_fixture::list(const fakes::platform_target& target, const std::string& service, const std::string& state, const std::string& domain)
+{
+    const json entry { { "service", service }, { "address", target.endpoint().toString() }, { "zone", domain }, { "version", "v1" }, { "slots", 8 }, { "state", state }, { "cold_left_ms", 0 }, { "seq", 1 } };
+    m_store->put("keyed.servers", target.id(), entry.dump());
+}
+
+json deployment_fixture::route(const std::string& prefix, const std::string& kind, const std::string& service, const json& changes)
+{
+    json made { { "name", "r" + prefix }, { "host", "shop.example" }, { "path_prefix", prefix }, { "kind", kind }, { "timeout_ms", 5000 }, { "target_latency_ms", 1000 }, { "priority", 1 }, { "service", service }, { "max_attempts", 2 }, { "public", false } };
+    made.update(changes);
+    return made;
+}
+
+void deployment_fixture::configure(int version, json routes, json services, json tenants)
+{
+    json document { { "version", version }, { "routes", std::move(routes) }, { "services", std::move(services) },
+        { "limits", { { "max_header_bytes", 8192 }, { "max_body_bytes", 100000 }, { "header_timeout_ms", 600 }, { "idle_timeout_ms", 3000 } } } };
+    if (!tenants.is_null())
+        document["tenants"] = std::move(tenants);
+    m_store->put("keyed.op", "config", document.dump());
+}
+
+size_t deployment_fixture::startGateway(const json& bounds)
+{
+    gateway_process made;
+    const std::string name = "gateway-" + std::to_string(m_gateways.size());
+    made.listen = address();
+    made.operatorListen = address();
+    const ip_endpoint peerListen = address();
+    const json settings { { "name", name }, { "region", "north" }, { "failureDomain", "north-1" }, { "listen", made.listen.toString() }, { "operatorListen", made.operatorListen.toString() },
+        { "peerListen", peerListen.toString() }, { "store", m_storeAddress.toString() }, { "regions", { { "north-1", "north" }, { "south-1", "south" } } }, { "bounds", bounds } };
+    const std::string path = m_folder + "/" + name + ".json";
+    std::ofstream(path) << settings.dump();
+    made.logPath = m_folder + "/" + name + ".log";
+    const auto launcher = gobject_ptr<GSubprocessLauncher>::adopt(g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE));
+    g_subprocess_launcher_set_stdout_file_path(launcher.get(), made.logPath.c_str());
+    g_subprocess_launcher_set_child_setup(launcher.get(), endWithParent, nullptr, nullptr);
+    const std::string binary = std::string(BILBERRYSEAM_BINARIES) + "/bilberryseam-gateway";
+    GError* failure = nullptr;
+    made.process = gobject_ptr<GSubprocess>::adopt(g_subprocess_launcher_spawn(launcher.get(), &failure, binary.c_str(), "--settings", path.c_str(), "--log-format", "json", nullptr));
+    cr_assert(made.process, "the gateway does not start: %s", failure ? failure->message : "");
+    m_gateways.push_back(std::move(made));
+    return m_gateways.size() - 1;
+}
+
+bool deployment_fixture::isReady(size_t gateway)
+{
+    const auto asked = std::make_shared<caller_exchange>();
+    http1::client_call::callbacks calls;
+    calls.onHead = [asked](const http1::answer_head& head) { asked->head = head; };
+    calls.onEnd = [asked](http1::call_end end) {
+        asked->end = end;
+        asked->isOver = true;
+    };
+    asked->call = m_client.send(m_gateways[gateway].operatorListen, { "GET", "/v1/ready", { { "Host", "gateway" } }, "" }, { true, milliseconds(500), milliseconds(1000) }, std::move(calls));
+    waitUntil([&] { return asked->isOver; }, "an answer on readiness");
+    return asked->end == http1::call_end::Complete && asked->head.status == 200;
+}
+
+void deployment_fixture::waitUntilReady(size_t gateway)
+{
+    waitUntil([&] { return isReady(gateway); }, "a gateway that is ready");
+}
+
+void deployment_fixture::signal(size_t gateway, int number)
+{
+    g_subprocess_send_signal(m_gateways[gateway].process.get(), number);
+}
+
+bool deployment_fixture::hasExited(size_t gateway) const
+{
+    return !g_subprocess_get_identifier(m_gateways[gateway].process.get());
+}
+
+std::string deployment_fixture::logOf(size_t gateway) const
+{
+    std::ostringstream text;
+    text << std::ifstream(m_gateways[gateway].logPath).rdbuf();
+    return text.str();
+}
+
+std::string deployment_fixture::metricsOf(size_t gateway)
+{
+    const auto asked = std::make_shared<caller_exchange>();
+    http1::client_call::callbacks calls;
+    calls.onBody = [asked](std::string_view bytes) { asked->body.append(bytes); };
+    calls.onEnd = [asked](http1::call_end) { asked->isOver = true; };
+    asked->call = m_client.send(m_gateways[gateway].operatorListen, { "GET", "/metrics", { { "Host", "gateway" } }, "" }, { true }, std::move(calls));
+    waitUntil([&] { return asked->isOver; }, "the metrics");
+    return asked->body;
+}
+
+caller_ptr deployment_fixture::send(const std::string& method, const std::string& target, http1::header_list headers, const std::string& body, size_t gateway)
+{
+    const auto sent = std::make_shared<caller_exchange>();
+    if (!http1::findHeader(headers, "Host"))
+        headers.emplace_back("Host", "shop.example");
+    if (!http1::findHeader(headers, "X-Attempt-Id"))
+        headers.emplace_back("X-Attempt-Id", "attempt-" + std::to_string(m_nextId++));
+    if (!http1::findHeader(headers, "X-Deadline-Ms"))
+        headers.emplace_back("X-Deadline-Ms", "4000");
+    http1::client_call::callbacks calls;
+    calls.onHead = [sent](const http1::answer_head& head) {
+        sent->head = head;
+        sent->hasHead = true;
+    };
+    calls.onBody = [sent](std::string_view bytes) { sent->body.append(bytes); };
+    calls.onEnd = [sent](http1::call_end end) {
+        sent->end = end;
+        sent->isOver = true;
+    };
+    sent->call = m_client.send(m_gateways[gateway].listen, { method, target, std::move(headers), body }, { true }, std::move(calls));
+    return sent;
+}
+
+caller_ptr deployment_fixture::ask(const std::string& method, const std::string& target, http1::header_list headers, const std::string& body, size_t gateway)
+{
+    const caller_ptr sent = send(method, target, std::move(headers), body, gateway);
+    waitUntil([&] { return sent->isOver; }, "the end of a request");
+    return sent;
+}
+
+void deployment_fixture::waitUntil(const std::function<bool()>& condition, const char* what)
+{
+    const time_point end = monotonicNow() + patience;
+    timer wake;
+    wake.startEvery(milliseconds(5), [] {});
+    while (!condition()) {
+        cr_assert(monotonicNow() < end, "waited in vain for %s", what);
+        g_main_context_iteration(nullptr, TRUE);
+    }
+}
+
+void deployment_fixture::pass(milliseconds time)
+{
+    const time_point end = monotonicNow() + time;
+    timer wake;
+    wake.startEvery(milliseconds(5), [] {});
+    while (monotonicNow() < end)
+        g_main_context_iteration(nullptr, TRUE);
+}
+}
--- /dev/null
+++ b/tests/support/deployment_fixture.hpp
@@ -0,0 +1,89 @@
+/// A gateway as a real process before stand-ins of the platform that live in the test's own loop.
+#pragma once
+
+#include "fakes/platform_store.hpp"
+#include "fakes/platform_target.hpp"
+#include "http1/client.hpp"
+#include "loop/gobject_ptr.hpp"
+
+#include <functional>
+#include <gio/gio.h>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace bilberryseam::tests {
+
+/// A caller's request and what came back.
+struct caller_exchange {
+    std::shared_ptr<http1::client_call> call;
+    http1::answer_head head;
+    std::string body;
+    bool hasHead = false;
+    bool isOver = false;
+    http1::call_end end = http1::call_end::NoAnswer;
+
+    [[nodiscard]] std::string header(std::string_view name) const { return std::string(http1::findHeader(head.headers, name).value_or("")); }
+};
+
+using caller_ptr = std::shared_ptr<caller_exchange>;
+
+/// Ports, stand-ins and processes of one test.
+class deployment_fixture {
+public:
+    /// @param slot  Distinguishes the ports of tests that run at the same time; from 160 on, one for each test.
+    explicit deployment_fixture(int slot);
+    ~deployment_fixture();
+
+    [[nodiscard]] ip_endpoint address();
+    fakes::platform_store& store() { return *m_store; }
+
+    /// Adds a target and lists it.
+    fakes::platform_target& addTarget(const std::string& id, const std::string& service, const std::string& domain = "north-1");
+    void list(const fakes::platform_target& target, const std::string& service, const std::string& state = "ready", const std::string& domain = "north-1");
+    void unlist(const std::string& id) { m_store->put("keyed.servers", id, ""); }
+
+    /// @return A route for the configuration; fields may be replaced by `changes`.
+    [[nodiscard]] static nlohmann::json route(const std::string& prefix, const std::string& kind, const std::string& service, const nlohmann::json& changes = nlohmann::json::object());
+    /// Puts a configuration with these routes and services in force.
+    void configure(int version, nlohmann::json routes, nlohmann::json services = nlohmann::json::array(), nlohmann::json tenants = nullptr);
+
+    /// Starts a gateway; returns its index.
+    size_t startGateway(const nlohmann::json& bounds = nlohmann::json::object());
+    void waitUntilReady(size_t gateway = 0);
+    [[nodiscard]] bool isReady(size_t gateway = 0);
+    void signal(size_t gateway, int number);
+    [[nodiscard]] bool hasExited(size_t gateway) const;
+    [[nodiscard]] std::string logOf(size_t gateway) const;
+    [[nodiscard]] std::string metricsOf(size_t gateway);
+    [[nodiscard]] const ip_endpoint& listenOf(size_t gateway) const { return m_gateways[gateway].listen; }
+
+    /// Sends a request to a gateway.
+    caller_ptr send(const std::string& method, const std::string& target, http1::header_list headers = {}, const std::string& body = "", size_t gateway = 0);
+    /// Sends a request and waits for its end.
+    caller_ptr ask(const std::string& method, const std::string& target, http1::header_list headers = {}, const std::string& body = "", size_t gateway = 0);
+
+    /// Runs the loop until the condition holds; fails the test if it never does.
+    void waitUntil(const std::function<bool()>& condition, const char* what);
+    /// Runs the loop for a while, for what must not happen.
+    void pass(milliseconds time);
+
+private:
+    struct gateway_process {
+        ip_endpoint listen;
+        ip_endpoint operatorListen;
+        gobject_ptr<GSubprocess> process;
+        std::string logPath;
+    };
+
+    std::string m_folder;
+    int m_nextPort;
+    http1::client m_client;
+    ip_endpoint m_storeAddress;
+    std::unique_ptr<fakes::platform_store> m_store;
+    std::vector<std::unique_ptr<fakes::platform_target>> m_targets;
+    std::vector<gateway_process> m_gateways;
+    uint64_t m_nextId = 1;
+};
+}
