--- a/src/fakes/platform_store.cpp
+++ b/src/fakes/platform_store.cpp
@@ -45,7 +45,8 @@
 }
 
 platform_store::platform_store(const ip_endpoint& listen)
-    : m_server(listen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { take(std::move(exchange)); })
+    : m_server(
+        listen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { take(std::move(exchange)); })
 {
     m_expiry.startEvery(expiryPeriod, [this] { answerWaiting(); });
 }
--- a/src/fakes/platform_target.cpp
+++ b/src/fakes/platform_target.cpp
@@ -9,7 +9,8 @@
 platform_target::platform_target(std::string id, const ip_endpoint& listen)
     : m_id(std::move(id))
     , m_endpoint(listen)
-    , m_server(listen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { take(std::move(exchange)); })
+    , m_server(
+          listen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { take(std::move(exchange)); })
 {
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,7 +64,8 @@
         m_context.counters.count("unread_requests_total", { { "status", std::to_string(status) } });
         logLine(log_level::Warning, part, why, { { "status", std::to_string(status) } });
     });
-    m_operators.emplace(settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { answerOperator(*exchange); });
+    m_operators.emplace(
+        settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { answerOperator(*exchange); });
     m_configurationFollower.emplace(m_context.client, settings.store, std::string(platform::operatorTopic), platform::follow_options { configurationWait }, configurationCalls());
     m_targetFollower.emplace(m_context.client, settings.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), targetPeriod }, targetCalls());
     const int64_t startedAtMs = wallNow().time_since_epoch().count();
--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -218,7 +218,7 @@
     if (end == http1::call_end::Complete && call->status == statusMisdirected)
         target.isReplaced = true;
     const auto failure = isFull ? policy::call_failure::Full : end == http1::call_end::NotSent ? policy::call_failure::Unreachable
-                                                                                              : policy::call_failure::Failed;
+                                                                                               : policy::call_failure::Failed;
     policy::recordFailure(target.health, failure, now);
     logLine(log_level::Warning, part, "A call for pieces failed.", { { "target", target.listed.id }, { "service", service }, { "end", std::string(nameOf(end)) }, { "status", std::to_string(call->status) }, { "pieces", std::to_string(call->pieces.size()) }, { "firstRequest", call->pieces.front()->job->requestId } });
     const bool wasSent = end != http1::call_end::NotSent;
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -1,7 +1,7 @@
 #include "http1/tcp_stream.hpp"
 
-#include <array>
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <glib-unix.h>
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -5,8 +5,8 @@
 #include "base/result.hpp"
 #include "base/time.hpp"
 
-#include <nlohmann/json.hpp>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -7,9 +7,9 @@
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/make_shared.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <unistd.h>
--- /dev/null
+++ b/tests/unit/batching_test.cpp
@@ -0,0 +1,311 @@
+/// Which pieces go to which target of a pool. Each load is replayed against a small model of a pool.
+#include "policy/batching.hpp"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <numeric>
+#include <random>
+#include <set>
+
+using namespace bilberryseam;
+using namespace bilberryseam::policy;
+
+namespace {
+const time_point start { seconds(1000) };
+
+pool_target idleTarget(std::string_view domain = "a", double freeBytes = 1e9)
+{
+    return { domain, true, freeBytes, freeBytes, 1 };
+}
+
+waiting_piece pieceOf(uint64_t group, milliseconds latestStart, double bytes = 0)
+{
+    waiting_piece piece;
+    piece.group = group;
+    piece.latestStart = start + latestStart;
+    piece.since = start;
+    piece.resultBytes = bytes;
+    return piece;
+}
+
+std::vector<waiting_piece> groupOf(uint64_t group, size_t count, milliseconds latestStart, double bytes = 0)
+{
+    return std::vector<waiting_piece>(count, pieceOf(group, latestStart, bytes));
+}
+
+template <typename... Groups>
+std::vector<waiting_piece> join(Groups... groups)
+{
+    std::vector<waiting_piece> all;
+    (all.insert(all.end(), groups.begin(), groups.end()), ...);
+    return all;
+}
+
+/// A pool in which requests of some pieces each arrive; all time is simulated.
+struct pool_model {
+    size_t targets = 3;
+    size_t batch = 8;
+    double callMs = 150;
+    double pieceMs = 16;
+    double memoryBytes = 1e12;
+    double pieceBytes = 0;
+    /// How long a request keeps its results once it has them all, in milliseconds.
+    double holdMs = 0;
+    double objectiveMs = 600;
+    /// Sends each request's pieces in calls of their own, as an entry without others' pieces does.
+    bool isAlone = false;
+};
+
+struct model_request {
+    double arrivesMs = 0;
+    size_t pieces = 1;
+    size_t missing = 0;
+    double doneMs = -1;
+    bool isBegun = false;
+};
+
+struct model_call {
+    double endsMs = 0;
+    size_t target = 0;
+    std::vector<size_t> requests;
+};
+
+/// @return Share of the requests that had all their results within the objective.
+double replay(const pool_model& model, std::vector<model_request> requests)
+{
+    struct waiting {
+        size_t request;
+        double sinceMs;
+    };
+    std::vector<waiting> queue;
+    std::vector<model_call> calls;
+    std::vector<double> held(model.targets, 0);
+    std::vector<std::pair<double, std::pair<size_t, double>>> releases;
+    std::vector<std::vector<size_t>> places(requests.size());
+    size_t next = 0;
+    const auto at = [](double ms) { return start + microseconds(static_cast<int64_t>(ms * 1000)); };
+    for (double now = 0; now < 60000; now += 1) {
+        while (next < requests.size() && requests[next].arrivesMs <= now) {
+            requests[next].missing = requests[next].pieces;
+            for (size_t i = 0; i < requests[next].pieces; ++i)
+                queue.push_back({ next, now });
+            ++next;
+        }
+        for (const auto& [when, what] : releases) {
+            if (when <= now)
+                held[what.first] -= what.second;
+        }
+        std::erase_if(releases, [now](const auto& item) { return item.first <= now; });
+        for (const auto& call : calls) {
+            if (call.endsMs > now)
+                continue;
+            for (const size_t index : call.requests) {
+                places[index].push_back(call.target);
+                if (--requests[index].missing > 0)
+                    continue;
+                requests[index].doneMs = now;
+                for (const size_t place : places[index])
+                    releases.push_back({ now + model.holdMs, { place, model.pieceBytes } });
+            }
+        }
+        std::erase_if(calls, [now](const auto& call) { return call.endsMs <= now; });
+        std::vector<waiting_piece> pieces;
+        for (const auto& item : queue) {
+            waiting_piece piece;
+            piece.group = item.request + 1;
+            piece.isBegun = requests[item.request].isBegun;
+            piece.latestStart = at(requests[item.request].arrivesMs + model.objectiveMs - model.callMs - model.pieceMs * static_cast<double>(model.batch));
+            piece.since = at(item.sinceMs);
+            piece.resultBytes = model.pieceBytes;
+            pieces.push_back(piece);
+        }
+        std::vector<pool_target> targets;
+        for (size_t i = 0; i < model.targets; ++i) {
+            const bool isBusy = std::any_of(calls.begin(), calls.end(), [i](const auto& call) { return call.target == i; });
+            targets.push_back({ "a", !isBusy, model.memoryBytes - held[i], model.memoryBytes, 1 });
+        }
+        std::vector<piece_batch> planned;
+        if (model.isAlone) {
+            // The plain rule: the first request's pieces go to the first idle target, alone.
+            for (size_t i = 0; i < targets.size() && planned.empty() && !queue.empty(); ++i) {
+                if (!targets[i].isIdle)
+                    continue;
+                piece_batch batch { i, {} };
+                for (size_t piece = 0; piece < queue.size() && batch.pieces.size() < model.batch; ++piece) {
+                    if (queue[piece].request == queue.front().request)
+                        batch.pieces.push_back(piece);
+                }
+                planned.push_back(batch);
+            }
+        } else
+            planned = planBatches(pieces, targets, { model.batch }, at(now));
+        std::set<size_t> sent;
+        for (const auto& batch : planned) {
+            model_call call { now + model.callMs + model.pieceMs * static_cast<double>(batch.pieces.size()), batch.target, {} };
+            for (const size_t piece : batch.pieces) {
+                call.requests.push_back(queue[piece].request);
+                requests[queue[piece].request].isBegun = true;
+                held[batch.target] += model.pieceBytes;
+                sent.insert(piece);
+            }
+            calls.push_back(call);
+        }
+        std::vector<waiting> rest;
+        for (size_t i = 0; i < queue.size(); ++i) {
+            if (!sent.contains(i))
+                rest.push_back(queue[i]);
+        }
+        queue = std::move(rest);
+    }
+    const auto inTime = std::count_if(requests.begin(), requests.end(), [&](const auto& item) { return item.doneMs >= 0 && item.doneMs - item.arrivesMs <= model.objectiveMs; });
+    return static_cast<double>(inTime) / static_cast<double>(requests.size());
+}
+
+std::vector<model_request> arrivals(double perSecond, double lengthMs, size_t fewest, size_t most, unsigned seed)
+{
+    std::mt19937 random(seed);
+    std::exponential_distribution<double> gap(perSecond / 1000);
+    std::uniform_int_distribution<size_t> pieces(fewest, most);
+    std::vector<model_request> requests;
+    for (double now = gap(random); now < lengthMs; now += gap(random))
+        requests.push_back({ now, pieces(random), 0, -1, false });
+    return requests;
+}
+}
+
+Test(batching, one_call_takes_the_pieces_of_many_requests)
+{
+    const auto pieces = join(groupOf(1, 3, milliseconds(300)), groupOf(2, 3, milliseconds(200)));
+    const std::vector<pool_target> targets { idleTarget() };
+    const auto batches = planBatches(pieces, targets, { 8 }, start);
+    cr_assert_eq(batches.size(), 1u);
+    cr_assert_eq(batches[0].pieces.size(), 6u);
+    cr_assert_eq(pieces[batches[0].pieces[0]].group, 2u, "the request that is due first comes first");
+}
+
+Test(batching, idle_targets_share_what_waits_without_splitting_requests)
+{
+    const auto pieces = join(groupOf(1, 4, milliseconds(300)), groupOf(2, 4, milliseconds(300)));
+    const std::vector<pool_target> targets { idleTarget(), idleTarget() };
+    const auto batches = planBatches(pieces, targets, { 8 }, start);
+    cr_assert_eq(batches.size(), 2u);
+    for (const auto& batch : batches) {
+        cr_assert_eq(batch.pieces.size(), 4u);
+        const uint64_t group = pieces[batch.pieces[0]].group;
+        cr_assert(std::all_of(batch.pieces.begin(), batch.pieces.end(), [&](size_t i) { return pieces[i].group == group; }));
+    }
+}
+
+Test(batching, a_request_that_can_still_be_in_time_goes_before_one_that_cannot)
+{
+    const auto pieces = join(groupOf(1, 2, milliseconds(-50)), groupOf(2, 2, milliseconds(400)));
+    const std::vector<pool_target> targets { idleTarget() };
+    const auto batches = planBatches(pieces, targets, { 2 }, start);
+    cr_assert_eq(batches.size(), 1u);
+    cr_assert_eq(pieces[batches[0].pieces[0]].group, 2u);
+}
+
+Test(batching, a_more_urgent_request_goes_first_among_those_that_are_due_alike)
+{
+    auto pieces = join(groupOf(1, 1, milliseconds(300)), groupOf(2, 1, milliseconds(350)));
+    pieces[0].rank = 2;
+    const std::vector<pool_target> targets { idleTarget() };
+    const auto batches = planBatches(pieces, targets, { 1 }, start);
+    cr_assert_eq(pieces[batches[0].pieces[0]].group, 2u);
+}
+
+Test(batching, a_request_is_begun_only_if_all_its_results_will_find_memory)
+{
+    const auto pieces = join(groupOf(1, 4, milliseconds(100), 10), groupOf(2, 1, milliseconds(200), 10));
+    std::vector<pool_target> targets { idleTarget("a", 30) };
+    targets[0].totalBytes = 100;
+    cr_assert(planBatches(pieces, targets, { 8 }, start).empty(), "memory is left for the request that is due first");
+    auto begun = pieces;
+    for (size_t i = 0; i < 4; ++i)
+        begun[i].isBegun = true;
+    const auto batches = planBatches(begun, targets, { 8 }, start);
+    cr_assert_eq(batches.size(), 1u);
+    cr_assert_eq(batches[0].pieces.size(), 3u, "one that was begun goes on as far as memory reaches");
+}
+
+Test(batching, a_bound_piece_waits_for_its_failure_domain_but_not_for_ever)
+{
+    std::vector<waiting_piece> pieces { pieceOf(1, milliseconds(800)) };
+    pieces[0].boundTo = "b";
+    std::vector<pool_target> targets { idleTarget("a"), idleTarget("b") };
+    targets[1].isIdle = false;
+    cr_assert(planBatches(pieces, targets, { 8 }, start).empty());
+    cr_assert_eq(planBatches(pieces, targets, { 8 }, start + milliseconds(450)).size(), 1u);
+    targets[1].penalty = 1000;
+    cr_assert_eq(planBatches(pieces, targets, { 8 }, start).size(), 1u, "a domain without a sound target is not waited for");
+}
+
+Test(batching, a_bad_target_gets_only_what_has_waited)
+{
+    const std::vector<waiting_piece> pieces { pieceOf(1, milliseconds(800)) };
+    std::vector<pool_target> targets { idleTarget(), idleTarget() };
+    targets[0].penalty = 6;
+    targets[1].isIdle = false;
+    cr_assert(planBatches(pieces, targets, { 8 }, start).empty());
+    targets[1].isIdle = true;
+    const auto batches = planBatches(pieces, targets, { 8 }, start);
+    cr_assert_eq(batches.size(), 1u);
+    cr_assert_eq(batches[0].target, 1u);
+}
+
+Test(batching, no_piece_and_no_target_is_planned_twice)
+{
+    std::mt19937 random(7);
+    for (int round = 0; round < 500; ++round) {
+        std::vector<waiting_piece> pieces;
+        for (uint64_t group = 1; group <= random() % 12; ++group) {
+            auto made = groupOf(group, 1 + random() % 9, milliseconds(static_cast<int>(random() % 600) - 100), static_cast<double>(random() % 4));
+            for (auto& piece : made) {
+                piece.boundTo = random() % 3 == 0 ? "b" : "";
+                piece.isBegun = group % 3 == 0;
+            }
+            pieces.insert(pieces.end(), made.begin(), made.end());
+        }
+        std::vector<pool_target> targets;
+        for (size_t i = 0; i < 1 + random() % 5; ++i) {
+            targets.push_back(idleTarget(random() % 2 ? "a" : "b", static_cast<double>(random() % 40)));
+            targets.back().isIdle = random() % 4 != 0;
+        }
+        std::set<size_t> seenPieces;
+        std::set<size_t> seenTargets;
+        for (const auto& batch : planBatches(pieces, targets, { 8 }, start)) {
+            cr_assert(seenTargets.insert(batch.target).second);
+            cr_assert(targets[batch.target].isIdle);
+            cr_assert(!batch.pieces.empty() && batch.pieces.size() <= 8);
+            double bytes = 0;
+            for (const size_t piece : batch.pieces) {
+                cr_assert(seenPieces.insert(piece).second);
+                bytes += pieces[piece].resultBytes;
+            }
+            cr_assert_leq(bytes, targets[batch.target].freeBytes);
+        }
+    }
+}
+
+Test(batching, a_burst_of_small_requests_is_served_where_calls_of_their_own_are_late)
+{
+    const auto burst = arrivals(30, 5000, 1, 3, 11);
+    pool_model shared;
+    pool_model alone;
+    alone.isAlone = true;
+    const double withSharing = replay(shared, burst);
+    const double without = replay(alone, burst);
+    cr_assert_geq(withSharing, 0.95, "%f", withSharing);
+    cr_assert_leq(without, 0.6, "%f", without);
+}
+
+Test(batching, requests_with_many_bulky_results_do_not_block_one_another)
+{
+    pool_model model;
+    model.memoryBytes = 36;
+    model.pieceBytes = 3;
+    model.holdMs = 250;
+    model.objectiveMs = 1200;
+    const double inTime = replay(model, arrivals(11, 6000, 1, 6, 5));
+    cr_assert_geq(inTime, 0.8, "%f", inTime);
+}
