--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/http/status.hpp>
+#include <ostream>
 #include <strings.h>
 
 namespace bilberryseam::http1 {
