A piece without memory waits; silent targets are left; links outlive restarts

A target that had lost an answer was waited for to the deadline. An entry's restart closed links that had already come back.

--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -36,6 +36,15 @@
     /// Penalty of a target that gets no work at all.
     constexpr double unusablePenalty = 1000;
 
+    /// Longest time until a connection to a target stands.
+    constexpr milliseconds targetConnectTimeout { 300 };
+
+    /// A target that had no memory for a result gets no work for this long.
+    constexpr milliseconds noMemoryPause { 200 };
+
+    /// A piece that may not be repeated now waits for this long.
+    constexpr milliseconds unpaidRepeatPause { 500 };
+
     /// Time on the network that a call takes besides its work, as a share of nothing known better.
     constexpr milliseconds networkTime { 20 };
 }
@@ -74,7 +83,7 @@
     auto& queue = m_pools[job->service].queue;
     for (uint32_t piece = 0; piece < job->count; ++piece) {
         if (!job->ended[piece])
-            queue.push_back(std::make_shared<queued_piece>(queued_piece { job, piece, group, now, 0 }));
+            queue.push_back(std::make_shared<queued_piece>(queued_piece { job, piece, group, now, 0, {} }));
     }
     planSoon();
 }
@@ -129,26 +138,31 @@
     const auto* profile = profileOf(service);
     if (pool.queue.empty() || !profile)
         return;
-    const std::vector<piece_ptr> queue(pool.queue.begin(), pool.queue.end());
-    std::vector<policy::waiting_piece> pieces;
-    pieces.reserve(queue.size());
-    for (const auto& piece : queue) {
-        const stage_job& job = *piece->job;
-        pieces.push_back({ piece->group, job.isBegun, job.latestStart, piece->since, job.resultBytes, job.rank, job.boundTo, job.preferred });
-    }
     const std::vector<target_ptr> listed = m_context.targets.ofService(service);
     std::vector<policy::pool_target> targets;
+    bool hasIdle = false;
     targets.reserve(listed.size());
     for (const auto& target : listed) {
         const auto slots = static_cast<uint32_t>(profile->slots);
         // The next call is on its way when the running one ends, so that the target does not wait for it.
-        const bool isNearlyIdle = profile->queue > 0 && queue.size() >= static_cast<size_t>(profile->batch) && target->inFlight == slots && now + callLead >= target->busyUntil && now < target->busyUntil + callLead;
-        const bool isIdle = target->mayGetWork(now) && (target->inFlight < slots || isNearlyIdle);
+        const bool isNearlyIdle = profile->queue > 0 && pool.queue.size() >= static_cast<size_t>(profile->batch) && target->inFlight == slots && now + callLead >= target->busyUntil && now < target->busyUntil + callLead;
+        const bool isIdle = target->mayGetWork(now) && now >= target->noMemoryUntil && (target->inFlight < slots || isNearlyIdle);
+        hasIdle = hasIdle || isIdle;
         const double total = profile->resultBytes > 0 ? profile->resultBytes * usableMemoryShare : std::numeric_limits<double>::max();
         // A target that gets no work is not one to wait for.
         const double penalty = target->mayGetWork(now) ? policy::penaltyOf(target->health) : unusablePenalty;
         targets.push_back({ target->listed.failureDomain, isIdle, total - target->heldBytes, total, penalty });
     }
+    if (!hasIdle)
+        return;
+    std::vector<piece_ptr> queue;
+    std::copy_if(pool.queue.begin(), pool.queue.end(), std::back_inserter(queue), [now](const auto& piece) { return now >= piece->notBefore; });
+    std::vector<policy::waiting_piece> pieces;
+    pieces.reserve(queue.size());
+    for (const auto& piece : queue) {
+        const stage_job& job = *piece->job;
+        pieces.push_back({ piece->group, job.isBegun, job.latestStart, piece->since, job.resultBytes, job.rank, job.boundTo, job.preferred });
+    }
     const policy::batching_rules rules { static_cast<size_t>(profile->batch) };
     for (const auto& batch : policy::planBatches(pieces, targets, rules, now)) {
         std::vector<piece_ptr> chosen;
@@ -190,7 +204,7 @@
     calls.onBody = [call](std::string_view bytes) { call->body.append(bytes); };
     calls.onEnd = [this, service, call](http1::call_end end) { ended(service, call, end); };
     const milliseconds timeout = std::chrono::duration_cast<milliseconds>(call->startsAt - now) + std::max(patienceFloor, call->expected * patienceFactor);
-    call->call = m_context.client.send(target->listed.endpoint, request, { false, milliseconds(1000), timeout }, std::move(calls));
+    call->call = m_context.client.send(target->listed.endpoint, request, { false, targetConnectTimeout, timeout }, std::move(calls));
     logLine(log_level::Info, part, "A call was sent.", { { "service", service }, { "target", target->listed.id }, { "pieces", std::to_string(items.size()) }, { "waiting", std::to_string(pool.queue.size()) }, { "free_bytes", std::to_string(static_cast<int64_t>(profile->resultBytes - target->heldBytes)) }, { "first_request", call->pieces.front()->job->requestId } });
     m_context.counters.count("piece_calls_total", { { "service", service } });
     m_context.counters.count("pieces_total", { { "service", service } }, static_cast<double>(items.size()));
@@ -244,9 +258,15 @@
         else
             m_results[answer.handle] = { call->target, job.resultBytes, monotonicNow() + resultLifeOf(job.service) };
         const bool mayRetry = answer.failure == platform::piece_failure::NoMemory || answer.failure == platform::piece_failure::Failed;
-        if (answer.failure == platform::piece_failure::NoMemory)
-            policy::recordFailure(call->target->health, policy::call_failure::Full, monotonicNow());
-        if (mayRetry && !job.isDropped && trySpendRepeat(m_context, job.service, monotonicNow()))
+        const time_point now = monotonicNow();
+        if (answer.failure == platform::piece_failure::NoMemory) {
+            call->target->noMemoryUntil = now + noMemoryPause;
+            // The results of another owner take the memory; the piece can only wait.
+            const bool isPaid = trySpendRepeat(m_context, job.service, now);
+            piece->notBefore = now + (isPaid ? noMemoryPause : unpaidRepeatPause);
+            --piece->attempts;
+            retry(job.service, piece, answer.failure, true);
+        } else if (mayRetry && !job.isDropped && trySpendRepeat(m_context, job.service, now))
             retry(job.service, piece, answer.failure, true);
         else if (!job.end(piece->piece, { answer.handle, answer.failure }) && !answer.handle.empty())
             unused.push_back(answer.handle);
@@ -285,7 +305,7 @@
         const auto place = m_freeing.insert(m_freeing.end(), nullptr);
         http1::client_call::callbacks calls;
         calls.onEnd = [this, place](http1::call_end) { m_freeing.erase(place); };
-        *place = m_context.client.send(target->listed.endpoint, request, { false, milliseconds(1000), freeTimeout }, std::move(calls));
+        *place = m_context.client.send(target->listed.endpoint, request, { false, targetConnectTimeout, freeTimeout }, std::move(calls));
     }
 }
 
--- a/src/gateway/piece_scheduler.hpp
+++ b/src/gateway/piece_scheduler.hpp
@@ -42,6 +42,8 @@
         uint64_t group = 0;
         time_point since {};
         unsigned attempts = 0;
+        /// It is not sent before.
+        time_point notBefore {};
     };
     using piece_ptr = std::shared_ptr<queued_piece>;
 
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -320,7 +320,8 @@
     wanted.erase(m_directory.own().name);
     for (auto& [name, other] : m_peers) {
         const auto listed = m_directory.others().find(name);
-        other->isUnwanted = !wanted.contains(name) || listed == m_directory.others().end() || listed->second != other->record;
+        // A restart at the same address needs no new link: the session finds out by itself.
+        other->isUnwanted = !wanted.contains(name) || listed == m_directory.others().end() || listed->second.peerListen != other->record.peerListen;
     }
     for (const auto& name : wanted) {
         const auto listed = m_directory.others().find(name);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -53,6 +53,10 @@
     /// Longest wait for a target that could take a request, as a share of the time until its deadline.
     constexpr milliseconds longestPlacing { 1500 };
 
+    /// A target that sends nothing for so many objectives, or for so many of the pauses that are on time, is left for another.
+    constexpr double silentObjectives = 1.5;
+    constexpr int silentGaps = 5;
+
     /// Times that the stages of one request are run at most.
     constexpr int maxStageRuns = 3;
 
@@ -109,9 +113,16 @@
         giveUp("deadline");
         return;
     }
-    if (m_isWaitingForTarget && now >= m_retryAt)
+    if (m_isWaitingForTarget && now >= m_retryAt) {
         dispatch();
-    else if (m_call && m_request.exchange->isStarted())
+        return;
+    }
+    if (isTargetSilent(now)) {
+        policy::recordFailure(m_target->health, policy::call_failure::Failed, now);
+        leaveTarget();
+        answerFailed("silent", true);
+    }
+    if (m_call && m_request.exchange->isStarted())
         m_call->setReading(m_request.exchange->pendingBytes() < maxUnreadBytes);
 }
 
@@ -475,6 +486,7 @@
 void request_run::bytesCame(std::string_view bytes)
 {
     const auto keep = shared_from_this();
+    m_lastByteAt = monotonicNow();
     if (!m_hasFirstByte) {
         m_hasFirstByte = true;
         const time_point now = monotonicNow();
@@ -526,6 +538,16 @@
         m_call->setReading(false);
 }
 
+bool request_run::isTargetSilent(time_point now) const
+{
+    const auto& route = *m_request.route;
+    if (!m_call || !route.isRepeatable() || m_runs >= route.maxAttempts)
+        return false;
+    if (m_request.exchange->isStarted())
+        return m_request.exchange->pendingBytes() == 0 && now - m_lastByteAt > route.gapObjective * silentGaps;
+    return !m_hasFirstByte && asSeconds(now - m_sentAt) > asSeconds(route.objective) * silentObjectives;
+}
+
 void request_run::leaveTarget()
 {
     m_call.reset();
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -75,6 +75,7 @@
     void answerFailed(std::string_view why, bool mayHaveRun);
     void strike(time_point now);
     void completeAnswer();
+    [[nodiscard]] bool isTargetSilent(time_point now) const;
     void leaveTarget();
     void relay(std::string_view bytes);
     void startRelay();
@@ -105,6 +106,7 @@
     target_ptr m_target;
     std::shared_ptr<http1::client_call> m_call;
     time_point m_sentAt {};
+    time_point m_lastByteAt {};
     http1::answer_head m_head;
     platform::target_answer m_answer;
     bool m_hasHead = false;
--- a/src/gateway/target_book.hpp
+++ b/src/gateway/target_book.hpp
@@ -29,6 +29,8 @@
     uint64_t unreadTokens = 0;
     /// When its running call is expected to end.
     time_point busyUntil {};
+    /// It had no memory for a result; it gets no pieces before.
+    time_point noMemoryUntil {};
     /// Memory that results of this process's calls take there, in bytes.
     double heldBytes = 0;
     /// When this process last read a prompt part there, by the hash of the parts up to it.
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -44,8 +44,8 @@
 struct call_options {
     /// Uses a new connection and closes it afterwards, so that no earlier exchange can blur this one.
     bool isOnNewConnection = false;
-    /// Longest time until the connection stands.
-    milliseconds connectTimeout { 1000 };
+    /// Longest time until the connection stands; several round trips between regions.
+    milliseconds connectTimeout { 300 };
     /// Longest time for the whole exchange; zero for none.
     milliseconds timeout { 0 };
     /// Largest body that is accepted, in bytes.
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -57,12 +57,32 @@
         return line;
     }
 
+    void appendQuoted(std::string& line, std::string_view text)
+    {
+        const bool isPlain = std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c <= '~' && c != '"' && c != '\\'; });
+        if (isPlain)
+            line.append("\"").append(text).append("\"");
+        else
+            line.append(dumpText(nlohmann::json(text)));
+    }
+
+    void appendMember(std::string& line, std::string_view name, std::string_view value)
+    {
+        line.append(",");
+        appendQuoted(line, name);
+        line.append(":");
+        appendQuoted(line, value);
+    }
+
     std::string composeJson(log_level level, std::string_view part, std::string_view sentence, std::initializer_list<log_field> fields)
     {
-        nlohmann::ordered_json line { { "time", timestamp() }, { "level", nameOfLevel(level) }, { "part", part }, { "message", sentence } };
+        std::string line = "{\"time\":\"" + timestamp() + "\"";
+        appendMember(line, "level", nameOfLevel(level));
+        appendMember(line, "part", part);
+        appendMember(line, "message", sentence);
         for (const auto& [name, value] : fields)
-            line[std::string(name)] = value;
-        return dumpText(line);
+            appendMember(line, name, value);
+        return line.append("}");
     }
 }
 
