--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -10,10 +10,14 @@
     constexpr double ratioShare = 0.8;
     constexpr double percent = 100;
 
+    /// Entries that may call a pool's targets at the same time: its owner, and others while it changes.
+    constexpr double poolOwners = 3;
+
     repeat_budget& budgetOf(context& context, std::string_view service, time_point now)
     {
         const auto& bounds = context.settings.bounds;
-        const double share = bounds.retrySlack / context.entries;
+        const bool isPool = context.configuration && context.configuration->services.contains(service) && context.configuration->services.find(service)->second.pool;
+        const double share = bounds.retrySlack / (isPool ? poolOwners : context.entries);
         auto found = context.repeats.find(service);
         if (found == context.repeats.end()) {
             const repeat_budget fresh { policy::budgetOf(share * burstShare), now };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -274,8 +274,6 @@
     }
     const std::string service(deployment::pickService(*route, hashOf(asked.id)));
     earnRepeats(m_context, service, now);
-    for (const auto& stage : route->stages)
-        earnRepeats(m_context, stage.service, now);
     logLine(log_level::Info, part, "Accepted.", { { "request", asked.id }, { "route", route->name }, { "service", service }, { "account", account }, { "version", std::to_string(state->version) }, { "checked_ms_ago", std::to_string(asMilliseconds(now - m_context.configurationCheckedAt)) }, { "open", std::to_string(m_runs.size()) } });
     accepted_request accepted { std::move(exchange), asked, state, route, service, account, fingerprint };
     const auto run = std::make_shared<request_run>(m_context, *m_pools, std::move(accepted), [this](request_run* ended) {
--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -18,8 +18,12 @@
     constexpr unsigned maxSends = 4;
 
     /// A call is given up after this many times its usual time, and at least after the floor.
-    constexpr int patienceFactor = 5;
-    constexpr milliseconds patienceFloor { 800 };
+    constexpr int patienceFactor = 12;
+    constexpr milliseconds patienceFloor { 3000 };
+
+    /// After this many times its usual time, the pieces of a call may be made elsewhere; its target goes on, and whichever
+    /// result comes first is used.
+    constexpr double overdueFactor = 2.5;
 
     /// Time that a piece needs at least to be worth a call.
     constexpr milliseconds leastUsefulTime { 30 };
@@ -55,6 +59,8 @@
     /// When its work should begin at the target.
     time_point startsAt {};
     milliseconds expected { 0 };
+    bool isOverdue = false;
+    bool isMadeElsewhere = false;
     double resultBytes = 0;
     std::shared_ptr<http1::client_call> call;
     unsigned status = 0;
@@ -80,6 +86,7 @@
 {
     const time_point now = monotonicNow();
     const uint64_t group = hashOf(job->requestId, job->stage);
+    earnRepeats(m_context, job->service, now);
     auto& queue = m_pools[job->service].queue;
     for (uint32_t piece = 0; piece < job->count; ++piece) {
         if (!job->ended[piece])
@@ -129,10 +136,32 @@
             m_context.counters.count("pieces_late_total", { { "service", service } });
             piece->job->end(piece->piece, { "", platform::piece_failure::Late });
         }
+        makeOverdueElsewhere(service, pool, now);
         plan(service, pool, now);
     }
 }
 
+void piece_scheduler::makeOverdueElsewhere(const std::string& service, pool& pool, time_point now)
+{
+    for (const auto& call : pool.calls) {
+        const bool isOverdue = asSeconds(now - call->startsAt) > asSeconds(call->expected + networkTime) * overdueFactor;
+        if (!isOverdue || std::exchange(call->isOverdue, true))
+            continue;
+        policy::recordSuccess(call->target->health, overdueFactor, now);
+        const bool isPaid = trySpendRepeat(m_context, service, now);
+        logLine(log_level::Warning, part, "A call is overdue.", { { "target", call->target->listed.id }, { "service", service }, { "pieces", std::to_string(call->pieces.size()) }, { "made_elsewhere", isPaid ? "true" : "false" }, { "first_request", call->pieces.front()->job->requestId } });
+        if (!isPaid)
+            continue;
+        m_context.counters.count("piece_retries_total", { { "service", service }, { "reason", "overdue" } });
+        for (const auto& piece : call->pieces) {
+            const bool isWanted = !piece->job->isDropped && !piece->job->ended[piece->piece] && piece->attempts < maxSends;
+            if (isWanted)
+                pool.queue.push_back(std::make_shared<queued_piece>(*piece));
+        }
+        call->isMadeElsewhere = true;
+    }
+}
+
 void piece_scheduler::plan(const std::string& service, pool& pool, time_point now)
 {
     const auto* profile = profileOf(service);
@@ -235,6 +264,8 @@
                                                                                                : policy::call_failure::Failed;
     policy::recordFailure(target.health, failure, now);
     logLine(log_level::Warning, part, "A call for pieces failed.", { { "target", target.listed.id }, { "service", service }, { "end", std::string(nameOf(end)) }, { "status", std::to_string(call->status) }, { "pieces", std::to_string(call->pieces.size()) }, { "firstRequest", call->pieces.front()->job->requestId } });
+    if (call->isMadeElsewhere)
+        return;
     const bool wasSent = end != http1::call_end::NotSent;
     if (wasSent && !trySpendRepeat(m_context, service, now)) {
         for (const auto& piece : call->pieces)
@@ -257,6 +288,8 @@
             call->target->heldBytes -= job.resultBytes;
         else
             m_results[answer.handle] = { call->target, job.resultBytes, monotonicNow() + resultLifeOf(job.service) };
+        if (answer.handle.empty() && call->isMadeElsewhere)
+            continue;
         const bool mayRetry = answer.failure == platform::piece_failure::NoMemory || answer.failure == platform::piece_failure::Failed;
         const time_point now = monotonicNow();
         if (answer.failure == platform::piece_failure::NoMemory) {
--- a/src/gateway/piece_scheduler.hpp
+++ b/src/gateway/piece_scheduler.hpp
@@ -61,6 +61,7 @@
     };
 
     void plan(const std::string& service, pool& pool, time_point now);
+    void makeOverdueElsewhere(const std::string& service, pool& pool, time_point now);
     void send(const std::string& service, pool& pool, const target_ptr& target, std::vector<piece_ptr> pieces, time_point now);
     void ended(const std::string& service, const std::shared_ptr<call_state>& call, http1::call_end end);
     void settle(const std::shared_ptr<call_state>& call, const std::vector<platform::piece_answer>& answers);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -145,7 +145,9 @@
 void request_run::restartStages(std::string_view why)
 {
     const time_point now = monotonicNow();
-    const bool mayRepeat = m_stageRuns < maxStageRuns && trySpendRepeat(m_context, m_request.route->stages.front().service, now);
+    // One that is late already would only take the place of others.
+    const bool isWorthwhile = m_stageRuns < maxStageRuns && now - m_arrivedAt < m_request.route->objective;
+    const bool mayRepeat = isWorthwhile && trySpendRepeat(m_context, m_request.service, now);
     if (!mayRepeat) {
         endUnanswered(why, retryAfterBadLuck);
         return;
