The store is read as rarely as the bounds allow

Ruled out: one reader that tells the others (less load still, but freshness of keys would hang on a link); kept for later. Bounds for leaving targets and configurations set the periods.

--- a/src/gateway/entry_directory.cpp
+++ b/src/gateway/entry_directory.cpp
@@ -11,7 +11,7 @@
     constexpr std::string_view part = "directory";
 
     /// Pause between two reads; entries change rarely, and links show at once who is gone.
-    constexpr milliseconds readPeriod { 2000 };
+    constexpr milliseconds readPeriod { 4000 };
     constexpr milliseconds announceAgainAfter { 1000 };
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,10 +18,12 @@
 
     constexpr milliseconds tickPeriod { 25 };
 
-    /// The store holds a read of the configuration for this long, so that a change is known at once and few calls are made.
-    constexpr milliseconds configurationWait { 1000 };
-    /// Pause between two reads of the target list.
-    constexpr milliseconds targetPeriod { 600 };
+    /// Reads of the store are priced, so they are as rare as the bounds allow. It holds a read of the configuration for
+    /// this part of the time in which one comes into force; the target list is read once in this part of the time after
+    /// which a leaving target gets no work.
+    constexpr double configurationWaitShare = 0.375;
+    constexpr double targetPeriodShare = 0.36;
+    constexpr milliseconds longestReadPause { 1500 };
 
     /// Keys are refused this long before a removal that was missed must be in force.
     constexpr milliseconds revocationMargin { 700 };
@@ -39,6 +41,11 @@
     constexpr milliseconds retryElsewhere { 50 };
     constexpr milliseconds retryWhenFull { 1000 };
 
+    milliseconds partOf(milliseconds bound, double share)
+    {
+        return std::min(longestReadPause, milliseconds(static_cast<int64_t>(static_cast<double>(bound.count()) * share)));
+    }
+
     uint64_t fingerprintOf(const http1::exchange& exchange, std::string_view key)
     {
         return hashOf(exchange.body(), hashOf(exchange.head().target, hashOf(key)));
@@ -66,8 +73,8 @@
     });
     m_operators.emplace(
         settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { answerOperator(*exchange); });
-    m_configurationFollower.emplace(m_context.client, settings.store, std::string(platform::operatorTopic), platform::follow_options { configurationWait }, configurationCalls());
-    m_targetFollower.emplace(m_context.client, settings.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), targetPeriod }, targetCalls());
+    m_configurationFollower.emplace(m_context.client, settings.store, std::string(platform::operatorTopic), platform::follow_options { partOf(settings.bounds.configuration, configurationWaitShare) }, configurationCalls());
+    m_targetFollower.emplace(m_context.client, settings.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), partOf(settings.bounds.leaving, targetPeriodShare) }, targetCalls());
     const int64_t startedAtMs = wallNow().time_since_epoch().count();
     m_directory.emplace(m_context, entry_record { settings.name, settings.peerListen, settings.processorShare, startedAtMs }, [this] { m_pools->membersChanged(); });
     m_pools.emplace(m_context, m_pieces, *m_directory);
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -27,6 +27,7 @@
           "properties": {
             "revocationMs": { "type": "integer", "minimum": 500, "maximum": 3600000 },
             "configurationMs": { "type": "integer", "minimum": 100, "maximum": 3600000 },
+            "leavingMs": { "type": "integer", "minimum": 100, "maximum": 3600000 },
             "stopSeconds": { "type": "number", "minimum": 1, "maximum": 3600 },
             "retryRatio": { "type": "number", "minimum": 0, "maximum": 1 },
             "retrySlack": { "type": "number", "minimum": 0, "maximum": 1000000 },
@@ -59,6 +60,7 @@
         gateway_bounds bounds;
         bounds.revocation = milliseconds(from.value("revocationMs", bounds.revocation.count()));
         bounds.configuration = milliseconds(from.value("configurationMs", bounds.configuration.count()));
+        bounds.leaving = milliseconds(from.value("leavingMs", bounds.leaving.count()));
         bounds.stop = readSeconds(from, "stopSeconds", bounds.stop);
         bounds.retryRatio = from.value("retryRatio", bounds.retryRatio);
         bounds.retrySlack = from.value("retrySlack", bounds.retrySlack);
@@ -105,7 +107,7 @@
 {
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "operatorListen", operatorListen.toString() },
         { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions },
-        { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) } } },
+        { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) } } },
         { "limits", { { "maxHeldBytes", limits.maxHeldBytes }, { "maxConnections", limits.maxConnections } } } };
 }
 }
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -18,6 +18,8 @@
     milliseconds revocation { 5000 };
     /// Time in which a configuration comes into force.
     milliseconds configuration { 2500 };
+    /// Time after which a leaving target gets no new work.
+    milliseconds leaving { 2500 };
     /// Time for a planned stop, before the process is killed.
     milliseconds stop { 8000 };
     /// Repeats that are allowed for each request, and besides, over all entries.
