--- a/src/fakes/platform_target.hpp
+++ b/src/fakes/platform_target.hpp
@@ -31,6 +31,8 @@
 
     [[nodiscard]] const std::string& id() const noexcept { return m_id; }
     [[nodiscard]] const ip_endpoint& endpoint() const noexcept { return m_endpoint; }
+    /// Names another address, such as that of a stand-in link, in its results.
+    void setEndpoint(ip_endpoint endpoint) { m_endpoint = std::move(endpoint); }
     /// @return All requests of callers that came, in order.
     [[nodiscard]] const std::vector<seen_request>& requests() const noexcept { return m_requests; }
     /// @return The bodies of all calls for pieces that came, in order.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -56,6 +56,9 @@
     /// A target that sends nothing for so many objectives, or for so many of the pauses that are on time, is left for another.
     constexpr double silentObjectives = 1.5;
     constexpr int silentGaps = 5;
+    constexpr milliseconds shortestFirstSilence { 150 };
+    /// Routes may state no pauses.
+    constexpr milliseconds shortestSilence { 1000 };
 
     /// Times that the stages of one request are run at most.
     constexpr int maxStageRuns = 3;
@@ -546,8 +549,8 @@
     if (!m_call || !route.isRepeatable() || m_runs >= route.maxAttempts)
         return false;
     if (m_request.exchange->isStarted())
-        return m_request.exchange->pendingBytes() == 0 && now - m_lastByteAt > route.gapObjective * silentGaps;
-    return !m_hasFirstByte && asSeconds(now - m_sentAt) > asSeconds(route.objective) * silentObjectives;
+        return m_request.exchange->pendingBytes() == 0 && now - m_lastByteAt > std::max<microseconds>(shortestSilence, route.gapObjective * silentGaps);
+    return !m_hasFirstByte && now - m_sentAt > shortestFirstSilence && asSeconds(now - m_sentAt) > asSeconds(route.objective) * silentObjectives;
 }
 
 void request_run::leaveTarget()
--- a/tests/process/gateway_stream_test.cpp
+++ b/tests/process/gateway_stream_test.cpp
@@ -148,3 +148,24 @@
     cr_assert_eq(deployment.ask("POST", "/m/1")->head.status, 504);
     cr_assert(held && held->isOver());
 }
+
+Test(gateway_stream, a_route_that_states_no_pauses_does_not_make_a_target_silent)
+{
+    deployment_fixture deployment(195);
+    auto& target = deployment.addTarget("t-1", "model");
+    std::shared_ptr<http1::exchange> held;
+    target.setBehaviour([&](std::shared_ptr<http1::exchange> exchange) { held = std::move(exchange); });
+    deployment.configure(3, { deployment.route("/m/", "streaming", "model", { { "resumable", true } }) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto stream = deployment.send("POST", "/m/1");
+    deployment.waitUntil([&] { return held != nullptr; }, "the request at its target");
+    held->startChunked(200, streamHeaders(target, *held));
+    held->writeChunk(event(1));
+    deployment.pass(milliseconds(200));
+    held->writeChunk(event(2));
+    held->finishChunked();
+    deployment.waitUntil([&] { return stream->isOver; }, "the end");
+    cr_assert_eq(stream->end, http1::call_end::Complete);
+    cr_assert_eq(target.requests().size(), 1u);
+}
--- a/tests/support/deployment_fixture.cpp
+++ b/tests/support/deployment_fixture.cpp
@@ -89,15 +89,26 @@
     const std::string path = m_folder + "/" + name + ".json";
     std::ofstream(path) << settings.dump();
     made.logPath = m_folder + "/" + name + ".log";
+    made.settingsPath = path;
+    spawn(made);
+    m_gateways.push_back(std::move(made));
+    return m_gateways.size() - 1;
+}
+
+void deployment_fixture::restartGateway(size_t gateway)
+{
+    spawn(m_gateways[gateway]);
+}
+
+void deployment_fixture::spawn(gateway_process& made)
+{
     const auto launcher = gobject_ptr<GSubprocessLauncher>::adopt(g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE));
     g_subprocess_launcher_set_stdout_file_path(launcher.get(), made.logPath.c_str());
     g_subprocess_launcher_set_child_setup(launcher.get(), endWithParent, nullptr, nullptr);
     const std::string binary = std::string(BILBERRYSEAM_BINARIES) + "/bilberryseam-gateway";
     GError* failure = nullptr;
-    made.process = gobject_ptr<GSubprocess>::adopt(g_subprocess_launcher_spawn(launcher.get(), &failure, binary.c_str(), "--settings", path.c_str(), "--log-format", "json", nullptr));
+    made.process = gobject_ptr<GSubprocess>::adopt(g_subprocess_launcher_spawn(launcher.get(), &failure, binary.c_str(), "--settings", made.settingsPath.c_str(), "--log-format", "json", nullptr));
     cr_assert(made.process, "the gateway does not start: %s", failure ? failure->message : "");
-    m_gateways.push_back(std::move(made));
-    return m_gateways.size() - 1;
 }
 
 bool deployment_fixture::isReady(size_t gateway)
--- a/tests/support/deployment_fixture.hpp
+++ b/tests/support/deployment_fixture.hpp
@@ -37,6 +37,9 @@
     ~deployment_fixture();
 
     [[nodiscard]] ip_endpoint address();
+    /// Gateways that start from now on find the store at another address, such as that of a stand-in link.
+    void setStoreAddress(const ip_endpoint& address) { m_storeAddress = address; }
+    [[nodiscard]] const ip_endpoint& storeAddress() const noexcept { return m_storeAddress; }
     fakes::platform_store& store() { return *m_store; }
 
     /// Adds a target and lists it.
@@ -51,6 +54,8 @@
 
     /// Starts a gateway; returns its index.
     size_t startGateway(const nlohmann::json& bounds = nlohmann::json::object());
+    /// Starts a gateway that has ended once more, at its addresses.
+    void restartGateway(size_t gateway);
     void waitUntilReady(size_t gateway = 0);
     [[nodiscard]] bool isReady(size_t gateway = 0);
     void signal(size_t gateway, int number);
@@ -75,7 +80,9 @@
         ip_endpoint operatorListen;
         gobject_ptr<GSubprocess> process;
         std::string logPath;
+        std::string settingsPath;
     };
+    void spawn(gateway_process& gateway);
 
     std::string m_folder;
     int m_nextPort;
