--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -218,7 +218,7 @@
 
 bool gateway::isReady(time_point now) const
 {
-    return !m_isStopping && m_context.configuration && m_hasTargets && areKeysFresh(now);
+    return !m_isStopping && m_context.configuration && m_hasTargets && m_pools->isSettled(now) && areKeysFresh(now);
 }
 
 // Requests.
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -20,6 +20,12 @@
     /// Work of an entry that has been gone for this long is dropped.
     constexpr milliseconds goneEntryExpiry { 1500 };
 
+    /// An owner that refused work is not asked for this long.
+    constexpr milliseconds refusedPause { 1000 };
+
+    /// An entry that starts waits for its links for this long before it says that it is ready.
+    constexpr milliseconds settleTime { 1000 };
+
     wire::link_times ownerLinkTimes()
     {
         wire::link_times times;
@@ -62,6 +68,8 @@
     entry_record record;
     uint64_t jobs = 0;
     bool isUnwanted = false;
+    /// It has refused work and is not asked before.
+    time_point refusedUntil {};
     std::unique_ptr<wire::session> session;
 };
 
@@ -99,16 +107,29 @@
 
 pool_router::peer* pool_router::usableOwner(std::string_view service)
 {
+    const time_point now = monotonicNow();
     for (const auto& name : ownersOf(service)) {
-        if (name == m_directory.own().name)
+        if (name == m_directory.own().name) {
+            // A stopping entry hands its pools on, so that there is one owner again soon.
+            if (m_isStopping)
+                continue;
             return nullptr;
+        }
         const auto found = m_peers.find(name);
-        if (found != m_peers.end() && found->second->session->isUp())
+        if (found != m_peers.end() && found->second->session->isUp() && now >= found->second->refusedUntil)
             return found->second.get();
     }
     return nullptr;
 }
 
+bool pool_router::isSettled(time_point now) const
+{
+    if (!m_hasMembers)
+        return false;
+    const bool isLinked = std::all_of(m_peers.begin(), m_peers.end(), [](const auto& item) { return item.second->session->isUp(); });
+    return isLinked || now - m_membersSince > settleTime;
+}
+
 void pool_router::run(const job_ptr& job)
 {
     if (peer* owner = usableOwner(job->service))
@@ -223,7 +244,9 @@
             return;
         const job_ptr job = found->second.job;
         forget(found);
-        m_local.add(job);
+        if (const auto owner = m_peers.find(name); owner != m_peers.end())
+            owner->second->refusedUntil = monotonicNow() + refusedPause;
+        run(job);
     }
 }
 
@@ -307,6 +330,8 @@
 
 void pool_router::membersChanged()
 {
+    if (!std::exchange(m_hasMembers, true))
+        m_membersSince = monotonicNow();
     m_context.entries = static_cast<unsigned>(std::max<size_t>(4, m_directory.others().size() + 1));
     std::set<std::string, std::less<>> wanted;
     if (const auto& state = m_context.configuration) {
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -34,6 +34,8 @@
     void tick(time_point now);
     /// The directory or the configuration has changed.
     void membersChanged();
+    /// @return True once the entry has its links to other owners, or has waited for them long enough.
+    [[nodiscard]] bool isSettled(time_point now) const;
     /// From now on this entry serves no pool for others.
     void setStopping() noexcept { m_isStopping = true; }
 
@@ -71,5 +73,7 @@
     identifier_generator m_identifiers;
     wire::session_server m_server;
     bool m_isStopping = false;
+    bool m_hasMembers = false;
+    time_point m_membersSince {};
 };
 }
