Memory counts where all targets of a pool look bad; pieces that have their result leave the queue

Cause: gateway_stage::entries_share_the_calls failed once calls could be overdue: a pool whose only target looked slow was planned as if it had no memory, so each call took the pieces of one request; a piece that was made elsewhere stayed queued after its first result had come. Test: batching::where_all_targets_are_bad (failed before, passes now). Also: parts that nothing runs removed; an account's rank goes before its route's; entries that start are known at once.

--- a/src/deployment/deployment.hpp
+++ b/src/deployment/deployment.hpp
@@ -86,25 +86,16 @@
     [[nodiscard]] milliseconds timeOf(size_t pieces) const noexcept { return callTime + milliseconds(static_cast<int64_t>(pieceMilliseconds * static_cast<double>(pieces))); }
 };
 
-/// How a service generates tokens. All values are for one target.
-struct engine_profile {
-    int slots = 0;
-    uint64_t cacheTokens = 0;
-};
-
 /// A service that targets serve.
 struct service {
     std::string name;
-    std::string healthPath;
-    /// Connections that one target accepts from all callers.
-    int maxConnections = 0;
     std::optional<pool_profile> pool;
-    std::optional<engine_profile> engine;
 };
 
 /// Who may send requests.
 struct client_account {
     std::string name;
+    /// Rank of its requests, which goes before that of their routes.
     std::optional<int> priority;
 };
 
--- a/src/gateway/entry_directory.cpp
+++ b/src/gateway/entry_directory.cpp
@@ -12,6 +12,8 @@
 
     /// Pause between two reads; entries change rarely, and links show at once who is gone.
     constexpr milliseconds readPeriod { 4000 };
+    /// Several signs of new entries lead to one read.
+    constexpr milliseconds readSoonPause { 200 };
     constexpr milliseconds announceAgainAfter { 1000 };
 }
 
@@ -52,6 +54,12 @@
     });
 }
 
+void entry_directory::readSoon()
+{
+    if (!m_readSoon.isRunning())
+        m_readSoon.startOnce(readSoonPause, [this] { m_follower.wake(); });
+}
+
 void entry_directory::withdraw()
 {
     m_announceAgain.stop();
--- a/src/gateway/entry_directory.hpp
+++ b/src/gateway/entry_directory.hpp
@@ -39,6 +39,9 @@
     /// Takes this entry's record back, for a planned stop.
     void withdraw();
 
+    /// Another entry seems to have started: reads the others' records soon.
+    void readSoon();
+
     void setStore(const ip_endpoint& store) { m_follower.setStore(store); }
 
 private:
@@ -52,6 +55,7 @@
     std::map<std::string, entry_record, std::less<>> m_others;
     std::shared_ptr<http1::client_call> m_put;
     timer m_announceAgain;
+    timer m_readSoon;
     platform::topic_follower m_follower;
 };
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -255,6 +255,7 @@
         return;
     }
     std::string account;
+    int rank = route->priority;
     if (state->hasAccounts && !route->needsNoKey) {
         if (!areKeysFresh(now)) {
             refuse(*exchange, asked.id, statusUnavailable, "keys_old", retryElsewhere);
@@ -269,6 +270,7 @@
             return;
         }
         account = found->second.name;
+        rank = found->second.priority.value_or(rank);
     }
     if (m_context.heldBytes > m_context.settings.limits.maxHeldBytes) {
         refuse(*exchange, asked.id, statusUnavailable, "memory", retryWhenFull);
@@ -282,7 +284,7 @@
     const std::string service(deployment::pickService(*route, hashOf(asked.id)));
     earnRepeats(m_context, service, now);
     logLine(log_level::Info, part, "Accepted.", { { "request", asked.id }, { "route", route->name }, { "service", service }, { "account", account }, { "version", std::to_string(state->version) }, { "checked_ms_ago", std::to_string(asMilliseconds(now - m_context.configurationCheckedAt)) }, { "open", std::to_string(m_runs.size()) } });
-    accepted_request accepted { std::move(exchange), asked, state, route, service, account, fingerprint };
+    accepted_request accepted { std::move(exchange), asked, state, route, service, account, rank, fingerprint };
     const auto run = std::make_shared<request_run>(m_context, *m_pools, std::move(accepted), [this](request_run* ended) {
         const auto found = std::find_if(m_runs.begin(), m_runs.end(), [ended](const auto& item) { return item.get() == ended; });
         if (found == m_runs.end())
--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -165,6 +165,8 @@
 void piece_scheduler::plan(const std::string& service, pool& pool, time_point now)
 {
     const auto* profile = profileOf(service);
+    // The result may have come from an overdue call in the meantime.
+    pool.queue.remove_if([](const auto& piece) { return piece->job->ended[piece->piece]; });
     if (pool.queue.empty() || !profile)
         return;
     const std::vector<target_ptr> listed = m_context.targets.ofService(service);
@@ -341,27 +343,4 @@
         *place = m_context.client.send(target->listed.endpoint, request, { false, targetConnectTimeout, freeTimeout }, std::move(calls));
     }
 }
-
-milliseconds piece_scheduler::expectedWait(std::string_view service, std::string_view domain, time_point now) const
-{
-    const auto* profile = profileOf(service);
-    if (!profile)
-        return milliseconds(0);
-    const auto found = m_pools.find(service);
-    const size_t queued = found == m_pools.end() ? 0 : found->second.queue.size();
-    std::optional<time_point> free;
-    size_t usable = 0;
-    for (const auto& target : m_context.targets.ofService(service)) {
-        if (!target->mayGetWork(now) || (!domain.empty() && target->listed.failureDomain != domain))
-            continue;
-        ++usable;
-        const time_point until = target->inFlight > 0 ? std::max(now, target->busyUntil) : now;
-        free = free ? std::min(*free, until) : until;
-    }
-    if (usable == 0)
-        return milliseconds(10000);
-    const auto perCall = profile->timeOf(static_cast<size_t>(profile->batch));
-    const auto calls = static_cast<double>(queued) / static_cast<double>(profile->batch) / static_cast<double>(usable);
-    return std::chrono::duration_cast<milliseconds>(*free - now) + milliseconds(static_cast<int64_t>(calls * static_cast<double>(perCall.count())));
-}
 }
--- a/src/gateway/piece_scheduler.hpp
+++ b/src/gateway/piece_scheduler.hpp
@@ -30,9 +30,6 @@
     /// Sends what may go now, and gives up pieces whose time is over.
     void tick(time_point now);
 
-    /// @return The time until a new piece could start in that pool, from what waits and runs there.
-    [[nodiscard]] milliseconds expectedWait(std::string_view service, std::string_view domain, time_point now) const;
-
 private:
     struct call_state;
     /// One piece that waits or is being made.
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -80,7 +80,7 @@
     , m_identifiers(identifier_generator::fromSystem())
     , m_server(directory.own().peerListen, directory.own().name, m_identifiers.next(), ownerServerLimits(),
           { [this](identifier session, wire::message& item) { hear(session, item); },
-              [](identifier) {},
+              [this](identifier) { m_directory.readSoon(); },
               [this](identifier session) { sessionExpired(session); },
               [this](std::string_view rule) {
                   m_context.counters.count("peer_violations_total", { { "rule", std::string(rule) } });
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -265,7 +265,7 @@
     job->resultBytes = static_cast<double>(stage.resultBytes);
     job->latestStart = m_arrivedAt + m_request.route->objective - remainingTime(index);
     job->deadline = m_deadline;
-    job->rank = static_cast<uint32_t>(std::clamp(m_request.route->priority, 0, 9));
+    job->rank = static_cast<uint32_t>(std::clamp(m_request.rank, 0, 9));
     if (stage.resultBytes >= bulkyResultBytes)
         job->boundTo = m_domain;
     // Each piece fetches all inputs.
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -21,6 +21,8 @@
     const deployment::route* route = nullptr;
     std::string service;
     std::string account;
+    /// 0 is the most urgent.
+    int rank = 0;
     /// Names the request's content and caller, the same for each of its attempts.
     uint64_t fingerprint = 0;
 };
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -70,9 +70,6 @@
     /// Stops or resumes reading the answer.
     void setReading(bool isReading);
 
-    /// @return True if the exchange uses a connection that served an earlier one.
-    [[nodiscard]] bool isOnReusedConnection() const noexcept { return m_isReused; }
-
 private:
     friend class client;
     struct parsing;
--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -14,8 +14,6 @@
     void start();
     /// Ends the connection if its time is up.
     void checkTime(time_point now, const server_limits& limits);
-    /// Closes it now if it is idle, else after the answer.
-    void retire();
     /// The owner is going away.
     void orphan();
 
@@ -27,7 +25,6 @@
     void answered();
     /// The exchange is over without a whole answer.
     void cut();
-    void forget() noexcept { m_current = nullptr; }
 
 private:
     enum class phase {
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -200,14 +200,6 @@
             m_stream->close();
     }
 
-    void server_connection::retire()
-    {
-        if (m_phase == phase::Idle)
-            linger();
-        else
-            m_mustClose = true;
-    }
-
     void server_connection::orphan()
     {
         m_owner = nullptr;
@@ -337,10 +329,4 @@
     m_listener.stop();
 }
 
-void server::closeConnections()
-{
-    m_isClosing = true;
-    for (const auto& connection : m_connections)
-        connection->retire();
-}
 }
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -39,8 +39,6 @@
 
     [[nodiscard]] const request_head& head() const noexcept { return m_head; }
     [[nodiscard]] const std::string& body() const noexcept { return m_body; }
-    /// @return The body, which is then gone here.
-    [[nodiscard]] std::string takeBody() noexcept { return std::move(m_body); }
     /// @return When the first byte of the request came.
     [[nodiscard]] time_point arrivedAt() const noexcept { return m_arrivedAt; }
 
@@ -99,9 +97,6 @@
     /// Takes no more connections; open ones go on.
     void stopListening() noexcept;
 
-    /// Closes idle connections now and the others after their answers.
-    void closeConnections();
-
     /// From now on each answer closes its connection.
     void setClosing(bool isClosing) noexcept { m_isClosing = isClosing; }
 
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -23,7 +23,6 @@
     constexpr std::string_view priorityName = "X-Request-Priority";
     constexpr std::string_view sealName = "X-Response-Seal";
     constexpr std::string_view notRunName = "X-Not-Executed";
-    constexpr std::string_view loadName = "X-Replica-Load";
 
     constexpr unsigned statusMisdirected = 421;
     constexpr size_t maxParts = 1000;
@@ -170,8 +169,6 @@
         headers.emplace_back(accountName, call.account);
     if (!call.inputs.empty())
         headers.emplace_back(inputsName, join(call.inputs));
-    if (call.priority)
-        headers.emplace_back(priorityName, std::to_string(*call.priority));
     if (!call.lastEventId.empty())
         headers.emplace_back(lastEventName, call.lastEventId);
     return headers;
@@ -215,15 +212,4 @@
 {
     return { { "Host", target.endpoint.toString() }, { "Content-Type", "application/json" }, { std::string(targetIdName), target.id } };
 }
-
-std::optional<target_load> decodeLoad(const http1::answer_head& head)
-{
-    const auto text = http1::findHeader(head.headers, loadName);
-    if (!text)
-        return std::nullopt;
-    target_load load;
-    if (std::sscanf(std::string(*text).c_str(), "%d,%d,%d", &load.running, &load.waiting, &load.slots) != 3)
-        return std::nullopt;
-    return load;
-}
 }
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -20,8 +20,6 @@
     std::string_view account;
     /// Results of stages that the target takes as inputs.
     std::span<const std::string> inputs;
-    /// Rank at the target from 0 (first) to 9.
-    std::optional<int> priority;
     /// Identifier of the last event that the caller already has; empty if none.
     std::string_view lastEventId;
 };
@@ -52,18 +50,9 @@
 /// @return `Retry-After` in seconds, with fractions.
 [[nodiscard]] std::pair<std::string, std::string> retryAfterHeader(milliseconds delay);
 
-/// Running and waiting calls that a target tells of.
-struct target_load {
-    int running = 0;
-    int waiting = 0;
-    int slots = 0;
-};
-
 /// @return True if the target states that it did not run the request.
 [[nodiscard]] bool isNotRun(const http1::answer_head& head);
 
 /// @return The header fields of a call of the system's own to a target.
 [[nodiscard]] http1::header_list ownCallHeaders(const deployment::target& target);
-
-[[nodiscard]] std::optional<target_load> decodeLoad(const http1::answer_head& head);
 }
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -101,12 +101,8 @@
     {
         deployment::service service;
         service.name = from.at("name");
-        service.healthPath = readOr<std::string>(from, "health_path", "/");
-        service.maxConnections = readOr(from, "max_conns", 0);
         if (const auto found = from.find("pieces"); found != from.end() && found->is_object())
             service.pool = readPool(*found);
-        if (const auto found = from.find("engine"); found != from.end() && found->is_object())
-            service.engine = deployment::engine_profile { readOr(*found, "slots", 0), readOr<uint64_t>(*found, "kv_capacity_tokens", 0) };
         return service;
     }
 
@@ -128,7 +124,7 @@
         state.hasAccounts = true;
         for (const json& item : *found) {
             deployment::client_account account { item.at("name"), std::nullopt };
-            if (const auto rank = item.find("priority"); rank != item.end() && rank->is_number())
+            if (const auto rank = item.find("priority"); rank != item.end() && rank->is_number_integer())
                 account.priority = rank->get<int>();
             for (const json& key : readOr(item, "api_keys", json::array()))
                 state.accountsByKey.emplace(key.get<std::string>(), account);
--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -102,6 +102,12 @@
     next(milliseconds(0));
 }
 
+void topic_follower::wake()
+{
+    if (m_timer.isRunning())
+        next(milliseconds(0));
+}
+
 void topic_follower::next(milliseconds delay)
 {
     m_timer.startOnce(delay, [this] {
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -46,6 +46,9 @@
     /// Uses another address of the store from the next read on.
     void setStore(ip_endpoint store) { m_store = std::move(store); }
 
+    /// Reads now instead of after the pause.
+    void wake();
+
 private:
     void readNewest(const std::string& after);
     void takeNewest(std::string_view body);
--- a/src/policy/batching.cpp
+++ b/src/policy/batching.cpp
@@ -40,8 +40,10 @@
     {
         double freeBytes = 0;
         double totalBytes = 0;
+        const bool hasSound = std::any_of(targets.begin(), targets.end(), isSound);
         for (const auto& target : targets) {
-            if (target.penalty >= soundPenalty)
+            // Without a sound target, the others do the work.
+            if (hasSound && !isSound(target))
                 continue;
             freeBytes += std::max(0.0, target.freeBytes);
             totalBytes += target.totalBytes;
--- a/tests/unit/batching_test.cpp
+++ b/tests/unit/batching_test.cpp
@@ -253,6 +253,16 @@
     cr_assert_eq(batches[0].target, 1u);
 }
 
+Test(batching, where_all_targets_are_bad_their_memory_still_counts)
+{
+    const auto pieces = join(groupOf(1, 1, milliseconds(300), 10), groupOf(2, 1, milliseconds(300), 10), groupOf(3, 1, milliseconds(300), 10));
+    std::vector<pool_target> targets { idleTarget() };
+    targets[0].penalty = 6;
+    const auto batches = planBatches(pieces, targets, { 8 }, start);
+    cr_assert_eq(batches.size(), 1u);
+    cr_assert_eq(batches[0].pieces.size(), 3u);
+}
+
 Test(batching, no_piece_and_no_target_is_planned_twice)
 {
     std::mt19937 random(7);
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -40,6 +40,7 @@
     cr_assert(other && other->kind == deployment::call_kind::NonIdempotent && other->needsNoKey, "an unknown kind is handled with the most care");
     cr_assert_eq(other->objective, milliseconds(2500));
     cr_assert_eq(state.accountsByKey.at("k2").name, "acme");
+    cr_assert_eq(state.accountsByKey.at("k2").priority.value_or(-1), 1);
     const auto& pool = *state.services.at("s-3").pool;
     cr_assert_eq(pool.batch, 8);
     cr_assert_eq(pool.timeOf(8), milliseconds(278));
