--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -245,6 +245,7 @@
     const auto& counts = m_request.asked.piecesOfStages;
     const uint32_t count = index < counts.size() ? counts[index] : 0;
     progress.isStarted = true;
+    progress.startedAt = monotonicNow();
     progress.missing = count;
     progress.handles.resize(count);
     if (count == 0)
@@ -331,6 +332,7 @@
     progress.handles[piece] = outcome.handle;
     if (--progress.missing > 0)
         return;
+    logLine(log_level::Info, part, "A stage is done.", { { "request", m_request.asked.id }, { "stage", std::to_string(stage) }, { "service", m_request.route->stages[stage].service }, { "pieces", std::to_string(progress.handles.size()) }, { "took_ms", std::to_string(asMilliseconds(monotonicNow() - progress.startedAt)) } });
     for (const size_t before : m_request.route->stages[stage].after) {
         const auto& stages = m_request.route->stages;
         const bool isTakenLater = [&] {
@@ -643,7 +645,7 @@
     const auto& route = *m_request.route;
     const bool mayRepeat = !m_mayHaveRun || (route.isRepeatable() && m_runs < route.maxAttempts);
     const bool isInTime = now < m_deadline;
-    logLine(log_level::Info, part, "Attempt failed.", { { "request", m_request.asked.id }, { "reason", std::string(why) }, { "may_have_run", m_mayHaveRun ? "true" : "false" }, { "after_ms", std::to_string(asMilliseconds(now - m_sentAt)) } });
+    logLine(log_level::Info, part, "Attempt failed.", { { "request", m_request.asked.id }, { "reason", std::string(why) }, { "may_have_run", m_mayHaveRun ? "true" : "false" }, { "after_ms", std::to_string(m_sends == 0 ? 0 : asMilliseconds(now - m_sentAt)) } });
     const bool isTargetLeft = why != "no_target";
     if (mayRepeat && isInTime && isTargetLeft && m_sends < maxSends && (m_sends == 0 || trySpendRepeat(m_context, m_request.service, now))) {
         m_context.counters.count("repeats_total", { { "reason", std::string(why) } });
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -49,6 +49,7 @@
         job_ptr job;
         size_t missing = 0;
         bool isStarted = false;
+        time_point startedAt {};
         [[nodiscard]] bool isDone() const noexcept { return isStarted && missing == 0; }
     };
 
