--- /dev/null
+++ b/bench/gateway_events.cpp
@@ -0,0 +1,60 @@
+/// Processor time of a gateway for each relayed event, with many streams open.
+#include "support/deployment_fixture.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <unistd.h>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+
+namespace {
+constexpr size_t streams = 50;
+constexpr int eventsOfStream = 200;
+constexpr milliseconds eventPeriod { 20 };
+
+/// @return Processor time that a process has used, in seconds.
+double processorSeconds(const std::string& pid)
+{
+    std::ifstream file("/proc/" + pid + "/stat");
+    std::string field;
+    double ticks = 0;
+    for (int i = 1; i <= 15 && file >> field; ++i) {
+        if (i >= 14)
+            ticks += std::stod(field);
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+}
+
+int main()
+{
+    deployment_fixture deployment(150);
+    auto& target = deployment.addTarget("t-1", "model");
+    std::vector<std::shared_ptr<http1::exchange>> open;
+    target.setBehaviour([&](std::shared_ptr<http1::exchange> exchange) {
+        exchange->startChunked(200, target.answerHeaders(*exchange));
+        open.push_back(std::move(exchange));
+    });
+    deployment.configure(1, { deployment.route("/m/", "streaming", "model", { { "resumable", true }, { "gap_aim_ms", 250 }, { "timeout_ms", 60000 } }) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    std::vector<caller_ptr> callers;
+    for (size_t i = 0; i < streams; ++i)
+        callers.push_back(deployment.send("POST", "/m/" + std::to_string(i), { { "X-Deadline-Ms", "60000" } }));
+    deployment.waitUntil([&] { return open.size() == streams; }, "the streams");
+    const std::string pid = deployment.processOf(0);
+    const double before = processorSeconds(pid);
+    for (int number = 1; number <= eventsOfStream; ++number) {
+        for (const auto& exchange : open)
+            exchange->writeChunk("id: " + std::to_string(number) + "\ndata: about as many bytes as a few tokens\n\n");
+        deployment.pass(eventPeriod);
+    }
+    const double used = processorSeconds(pid) - before;
+    for (const auto& exchange : open)
+        exchange->finishChunked();
+    deployment.waitUntil([&] { return std::all_of(callers.begin(), callers.end(), [](const auto& item) { return item->isOver; }); }, "the ends");
+    std::printf("{\"streams\": %zu, \"events\": %zu, \"gatewayProcessorSeconds\": %.2f, \"microsecondsForEachEvent\": %.1f}\n", streams, streams * eventsOfStream, used, used * 1e6 / static_cast<double>(streams * eventsOfStream));
+    return EXIT_SUCCESS;
+}
--- a/tests/support/deployment_fixture.hpp
+++ b/tests/support/deployment_fixture.hpp
@@ -59,6 +59,8 @@
     void waitUntilReady(size_t gateway = 0);
     [[nodiscard]] bool isReady(size_t gateway = 0);
     void signal(size_t gateway, int number);
+    /// @return The process identifier of a gateway that runs.
+    [[nodiscard]] std::string processOf(size_t gateway) const { return g_subprocess_get_identifier(m_gateways[gateway].process.get()); }
     [[nodiscard]] bool hasExited(size_t gateway) const;
     [[nodiscard]] std::string logOf(size_t gateway) const;
     [[nodiscard]] std::string metricsOf(size_t gateway);
