--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -25,21 +25,6 @@
     /// Sends of one request, with those that targets refused.
     constexpr int maxSends = 5;
 
-    /// Results from this size on are made where they are needed.
-    constexpr uint64_t bulkyResultBytes = 500 * 1000;
-
-    /// Inputs of a stage up to this size, fetched by all its pieces, may come from anywhere.
-    constexpr double movableInputBytes = 500 * 1000;
-
-    /// Time from the arrival at a target to the first event, without reading the prompt.
-    constexpr milliseconds firstEventTime { 150 };
-
-    /// Tokens that an engine reads in a millisecond, as a planning figure.
-    constexpr double readTokensPerMillisecond = 50;
-
-    /// Part of the shared tokens that a target has to read in the mean.
-    constexpr double sharedReadShare = 0.25;
-
     /// A prompt part counts as known at a target for this long after it was last read there.
     constexpr seconds knownPartLife { 60 };
 
@@ -60,9 +45,6 @@
     /// Routes may state no pauses.
     constexpr milliseconds shortestSilence { 1000 };
 
-    /// Times that the stages of one request are run at most.
-    constexpr int maxStageRuns = 3;
-
     /// Crashes after which a request is refused.
     constexpr uint32_t strikesToRefuse = 2;
 
@@ -129,247 +111,6 @@
         m_call->setReading(m_request.exchange->pendingBytes() < maxUnreadBytes);
 }
 
-// Stages.
-
-void request_run::startStages()
-{
-    const auto& stages = m_request.route->stages;
-    m_stages.assign(stages.size(), {});
-    m_areInputsFreed = false;
-    const bool hasPieces = std::any_of(m_request.asked.piecesOfStages.begin(), m_request.asked.piecesOfStages.end(), [](uint32_t count) { return count > 0; });
-    if (stages.empty() || !hasPieces) {
-        dispatch();
-        return;
-    }
-    m_domain = domainOfBulkyResults();
-    startReadyStages();
-}
-
-void request_run::restartStages(std::string_view why)
-{
-    const time_point now = monotonicNow();
-    // One that is late already would only take the place of others.
-    const bool isWorthwhile = m_stageRuns < maxStageRuns && now - m_arrivedAt < m_request.route->objective;
-    const bool mayRepeat = isWorthwhile && trySpendRepeat(m_context, m_request.service, now);
-    if (!mayRepeat) {
-        endUnanswered(why, retryAfterBadLuck);
-        return;
-    }
-    ++m_stageRuns;
-    m_context.counters.count("stage_restarts_total", { { "reason", std::string(why) } });
-    logLine(log_level::Info, part, "The stages are run again.", { { "request", m_request.asked.id }, { "reason", std::string(why) } });
-    freeAll();
-    startStages();
-}
-
-std::string request_run::domainOfBulkyResults() const
-{
-    const auto& stages = m_request.route->stages;
-    const auto& counts = m_request.asked.piecesOfStages;
-    double bulkyBytes = 0;
-    for (size_t i = 0; i < stages.size() && i < counts.size(); ++i) {
-        if (stages[i].resultBytes >= bulkyResultBytes)
-            bulkyBytes += static_cast<double>(stages[i].resultBytes) * counts[i];
-    }
-    if (bulkyBytes == 0 || !m_request.asked.asked)
-        return {};
-    uint64_t sharedTokens = 0;
-    const auto& parts = m_request.asked.asked->parts;
-    for (size_t i = 0; i + 1 < parts.size(); ++i)
-        sharedTokens += parts[i].tokens;
-    const policy::placement_costs costs;
-    // The target for the prompt is chosen first only if the prompt weighs more than the results.
-    const bool isPromptHeavier = static_cast<double>(sharedTokens) * costs.thousandSharedTokens / 1000 > bulkyBytes * costs.inputMegabyte / 1e6;
-    const target_ptr target = isPromptHeavier ? chooseTarget(monotonicNow()) : nullptr;
-    return target ? target->listed.failureDomain : std::string();
-}
-
-std::map<std::string, double, std::less<>> request_run::resultBytesByDomain() const
-{
-    std::map<std::string, double, std::less<>> bytes;
-    if (m_stages.empty())
-        return bytes;
-    for (const size_t index : deployment::finalStages(*m_request.route)) {
-        for (const auto& handle : m_stages[index].handles) {
-            const auto maker = ip_endpoint::parse(handle.substr(0, handle.find('/')));
-            const target_ptr target = maker ? m_context.targets.atEndpoint(maker.value()) : nullptr;
-            if (target)
-                bytes[target->listed.failureDomain] += static_cast<double>(m_request.route->stages[index].resultBytes);
-        }
-    }
-    return bytes;
-}
-
-void request_run::startReadyStages()
-{
-    const auto& stages = m_request.route->stages;
-    // Stages without pieces are done at once, and others may be ready then.
-    for (size_t i = 0; i < stages.size(); ++i) {
-        const bool isEmpty = i >= m_request.asked.piecesOfStages.size() || m_request.asked.piecesOfStages[i] == 0;
-        m_stages[i].isStarted = m_stages[i].isStarted || isEmpty;
-    }
-    const auto startAll = [&] {
-        for (size_t i = 0; i < stages.size() && !m_isOver; ++i) {
-            const bool isReady = std::all_of(stages[i].after.begin(), stages[i].after.end(), [this](size_t before) { return m_stages[before].isDone(); });
-            if (!m_stages[i].isStarted && isReady && !mustWait(i))
-                startStage(i);
-        }
-    };
-    startAll();
-    // Bulky results that waited for the others may be made now.
-    startAll();
-    const bool isAllDone = std::all_of(m_stages.begin(), m_stages.end(), [](const auto& item) { return item.isDone(); });
-    if (isAllDone && !m_isOver)
-        dispatch();
-}
-
-bool request_run::mustWait(size_t index) const
-{
-    const auto& stages = m_request.route->stages;
-    const auto last = deployment::finalStages(*m_request.route);
-    const bool isFinal = std::find(last.begin(), last.end(), index) != last.end();
-    if (stages[index].resultBytes < bulkyResultBytes || !isFinal)
-        return false;
-    // Bulky results would take memory while the other stages go on: they are made beside the last of these.
-    for (size_t i = 0; i < stages.size(); ++i) {
-        if (stages[i].resultBytes < bulkyResultBytes && !m_stages[i].isStarted)
-            return true;
-    }
-    return false;
-}
-
-void request_run::startStage(size_t index)
-{
-    const deployment::stage& stage = m_request.route->stages[index];
-    stage_progress& progress = m_stages[index];
-    const auto& counts = m_request.asked.piecesOfStages;
-    const uint32_t count = index < counts.size() ? counts[index] : 0;
-    progress.isStarted = true;
-    progress.startedAt = monotonicNow();
-    progress.missing = count;
-    progress.handles.resize(count);
-    if (count == 0)
-        return;
-    const auto job = std::make_shared<stage_job>();
-    double inputBytes = 0;
-    for (const size_t before : stage.after) {
-        const auto& handles = m_stages[before].handles;
-        job->inputs.insert(job->inputs.end(), handles.begin(), handles.end());
-        inputBytes += static_cast<double>(m_request.route->stages[before].resultBytes * handles.size());
-    }
-    job->requestId = m_request.asked.id;
-    job->service = stage.service;
-    job->stage = static_cast<uint32_t>(index);
-    job->count = count;
-    job->ended.resize(count);
-    job->key = m_request.asked.pieceKey;
-    job->resultBytes = static_cast<double>(stage.resultBytes);
-    job->latestStart = m_arrivedAt + m_request.route->objective - remainingTime(index);
-    job->deadline = m_deadline;
-    job->rank = static_cast<uint32_t>(std::clamp(m_request.rank, 0, 9));
-    if (stage.resultBytes >= bulkyResultBytes)
-        job->boundTo = m_domain;
-    // Each piece fetches all inputs.
-    job->preferred = domainOfInputs(job->inputs, inputBytes * count);
-    const std::weak_ptr<request_run> weak = weak_from_this();
-    job->onEnd = [weak, index](uint32_t piece, const piece_outcome& outcome) {
-        if (const auto self = weak.lock())
-            self->pieceEnded(index, piece, outcome);
-    };
-    progress.job = job;
-    m_pools.run(job);
-}
-
-std::string request_run::domainOfInputs(const std::vector<std::string>& inputs, double inputBytes) const
-{
-    if (inputs.empty() || inputBytes < movableInputBytes)
-        return {};
-    std::map<std::string, size_t> counts;
-    for (const auto& handle : inputs) {
-        const auto maker = ip_endpoint::parse(handle.substr(0, handle.find('/')));
-        const target_ptr target = maker ? m_context.targets.atEndpoint(maker.value()) : nullptr;
-        if (target)
-            ++counts[target->listed.failureDomain];
-    }
-    const auto most = std::max_element(counts.begin(), counts.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
-    return most == counts.end() ? std::string() : most->first;
-}
-
-milliseconds request_run::remainingTime(size_t fromStage) const
-{
-    const auto& stages = m_request.route->stages;
-    milliseconds sum { 0 };
-    size_t last = fromStage;
-    for (size_t i = fromStage; i < stages.size(); ++i) {
-        const bool isInChain = i == fromStage || std::find(stages[i].after.begin(), stages[i].after.end(), last) != stages[i].after.end();
-        const auto found = m_request.configuration->services.find(stages[i].service);
-        if (!isInChain || found == m_request.configuration->services.end() || !found->second.pool)
-            continue;
-        last = i;
-        sum += found->second.pool->timeOf(static_cast<size_t>(found->second.pool->batch));
-    }
-    double tokens = 0;
-    if (const auto& prompt = m_request.asked.asked; prompt && !prompt->parts.empty()) {
-        const double own = static_cast<double>(prompt->parts.back().tokens);
-        tokens = own + sharedReadShare * (static_cast<double>(prompt->promptTokens) - own);
-    }
-    return sum + firstEventTime + milliseconds(static_cast<int64_t>(tokens / readTokensPerMillisecond));
-}
-
-void request_run::pieceEnded(size_t stage, uint32_t piece, const piece_outcome& outcome)
-{
-    if (m_isOver)
-        return;
-    if (outcome.handle.empty()) {
-        logLine(log_level::Info, part, "A piece has no result.", { { "request", m_request.asked.id }, { "stage", std::to_string(stage) }, { "piece", std::to_string(piece) }, { "reason", std::string(platform::nameOf(outcome.failure)) } });
-        if (outcome.failure == platform::piece_failure::Late)
-            endUnanswered("stage_late", retryAfterBadLuck);
-        else
-            restartStages(platform::nameOf(outcome.failure));
-        return;
-    }
-    stage_progress& progress = m_stages[stage];
-    progress.handles[piece] = outcome.handle;
-    if (--progress.missing > 0)
-        return;
-    logLine(log_level::Info, part, "A stage is done.", { { "request", m_request.asked.id }, { "stage", std::to_string(stage) }, { "service", m_request.route->stages[stage].service }, { "pieces", std::to_string(progress.handles.size()) }, { "took_ms", std::to_string(asMilliseconds(monotonicNow() - progress.startedAt)) } });
-    for (const size_t before : m_request.route->stages[stage].after) {
-        const auto& stages = m_request.route->stages;
-        const bool isTakenLater = [&] {
-            for (size_t i = 0; i < stages.size(); ++i) {
-                const bool takes = std::find(stages[i].after.begin(), stages[i].after.end(), before) != stages[i].after.end();
-                if (takes && !m_stages[i].isDone())
-                    return true;
-            }
-            return false;
-        }();
-        if (!isTakenLater)
-            freeStage(before);
-    }
-    startReadyStages();
-}
-
-void request_run::freeStage(size_t index)
-{
-    std::vector<std::string> handles;
-    for (auto& handle : m_stages[index].handles) {
-        if (!handle.empty())
-            handles.push_back(std::exchange(handle, {}));
-    }
-    if (!handles.empty())
-        m_pools.free(m_request.route->stages[index].service, handles);
-}
-
-void request_run::freeAll()
-{
-    m_areInputsFreed = !m_stages.empty();
-    for (size_t i = 0; i < m_stages.size(); ++i) {
-        if (m_stages[i].job && !m_stages[i].isDone())
-            m_pools.drop(m_stages[i].job);
-        freeStage(i);
-    }
-}
-
 // Attempts.
 
 target_ptr request_run::chooseTarget(time_point now) const
@@ -652,12 +393,12 @@
         dispatch();
         return;
     }
-    endUnanswered(why, isTargetLeft ? retryAfterBadLuck : retryWithoutTargets);
+    endUnanswered(why, isTargetLeft);
 }
 
 // Ends.
 
-void request_run::endUnanswered(std::string_view reason, milliseconds retryAfter)
+void request_run::endUnanswered(std::string_view reason, bool isTargetLeft)
 {
     if (m_request.exchange->isStarted()) {
         m_request.exchange->cut();
@@ -665,7 +406,7 @@
     } else if (m_mayHaveRun)
         failed(statusBadGateway, reason);
     else
-        refuse(reason, retryAfter);
+        refuse(reason, isTargetLeft ? retryAfterBadLuck : retryWithoutTargets);
 }
 
 void request_run::refuse(std::string_view reason, milliseconds retryAfter)
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -53,7 +53,7 @@
         [[nodiscard]] bool isDone() const noexcept { return isStarted && missing == 0; }
     };
 
-    // Stages.
+    // Stages; in request_stages.cpp.
     void startStages();
     void restartStages(std::string_view why);
     void startReadyStages();
@@ -85,7 +85,8 @@
     [[nodiscard]] bool isStream() const noexcept { return m_request.route->kind == deployment::call_kind::Streaming; }
 
     // Ends.
-    void endUnanswered(std::string_view reason, milliseconds retryAfter);
+    /// @param isTargetLeft  A target is there; the caller may come back at once.
+    void endUnanswered(std::string_view reason, bool isTargetLeft = true);
     void refuse(std::string_view reason, milliseconds retryAfter);
     void failed(unsigned status, std::string_view reason);
     void giveUp(std::string_view reason);
