--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -119,7 +119,11 @@
         m_context.configurationCheckedAt = sentAt;
         noteContact(platform::operatorTopic, m_isConfigurationLost, sentAt);
     };
-    calls.onFailure = [this](std::string_view why) { noteFailure(platform::operatorTopic, m_isConfigurationLost, why); };
+    calls.onFailure = [this](std::string_view why) {
+        // The target list is read less often; what lapses meanwhile lapses in the same outage.
+        m_context.targets.contactLost(monotonicNow());
+        noteFailure(platform::operatorTopic, m_isConfigurationLost, why);
+    };
     return calls;
 }
 
