--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -236,7 +236,10 @@
         refuse(*exchange, "", statusBadRequest, "malformed");
         return;
     }
-    accepted_request accepted { std::move(exchange), decoded.value(), m_context.configuration };
+    accepted_request accepted;
+    accepted.exchange = std::move(exchange);
+    accepted.asked = decoded.value();
+    accepted.configuration = m_context.configuration;
     if (isAccepted(accepted, now))
         start(std::move(accepted), now);
 }
