--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -1,5 +1,6 @@
 #include "settings/gateway_settings.hpp"
 
+#include "settings/entry_settings.hpp"
 #include "settings/settings_file.hpp"
 
 namespace bilberryseam::settings {
@@ -45,11 +46,6 @@
       }
     })json";
 
-    ip_endpoint readEndpoint(const json& document, const char* key, const std::string& path)
-    {
-        return ip_endpoint::parse(document.at(key).get<std::string>(), path + ": /" + key).value();
-    }
-
     milliseconds readSeconds(const json& from, const char* key, milliseconds otherwise)
     {
         return from.contains(key) ? milliseconds(static_cast<int64_t>(from[key].get<double>() * 1000)) : otherwise;
@@ -74,10 +70,10 @@
         read.name = document.at("name");
         read.region = document.at("region");
         read.failureDomain = document.at("failureDomain");
-        read.listen = readEndpoint(document, "listen", path);
-        read.operatorListen = readEndpoint(document, "operatorListen", path);
-        read.peerListen = readEndpoint(document, "peerListen", path);
-        read.store = readEndpoint(document, "store", path);
+        read.listen = detail::readEndpoint(document, "listen", path);
+        read.operatorListen = detail::readEndpoint(document, "operatorListen", path);
+        read.peerListen = detail::readEndpoint(document, "peerListen", path);
+        read.store = detail::readEndpoint(document, "store", path);
         read.processorShare = document.value("processorShare", read.processorShare);
         const json regions = document.value("regions", json::object());
         for (const auto& [domain, region] : regions.items())
