Comments that misdescribed three constants

Cause: read once more; the comments on the longest placing, the network time of a call and the wait for freed results said something else than the code does. Comments only: no figure and no behaviour changes; 115 unit tests pass.

--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -28,7 +28,7 @@
     /// Time that a piece needs at least to be worth a call.
     constexpr milliseconds leastUsefulTime { 30 };
 
-    /// A call's results lie at its target for as long as the service keeps them, unless they are given up.
+    /// Longest wait for the answer to a call that gives results up; they expire by themselves if it fails.
     constexpr milliseconds freeTimeout { 2000 };
 
     /// How long before the end of a call the next one is sent, for its way there.
@@ -49,7 +49,7 @@
     /// A piece that may not be repeated now waits for this long.
     constexpr milliseconds unpaidRepeatPause { 500 };
 
-    /// Time on the network that a call takes besides its work, as a share of nothing known better.
+    /// Time that a call takes on the network besides its work; a round trip between regions.
     constexpr milliseconds networkTime { 20 };
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -34,7 +34,7 @@
     constexpr milliseconds retryWithoutTargets { 1000 };
     constexpr milliseconds retryAfterBadLuck { 100 };
 
-    /// Longest wait for a target that could take a request, as a share of the time until its deadline.
+    /// A request that no target can take is refused after this, counted from its arrival.
     constexpr milliseconds longestPlacing { 1500 };
 
     /// A target that sends nothing for so many objectives, or for so many of the pauses that are on time, is left for another.
