--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -18,7 +18,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from measure import BINARIES, ROOT, fetch, get, post, quantile, show  # noqa: E402
+from measure import BINARIES, ROOT, append_note, fetch, get, post, quantile, show  # noqa: E402
 
 SECONDS = 15
 ENGINE_PLACES = 4
@@ -65,7 +65,7 @@
         note = {"schema": 1, "note": "first", "added": {"services": services, "targets": targets, "pipelines": [{"name": "assistant", "stages": stages}], "prices": prices,
                                                          "accounts": [{"name": n, "weight": w, "maxInFlight": 100000} for n, w in kind["weights"].items()],
                                                          "policies": [{"name": "default", "mode": mode, **kind["policy"]}]}}
-        post(log, "/v1/streams/configuration/records", {"records": [json.dumps(note)]})
+        append_note(log, note)
         for operator in self.operators:
             for _ in range(200):
                 status = get(operator, "/status")
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -13,6 +13,7 @@
 import pathlib
 import re
 import signal
+import struct
 import subprocess
 import sys
 import tempfile
@@ -42,6 +43,17 @@
     return answer
 
 
+def append_note(store, note):
+    """Appends a release note as a daemon does: a length, the writer's time and the text."""
+    record = struct.pack(">Q", int(time.time() * 1000)) + json.dumps(note).encode()
+    host, port = store.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=30)
+    connection.request("POST", "/v1/log-append?topic=configuration&part=0", struct.pack(">I", len(record)) + record)
+    answer = json.loads(connection.getresponse().read())
+    connection.close()
+    return answer["offset"]
+
+
 def get(address, path):
     return json.loads(fetch(address, path))
 
@@ -107,7 +119,7 @@
         self.processes[name] = subprocess.Popen([BINARIES / binary, "--settings", f"{self.folder}/{name}.json", "--log-level", level], stderr=log)
 
     def append(self, note):
-        post(self.log, "/v1/streams/configuration/records", {"records": [json.dumps(note)]})
+        append_note(self.log, note)
 
     def operators(self):
         return [entry["operator"] for entry in self.entries] + [side["operator"] for side in self.sides.values()]
--- a/examples/make_examples.py
+++ b/examples/make_examples.py
@@ -63,9 +63,9 @@
     folder = ROOT / name
     ports = Ports(deployment["base_port"])
     regions = deployment["regions"]
-    log, instances, control = ports.take(), ports.take(), ports.take()
-    platform = {"log": log, "instanceList": instances}
-    fake = {"control": control, "log": log, "instanceList": instances, "targets": []}
+    log, control = ports.take(), ports.take()
+    platform = {"log": log, "instanceList": log}
+    fake = {"control": control, "log": log, "targets": []}
     note = {
         "schema": 1, "note": f"{name}-first", "author": "operators", "added": {
             "services": [], "targets": [], "pipelines": [],
--- a/src/execution/configuration_follower.cpp
+++ b/src/execution/configuration_follower.cpp
@@ -6,7 +6,6 @@
 
 namespace {
     constexpr std::string_view part = "configuration";
-    constexpr uint32_t recordsPerRead = 500;
 
     /// Longest wait before a due snapshot is written, so that one entry writes it and the others see it.
     constexpr milliseconds maxSnapshotDelay { 2000 };
@@ -35,7 +34,7 @@
 
 void configuration_follower::poll()
 {
-    m_reading = m_log.read(m_platform.configurationStream, m_state.nextOffset, recordsPerRead, [this](platform::read_reply reply) { takeLogAnswer(reply); });
+    m_reading = m_log.read(m_platform.configurationStream, m_state.nextOffset, [this](platform::read_reply reply) { takeLogAnswer(reply); });
 }
 
 void configuration_follower::scheduleNextPoll()
@@ -64,7 +63,7 @@
     if (hasAdvanced)
         advanced();
     heard();
-    if (hasAdvanced && reply.records.size() == recordsPerRead)
+    if (hasAdvanced && m_state.nextOffset < reply.end)
         poll();
     else
         scheduleNextPoll();
--- a/src/execution/snapshot_store.cpp
+++ b/src/execution/snapshot_store.cpp
@@ -1,6 +1,6 @@
 #include "execution/snapshot_store.hpp"
 
-#include <limits>
+#include <algorithm>
 
 namespace bilberryseam::execution {
 
@@ -17,20 +17,31 @@
 
 void snapshot_store::load(std::function<void(std::optional<configuration::assembled_snapshot>)> done)
 {
-    const auto takeRecords = [done](const platform::read_reply& reply) {
-        std::vector<std::string> texts;
-        for (const platform::stored_record& record : reply.records)
-            texts.push_back(record.text);
-        done(configuration::assembleSnapshot(texts));
-    };
     // The first read only tells where the stream ends.
-    m_reading = m_log.read(m_platform.snapshotStream, std::numeric_limits<int64_t>::max(), 1, [this, done, takeRecords](const platform::read_reply& reply) {
+    m_reading = m_log.read(m_platform.snapshotStream, 0, [this, done = std::move(done)](const platform::read_reply& reply) {
+        if (!reply.isOk) {
+            done(std::nullopt);
+            return;
+        }
+        const uint64_t newest = reply.end > recordsToRead ? reply.end - recordsToRead : 0;
+        collect(std::max(reply.start, newest), {}, done);
+    });
+}
+
+void snapshot_store::collect(uint64_t from, std::vector<std::string> texts, std::function<void(std::optional<configuration::assembled_snapshot>)> done)
+{
+    m_reading = m_log.read(m_platform.snapshotStream, from, [this, from, texts = std::move(texts), done = std::move(done)](const platform::read_reply& reply) mutable {
         if (!reply.isOk) {
             done(std::nullopt);
             return;
         }
-        const uint64_t from = reply.end > recordsToRead ? reply.end - recordsToRead : 0;
-        m_reading = m_log.read(m_platform.snapshotStream, from, recordsToRead, takeRecords);
+        for (const platform::stored_record& record : reply.records)
+            texts.push_back(record.text);
+        const uint64_t next = std::max(from, reply.start) + reply.records.size();
+        if (reply.records.empty() || next >= reply.end)
+            done(configuration::assembleSnapshot(texts));
+        else
+            collect(next, std::move(texts), std::move(done));
     });
 }
 
--- a/src/execution/snapshot_store.hpp
+++ b/src/execution/snapshot_store.hpp
@@ -24,6 +24,9 @@
     void write(std::string text, uint64_t nextOffset, std::function<void(uint64_t)> done);
 
 private:
+    /// Collects the records from an offset to the end of the stream.
+    void collect(uint64_t from, std::vector<std::string> texts, std::function<void(std::optional<configuration::assembled_snapshot>)> done);
+
     settings::platform_settings m_platform;
     platform::log_client m_log;
     std::shared_ptr<void> m_reading;
--- a/src/fakes/fake_target.cpp
+++ b/src/fakes/fake_target.cpp
@@ -2,7 +2,7 @@
 #include "base/json_text.hpp"
 
 #include "base/hash.hpp"
-#include "fakes/fake_log.hpp"
+#include "fakes/soup_faults.hpp"
 #include "loop/disconnect_watch.hpp"
 
 namespace bilberryseam::fakes {
--- a/src/fakes/fakes.hpp
+++ b/src/fakes/fakes.hpp
@@ -1,7 +1,7 @@
 /// Umbrella header of the `fakes` package: small stand-ins for tests and the demo.
 #pragma once
 
-#include "fakes/fake_instances.hpp"
 #include "fakes/fake_link.hpp"
-#include "fakes/fake_log.hpp"
 #include "fakes/fake_target.hpp"
+#include "fakes/platform_store.hpp"
+#include "fakes/soup_faults.hpp"
--- a/src/fakes/platform_store.cpp
+++ b/src/fakes/platform_store.cpp
@@ -1,7 +1,6 @@
 #include "fakes/platform_store.hpp"
 
 #include <glib.h>
-#include <nlohmann/json.hpp>
 
 namespace bilberryseam::fakes {
 
@@ -9,6 +8,11 @@
 
 namespace {
     constexpr milliseconds expiryPeriod { 20 };
+    constexpr std::string_view keyedPrefix = "keyed.";
+    constexpr size_t maxRecordBytes = 1024 * 1024;
+    constexpr size_t lengthBytes = 4;
+    constexpr size_t offsetBytes = 8;
+    constexpr uint64_t standardReadKib = 1024;
 
     std::string bigEndian(uint64_t number, size_t bytes)
     {
@@ -38,39 +42,91 @@
         return query.substr(start, query.find('&', start) - start);
     }
 
-    uint64_t numberOf(const std::string& text)
+    uint64_t numberOf(const std::string& text, uint64_t standard)
     {
-        return text.empty() ? 0 : std::stoull(text);
+        return text.empty() ? standard : std::stoull(text);
+    }
+
+    /// @return The records of an append, or nothing if one is truncated or too long.
+    std::optional<std::vector<std::string>> recordsIn(std::string_view body)
+    {
+        std::vector<std::string> records;
+        while (!body.empty()) {
+            if (body.size() < lengthBytes)
+                return std::nullopt;
+            size_t length = 0;
+            for (size_t i = 0; i < lengthBytes; ++i)
+                length = length << 8 | static_cast<unsigned char>(body[i]);
+            body.remove_prefix(lengthBytes);
+            if (length > body.size() || length > maxRecordBytes)
+                return std::nullopt;
+            records.emplace_back(body.substr(0, length));
+            body.remove_prefix(length);
+        }
+        return records;
     }
 }
 
 platform_store::platform_store(const ip_endpoint& listen)
     : m_server(
-        listen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { take(std::move(exchange)); })
+        listen, [] { return http1::server_limits { .maxBodyBytes = 64 * 1024 * 1024 }; }, [this](std::shared_ptr<http1::exchange> exchange) { take(std::move(exchange)); })
 {
     m_expiry.startEvery(expiryPeriod, [this] { answerWaiting(); });
 }
 
 void platform_store::put(const std::string& name, const std::string& key, const std::string& value)
 {
-    addRecord(m_topics[name], key, value);
+    addRecord(name, bigEndian(key.size(), 1) + key + value);
     answerWaiting();
 }
 
-void platform_store::addRecord(topic& topic, const std::string& key, const std::string& value)
+void platform_store::addRecord(const std::string& name, std::string record)
 {
-    topic.records.push_back(bigEndian(key.size(), 1) + key + value);
-    if (value.empty())
-        topic.newest.erase(key);
-    else
-        topic.newest[key] = value;
+    topic& target = m_topics[name];
+    if (name.starts_with(keyedPrefix) && !record.empty()) {
+        const auto keyBytes = static_cast<size_t>(static_cast<unsigned char>(record[0]));
+        const std::string key = record.substr(1, keyBytes);
+        const std::string value = record.size() > 1 + keyBytes ? record.substr(1 + keyBytes) : "";
+        if (value.empty())
+            target.newest.erase(key);
+        else
+            target.newest[key] = value;
+    }
+    target.records.push_back(std::move(record));
+}
+
+void platform_store::trim(topic& topic, uint64_t before)
+{
+    while (topic.first < before && !topic.records.empty()) {
+        topic.records.pop_front();
+        ++topic.first;
+    }
 }
 
 void platform_store::forgetHistory(const std::string& name)
 {
     topic& kept = m_topics[name];
-    kept.first = kept.end();
-    kept.records.clear();
+    trim(kept, kept.end());
+}
+
+void platform_store::control(const json& switches)
+{
+    m_faults.isDown = switches.value("down", m_faults.isDown);
+    m_faults.delay = milliseconds(switches.value("delayMs", m_faults.delay.count()));
+    m_faults.lostAppendAnswers = switches.value("lostAppendAnswers", m_faults.lostAppendAnswers);
+    m_faults.refusedAppends = switches.value("refusedAppends", m_faults.refusedAppends);
+    if (switches.contains("trim"))
+        trim(m_topics[switches["trim"].at("topic")], switches["trim"].at("offset"));
+    if (switches.contains("put"))
+        put(switches["put"].at("topic"), switches["put"].at("key"), switches["put"].at("value"));
+}
+
+json platform_store::counts() const
+{
+    json topics = json::object();
+    for (const auto& [name, kept] : m_topics)
+        topics[name] = { { "start", kept.first }, { "end", kept.end() } };
+    return { { "appends", m_appends }, { "reads", m_reads }, { "topics", topics } };
 }
 
 std::string platform_store::newest(const std::string& name, const std::string& key) const
@@ -99,74 +155,102 @@
     const std::string path(http1::pathOf(exchange->head().target));
     const std::string name = queryOf(*exchange, "topic");
     if (path == "/v1/log-newest")
-        answerNewest(*exchange, m_topics[name]);
+        answerNewest(std::move(exchange), m_topics[name]);
     else if (path == "/v1/log-read")
         read(std::move(exchange), name);
     else if (path == "/v1/log-append")
-        append(*exchange, name);
+        append(std::move(exchange), name);
     else
         exchange->respond(404, {}, {});
 }
 
-void platform_store::answerNewest(http1::exchange& exchange, const topic& topic)
+void platform_store::answer(std::shared_ptr<http1::exchange> exchange, unsigned status, std::string body)
+{
+    if (m_faults.delay.count() == 0) {
+        exchange->respond(status, {}, body);
+        return;
+    }
+    std::erase_if(m_delayed, [](const auto& item) { return !item->due.isRunning(); });
+    auto& item = *m_delayed.emplace_back(std::make_unique<delayed_answer>());
+    item.exchange = std::move(exchange);
+    item.status = status;
+    item.body = std::move(body);
+    item.due.startOnce(m_faults.delay, [&item] {
+        if (!item.exchange->isOver())
+            item.exchange->respond(item.status, {}, item.body);
+    });
+}
+
+void platform_store::answerNewest(std::shared_ptr<http1::exchange> exchange, const topic& topic)
 {
     ++m_reads;
     json items = json::array();
     for (const auto& [key, value] : topic.newest)
         items.push_back({ { "key", key }, { "value", toBase64(value) }, { "offset", 0 } });
-    exchange.respond(200, { { "Content-Type", "application/json" } }, json { { "items", items }, { "has_more", false }, { "end", topic.end() } }.dump());
+    answer(std::move(exchange), 200, json { { "items", items }, { "has_more", false }, { "end", topic.end() } }.dump());
 }
 
 void platform_store::read(std::shared_ptr<http1::exchange> exchange, const std::string& name)
 {
     ++m_reads;
     const topic& asked = m_topics[name];
-    const uint64_t from = numberOf(queryOf(*exchange, "from"));
-    const milliseconds wait(static_cast<int64_t>(numberOf(queryOf(*exchange, "wait_ms"))));
+    const uint64_t from = numberOf(queryOf(*exchange, "from"), 0);
+    const size_t maxBytes = numberOf(queryOf(*exchange, "max_kb"), standardReadKib) * 1024;
+    const milliseconds wait(static_cast<int64_t>(numberOf(queryOf(*exchange, "wait_ms"), 0)));
     if (from < asked.first)
-        exchange->respond(410, {}, json { { "first", asked.first } }.dump());
+        answer(std::move(exchange), 410, json { { "first", asked.first } }.dump());
     else if (from < asked.end() || wait.count() == 0)
-        answerRead(*exchange, asked, from);
+        answerRead(std::move(exchange), asked, from, maxBytes);
     else
-        m_waiting.push_back({ std::move(exchange), name, from, monotonicNow() + wait });
+        m_waiting.push_back({ std::move(exchange), name, from, maxBytes, monotonicNow() + wait });
 }
 
-void platform_store::answerRead(http1::exchange& exchange, const topic& topic, uint64_t from)
+void platform_store::answerRead(std::shared_ptr<http1::exchange> exchange, const topic& topic, uint64_t from, size_t maxBytes)
 {
-    std::string body = bigEndian(topic.end(), 8) + bigEndian(topic.first, 8);
+    const std::string head = bigEndian(topic.end(), offsetBytes) + bigEndian(topic.first, offsetBytes);
+    std::string records;
     for (uint64_t offset = from; offset < topic.end(); ++offset) {
         const std::string& record = topic.records[offset - topic.first];
-        body += bigEndian(record.size(), 4) + record;
+        if (!records.empty() && records.size() + record.size() > maxBytes)
+            break;
+        records += bigEndian(record.size(), lengthBytes) + record;
     }
-    exchange.respond(200, {}, body);
+    answer(std::move(exchange), 200, head + records);
 }
 
-void platform_store::append(http1::exchange& exchange, const std::string& name)
+void platform_store::append(std::shared_ptr<http1::exchange> exchange, const std::string& name)
 {
-    std::string_view body = exchange.body();
-    topic& target = m_topics[name];
-    const uint64_t first = target.end();
-    while (body.size() > 4) {
-        size_t length = 0;
-        for (size_t i = 0; i < 4; ++i)
-            length = length << 8 | static_cast<unsigned char>(body[i]);
-        const std::string record(body.substr(4, length));
-        body.remove_prefix(std::min(body.size(), 4 + length));
-        const auto keyBytes = static_cast<size_t>(static_cast<unsigned char>(record.at(0)));
-        addRecord(target, record.substr(1, keyBytes), record.substr(1 + keyBytes));
+    ++m_appends;
+    if (m_faults.refusedAppends > 0) {
+        --m_faults.refusedAppends;
+        answer(std::move(exchange), 503, {});
+        return;
+    }
+    auto records = recordsIn(exchange->body());
+    if (!records) {
+        answer(std::move(exchange), 400, {});
+        return;
+    }
+    const uint64_t first = m_topics[name].end();
+    for (std::string& record : *records)
+        addRecord(name, std::move(record));
+    if (m_faults.lostAppendAnswers > 0) {
+        --m_faults.lostAppendAnswers;
+        exchange->cut();
+    } else {
+        answer(std::move(exchange), 200, json { { "offset", first }, { "end", m_topics[name].end() } }.dump());
     }
-    exchange.respond(200, {}, json { { "offset", first }, { "end", target.end() } }.dump());
     answerWaiting();
 }
 
 void platform_store::answerWaiting()
 {
     const time_point now = monotonicNow();
-    std::erase_if(m_waiting, [&](const waiting_read& item) {
+    std::erase_if(m_waiting, [&](waiting_read& item) {
         const topic& asked = m_topics[item.topic];
         const bool isDue = asked.end() > item.from || item.until <= now || item.exchange->isOver();
         if (isDue && !item.exchange->isOver())
-            answerRead(*item.exchange, asked, item.from);
+            answerRead(std::move(item.exchange), asked, item.from, item.maxBytes);
         return isDue;
     });
 }
--- a/src/fakes/platform_store.hpp
+++ b/src/fakes/platform_store.hpp
@@ -1,10 +1,11 @@
-/// Stand-in for the platform's metadata store: keyed topics that are read, followed and appended to.
+/// Stand-in for the platform's metadata store: topics, keyed or not, that are read, followed and appended to.
 #pragma once
 
 #include "http1/server.hpp"
 
 #include <deque>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,6 +20,12 @@
     bool isSilent = false;
     /// Status of all answers; zero for none.
     unsigned status = 0;
+    /// Delay before each answer.
+    milliseconds delay { 0 };
+    /// Appends that are executed but whose answers are lost.
+    uint32_t lostAppendAnswers = 0;
+    /// Appends that are refused with 503.
+    uint32_t refusedAppends = 0;
 };
 
 /// Topics in memory.
@@ -32,6 +39,13 @@
     void forgetHistory(const std::string& topic);
     void setFaults(store_faults faults) { m_faults = faults; }
 
+    /// Reads switches from JSON: `down`, `delayMs`, `lostAppendAnswers`, `refusedAppends`, `trim` (topic and the offset
+    /// before which records go) and `put` (topic, key and value).
+    void control(const nlohmann::json& switches);
+
+    /// @return The calls so far and the offsets of each topic.
+    [[nodiscard]] nlohmann::json counts() const;
+
     /// @return The newest value of a key, or an empty text.
     [[nodiscard]] std::string newest(const std::string& topic, const std::string& key) const;
     [[nodiscard]] size_t readCount() const noexcept { return m_reads; }
@@ -41,6 +55,7 @@
         /// Offset of the first record that is kept.
         uint64_t first = 0;
         std::deque<std::string> records;
+        /// Empty unless the topic is keyed.
         std::map<std::string, std::string> newest;
         [[nodiscard]] uint64_t end() const { return first + records.size(); }
     };
@@ -48,22 +63,33 @@
         std::shared_ptr<http1::exchange> exchange;
         std::string topic;
         uint64_t from = 0;
+        size_t maxBytes = 0;
         time_point until {};
     };
+    struct delayed_answer {
+        timer due;
+        std::shared_ptr<http1::exchange> exchange;
+        unsigned status = 0;
+        std::string body;
+    };
 
     void take(std::shared_ptr<http1::exchange> exchange);
-    void answerNewest(http1::exchange& exchange, const topic& topic);
+    void answerNewest(std::shared_ptr<http1::exchange> exchange, const topic& topic);
     void read(std::shared_ptr<http1::exchange> exchange, const std::string& name);
-    void append(http1::exchange& exchange, const std::string& name);
-    void answerRead(http1::exchange& exchange, const topic& topic, uint64_t from);
+    void append(std::shared_ptr<http1::exchange> exchange, const std::string& name);
+    void answerRead(std::shared_ptr<http1::exchange> exchange, const topic& topic, uint64_t from, size_t maxBytes);
+    void answer(std::shared_ptr<http1::exchange> exchange, unsigned status, std::string body);
     void answerWaiting();
-    void addRecord(topic& topic, const std::string& key, const std::string& value);
+    void addRecord(const std::string& name, std::string record);
+    static void trim(topic& topic, uint64_t before);
 
     std::map<std::string, topic> m_topics;
     std::vector<waiting_read> m_waiting;
     std::vector<std::shared_ptr<http1::exchange>> m_unanswered;
+    std::vector<std::unique_ptr<delayed_answer>> m_delayed;
     store_faults m_faults;
     size_t m_reads = 0;
+    size_t m_appends = 0;
     timer m_expiry;
     http1::server m_server;
 };
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -4,6 +4,7 @@
 #include "deployment/deployment.hpp"
 #include "gateway/target_book.hpp"
 #include "http1/client.hpp"
+#include "platform/store_client.hpp"
 #include "policy/budget.hpp"
 #include "policy/suspicion.hpp"
 #include "settings/gateway_settings.hpp"
@@ -24,6 +25,7 @@
     settings::gateway_settings settings;
     metrics counters;
     http1::client client;
+    platform::store_client store;
     target_book targets;
     deployment::state_ptr configuration;
     /// The store had acknowledged nothing newer than `configuration` at this time.
@@ -37,6 +39,7 @@
 
     context(settings::gateway_settings read, target_book::on_change onTargetChange)
         : settings(std::move(read))
+        , store(settings.store)
         , targets(std::move(onTargetChange))
     {
     }
--- a/src/gateway/entry_directory.cpp
+++ b/src/gateway/entry_directory.cpp
@@ -41,14 +41,14 @@
     : m_context(context)
     , m_own(std::move(own))
     , m_onChange(std::move(onChange))
-    , m_follower(context.client, context.settings.store, std::string(topic), { milliseconds(0), readPeriod }, followCalls())
+    , m_follower(context.store, std::string(topic), { milliseconds(0), readPeriod }, followCalls())
 {
     announce();
 }
 
 void entry_directory::announce()
 {
-    m_put = platform::putKey(m_context.client, m_context.settings.store, topic, m_own.name, m_own.encode(), [this](bool isAcknowledged) {
+    m_put = platform::putKey(m_context.store, topic, m_own.name, m_own.encode(), [this](bool isAcknowledged) {
         if (!isAcknowledged)
             m_announceAgain.startOnce(announceAgainAfter, [this] { announce(); });
     });
@@ -63,7 +63,7 @@
 void entry_directory::withdraw()
 {
     m_announceAgain.stop();
-    m_put = platform::putKey(m_context.client, m_context.settings.store, topic, m_own.name, {}, [](bool isAcknowledged) {
+    m_put = platform::putKey(m_context.store, topic, m_own.name, {}, [](bool isAcknowledged) {
         if (!isAcknowledged)
             logLine(log_level::Warning, part, "The record could not be taken back; the others find out by their links.");
     });
--- a/src/gateway/entry_directory.hpp
+++ b/src/gateway/entry_directory.hpp
@@ -42,8 +42,6 @@
     /// Another entry seems to have started: reads the others' records soon.
     void readSoon();
 
-    void setStore(const ip_endpoint& store) { m_follower.setStore(store); }
-
 private:
     void announce();
     void take(const platform::keyed_record& record);
@@ -53,7 +51,7 @@
     entry_record m_own;
     std::function<void()> m_onChange;
     std::map<std::string, entry_record, std::less<>> m_others;
-    std::shared_ptr<http1::client_call> m_put;
+    platform::store_call m_put;
     timer m_announceAgain;
     timer m_readSoon;
     platform::topic_follower m_follower;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,8 +73,8 @@
     });
     m_operators.emplace(
         settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { answerOperator(*exchange); });
-    m_configurationFollower.emplace(m_context.client, settings.store, std::string(platform::operatorTopic), platform::follow_options { partOf(settings.bounds.configuration, configurationWaitShare) }, configurationCalls());
-    m_targetFollower.emplace(m_context.client, settings.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), partOf(settings.bounds.leaving, targetPeriodShare) }, targetCalls());
+    m_configurationFollower.emplace(m_context.store, std::string(platform::operatorTopic), platform::follow_options { partOf(settings.bounds.configuration, configurationWaitShare) }, configurationCalls());
+    m_targetFollower.emplace(m_context.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), partOf(settings.bounds.leaving, targetPeriodShare) }, targetCalls());
     const int64_t startedAtMs = wallNow().time_since_epoch().count();
     m_directory.emplace(m_context, entry_record { settings.name, settings.peerListen, settings.processorShare, startedAtMs }, [this] { m_pools->membersChanged(); });
     m_pools.emplace(m_context, m_pieces, *m_directory);
@@ -96,9 +96,7 @@
     m_context.settings.limits = settings.limits;
     m_context.settings.regions = settings.regions;
     m_context.settings.store = settings.store;
-    m_configurationFollower->setStore(settings.store);
-    m_targetFollower->setStore(settings.store);
-    m_directory->setStore(settings.store);
+    m_context.store.setStore(settings.store);
     logLine(log_level::Info, part, isMoved ? "Settings were reloaded; other listening addresses need a restart." : "Settings were reloaded.", { { "store", settings.store.toString() } });
 }
 
--- a/src/platform/instance_list.cpp
+++ b/src/platform/instance_list.cpp
@@ -1,37 +1,54 @@
 #include "platform/instance_list.hpp"
 
+#include "telemetry/log.hpp"
+
+#include <nlohmann/json.hpp>
+
 namespace bilberryseam::platform {
 
 namespace {
-    constexpr milliseconds listTimeout { 2000 };
+    constexpr std::string_view part = "instances";
+}
+
+namespace detail {
 
-    std::optional<leaving_instances> readList(const http_reply& reply)
+    bool isLeaving(std::string_view record)
     {
-        const nlohmann::json body = nlohmann::json::parse(reply.body, nullptr, false);
-        if (!reply.isOk() || !body.is_object() || !body.contains("instances") || !body["instances"].is_array())
-            return std::nullopt;
-        leaving_instances leaving;
-        for (const auto& item : body["instances"]) {
-            if (item.is_object() && item.value("state", "") == "leaving")
-                leaving.insert(item.value("name", ""));
-        }
-        return leaving;
+        const nlohmann::json document = nlohmann::json::parse(record, nullptr, false);
+        return document.is_object() && document.contains("state") && document["state"] == "leaving";
     }
 }
 
-instance_list::instance_list(ip_endpoint list, milliseconds period, std::function<void(const leaving_instances&)> onList)
-    : m_list(std::move(list))
-    , m_onList(std::move(onList))
+instance_list::instance_list(ip_endpoint store, milliseconds period, std::function<void(const leaving_instances&)> onList)
+    : m_onList(std::move(onList))
+    , m_store(std::move(store))
+    , m_follower(m_store, std::string(instanceTopic), { milliseconds(0), period }, followCalls())
+{
+}
+
+follow_callbacks instance_list::followCalls()
 {
-    m_period.startEvery(period, [this] { poll(); });
-    poll();
+    follow_callbacks calls;
+    calls.onSnapshot = [this](const std::map<std::string, std::string>& newest) {
+        m_leaving.clear();
+        for (const auto& [name, text] : newest)
+            take(name, text);
+        m_onList(m_leaving);
+    };
+    calls.onRecord = [this](const keyed_record& record) {
+        take(record.key, record.value);
+        m_onList(m_leaving);
+    };
+    calls.onContact = [](time_point) {};
+    calls.onFailure = [](std::string_view why) { logLine(log_level::Warning, part, "The instance list does not answer; the last one holds.", { { "problem", std::string(why) } }); };
+    return calls;
 }
 
-void instance_list::poll()
+void instance_list::take(const std::string& name, const std::optional<std::string>& text)
 {
-    m_pending = m_http.send({ "GET", urlOf(m_list, "/v1/instances"), "", {}, false, listTimeout }, [this](http_reply reply) {
-        if (const auto leaving = readList(reply))
-            m_onList(*leaving);
-    });
+    if (text && detail::isLeaving(*text))
+        m_leaving.insert(name);
+    else
+        m_leaving.erase(name);
 }
 }
--- a/src/platform/instance_list.hpp
+++ b/src/platform/instance_list.hpp
@@ -1,35 +1,40 @@
-/// Client of the platform's lagging list of instances. docs/PLATFORM.md gives the protocol.
+/// Follows the platform's lagging list of instances, a keyed topic of its store. docs/PLATFORM.md gives the records.
 #pragma once
 
-#include "base/endpoint.hpp"
-#include "loop/http.hpp"
-#include "loop/timer.hpp"
+#include "platform/topic_follower.hpp"
 
 #include <functional>
-#include <optional>
 #include <set>
 #include <string>
 
 namespace bilberryseam::platform {
 
+/// Topic of the instance list.
+constexpr std::string_view instanceTopic = "keyed.instances";
+
 /// Names of the instances that the platform says are leaving.
 using leaving_instances = std::set<std::string, std::less<>>;
 
-/// Polls the instance list.
+/// Follows the instance list.
 class instance_list {
 public:
-    /// @param list    Address of the list.
-    /// @param period  Time between two polls.
-    /// @param onList  Gets each answer; failures are skipped, so the last answer stays.
-    instance_list(ip_endpoint list, milliseconds period, std::function<void(const leaving_instances&)> onList);
+    /// @param store   Address of the store.
+    /// @param period  Time between two reads.
+    /// @param onList  Gets the leaving instances after each change; while the store is away, the last answer stays.
+    instance_list(ip_endpoint store, milliseconds period, std::function<void(const leaving_instances&)> onList);
 
 private:
-    void poll();
+    follow_callbacks followCalls();
+    void take(const std::string& name, const std::optional<std::string>& text);
 
-    ip_endpoint m_list;
     std::function<void(const leaving_instances&)> m_onList;
-    http_client m_http;
-    std::shared_ptr<void> m_pending;
-    timer m_period;
+    leaving_instances m_leaving;
+    store_client m_store;
+    topic_follower m_follower;
 };
+
+namespace detail {
+    /// @return Whether the record says that its instance is leaving; what cannot be read counts as live.
+    [[nodiscard]] bool isLeaving(std::string_view record);
+}
 }
--- a/src/platform/log_client.cpp
+++ b/src/platform/log_client.cpp
@@ -2,55 +2,62 @@
 
 namespace bilberryseam::platform {
 
-using nlohmann::json;
-
 namespace {
-    constexpr unsigned statusUnavailable = 503;
-    constexpr size_t maxReadBytes = 64 * 1024 * 1024;
+    constexpr size_t timeBytes = 8;
+
+    /// A read that may start twice: again from the oldest record if the first one is no longer kept.
+    struct reading {
+        store_call call;
+    };
 
-    std::string pathOf(std::string_view stream)
+    read_reply replyOf(const read_slice& slice, uint64_t from)
     {
-        return "/v1/streams/" + std::string(stream) + "/records";
+        if (slice.end != read_end::Ok)
+            return { false, 0, 0, {}, slice.detail };
+        read_reply reply { true, slice.first, slice.next, {}, "" };
+        for (const std::string& record : slice.records)
+            reply.records.push_back(detail::decodeStored(from + reply.records.size(), record));
+        return reply;
     }
+}
 
-    append_reply readAppendReply(const http_reply& reply)
+namespace detail {
+
+    std::string encodeStored(int64_t appendedMs, std::string_view text)
     {
-        // Only a refusal by status, or a request that never left, proves that nothing was appended.
-        const bool isRefused = reply.end == exchange_end::NotConnected || (reply.end == exchange_end::Complete && reply.status >= 400 && reply.status <= statusUnavailable);
-        if (isRefused)
-            return { append_end::Refused, 0, reply.detail };
-        const json body = json::parse(reply.body, nullptr, false);
-        if (!reply.isOk() || !body.is_object() || !body.contains("firstOffset") || !body["firstOffset"].is_number_unsigned())
-            return { append_end::Unknown, 0, reply.detail };
-        return { append_end::Appended, body["firstOffset"].get<uint64_t>(), "" };
+        return encodeBigEndian(static_cast<uint64_t>(appendedMs), timeBytes).append(text);
     }
 
-    read_reply readReadReply(const http_reply& reply)
+    stored_record decodeStored(uint64_t offset, std::string_view record)
     {
-        if (!reply.isOk())
-            return { false, 0, 0, {}, reply.detail };
-        try {
-            const json body = json::parse(reply.body);
-            read_reply made { true, body.at("start"), body.at("end"), {}, "" };
-            for (const json& item : body.at("records"))
-                made.records.push_back({ item.at("offset"), item.at("appendedMs"), item.at("text") });
-            return made;
-        } catch (const json::exception&) {
-            return { false, 0, 0, {}, "The log's answer is malformed." };
-        }
+        if (record.size() < timeBytes)
+            return { offset, 0, "" };
+        return { offset, static_cast<int64_t>(decodeBigEndian(record.substr(0, timeBytes))), std::string(record.substr(timeBytes)) };
     }
 }
 
-std::shared_ptr<void> log_client::append(std::string_view stream, std::span<const std::string> records, on_append done)
+store_call log_client::append(std::string_view stream, std::span<const std::string> records, on_append done)
 {
-    http_request request { "POST", urlOf(m_log, pathOf(stream)), json { { "records", std::vector<std::string>(records.begin(), records.end()) } }.dump(), {}, false, logTimeout };
-    return m_http.send(request, [done = std::move(done)](http_reply reply) { done(readAppendReply(reply)); });
+    const int64_t nowMs = wallNow().time_since_epoch().count();
+    std::vector<std::string> stored;
+    for (const std::string& text : records)
+        stored.push_back(detail::encodeStored(nowMs, text));
+    return m_store.append(stream, stored, std::move(done));
 }
 
-std::shared_ptr<void> log_client::read(std::string_view stream, uint64_t from, uint32_t limit, on_read done)
+std::shared_ptr<void> log_client::read(std::string_view stream, uint64_t from, on_read done)
 {
-    const std::string query = "?from=" + std::to_string(from) + "&limit=" + std::to_string(limit);
-    http_request request { "GET", urlOf(m_log, pathOf(stream) + query), "", {}, false, logTimeout, maxReadBytes };
-    return m_http.send(request, [done = std::move(done)](http_reply reply) { done(readReadReply(reply)); });
+    auto handle = std::make_shared<reading>();
+    // The call owns its callback, and the handle owns the call.
+    handle->call = m_store.read(stream, from, {}, [this, weak = std::weak_ptr(handle), topic = std::string(stream), from, done = std::move(done)](const read_slice& slice) {
+        const auto held = weak.lock();
+        if (slice.end != read_end::Expired || !held) {
+            done(replyOf(slice, from));
+            return;
+        }
+        const uint64_t first = slice.first;
+        held->call = m_store.read(topic, first, {}, [done, first](const read_slice& rest) { done(replyOf(rest, first)); });
+    });
+    return handle;
 }
 }
--- a/src/platform/log_client.hpp
+++ b/src/platform/log_client.hpp
@@ -1,9 +1,8 @@
-/// Client of the platform's append-only log. docs/PLATFORM.md gives the protocol.
+/// Streams of text records on the platform's store, each with the time at which its writer sent it.
 #pragma once
 
-#include "base/endpoint.hpp"
 #include "base/time.hpp"
-#include "loop/http.hpp"
+#include "platform/store_client.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -13,34 +12,17 @@
 
 namespace bilberryseam::platform {
 
-/// Longest wait for an answer of the log.
-constexpr milliseconds logTimeout { 2000 };
-
-/// A record as the log keeps it.
+/// A record of a stream.
 struct stored_record {
     uint64_t offset = 0;
+    /// The writer's clock when it sent the record, in milliseconds since 1970.
     int64_t appendedMs = 0;
     std::string text;
 };
 
-/// What became of an append.
-enum class append_end {
-    Appended,
-    /// The log did not take it and will not.
-    Refused,
-    /// The answer is missing: the records may or may not be in the log.
-    Unknown,
-};
-
-struct append_reply {
-    append_end end = append_end::Unknown;
-    uint64_t firstOffset = 0;
-    std::string detail;
-};
-
 struct read_reply {
     bool isOk = false;
-    /// Oldest offset that the log still keeps.
+    /// Oldest offset that the stream still keeps.
     uint64_t start = 0;
     /// Offset that the next append will get.
     uint64_t end = 0;
@@ -48,11 +30,11 @@
     std::string detail;
 };
 
-/// Appends to and reads from named streams.
+/// Appends to and reads from named streams; each is a topic of the store.
 class log_client {
 public:
-    explicit log_client(ip_endpoint log)
-        : m_log(std::move(log))
+    explicit log_client(ip_endpoint store)
+        : m_store(std::move(store))
     {
     }
 
@@ -60,13 +42,19 @@
     using on_read = std::function<void(read_reply)>;
 
     /// Appends records in order, all or none. Dropping the handle forgets the answer.
-    [[nodiscard]] std::shared_ptr<void> append(std::string_view stream, std::span<const std::string> records, on_append done);
+    [[nodiscard]] store_call append(std::string_view stream, std::span<const std::string> records, on_append done);
 
-    /// Reads up to `limit` records from an offset on.
-    [[nodiscard]] std::shared_ptr<void> read(std::string_view stream, uint64_t from, uint32_t limit, on_read done);
+    /// Reads records from an offset on, or from the oldest that is kept if that one is gone; as many as one read returns.
+    [[nodiscard]] std::shared_ptr<void> read(std::string_view stream, uint64_t from, on_read done);
 
 private:
-    ip_endpoint m_log;
-    http_client m_http;
+    store_client m_store;
 };
+
+namespace detail {
+    /// @return A record as the topic holds it.
+    [[nodiscard]] std::string encodeStored(int64_t appendedMs, std::string_view text);
+    /// @return The record; without a text if it is unreadable, so that its offset still counts.
+    [[nodiscard]] stored_record decodeStored(uint64_t offset, std::string_view record);
+}
 }
--- a/src/platform/platform.hpp
+++ b/src/platform/platform.hpp
@@ -3,3 +3,4 @@
 
 #include "platform/instance_list.hpp"
 #include "platform/log_client.hpp"
+#include "platform/store_client.hpp"
--- /dev/null
+++ b/src/platform/store_client.cpp
@@ -0,0 +1,189 @@
+#include "platform/store_client.hpp"
+
+#include <glib.h>
+#include <nlohmann/json.hpp>
+
+namespace bilberryseam::platform {
+
+using nlohmann::json;
+
+namespace {
+    constexpr unsigned statusOk = 200;
+    constexpr unsigned statusBadRequest = 400;
+    constexpr unsigned statusInternalError = 500;
+    constexpr unsigned statusUnavailable = 503;
+    constexpr unsigned statusInsufficientStorage = 507;
+    constexpr unsigned statusGone = 410;
+
+    /// Bytes of the two offsets that begin the answer to a read, of each, and of a record's length.
+    constexpr size_t offsetBytes = 8;
+    constexpr size_t readHeadBytes = 2 * offsetBytes;
+    constexpr size_t lengthBytes = 4;
+
+    std::string targetOf(std::string_view call, std::string_view topic)
+    {
+        return std::string("/v1/").append(call).append("?topic=").append(topic).append("&part=0");
+    }
+
+    std::string describe(http1::call_end end, unsigned status)
+    {
+        return end == http1::call_end::Complete ? "status " + std::to_string(status) : std::string(nameOf(end));
+    }
+
+    /// @return Whether the status says that the store has done nothing.
+    bool isRefusal(unsigned status) noexcept
+    {
+        return (status >= statusBadRequest && status < statusInternalError) || status == statusUnavailable || status == statusInsufficientStorage;
+    }
+
+    append_reply takeAppendAnswer(http1::call_end end, unsigned status, const std::string& body)
+    {
+        if (end == http1::call_end::NotSent || (end == http1::call_end::Complete && isRefusal(status)))
+            return { append_end::Refused, 0, describe(end, status) };
+        const json document = json::parse(body, nullptr, false);
+        const bool isAppended = end == http1::call_end::Complete && status == statusOk && document.is_object() && document.contains("offset") && document["offset"].is_number_unsigned();
+        if (!isAppended)
+            return { append_end::Unknown, 0, describe(end, status) };
+        return { append_end::Appended, document["offset"].get<uint64_t>(), "" };
+    }
+
+    read_slice takeExpiry(const std::string& body)
+    {
+        const json document = json::parse(body, nullptr, false);
+        if (!document.is_object() || !document.contains("first") || !document["first"].is_number_unsigned())
+            return { read_end::Malformed, 0, 0, {}, "The oldest offset is missing in an answer of the store." };
+        return { read_end::Expired, document["first"].get<uint64_t>(), 0, {}, "" };
+    }
+}
+
+namespace detail {
+
+    std::string encodeBigEndian(uint64_t number, size_t bytes)
+    {
+        std::string text;
+        for (size_t i = 0; i < bytes; ++i)
+            text.push_back(static_cast<char>(number >> (8 * (bytes - 1 - i)) & 0xff));
+        return text;
+    }
+
+    uint64_t decodeBigEndian(std::string_view bytes) noexcept
+    {
+        uint64_t number = 0;
+        for (const char byte : bytes)
+            number = number << 8 | static_cast<unsigned char>(byte);
+        return number;
+    }
+
+    std::string encodeRecords(std::span<const std::string> records)
+    {
+        std::string bytes;
+        for (const std::string& record : records)
+            bytes.append(encodeBigEndian(record.size(), lengthBytes)).append(record);
+        return bytes;
+    }
+
+    read_slice decodeRead(std::string_view body)
+    {
+        const read_slice malformed { read_end::Malformed, 0, 0, {}, "An answer of the store is truncated." };
+        if (body.size() < readHeadBytes)
+            return malformed;
+        read_slice slice { read_end::Ok, decodeBigEndian(body.substr(offsetBytes, offsetBytes)), decodeBigEndian(body.substr(0, offsetBytes)), {}, "" };
+        body.remove_prefix(readHeadBytes);
+        while (!body.empty()) {
+            if (body.size() < lengthBytes)
+                return malformed;
+            const uint64_t length = decodeBigEndian(body.substr(0, lengthBytes));
+            body.remove_prefix(lengthBytes);
+            if (length > body.size())
+                return malformed;
+            slice.records.emplace_back(body.substr(0, length));
+            body.remove_prefix(length);
+        }
+        return slice;
+    }
+
+    newest_page decodeNewest(std::string_view body)
+    {
+        newest_page page;
+        try {
+            const json document = json::parse(body);
+            for (const json& item : document.at("items")) {
+                page.lastKey = item.at("key");
+                if (auto value = decodeBase64(item.at("value")))
+                    page.values[page.lastKey] = std::move(*value);
+            }
+            page.hasMore = document.value("has_more", false) && !page.lastKey.empty();
+            page.next = document.at("end");
+            page.isOk = true;
+        } catch (const json::exception& problem) {
+            page = {};
+            page.detail = problem.what();
+        }
+        return page;
+    }
+
+    std::optional<std::string> decodeBase64(const std::string& text)
+    {
+        constexpr std::string_view alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/=";
+        if (text.size() % 4 != 0 || text.find_first_not_of(alphabet) != std::string::npos)
+            return std::nullopt;
+        gsize length = 0;
+        guchar* bytes = g_base64_decode(text.c_str(), &length);
+        std::string decoded(reinterpret_cast<char*>(bytes), length);
+        g_free(bytes);
+        return decoded;
+    }
+}
+
+store_call store_client::send(http1::outgoing_request request, milliseconds timeout, on_answer done)
+{
+    struct answer {
+        unsigned status = 0;
+        std::string body;
+    };
+    request.headers.push_back({ "Host", m_store.toString() });
+    const auto read = std::make_shared<answer>();
+    http1::client_call::callbacks calls;
+    calls.onHead = [read](const http1::answer_head& head) { read->status = head.status; };
+    calls.onBody = [read](std::string_view bytes) { read->body.append(bytes); };
+    calls.onEnd = [read, done = std::move(done)](http1::call_end end) { done(end, read->status, read->body); };
+    return m_client.send(m_store, request, { false, timeout, timeout }, std::move(calls));
+}
+
+store_call store_client::append(std::string_view topic, std::span<const std::string> records, on_append done)
+{
+    return send({ "POST", targetOf("log-append", topic), {}, detail::encodeRecords(records) }, storeTimeout,
+        [done = std::move(done)](http1::call_end end, unsigned status, const std::string& body) { done(takeAppendAnswer(end, status, body)); });
+}
+
+store_call store_client::read(std::string_view topic, uint64_t from, read_wait wait, on_read done)
+{
+    std::string target = targetOf("log-read", topic).append("&from=").append(std::to_string(from)).append("&max_kb=").append(std::to_string(readKib));
+    if (wait.held.count() > 0)
+        target.append("&wait_ms=").append(std::to_string(wait.held.count()));
+    return send({ "GET", std::move(target), {}, "" }, wait.held + wait.timeout,
+        [done = std::move(done)](http1::call_end end, unsigned status, const std::string& body) {
+            if (end == http1::call_end::Complete && status == statusOk)
+                done(detail::decodeRead(body));
+            else if (end == http1::call_end::Complete && status == statusGone)
+                done(takeExpiry(body));
+            else
+                done({ read_end::Failed, 0, 0, {}, describe(end, status) });
+        });
+}
+
+store_call store_client::newest(std::string_view topic, std::string_view after, milliseconds timeout, on_newest done)
+{
+    std::string target = targetOf("log-newest", topic);
+    if (!after.empty()) {
+        char* escaped = g_uri_escape_string(std::string(after).c_str(), nullptr, FALSE);
+        target.append("&after=").append(escaped);
+        g_free(escaped);
+    }
+    return send({ "GET", std::move(target), {}, "" }, timeout, [done = std::move(done)](http1::call_end end, unsigned status, const std::string& body) {
+        newest_page failed;
+        failed.detail = describe(end, status);
+        done(end == http1::call_end::Complete && status == statusOk ? detail::decodeNewest(body) : failed);
+    });
+}
+}
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -1,7 +1,8 @@
 /// Follows a keyed topic of the platform's store: the newest record of each key, then each change.
 #pragma once
 
-#include "http1/client.hpp"
+#include "loop/timer.hpp"
+#include "platform/store_client.hpp"
 
 #include <functional>
 #include <map>
@@ -41,25 +42,20 @@
 /// Reads a topic for as long as it lives.
 class topic_follower {
 public:
-    topic_follower(http1::client& client, ip_endpoint store, std::string topic, follow_options options, follow_callbacks calls);
-
-    /// Uses another address of the store from the next read on.
-    void setStore(ip_endpoint store) { m_store = std::move(store); }
+    topic_follower(store_client& store, std::string topic, follow_options options, follow_callbacks calls);
 
     /// Reads now instead of after the pause.
     void wake();
 
 private:
     void readNewest(const std::string& after);
-    void takeNewest(std::string_view body);
+    void takeNewest(newest_page page);
     void readTail();
-    void takeTail(std::string_view body);
-    void get(std::string target, milliseconds timeout, std::function<void(unsigned, std::string_view)> done);
+    void takeTail(const read_slice& slice);
     void fail(std::string_view why);
     void next(milliseconds delay);
 
-    http1::client& m_client;
-    ip_endpoint m_store;
+    store_client& m_store;
     std::string m_topic;
     follow_options m_options;
     follow_callbacks m_calls;
@@ -68,23 +64,19 @@
     std::optional<uint64_t> m_pageEnd;
     time_point m_sentAt {};
     unsigned m_failures = 0;
-    std::shared_ptr<http1::client_call> m_call;
-    unsigned m_status = 0;
-    std::string m_body;
+    store_call m_call;
     timer m_timer;
 };
 
 /// Sets one key of a keyed topic. Dropping the handle forgets the answer.
 /// @param value   The new value; empty drops the key.
 /// @param onEnd   Told whether the store has acknowledged it.
-[[nodiscard]] std::shared_ptr<http1::client_call> putKey(http1::client& client, const ip_endpoint& store, std::string_view topic, std::string_view key, std::string_view value, std::function<void(bool isAcknowledged)> onEnd);
+[[nodiscard]] store_call putKey(store_client& store, std::string_view topic, std::string_view key, std::string_view value, std::function<void(bool isAcknowledged)> onEnd);
 
 namespace detail {
-    /// @return A record of a keyed topic, as an append sends it.
-    [[nodiscard]] std::string encodeRecord(std::string_view key, std::string_view value);
-    /// @return The records of a read's answer, or nothing if it is malformed.
-    [[nodiscard]] std::optional<std::vector<keyed_record>> decodeRead(std::string_view body);
-    /// @return The bytes of a base64 text, or nothing if it is malformed.
-    [[nodiscard]] std::optional<std::string> decodeBase64(const std::string& text);
+    /// @return A record of a keyed topic; an empty value drops the key.
+    [[nodiscard]] std::string encodeKeyed(std::string_view key, std::string_view value);
+    /// @return The key and value of a record; an empty key if the record is unreadable.
+    [[nodiscard]] keyed_record decodeKeyed(std::string_view record);
 }
 }
--- a/src/policy/claims.cpp
+++ b/src/policy/claims.cpp
@@ -141,7 +141,7 @@
 void noteMissingClaims(claim_table& table, uint64_t firstOffset, int64_t firstAppendedMs)
 {
     table.nextOffset = firstOffset;
-    table.completeSinceMs = std::max(table.completeSinceMs, firstAppendedMs);
+    table.completeSinceMs = std::max(table.completeSinceMs, firstAppendedMs + (maxClockSkew + maxAppendDelay).count());
 }
 
 claim_verdict decideClaim(const claim_table& table, identifier key, identifier nonce, uint64_t fingerprint, int64_t issuedMs)
--- a/src/policy/claims.hpp
+++ b/src/policy/claims.hpp
@@ -15,9 +15,13 @@
 
 namespace bilberryseam::policy {
 
-/// Clocks of callers, sides and the log agree at least this well.
+/// Clocks of callers and sides agree at least this well.
 constexpr milliseconds maxClockSkew { 30000 };
 
+/// Longest time from a writer's stamp on a record to its place in the log; an append whose answer is lost may be
+/// executed seconds later.
+constexpr milliseconds maxAppendDelay { 10000 };
+
 /// Longest answer that is kept for repeats, in bytes.
 constexpr size_t maxKeptAnswerBytes = 16 * 1024;
 
@@ -86,7 +90,8 @@
 /// @param keep  Entries that are older than this are dropped; twice the window and the skew.
 void applyClaims(claim_table& table, uint64_t offset, int64_t appendedMs, const std::vector<claim_item>& items, milliseconds keep);
 
-/// The log no longer keeps records that were not read: what they held is unknown.
+/// The log no longer keeps records that were not read: what they held is unknown. Their stamps are the writers', so
+/// some may be later than the stamp of the first record that is kept.
 void noteMissingClaims(claim_table& table, uint64_t firstOffset, int64_t firstAppendedMs);
 
 enum class claim_verdict {
--- a/src/programs/fake.cpp
+++ b/src/programs/fake.cpp
@@ -22,7 +22,6 @@
       "properties": {
         "control": { "type": "string" },
         "log": { "type": "string" },
-        "instanceList": { "type": "string" },
         "links": {
           "type": "array",
           "items": {
@@ -67,8 +66,6 @@
             listenOn(m_server.get(), ip_endpoint::parse(settings["control"].get<std::string>()).value());
             if (settings.contains("log"))
                 m_log.emplace(ip_endpoint::parse(settings["log"].get<std::string>()).value());
-            if (settings.contains("instanceList"))
-                m_instances.emplace(ip_endpoint::parse(settings["instanceList"].get<std::string>()).value());
             for (const json& item : settings.value("targets", json::array())) {
                 auto& made = m_targets.emplace_back(std::make_unique<fakes::fake_target>(item["name"], kindOf(item["kind"]), ip_endpoint::parse(item["listen"].get<std::string>()).value(), fakes::target_behaviour {}));
                 made->control(item);
@@ -99,8 +96,6 @@
             }
             if (m_log && body.contains("log"))
                 m_log->control(body["log"]);
-            if (m_instances && body.contains("instanceList"))
-                m_instances->control(body["instanceList"]);
             switchEach(m_targets, body, "targets");
             switchEach(m_links, body, "links");
             replyJson(message, 200, json::object());
@@ -131,8 +126,7 @@
 
         main_loop m_loop;
         gobject_ptr<SoupServer> m_server;
-        std::optional<fakes::fake_log> m_log;
-        std::optional<fakes::fake_instances> m_instances;
+        std::optional<fakes::platform_store> m_log;
         std::vector<std::unique_ptr<fakes::fake_target>> m_targets;
         std::vector<std::unique_ptr<fakes::fake_link>> m_links;
     };
--- a/src/side/call_gate_keys.cpp
+++ b/src/side/call_gate_keys.cpp
@@ -4,7 +4,6 @@
 namespace bilberryseam::side {
 
 namespace {
-    constexpr uint32_t claimsPerRead = 1000;
 
     std::string_view nameOf(claim_end end)
     {
@@ -39,7 +38,7 @@
         m_appending = m_log.append(m_settings.platform.claimsStream, records, std::move(done));
     };
     ports.read = [this](uint64_t from, platform::log_client::on_read done) {
-        m_reading = m_log.read(m_settings.platform.claimsStream, from, claimsPerRead, std::move(done));
+        m_reading = m_log.read(m_settings.platform.claimsStream, from, std::move(done));
     };
     ports.wallNow = [] { return wallNow(); };
     m_claims = std::make_unique<claim_keeper>(std::move(ports), m_settings.limits.idempotencyWindow);
--- a/src/side/claim_keeper.cpp
+++ b/src/side/claim_keeper.cpp
@@ -168,7 +168,9 @@
 void claim_keeper::applyRecords(const platform::read_reply& reply)
 {
     if (reply.start > m_table.nextOffset) {
-        const int64_t sinceMs = reply.records.empty() ? m_ports.wallNow().time_since_epoch().count() : reply.records.front().appendedMs;
+        // A record without a readable stamp says nothing about those before it.
+        const bool isStamped = !reply.records.empty() && reply.records.front().appendedMs > 0;
+        const int64_t sinceMs = isStamped ? reply.records.front().appendedMs : m_ports.wallNow().time_since_epoch().count();
         policy::noteMissingClaims(m_table, reply.start, sinceMs);
     }
     for (const platform::stored_record& record : reply.records) {
--- a/tests/process/at_most_once_test.cpp
+++ b/tests/process/at_most_once_test.cpp
@@ -54,7 +54,7 @@
 
 int claimAppends(cluster& running)
 {
-    const json streams = running.fakeCounts()["log"]["streams"];
+    const json streams = running.fakeCounts()["log"]["topics"];
     return streams.contains("claims") ? streams["claims"]["end"].get<int>() : 0;
 }
 }
@@ -192,7 +192,7 @@
     const std::string key = std::to_string(wallNow().time_since_epoch().count() - 60000) + "-k";
     checkEqual(running.ask(booking(key))->kind(), "answered");
     running.waitUntil([&] { return claimAppends(running) == 2; }, "the answer in the log");
-    running.switchFakes({ { "log", { { "trim", { { "stream", "claims" }, { "offset", 2 } } } } } });
+    running.switchFakes({ { "log", { { "trim", { { "topic", "claims" }, { "offset", 2 } } } } } });
     for (const char* side : { "side-book-1", "side-book-2" }) {
         running.kill(side);
         running.start(side);
--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -93,7 +93,7 @@
     waitForOffset(running, 5);
     running.waitUntil([&] { return running.entryMetric("bilberryseam_configuration_snapshot_offset") >= 4 || running.entryMetric("bilberryseam_configuration_snapshot_offset", 1) >= 4; }, "a snapshot");
     const auto snapshotOffset = static_cast<uint64_t>(std::max(running.entryMetric("bilberryseam_configuration_snapshot_offset"), running.entryMetric("bilberryseam_configuration_snapshot_offset", 1)));
-    running.switchFakes({ { "log", { { "trim", { { "stream", "configuration" }, { "offset", snapshotOffset } } } } } });
+    running.switchFakes({ { "log", { { "trim", { { "topic", "configuration" }, { "offset", snapshotOffset } } } } } });
     const std::vector<std::string> all { "entry-0", "entry-1", "side-llm-1", "side-llm-2", "side-llm-3" };
     for (const std::string& process : all)
         running.kill(process);
--- a/tests/process/stopping_test.cpp
+++ b/tests/process/stopping_test.cpp
@@ -1,4 +1,5 @@
 /// Planned stops cut nothing off; leaving targets get no new work.
+#include "platform/instance_list.hpp"
 #include "support/check.hpp"
 #include "support/cluster.hpp"
 
@@ -82,7 +83,7 @@
 {
     cluster running(twoEngines(42));
     const auto sent = openStreams(running, 2);
-    running.switchFakes({ { "instanceList", { { "leaving", { "llm-1" } } } } });
+    running.switchFakes({ { "log", { { "put", { { "topic", platform::instanceTopic }, { "key", "llm-1" }, { "value", R"({"state":"leaving"})" } } } } } });
     checkNoNewWork(running, "llm-1");
     checkWhole(running, sent);
 }
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "loop/timer.hpp"
+#include "platform/log_client.hpp"
 
 #include <criterion/criterion.h>
 #include <csignal>
@@ -68,10 +69,9 @@
     std::filesystem::create_directories(m_folder);
     m_control = address();
     m_log = address();
-    const std::string instances = address();
-    json platform { { "log", m_log }, { "instanceList", instances }, { "instanceListPeriodMs", 100 }, { "configurationPollPeriodMs", 100 } };
+    json platform { { "log", m_log }, { "instanceList", m_log }, { "instanceListPeriodMs", 100 }, { "configurationPollPeriodMs", 100 } };
     platform.update(m_spec.platform);
-    m_fake = { { "control", m_control }, { "log", m_log }, { "instanceList", instances }, { "targets", json::array() }, { "links", json::array() } };
+    m_fake = { { "control", m_control }, { "log", m_log }, { "targets", json::array() }, { "links", json::array() } };
     m_note = { { "schema", 1 }, { "note", "first" }, { "added", { { "services", json::array() }, { "targets", json::array() }, { "pipelines", m_spec.pipelines }, { "accounts", m_spec.accounts }, { "policies", m_spec.policies } } } };
     for (const target_spec& target : m_spec.targets)
         makeTarget(target, platform);
@@ -220,7 +220,12 @@
 
 void cluster::appendNote(const json& note)
 {
-    post(m_log, "/v1/streams/configuration/records", { { "records", { note.dump() } } });
+    const std::string records[] { platform::detail::encodeStored(wallNow().time_since_epoch().count(), note.dump()) };
+    http_request request;
+    request.method = "POST";
+    request.url = "http://" + m_log + "/v1/log-append?topic=configuration&part=0";
+    request.body = platform::detail::encodeRecords(records);
+    exchange(std::move(request));
 }
 
 void cluster::waitForTargets()
--- a/tests/unit/claims_test.cpp
+++ b/tests/unit/claims_test.cpp
@@ -66,8 +66,11 @@
 {
     claim_table table = caughtUp();
     noteMissingClaims(table, 10, 100000);
+    // A record that was missed may bear a stamp of another writer that is later than that of the first one kept.
+    const int64_t latestMissed = 100000 + (maxClockSkew + maxAppendDelay).count();
     cr_assert(decideClaim(table, key, first, 7, 100000) == claim_verdict::NotCovered);
-    cr_assert(decideClaim(table, key, first, 7, 100001 + maxClockSkew.count()) == claim_verdict::Unclaimed);
+    cr_assert(decideClaim(table, key, first, 7, latestMissed + maxClockSkew.count()) == claim_verdict::NotCovered);
+    cr_assert(decideClaim(table, key, first, 7, latestMissed + maxClockSkew.count() + 1) == claim_verdict::Unclaimed);
 }
 
 Test(claims, keys_of_two_accounts_never_meet)
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -1,6 +1,7 @@
 /// The platform's words, decoded and encoded.
 #include "gateway/event_stream.hpp"
 #include "platform/ingress.hpp"
+#include "platform/log_client.hpp"
 #include "platform/records.hpp"
 #include "platform/stages.hpp"
 #include "platform/topic_follower.hpp"
@@ -75,21 +76,39 @@
         static_cast<void>(decodeTarget("t", text));
         static_cast<void>(decodePieces(text, 2));
         static_cast<void>(platform::detail::decodeRead(text));
+        static_cast<void>(platform::detail::decodeNewest(text));
+        static_cast<void>(platform::detail::decodeKeyed(text));
+        static_cast<void>(platform::detail::decodeStored(0, text));
         static_cast<void>(platform::detail::decodeBase64(text));
     }
 }
 
 Test(platform_records, keyed_records_survive_the_way_there_and_back)
 {
-    const std::string head(16, '\0');
-    const std::string bytes = head + platform::detail::encodeRecord("k", "value") + platform::detail::encodeRecord("gone", "");
-    const auto records = platform::detail::decodeRead(bytes);
-    cr_assert(records && records->size() == 2);
-    cr_assert_eq((*records)[0].key, "k");
-    cr_assert_eq(*(*records)[0].value, "value");
-    cr_assert_eq((*records)[1].key, "gone");
-    cr_assert(!(*records)[1].value);
-    cr_assert(!platform::detail::decodeRead(bytes.substr(0, bytes.size() - 1)), "a truncated answer is not half an answer");
+    using namespace platform::detail;
+    const std::string records[] { encodeKeyed("k", "value"), encodeKeyed("gone", ""), "" };
+    const std::string bytes = encodeBigEndian(12, 8) + encodeBigEndian(9, 8) + encodeRecords(records);
+    const auto slice = decodeRead(bytes);
+    cr_assert(slice.end == platform::read_end::Ok);
+    cr_assert_eq(slice.next, 12u);
+    cr_assert_eq(slice.first, 9u);
+    cr_assert_eq(slice.records.size(), 3u);
+    cr_assert_eq(decodeKeyed(slice.records[0]).key, "k");
+    cr_assert_eq(decodeKeyed(slice.records[0]).value.value(), "value");
+    cr_assert_eq(decodeKeyed(slice.records[1]).key, "gone");
+    cr_assert(!decodeKeyed(slice.records[1]).value);
+    cr_assert(decodeKeyed(slice.records[2]).key.empty(), "an unreadable record keeps its place");
+    cr_assert(decodeRead(bytes.substr(0, bytes.size() - 1)).end == platform::read_end::Malformed, "a truncated answer is not half an answer");
+}
+
+Test(platform_records, stream_records_keep_their_writer_s_time)
+{
+    using namespace platform::detail;
+    const platform::stored_record record = decodeStored(7, encodeStored(1234567890123, "text"));
+    cr_assert_eq(record.offset, 7u);
+    cr_assert_eq(record.appendedMs, 1234567890123);
+    cr_assert_eq(record.text, "text");
+    cr_assert_eq(decodeStored(8, "short").text, "", "an unreadable record has no text");
 }
 
 Test(platform_ingress, a_request_is_decoded)
