A store that moves is read from its newest records, not from old offsets

Cause: after a reload with another address of the store, the followers went on at the offset that the former store had given. The other store's records were never seen: gateway_settings::a_moved_store_* waited 20 s in vain. A follower now remembers whose offset it holds and reads the newest records elsewhere.

--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -97,6 +97,7 @@
 
     /// Uses another address from the next call on.
     void setStore(ip_endpoint store) { m_store = std::move(store); }
+    [[nodiscard]] const ip_endpoint& store() const noexcept { return m_store; }
 
     /// Appends records in order, all or none. Never repeated by itself.
     [[nodiscard]] store_call append(std::string_view topic, std::span<const std::string> records, on_append done);
--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -56,7 +56,8 @@
 void topic_follower::next(milliseconds delay)
 {
     m_timer.startOnce(delay, [this] {
-        if (m_offset)
+        // Another store has offsets of its own.
+        if (m_offset && m_offsetOf == m_store.store())
             readTail();
         else
             readNewest({});
@@ -68,6 +69,7 @@
     if (after.empty()) {
         m_page.clear();
         m_pageEnd.reset();
+        m_offsetOf = m_store.store();
         m_sentAt = monotonicNow();
     }
     m_call = m_store.newest(m_topic, after, m_options.timeout, [this](newest_page page) { takeNewest(std::move(page)); });
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -59,7 +59,9 @@
     std::string m_topic;
     follow_options m_options;
     follow_callbacks m_calls;
+    /// Where the next read of changes begins, at the store that `m_offsetOf` names; without it, the newest records are read.
     std::optional<uint64_t> m_offset;
+    ip_endpoint m_offsetOf;
     std::map<std::string, std::string> m_page;
     std::optional<uint64_t> m_pageEnd;
     time_point m_sentAt {};
--- /dev/null
+++ b/tests/process/gateway_settings_test.cpp
@@ -0,0 +1,102 @@
+/// The settings file changes while the gateway runs, with or without a signal.
+#include "support/deployment_fixture.hpp"
+
+#include <criterion/criterion.h>
+#include <csignal>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+using nlohmann::json;
+
+namespace {
+/// A second store whose configuration is newer and has one route.
+std::unique_ptr<fakes::platform_store> storeWithRoute(const ip_endpoint& listen, const fakes::platform_store& first, const std::string& prefix)
+{
+    auto store = std::make_unique<fakes::platform_store>(listen);
+    json configuration = json::parse(first.newest("keyed.op", "config"));
+    configuration["version"] = 9;
+    configuration["routes"] = json::array({ deployment_fixture::route(prefix, "idempotent", "pages") });
+    store->put("keyed.op", "config", configuration.dump());
+    store->put("keyed.servers", "t-1", first.newest("keyed.servers", "t-1"));
+    return store;
+}
+
+/// A gateway that serves `/p/` and `/s/` from one store.
+size_t startServing(deployment_fixture& deployment)
+{
+    deployment.addTarget("t-1", "pages");
+    deployment.configure(3, json::array({ deployment_fixture::route("/p/", "idempotent", "pages"), deployment_fixture::route("/s/", "streaming", "pages") }));
+    const size_t gateway = deployment.startGateway();
+    deployment.waitUntilReady();
+    return gateway;
+}
+}
+
+Test(gateway_settings, a_moved_store_is_followed_at_a_signal)
+{
+    deployment_fixture deployment(155);
+    const size_t gateway = startServing(deployment);
+    const ip_endpoint moved = deployment.address();
+    const auto second = storeWithRoute(moved, deployment.store(), "/moved/");
+    deployment.changeSettings(gateway, { { "store", moved.toString() } });
+    deployment.signal(gateway, SIGHUP);
+    deployment.waitUntil([&] { return deployment.ask("GET", "/moved/1")->head.status == 200; }, "the configuration of the second store");
+    cr_assert_neq(deployment.logOf(gateway).find("Settings were reloaded"), std::string::npos);
+}
+
+Test(gateway_settings, a_moved_store_is_followed_without_a_signal)
+{
+    deployment_fixture deployment(156);
+    const size_t gateway = startServing(deployment);
+    const ip_endpoint moved = deployment.address();
+    const auto second = storeWithRoute(moved, deployment.store(), "/moved/");
+    deployment.changeSettings(gateway, { { "store", moved.toString() } });
+    deployment.waitUntil([&] { return deployment.ask("GET", "/moved/1")->head.status == 200; }, "the configuration of the second store");
+}
+
+Test(gateway_settings, wrong_settings_are_named_and_change_nothing)
+{
+    deployment_fixture deployment(157);
+    const size_t gateway = startServing(deployment);
+    deployment.changeSettings(gateway, { { "bounds", { { "retryRatio", "many" } } } });
+    deployment.signal(gateway, SIGHUP);
+    deployment.waitUntil([&] { return deployment.logOf(gateway).find("retryRatio") != std::string::npos; }, "a log line that names the field");
+    deployment.writeSettings(gateway, "{ \"name\":");
+    deployment.signal(gateway, SIGHUP);
+    deployment.waitUntil([&] { return deployment.logOf(gateway).rfind("The changed settings are wrong") > deployment.logOf(gateway).find("The changed settings are wrong"); }, "a log line on the broken file");
+    cr_assert_eq(deployment.ask("GET", "/p/1")->head.status, 200);
+    cr_assert(!deployment.hasExited(gateway));
+}
+
+Test(gateway_settings, a_reload_cuts_nothing_off)
+{
+    deployment_fixture deployment(158);
+    const size_t gateway = startServing(deployment);
+    std::shared_ptr<http1::exchange> open;
+    auto& target = deployment.addTarget("t-2", "pages");
+    target.setBehaviour([&](std::shared_ptr<http1::exchange> exchange) {
+        exchange->startChunked(200, target.answerHeaders(*exchange));
+        exchange->writeChunk("id: 1\ndata: first\n\n");
+        open = std::move(exchange);
+    });
+    deployment.unlist("t-1");
+    deployment.waitUntil([&] { return deployment.logOf(gateway).find("t-2") != std::string::npos; }, "the second target");
+    std::vector<caller_ptr> callers;
+    deployment.waitUntil(
+        [&] {
+            if (!open && (callers.empty() || callers.back()->isOver))
+                callers.push_back(deployment.send("GET", "/s/1"));
+            return open && callers.back()->hasHead;
+        },
+        "a stream from the second target");
+    for (const char* ratio : { "0.1", "0.3", "0.2" }) {
+        deployment.changeSettings(gateway, { { "bounds", { { "retryRatio", json::parse(ratio) } } } });
+        deployment.signal(gateway, SIGHUP);
+        deployment.pass(milliseconds(50));
+    }
+    open->writeChunk("id: 2\ndata: last\n\n");
+    open->finishChunked();
+    deployment.waitUntil([&] { return callers.back()->isOver; }, "the end of the stream");
+    cr_assert(callers.back()->end == http1::call_end::Complete);
+    cr_assert_neq(callers.back()->body.find("last"), std::string::npos);
+}
--- a/tests/support/deployment_fixture.cpp
+++ b/tests/support/deployment_fixture.cpp
@@ -135,6 +135,18 @@
     g_subprocess_send_signal(m_gateways[gateway].process.get(), number);
 }
 
+void deployment_fixture::changeSettings(size_t gateway, const json& changes) const
+{
+    json settings = json::parse(std::ifstream(m_gateways[gateway].settingsPath));
+    settings.merge_patch(changes);
+    writeSettings(gateway, settings.dump());
+}
+
+void deployment_fixture::writeSettings(size_t gateway, const std::string& text) const
+{
+    std::ofstream(m_gateways[gateway].settingsPath) << text;
+}
+
 bool deployment_fixture::hasExited(size_t gateway) const
 {
     return !g_subprocess_get_identifier(m_gateways[gateway].process.get());
--- a/tests/support/deployment_fixture.hpp
+++ b/tests/support/deployment_fixture.hpp
@@ -59,6 +59,10 @@
     void waitUntilReady(size_t gateway = 0);
     [[nodiscard]] bool isReady(size_t gateway = 0);
     void signal(size_t gateway, int number);
+    /// Replaces the content of a gateway's settings file; `changes` are merged into the settings that are there.
+    void changeSettings(size_t gateway, const nlohmann::json& changes) const;
+    /// Replaces the content of a gateway's settings file by any text.
+    void writeSettings(size_t gateway, const std::string& text) const;
     /// @return The process identifier of a gateway that runs.
     [[nodiscard]] std::string processOf(size_t gateway) const { return g_subprocess_get_identifier(m_gateways[gateway].process.get()); }
     [[nodiscard]] bool hasExited(size_t gateway) const;
