--- a/bench/gateway_events.cpp
+++ b/bench/gateway_events.cpp
@@ -1,10 +1,9 @@
 /// Processor time of a gateway for each relayed event, with many streams open.
+#include "processor_time.hpp"
 #include "support/deployment_fixture.hpp"
 
 #include <cstdio>
 #include <cstdlib>
-#include <fstream>
-#include <unistd.h>
 
 using namespace bilberryseam;
 using namespace bilberryseam::tests;
@@ -13,19 +12,6 @@
 constexpr size_t streams = 50;
 constexpr int eventsOfStream = 200;
 constexpr milliseconds eventPeriod { 20 };
-
-/// @return Processor time that a process has used, in seconds.
-double processorSeconds(const std::string& pid)
-{
-    std::ifstream file("/proc/" + pid + "/stat");
-    std::string field;
-    double ticks = 0;
-    for (int i = 1; i <= 15 && file >> field; ++i) {
-        if (i >= 14)
-            ticks += std::stod(field);
-    }
-    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
 }
 
 int main()
@@ -45,13 +31,13 @@
         callers.push_back(deployment.send("POST", "/m/" + std::to_string(i), { { "X-Deadline-Ms", "60000" } }));
     deployment.waitUntil([&] { return open.size() == streams; }, "the streams");
     const std::string pid = deployment.processOf(0);
-    const double before = processorSeconds(pid);
+    const double before = bench::processorSeconds(pid);
     for (int number = 1; number <= eventsOfStream; ++number) {
         for (const auto& exchange : open)
             exchange->writeChunk("id: " + std::to_string(number) + "\ndata: about as many bytes as a few tokens\n\n");
         deployment.pass(eventPeriod);
     }
-    const double used = processorSeconds(pid) - before;
+    const double used = bench::processorSeconds(pid) - before;
     for (const auto& exchange : open)
         exchange->finishChunked();
     deployment.waitUntil([&] { return std::all_of(callers.begin(), callers.end(), [](const auto& item) { return item->isOver; }); }, "the ends");
