Results are given up once fetched, and small requests pass those that wait for memory

Final results were kept until the first event of the answer, 100 to 400 ms after the engine had fetched them; and a request of 8 kB waited behind one of 9 MB.

Now final results are freed 35 ms and twice their transfer time after the request was sent (first event at the latest), and groups under 0.2 % of a pool's memory are begun while a larger one waits. An engine that misses a result says 409, not run: the stages run again and the engine keeps its standing.

--- a/src/deployment/deployment.hpp
+++ b/src/deployment/deployment.hpp
@@ -81,6 +81,8 @@
     double resultBytes = 0;
     /// How long a result is kept after its call.
     milliseconds resultLife { 0 };
+    /// Rate at which a target sends and fetches results, in bytes a millisecond; zero if it is not stated.
+    double linkBytesPerMillisecond = 0;
 
     /// @return The usual time of a call with that many pieces.
     [[nodiscard]] milliseconds timeOf(size_t pieces) const noexcept { return callTime + milliseconds(static_cast<int64_t>(pieceMilliseconds * static_cast<double>(pieces))); }
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -101,6 +101,8 @@
         dispatch();
         return;
     }
+    if (m_call && !m_areInputsFreed && now >= m_inputsFetchedAt)
+        freeAll();
     if (isTargetSilent(now)) {
         policy::recordFailure(m_target->health, policy::call_failure::Failed, now);
         leaveTarget();
@@ -204,6 +206,7 @@
 
     m_target = target;
     m_sentAt = now;
+    m_inputsFetchedAt = now + inputFetchTime();
     m_hasHead = false;
     m_hasFirstByte = false;
     m_events.restart();
@@ -246,7 +249,6 @@
         if (m_request.asked.asked && m_answer.status == statusOk) {
             for (const uint64_t hash : prefixHashes(*m_request.asked.asked))
                 m_target->readParts[hash] = now;
-            // The target has fetched its inputs; memory for results is scarce.
             freeAll();
         }
     }
@@ -324,6 +326,14 @@
         answerFailed("unreachable", false);
         return;
     }
+    if (m_hasHead && m_answer.isInputGone && end == http1::call_end::Complete) {
+        // The target is sound, and may be asked again with new results.
+        --m_runs;
+        m_tried.pop_back();
+        freeAll();
+        restartStages("input_gone");
+        return;
+    }
     if (m_hasHead && m_answer.isNotRun && end == http1::call_end::Complete) {
         target->isReplaced = target->isReplaced || m_answer.isWrongTarget;
         policy::recordFailure(target->health, policy::call_failure::Full, now);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -67,6 +67,8 @@
     void pieceEnded(size_t stage, uint32_t piece, const piece_outcome& outcome);
     void freeStage(size_t index);
     void freeAll();
+    /// @return How long after the request was sent its target has fetched all results.
+    [[nodiscard]] milliseconds inputFetchTime() const;
     [[nodiscard]] milliseconds remainingTime(size_t fromStage) const;
     [[nodiscard]] std::string domainOfBulkyResults() const;
     [[nodiscard]] std::string domainOfInputs(const std::vector<std::string>& inputs, double inputBytes) const;
@@ -116,6 +118,8 @@
     target_ptr m_target;
     std::shared_ptr<http1::client_call> m_call;
     time_point m_sentAt {};
+    /// When the results that the target fetches may be given up.
+    time_point m_inputsFetchedAt {};
     time_point m_lastByteAt {};
     http1::answer_head m_head;
     platform::target_answer m_answer;
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -25,6 +25,13 @@
     /// Part of the shared tokens that a target has to read in the mean.
     constexpr double sharedReadShare = 0.25;
 
+    /// Time from sending a request to the moment at which its target begins to fetch results: a trip between regions
+    /// and the target's own work.
+    constexpr milliseconds fetchBegins { 35 };
+
+    /// Results share the links of their makers with others.
+    constexpr double fetchSlowdown = 2;
+
     /// Times that the stages of one request are run at most.
     constexpr int maxStageRuns = 3;
 }
@@ -247,6 +254,19 @@
     startReadyStages();
 }
 
+milliseconds request_run::inputFetchTime() const
+{
+    double transfer = 0;
+    for (const size_t index : deployment::finalStages(*m_request.route)) {
+        const auto& stage = m_request.route->stages[index];
+        const auto found = m_request.configuration->services.find(stage.service);
+        const double rate = found == m_request.configuration->services.end() || !found->second.pool ? 0 : found->second.pool->linkBytesPerMillisecond;
+        if (rate > 0 && index < m_stages.size())
+            transfer += static_cast<double>(stage.resultBytes * m_stages[index].handles.size()) / rate;
+    }
+    return fetchBegins + milliseconds(static_cast<int64_t>(transfer * fetchSlowdown));
+}
+
 void request_run::freeStage(size_t index)
 {
     std::vector<std::string> handles;
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -24,6 +24,7 @@
     constexpr std::string_view sealName = "X-Response-Seal";
     constexpr std::string_view notRunName = "X-Not-Executed";
 
+    constexpr unsigned statusConflict = 409;
     constexpr unsigned statusMisdirected = 421;
     constexpr size_t maxParts = 1000;
 
@@ -182,6 +183,7 @@
     answer.isSealed = http1::findHeader(head.headers, sealName).has_value();
     answer.isWrongTarget = head.status == statusMisdirected;
     answer.isNotRun = isNotRun(head);
+    answer.isInputGone = answer.isNotRun && head.status == statusConflict;
     answer.isEncoded = http1::findHeader(head.headers, "Content-Encoding").has_value();
     return answer;
 }
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -38,6 +38,8 @@
     bool isNotRun = false;
     /// Another target has the address now.
     bool isWrongTarget = false;
+    /// A result that the request needs is gone; the target did not run it.
+    bool isInputGone = false;
     /// The body is not as the target made it.
     bool isEncoded = false;
 };
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -94,6 +94,7 @@
         // "headroom_mb" is all the memory that a target has for results.
         pool.resultBytes = readOr(from, "headroom_mb", 0.0) * bytesPerMegabyte;
         pool.resultLife = milliseconds(static_cast<int64_t>(readOr(from, "handle_s", 0.0) * 1000));
+        pool.linkBytesPerMillisecond = readOr(from, "link_mbps", 0.0) * bytesPerMegabyte / 8 / 1000;
         return pool;
     }
 
--- a/src/policy/batching.cpp
+++ b/src/policy/batching.cpp
@@ -14,6 +14,9 @@
     /// A group that needs more than this share of all memory is begun when that much is free.
     constexpr double largestGroupShare = 0.5;
 
+    /// A group that needs less than this share of all memory is begun even if a larger one waits for memory.
+    constexpr double smallGroupShare = 0.002;
+
     bool isSound(const pool_target& target) noexcept { return target.penalty < soundPenalty; }
 
     /// Pieces in the order in which they should start: those that were begun, then those that can still be in time.
@@ -59,8 +62,9 @@
             if (!piece.isBegun && !admitted.contains(piece.group)) {
                 // What the first group that does not fit needs is left for it.
                 const double need = std::min(needs[piece.group], totalBytes * largestGroupShare);
+                const bool isSmall = need < totalBytes * smallGroupShare && need <= freeBytes;
                 isMemoryShort = isMemoryShort || need > freeBytes;
-                if (isMemoryShort)
+                if (isMemoryShort && !isSmall)
                     continue;
             }
             if (admitted.insert(piece.group).second)
--- a/tests/process/gateway_stage_test.cpp
+++ b/tests/process/gateway_stage_test.cpp
@@ -123,6 +123,47 @@
     cr_assert_eq(itemsOf(encoder).size(), 2u);
 }
 
+Test(gateway_stage, results_are_given_up_once_they_were_fetched)
+{
+    deployment_fixture deployment(152);
+    auto& encoder = deployment.addTarget("e-1", "encode");
+    auto& ranker = deployment.addTarget("k-1", "rank");
+    auto& model = deployment.addTarget("t-1", "model");
+    std::shared_ptr<http1::exchange> held;
+    model.setBehaviour([&](std::shared_ptr<http1::exchange> exchange) { held = std::move(exchange); });
+    deployment.configure(3, { stagedRoute() }, { poolService("encode"), poolService("rank") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto caller = deployment.send("POST", "/m/1", staged("2,3"));
+    deployment.waitUntil([&] { return held != nullptr; }, "the request at its target");
+    deployment.waitUntil([&] { return encoder.freedResults().size() == 2 && ranker.freedResults().size() == 3; }, "the results to be given up before the first byte");
+    held->respond(200, model.answerHeaders(*held), "whole");
+    deployment.waitUntil([&] { return caller->isOver; }, "the answer");
+    cr_assert_eq(caller->body, "whole");
+}
+
+Test(gateway_stage, a_target_that_misses_a_result_is_asked_again_with_new_ones)
+{
+    deployment_fixture deployment(153);
+    auto& encoder = deployment.addTarget("e-1", "encode");
+    deployment.addTarget("k-1", "rank");
+    auto& model = deployment.addTarget("t-1", "model");
+    int requests = 0;
+    model.setBehaviour([&](std::shared_ptr<http1::exchange> exchange) {
+        if (++requests == 1)
+            exchange->respond(409, { { "X-Not-Executed", "1" } }, "");
+        else
+            exchange->respond(200, model.answerHeaders(*exchange), "whole");
+    });
+    deployment.configure(3, { stagedRoute() }, { poolService("encode"), poolService("rank") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto answer = deployment.ask("POST", "/m/1", staged("1,1"));
+    cr_assert_eq(answer->head.status, 200);
+    cr_assert_eq(answer->body, "whole");
+    cr_assert_eq(itemsOf(encoder).size(), 2u);
+}
+
 Test(gateway_stage, a_caller_that_leaves_takes_its_pieces_along)
 {
     deployment_fixture deployment(189);
--- a/tests/unit/batching_test.cpp
+++ b/tests/unit/batching_test.cpp
@@ -228,6 +228,17 @@
     cr_assert_eq(batches[0].pieces.size(), 3u, "one that was begun goes on as far as memory reaches");
 }
 
+Test(batching, a_small_request_passes_one_that_waits_for_memory)
+{
+    const auto pieces = join(groupOf(1, 4, milliseconds(100), 1000), groupOf(2, 1, milliseconds(200), 1), groupOf(3, 1, milliseconds(300), 1000));
+    std::vector<pool_target> targets { idleTarget("a", 3000) };
+    targets[0].totalBytes = 10000;
+    const auto batches = planBatches(pieces, targets, { 8 }, start);
+    cr_assert_eq(batches.size(), 1u);
+    cr_assert_eq(batches[0].pieces.size(), 1u);
+    cr_assert_eq(pieces[batches[0].pieces[0]].group, 2u, "what is left for the large one is not used up by another");
+}
+
 Test(batching, a_bound_piece_waits_for_its_failure_domain_but_not_for_ever)
 {
     std::vector<waiting_piece> pieces { pieceOf(1, milliseconds(800)) };
