--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -87,10 +87,11 @@
     const time_point now = monotonicNow();
     const uint64_t group = hashOf(job->requestId, job->stage);
     earnRepeats(m_context, job->service, now);
-    auto& queue = m_pools[job->service].queue;
+    pool& home = m_pools[job->service];
+    const milliseconds lead = policy::noteValue(home.values, static_cast<double>(job->tokens), job->count);
     for (uint32_t piece = 0; piece < job->count; ++piece) {
         if (!job->ended[piece])
-            queue.push_back(std::make_shared<queued_piece>(queued_piece { job, piece, group, now, 0, {} }));
+            home.queue.push_back(std::make_shared<queued_piece>(queued_piece { job, piece, group, now, lead, 0, {} }));
     }
     planSoon();
 }
@@ -198,7 +199,7 @@
     pieces.reserve(queue.size());
     for (const auto& piece : queue) {
         const stage_job& job = *piece->job;
-        pieces.push_back({ piece->group, job.isBegun, job.latestStart, piece->since, job.resultBytes, job.rank, job.boundTo, job.preferred });
+        pieces.push_back({ piece->group, job.isBegun, job.latestStart, piece->since, job.resultBytes, job.rank, piece->lead, job.boundTo, job.preferred });
     }
     const policy::batching_rules rules { static_cast<size_t>(profile->batch) };
     for (const auto& batch : policy::planBatches(pieces, targets, rules, now)) {
--- a/src/gateway/piece_scheduler.hpp
+++ b/src/gateway/piece_scheduler.hpp
@@ -4,6 +4,7 @@
 #include "gateway/context.hpp"
 #include "gateway/stage_job.hpp"
 #include "policy/batching.hpp"
+#include "policy/work_value.hpp"
 
 #include <functional>
 #include <list>
@@ -38,6 +39,7 @@
         uint32_t piece = 0;
         uint64_t group = 0;
         time_point since {};
+        milliseconds lead { 0 };
         unsigned attempts = 0;
         /// It is not sent before.
         time_point notBefore {};
@@ -54,6 +56,7 @@
 
     struct pool {
         std::list<piece_ptr> queue;
+        policy::value_scale values;
         std::list<std::shared_ptr<call_state>> calls;
     };
 
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -159,6 +159,7 @@
     asked.rank = job->rank;
     asked.boundTo = job->boundTo;
     asked.preferred = job->preferred;
+    asked.tokens = job->tokens;
     owner.session->post(std::move(asked));
     m_context.counters.count("jobs_sent_total", { { "service", job->service } });
 }
@@ -289,6 +290,7 @@
     job->rank = asked.rank;
     job->boundTo = std::move(asked.boundTo);
     job->preferred = std::move(asked.preferred);
+    job->tokens = asked.tokens;
     const std::pair key { session, asked.number };
     job->onEnd = [this, key](uint32_t piece, const piece_outcome& outcome) {
         m_server.post(key.first, wire::piece_ended { key.second, piece, outcome.handle, static_cast<uint32_t>(outcome.failure) });
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -22,6 +22,9 @@
     /// Tokens that an engine reads in a millisecond, as a planning figure.
     constexpr double readTokensPerMillisecond = 50;
 
+    /// A token that is made takes an engine as long as so many that are read.
+    constexpr uint64_t madeTokenPrice = 10;
+
     /// Part of the shared tokens that a target has to read in the mean.
     constexpr double sharedReadShare = 0.25;
 
@@ -171,6 +174,8 @@
     job->resultBytes = static_cast<double>(stage.resultBytes);
     job->latestStart = m_arrivedAt + m_request.route->objective - remainingTime(index);
     job->deadline = m_deadline;
+    if (const auto& prompt = m_request.asked.asked)
+        job->tokens = prompt->promptTokens + madeTokenPrice * prompt->maxOutputTokens;
     job->rank = static_cast<uint32_t>(std::clamp(m_request.rank, 0, 9));
     if (stage.resultBytes >= bulkyResultBytes)
         job->boundTo = m_domain;
--- a/src/gateway/stage_job.hpp
+++ b/src/gateway/stage_job.hpp
@@ -30,6 +30,8 @@
     time_point latestStart {};
     time_point deadline {};
     uint32_t rank = 0;
+    /// Tokens that the request asks to read and make; those to be made count by their price.
+    uint64_t tokens = 0;
     /// Failure domains in which the results must, or should, be made; may be empty.
     std::string boundTo;
     std::string preferred;
--- a/src/policy/batching.cpp
+++ b/src/policy/batching.cpp
@@ -25,7 +25,7 @@
         std::vector<size_t> order(pieces.size());
         std::iota(order.begin(), order.end(), size_t { 0 });
         const auto isLate = [&](size_t i) { return pieces[i].latestStart < now; };
-        const auto due = [&](size_t i) { return pieces[i].latestStart + rules.rankLead * pieces[i].rank; };
+        const auto due = [&](size_t i) { return pieces[i].latestStart + rules.rankLead * pieces[i].rank - pieces[i].lead; };
         std::stable_sort(order.begin(), order.end(), [&](size_t left, size_t right) {
             if (pieces[left].isBegun != pieces[right].isBegun)
                 return pieces[left].isBegun;
--- a/src/policy/batching.hpp
+++ b/src/policy/batching.hpp
@@ -31,6 +31,8 @@
     double resultBytes = 0;
     /// Rank of its request; 0 is the most urgent.
     uint32_t rank = 0;
+    /// How much earlier it goes than its latest start says.
+    milliseconds lead { 0 };
     /// Failure domain in which the result is needed, if it is too large to move; may be empty.
     std::string_view boundTo;
     /// Failure domain where most of its inputs are; may be empty.
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -210,9 +210,11 @@
     /// Failure domains in which the results must, or should, be made; may be empty.
     std::string boundTo;
     std::string preferred;
+    /// Tokens that the request asks to read and make; those to be made count by their price.
+    uint64_t tokens = 0;
 
     template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(number, request, service, stage, count, key, inputs, resultBytes, latestStartMs, remainingMs, rank, boundTo, preferred); }
+    void visitFields(Visitor& visit) { visit(number, request, service, stage, count, key, inputs, resultBytes, latestStartMs, remainingMs, rank, boundTo, preferred, tokens); }
 };
 
 /// Owner to entry: one piece has its result, or has none for good.
