The store is read as rarely as its bounds allow

A change must be known in time even if one read fails (1.6 s), so the pause may be 2 s there; with bounds of 2.5 s it stays at 0.9 s. Keys bound the pause as well, and 2.4 s is the longest. Ruled out: longer pauses on short bounds, where one failed read would miss them.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,12 +18,13 @@
 
     constexpr milliseconds tickPeriod { 25 };
 
-    /// Reads of the store are priced, so they are as rare as the bounds allow. It holds a read of the configuration for
-    /// this part of the time in which one comes into force; the target list is read once in this part of the time after
-    /// which a leaving target gets no work.
-    constexpr double configurationWaitShare = 0.375;
-    constexpr double targetPeriodShare = 0.36;
-    constexpr milliseconds longestReadPause { 1500 };
+    /// Reads of the store are priced, so they are as rare as the bounds allow: what changes must be known in time even
+    /// if one read fails, unless the bound is so short that this would take too many of them.
+    constexpr double shortestPauseShare = 0.36;
+    constexpr double longestPauseShare = 0.5;
+    constexpr milliseconds failedRead { 1600 };
+    /// New targets and routes should not wait longer than this, however wide the bounds are.
+    constexpr milliseconds longestReadPause { 2400 };
 
     /// Keys are refused this long before a removal that was missed must be in force.
     constexpr milliseconds revocationMargin { 700 };
@@ -43,7 +44,14 @@
 
     milliseconds partOf(milliseconds bound, double share)
     {
-        return std::min(longestReadPause, milliseconds(static_cast<int64_t>(static_cast<double>(bound.count()) * share)));
+        return milliseconds(static_cast<int64_t>(static_cast<double>(bound.count()) * share));
+    }
+
+    /// @return Time between two reads, or for which the store may hold one, so that a change is known within the bound.
+    milliseconds readPause(milliseconds bound)
+    {
+        const milliseconds pause = std::max(partOf(bound, shortestPauseShare), std::min(partOf(bound, longestPauseShare), bound - failedRead));
+        return std::min(pause, longestReadPause);
     }
 
     uint64_t fingerprintOf(const http1::exchange& exchange, std::string_view key)
@@ -73,8 +81,8 @@
     });
     m_operators.emplace(
         settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { answerOperator(*exchange); });
-    m_configurationFollower.emplace(m_context.store, std::string(platform::operatorTopic), platform::follow_options { partOf(settings.bounds.configuration, configurationWaitShare) }, configurationCalls());
-    m_targetFollower.emplace(m_context.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), partOf(settings.bounds.leaving, targetPeriodShare) }, targetCalls());
+    m_configurationFollower.emplace(m_context.store, std::string(platform::operatorTopic), platform::follow_options { readPause(std::min(settings.bounds.configuration, settings.bounds.revocation)) }, configurationCalls());
+    m_targetFollower.emplace(m_context.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), readPause(settings.bounds.leaving) }, targetCalls());
     const int64_t startedAtMs = wallNow().time_since_epoch().count();
     m_directory.emplace(m_context, entry_record { settings.name, settings.peerListen, settings.processorShare, startedAtMs }, [this] { m_pools->membersChanged(); });
     m_pools.emplace(m_context, m_pieces, *m_directory);
