A request whose stages take longer than its time is refused at once

Cause: a piece was given up at the request's deadline, although the stages that follow it take their own time. Its deadline is now that of the request less one call of each later stage of its chain; what cannot make it is refused with Retry-After before it takes a slot. Stages without pieces count for nothing, also in the latest start.

--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -69,6 +69,9 @@
     void freeAll();
     /// @return How long after the request was sent its target has fetched all results.
     [[nodiscard]] milliseconds inputFetchTime() const;
+    /// @return The sum over a stage and those that follow it, one after the other.
+    [[nodiscard]] milliseconds chainTime(size_t fromStage, const std::function<milliseconds(const deployment::pool_profile&)>& timeIn) const;
+    /// @return The usual time from the start of a stage to the first event.
     [[nodiscard]] milliseconds remainingTime(size_t fromStage) const;
     [[nodiscard]] std::string domainOfBulkyResults() const;
     [[nodiscard]] std::string domainOfInputs(const std::vector<std::string>& inputs, double inputBytes) const;
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -173,7 +173,8 @@
     job->key = m_request.asked.pieceKey;
     job->resultBytes = static_cast<double>(stage.resultBytes);
     job->latestStart = m_arrivedAt + m_request.route->objective - remainingTime(index);
-    job->deadline = m_deadline;
+    // What cannot be answered in time any more is refused at once, and takes no slot.
+    job->deadline = m_deadline - chainTime(index, [](const auto& pool) { return pool.callTime; });
     if (const auto& prompt = m_request.asked.asked)
         job->tokens = prompt->promptTokens + madeTokenPrice * prompt->maxOutputTokens;
     job->rank = static_cast<uint32_t>(std::clamp(m_request.rank, 0, 9));
@@ -205,19 +206,27 @@
     return most == counts.end() ? std::string() : most->first;
 }
 
-milliseconds request_run::remainingTime(size_t fromStage) const
+milliseconds request_run::chainTime(size_t fromStage, const std::function<milliseconds(const deployment::pool_profile&)>& timeIn) const
 {
     const auto& stages = m_request.route->stages;
     milliseconds sum { 0 };
     size_t last = fromStage;
     for (size_t i = fromStage; i < stages.size(); ++i) {
         const bool isInChain = i == fromStage || std::find(stages[i].after.begin(), stages[i].after.end(), last) != stages[i].after.end();
+        const bool hasPieces = i < m_request.asked.piecesOfStages.size() && m_request.asked.piecesOfStages[i] > 0;
         const auto found = m_request.configuration->services.find(stages[i].service);
         if (!isInChain || found == m_request.configuration->services.end() || !found->second.pool)
             continue;
         last = i;
-        sum += found->second.pool->timeOf(static_cast<size_t>(found->second.pool->batch));
+        if (hasPieces)
+            sum += timeIn(*found->second.pool);
     }
+    return sum;
+}
+
+milliseconds request_run::remainingTime(size_t fromStage) const
+{
+    const milliseconds sum = chainTime(fromStage, [](const auto& pool) { return pool.timeOf(static_cast<size_t>(pool.batch)); });
     double tokens = 0;
     if (const auto& prompt = m_request.asked.asked; prompt && !prompt->parts.empty()) {
         const double own = static_cast<double>(prompt->parts.back().tokens);
--- a/tests/process/gateway_stage_test.cpp
+++ b/tests/process/gateway_stage_test.cpp
@@ -123,6 +123,26 @@
     cr_assert_eq(itemsOf(encoder).size(), 2u);
 }
 
+Test(gateway_stage, a_request_whose_stages_take_longer_than_its_time_is_refused_at_once)
+{
+    deployment_fixture deployment(154);
+    auto& encoder = deployment.addTarget("e-1", "encode");
+    deployment.addTarget("k-1", "rank");
+    deployment.addTarget("t-1", "model");
+    json slow = poolService("rank");
+    slow["pieces"]["call_ms"] = 3000;
+    deployment.configure(3, { stagedRoute() }, { poolService("encode"), slow });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    http1::header_list headers = staged("1,1");
+    headers.emplace_back("X-Deadline-Ms", "2500");
+    const auto answer = deployment.ask("POST", "/m/1", headers);
+    cr_assert_eq(answer->head.status, 503);
+    cr_assert_neq(answer->header("Retry-After"), "");
+    cr_assert_eq(encoder.pieceCalls().size(), 0u, "nothing is made for it");
+    cr_assert_eq(deployment.ask("POST", "/m/2", staged("1,0"))->head.status, 200, "a stage without pieces takes no time");
+}
+
 Test(gateway_stage, results_are_given_up_once_they_were_fetched)
 {
     deployment_fixture deployment(152);
