The maker of a result is looked up by address, owners are ranked once

Cause: a result's maker was found in three places by a scan of all targets, and the owners of a pool were ranked anew for each stage; both grow with the deployment. target_book::makerOf uses an index in which the newest target of an address wins; owners are kept until the members change. The path of the readiness check moved to src/platform; two unused parameters are gone. A target that has no memory for a result is logged, once in each pause: traces of the bursts lacked this line.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -127,7 +127,7 @@
     };
     calls.onFailure = [this](std::string_view why) {
         // The target list is read less often; what lapses meanwhile lapses in the same outage.
-        m_context.targets.contactLost(monotonicNow());
+        m_context.targets.contactLost();
         noteFailure(platform::operatorTopic, m_isConfigurationLost, why);
     };
     return calls;
@@ -153,7 +153,7 @@
         noteContact(platform::targetTopic, m_isTargetListLost, sentAt);
     };
     calls.onFailure = [this](std::string_view why) {
-        m_context.targets.contactLost(monotonicNow());
+        m_context.targets.contactLost();
         noteFailure(platform::targetTopic, m_isTargetListLost, why);
     };
     return calls;
@@ -355,7 +355,7 @@
         exchange.respond(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.counters.serialize());
         return;
     }
-    if (path == "/v1/ready") {
+    if (path == platform::readyPath) {
         exchange.respond(isReady(monotonicNow()) ? statusOk : statusUnavailable, {}, {});
         return;
     }
--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -302,6 +302,8 @@
         const bool mayRetry = answer.failure == platform::piece_failure::NoMemory || answer.failure == platform::piece_failure::Failed;
         const time_point now = monotonicNow();
         if (answer.failure == platform::piece_failure::NoMemory) {
+            if (now >= call->target->noMemoryUntil)
+                logLine(log_level::Warning, part, "A target had no memory for a result.", { { "target", call->target->listed.id }, { "service", job.service }, { "request", job.requestId }, { "held_bytes", std::to_string(static_cast<int64_t>(call->target->heldBytes)) } });
             call->target->noMemoryUntil = now + noMemoryPause;
             // The results of another owner take the memory; the piece can only wait.
             const bool isPaid = trySpendRepeat(m_context, job.service, now);
@@ -332,17 +334,14 @@
 
 void piece_scheduler::free(const std::vector<std::string>& handles)
 {
-    std::map<std::string, std::vector<std::string>> byMaker;
+    std::map<target_ptr, std::vector<std::string>> byMaker;
     for (const auto& handle : handles) {
-        byMaker[handle.substr(0, handle.find('/'))].push_back(handle);
+        if (const target_ptr maker = m_context.targets.makerOf(handle))
+            byMaker[maker].push_back(handle);
         if (const auto found = m_results.find(handle); found != m_results.end())
             forget(found);
     }
-    for (const auto& [maker, items] : byMaker) {
-        const auto endpoint = ip_endpoint::parse(maker);
-        const target_ptr target = endpoint ? m_context.targets.atEndpoint(endpoint.value()) : nullptr;
-        if (!target)
-            continue;
+    for (const auto& [target, items] : byMaker) {
         http1::outgoing_request request { "POST", std::string(platform::freeResultsPath), platform::ownCallHeaders(target->listed), platform::encodeFreed(items) };
         const auto place = m_freeing.insert(m_freeing.end(), nullptr);
         http1::client_call::callbacks calls;
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -91,15 +91,17 @@
 
 pool_router::~pool_router() = default;
 
-std::vector<std::string> pool_router::ownersOf(std::string_view service) const
+const std::vector<std::string>& pool_router::ownersOf(std::string_view service)
 {
+    if (const auto known = m_owners.find(service); known != m_owners.end())
+        return known->second;
     std::vector<std::string> names { m_directory.own().name };
     std::vector<policy::owner_candidate> candidates { { hashOf(m_directory.own().name), m_directory.own().weight } };
     for (const auto& [name, record] : m_directory.others()) {
         names.push_back(name);
         candidates.push_back({ hashOf(name), record.weight });
     }
-    std::vector<std::string> ranked;
+    std::vector<std::string>& ranked = m_owners[std::string(service)];
     for (const size_t index : policy::rankOwners(candidates, hashOf(service)))
         ranked.push_back(names[index]);
     return ranked;
@@ -214,7 +216,7 @@
 void pool_router::heard(const std::string& name, wire::message& item)
 {
     if (const auto* told = std::get_if<wire::crash_suspicion>(&item)) {
-        hearSuspicion(*told, {});
+        hearSuspicion(*told);
         return;
     }
     const auto endOf = [&](uint64_t number) {
@@ -261,7 +263,7 @@
     } else if (auto* freed = std::get_if<wire::results_freed>(&item)) {
         m_local.free(toTexts(freed->handles));
     } else if (const auto* told = std::get_if<wire::crash_suspicion>(&item)) {
-        hearSuspicion(*told, session);
+        hearSuspicion(*told);
     }
 }
 
@@ -320,7 +322,7 @@
     m_server.postToAll(told);
 }
 
-void pool_router::hearSuspicion(const wire::crash_suspicion& told, identifier)
+void pool_router::hearSuspicion(const wire::crash_suspicion& told)
 {
     const time_point now = monotonicNow();
     const policy::suspicion held { told.strikes, told.isQuarantined, now + milliseconds(told.remainingMs) };
@@ -334,13 +336,14 @@
 {
     if (!std::exchange(m_hasMembers, true))
         m_membersSince = monotonicNow();
+    m_owners.clear();
     m_context.entries = static_cast<unsigned>(std::max<size_t>(4, m_directory.others().size() + 1));
     std::set<std::string, std::less<>> wanted;
     if (const auto& state = m_context.configuration) {
         for (const auto& [name, service] : state->services) {
             if (!service.pool)
                 continue;
-            const auto owners = ownersOf(name);
+            const auto& owners = ownersOf(name);
             wanted.insert(owners.begin(), owners.begin() + static_cast<std::ptrdiff_t>(std::min(owners.size(), warmOwners)));
         }
     }
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -52,7 +52,8 @@
         uint32_t left = 0;
     };
 
-    [[nodiscard]] std::vector<std::string> ownersOf(std::string_view service) const;
+    /// @return The entries in the order in which they should own a pool.
+    [[nodiscard]] const std::vector<std::string>& ownersOf(std::string_view service);
     [[nodiscard]] peer* usableOwner(std::string_view service);
     void ask(peer& owner, const job_ptr& job);
     void peerLost(const std::string& name, std::string_view why);
@@ -60,12 +61,14 @@
     void hear(identifier session, wire::message& item);
     void host(identifier session, wire::pieces_asked& asked);
     void sessionExpired(identifier session);
-    void hearSuspicion(const wire::crash_suspicion& told, identifier from);
+    void hearSuspicion(const wire::crash_suspicion& told);
 
     context& m_context;
     piece_scheduler& m_local;
     entry_directory& m_directory;
     std::map<std::string, std::unique_ptr<peer>, std::less<>> m_peers;
+    /// What `ownersOf` has found, until the members change.
+    std::map<std::string, std::vector<std::string>, std::less<>> m_owners;
     std::unordered_map<uint64_t, remote_job> m_remote;
     std::unordered_map<const stage_job*, uint64_t> m_numbers;
     uint64_t m_nextNumber = 1;
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -99,9 +99,7 @@
         return bytes;
     for (const size_t index : deployment::finalStages(*m_request.route)) {
         for (const auto& handle : m_stages[index].handles) {
-            const auto maker = ip_endpoint::parse(handle.substr(0, handle.find('/')));
-            const target_ptr target = maker ? m_context.targets.atEndpoint(maker.value()) : nullptr;
-            if (target)
+            if (const target_ptr target = m_context.targets.makerOf(handle))
                 bytes[target->listed.failureDomain] += static_cast<double>(m_request.route->stages[index].resultBytes);
         }
     }
@@ -197,9 +195,7 @@
         return {};
     std::map<std::string, size_t> counts;
     for (const auto& handle : inputs) {
-        const auto maker = ip_endpoint::parse(handle.substr(0, handle.find('/')));
-        const target_ptr target = maker ? m_context.targets.atEndpoint(maker.value()) : nullptr;
-        if (target)
+        if (const target_ptr target = m_context.targets.makerOf(handle))
             ++counts[target->listed.failureDomain];
     }
     const auto most = std::max_element(counts.begin(), counts.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
--- a/src/gateway/target_book.cpp
+++ b/src/gateway/target_book.cpp
@@ -1,6 +1,7 @@
 #include "gateway/target_book.hpp"
 
 #include "base/hash.hpp"
+#include "platform/stages.hpp"
 
 #include <set>
 
@@ -74,11 +75,6 @@
         remove(id, now);
 }
 
-void target_book::contactLost(time_point)
-{
-    m_isLost = true;
-}
-
 void target_book::contactRegained(time_point now)
 {
     if (!std::exchange(m_isLost, false))
@@ -103,13 +99,11 @@
     return found == m_byService.end() ? none : found->second;
 }
 
-target_ptr target_book::atEndpoint(const ip_endpoint& endpoint) const
+target_ptr target_book::makerOf(std::string_view handle) const
 {
-    for (const auto& [id, state] : m_targets) {
-        if (state->listed.endpoint == endpoint)
-            return state;
-    }
-    return nullptr;
+    const auto endpoint = platform::makerOf(handle);
+    const auto found = endpoint ? m_byEndpoint.find(*endpoint) : m_byEndpoint.end();
+    return found == m_byEndpoint.end() ? nullptr : found->second;
 }
 
 void target_book::removeNow(const std::string& id, std::string_view why)
@@ -127,7 +121,12 @@
 void target_book::rebuild()
 {
     m_byService.clear();
-    for (const auto& [id, state] : m_targets)
+    m_byEndpoint.clear();
+    for (const auto& [id, state] : m_targets) {
         m_byService[state->listed.service].push_back(state);
+        target_ptr& known = m_byEndpoint[state->listed.endpoint];
+        if (!known || known->listedAt < state->listedAt)
+            known = state;
+    }
 }
 }
--- a/src/gateway/target_book.hpp
+++ b/src/gateway/target_book.hpp
@@ -55,14 +55,15 @@
     void applyAll(const std::vector<deployment::target>& listed, time_point now);
 
     /// The list could not be read. Entries that lapse from here until shortly after its return may be back soon.
-    void contactLost(time_point now);
+    void contactLost() noexcept { m_isLost = true; }
     void contactRegained(time_point now);
     /// Carries out removals that were put off.
     void tick(time_point now);
 
     /// @return The targets of a service that are listed, in a stable order.
     [[nodiscard]] const std::vector<target_ptr>& ofService(std::string_view service) const;
-    [[nodiscard]] target_ptr atEndpoint(const ip_endpoint& endpoint) const;
+    /// @return The target that keeps a result, or nothing if none is listed at its address.
+    [[nodiscard]] target_ptr makerOf(std::string_view handle) const;
     [[nodiscard]] size_t size() const noexcept { return m_targets.size(); }
 
 private:
@@ -72,6 +73,8 @@
     on_change m_onChange;
     std::map<std::string, target_ptr, std::less<>> m_targets;
     std::map<std::string, std::vector<target_ptr>, std::less<>> m_byService;
+    /// An address that two entries name counts for the one that was listed last.
+    std::map<ip_endpoint, target_ptr> m_byEndpoint;
     /// Removals that wait, with their time.
     std::map<std::string, time_point, std::less<>> m_putOff;
     bool m_isLost = false;
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -27,6 +27,9 @@
 /// @return The header fields for a target: the caller's, without those that concern one connection or that only the system may set.
 [[nodiscard]] http1::header_list encodeTargetHeaders(const http1::request_head& head, const target_call& call);
 
+/// Path at which the platform asks an entry whether it is ready for callers.
+constexpr std::string_view readyPath = "/v1/ready";
+
 /// What an answer of a target says beside its status and body.
 struct target_answer {
     unsigned status = 0;
--- a/src/platform/stages.cpp
+++ b/src/platform/stages.cpp
@@ -81,6 +81,12 @@
     }
 }
 
+std::optional<ip_endpoint> makerOf(std::string_view handle)
+{
+    const auto endpoint = ip_endpoint::parse(handle.substr(0, handle.find('/')));
+    return endpoint ? std::optional(endpoint.value()) : std::nullopt;
+}
+
 std::string encodeFreed(std::span<const std::string> handles)
 {
     return json { { "handles", std::vector<std::string>(handles.begin(), handles.end()) } }.dump();
--- a/src/platform/stages.hpp
+++ b/src/platform/stages.hpp
@@ -1,9 +1,9 @@
 /// Encodes calls to targets that work on pieces of stages, and decodes their answers.
 #pragma once
 
-#include "base/time.hpp"
-
+#include "base/endpoint.hpp"
 #include "base/result.hpp"
+#include "base/time.hpp"
 
 #include <optional>
 #include <span>
@@ -57,5 +57,8 @@
 /// @return One answer a piece in the order asked for, or `InvalidMessage`.
 [[nodiscard]] result<std::vector<piece_answer>> decodePieces(std::string_view text, size_t count);
 
+/// @return The address of the target that keeps a result, or nothing if the handle is malformed.
+[[nodiscard]] std::optional<ip_endpoint> makerOf(std::string_view handle);
+
 [[nodiscard]] std::string encodeFreed(std::span<const std::string> handles);
 }
--- a/tests/unit/target_test.cpp
+++ b/tests/unit/target_test.cpp
@@ -89,7 +89,7 @@
     auto book = makeBook();
     book.apply(targetOf("t-1"), start);
     book.apply(targetOf("t-2"), start);
-    book.contactLost(start);
+    book.contactLost();
     book.contactRegained(start + seconds(4));
     book.applyAll({}, start + seconds(4));
     cr_assert_eq(book.ofService("pages").size(), 2u);
@@ -107,7 +107,7 @@
     auto leaving = targetOf("t-1");
     leaving.isLeaving = true;
     book.apply(leaving, start);
-    book.contactLost(start);
+    book.contactLost();
     book.remove("t-1", start);
     cr_assert_eq(book.ofService("pages").size(), 0u);
 }
@@ -123,6 +123,19 @@
     cr_assert(book.ofService("pages")[0]->readParts.empty());
 }
 
+Test(target_book, an_address_that_is_used_again_names_the_newer_target)
+{
+    target_book book = makeBook();
+    book.apply(targetOf("b-old"), start);
+    cr_assert_eq(book.makerOf("10.0.0.1:80/1f")->listed.id, "b-old");
+    book.apply(targetOf("a-new"), start + seconds(5));
+    cr_assert_eq(book.makerOf("10.0.0.1:80/1f")->listed.id, "a-new");
+    cr_assert(!book.makerOf("10.0.0.2:80/1f"), "no target is listed there");
+    cr_assert(!book.makerOf("nowhere"), "a malformed handle names no target");
+    book.remove("a-new", start + seconds(6));
+    cr_assert_eq(book.makerOf("10.0.0.1:80/1f")->listed.id, "b-old");
+}
+
 Test(target_book, a_leaving_target_gets_no_work)
 {
     auto book = makeBook();
