A read that the store held to its end says what was known until then

The last read that was answered counted from when it was sent, although the store had held it for 2 s and then said that there was nothing: it vouches for those 2 s as well, less 50 ms. The margin before a removal that was missed must be in force is 0.4 s instead of 0.7 s: what counts is when the request was sent, which is before it came. Ruled out: counting from the answer's arrival, as an answer may be late on its way.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,7 +27,7 @@
     constexpr milliseconds longestReadPause { 2400 };
 
     /// Keys are refused this long before a removal that was missed must be in force.
-    constexpr milliseconds revocationMargin { 700 };
+    constexpr milliseconds revocationMargin { 400 };
 
     /// Without contact for this part of the time in which a configuration comes into force, a route or key that is not known may be new.
     constexpr double unknownMayBeNewShare = 0.6;
--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -9,12 +9,22 @@
     constexpr milliseconds firstBackoff { 150 };
     constexpr milliseconds longestBackoff { 800 };
 
+    /// The store may end the time for which it holds a read by so much too early.
+    constexpr milliseconds heldTimeSlack { 50 };
+
     /// Failures in a row after which the pause no longer grows.
     constexpr unsigned mostDoublings = 4;
 }
 
 namespace detail {
 
+    time_point freshAsOf(time_point sentAt, time_point answeredAt, milliseconds held, bool isEmpty) noexcept
+    {
+        const milliseconds sure = held - heldTimeSlack;
+        const bool wasHeld = isEmpty && sure.count() > 0 && answeredAt - sentAt >= held;
+        return wasHeld ? sentAt + sure : sentAt;
+    }
+
     std::string encodeKeyed(std::string_view key, std::string_view value)
     {
         return encodeBigEndian(key.size(), 1).append(key).append(value);
@@ -119,7 +129,7 @@
     }
     m_failures = 0;
     *m_offset += slice.records.size();
-    m_calls.onContact(m_sentAt);
+    m_calls.onContact(detail::freshAsOf(m_sentAt, monotonicNow(), m_options.wait, slice.records.empty()));
     for (const std::string& record : slice.records) {
         // An unreadable record still has its offset.
         if (const keyed_record keyed = detail::decodeKeyed(record); !keyed.key.empty())
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -33,8 +33,8 @@
     /// The newest value of each key; keys that are not in it are gone.
     std::function<void(std::map<std::string, std::string>)> onSnapshot;
     std::function<void(const keyed_record&)> onRecord;
-    /// A read was answered: all that the store had acknowledged when the read was sent is known.
-    std::function<void(time_point sentAt)> onContact;
+    /// A read was answered: all that the store had acknowledged at the given time is known.
+    std::function<void(time_point freshAsOf)> onContact;
     /// A read failed for the given reason.
     std::function<void(std::string_view why)> onFailure;
 };
@@ -76,6 +76,9 @@
 [[nodiscard]] store_call putKey(store_client& store, std::string_view topic, std::string_view key, std::string_view value, std::function<void(bool isAcknowledged)> onEnd);
 
 namespace detail {
+    /// @return The time up to which a read tells all that the store had acknowledged: when it was sent, or, if the store
+    /// has held it to the end without a record, when that end came at the earliest.
+    [[nodiscard]] time_point freshAsOf(time_point sentAt, time_point answeredAt, milliseconds held, bool isEmpty) noexcept;
     /// @return A record of a keyed topic; an empty value drops the key.
     [[nodiscard]] std::string encodeKeyed(std::string_view key, std::string_view value);
     /// @return The key and value of a record; an empty key if the record is unreadable.
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -101,6 +101,19 @@
     cr_assert(decodeRead(bytes.substr(0, bytes.size() - 1)).end == platform::read_end::Malformed, "a truncated answer is not half an answer");
 }
 
+Test(platform_records, a_read_that_was_held_to_its_end_tells_all_until_then)
+{
+    using platform::detail::freshAsOf;
+    constexpr time_point sent { seconds(1000) };
+    constexpr milliseconds held { 2000 };
+    const auto fresh = freshAsOf(sent, sent + milliseconds(2010), held, true);
+    cr_assert(fresh > sent + milliseconds(1900) && fresh < sent + held);
+    cr_assert(freshAsOf(sent, sent + seconds(9), held, true) == fresh, "an answer that was late on its way tells no more");
+    cr_assert(freshAsOf(sent, sent + milliseconds(1500), held, true) == sent, "a read that ended early tells only what was known at first");
+    cr_assert(freshAsOf(sent, sent + milliseconds(2010), held, false) == sent, "a record may have been there at once");
+    cr_assert(freshAsOf(sent, sent + milliseconds(5), milliseconds(0), true) == sent);
+}
+
 Test(platform_records, stream_records_keep_their_writer_s_time)
 {
     using namespace platform::detail;
