Results are kept to the first event where an engine is full or has missed one

Cause: giving results up a fixed time after the request was sent supposes that the engine begins at once. On a deployment whose engines have queues, each request would lose its results and run its stages again, up to three times. A target with all places taken by our calls keeps them; after a miss (409, not run) the whole service keeps them for 10 s, and the miss is logged. Test: gateway_stage::a_target_that_misses..., its second half failed before.

--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -32,6 +32,8 @@
     time_point configurationCheckedAt {};
     policy::suspicion_table suspicions;
     std::map<std::string, repeat_budget, std::less<>> repeats;
+    /// Services whose targets have missed a result that was given up: until this time, results are kept to the first event.
+    std::map<std::string, time_point, std::less<>> keepInputsUntil;
     /// Entries that share the deployment's budget, as far as known.
     unsigned entries = 8;
     /// Bytes of request bodies that are held.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -44,6 +44,10 @@
     /// Routes may state no pauses.
     constexpr milliseconds shortestSilence { 1000 };
 
+    /// After a target has missed a result, its service's results are kept to the first event for this long; about the
+    /// length of a burst.
+    constexpr milliseconds keepInputsAfterMiss { 10000 };
+
     /// Crashes after which a request is refused.
     constexpr uint32_t strikesToRefuse = 2;
 
@@ -101,7 +105,7 @@
         dispatch();
         return;
     }
-    if (m_call && !m_areInputsFreed && now >= m_inputsFetchedAt)
+    if (m_call && !m_areInputsFreed && m_inputsFetchedAt && now >= *m_inputsFetchedAt)
         freeAll();
     if (isTargetSilent(now)) {
         policy::recordFailure(m_target->health, policy::call_failure::Failed, now);
@@ -206,7 +210,7 @@
 
     m_target = target;
     m_sentAt = now;
-    m_inputsFetchedAt = now + inputFetchTime();
+    m_inputsFetchedAt = inputsFetchedAt(*target, now);
     m_hasHead = false;
     m_hasFirstByte = false;
     m_events.restart();
@@ -328,6 +332,8 @@
     }
     if (m_hasHead && m_answer.isInputGone && end == http1::call_end::Complete) {
         // The target is sound, and may be asked again with new results.
+        m_context.keepInputsUntil[m_request.service] = now + keepInputsAfterMiss;
+        logLine(log_level::Warning, part, "A target missed a result.", { { "request", m_request.asked.id }, { "target", target->listed.id }, { "was_given_up", m_areInputsFreed ? "true" : "false" } });
         --m_runs;
         m_tried.pop_back();
         freeAll();
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -67,8 +67,8 @@
     void pieceEnded(size_t stage, uint32_t piece, const piece_outcome& outcome);
     void freeStage(size_t index);
     void freeAll();
-    /// @return How long after the request was sent its target has fetched all results.
-    [[nodiscard]] milliseconds inputFetchTime() const;
+    /// @return When the target of a request that is sent now has fetched all results; nothing if only its first event can tell.
+    [[nodiscard]] std::optional<time_point> inputsFetchedAt(const target_state& target, time_point now) const;
     /// @return The sum over a stage and those that follow it, one after the other.
     [[nodiscard]] milliseconds chainTime(size_t fromStage, const std::function<milliseconds(const deployment::pool_profile&)>& timeIn) const;
     /// @return The usual time from the start of a stage to the first event.
@@ -121,8 +121,8 @@
     target_ptr m_target;
     std::shared_ptr<http1::client_call> m_call;
     time_point m_sentAt {};
-    /// When the results that the target fetches may be given up.
-    time_point m_inputsFetchedAt {};
+    /// When the results that the target fetches may be given up, if not at its first event.
+    std::optional<time_point> m_inputsFetchedAt;
     time_point m_lastByteAt {};
     http1::answer_head m_head;
     platform::target_answer m_answer;
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -264,8 +264,13 @@
     startReadyStages();
 }
 
-milliseconds request_run::inputFetchTime() const
+std::optional<time_point> request_run::inputsFetchedAt(const target_state& target, time_point now) const
 {
+    // A target that is full, or slower than thought, fetches results when the request's turn comes.
+    const auto kept = m_context.keepInputsUntil.find(m_request.service);
+    const bool mustKeep = kept != m_context.keepInputsUntil.end() && now < kept->second;
+    if (mustKeep || target.inFlight >= static_cast<uint32_t>(std::max(1, target.listed.slots)))
+        return std::nullopt;
     double transfer = 0;
     for (const size_t index : deployment::finalStages(*m_request.route)) {
         const auto& stage = m_request.route->stages[index];
@@ -274,7 +279,7 @@
         if (rate > 0 && index < m_stages.size())
             transfer += static_cast<double>(stage.resultBytes * m_stages[index].handles.size()) / rate;
     }
-    return fetchBegins + milliseconds(static_cast<int64_t>(transfer * fetchSlowdown));
+    return now + fetchBegins + milliseconds(static_cast<int64_t>(transfer * fetchSlowdown));
 }
 
 void request_run::freeStage(size_t index)
--- a/tests/process/gateway_stage_test.cpp
+++ b/tests/process/gateway_stage_test.cpp
@@ -166,7 +166,7 @@
 {
     deployment_fixture deployment(153);
     auto& encoder = deployment.addTarget("e-1", "encode");
-    deployment.addTarget("k-1", "rank");
+    auto& ranker = deployment.addTarget("k-1", "rank");
     auto& model = deployment.addTarget("t-1", "model");
     int requests = 0;
     model.setBehaviour([&](std::shared_ptr<http1::exchange> exchange) {
@@ -182,6 +182,18 @@
     cr_assert_eq(answer->head.status, 200);
     cr_assert_eq(answer->body, "whole");
     cr_assert_eq(itemsOf(encoder).size(), 2u);
+
+    deployment.waitUntil([&] { return ranker.freedResults().size() == 2; }, "the results of both runs to be given up");
+
+    // From then on results are kept until an answer shows that they were fetched.
+    std::shared_ptr<http1::exchange> held;
+    model.setBehaviour([&](std::shared_ptr<http1::exchange> exchange) { held = std::move(exchange); });
+    const auto second = deployment.send("POST", "/m/2", staged("1,1"));
+    deployment.waitUntil([&] { return held != nullptr; }, "the second request at its target");
+    deployment.pass(milliseconds(300));
+    cr_assert_eq(ranker.freedResults().size(), 2u);
+    held->respond(200, model.answerHeaders(*held), "whole");
+    deployment.waitUntil([&] { return second->isOver && ranker.freedResults().size() == 3; }, "the end of the second request");
 }
 
 Test(gateway_stage, a_caller_that_leaves_takes_its_pieces_along)
