The return of the store is seen at once

Cause: while the store was away, followers still sent reads that it may hold, with up to 2.4 s for an answer. After a failure reads are now not held and are given up after 0.7 s, each third one after the whole time, in case the store is only slow; the pause between them is 0.5 s at most instead of 0.8 s. Ruled out: short reads alone, since a store that needs a second would never be read.

--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -7,7 +7,12 @@
 namespace {
     /// Pause after the first failure and the longest pause.
     constexpr milliseconds firstBackoff { 150 };
-    constexpr milliseconds longestBackoff { 800 };
+    constexpr milliseconds longestBackoff { 500 };
+
+    /// While the store is away, reads are not held and are given up after this, so that its return is seen at once;
+    /// each third one gets the whole time, for a store that is only slow.
+    constexpr milliseconds probeTimeout { 700 };
+    constexpr unsigned patientProbe = 3;
 
     /// The store may end the time for which it holds a read by so much too early.
     constexpr milliseconds heldTimeSlack { 50 };
@@ -82,7 +87,7 @@
         m_offsetOf = m_store.store();
         m_sentAt = monotonicNow();
     }
-    m_call = m_store.newest(m_topic, after, m_options.timeout, [this](newest_page page) { takeNewest(std::move(page)); });
+    m_call = m_store.newest(m_topic, after, waitOfNext().timeout, [this](newest_page page) { takeNewest(std::move(page)); });
 }
 
 void topic_follower::takeNewest(newest_page page)
@@ -110,10 +115,18 @@
 void topic_follower::readTail()
 {
     m_sentAt = monotonicNow();
-    m_call = m_store.read(m_topic, *m_offset, { m_options.wait, m_options.timeout }, [this](const read_slice& slice) { takeTail(slice); });
+    const read_wait wait = waitOfNext();
+    m_call = m_store.read(m_topic, *m_offset, wait, [this, wait](const read_slice& slice) { takeTail(slice, wait.held); });
+}
+
+read_wait topic_follower::waitOfNext() const noexcept
+{
+    if (m_failures == 0)
+        return { m_options.wait, m_options.timeout };
+    return { milliseconds(0), m_failures % patientProbe == 0 ? m_options.timeout : std::min(probeTimeout, m_options.timeout) };
 }
 
-void topic_follower::takeTail(const read_slice& slice)
+void topic_follower::takeTail(const read_slice& slice, milliseconds held)
 {
     if (slice.end == read_end::Expired) {
         // Expired history is not a failure of the store: the newest records are kept.
@@ -129,7 +142,7 @@
     }
     m_failures = 0;
     *m_offset += slice.records.size();
-    m_calls.onContact(detail::freshAsOf(m_sentAt, monotonicNow(), m_options.wait, slice.records.empty()));
+    m_calls.onContact(detail::freshAsOf(m_sentAt, monotonicNow(), held, slice.records.empty()));
     for (const std::string& record : slice.records) {
         // An unreadable record still has its offset.
         if (const keyed_record keyed = detail::decodeKeyed(record); !keyed.key.empty())
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -51,7 +51,9 @@
     void readNewest(const std::string& after);
     void takeNewest(newest_page page);
     void readTail();
-    void takeTail(const read_slice& slice);
+    void takeTail(const read_slice& slice, milliseconds held);
+    /// @return How long the next read may take; short while the store is away.
+    [[nodiscard]] read_wait waitOfNext() const noexcept;
     void fail(std::string_view why);
     void next(milliseconds delay);
 
