--- a/src/platform/instance_list.hpp
+++ b/src/platform/instance_list.hpp
@@ -29,6 +29,7 @@
 
     std::function<void(const leaving_instances&)> m_onList;
     leaving_instances m_leaving;
+    bool m_isLost = false;
     store_client m_store;
     topic_follower m_follower;
 };
