A gateway that was frozen trusts no key that may be gone: a test

The process is stopped for longer than a removed key may be used, the key goes meanwhile, and the store is silent at its return: a request that waited in the socket is refused with 503 and runs nowhere. Ruled out as a test: a store that answers, since its news may come first.

--- a/tests/process/gateway_store_test.cpp
+++ b/tests/process/gateway_store_test.cpp
@@ -2,6 +2,7 @@
 #include "support/deployment_fixture.hpp"
 
 #include <criterion/criterion.h>
+#include <csignal>
 
 using namespace bilberryseam;
 using namespace bilberryseam::tests;
@@ -34,6 +35,31 @@
     cr_assert_neq(log.find("The store answers again"), std::string::npos);
 }
 
+Test(gateway_store, a_gateway_that_was_frozen_trusts_no_key_that_may_be_gone)
+{
+    deployment_fixture deployment(159);
+    auto& target = deployment.addTarget("t-1", "pages");
+    deployment.configure(3, routes, json::array(), accounts);
+    const size_t gateway = deployment.startGateway({ { "revocationMs", 1500 } });
+    deployment.waitUntilReady();
+    cr_assert_eq(deployment.ask("GET", "/p/1", { { "X-Api-Key", "key-1" } })->head.status, 200);
+    const size_t before = target.requests().size();
+    // The read that the store holds comes to its end; the next one gets no answer.
+    deployment.store().setFaults({ .isSilent = true });
+    deployment.pass(milliseconds(1000));
+    deployment.signal(gateway, SIGSTOP);
+    deployment.configure(4, routes, json::array(), json::array({ { { "name", "acme" }, { "api_keys", { "key-2" } } } }));
+    deployment.pass(milliseconds(2500));
+    const auto late = deployment.send("GET", "/p/2", { { "X-Api-Key", "key-1" } });
+    deployment.pass(milliseconds(50));
+    deployment.signal(gateway, SIGCONT);
+    deployment.waitUntil([&] { return late->isOver; }, "an answer after the freeze");
+    cr_assert_eq(late->head.status, 503);
+    cr_assert_eq(target.requests().size(), before, "the key was taken away before the request was sent");
+    deployment.store().setFaults({});
+    deployment.waitUntil([&] { return deployment.ask("GET", "/p/3", { { "X-Api-Key", "key-2" } })->head.status == 200; }, "the newer key");
+}
+
 Test(gateway_store, targets_that_lapse_while_it_is_away_are_kept_until_it_is_back)
 {
     deployment_fixture deployment(192);
