A whole target list rebuilds the indexes once

Cause: each target of a list that was new, moved or gone rebuilt the indexes by service and address over all targets: n squared work at a start, and again when a store comes back. Changes now say whether the indexes are out of date, and a list or a round of lapsed targets rebuilds them once. Ruled out: indexes that are changed in place, which would need an order of their own.

--- a/src/gateway/target_book.cpp
+++ b/src/gateway/target_book.cpp
@@ -18,6 +18,11 @@
 }
 
 void target_book::apply(const deployment::target& listed, time_point now)
+{
+    rebuildIf(take(listed, now));
+}
+
+bool target_book::take(const deployment::target& listed, time_point now)
 {
     m_putOff.erase(listed.id);
     const auto found = m_targets.find(listed.id);
@@ -26,15 +31,13 @@
         target_state& state = *found->second;
         state.listedAt = now;
         if (state.listed == listed)
-            return;
+            return false;
         const bool hasLeft = listed.isLeaving && !state.listed.isLeaving;
         const bool isMoved = state.listed.endpoint != listed.endpoint || state.listed.service != listed.service;
         state.listed = listed;
         state.isReplaced = state.isReplaced && !isMoved;
         m_onChange(state, hasLeft ? "leaving" : "changed");
-        if (isMoved)
-            rebuild();
-        return;
+        return isMoved;
     }
     if (found != m_targets.end())
         found->second->isGone = true;
@@ -44,27 +47,34 @@
     made->hash = hashOf(listed.id);
     m_targets[listed.id] = made;
     m_onChange(*made, isRestarted ? "restarted" : "listed");
-    rebuild();
+    return true;
 }
 
 void target_book::remove(std::string_view id, time_point now)
+{
+    rebuildIf(drop(id, now));
+}
+
+bool target_book::drop(std::string_view id, time_point now)
 {
     const auto found = m_targets.find(id);
     if (found == m_targets.end())
-        return;
+        return false;
     const bool isUncertain = m_isLost || (m_hasRegained && now - m_regainedAt < returnGrace);
-    if (isUncertain && !found->second->listed.isLeaving)
+    if (isUncertain && !found->second->listed.isLeaving) {
         m_putOff.emplace(std::string(id), now);
-    else
-        removeNow(found->first, "removed");
+        return false;
+    }
+    return dropNow(found->first, "removed");
 }
 
 void target_book::applyAll(const std::vector<deployment::target>& listed, time_point now)
 {
+    bool isOutOfDate = false;
     std::set<std::string, std::less<>> present;
     for (const auto& item : listed) {
         present.insert(item.id);
-        apply(item, now);
+        isOutOfDate |= take(item, now);
     }
     std::vector<std::string> absent;
     for (const auto& [id, state] : m_targets) {
@@ -72,7 +82,8 @@
             absent.push_back(id);
     }
     for (const auto& id : absent)
-        remove(id, now);
+        isOutOfDate |= drop(id, now);
+    rebuildIf(isOutOfDate);
 }
 
 void target_book::contactRegained(time_point now)
@@ -87,9 +98,11 @@
 {
     if (m_isLost || m_putOff.empty() || now - m_regainedAt < returnGrace)
         return;
+    bool isOutOfDate = false;
     const auto putOff = std::exchange(m_putOff, {});
     for (const auto& [id, since] : putOff)
-        removeNow(id, "lapsed");
+        isOutOfDate |= dropNow(id, "lapsed");
+    rebuildIf(isOutOfDate);
 }
 
 const std::vector<target_ptr>& target_book::ofService(std::string_view service) const
@@ -106,20 +119,22 @@
     return found == m_byEndpoint.end() ? nullptr : found->second;
 }
 
-void target_book::removeNow(const std::string& id, std::string_view why)
+bool target_book::dropNow(const std::string& id, std::string_view why)
 {
     const auto found = m_targets.find(id);
     if (found == m_targets.end())
-        return;
+        return false;
     const target_ptr state = found->second;
     m_targets.erase(found);
     state->isGone = true;
-    rebuild();
     m_onChange(*state, why);
+    return true;
 }
 
-void target_book::rebuild()
+void target_book::rebuildIf(bool isNeeded)
 {
+    if (!isNeeded)
+        return;
     m_byService.clear();
     m_byEndpoint.clear();
     for (const auto& [id, state] : m_targets) {
--- a/src/gateway/target_book.hpp
+++ b/src/gateway/target_book.hpp
@@ -67,8 +67,12 @@
     [[nodiscard]] size_t size() const noexcept { return m_targets.size(); }
 
 private:
-    void removeNow(const std::string& id, std::string_view why);
-    void rebuild();
+    /// @return Whether the indexes are out of date.
+    [[nodiscard]] bool take(const deployment::target& listed, time_point now);
+    /// @return Whether the indexes are out of date.
+    [[nodiscard]] bool drop(std::string_view id, time_point now);
+    [[nodiscard]] bool dropNow(const std::string& id, std::string_view why);
+    void rebuildIf(bool isNeeded);
 
     on_change m_onChange;
     std::map<std::string, target_ptr, std::less<>> m_targets;
