Settings files and command lines are read by one piece of code each

Cause: fromFile of the three daemons' settings was the same ten lines three times, and the replay parsed its command line as the daemons do. Now settings::detail::settingsFromFile and settings::readOptionValues serve them; the umbrella header names the gateway's settings as well. Ruled out: the operator's command, which has positional arguments and an error of its own.

--- a/src/programs/replay.cpp
+++ b/src/programs/replay.cpp
@@ -4,9 +4,9 @@
 #include "loop/main_loop.hpp"
 #include "loop/timer.hpp"
 #include "settings/command_line.hpp"
+#include "settings/option_values.hpp"
 
 #include <algorithm>
-#include <boost/program_options.hpp>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -307,13 +307,7 @@
     {
         replay_options asked;
         const options::options_description described = describe(asked);
-        options::variables_map values;
-        try {
-            options::store(options::parse_command_line(argc, argv, described), values);
-            options::notify(values);
-        } catch (const options::error& problem) {
-            throw error(error_kind::InvalidSettings, std::string(problem.what()) + ".", "See --help.", "command line");
-        }
+        const options::variables_map values = settings::readOptionValues(argc, argv, described).value();
         if (values.contains("help") || values.contains("version")) {
             std::cout << "bilberryseam-replay " << BILBERRYSEAM_VERSION << "\n";
             if (values.contains("help"))
--- a/src/settings/command_line.cpp
+++ b/src/settings/command_line.cpp
@@ -1,6 +1,7 @@
 #include "settings/command_line.hpp"
 
-#include <boost/program_options.hpp>
+#include "settings/option_values.hpp"
+
 #include <iostream>
 
 namespace bilberryseam::settings {
@@ -27,13 +28,10 @@
 {
     daemon_options out;
     const options::options_description described = describe(out);
-    options::variables_map values;
-    try {
-        options::store(options::parse_command_line(argc, argv, described), values);
-        options::notify(values);
-    } catch (const options::error& problem) {
-        return error(error_kind::InvalidSettings, std::string(problem.what()) + ".", "See --help.", "command line");
-    }
+    const auto read = readOptionValues(argc, argv, described);
+    if (!read)
+        return read.error();
+    const options::variables_map& values = read.value();
     if (values.contains("help")) {
         std::cout << program << ": " << purpose << "\n\n"
                   << described;
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -118,15 +118,7 @@
 
 result<entry_settings> entry_settings::fromFile(const std::string& path)
 {
-    const json_schema schema(detail::withPlatformSchema(entrySchema));
-    const result<json> document = readSettingsFile(path, schema);
-    if (!document)
-        return document.error();
-    try {
-        return readEntry(document.value(), path);
-    } catch (const error& problem) {
-        return problem;
-    }
+    return detail::settingsFromFile(path, json_schema(detail::withPlatformSchema(entrySchema)), &readEntry);
 }
 
 json entry_settings::toJson() const
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -88,15 +88,7 @@
 
 result<gateway_settings> gateway_settings::fromFile(const std::string& path)
 {
-    const json_schema schema(gatewaySchema);
-    const result<json> document = readSettingsFile(path, schema);
-    if (!document)
-        return document.error();
-    try {
-        return readGateway(document.value(), path);
-    } catch (const error& problem) {
-        return problem;
-    }
+    return detail::settingsFromFile(path, json_schema(gatewaySchema), &readGateway);
 }
 
 json gateway_settings::toJson() const
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -3,5 +3,7 @@
 
 #include "settings/command_line.hpp"
 #include "settings/entry_settings.hpp"
+#include "settings/gateway_settings.hpp"
+#include "settings/option_values.hpp"
 #include "settings/settings_file.hpp"
 #include "settings/side_settings.hpp"
--- a/src/settings/settings_file.hpp
+++ b/src/settings/settings_file.hpp
@@ -11,4 +11,21 @@
 /// @param schema  Its schema.
 /// @return The document, or `InvalidSettings` with the file, the place in it and the remedy.
 [[nodiscard]] result<nlohmann::json> readSettingsFile(const std::string& path, const json_schema& schema);
+
+namespace detail {
+    /// Reads a settings file and makes settings of it.
+    /// @param read  Gets the document and the path; may throw `error`.
+    template <typename Settings>
+    [[nodiscard]] result<Settings> settingsFromFile(const std::string& path, const json_schema& schema, Settings (*read)(const nlohmann::json&, const std::string&))
+    {
+        const result<nlohmann::json> document = readSettingsFile(path, schema);
+        if (!document)
+            return document.error();
+        try {
+            return read(document.value(), path);
+        } catch (const error& problem) {
+            return problem;
+        }
+    }
+}
 }
--- a/src/settings/side_settings.cpp
+++ b/src/settings/side_settings.cpp
@@ -59,15 +59,7 @@
 
 result<side_settings> side_settings::fromFile(const std::string& path)
 {
-    const json_schema schema(detail::withPlatformSchema(sideSchema));
-    const result<json> document = readSettingsFile(path, schema);
-    if (!document)
-        return document.error();
-    try {
-        return readSide(document.value(), path);
-    } catch (const error& problem) {
-        return problem;
-    }
+    return detail::settingsFromFile(path, json_schema(detail::withPlatformSchema(sideSchema)), &readSide);
 }
 
 json side_settings::toJson() const
