Tests share the loops that wait, and the count of requests served

Cause: three tests had the same loop that runs the main loop until something holds, two another that runs it for a while, and three fairness tests the same count. tests/support/wait.hpp and countServed serve them; every condition, bound and expectation is as it was. Ruled out: cluster::waitUntil, whose conditions ask daemons over HTTP and are looked at each 10 ms.

--- a/tests/process/topic_follower_test.cpp
+++ b/tests/process/topic_follower_test.cpp
@@ -1,10 +1,12 @@
 /// A topic of the store is followed through its outages.
 #include "fakes/platform_store.hpp"
 #include "platform/topic_follower.hpp"
+#include "support/wait.hpp"
 
 #include <criterion/criterion.h>
 
 using namespace bilberryseam;
+using namespace bilberryseam::tests;
 
 namespace {
 constexpr milliseconds patience { 10000 };
@@ -28,17 +30,6 @@
         return made;
     }
 };
-
-void waitUntil(const std::function<bool()>& condition, const char* what)
-{
-    const time_point end = monotonicNow() + patience;
-    timer wake;
-    wake.startEvery(milliseconds(5), [] {});
-    while (!condition()) {
-        cr_assert(monotonicNow() < end, "waited in vain for %s", what);
-        g_main_context_iteration(nullptr, TRUE);
-    }
-}
 }
 
 Test(topic_follower, the_return_of_the_store_is_seen_before_anything_changes)
@@ -46,15 +37,15 @@
     fakes::platform_store store(listen);
     store.put("keyed.op", "config", "one");
     followed topic;
-    waitUntil([&] { return topic.values["config"] == "one"; }, "the first value");
-    waitUntil([&] { return store.readCount() == 2; }, "a read that the store holds");
+    runUntil([&] { return topic.values["config"] == "one"; }, patience, "the first value");
+    runUntil([&] { return store.readCount() == 2; }, patience, "a read that the store holds");
     store.setFaults({ .isDown = true });
     // The store answers the read that it holds, and refuses the next one.
     store.put("keyed.op", "config", "two");
-    waitUntil([&] { return topic.failures > 0; }, "the outage");
+    runUntil([&] { return topic.failures > 0; }, patience, "the outage");
     const int before = topic.contacts;
     store.setFaults({});
-    waitUntil([&] { return topic.contacts > before; }, "contact after the outage");
+    runUntil([&] { return topic.contacts > before; }, patience, "contact after the outage");
     store.put("keyed.op", "config", "three");
-    waitUntil([&] { return topic.values["config"] == "three"; }, "a change after the outage");
+    runUntil([&] { return topic.values["config"] == "three"; }, patience, "a change after the outage");
 }
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "loop/timer.hpp"
 #include "platform/log_client.hpp"
+#include "support/wait.hpp"
 
 #include <criterion/criterion.h>
 #include <csignal>
@@ -171,6 +172,7 @@
 
 void cluster::waitUntil(const std::function<bool()>& condition, const char* what)
 {
+    // Conditions ask daemons over HTTP, so they are looked at less often than the loop turns.
     const time_point until = monotonicNow() + patience;
     while (!condition()) {
         cr_assert(monotonicNow() < until, "waited in vain for %s", what);
@@ -180,11 +182,7 @@
 
 void cluster::runFor(milliseconds time)
 {
-    bool isOver = false;
-    timer clock;
-    clock.startOnce(time, [&] { isOver = true; });
-    while (!isOver)
-        g_main_context_iteration(nullptr, TRUE);
+    tests::runFor(time);
 }
 
 json cluster::exchange(http_request request)
--- a/tests/support/deployment_fixture.cpp
+++ b/tests/support/deployment_fixture.cpp
@@ -1,6 +1,7 @@
 #include "support/deployment_fixture.hpp"
 
 #include "support/cluster.hpp"
+#include "support/wait.hpp"
 
 #include <criterion/criterion.h>
 #include <csignal>
@@ -202,21 +203,11 @@
 
 void deployment_fixture::waitUntil(const std::function<bool()>& condition, const char* what)
 {
-    const time_point end = monotonicNow() + patience;
-    timer wake;
-    wake.startEvery(milliseconds(5), [] {});
-    while (!condition()) {
-        cr_assert(monotonicNow() < end, "waited in vain for %s", what);
-        g_main_context_iteration(nullptr, TRUE);
-    }
+    runUntil(condition, patience, what);
 }
 
 void deployment_fixture::pass(milliseconds time)
 {
-    const time_point end = monotonicNow() + time;
-    timer wake;
-    wake.startEvery(milliseconds(5), [] {});
-    while (monotonicNow() < end)
-        g_main_context_iteration(nullptr, TRUE);
+    runFor(time);
 }
 }
--- a/tests/unit/fairness_test.cpp
+++ b/tests/unit/fairness_test.cpp
@@ -14,6 +14,15 @@
     for (int i = 0; i < count; ++i)
         enqueue(queue, account, weight, { { mark, static_cast<uint64_t>(i) + 1 }, now + seconds(5) });
 }
+
+/// @return How many of the next requests have the mark.
+int countServed(fair_queue& queue, int requests, uint64_t mark)
+{
+    int served = 0;
+    for (int i = 0; i < requests; ++i)
+        served += dequeue(queue)->id.high == mark ? 1 : 0;
+    return served;
+}
 }
 
 Test(fairness, a_large_account_cannot_starve_a_small_one)
@@ -21,9 +30,7 @@
     fair_queue queue;
     fill(queue, "large", 1, 1000, 1);
     fill(queue, "small", 1, 10, 2);
-    int small = 0;
-    for (int i = 0; i < 20; ++i)
-        small += dequeue(queue)->id.high == 2 ? 1 : 0;
+    const int small = countServed(queue, 20, 2);
     cr_assert_eq(small, 10);
 }
 
@@ -32,9 +39,7 @@
     fair_queue queue;
     fill(queue, "a", 3, 1000, 1);
     fill(queue, "b", 1, 1000, 2);
-    int first = 0;
-    for (int i = 0; i < 400; ++i)
-        first += dequeue(queue)->id.high == 1 ? 1 : 0;
+    const int first = countServed(queue, 400, 1);
     cr_assert_geq(first, 299);
     cr_assert_leq(first, 301);
 }
@@ -46,9 +51,7 @@
     for (int i = 0; i < 50; ++i)
         static_cast<void>(dequeue(queue));
     fill(queue, "late", 1, 100, 2);
-    int late = 0;
-    for (int i = 0; i < 20; ++i)
-        late += dequeue(queue)->id.high == 2 ? 1 : 0;
+    const int late = countServed(queue, 20, 2);
     cr_assert_geq(late, 9);
     cr_assert_leq(late, 11);
 }
--- a/tests/unit/http1_test.cpp
+++ b/tests/unit/http1_test.cpp
@@ -1,6 +1,7 @@
 /// HTTP/1.1 on real sockets in one loop: hostile clients at the server, faulty servers at the client.
 #include "http1/client.hpp"
 #include "http1/server.hpp"
+#include "support/wait.hpp"
 
 #include <criterion/criterion.h>
 #include <csignal>
@@ -21,13 +22,7 @@
 
 void runUntil(const std::function<bool()>& condition, const char* what)
 {
-    const time_point end = monotonicNow() + patience;
-    timer wake;
-    wake.startEvery(milliseconds(5), [] {});
-    while (!condition()) {
-        cr_assert(monotonicNow() < end, "waited in vain for %s", what);
-        g_main_context_iteration(nullptr, TRUE);
-    }
+    tests::runUntil(condition, patience, what);
 }
 
 /// A client that sends bytes as they are.
