Status codes, pools, pieces and shared tokens are named once

Cause: six files defined the status codes that they use; two trimmed text; a service's pool was looked up in five places, a request's pieces of a stage counted in four, its shared tokens summed in two, two numbers hashed in two. Now http1/status.hpp, http1::trim, deployment::poolOf, request_run::piecesOf, prompt::sharedTokens and hashOfPair serve them. A request whose input is gone freed its results just before restartStages did so. Ruled out: routing's own mix of two hashes, which gives other values; the stand-in store's encoders, which stay apart from the client's so that a mistake in one cannot hide in the other.

--- a/src/deployment/caller_request.hpp
+++ b/src/deployment/caller_request.hpp
@@ -23,6 +23,15 @@
     uint64_t maxOutputTokens = 0;
     /// In order; the last one belongs to the request or its session.
     std::vector<prompt_part> parts;
+
+    /// @return Tokens of the parts that other requests may share.
+    [[nodiscard]] uint64_t sharedTokens() const noexcept
+    {
+        uint64_t sum = 0;
+        for (size_t i = 0; i + 1 < parts.size(); ++i)
+            sum += parts[i].tokens;
+        return sum;
+    }
 };
 
 /// A caller's request, without its bytes.
--- a/src/deployment/deployment.cpp
+++ b/src/deployment/deployment.cpp
@@ -14,6 +14,12 @@
         std::stable_sort(indexes.begin(), indexes.end(), [this](size_t left, size_t right) { return routes[left].pathPrefix.size() > routes[right].pathPrefix.size(); });
 }
 
+const pool_profile* poolOf(const state& state, std::string_view service) noexcept
+{
+    const auto found = state.services.find(service);
+    return found == state.services.end() || !found->second.pool ? nullptr : &*found->second.pool;
+}
+
 const route* matchRoute(const state& state, std::string_view host, std::string_view path) noexcept
 {
     const auto found = state.routesByHost.find(host);
--- a/src/deployment/deployment.hpp
+++ b/src/deployment/deployment.hpp
@@ -127,6 +127,9 @@
 
 using state_ptr = std::shared_ptr<const state>;
 
+/// @return How a service works on pieces; null if it is not known or does not.
+[[nodiscard]] const pool_profile* poolOf(const state& state, std::string_view service) noexcept;
+
 /// @return The route with the longest prefix that begins the path, or null.
 [[nodiscard]] const route* matchRoute(const state& state, std::string_view host, std::string_view path) noexcept;
 
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -16,7 +16,7 @@
     repeat_budget& budgetOf(context& context, std::string_view service, time_point now)
     {
         const auto& bounds = context.settings.bounds;
-        const bool isPool = context.configuration && context.configuration->services.contains(service) && context.configuration->services.find(service)->second.pool;
+        const bool isPool = context.configuration && deployment::poolOf(*context.configuration, service);
         const double share = bounds.retrySlack / (isPool ? poolOwners : context.entries);
         auto found = context.repeats.find(service);
         if (found == context.repeats.end()) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,12 +10,6 @@
 namespace {
     constexpr std::string_view part = "gateway";
 
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusBadRequest = 400;
-    constexpr unsigned statusUnauthorized = 401;
-    constexpr unsigned statusNotFound = 404;
-    constexpr unsigned statusUnavailable = 503;
-
     constexpr milliseconds tickPeriod { 25 };
 
     /// Reads of the store are priced, so they are as rare as the bounds allow: what changes must be known in time even
@@ -239,7 +233,7 @@
     const auto decoded = platform::decodeRequest(exchange->head());
     if (!decoded) {
         logLine(log_level::Info, part, "A request is malformed.", { { "problem", decoded.error().what() } });
-        refuse(*exchange, "", statusBadRequest, "malformed");
+        refuse(*exchange, "", http1::statusBadRequest, "malformed");
         return;
     }
     accepted_request accepted;
@@ -257,22 +251,22 @@
     if (m_isStopping)
         exchange.closeAfterwards();
     if (m_isStopping && now - m_stopSince > takeAfterStop) {
-        refuse(exchange, id, statusUnavailable, "stopping", retryElsewhere);
+        refuse(exchange, id, http1::statusUnavailable, "stopping", retryElsewhere);
         return false;
     }
     if (!request.configuration) {
-        refuse(exchange, id, statusUnavailable, "no_configuration", retryWhenNotReady);
+        refuse(exchange, id, http1::statusUnavailable, "no_configuration", retryWhenNotReady);
         return false;
     }
     if (!findRoute(request, now) || !identifyAccount(request, now))
         return false;
     if (m_context.heldBytes > m_context.settings.limits.maxHeldBytes) {
-        refuse(exchange, id, statusUnavailable, "memory", retryWhenFull);
+        refuse(exchange, id, http1::statusUnavailable, "memory", retryWhenFull);
         return false;
     }
     request.fingerprint = fingerprintOf(exchange, request.asked.key);
     if (policy::treatmentOf(m_context.suspicions, request.fingerprint, now) == policy::treatment::Refuse) {
-        refuse(exchange, id, statusUnavailable, "crashes_targets");
+        refuse(exchange, id, http1::statusUnavailable, "crashes_targets");
         return false;
     }
     return true;
@@ -283,7 +277,7 @@
     const auto age = asSeconds(now - m_context.configurationCheckedAt);
     const bool mayBeNew = age > asSeconds(m_context.settings.bounds.configuration) * unknownMayBeNewShare;
     if (mayBeNew)
-        refuse(*request.exchange, request.asked.id, statusUnavailable, "configuration_old", retryElsewhere);
+        refuse(*request.exchange, request.asked.id, http1::statusUnavailable, "configuration_old", retryElsewhere);
     else
         refuse(*request.exchange, request.asked.id, status, reason);
 }
@@ -292,7 +286,7 @@
 {
     request.route = deployment::matchRoute(*request.configuration, request.asked.host, http1::pathOf(request.exchange->head().target));
     if (!request.route) {
-        refuseUnknown(request, statusNotFound, "no_route", now);
+        refuseUnknown(request, http1::statusNotFound, "no_route", now);
         return false;
     }
     request.rank = request.route->priority;
@@ -305,12 +299,12 @@
     if (!state.hasAccounts || request.route->needsNoKey)
         return true;
     if (!areKeysFresh(now)) {
-        refuse(*request.exchange, request.asked.id, statusUnavailable, "keys_old", retryElsewhere);
+        refuse(*request.exchange, request.asked.id, http1::statusUnavailable, "keys_old", retryElsewhere);
         return false;
     }
     const auto found = state.accountsByKey.find(request.asked.key);
     if (found == state.accountsByKey.end()) {
-        refuseUnknown(request, statusUnauthorized, "unknown_key", now);
+        refuseUnknown(request, http1::statusUnauthorized, "unknown_key", now);
         return false;
     }
     request.account = found->second.name;
@@ -352,14 +346,14 @@
         m_context.counters.set("log_lines_left_out", {}, static_cast<double>(droppedLogLines()));
         m_context.counters.set("open_requests", {}, static_cast<double>(m_runs.size()));
         m_context.counters.set("connections_opened", {}, static_cast<double>(m_context.client.openedConnections()));
-        exchange.respond(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.counters.serialize());
+        exchange.respond(http1::statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.counters.serialize());
         return;
     }
     if (path == platform::readyPath) {
-        exchange.respond(isReady(monotonicNow()) ? statusOk : statusUnavailable, {}, {});
+        exchange.respond(isReady(monotonicNow()) ? http1::statusOk : http1::statusUnavailable, {}, {});
         return;
     }
-    exchange.respond(statusNotFound, {}, {});
+    exchange.respond(http1::statusNotFound, {}, {});
 }
 
 void gateway::tick()
--- a/src/gateway/piece_scheduler.cpp
+++ b/src/gateway/piece_scheduler.cpp
@@ -10,9 +10,6 @@
 
 namespace {
     constexpr std::string_view part = "pieces";
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusMisdirected = 421;
-    constexpr unsigned statusUnavailable = 503;
 
     /// Times that a piece is sent at most.
     constexpr unsigned maxSends = 4;
@@ -75,11 +72,7 @@
 
 const deployment::pool_profile* piece_scheduler::profileOf(std::string_view service) const
 {
-    const auto& state = m_context.configuration;
-    if (!state)
-        return nullptr;
-    const auto found = state->services.find(service);
-    return found == state->services.end() || !found->second.pool ? nullptr : &*found->second.pool;
+    return m_context.configuration ? deployment::poolOf(*m_context.configuration, service) : nullptr;
 }
 
 void piece_scheduler::add(const job_ptr& job)
@@ -256,7 +249,7 @@
     if (target.inFlight == 0)
         target.busyUntil = now;
     m_pools[service].calls.remove(call);
-    const bool isAnswered = end == http1::call_end::Complete && call->status == statusOk;
+    const bool isAnswered = end == http1::call_end::Complete && call->status == http1::statusOk;
     const auto answers = isAnswered ? platform::decodePieces(call->body, call->pieces.size()) : result<std::vector<platform::piece_answer>>(error());
     planSoon();
     if (answers) {
@@ -266,8 +259,8 @@
         return;
     }
     target.heldBytes -= call->resultBytes;
-    const bool isFull = end == http1::call_end::Complete && call->status == statusUnavailable && call->isNotRun;
-    if (end == http1::call_end::Complete && call->status == statusMisdirected)
+    const bool isFull = end == http1::call_end::Complete && call->status == http1::statusUnavailable && call->isNotRun;
+    if (end == http1::call_end::Complete && call->status == http1::statusMisdirected)
         target.isReplaced = true;
     const auto failure = isFull ? policy::call_failure::Full : end == http1::call_end::NotSent ? policy::call_failure::Unreachable
                                                                                                : policy::call_failure::Failed;
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -270,9 +270,8 @@
 void pool_router::host(identifier session, wire::pieces_asked& asked)
 {
     constexpr uint32_t maxPieces = 10000;
-    const auto& state = m_context.configuration;
-    const auto found = state ? state->services.find(asked.service) : std::map<std::string, deployment::service, std::less<>>::const_iterator();
-    const bool isServed = state && found != state->services.end() && found->second.pool && !m_isStopping && !m_context.targets.ofService(asked.service).empty();
+    const bool isPool = m_context.configuration && deployment::poolOf(*m_context.configuration, asked.service);
+    const bool isServed = isPool && !m_isStopping && !m_context.targets.ofService(asked.service).empty();
     if (!isServed || asked.count > maxPieces) {
         m_server.post(session, wire::pieces_refused { asked.number });
         return;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -10,11 +10,6 @@
 namespace {
     constexpr std::string_view part = "request";
 
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusBadGateway = 502;
-    constexpr unsigned statusUnavailable = 503;
-    constexpr unsigned statusGatewayTimeout = 504;
-
     /// Bytes of an answer that are collected before it is relayed, so that a broken one can be repeated.
     constexpr size_t maxBufferedBytes = 256 * 1024;
 
@@ -128,8 +123,7 @@
         // The last part belongs to the request itself.
         if (!hashes.empty())
             hashes.pop_back();
-        for (size_t i = 0; i < hashes.size(); ++i)
-            wanted.sharedTokens += m_request.asked.asked->parts[i].tokens;
+        wanted.sharedTokens = m_request.asked.asked->sharedTokens();
         wanted.prefixHash = hashes.empty() ? 0 : hashes.back();
     }
     const auto inputBytes = resultBytesByDomain();
@@ -250,13 +244,13 @@
         m_hasFirstByte = true;
         const time_point now = monotonicNow();
         m_target->unreadTokens -= std::exchange(m_sentTokens, 0);
-        if (m_request.asked.asked && m_answer.status == statusOk) {
+        if (m_request.asked.asked && m_answer.status == http1::statusOk) {
             for (const uint64_t hash : prefixHashes(*m_request.asked.asked))
                 m_target->readParts[hash] = now;
             freeAll();
         }
     }
-    const bool isGood = m_answer.status == statusOk && m_answer.isForRequest && m_answer.isSealed && !m_answer.isEncoded;
+    const bool isGood = m_answer.status == http1::statusOk && m_answer.isForRequest && m_answer.isSealed && !m_answer.isEncoded;
     if (!isStream() || !isGood) {
         m_buffer.append(bytes);
         if (m_buffer.size() > maxBufferedBytes && isGood)
@@ -336,7 +330,6 @@
         logLine(log_level::Warning, part, "A target missed a result.", { { "request", m_request.asked.id }, { "target", target->listed.id }, { "was_given_up", m_areInputsFreed ? "true" : "false" } });
         --m_runs;
         m_tried.pop_back();
-        freeAll();
         restartStages("input_gone");
         return;
     }
@@ -362,7 +355,7 @@
     else
         policy::recordSuccess(target->health, 1, now);
     policy::absolve(m_context.suspicions, m_request.fingerprint);
-    const bool isTruncatedEvent = isStream() && m_request.route->isResumable && m_answer.status == statusOk && !m_events.isAtBoundary();
+    const bool isTruncatedEvent = isStream() && m_request.route->isResumable && m_answer.status == http1::statusOk && !m_events.isAtBoundary();
     if (isTruncatedEvent || (isServerFailure && m_request.exchange->isStarted())) {
         answerFailed("half_event", true);
         return;
@@ -386,10 +379,10 @@
 
 void request_run::completeAnswer()
 {
-    const bool isPromise = m_answer.status == statusUnavailable || m_answer.status == 429 || m_answer.status == 408;
+    const bool isPromise = m_answer.status == http1::statusUnavailable || m_answer.status == http1::statusTooManyRequests || m_answer.status == http1::statusTimeout;
     if (isPromise) {
         // It ran: the status would promise that it did not.
-        failed(statusBadGateway, "target_failed");
+        failed(http1::statusBadGateway, "target_failed");
         return;
     }
     if (m_request.exchange->isStarted())
@@ -424,15 +417,15 @@
         m_request.exchange->cut();
         over("cut", reason, 0);
     } else if (m_mayHaveRun)
-        failed(statusBadGateway, reason);
+        failed(http1::statusBadGateway, reason);
     else
         refuse(reason, isTargetLeft ? retryAfterBadLuck : retryWithoutTargets);
 }
 
 void request_run::refuse(std::string_view reason, milliseconds retryAfter)
 {
-    m_request.exchange->respond(statusUnavailable, { platform::retryAfterHeader(retryAfter) }, {});
-    over("refused", reason, statusUnavailable);
+    m_request.exchange->respond(http1::statusUnavailable, { platform::retryAfterHeader(retryAfter) }, {});
+    over("refused", reason, http1::statusUnavailable);
 }
 
 void request_run::failed(unsigned status, std::string_view reason)
@@ -449,7 +442,7 @@
         m_request.exchange->cut();
         over("cut", reason, 0);
     } else if (wasSent)
-        failed(statusGatewayTimeout, reason);
+        failed(http1::statusGatewayTimeout, reason);
     else
         refuse(reason, retryAfterBadLuck);
 }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -59,6 +59,7 @@
     };
 
     // Stages; in request_stages.cpp.
+    [[nodiscard]] uint32_t piecesOf(size_t stage) const noexcept;
     void startStages();
     void restartStages(std::string_view why);
     void startReadyStages();
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -39,6 +39,12 @@
     constexpr int maxStageRuns = 3;
 }
 
+uint32_t request_run::piecesOf(size_t stage) const noexcept
+{
+    const auto& counts = m_request.asked.piecesOfStages;
+    return stage < counts.size() ? counts[stage] : 0;
+}
+
 void request_run::startStages()
 {
     const auto& stages = m_request.route->stages;
@@ -73,18 +79,14 @@
 std::string request_run::domainOfBulkyResults() const
 {
     const auto& stages = m_request.route->stages;
-    const auto& counts = m_request.asked.piecesOfStages;
     double bulkyBytes = 0;
-    for (size_t i = 0; i < stages.size() && i < counts.size(); ++i) {
+    for (size_t i = 0; i < stages.size(); ++i) {
         if (stages[i].resultBytes >= bulkyResultBytes)
-            bulkyBytes += static_cast<double>(stages[i].resultBytes) * counts[i];
+            bulkyBytes += static_cast<double>(stages[i].resultBytes) * piecesOf(i);
     }
     if (bulkyBytes == 0 || !m_request.asked.asked)
         return {};
-    uint64_t sharedTokens = 0;
-    const auto& parts = m_request.asked.asked->parts;
-    for (size_t i = 0; i + 1 < parts.size(); ++i)
-        sharedTokens += parts[i].tokens;
+    const uint64_t sharedTokens = m_request.asked.asked->sharedTokens();
     const policy::placement_costs costs;
     // The target for the prompt is chosen first only if the prompt weighs more than the results.
     const bool isPromptHeavier = static_cast<double>(sharedTokens) * costs.thousandSharedTokens / 1000 > bulkyBytes * costs.inputMegabyte / 1e6;
@@ -111,8 +113,7 @@
     const auto& stages = m_request.route->stages;
     // Stages without pieces are done at once, and others may be ready then.
     for (size_t i = 0; i < stages.size(); ++i) {
-        const bool isEmpty = i >= m_request.asked.piecesOfStages.size() || m_request.asked.piecesOfStages[i] == 0;
-        m_stages[i].isStarted = m_stages[i].isStarted || isEmpty;
+        m_stages[i].isStarted = m_stages[i].isStarted || piecesOf(i) == 0;
     }
     const auto startAll = [&] {
         for (size_t i = 0; i < stages.size() && !m_isOver; ++i) {
@@ -148,8 +149,7 @@
 {
     const deployment::stage& stage = m_request.route->stages[index];
     stage_progress& progress = m_stages[index];
-    const auto& counts = m_request.asked.piecesOfStages;
-    const uint32_t count = index < counts.size() ? counts[index] : 0;
+    const uint32_t count = piecesOf(index);
     progress.isStarted = true;
     progress.startedAt = monotonicNow();
     progress.missing = count;
@@ -209,13 +209,12 @@
     size_t last = fromStage;
     for (size_t i = fromStage; i < stages.size(); ++i) {
         const bool isInChain = i == fromStage || std::find(stages[i].after.begin(), stages[i].after.end(), last) != stages[i].after.end();
-        const bool hasPieces = i < m_request.asked.piecesOfStages.size() && m_request.asked.piecesOfStages[i] > 0;
-        const auto found = m_request.configuration->services.find(stages[i].service);
-        if (!isInChain || found == m_request.configuration->services.end() || !found->second.pool)
+        const auto* pool = deployment::poolOf(*m_request.configuration, stages[i].service);
+        if (!isInChain || !pool)
             continue;
         last = i;
-        if (hasPieces)
-            sum += timeIn(*found->second.pool);
+        if (piecesOf(i) > 0)
+            sum += timeIn(*pool);
     }
     return sum;
 }
@@ -274,10 +273,9 @@
     double transfer = 0;
     for (const size_t index : deployment::finalStages(*m_request.route)) {
         const auto& stage = m_request.route->stages[index];
-        const auto found = m_request.configuration->services.find(stage.service);
-        const double rate = found == m_request.configuration->services.end() || !found->second.pool ? 0 : found->second.pool->linkBytesPerMillisecond;
-        if (rate > 0 && index < m_stages.size())
-            transfer += static_cast<double>(stage.resultBytes * m_stages[index].handles.size()) / rate;
+        const auto* pool = deployment::poolOf(*m_request.configuration, stage.service);
+        if (pool && pool->linkBytesPerMillisecond > 0 && index < m_stages.size())
+            transfer += static_cast<double>(stage.resultBytes * m_stages[index].handles.size()) / pool->linkBytesPerMillisecond;
     }
     return now + fetchBegins + milliseconds(static_cast<int64_t>(transfer * fetchSlowdown));
 }
--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -8,15 +8,6 @@
 namespace bilberryseam::http1 {
 
 namespace {
-    std::string_view trim(std::string_view text)
-    {
-        while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
-            text.remove_prefix(1);
-        while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
-            text.remove_suffix(1);
-        return text;
-    }
-
     bool listHasToken(std::string_view list, std::string_view token)
     {
         while (!list.empty()) {
@@ -29,6 +20,15 @@
     }
 }
 
+std::string_view trim(std::string_view text) noexcept
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+        text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+        text.remove_suffix(1);
+    return text;
+}
+
 bool isSameName(std::string_view left, std::string_view right) noexcept
 {
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
--- a/src/http1/message.hpp
+++ b/src/http1/message.hpp
@@ -1,6 +1,8 @@
 /// HTTP/1.1 messages as this package hands them over.
 #pragma once
 
+#include "http1/status.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -38,6 +40,9 @@
 /// @return True if the comma-separated field holds the token, whatever its case.
 [[nodiscard]] bool hasToken(const header_list& headers, std::string_view name, std::string_view token) noexcept;
 
+/// @return The text without spaces and tabs around it.
+[[nodiscard]] std::string_view trim(std::string_view text) noexcept;
+
 /// @return The path of a request target, without its query.
 [[nodiscard]] std::string_view pathOf(std::string_view target) noexcept;
 
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -15,10 +15,6 @@
     /// Bytes of later requests that may wait behind an open one.
     constexpr size_t maxPipelinedBytes = 64 * 1024;
 
-    constexpr unsigned statusTimeout = 408;
-    constexpr unsigned statusBadRequest = 400;
-    constexpr unsigned statusBodyTooLarge = 413;
-    constexpr unsigned statusHeaderTooLarge = 431;
 }
 
 namespace detail {
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -24,8 +24,6 @@
     constexpr std::string_view sealName = "X-Response-Seal";
     constexpr std::string_view notRunName = "X-Not-Executed";
 
-    constexpr unsigned statusConflict = 409;
-    constexpr unsigned statusMisdirected = 421;
     constexpr size_t maxParts = 1000;
 
     /// Fields that concern one connection.
@@ -51,19 +49,11 @@
         return { error_kind::InvalidRequest, std::string(name) + " " + std::string(what) + ".", "Send the header field once, in the documented form.", name };
     }
 
-    std::string_view trim(std::string_view text)
-    {
-        const size_t first = text.find_first_not_of(" \t");
-        if (first == std::string_view::npos)
-            return {};
-        return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-    }
-
     template <typename Number>
     Number readNumber(std::string_view text, std::string_view name)
     {
         Number number {};
-        const std::string_view digits = trim(text);
+        const std::string_view digits = http1::trim(text);
         const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
         if (problem != std::errc() || end != digits.data() + digits.size())
             throw malformed(name, "is not a number");
@@ -75,7 +65,7 @@
     {
         while (!list.empty()) {
             const size_t comma = std::min(list.find(','), list.size());
-            if (const std::string_view item = trim(list.substr(0, comma)); !item.empty())
+            if (const std::string_view item = http1::trim(list.substr(0, comma)); !item.empty())
                 take(item);
             list.remove_prefix(std::min(comma + 1, list.size()));
         }
@@ -181,9 +171,9 @@
     answer.status = head.status;
     answer.isForRequest = http1::findHeader(head.headers, requestIdName) == requestId;
     answer.isSealed = http1::findHeader(head.headers, sealName).has_value();
-    answer.isWrongTarget = head.status == statusMisdirected;
+    answer.isWrongTarget = head.status == http1::statusMisdirected;
     answer.isNotRun = isNotRun(head);
-    answer.isInputGone = answer.isNotRun && head.status == statusConflict;
+    answer.isInputGone = answer.isNotRun && head.status == http1::statusConflict;
     answer.isEncoded = http1::findHeader(head.headers, "Content-Encoding").has_value();
     return answer;
 }
@@ -207,7 +197,7 @@
 
 bool isNotRun(const http1::answer_head& head)
 {
-    return head.status == statusMisdirected || http1::findHeader(head.headers, notRunName).has_value();
+    return head.status == http1::statusMisdirected || http1::findHeader(head.headers, notRunName).has_value();
 }
 
 http1::header_list ownCallHeaders(const deployment::target& target)
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -8,13 +8,6 @@
 using nlohmann::json;
 
 namespace {
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusBadRequest = 400;
-    constexpr unsigned statusInternalError = 500;
-    constexpr unsigned statusUnavailable = 503;
-    constexpr unsigned statusInsufficientStorage = 507;
-    constexpr unsigned statusGone = 410;
-
     /// Bytes of the two offsets that begin the answer to a read, of each, and of a record's length.
     constexpr size_t offsetBytes = 8;
     constexpr size_t readHeadBytes = 2 * offsetBytes;
@@ -33,7 +26,7 @@
     /// @return Whether the status says that the store has done nothing.
     bool isRefusal(unsigned status) noexcept
     {
-        return (status >= statusBadRequest && status < statusInternalError) || status == statusUnavailable || status == statusInsufficientStorage;
+        return (status >= http1::statusBadRequest && status < http1::statusInternalError) || status == http1::statusUnavailable || status == http1::statusInsufficientStorage;
     }
 
     append_reply takeAppendAnswer(http1::call_end end, unsigned status, const std::string& body)
@@ -41,7 +34,7 @@
         if (end == http1::call_end::NotSent || (end == http1::call_end::Complete && isRefusal(status)))
             return { append_end::Refused, 0, describe(end, status) };
         const json document = json::parse(body, nullptr, false);
-        const bool isAppended = end == http1::call_end::Complete && status == statusOk && document.is_object() && document.contains("offset") && document["offset"].is_number_unsigned();
+        const bool isAppended = end == http1::call_end::Complete && status == http1::statusOk && document.is_object() && document.contains("offset") && document["offset"].is_number_unsigned();
         if (!isAppended)
             return { append_end::Unknown, 0, describe(end, status) };
         return { append_end::Appended, document["offset"].get<uint64_t>(), "" };
@@ -163,9 +156,9 @@
         target.append("&wait_ms=").append(std::to_string(wait.held.count()));
     return send({ "GET", std::move(target), {}, "" }, wait.held + wait.timeout,
         [done = std::move(done)](http1::call_end end, unsigned status, const std::string& body) {
-            if (end == http1::call_end::Complete && status == statusOk)
+            if (end == http1::call_end::Complete && status == http1::statusOk)
                 done(detail::decodeRead(body));
-            else if (end == http1::call_end::Complete && status == statusGone)
+            else if (end == http1::call_end::Complete && status == http1::statusGone)
                 done(takeExpiry(body));
             else
                 done({ read_end::Failed, 0, 0, {}, describe(end, status) });
@@ -183,7 +176,7 @@
     return send({ "GET", std::move(target), {}, "" }, timeout, [done = std::move(done)](http1::call_end end, unsigned status, const std::string& body) {
         newest_page failed;
         failed.detail = describe(end, status);
-        done(end == http1::call_end::Complete && status == statusOk ? detail::decodeNewest(body) : failed);
+        done(end == http1::call_end::Complete && status == http1::statusOk ? detail::decodeNewest(body) : failed);
     });
 }
 }
--- a/src/policy/ownership.cpp
+++ b/src/policy/ownership.cpp
@@ -13,9 +13,7 @@
     double scoreOf(const owner_candidate& candidate, uint64_t pool)
     {
         constexpr double steps = 18446744073709551616.0;
-        const uint64_t both[2] { candidate.hash, pool };
-        const uint64_t hash = hashOf({ reinterpret_cast<const char*>(both), sizeof both });
-        const double evenly = (static_cast<double>(hash) + 0.5) / steps;
+        const double evenly = (static_cast<double>(hashOfPair(candidate.hash, pool)) + 0.5) / steps;
         return -candidate.weight / std::log(std::min(evenly, 1 - 1e-16));
     }
 }
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -9,13 +9,6 @@
 namespace {
     constexpr double tokensPerUnit = 1000;
     constexpr double bytesPerMegabyte = 1e6;
-
-    uint64_t mix(uint64_t left, uint64_t right) noexcept
-    {
-        const uint64_t both[2] { left, right };
-        return hashOf({ reinterpret_cast<const char*>(both), sizeof both });
-    }
-
 }
 
 std::optional<size_t> preferredTarget(std::span<const placement_candidate> candidates, uint64_t prefixHash)
@@ -23,7 +16,7 @@
     std::optional<size_t> best;
     uint64_t bestScore = 0;
     for (size_t i = 0; i < candidates.size(); ++i) {
-        const uint64_t score = mix(candidates[i].hash, prefixHash);
+        const uint64_t score = hashOfPair(candidates[i].hash, prefixHash);
         if (candidates[i].isUsable && (!best || score > bestScore)) {
             best = i;
             bestScore = score;
