Log how the response of each attempt was framed and ended

A line per attempt now records these facts (request, target, end, status, framing, connection, body_bytes, inside_event, unsent_bytes), and the counter responses_total counts them by framing, connection and end. No decision reads them.

--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -1,5 +1,7 @@
 #include "gateway/event_stream.hpp"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace bilberryseam::gateway {
@@ -37,6 +39,20 @@
     }
 }
 
+void event_boundary::append(std::string_view bytes)
+{
+    // A line ends with a line feed, a carriage return or both; an event ends with an empty line.
+    constexpr size_t longestEventEnd = std::string_view("\n\r\n").size();
+    m_lastBytes.append(bytes.substr(bytes.size() - std::min(bytes.size(), longestEventEnd)));
+    m_lastBytes.erase(0, m_lastBytes.size() - std::min(m_lastBytes.size(), longestEventEnd));
+}
+
+bool event_boundary::isInsideEvent() const noexcept
+{
+    constexpr std::array<std::string_view, 4> eventEnds { "\n\n", "\n\r\n", "\n\r", "\r\r" };
+    return !m_lastBytes.empty() && std::none_of(eventEnds.begin(), eventEnds.end(), [this](std::string_view end) { return m_lastBytes.ends_with(end); });
+}
+
 event_stream::state event_stream::append(std::string_view bytes, std::string& out)
 {
     m_incompleteEvent.append(bytes);
--- a/src/gateway/event_stream.hpp
+++ b/src/gateway/event_stream.hpp
@@ -38,6 +38,22 @@
     std::string m_lastId;
 };
 
+/// Tracks whether a stream of server-sent events ends between two events or inside one, without changing its bytes.
+class event_boundary {
+public:
+    void append(std::string_view bytes);
+
+    /// Prepares for the response of a new attempt.
+    void restart() noexcept { m_lastBytes.clear(); }
+
+    /// @return True if the bytes so far end inside an event.
+    [[nodiscard]] bool isInsideEvent() const noexcept;
+
+private:
+    /// The end of the stream, as long as the longest end of an event.
+    std::string m_lastBytes;
+};
+
 namespace detail {
     /// @return The value of an event's `id` line, or nothing.
     [[nodiscard]] std::optional<std::string_view> idOf(std::string_view event) noexcept;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -210,6 +210,7 @@
     m_hasHead = false;
     m_hasFirstByte = false;
     m_events.restart();
+    m_eventBoundary.restart();
     m_buffer.clear();
     ++m_sends;
     ++m_attempts;
@@ -259,6 +260,7 @@
             startRelay();
         return;
     }
+    m_eventBoundary.append(bytes);
     if (!m_request.route->isResumable) {
         startRelay();
         relay(bytes);
@@ -317,6 +319,7 @@
     const auto keepAlive = shared_from_this();
     const time_point now = monotonicNow();
     const target_ptr target = m_target;
+    logResponseEnd(outcome);
     detachFromTarget();
     if (m_isFinished)
         return;
@@ -371,6 +374,14 @@
     completeResponse();
 }
 
+void request_run::logResponseEnd(http1::call_outcome outcome)
+{
+    const http1::response_trace& trace = m_call->trace();
+    const std::string_view connection = trace.connectionEnd ? nameOf(*trace.connectionEnd) : "open";
+    m_context.counters.count("responses_total", { { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "end", std::string(nameOf(outcome)) } });
+    logLine(log_level::Info, logComponent, "The response of a target ended.", { { "request", m_request.callerRequest.id }, { "target", m_target->listed.id }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(m_hasHead ? m_head.status : 0) }, { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "body_bytes", std::to_string(trace.bodyBytes) }, { "inside_event", m_eventBoundary.isInsideEvent() ? "true" : "false" }, { "unsent_bytes", std::to_string(trace.unsentBytes) } });
+}
+
 void request_run::recordCrash(time_point now)
 {
     policy::suspicion suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, false, now);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -89,6 +89,7 @@
     void onBytes(std::string_view bytes);
     void onAttemptEnded(http1::call_outcome outcome);
     void onAttemptFailed(std::string_view reason, bool mayHaveRun);
+    void logResponseEnd(http1::call_outcome outcome);
     void recordCrash(time_point now);
     void completeResponse();
     [[nodiscard]] bool isTargetUnresponsive(time_point now) const;
@@ -135,6 +136,7 @@
 
     std::string m_buffer;
     event_stream m_events;
+    event_boundary m_eventBoundary;
     int m_attempts = 0;
     int m_sends = 0;
     bool m_mayHaveRun = false;
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -67,6 +67,21 @@
     return "malformed";
 }
 
+std::string_view nameOf(body_framing framing) noexcept
+{
+    switch (framing) {
+    case body_framing::Unknown:
+        return "unknown";
+    case body_framing::Length:
+        return "length";
+    case body_framing::Chunks:
+        return "chunks";
+    case body_framing::Connection:
+        return "connection";
+    }
+    return "unknown";
+}
+
 struct client_call::parser_state {
     using response_parser = detail::http::response_parser<detail::http::string_body>;
 
@@ -78,6 +93,13 @@
         parser.skip(isBodyless);
     }
 
+    [[nodiscard]] body_framing framing() const
+    {
+        if (parser.need_eof())
+            return body_framing::Connection;
+        return parser.chunked() ? body_framing::Chunks : body_framing::Length;
+    }
+
     response_parser parser;
     std::string readBuffer;
     response_head head;
@@ -167,6 +189,7 @@
     }
     if (state.parser.is_header_done() && !m_isHeadComplete) {
         m_isHeadComplete = true;
+        m_trace.framing = state.framing();
         state.head = { state.parser.get().result_int(), detail::headersOf(state.parser.get()) };
         if (const auto activeCallbacks = m_callbacks; activeCallbacks->onHead)
             activeCallbacks->onHead(state.head);
@@ -185,6 +208,7 @@
         return;
     const std::string bytes = std::move(body);
     body.clear();
+    m_trace.bodyBytes += bytes.size();
     if (const auto activeCallbacks = m_callbacks; activeCallbacks->onBody)
         activeCallbacks->onBody(bytes);
 }
@@ -204,6 +228,7 @@
 
 void client_call::handleClose(close_reason reason)
 {
+    m_trace.connectionEnd = reason;
     if (reason == close_reason::ConnectFailed) {
         finish(call_outcome::NotSent);
         return;
@@ -233,8 +258,10 @@
     m_isFinished = true;
     m_connectTimer.stop();
     m_timeoutTimer.stop();
-    if (m_stream)
+    if (m_stream) {
+        m_trace.unsentBytes = m_stream->pendingBytes();
         m_stream->close();
+    }
     const auto finalCallbacks = std::exchange(m_callbacks, std::make_shared<callbacks>());
     if (finalCallbacks->onEnd)
         finalCallbacks->onEnd(outcome);
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -31,6 +31,29 @@
 /// @return The name used in logs and metrics.
 [[nodiscard]] std::string_view nameOf(call_outcome outcome) noexcept;
 
+/// What delimits the body of a response.
+enum class body_framing {
+    /// The response has no complete head.
+    Unknown,
+    Length,
+    Chunks,
+    /// Neither a length nor chunks: the body ends with the connection.
+    Connection,
+};
+
+/// @return The name used in logs and metrics.
+[[nodiscard]] std::string_view nameOf(body_framing framing) noexcept;
+
+/// How a response arrived, for logs.
+struct response_trace {
+    body_framing framing = body_framing::Unknown;
+    /// How the server ended the connection; not set if it was still open.
+    std::optional<close_reason> connectionEnd;
+    uint64_t bodyBytes = 0;
+    /// Bytes of the request that were not handed to the kernel.
+    size_t unsentBytes = 0;
+};
+
 struct outgoing_request {
     std::string method = "GET";
     std::string target = "/";
@@ -68,6 +91,9 @@
     /// Pauses or resumes reading the response.
     void setReading(bool isReading);
 
+    /// @return How the response arrived; complete when `onEnd` runs.
+    [[nodiscard]] const response_trace& trace() const noexcept { return m_trace; }
+
 private:
     friend class client;
     struct parser_state;
@@ -89,6 +115,7 @@
     std::unique_ptr<parser_state> m_parserState;
     timer m_connectTimer;
     timer m_timeoutTimer;
+    response_trace m_trace;
     bool m_isReused = false;
     bool m_isHeadRequest = false;
     bool m_hasResponseBytes = false;
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -83,6 +83,19 @@
     }
 }
 
+std::string_view nameOf(close_reason reason) noexcept
+{
+    switch (reason) {
+    case close_reason::Closed:
+        return "closed";
+    case close_reason::Reset:
+        return "reset";
+    case close_reason::ConnectFailed:
+        return "connect_failed";
+    }
+    return "reset";
+}
+
 tcp_stream::tcp_stream(int descriptor, bool isConnecting)
     : m_descriptor(descriptor)
     , m_isConnecting(isConnecting)
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -22,6 +22,9 @@
     ConnectFailed,
 };
 
+/// @return The name used in logs.
+[[nodiscard]] std::string_view nameOf(close_reason reason) noexcept;
+
 /// A connection is closed when its peer has not acknowledged data or keep-alive probes for this time (`TCP_USER_TIMEOUT`).
 /// It is below the shortest deadline of the deployments.
 constexpr milliseconds unresponsivePeerTimeout { 3000 };
