--- a/src/fakes/platform_target.cpp
+++ b/src/fakes/platform_target.cpp
@@ -20,6 +20,17 @@
     return { { "X-Attempt-Id", std::string(id.value_or("")) }, { "X-Response-Seal", "seal-" + m_id } };
 }
 
+std::shared_ptr<http1::tcp_stream> platform_target::startUnframed(http1::exchange& exchange) const
+{
+    const auto headers = responseHeaders(exchange);
+    auto connection = exchange.releaseConnection();
+    connection->write("HTTP/1.1 200 OK\r\n");
+    for (const auto& [name, value] : headers)
+        connection->write(name + ": " + value + "\r\n");
+    connection->write("\r\n");
+    return connection;
+}
+
 void platform_target::handleExchange(std::shared_ptr<http1::exchange> exchange)
 {
     const http1::request_head& head = exchange->head();
--- a/src/fakes/platform_target.hpp
+++ b/src/fakes/platform_target.hpp
@@ -42,6 +42,9 @@
 
     /// @return The header fields of a healthy target's response to a request.
     [[nodiscard]] http1::header_list responseHeaders(const http1::exchange& exchange) const;
+    /// Starts a successful response with neither a length nor chunks; its body ends with the connection.
+    /// @return The connection, which the caller writes the body to and closes or resets.
+    [[nodiscard]] std::shared_ptr<http1::tcp_stream> startUnframed(http1::exchange& exchange) const;
     /// Responds to a batch call with a result for each task.
     void respondToBatchCall(http1::exchange& exchange);
 
--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -25,6 +25,8 @@
     void onResponseComplete();
     /// Resets the connection because the exchange ended without a complete response.
     void abort();
+    /// Hands over the connection; it stays in the phase of a pending response.
+    [[nodiscard]] std::shared_ptr<tcp_stream> release();
 
 private:
     enum class phase {
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -176,6 +176,13 @@
         m_stream->reset();
     }
 
+    std::shared_ptr<tcp_stream> server_connection::release()
+    {
+        m_currentExchange = nullptr;
+        m_stream->setCallbacks({});
+        return m_stream;
+    }
+
     void server_connection::onClosed()
     {
         if (exchange* current = std::exchange(m_currentExchange, nullptr)) {
@@ -267,6 +274,12 @@
     m_connection->abort();
 }
 
+std::shared_ptr<tcp_stream> exchange::releaseConnection()
+{
+    m_isFinished = true;
+    return m_connection->release();
+}
+
 void exchange::closeAfterResponse()
 {
     m_connection->setMustClose();
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -55,6 +55,10 @@
     /// Ends the exchange without a complete response: the connection is reset, so that a truncated response cannot look complete.
     void abort();
 
+    /// Ends the exchange and hands over its connection, for a response that is not built here.
+    /// @return The connection, without callbacks; the server neither reads it nor applies timeouts to it.
+    [[nodiscard]] std::shared_ptr<tcp_stream> releaseConnection();
+
     /// Closes the connection after this response and adds `Connection: close` to it.
     void closeAfterResponse();
 
--- a/tests/unit/http1_test.cpp
+++ b/tests/unit/http1_test.cpp
@@ -353,3 +353,32 @@
     }
     cr_assert_eq(connections, 2u, "the rest of a body would have been read as a request");
 }
+
+Test(http1_client, reset_response_without_length_is_truncated_while_the_request_is_being_sent)
+{
+    std::shared_ptr<tcp_stream> accepted;
+    timer delay;
+    tcp_listener listener(endpointOf(31), [&](std::shared_ptr<tcp_stream> stream) {
+        accepted = std::move(stream);
+        tcp_stream::callbacks callbacks;
+        callbacks.onBytes = [&](std::string_view) {
+            accepted->setReading(false);
+            accepted->write("HTTP/1.1 200 OK\r\n\r\nhalf");
+            delay.startOnce(milliseconds(50), [&] { accepted->reset(); });
+        };
+        accepted->setCallbacks(std::move(callbacks));
+    });
+    client httpClient;
+    call_result result;
+    client_call::callbacks callbacks;
+    callbacks.onBody = [&result](std::string_view bytes) { result.body.append(bytes); };
+    callbacks.onEnd = [&result](call_outcome outcome) {
+        result.outcome = outcome;
+        result.isFinished = true;
+    };
+    const auto call = httpClient.send(endpointOf(31), { "POST", "/x", { { "Host", "a" } }, std::string(16 * 1024 * 1024, 'x') }, {}, std::move(callbacks));
+    runUntil([&] { return result.isFinished; }, "the reset");
+    cr_assert_eq(result.body, "half");
+    cr_assert_eq(result.outcome, call_outcome::Truncated, "the reset was taken for the end of the response");
+    cr_assert(call->trace().unsentBytes > 0);
+}
