A stream that ends inside an event is broken off, whatever delimits it

Cause: the gateway checked for a partial last event only on routes that may be resumed, where it parses events anyway. On other routes it relayed bytes and trusted the framing: if the HTTP client reported the response as complete, the last chunk was sent. A response with neither a length nor chunks ends with its connection, so a target that breaks off and closes in an orderly way looks complete.

Change: the content of each stream decides, on all routes. A stream that ends inside an event takes the path of a truncated response: the target is marked as failed, the crash counts against the request, the stream is resumed where that is allowed, or the caller's connection is reset. Both users of event ends share one definition, which accepts each line ending of server-sent events; before, a resumable stream with CRLF was never relayed. A status of 5xx on a resumed attempt is now logged as target_failed, not half_event.

--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -7,7 +7,20 @@
 namespace bilberryseam::gateway {
 
 namespace {
-    constexpr std::string_view eventEnd = "\n\n";
+    /// An event ends with an empty line; a line ends with a line feed, a carriage return or both.
+    constexpr std::array<std::string_view, 3> eventEnds { "\n\n", "\n\r\n", "\r\r" };
+    constexpr size_t longestEventEnd = std::string_view("\n\r\n").size();
+
+    /// @return Size of the first whole event, or nothing.
+    std::optional<size_t> firstEventSize(std::string_view text) noexcept
+    {
+        std::optional<size_t> size;
+        for (const std::string_view end : eventEnds) {
+            if (const size_t position = text.find(end); position != std::string_view::npos)
+                size = std::min(size.value_or(text.size()), position + end.size());
+        }
+        return size;
+    }
 
     std::optional<uint64_t> numberOf(std::string_view text) noexcept
     {
@@ -23,7 +36,7 @@
     std::optional<std::string_view> idOf(std::string_view event) noexcept
     {
         while (!event.empty()) {
-            const size_t end = std::min(event.find('\n'), event.size());
+            const size_t end = std::min(event.find_first_of("\r\n"), event.size());
             std::string_view line = event.substr(0, end);
             event.remove_prefix(std::min(end + 1, event.size()));
             if (!line.starts_with("id:"))
@@ -31,8 +44,6 @@
             line.remove_prefix(3);
             while (line.starts_with(' '))
                 line.remove_prefix(1);
-            while (line.ends_with('\r'))
-                line.remove_suffix(1);
             return line;
         }
         return std::nullopt;
@@ -41,15 +52,12 @@
 
 void event_boundary::append(std::string_view bytes)
 {
-    // A line ends with a line feed, a carriage return or both; an event ends with an empty line.
-    constexpr size_t longestEventEnd = std::string_view("\n\r\n").size();
     m_lastBytes.append(bytes.substr(bytes.size() - std::min(bytes.size(), longestEventEnd)));
     m_lastBytes.erase(0, m_lastBytes.size() - std::min(m_lastBytes.size(), longestEventEnd));
 }
 
 bool event_boundary::isInsideEvent() const noexcept
 {
-    constexpr std::array<std::string_view, 4> eventEnds { "\n\n", "\n\r\n", "\n\r", "\r\r" };
     return !m_lastBytes.empty() && std::none_of(eventEnds.begin(), eventEnds.end(), [this](std::string_view end) { return m_lastBytes.ends_with(end); });
 }
 
@@ -57,10 +65,10 @@
 {
     m_incompleteEvent.append(bytes);
     for (;;) {
-        const size_t end = m_incompleteEvent.find(eventEnd);
-        if (end == std::string::npos)
+        const auto size = firstEventSize(m_incompleteEvent);
+        if (!size)
             return state::Good;
-        const std::string event = m_incompleteEvent.substr(0, end + eventEnd.size());
+        const std::string event = m_incompleteEvent.substr(0, *size);
         m_incompleteEvent.erase(0, event.size());
         const auto id = detail::idOf(event);
         const auto number = id ? numberOf(*id) : std::nullopt;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -346,12 +346,14 @@
         return;
     }
     const bool isOwnResponse = m_hasHead && m_response.isForRequest && m_response.isSealed && !m_response.isEncoded;
-    if (outcome != http1::call_outcome::Complete || !isOwnResponse) {
-        const bool isCrash = outcome == http1::call_outcome::NoResponse || outcome == http1::call_outcome::Truncated;
+    const bool isCutInside = isBrokenOff(outcome);
+    if (outcome != http1::call_outcome::Complete || !isOwnResponse || isCutInside) {
+        const bool isCrash = isCutInside || outcome == http1::call_outcome::NoResponse || outcome == http1::call_outcome::Truncated;
         policy::recordFailure(target->health, policy::call_failure::Failed, now);
         if (isCrash)
             recordCrash(now);
-        onAttemptFailed(outcome != http1::call_outcome::Complete ? nameOf(outcome) : "not_own_answer", true);
+        const std::string_view reason = isCutInside ? "half_event" : "not_own_answer";
+        onAttemptFailed(outcome != http1::call_outcome::Complete ? nameOf(outcome) : reason, true);
         return;
     }
     const bool isServerFailure = m_response.status >= 500;
@@ -360,9 +362,8 @@
     else
         policy::recordSuccess(target->health, 1, now);
     policy::clearSuspicion(m_context.suspicions, m_request.fingerprint);
-    const bool isIncompleteEvent = isStream() && m_request.route->isResumable && m_response.status == http1::statusOk && !m_events.isAtBoundary();
-    if (isIncompleteEvent || (isServerFailure && m_request.exchange->isStarted())) {
-        onAttemptFailed("half_event", true);
+    if (isServerFailure && m_request.exchange->isStarted()) {
+        onAttemptFailed("target_failed", true);
         return;
     }
     const bool mayRetry = m_request.route->isRetryable() && m_attempts < m_request.route->maxAttempts && !m_request.exchange->isStarted();
@@ -382,6 +383,11 @@
     logLine(log_level::Info, logComponent, "The response of a target ended.", { { "request", m_request.callerRequest.id }, { "target", m_target->listed.id }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(m_hasHead ? m_head.status : 0) }, { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "body_bytes", std::to_string(trace.bodyBytes) }, { "inside_event", m_eventBoundary.isInsideEvent() ? "true" : "false" }, { "unsent_bytes", std::to_string(trace.unsentBytes) } });
 }
 
+bool request_run::isBrokenOff(http1::call_outcome outcome) const noexcept
+{
+    return outcome == http1::call_outcome::Complete && isStream() && m_response.status == http1::statusOk && m_eventBoundary.isInsideEvent();
+}
+
 void request_run::recordCrash(time_point now)
 {
     policy::suspicion suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, false, now);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -90,6 +90,8 @@
     void onAttemptEnded(http1::call_outcome outcome);
     void onAttemptFailed(std::string_view reason, bool mayHaveRun);
     void logResponseEnd(http1::call_outcome outcome);
+    /// @return True if the content shows that the response is incomplete although its framing does not.
+    [[nodiscard]] bool isBrokenOff(http1::call_outcome outcome) const noexcept;
     void recordCrash(time_point now);
     void completeResponse();
     [[nodiscard]] bool isTargetUnresponsive(time_point now) const;
--- a/tests/unit/event_stream_test.cpp
+++ b/tests/unit/event_stream_test.cpp
@@ -33,6 +33,18 @@
         cr_assert(endsInsideEvent(text), "%s", text);
 }
 
+Test(event_stream, events_may_end_with_any_line_ending)
+{
+    for (const std::string event : { "id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n", "id: 1\rdata: a\r\r" }) {
+        gateway::event_stream events;
+        std::string output;
+        cr_assert_eq(events.append(event + "id: 2", output), gateway::event_stream::state::Good);
+        cr_assert_eq(output, event);
+        cr_assert_eq(events.lastId(), "1");
+        cr_assert(!events.isAtBoundary());
+    }
+}
+
 Test(event_boundary, a_new_attempt_starts_between_events)
 {
     gateway::event_boundary boundary;
