A reset during a send is no longer taken for an orderly close

Callers could see a truncated response as complete if its target reset the connection while the gateway was still sending the request, and the response had neither a length nor chunks.

Cause: tcp_stream::flush ignored the error of send(). On Linux a failed send consumes the pending error of the socket; the next read returns the end of the data instead of ECONNRESET, and the connection was reported as closed.

Evidence: http1_client::reset_response_without_length_is_truncated_while_the_request_is_being_sent failed before (outcome Complete).

Change: a stream whose send failed reports its end as a reset.

--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -176,7 +176,7 @@
         return;
     }
     if (count == 0) {
-        closeAndNotify(close_reason::Closed);
+        closeAndNotify(m_hasSendFailed ? close_reason::Reset : close_reason::Closed);
         return;
     }
     if (const auto callback = m_callbacks.onBytes)
@@ -200,8 +200,11 @@
     size_t sentBytes = 0;
     while (sentBytes < m_writeBuffer.size()) {
         const ssize_t count = send(m_descriptor, m_writeBuffer.data() + sentBytes, m_writeBuffer.size() - sentBytes, MSG_NOSIGNAL);
-        if (count <= 0)
-            break; // The next read reports a failure other than a full socket buffer.
+        if (count <= 0) {
+            // A failed send consumes the error of a reset, so the next read reports the end of the data.
+            m_hasSendFailed = m_hasSendFailed || (count < 0 && !isTransientError());
+            break;
+        }
         sentBytes += static_cast<size_t>(count);
         m_hasSent = true;
     }
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -89,6 +89,7 @@
     bool m_isReading = true;
     bool m_isWriteShutdownRequested = false;
     bool m_hasSent = false;
+    bool m_hasSendFailed = false;
     bool m_isConnectFailurePending = false;
     GSource* m_source = nullptr;
     gpointer m_descriptorTag = nullptr;
