The HTTP client does not call a response without length complete

Callers got an empty stream with status 200, framed as complete, if its target sent the head of a response with neither a length nor chunks and closed the connection before the first event.

The client reported Complete for both "its framing says that it is whole" and "its connection was closed", so no reader had to decide.

Change: the second case has an outcome of its own, Unframed, and isReceived() names the readers that accept both. The gateway judges streams by their events: without any event, or inside one, they are broken off. Batch calls and calls to the store accept Unframed since their JSON or record lengths show a truncated body. Plain responses are passed on, as the platform's pages say that they may end with their connection; a reset still makes them a failure.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -329,7 +329,7 @@
         onAttemptFailed("unreachable", false);
         return;
     }
-    if (m_hasHead && m_response.isInputMissing && outcome == http1::call_outcome::Complete) {
+    if (m_hasHead && m_response.isInputMissing && http1::isReceived(outcome)) {
         // The target is healthy, and may be tried again with new results.
         m_context.keepInputsUntil[m_request.service] = now + keepInputsDuration;
         logLine(log_level::Warning, logComponent, "The target could not find a stage result that the request needs.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "was_given_up", m_areInputsReleased ? "true" : "false" } });
@@ -338,7 +338,7 @@
         restartStages("input_gone");
         return;
     }
-    if (m_hasHead && m_response.isNotExecuted && outcome == http1::call_outcome::Complete) {
+    if (m_hasHead && m_response.isNotExecuted && http1::isReceived(outcome)) {
         target->isReplaced = target->isReplaced || m_response.isWrongTarget;
         policy::recordFailure(target->health, policy::call_failure::Full, now);
         --m_attempts;
@@ -347,13 +347,13 @@
     }
     const bool isOwnResponse = m_hasHead && m_response.isForRequest && m_response.isSealed && !m_response.isEncoded;
     const bool isCutInside = isBrokenOff(outcome);
-    if (outcome != http1::call_outcome::Complete || !isOwnResponse || isCutInside) {
+    if (!http1::isReceived(outcome) || !isOwnResponse || isCutInside) {
         const bool isCrash = isCutInside || outcome == http1::call_outcome::NoResponse || outcome == http1::call_outcome::Truncated;
         policy::recordFailure(target->health, policy::call_failure::Failed, now);
         if (isCrash)
             recordCrash(now);
         const std::string_view reason = isCutInside ? "half_event" : "not_own_answer";
-        onAttemptFailed(outcome != http1::call_outcome::Complete ? nameOf(outcome) : reason, true);
+        onAttemptFailed(http1::isReceived(outcome) ? reason : nameOf(outcome), true);
         return;
     }
     const bool isServerFailure = m_response.status >= 500;
@@ -385,7 +385,10 @@
 
 bool request_run::isBrokenOff(http1::call_outcome outcome) const noexcept
 {
-    return outcome == http1::call_outcome::Complete && isStream() && m_response.status == http1::statusOk && m_eventBoundary.isInsideEvent();
+    if (!http1::isReceived(outcome) || !isStream() || m_response.status != http1::statusOk)
+        return false;
+    const bool isWithoutEvents = outcome == http1::call_outcome::Unframed && !m_hasFirstByte;
+    return isWithoutEvents || m_eventBoundary.isInsideEvent();
 }
 
 void request_run::recordCrash(time_point now)
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -249,7 +249,7 @@
     if (target.inFlight == 0)
         target.busyUntil = now;
     m_pools[service].calls.remove(call);
-    const bool hasResponse = outcome == http1::call_outcome::Complete && call->status == http1::statusOk;
+    const bool hasResponse = http1::isReceived(outcome) && call->status == http1::statusOk;
     const auto results = hasResponse ? platform::decodeTaskResults(call->body, call->tasks.size()) : result<std::vector<platform::task_result>>(error());
     scheduleTick();
     if (results) {
@@ -259,8 +259,8 @@
         return;
     }
     target.heldBytes -= call->resultBytes;
-    const bool isFull = outcome == http1::call_outcome::Complete && call->status == http1::statusUnavailable && call->isNotRun;
-    if (outcome == http1::call_outcome::Complete && call->status == http1::statusMisdirected)
+    const bool isFull = http1::isReceived(outcome) && call->status == http1::statusUnavailable && call->isNotRun;
+    if (http1::isReceived(outcome) && call->status == http1::statusMisdirected)
         target.isReplaced = true;
     const auto failure = isFull ? policy::call_failure::Full : outcome == http1::call_outcome::NotSent ? policy::call_failure::Unreachable
                                                                                                        : policy::call_failure::Failed;
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -53,6 +53,8 @@
     switch (outcome) {
     case call_outcome::Complete:
         return "complete";
+    case call_outcome::Unframed:
+        return "unframed";
     case call_outcome::NotSent:
         return "not_sent";
     case call_outcome::NoResponse:
@@ -243,7 +245,7 @@
         m_parserState->parser.put_eof(problem);
         if (!problem && m_parserState->parser.is_done()) {
             deliverBody();
-            finish(call_outcome::Complete);
+            finish(call_outcome::Unframed);
             return;
         }
     }
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -14,8 +14,11 @@
 
 /// How an exchange with a server ended.
 enum class call_outcome {
-    /// The whole response was received.
+    /// The whole response was received, as its length or its last chunk shows.
     Complete,
+    /// The server closed the connection of a response with neither a length nor chunks. Only the content can show whether
+    /// the response is whole.
+    Unframed,
     /// The connection was not established, so the server has not received any part of the request.
     NotSent,
     /// The connection ended before the first byte of a response; the server may have read the request.
@@ -31,6 +34,12 @@
 /// @return The name used in logs and metrics.
 [[nodiscard]] std::string_view nameOf(call_outcome outcome) noexcept;
 
+/// @return True if the response ended without an error on its connection; the caller checks the content if `Unframed`.
+[[nodiscard]] constexpr bool isReceived(call_outcome outcome) noexcept
+{
+    return outcome == call_outcome::Complete || outcome == call_outcome::Unframed;
+}
+
 /// What delimits the body of a response.
 enum class body_framing {
     /// The response has no complete head.
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -22,7 +22,7 @@
 
     std::string describe(http1::call_outcome outcome, unsigned status)
     {
-        return outcome == http1::call_outcome::Complete ? "status " + std::to_string(status) : std::string(nameOf(outcome));
+        return http1::isReceived(outcome) ? "status " + std::to_string(status) : std::string(nameOf(outcome));
     }
 
     /// @return True if the status guarantees that the store did not execute the call.
@@ -33,10 +33,10 @@
 
     append_result decodeAppendResponse(http1::call_outcome outcome, unsigned status, const std::string& body)
     {
-        if (outcome == http1::call_outcome::NotSent || (outcome == http1::call_outcome::Complete && isRefusal(status)))
+        if (outcome == http1::call_outcome::NotSent || (http1::isReceived(outcome) && isRefusal(status)))
             return { append_outcome::Refused, 0, describe(outcome, status) };
         const json document = json::parse(body, nullptr, false);
-        const bool isAppended = outcome == http1::call_outcome::Complete && status == http1::statusOk && document.is_object() && document.contains("offset") && document["offset"].is_number_unsigned();
+        const bool isAppended = http1::isReceived(outcome) && status == http1::statusOk && document.is_object() && document.contains("offset") && document["offset"].is_number_unsigned();
         if (!isAppended)
             return { append_outcome::Unknown, 0, describe(outcome, status) };
         return { append_outcome::Appended, document["offset"].get<uint64_t>(), "" };
@@ -161,9 +161,9 @@
         target.append("&wait_ms=").append(std::to_string(timeouts.longPollWait.count()));
     return send({ "GET", std::move(target), {}, "" }, timeouts.longPollWait + timeouts.timeout,
         [done = std::move(done)](http1::call_outcome outcome, unsigned status, const std::string& body) {
-            if (outcome == http1::call_outcome::Complete && status == http1::statusOk)
+            if (http1::isReceived(outcome) && status == http1::statusOk)
                 done(detail::decodeReadResponse(body));
-            else if (outcome == http1::call_outcome::Complete && status == http1::statusGone)
+            else if (http1::isReceived(outcome) && status == http1::statusGone)
                 done(decodeExpiredResponse(body));
             else
                 done({ read_outcome::Failed, 0, 0, {}, describe(outcome, status) });
@@ -181,7 +181,7 @@
     return send({ "GET", std::move(target), {}, "" }, timeout, [done = std::move(done)](http1::call_outcome outcome, unsigned status, const std::string& body) {
         newest_page failed;
         failed.detail = describe(outcome, status);
-        done(outcome == http1::call_outcome::Complete && status == http1::statusOk ? detail::decodeNewestResponse(body) : failed);
+        done(http1::isReceived(outcome) && status == http1::statusOk ? detail::decodeNewestResponse(body) : failed);
     });
 }
 }
--- a/tests/unit/http1_test.cpp
+++ b/tests/unit/http1_test.cpp
@@ -262,7 +262,7 @@
     });
     client httpClient;
     const call_result response = sendAndWait(httpClient, 23);
-    cr_assert_eq(response.outcome, call_outcome::Complete);
+    cr_assert_eq(response.outcome, call_outcome::Unframed);
     cr_assert_eq(response.body, "to the end");
 }
 
