A partial read of a topic does not count as up to date

A read returns at most 1 MiB, and a response without a length may end with its connection after any record; the follower counted each successful read as "everything that the store had acknowledged when it was sent". The configuration and the keys could count as confirmed while newer records were unread.

Change: the follower compares its offset with the end of the topic that each response states. A read that stops before it leaves the time of the last confirmation as it was, and the next read follows at once.

Evidence: topic_follower::a_truncated_read_does_not_count_as_up_to_date (the stand-in of the store answers a read without a length and closes after the first of two records) failed before.

--- a/src/fakes/platform_store.cpp
+++ b/src/fakes/platform_store.cpp
@@ -214,6 +214,15 @@
         if (!records.empty() && records.size() + record.size() > maxBytes)
             break;
         records += bigEndian(record.size(), lengthBytes) + record;
+        if (m_faults.truncatedReads > 0)
+            break;
+    }
+    if (m_faults.truncatedReads > 0) {
+        --m_faults.truncatedReads;
+        const auto connection = exchange->releaseConnection();
+        connection->write("HTTP/1.1 200 OK\r\n\r\n" + head + records);
+        connection->finishWriting();
+        return;
     }
     respond(std::move(exchange), 200, head + records);
 }
--- a/src/fakes/platform_store.hpp
+++ b/src/fakes/platform_store.hpp
@@ -24,6 +24,8 @@
     milliseconds delay { 0 };
     /// Number of appends that are executed and then closed without a response.
     uint32_t lostAppendResponses = 0;
+    /// Number of reads that get a response without a length, which ends with its connection after the first record.
+    uint32_t truncatedReads = 0;
     /// Number of appends that are refused with status 503.
     uint32_t refusedAppends = 0;
 };
--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -107,7 +107,8 @@
     }
     m_offset = m_snapshotOffset;
     m_consecutiveFailures = 0;
-    m_callbacks.onReadSuccess(m_sentAt);
+    m_freshAsOf = m_sentAt;
+    m_callbacks.onReadSuccess(m_freshAsOf);
     m_callbacks.onSnapshot(std::exchange(m_snapshot, {}));
     scheduleRead(m_options.pause);
 }
@@ -142,13 +143,17 @@
     }
     m_consecutiveFailures = 0;
     *m_offset += result.records.size();
-    m_callbacks.onReadSuccess(detail::freshAsOf(m_sentAt, monotonicNow(), longPollWait, result.records.empty()));
+    // A read may return only the first of the records up to the end of the topic.
+    const bool hasAllRecords = *m_offset >= result.nextOffset;
+    if (hasAllRecords)
+        m_freshAsOf = detail::freshAsOf(m_sentAt, monotonicNow(), longPollWait, result.records.empty());
+    m_callbacks.onReadSuccess(m_freshAsOf);
     for (const std::string& record : result.records) {
         // Unreadable records are skipped; the offset above includes them.
         if (const keyed_record keyed = detail::decodeKeyedRecord(record); !keyed.key.empty())
             m_callbacks.onRecord(keyed);
     }
-    scheduleRead(m_options.pause);
+    scheduleRead(hasAllRecords || result.records.empty() ? m_options.pause : milliseconds(0));
 }
 
 void topic_follower::handleFailure(std::string_view reason)
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -65,6 +65,7 @@
     std::map<std::string, std::string> m_snapshot;
     std::optional<uint64_t> m_snapshotOffset;
     time_point m_sentAt {};
+    time_point m_freshAsOf {};
     unsigned m_consecutiveFailures = 0;
     store_call m_call;
     timer m_timer;
