A side does not pass on a truncated response without length

Callers of the product's own interface could get a truncated result of a pool or a plain service as its answer: the rest of a JSON text became a string and the call counted as answered.

Streams of engines were not affected, since they need their end marker.

Change: http_response states that a response is unframed; such a response of a pool or a plain service must be whole JSON, as docs/PLATFORM.md asks of targets. If it is not, the call ends like any interrupted one: it is retried if it may be, else its outcome is unknown. Checked and left: probes use the status only; reports of engines, replayed requests and calls to the store parse JSON; frames between our processes carry their length; the readers of streams in the log compare offsets.

Evidence: target_call::truncated_json_without_length_is_not_a_response failed before (answered).

--- a/src/loop/http.cpp
+++ b/src/loop/http.cpp
@@ -65,6 +65,7 @@
                 return;
             }
             self->m_response.status = soup_message_get_status(self->m_message.get());
+            self->m_response.isUnframed = soup_message_headers_get_encoding(soup_message_get_response_headers(self->m_message.get())) == SOUP_ENCODING_EOF;
             self->readMore();
         }
 
--- a/src/loop/http.hpp
+++ b/src/loop/http.hpp
@@ -28,6 +28,8 @@
 struct http_response {
     exchange_outcome outcome = exchange_outcome::NoResponse;
     unsigned status = 0;
+    /// The response has neither a length nor chunks, so only its content can show whether it is whole.
+    bool isUnframed = false;
     std::string body;
     std::string detail;
 
--- a/src/side/target_call.cpp
+++ b/src/side/target_call.cpp
@@ -89,8 +89,10 @@
 
 call_result target_call::resultOf(const http_response& reply) const
 {
+    if (reply.outcome == exchange_outcome::NotSent)
+        return { true, wire::call_end::Unknown, "", reply.detail };
     if (reply.outcome != exchange_outcome::Complete)
-        return interruptedResult(reply);
+        return interruptedResult(reply.detail);
     if (!reply.isOk()) {
         // A service that is not retryable may have executed the call before it failed with a 5xx; with a 4xx it refused
         // the call.
@@ -100,14 +102,14 @@
     // A stream without its end marker is incomplete, even if the connection was closed cleanly.
     if (m_isEngine && !m_isStreamComplete)
         return { false, wire::call_end::TargetCrashed, "", "The stream ended early." };
+    if (!m_isEngine && reply.isUnframed && !json::accept(reply.body))
+        return interruptedResult("The response without a length ended inside its JSON.");
     return { false, wire::call_end::Answered, m_isEngine ? m_usage : reply.body, "" };
 }
 
-call_result target_call::interruptedResult(const http_response& reply) const
+call_result target_call::interruptedResult(std::string detail) const
 {
-    if (reply.outcome == exchange_outcome::NotSent)
-        return { true, wire::call_end::Unknown, "", reply.detail };
-    return { false, m_isRetryable ? wire::call_end::TargetCrashed : wire::call_end::Unknown, "", reply.detail };
+    return { false, m_isRetryable ? wire::call_end::TargetCrashed : wire::call_end::Unknown, "", std::move(detail) };
 }
 
 void target_call::end(call_result result)
--- a/src/side/target_call.hpp
+++ b/src/side/target_call.hpp
@@ -42,7 +42,7 @@
     bool handleLine(std::string_view line);
     void finish(const http_response& reply);
     call_result resultOf(const http_response& reply) const;
-    call_result interruptedResult(const http_response& reply) const;
+    call_result interruptedResult(std::string detail) const;
     void watchInactivity();
     void end(call_result result);
 
