soak: streams without length, whole and broken off inside an event

Change: a quarter of the streams has neither a length nor chunks and ends with an orderly close; faulty ones end inside an event or before the first.

--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -45,10 +45,10 @@
     return "id: " + std::to_string(number) + "\ndata: " + id + "-" + std::to_string(number) + "\n\n";
 }
 
-std::string streamText(const std::string& id)
+std::string streamText(const std::string& id, int firstNumber = 1)
 {
     std::string text;
-    for (int i = 1; i <= eventsPerStream; ++i)
+    for (int i = firstNumber; i <= eventsPerStream; ++i)
         text += eventText(id, i);
     return text;
 }
@@ -159,18 +159,39 @@
             return;
         }
         ++m_runs[id];
+        const bool isStream = target.service == "model";
+        const std::string lastId = header("Last-Event-Id");
+        const int firstNumber = lastId.empty() ? 1 : std::stoi(lastId) + 1;
+        const bool isUnframed = isStream && firstNumber <= eventsPerStream && randomBelow(4) == 0;
+        if (isUnframed) {
+            respondUnframed(target, *exchange, streamText(id, firstNumber), isFaulty);
+            return;
+        }
         if (isFaulty) {
             injectResponseFault(target, std::move(exchange));
             return;
         }
-        const bool isStream = target.service == "model";
         if (!isStream) {
             exchange->respond(200, target.target->responseHeaders(*exchange), id);
             return;
         }
         exchange->startChunked(200, target.target->responseHeaders(*exchange));
-        const std::string from = header("Last-Event-Id");
-        sendEvents(std::move(exchange), id, from.empty() ? 1 : std::stoi(from) + 1);
+        sendEvents(std::move(exchange), id, firstNumber);
+    }
+
+    /// Responds without length or chunks and closes the connection in an orderly way; a faulty response ends inside an event
+    /// or before the first. The events are written at once, so that a link that closes cannot end them between two events.
+    void respondUnframed(const soak_target& target, http1::exchange& exchange, std::string events, bool isFaulty)
+    {
+        if (isFaulty) {
+            size_t size = randomBelow(static_cast<unsigned>(events.size()));
+            if (size > 0 && events.substr(0, size).ends_with("\n\n"))
+                --size;
+            events.resize(size);
+        }
+        const auto connection = target.target->startUnframed(exchange);
+        connection->write(events);
+        connection->finishWriting();
     }
 
     void sendEvents(std::shared_ptr<http1::exchange> exchange, const std::string& id, int number)
