--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -100,6 +100,7 @@
     [[nodiscard]] size_t requestCount() const { return m_requests.size(); }
     [[nodiscard]] size_t completeCount() const { return m_completeCount; }
     [[nodiscard]] size_t faultCount() const { return m_faultCount; }
+    [[nodiscard]] size_t truncatedCount() const { return m_truncatedCount; }
 
 private:
     struct soak_target {
@@ -163,8 +164,9 @@
         const std::string lastId = header("Last-Event-Id");
         const int firstNumber = lastId.empty() ? 1 : std::stoi(lastId) + 1;
         const bool isUnframed = isStream && firstNumber <= eventsPerStream && randomBelow(4) == 0;
+        const bool isTruncated = isUnframed && (isFaulty || randomBelow(100) < m_truncatedPercent);
         if (isUnframed) {
-            respondUnframed(target, *exchange, streamText(id, firstNumber), isFaulty);
+            respondUnframed(target, *exchange, streamText(id, firstNumber), isTruncated);
             return;
         }
         if (isFaulty) {
@@ -179,11 +181,12 @@
         sendEvents(std::move(exchange), id, firstNumber);
     }
 
-    /// Responds without length or chunks and closes the connection in an orderly way; a faulty response ends inside an event
+    /// Responds without length or chunks and closes the connection in an orderly way; a truncated response ends inside an event
     /// or before the first. The events are written at once, so that a link that closes cannot end them between two events.
-    void respondUnframed(const soak_target& target, http1::exchange& exchange, std::string events, bool isFaulty)
+    void respondUnframed(const soak_target& target, http1::exchange& exchange, std::string events, bool isTruncated)
     {
-        if (isFaulty) {
+        if (isTruncated) {
+            ++m_truncatedCount;
             size_t size = randomBelow(static_cast<unsigned>(events.size()));
             if (size > 0 && events.substr(0, size).ends_with("\n\n"))
                 --size;
@@ -262,7 +265,7 @@
     {
         ++m_faultCount;
         const milliseconds duration(200 + randomBelow(1800));
-        switch (randomBelow(10)) {
+        switch (randomBelow(11)) {
         case 0:
             stopGateway(SIGKILL, duration);
             break;
@@ -289,6 +292,10 @@
         case 8:
             injectLinkFault(duration);
             break;
+        case 9:
+            m_truncatedPercent = 20 + randomBelow(60);
+            scheduleUndo(duration, [this] { m_truncatedPercent = 0; });
+            break;
         default: {
             const size_t index = randomBelow(static_cast<unsigned>(m_targets.size()));
             m_targets[index].faultPercent = 20 + randomBelow(60);
@@ -398,6 +405,7 @@
         restoreStore();
         for (auto& link : m_links)
             link->applySwitches({ { "down", false }, { "cutAfterBlocks", 0 } });
+        m_truncatedPercent = 0;
         for (auto& target : m_targets) {
             target.faultPercent = 0;
             if (target.isLeaving)
@@ -468,6 +476,9 @@
     time_point m_storeHealthySince = monotonicNow();
     size_t m_completeCount = 0;
     size_t m_faultCount = 0;
+    /// Probability that a target truncates a stream without length, in percent.
+    unsigned m_truncatedPercent = 0;
+    size_t m_truncatedCount = 0;
 };
 
 std::vector<unsigned> selectedSeeds()
@@ -504,5 +515,5 @@
     const milliseconds duration(1000 * (seconds ? std::stoi(seconds) : 8));
     soak run(*seed, duration, firstSlot + static_cast<int>(*seed % slotCount));
     run.run();
-    std::fprintf(stderr, "soak: seed %u, %zu faults, %zu requests, %zu complete responses\n", *seed, run.faultCount(), run.requestCount(), run.completeCount());
+    std::fprintf(stderr, "soak: seed %u, %zu faults, %zu requests, %zu complete responses, %zu truncated streams\n", *seed, run.faultCount(), run.requestCount(), run.completeCount(), run.truncatedCount());
 }
