event_stream alone knows where events end

Change: event_stream tracks the end of the stream for both kinds of route (append splits, observe only looks); the function that judges a stream is named isStreamTruncated. No change of behaviour.

--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -50,19 +50,26 @@
     }
 }
 
-void event_boundary::append(std::string_view bytes)
+void event_stream::observe(std::string_view bytes)
 {
     m_lastBytes.append(bytes.substr(bytes.size() - std::min(bytes.size(), longestEventEnd)));
     m_lastBytes.erase(0, m_lastBytes.size() - std::min(m_lastBytes.size(), longestEventEnd));
 }
 
-bool event_boundary::isInsideEvent() const noexcept
+void event_stream::restart() noexcept
 {
-    return !m_lastBytes.empty() && std::none_of(eventEnds.begin(), eventEnds.end(), [this](std::string_view end) { return m_lastBytes.ends_with(end); });
+    m_incompleteEvent.clear();
+    m_lastBytes.clear();
+}
+
+bool event_stream::isAtBoundary() const noexcept
+{
+    return m_lastBytes.empty() || std::any_of(eventEnds.begin(), eventEnds.end(), [this](std::string_view end) { return m_lastBytes.ends_with(end); });
 }
 
 event_stream::state event_stream::append(std::string_view bytes, std::string& out)
 {
+    observe(bytes);
     m_incompleteEvent.append(bytes);
     for (;;) {
         const auto size = firstEventSize(m_incompleteEvent);
--- a/src/gateway/event_stream.hpp
+++ b/src/gateway/event_stream.hpp
@@ -8,7 +8,7 @@
 
 namespace bilberryseam::gateway {
 
-/// Passes on whole events only, each once and in order.
+/// Knows whether a stream ends inside an event, and can pass on whole events only, each once and in order.
 class event_stream {
 public:
     /// Result of adding a block of bytes.
@@ -21,11 +21,14 @@
     /// Adds bytes of a target's response; appends whole new events to `out`.
     [[nodiscard]] state append(std::string_view bytes, std::string& out);
 
+    /// Records where events end in bytes that are passed on unchanged.
+    void observe(std::string_view bytes);
+
     /// Prepares for the response of a new attempt; discards an incomplete event of the previous one.
-    void restart() noexcept { m_incompleteEvent.clear(); }
+    void restart() noexcept;
 
-    /// @return True if no incomplete event is buffered.
-    [[nodiscard]] bool isAtBoundary() const noexcept { return m_incompleteEvent.empty(); }
+    /// @return True if the bytes of this attempt so far do not end inside an event.
+    [[nodiscard]] bool isAtBoundary() const noexcept;
 
     /// @return Identifier of the last event that was passed on, or an empty text.
     [[nodiscard]] const std::string& lastId() const noexcept { return m_lastId; }
@@ -35,23 +38,9 @@
 
 private:
     std::string m_incompleteEvent;
-    std::string m_lastId;
-};
-
-/// Tracks whether a stream of server-sent events ends between two events or inside one, without changing its bytes.
-class event_boundary {
-public:
-    void append(std::string_view bytes);
-
-    /// Prepares for the response of a new attempt.
-    void restart() noexcept { m_lastBytes.clear(); }
-
-    /// @return True if the bytes so far end inside an event.
-    [[nodiscard]] bool isInsideEvent() const noexcept;
-
-private:
-    /// The end of the stream, as long as the longest end of an event.
+    /// The last bytes of this attempt, as many as the longest end of an event has.
     std::string m_lastBytes;
+    std::string m_lastId;
 };
 
 namespace detail {
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -210,7 +210,6 @@
     m_hasHead = false;
     m_hasFirstByte = false;
     m_events.restart();
-    m_eventBoundary.restart();
     m_buffer.clear();
     ++m_sends;
     ++m_attempts;
@@ -260,8 +259,8 @@
             startRelay();
         return;
     }
-    m_eventBoundary.append(bytes);
     if (!m_request.route->isResumable) {
+        m_events.observe(bytes);
         startRelay();
         relay(bytes);
         return;
@@ -346,13 +345,13 @@
         return;
     }
     const bool isOwnResponse = m_hasHead && m_response.isForRequest && m_response.isSealed && !m_response.isEncoded;
-    const bool isCutInside = isBrokenOff(outcome);
-    if (!http1::isReceived(outcome) || !isOwnResponse || isCutInside) {
-        const bool isCrash = isCutInside || outcome == http1::call_outcome::NoResponse || outcome == http1::call_outcome::Truncated;
+    const bool isTruncatedStream = isStreamTruncated(outcome);
+    if (!http1::isReceived(outcome) || !isOwnResponse || isTruncatedStream) {
+        const bool isCrash = isTruncatedStream || outcome == http1::call_outcome::NoResponse || outcome == http1::call_outcome::Truncated;
         policy::recordFailure(target->health, policy::call_failure::Failed, now);
         if (isCrash)
             recordCrash(now);
-        const std::string_view reason = isCutInside ? "half_event" : "not_own_answer";
+        const std::string_view reason = isTruncatedStream ? "half_event" : "not_own_answer";
         onAttemptFailed(http1::isReceived(outcome) ? reason : nameOf(outcome), true);
         return;
     }
@@ -380,15 +379,15 @@
     const http1::response_trace& trace = m_call->trace();
     const std::string_view connection = trace.connectionEnd ? nameOf(*trace.connectionEnd) : "open";
     m_context.counters.count("responses_total", { { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "end", std::string(nameOf(outcome)) } });
-    logLine(log_level::Info, logComponent, "The response of a target ended.", { { "request", m_request.callerRequest.id }, { "target", m_target->listed.id }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(m_hasHead ? m_head.status : 0) }, { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "body_bytes", std::to_string(trace.bodyBytes) }, { "inside_event", m_eventBoundary.isInsideEvent() ? "true" : "false" }, { "unsent_bytes", std::to_string(trace.unsentBytes) } });
+    logLine(log_level::Info, logComponent, "The response of a target ended.", { { "request", m_request.callerRequest.id }, { "target", m_target->listed.id }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(m_hasHead ? m_head.status : 0) }, { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "body_bytes", std::to_string(trace.bodyBytes) }, { "inside_event", m_events.isAtBoundary() ? "false" : "true" }, { "unsent_bytes", std::to_string(trace.unsentBytes) } });
 }
 
-bool request_run::isBrokenOff(http1::call_outcome outcome) const noexcept
+bool request_run::isStreamTruncated(http1::call_outcome outcome) const noexcept
 {
     if (!http1::isReceived(outcome) || !isStream() || m_response.status != http1::statusOk)
         return false;
     const bool isWithoutEvents = outcome == http1::call_outcome::Unframed && !m_hasFirstByte;
-    return isWithoutEvents || m_eventBoundary.isInsideEvent();
+    return isWithoutEvents || !m_events.isAtBoundary();
 }
 
 void request_run::recordCrash(time_point now)
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -90,8 +90,8 @@
     void onAttemptEnded(http1::call_outcome outcome);
     void onAttemptFailed(std::string_view reason, bool mayHaveRun);
     void logResponseEnd(http1::call_outcome outcome);
-    /// @return True if the content shows that the response is incomplete although its framing does not.
-    [[nodiscard]] bool isBrokenOff(http1::call_outcome outcome) const noexcept;
+    /// @return True if the content of a stream shows that it is incomplete, although its framing does not.
+    [[nodiscard]] bool isStreamTruncated(http1::call_outcome outcome) const noexcept;
     void recordCrash(time_point now);
     void completeResponse();
     [[nodiscard]] bool isTargetUnresponsive(time_point now) const;
@@ -138,7 +138,6 @@
 
     std::string m_buffer;
     event_stream m_events;
-    event_boundary m_eventBoundary;
     int m_attempts = 0;
     int m_sends = 0;
     bool m_mayHaveRun = false;
