--- a/tests/process/gateway_truncated_response_test.cpp
+++ b/tests/process/gateway_truncated_response_test.cpp
@@ -110,6 +110,16 @@
     cr_assert_eq(stream->body, firstEvent);
 }
 
+Test(gateway_truncated_response, a_request_whose_streams_are_truncated_repeatedly_is_refused)
+{
+    truncation_test test(149, "streaming");
+    test.respondUnframed(partialEvent);
+    cr_assert_eq(test.run()->outcome, http1::call_outcome::Truncated);
+    cr_assert_eq(test.deployment.sendAndWait("POST", "/m/1")->outcome, http1::call_outcome::Truncated);
+    cr_assert_eq(test.deployment.sendAndWait("POST", "/m/1")->head.status, 503);
+    cr_assert_eq(test.target.requests().size(), 2u);
+}
+
 Test(gateway_truncated_response, a_whole_stream_without_length_is_complete)
 {
     truncation_test test(144, "streaming");
--- a/tests/unit/target_call_test.cpp
+++ b/tests/unit/target_call_test.cpp
@@ -50,6 +50,13 @@
     cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1541 }, response, false).end, wire::call_end::Unknown);
 }
 
+Test(target_call, response_shorter_than_its_framing_is_not_a_response)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1543 }, head + "Content-Length: 100\r\n\r\n{}", false).end, wire::call_end::Unknown);
+    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1544 }, head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", false).end, wire::call_end::Unknown);
+}
+
 Test(target_call, whole_json_without_length_is_a_response)
 {
     const auto result = callTargetThatSends({ "127.0.0.1", 1542 }, "HTTP/1.1 200 OK\r\n\r\n{\"rows\": [1, 2]}", false);
