A response shorter than its stated length is truncated for libsoup's users too

Callers of the product's own interface could get a truncated result of a service whose calls may run only once.

Cause: libsoup accepts a body shorter than its Content-Length if the connection is not kept ("Connection: close", which such calls send), and a chunked body whose connection ends between two chunks.

Change: the client on libsoup compares the received bytes with the stated length and reports Truncated; for that it no longer asks for encoded bodies. A side accepts a response that states no length from a pool or a plain service only if it is whole JSON, chunked or not.

Evidence: target_call::response_shorter_than_its_length_is_not_a_response and ..::truncated_json_without_its_last_chunk_is_not_a_response failed before (answered).

--- a/src/loop/http.cpp
+++ b/src/loop/http.cpp
@@ -65,10 +65,19 @@
                 return;
             }
             self->m_response.status = soup_message_get_status(self->m_message.get());
-            self->m_response.isUnframed = soup_message_headers_get_encoding(soup_message_get_response_headers(self->m_message.get())) == SOUP_ENCODING_EOF;
+            self->readStatedLength();
             self->readMore();
         }
 
+        void readStatedLength()
+        {
+            SoupMessageHeaders* headers = soup_message_get_response_headers(m_message.get());
+            const bool isBodyless = m_response.status == SOUP_STATUS_NO_CONTENT;
+            m_response.hasStatedLength = isBodyless || soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH;
+            if (m_response.hasStatedLength && !isBodyless)
+                m_statedLength = static_cast<size_t>(soup_message_headers_get_content_length(headers));
+        }
+
         void readMore()
         {
             auto* reference = new std::shared_ptr<exchange>(shared_from_this());
@@ -85,7 +94,7 @@
                 return;
             }
             if (count == 0) {
-                self->finish(exchange_outcome::Complete);
+                self->finishBody();
                 return;
             }
             if (self->handleBlock(static_cast<size_t>(count)))
@@ -110,6 +119,17 @@
             return static_cast<bool>(m_onEnd);
         }
 
+        void finishBody()
+        {
+            // libsoup accepts a shorter body if the connection is closed after the response.
+            if (m_receivedBytes >= m_statedLength) {
+                finish(exchange_outcome::Complete);
+                return;
+            }
+            m_response.detail = "The connection ended before the stated length of the response.";
+            finish(exchange_outcome::Truncated);
+        }
+
         void fail(GError* failure, exchange_outcome outcome)
         {
             const bool isCancelled = g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_CANCELLED);
@@ -135,6 +155,7 @@
         http_response m_response;
         size_t m_maxResponseBytes;
         size_t m_receivedBytes = 0;
+        size_t m_statedLength = 0;
         timer m_timeout;
         bool m_isTimedOut = false;
         bool m_wroteHeaders = false;
@@ -166,6 +187,8 @@
 {
     // Peers have IP addresses and are reached directly: no proxy resolver.
     soup_session_set_proxy_resolver(m_session.get(), nullptr);
+    // The stated length of a response is that of the encoded body.
+    soup_session_remove_feature_by_type(m_session.get(), SOUP_TYPE_CONTENT_DECODER);
 }
 
 std::shared_ptr<void> http_client::send(const http_request& request, on_end onEnd, on_chunk onChunk)
--- a/src/loop/http.hpp
+++ b/src/loop/http.hpp
@@ -28,8 +28,9 @@
 struct http_response {
     exchange_outcome outcome = exchange_outcome::NoResponse;
     unsigned status = 0;
-    /// The response has neither a length nor chunks, so only its content can show whether it is whole.
-    bool isUnframed = false;
+    /// The response states its length, and a shorter body is `Truncated`. Otherwise only the content can show whether the
+    /// response is whole: libsoup also reports a chunked one as complete if the connection ends between two chunks.
+    bool hasStatedLength = false;
     std::string body;
     std::string detail;
 
--- a/src/side/target_call.cpp
+++ b/src/side/target_call.cpp
@@ -102,8 +102,8 @@
     // A stream without its end marker is incomplete, even if the connection was closed cleanly.
     if (m_isEngine && !m_isStreamComplete)
         return { false, wire::call_end::TargetCrashed, "", "The stream ended early." };
-    if (!m_isEngine && reply.isUnframed && !json::accept(reply.body))
-        return interruptedResult("The response without a length ended inside its JSON.");
+    if (!m_isEngine && !reply.hasStatedLength && !json::accept(reply.body))
+        return interruptedResult("The response states no length and is not whole JSON.");
     return { false, wire::call_end::Answered, m_isEngine ? m_usage : reply.body, "" };
 }
 
