soak: seeds and stream texts in headers of their own

Change: the selection of seeds and the texts of streams move to headers; no change of what the soak does.

--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -2,6 +2,8 @@
 /// BILBERRYSEAM_SOAK_SEEDS ("1,2,3" or "100-150") and BILBERRYSEAM_SOAK_SECONDS select seeds and duration;
 /// BILBERRYSEAM_SOAK_LOGS names a directory for the gateway logs of a failed run.
 #include "fakes/fake_link.hpp"
+#include "soak/seeds.hpp"
+#include "soak/stream_text.hpp"
 #include "support/deployment_fixture.hpp"
 
 #include <criterion/criterion.h>
@@ -12,7 +14,6 @@
 #include <map>
 #include <random>
 #include <set>
-#include <sstream>
 
 using namespace bilberryseam;
 using namespace bilberryseam::tests;
@@ -20,7 +21,6 @@
 
 namespace {
 constexpr size_t gatewayCount = 3;
-constexpr int eventsPerStream = 6;
 
 /// Time after which a leaving target must not get new requests, and time in which service must be restored after the
 /// last fault.
@@ -40,19 +40,6 @@
     caller_ptr caller;
 };
 
-std::string eventText(const std::string& id, int number)
-{
-    return "id: " + std::to_string(number) + "\ndata: " + id + "-" + std::to_string(number) + "\n\n";
-}
-
-std::string streamText(const std::string& id, int firstNumber = 1)
-{
-    std::string text;
-    for (int i = firstNumber; i <= eventsPerStream; ++i)
-        text += eventText(id, i);
-    return text;
-}
-
 /// A deployment with random faults for a limited time.
 class soak {
 public:
@@ -187,10 +174,7 @@
     {
         if (isTruncated) {
             ++m_truncatedCount;
-            size_t size = randomBelow(static_cast<unsigned>(events.size()));
-            if (size > 0 && events.substr(0, size).ends_with("\n\n"))
-                --size;
-            events.resize(size);
+            events.resize(sizeInsideEvent(events, randomBelow(static_cast<unsigned>(events.size()))));
         }
         const auto connection = target.target->startUnframed(exchange);
         connection->write(events);
@@ -480,24 +464,6 @@
     unsigned m_truncatedPercent = 0;
     size_t m_truncatedCount = 0;
 };
-
-std::vector<unsigned> selectedSeeds()
-{
-    // Seeds that have failed are added here; docs/PROOFS.md describes their causes.
-    const char* text = std::getenv("BILBERRYSEAM_SOAK_SEEDS");
-    if (!text)
-        return { 1, 2 };
-    std::vector<unsigned> seeds;
-    std::istringstream ranges(text);
-    for (std::string item; std::getline(ranges, item, ',');) {
-        const size_t dashPosition = item.find('-');
-        const unsigned first = static_cast<unsigned>(std::stoul(item));
-        const unsigned last = dashPosition == std::string::npos ? first : static_cast<unsigned>(std::stoul(item.substr(dashPosition + 1)));
-        for (unsigned seed = first; seed <= last; ++seed)
-            seeds.push_back(seed);
-    }
-    return seeds;
-}
 }
 
 // Each seed runs in its own process with its own ports.
