--- a/tests/process/gateway_truncated_response_test.cpp
+++ b/tests/process/gateway_truncated_response_test.cpp
@@ -110,6 +110,16 @@
     cr_assert_eq(stream->body, firstEvent);
 }
 
+Test(gateway_truncated_response, the_log_and_the_metrics_show_how_a_response_ended)
+{
+    truncation_test test(150, "streaming");
+    test.respondUnframed(firstEvent + partialEvent);
+    test.run();
+    const std::string line = R"("end":"unframed","status":"200","framing":"connection","connection":"closed","body_bytes":"32","inside_event":"true","unsent_bytes":"0")";
+    test.deployment.waitUntil([&] { return test.deployment.logOf(0).find(line) != std::string::npos; }, "the log line about the end of the response");
+    cr_assert_neq(test.deployment.metricsOf(0).find(R"(bilberryseam_responses_total{connection="closed",end="unframed",framing="connection"} 1)"), std::string::npos);
+}
+
 Test(gateway_truncated_response, a_request_whose_streams_are_truncated_repeatedly_is_refused)
 {
     truncation_test test(149, "streaming");
--- a/tests/unit/http1_test.cpp
+++ b/tests/unit/http1_test.cpp
@@ -287,6 +287,16 @@
     cr_assert_eq(sendAndWait(httpClient, 25).outcome, call_outcome::Truncated);
 }
 
+Test(http1_client, chunked_response_without_its_last_chunk_is_truncated)
+{
+    raw_server testServer(32, [](tcp_stream& stream, size_t) {
+        stream.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+        stream.finishWriting();
+    });
+    client httpClient;
+    cr_assert_eq(sendAndWait(httpClient, 32).outcome, call_outcome::Truncated);
+}
+
 Test(http1_client, invalid_response_is_malformed)
 {
     raw_server testServer(26, [](tcp_stream& stream, size_t) { stream.write("\x16\x03\x01 nonsense\r\n\r\n"); });
