--- a/tests/unit/target_call_test.cpp
+++ b/tests/unit/target_call_test.cpp
@@ -64,6 +64,13 @@
     cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1546 }, response, false).end, wire::call_end::Unknown);
 }
 
+Test(target_call, response_without_its_last_chunk_is_not_a_response)
+{
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n";
+    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1549 }, response, true).end, wire::call_end::TargetCrashed);
+    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1550 }, response, false).end, wire::call_end::Unknown);
+}
+
 Test(target_call, response_without_a_body_is_a_response)
 {
     cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1547 }, "HTTP/1.1 204 No Content\r\n\r\n", false).end, wire::call_end::Answered);
