Log the prompt segments of a request that may have crashed its target

Cause for the change: the collected output names no prompt segments, so requests that crash targets through a shared segment (hypothesis 1) cannot be told from one request that is counted wrongly over the gateways (hypothesis 2). Change: a line for each suspected crash with fingerprint, strikes, hashes of the shared segments, time since the first event and other calls in flight there, and the counter crash_strikes_total. No decision reads them. Measured: the tests of gateway_truncated_response pass, with one for the line.

--- a/src/base/hash.hpp
+++ b/src/base/hash.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <cstdio>
+#include <string>
 #include <string_view>
 #include <xxhash.h>
 
@@ -19,4 +21,12 @@
     const uint64_t values[2] { left, right };
     return hashOf({ reinterpret_cast<const char*>(values), sizeof values });
 }
+
+/// @return The hash as 16 hexadecimal digits, for logs and keys.
+[[nodiscard]] inline std::string textOfHash(uint64_t hash)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(hash));
+    return text;
+}
 }
--- a/src/deployment/caller_request.hpp
+++ b/src/deployment/caller_request.hpp
@@ -1,6 +1,7 @@
 /// A caller's request, decoded from its header fields.
 #pragma once
 
+#include "base/hash.hpp"
 #include "base/time.hpp"
 
 #include <cstdint>
@@ -34,6 +35,15 @@
     }
 };
 
+/// @return The hash of each prompt segment that other requests may share, in prompt order.
+[[nodiscard]] inline std::vector<uint64_t> sharedSegmentHashes(const generation_request& prompt)
+{
+    std::vector<uint64_t> hashes;
+    for (size_t i = 0; i + 1 < prompt.segments.size(); ++i)
+        hashes.push_back(hashOf(prompt.segments[i].id));
+    return hashes;
+}
+
 /// A caller's request, without its body.
 struct caller_request {
     /// Identifies this attempt of the caller.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -244,7 +244,8 @@
     m_lastByteAt = monotonicNow();
     if (!m_hasFirstByte) {
         m_hasFirstByte = true;
-        const time_point now = monotonicNow();
+        const time_point now = m_lastByteAt;
+        m_firstByteAt = now;
         m_target->queuedPrefillTokens -= std::exchange(m_sentTokens, 0);
         if (m_request.callerRequest.generation && m_response.status == http1::statusOk) {
             for (const uint64_t hash : prefixHashes(*m_request.callerRequest.generation))
@@ -350,7 +351,7 @@
         const bool isCrash = isTruncatedStream || outcome == http1::call_outcome::NoResponse || outcome == http1::call_outcome::Truncated;
         policy::recordFailure(target->health, policy::call_failure::Failed, now);
         if (isCrash)
-            recordCrash(now);
+            recordCrash(*target, now);
         const std::string_view reason = isTruncatedStream ? "half_event" : "not_own_answer";
         onAttemptFailed(http1::isReceived(outcome) ? reason : nameOf(outcome), true);
         return;
@@ -390,14 +391,27 @@
     return isWithoutEvents || !m_events.isAtBoundary();
 }
 
-void request_run::recordCrash(time_point now)
+void request_run::recordCrash(const target_state& target, time_point now)
 {
     policy::suspicion suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, false, now);
     if (suspicion.crashCount >= crashesToQuarantine)
         suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, true, now);
+    logCrash(target, suspicion, now);
     m_pools.broadcastSuspicion(m_request.fingerprint, suspicion, now);
 }
 
+void request_run::logCrash(const target_state& target, const policy::suspicion& suspicion, time_point now) const
+{
+    std::string segments;
+    if (const auto& prompt = m_request.callerRequest.generation) {
+        for (const uint64_t hash : deployment::sharedSegmentHashes(*prompt))
+            segments.append(segments.empty() ? "" : ",").append(textOfHash(hash));
+    }
+    const std::string begunMs = m_hasFirstByte ? std::to_string(asMilliseconds(now - m_firstByteAt)) : "not_begun";
+    m_context.counters.count("crash_strikes_total", { { "begun", m_hasFirstByte ? "true" : "false" } });
+    logLine(log_level::Info, logComponent, "The request is suspected of crashing its target.", { { "request", m_request.callerRequest.id }, { "target", target.listed.id }, { "fingerprint", std::to_string(m_request.fingerprint) }, { "strikes", std::to_string(suspicion.crashCount) }, { "segments", segments }, { "first_event_ms_ago", begunMs }, { "others_in_flight", std::to_string(target.inFlight) } });
+}
+
 void request_run::completeResponse()
 {
     const bool impliesNotRun = m_response.status == http1::statusUnavailable || m_response.status == http1::statusTooManyRequests || m_response.status == http1::statusTimeout;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -92,7 +92,8 @@
     void logResponseEnd(http1::call_outcome outcome);
     /// @return True if the content of a stream shows that it is incomplete, although its framing does not.
     [[nodiscard]] bool isStreamTruncated(http1::call_outcome outcome) const noexcept;
-    void recordCrash(time_point now);
+    void recordCrash(const target_state& target, time_point now);
+    void logCrash(const target_state& target, const policy::suspicion& suspicion, time_point now) const;
     void completeResponse();
     [[nodiscard]] bool isTargetUnresponsive(time_point now) const;
     void detachFromTarget();
@@ -129,6 +130,7 @@
     time_point m_sentAt {};
     /// Time at which the results that the target fetches are released, if not at the first event.
     std::optional<time_point> m_inputsFetchedAt;
+    time_point m_firstByteAt {};
     time_point m_lastByteAt {};
     http1::response_head m_head;
     platform::target_response m_response;
--- a/tests/process/gateway_truncated_response_test.cpp
+++ b/tests/process/gateway_truncated_response_test.cpp
@@ -1,4 +1,5 @@
 /// Responses that a target breaks off: none may reach the caller as complete, whatever delimits it.
+#include "base/hash.hpp"
 #include "support/deployment_fixture.hpp"
 
 #include <criterion/criterion.h>
@@ -120,6 +121,18 @@
     cr_assert_neq(test.deployment.metricsOf(0).find(R"(bilberryseam_responses_total{connection="closed",end="unframed",framing="connection"} 1)"), std::string::npos);
 }
 
+Test(gateway_truncated_response, the_log_names_the_prompt_segments_of_a_request_that_may_have_crashed_its_target)
+{
+    truncation_test test(151, "streaming");
+    test.respondUnframed(partialEvent);
+    test.deployment.startGateway();
+    test.deployment.waitUntilReady();
+    test.deployment.sendAndWait("POST", "/m/1", { { "X-Token-Counts", "90,10" }, { "X-Prompt-Prefix", "aa:40,bb:30,cc:20" } });
+    const std::string line = R"("strikes":"1","segments":")" + textOfHash(hashOf("aa")) + "," + textOfHash(hashOf("bb")) + R"(","first_event_ms_ago":")";
+    test.deployment.waitUntil([&] { return test.deployment.logOf(0).find(line) != std::string::npos; }, "the log line about the suspected crash");
+    cr_assert_neq(test.deployment.metricsOf(0).find(R"(bilberryseam_crash_strikes_total{begun="true"} 1)"), std::string::npos);
+}
+
 Test(gateway_truncated_response, a_request_whose_streams_are_truncated_repeatedly_is_refused)
 {
     truncation_test test(149, "streaming");
