--- a/src/fakes/platform_target.cpp
+++ b/src/fakes/platform_target.cpp
@@ -9,9 +9,15 @@
 platform_target::platform_target(std::string id, const ip_endpoint& listen)
     : m_id(std::move(id))
     , m_endpoint(listen)
-    , m_server(
-          listen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleExchange(std::move(exchange)); })
+    , m_listen(listen)
 {
+    startListening();
+}
+
+void platform_target::startListening()
+{
+    m_server.emplace(
+        m_listen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleExchange(std::move(exchange)); });
 }
 
 http1::header_list platform_target::responseHeaders(const http1::exchange& exchange) const
--- a/src/fakes/platform_target.hpp
+++ b/src/fakes/platform_target.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,9 @@
     /// Starts a successful response with neither a length nor chunks; its body ends with the connection.
     /// @return The connection, which the caller writes the body to and closes or resets.
     [[nodiscard]] std::shared_ptr<http1::tcp_stream> startUnframed(http1::exchange& exchange) const;
+    /// Closes all connections and refuses new ones. Must not be called by a handler.
+    void stopListening() { m_server.reset(); }
+    void startListening();
     /// Responds to a batch call with a result for each task.
     void respondToBatchCall(http1::exchange& exchange);
 
@@ -59,6 +63,7 @@
     std::vector<std::string> m_batchCalls;
     std::vector<std::string> m_releasedResults;
     uint64_t m_nextResult = 1;
-    http1::server m_server;
+    ip_endpoint m_listen;
+    std::optional<http1::server> m_server;
 };
 }
