--- a/tests/process/crash_test.cpp
+++ b/tests/process/crash_test.cpp
@@ -114,6 +114,24 @@
     cr_assert_leq(crashCount(deployment), 3 * requestCount / everyNth);
 }
 
+Test(crash, requests_that_share_a_crashing_prefix_are_refused_everywhere_and_others_finish)
+{
+    constexpr int requestCount = 12;
+    constexpr int maxCrashes = 5;
+    cluster deployment(engineSpec(58, 8, { { "tokenMs", 5 }, { "poison", "poison pill" }, { "restartMs", 300 } }));
+    std::string lastReason;
+    for (int i = 0; i < requestCount; ++i) {
+        // No two of the crashing requests are alike; sound ones share all but the prefix.
+        const json input { { "prefix", "poison pill" }, { "prompt", "question " + std::to_string(i) } };
+        lastReason = deployment.sendAndWait({ .pipeline = "assistant", .input = input, .isStreamed = true, .entry = i % 2 })->reason();
+        const auto sound = deployment.sendAndWait({ .pipeline = "assistant", .input = { { "prefix", "sound" }, { "prompt", "question " + std::to_string(i) } }, .isStreamed = true, .entry = i % 2 });
+        checkEqual(sound->outcomeName(), "answered");
+    }
+    checkEqual(lastReason, "quarantined");
+    cr_assert_geq(crashCount(deployment), 1);
+    cr_assert_leq(crashCount(deployment), maxCrashes, "%d targets crashed", crashCount(deployment));
+}
+
 Test(crash, a_stream_interrupted_by_its_target_is_resumed_at_another)
 {
     cluster deployment(engineSpec(52, 2, { { "tokenMs", 5 } }));
