Refuse a prompt prefix that crashes targets on the product's own interface

Callers saw: each request with the prefix fails, and each ends up to two targets. Change: calls carry the hash of their prompt prefix; sides report crashes and survivals to the same crash_exchange, which suspicion_exchange holds, and refuse queued calls with the verdict; entries refuse, hedge and start trials by it. The probe that tells crashes from broken connections moved from the gateway to execution/crash_probe, which both use.

--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -9,6 +9,9 @@
 using nlohmann::json;
 
 namespace {
+    /// A retry after a crash waits until the report of the crash has arrived, which may refuse it.
+    constexpr milliseconds crashReportTime { 50 };
+
     constexpr std::string_view logComponent = "run";
 
     /// Sides get a slightly shorter deadline than the request has, so that their result arrives in time.
@@ -73,8 +76,9 @@
 {
     m_isWaiting = false;
     m_waitTimer.stop();
-    if (m_context.suspicions.executionModeOf(m_request.fingerprint, monotonicNow()) == policy::execution_mode::Refused) {
-        finishUnanswered(outcome_reason::Quarantined, milliseconds(0), "This request crashed the targets that ran it.");
+    m_isTrial = executionMode() == policy::execution_mode::Refused && m_context.suspicions.tryStartTrial(m_request.fingerprint, segments(), monotonicNow());
+    if (!m_isTrial && executionMode() == policy::execution_mode::Refused) {
+        finishUnanswered(outcome_reason::Quarantined, milliseconds(0), "This request, or a prefix of its prompt, crashed the targets that ran it.");
         return;
     }
     std::string body = writeStageBody(stage(), m_request.input, m_previousOutput, m_outputText);
@@ -92,6 +96,17 @@
     waitForTarget(outcome_reason::NoTarget, defaultRetryAfter);
 }
 
+std::span<const uint64_t> pipeline_run::segments() const noexcept
+{
+    const bool hasPrefix = m_request.prefixHash != 0 && isEngine(stage());
+    return hasPrefix ? std::span(&m_request.prefixHash, 1) : std::span<const uint64_t>();
+}
+
+policy::execution_mode pipeline_run::executionMode() const
+{
+    return m_context.suspicions.executionModeOf(m_request.fingerprint, segments(), monotonicNow());
+}
+
 std::vector<policy::routing_candidate> pipeline_run::listCandidates() const
 {
     std::vector<policy::routing_candidate> candidates;
@@ -118,7 +133,7 @@
     if (!stage().service->isRetryable)
         return policy::chooseByKey(candidates, hashOf(m_request.idempotencyKey));
     // All attempts of a suspected request go to one side, which runs only one of them at a time.
-    if (m_context.suspicions.executionModeOf(m_request.fingerprint, monotonicNow()) == policy::execution_mode::Isolated)
+    if (executionMode() == policy::execution_mode::Isolated)
         return policy::chooseByKey(candidates, m_request.fingerprint);
     if (m_request.policy->mode == "baseline")
         return policy::chooseRoundRobin(candidates, statistics.roundRobinTurn);
@@ -148,6 +163,9 @@
     call.fingerprint = m_request.fingerprint;
     call.isIsolated = isIsolated;
     call.body = std::move(body);
+    for (const uint64_t segment : segments())
+        call.segments.push_back({ segment });
+    call.isTrial = m_isTrial;
     return call;
 }
 
@@ -155,7 +173,7 @@
 {
     const identifier attempt = m_context.identifiers.next();
     m_triedTargets.insert(target.config->name);
-    const bool isIsolated = m_context.suspicions.executionModeOf(m_request.fingerprint, monotonicNow()) == policy::execution_mode::Isolated;
+    const bool isIsolated = executionMode() == policy::execution_mode::Isolated;
     m_attempts[attempt] = { &target, target.config->region, monotonicNow(), body.size(), 0, false, isIsolated, isHedge };
     m_context.counters.count("attempts_total", { { "stage", stage().stage.name }, { "target_region", target.config->region } });
     m_context.links.dispatch(target, makeCall(target, attempt, std::move(body), isIsolated), [weak = weak_from_this(), attempt](attempt_event& event) {
@@ -393,7 +411,7 @@
 void pipeline_run::startHedge()
 {
     const bool hasOutput = isEngine(stage()) && !m_attempts.empty() && m_attempts.begin()->second.bytesReceived > 0;
-    if (m_isFinished || m_attempts.size() != 1 || hasOutput)
+    if (m_isFinished || m_attempts.size() != 1 || hasOutput || m_isTrial || executionMode() == policy::execution_mode::Refused)
         return;
     std::string body = writeStageBody(stage(), m_request.input, m_previousOutput, m_outputText);
     const std::vector<policy::routing_candidate> candidates = listCandidates();
@@ -421,7 +439,10 @@
     logLine(log_level::Info, logComponent, "Retrying a stage after a failed attempt.", { { "request", m_request.id.toString() }, { "stage", stage().stage.name }, { "reason", std::string(nameOf(reason)) } });
     m_waitReason = reason;
     m_waitRetryAfter = defaultRetryAfter;
-    tryDispatch();
+    if (reason == outcome_reason::TargetCrashed && !segments().empty())
+        m_waitTimer.startOnce(crashReportTime, [this] { tryDispatch(); });
+    else
+        tryDispatch();
 }
 
 void pipeline_run::completeStage(wire::call_finished& message)
--- a/src/entry/pipeline_run.hpp
+++ b/src/entry/pipeline_run.hpp
@@ -53,6 +53,9 @@
 
     void startStage();
     void tryDispatch();
+    /// @return Hashes of the prompt segments of the current stage that other requests may share.
+    [[nodiscard]] std::span<const uint64_t> segments() const noexcept;
+    [[nodiscard]] policy::execution_mode executionMode() const;
     std::vector<policy::routing_candidate> listCandidates() const;
     std::optional<size_t> chooseCandidate(std::span<const policy::routing_candidate> candidates, double bytes);
     void dispatchTo(known_target& target, std::string body, bool isHedge);
@@ -101,6 +104,8 @@
     outcome_reason m_waitReason = outcome_reason::None;
     milliseconds m_waitRetryAfter { 0 };
     bool m_isWaiting = false;
+    /// The current attempt runs although its prompt prefix is refused, to see whether it still crashes targets.
+    bool m_isTrial = false;
     /// Time since which no target has accepted the current stage.
     std::optional<time_point> m_waitingSince;
     timer m_waitTimer;
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -14,13 +14,6 @@
     /// How long the store may hold a read. Changes are known at once; a connection that went silent is noticed after this time.
     constexpr milliseconds readWait { 4000 };
 
-    /// Time in which the other broken responses of a crashed target arrive.
-    constexpr milliseconds collectTime { 15 };
-    /// A refused connection shows a crash; without a reply in this time, the target or the network may be silent.
-    constexpr milliseconds probeTimeout { 400 };
-    /// Most targets that are probed at a time.
-    constexpr size_t maxObservations = 64;
-
     /// Reports of one entry in the store; the next one replaces the oldest.
     constexpr size_t storedReports = 8;
     constexpr size_t maxPuts = 64;
@@ -35,90 +28,20 @@
     constexpr milliseconds retryLater { 60000 };
 }
 
-/// A target whose responses broke, until it is known whether it crashed.
-struct crash_watch::observation {
-    uint64_t target = 0;
-    std::string name;
-    ip_endpoint endpoint;
-    std::vector<broken_request> requests;
-    time_point firstAt {};
-    std::shared_ptr<http1::tcp_stream> connection;
-    timer step;
-    bool isFinished = false;
-};
-
 crash_watch::crash_watch(metrics& metrics, platform::store_client& store, std::string ownName, callbacks callbacks)
-    : m_metrics(metrics)
-    , m_store(store)
+    : m_store(store)
     , m_ownName(std::move(ownName))
     , m_callbacks(std::move(callbacks))
+    , m_probe(metrics, [this](const execution::probed_target& target, std::span<const std::vector<uint64_t>> requests, time_point at) { m_exchange.reportCrash(target.hash, target.name, requests, at); })
     , m_exchange(metrics, m_ownName, { m_callbacks.sendToAll, m_callbacks.onVerdict, [this](const wire::message& message) { storeChange(message); } })
     , m_follower(store, std::string(topic), { readWait, milliseconds(0) }, followCallbacks())
 {
 }
 
-// Crashes that this entry sees.
-
-void crash_watch::onBrokenRequest(const target_state& target, broken_request request, time_point now)
-{
-    const uint64_t targetHash = hashOfPair(target.hash, static_cast<uint64_t>(target.listed.startedAtMs));
-    const auto known = std::find_if(m_observations.begin(), m_observations.end(), [targetHash](const auto& item) { return item->target == targetHash && !item->isFinished; });
-    if (known != m_observations.end()) {
-        (*known)->requests.push_back(std::move(request));
-        return;
-    }
-    if (m_observations.size() >= maxObservations) {
-        logLine(log_level::Warning, logComponent, "Too many targets broke their responses at the same time; one is not checked for a crash.", { { "target", target.listed.id } });
-        return;
-    }
-    const auto item = std::make_shared<observation>();
-    item->target = targetHash;
-    item->name = target.listed.id;
-    item->endpoint = target.listed.endpoint;
-    item->requests.push_back(std::move(request));
-    item->firstAt = now;
-    m_observations.push_back(item);
-    item->step.startOnce(collectTime, [this, weak = std::weak_ptr(item)] {
-        if (const auto due = weak.lock())
-            probe(due);
-    });
-}
-
-void crash_watch::probe(const std::shared_ptr<observation>& item)
-{
-    const std::weak_ptr<observation> weak = item;
-    item->connection = http1::tcp_stream::connectTo(item->endpoint);
-    http1::tcp_stream::callbacks streamCallbacks;
-    streamCallbacks.onConnected = [this, weak] {
-        if (const auto probed = weak.lock())
-            finish(probed, false);
-    };
-    streamCallbacks.onEnd = [this, weak](http1::close_reason reason) {
-        if (const auto probed = weak.lock())
-            finish(probed, reason == http1::close_reason::ConnectFailed);
-    };
-    item->connection->setCallbacks(std::move(streamCallbacks));
-    item->step.startOnce(probeTimeout, [this, weak] {
-        if (const auto probed = weak.lock())
-            finish(probed, false);
-    });
-}
-
-void crash_watch::finish(const std::shared_ptr<observation>& item, bool isCrash)
+void crash_watch::onBrokenRequest(const target_state& target, execution::broken_request request, time_point now)
 {
-    if (std::exchange(item->isFinished, true))
-        return;
-    item->connection->close();
-    m_metrics.count("broken_targets_total", { { "crashed", isCrash ? "true" : "false" } });
-    if (!isCrash) {
-        logLine(log_level::Info, logComponent, "A target broke its responses but did not crash.", { { "target", item->name }, { "requests", std::to_string(item->requests.size()) } });
-        return;
-    }
-    std::sort(item->requests.begin(), item->requests.end(), [](const auto& left, const auto& right) { return left.sentAt < right.sentAt; });
-    std::vector<std::vector<uint64_t>> requests;
-    for (auto& request : item->requests)
-        requests.push_back(std::move(request.segments));
-    m_exchange.reportCrash(item->target, item->name, requests, item->firstAt);
+    const uint64_t hash = hashOfPair(target.hash, static_cast<uint64_t>(target.listed.startedAtMs));
+    m_probe.onBrokenRequest({ hash, target.listed.id, target.listed.endpoint }, std::move(request), now);
 }
 
 bool crash_watch::tryStartTrial(uint64_t segment, time_point now)
@@ -134,7 +57,6 @@
 
 void crash_watch::tick(time_point now)
 {
-    std::erase_if(m_observations, [](const auto& item) { return item->isFinished; });
     m_exchange.removeExpired(now);
 }
 
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "execution/crash_exchange.hpp"
+#include "execution/crash_probe.hpp"
 #include "gateway/crash_records.hpp"
 #include "gateway/target_registry.hpp"
-#include "http1/tcp_stream.hpp"
 #include "platform/topic_follower.hpp"
 
 #include <list>
@@ -12,13 +12,6 @@
 
 namespace bilberryseam::gateway {
 
-/// A request whose target ended its response early.
-struct broken_request {
-    /// Hashes of the prompt segments that other requests may share.
-    std::vector<uint64_t> segments;
-    time_point sentAt {};
-};
-
 class crash_watch {
 public:
     struct callbacks {
@@ -36,7 +29,7 @@
 
     /// Records that a target ended a request that had not begun to respond. Crashes are reported once it is known that
     /// nothing listens at the target's address; a cut connection alone is no crash.
-    void onBrokenRequest(const target_state& target, broken_request request, time_point now);
+    void onBrokenRequest(const target_state& target, execution::broken_request request, time_point now);
 
     /// Records that a response with these segments began at a time and did not crash its target.
     void recordSurvival(std::span<const uint64_t> segments, time_point beganAt, time_point now) { m_exchange.recordSurvival(segments, beganAt, now); }
@@ -58,21 +51,16 @@
     void tick(time_point now);
 
 private:
-    struct observation;
-
-    void probe(const std::shared_ptr<observation>& item);
-    void finish(const std::shared_ptr<observation>& item, bool isCrash);
     void storeChange(const wire::message& message);
     void put(const std::string& key, const std::string& value);
     platform::follow_callbacks followCallbacks();
     void applyRecord(const std::string& key, const std::string& text);
 
-    metrics& m_metrics;
     platform::store_client& m_store;
     std::string m_ownName;
     callbacks m_callbacks;
+    execution::crash_probe m_probe;
     execution::crash_exchange m_exchange;
-    std::list<std::shared_ptr<observation>> m_observations;
     std::list<platform::store_call> m_puts;
     size_t m_nextReport = 0;
     bool m_hasRecords = false;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -46,6 +46,9 @@
     /// length of a burst.
     constexpr milliseconds keepInputsDuration { 10000 };
 
+    /// A retry after a crash waits until the crash is known everywhere, which may refuse it.
+    constexpr milliseconds crashReportTime { 50 };
+
     /// Reason of requests that are refused because targets crashed on them or on a segment of their prompt.
     constexpr std::string_view crashReason = "crashes_targets";
 
@@ -410,7 +413,8 @@
     if (suspicion.crashCount >= crashesToQuarantine)
         suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, true, now);
     logCrash(target, suspicion, now);
-    if (!m_request.segments.empty())
+    m_mayHaveCrashed = !m_request.segments.empty();
+    if (m_mayHaveCrashed)
         m_context.crashes->onBrokenRequest(target, { m_request.segments, m_sentAt }, now);
     m_pools.broadcastSuspicion(m_request.fingerprint, suspicion, now);
 }
@@ -478,7 +482,11 @@
     const bool hasUsableTarget = reason != "no_target";
     if (mayRetry && isInTime && hasUsableTarget && m_sends < maxSends && (m_sends == 0 || trySpendRetry(m_context, m_request.service, now))) {
         m_context.counters.count("repeats_total", { { "reason", std::string(reason) } });
-        dispatch();
+        if (std::exchange(m_mayHaveCrashed, false)) {
+            m_isWaitingForTarget = true;
+            m_retryAt = now + crashReportTime;
+        } else
+            dispatch();
         return;
     }
     finishWithoutResponse(reason, hasUsableTarget);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -156,6 +156,8 @@
     int m_attempts = 0;
     int m_sends = 0;
     bool m_mayHaveRun = false;
+    /// The last attempt ended with a broken response; its target is being checked for a crash.
+    bool m_mayHaveCrashed = false;
     bool m_isFinished = false;
     std::vector<std::string> m_triedTargets;
 };
--- a/src/programs/side.cpp
+++ b/src/programs/side.cpp
@@ -22,7 +22,8 @@
     public:
         explicit side_process(const settings::side_settings& settings)
             : m_settings(settings)
-            , m_suspicions(m_metrics, [this](const wire::message& message) { m_server->postToAll(message); })
+            , m_suspicions(
+                  m_metrics, settings.name, [this](const wire::message& message) { m_server->postToAll(message); }, [this] { m_dispatcher.refuseQuarantined(); })
             , m_dispatcher(settings, m_metrics, m_suspicions, { [this](identifier session, wire::message message) { m_server->post(session, std::move(message)); }, [this](const wire::message& message) { m_server->postToAll(message); }, [this] { return m_server->sessionCount(); } })
             , m_follower(settings.platform, m_metrics, false, { [this](const configuration::state& state) {
                                                                    m_dispatcher.applyConfiguration(state);
--- a/src/side/call_dispatcher.cpp
+++ b/src/side/call_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "side/call_dispatcher.hpp"
 
+#include "base/hash.hpp"
 #include "side/detail/call_dispatcher_state.hpp"
 #include "telemetry/log.hpp"
 
@@ -90,7 +91,7 @@
         return;
     }
     const time_point now = monotonicNow();
-    const policy::execution_mode mode = m_suspicions.executionModeOf(call.fingerprint, now);
+    const policy::execution_mode mode = m_suspicions.executionModeOf(call.fingerprint, {}, now);
     if (mode == policy::execution_mode::Refused) {
         refuse(session, call, wire::refusal::Quarantined);
         return;
@@ -107,16 +108,38 @@
     newCall->acceptedAt = now;
     newCall->deadline = now + milliseconds(call.remainingMs);
     newCall->call = std::move(call);
+    if (isRefused(*newCall)) {
+        refuseWaiting(*newCall, wire::refusal::Quarantined);
+        return;
+    }
     if (runtime->service->isRetryable)
         enqueue(*newCall);
     else
         claimKey(*newCall);
 }
 
-void call_dispatcher::updateSuspicion(const active_call& call, const call_result& result)
+bool call_dispatcher::isRefused(const active_call& call) const
+{
+    const std::vector<uint64_t> segments = call.call.isTrial ? std::vector<uint64_t>() : call.segments();
+    return m_suspicions.executionModeOf(call.call.fingerprint, segments, monotonicNow()) == policy::execution_mode::Refused;
+}
+
+void call_dispatcher::recordSurvival(active_call& call)
+{
+    if (!std::exchange(call.hasSurvived, true) && !call.call.segments.empty())
+        m_suspicions.recordSurvival(call.segments(), call.firstOutputAt, monotonicNow());
+}
+
+void call_dispatcher::updateSuspicion(active_call& call, const call_result& result)
 {
+    const time_point now = monotonicNow();
+    if (result.end == wire::call_end::Answered && call.outputCount > 0)
+        recordSurvival(call);
+    const configuration::target& target = call.runtime->target;
+    if (result.end == wire::call_end::TargetCrashed && !call.hasSurvived && !call.call.segments.empty())
+        m_suspicions.onBrokenRequest({ hashOf(target.name), target.name, target.address }, { call.segments(), call.startedAt }, now);
     if (result.end == wire::call_end::TargetCrashed)
-        m_suspicions.recordCrash(call.call.fingerprint, call.call.isIsolated, monotonicNow());
+        m_suspicions.recordCrash(call.call.fingerprint, call.call.isIsolated, now);
     else if (result.end == wire::call_end::Answered && call.call.isIsolated)
         m_suspicions.clearSuspicion(call.call.fingerprint);
 }
@@ -137,8 +160,7 @@
     // Calls that were queued before their fingerprint was quarantined must not start.
     std::vector<identifier> quarantinedAttempts;
     for (const policy::queued_call& queuedCall : runtime.callQueue.waiting) {
-        const wire::start_call& call = m_calls.at(queuedCall.attempt)->call;
-        if (m_suspicions.executionModeOf(call.fingerprint, monotonicNow()) == policy::execution_mode::Refused)
+        if (isRefused(*m_calls.at(queuedCall.attempt)))
             quarantinedAttempts.push_back(queuedCall.attempt);
     }
     for (const identifier& attempt : quarantinedAttempts) {
@@ -147,6 +169,12 @@
     }
 }
 
+void call_dispatcher::refuseQuarantined()
+{
+    for (auto& [name, runtime] : m_targets)
+        refuseQuarantined(*runtime);
+}
+
 void call_dispatcher::startQueuedCalls(target_runtime& runtime)
 {
     refuseQuarantined(runtime);
@@ -172,6 +200,11 @@
 void call_dispatcher::handleOutput(identifier attempt, std::string_view text)
 {
     active_call& call = *m_calls.at(attempt);
+    const time_point now = monotonicNow();
+    if (call.outputCount == 0)
+        call.firstOutputAt = now;
+    else if (now - call.firstOutputAt >= policy::survivalTime)
+        recordSurvival(call);
     m_callbacks.send(call.session, wire::call_output { call.call.request, attempt, call.outputCount++, std::string(text) });
 }
 
--- a/src/side/call_dispatcher.hpp
+++ b/src/side/call_dispatcher.hpp
@@ -48,6 +48,9 @@
     void start(identifier session, wire::start_call& call);
     void cancel(identifier attempt);
 
+    /// Refuses the queued calls that must not run any more.
+    void refuseQuarantined();
+
     /// Cancels all calls of a session.
     void onSessionExpired(identifier session);
 
@@ -74,7 +77,10 @@
     void updateClaim(const active_call& call, const call_result& result);
     claim_client& claimClient();
     void enqueue(active_call& call);
-    void updateSuspicion(const active_call& call, const call_result& result);
+    /// @return True if the call must not start because it, or a segment of its prompt, crashes targets.
+    [[nodiscard]] bool isRefused(const active_call& call) const;
+    void updateSuspicion(active_call& call, const call_result& result);
+    void recordSurvival(active_call& call);
     void refuseQuarantined(target_runtime& runtime);
     void startQueuedCalls(target_runtime& runtime);
     void launch(active_call& call);
--- a/src/side/detail/call_dispatcher_state.hpp
+++ b/src/side/detail/call_dispatcher_state.hpp
@@ -32,6 +32,17 @@
     bool isOrphaned = false;
     bool isRunning = false;
     uint32_t outputCount = 0;
+    time_point firstOutputAt {};
+    /// The call went on for so long after its first output, or ended so, that it cannot have crashed its target.
+    bool hasSurvived = false;
+
+    [[nodiscard]] std::vector<uint64_t> segments() const
+    {
+        std::vector<uint64_t> list;
+        for (const auto& item : call.segments)
+            list.push_back(item.segment);
+        return list;
+    }
     std::unique_ptr<target_call> targetCall;
 };
 
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -45,6 +45,14 @@
 /// @return The stable name of a call's end, used in logs and counters.
 [[nodiscard]] std::string_view nameOf(call_end end) noexcept;
 
+/// An element of a list of prompt segments.
+struct segment_item {
+    uint64_t segment = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(segment); }
+};
+
 /// Entry to side: run this call.
 struct start_call {
     identifier request;
@@ -63,11 +71,15 @@
     int64_t keyIssuedMs = 0;
     uint64_t fingerprint = 0;
     std::string body;
+    /// Prompt segments that other requests may share.
+    std::vector<segment_item> segments;
+    /// The call runs although one of its segments is refused, to see whether it still crashes targets.
+    bool isTrial = false;
 
     template <typename Visitor>
     void visitFields(Visitor& visit)
     {
-        visit(request, attempt, target, pipeline, stage, account, remainingMs, priority, isStreamed, isRetryable, isIsolated, idempotencyKey, keyIssuedMs, fingerprint, body);
+        visit(request, attempt, target, pipeline, stage, account, remainingMs, priority, isStreamed, isRetryable, isIsolated, idempotencyKey, keyIssuedMs, fingerprint, body, segments, isTrial);
     }
 };
 
@@ -274,14 +286,6 @@
     void visitFields(Visitor& visit) { visit(id, target, ageMs, segments); }
 };
 
-/// An element of a list of prompt segments.
-struct segment_item {
-    uint64_t segment = 0;
-
-    template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(segment); }
-};
-
 /// Both directions: requests with this prompt segment, and with all its companions, are refused.
 struct segment_verdict {
     uint64_t segment = 0;
