soak: prompt segments that crash engines, beside restarts, pauses and store faults

The soak plays two segments that crash the engines that begin to respond to them, while gateways are killed, stopped and paused, the store fails, and engines crash by themselves, some at once. It checks that at most three requests with a segment reach engines later than three seconds after its fifth crash, from gateways that were undisturbed for so long, that service comes back while such requests still come, and that complete responses are whole.

--- a/src/fakes/platform_engine.cpp
+++ b/src/fakes/platform_engine.cpp
@@ -36,10 +36,13 @@
 size_t platform_engine::requestsWith(const std::string& segment) const
 {
     const auto& requests = m_target.requests();
-    return static_cast<size_t>(std::count_if(requests.begin(), requests.end(), [&](const auto& item) {
-        const auto segments = segmentsOf(item.head);
-        return std::find(segments.begin(), segments.end(), segment) != segments.end();
-    }));
+    return static_cast<size_t>(std::count_if(requests.begin(), requests.end(), [&](const auto& item) { return hasSegment(item.head, segment); }));
+}
+
+bool platform_engine::hasSegment(const http1::request_head& head, std::string_view segment)
+{
+    const auto segments = segmentsOf(head);
+    return std::find(segments.begin(), segments.end(), segment) != segments.end();
 }
 
 bool platform_engine::isCrashing(const http1::request_head& head) const
@@ -50,6 +53,8 @@
 
 void platform_engine::start(std::shared_ptr<http1::exchange> exchange)
 {
+    if (m_onRequest)
+        m_onRequest(m_target.requests().back());
     const auto request = std::make_shared<running_request>();
     request->exchange = std::move(exchange);
     m_running.push_back(request);
@@ -85,6 +90,12 @@
     });
 }
 
+void platform_engine::crashIfUp()
+{
+    if (isUp())
+        crash();
+}
+
 void platform_engine::crash()
 {
     ++m_crashCount;
--- a/src/fakes/platform_engine.hpp
+++ b/src/fakes/platform_engine.hpp
@@ -29,6 +29,15 @@
     /// Ends all connections and listens again after the restart delay. Must not be called by a handler of the target.
     void crash();
 
+    /// Crashes if the engine is not down already.
+    void crashIfUp();
+
+    /// Sets a function that is called with each request when it arrives.
+    void setOnRequest(std::function<void(const received_request&)> onRequest) { m_onRequest = std::move(onRequest); }
+
+    /// @return True if a request's prompt has the segment.
+    [[nodiscard]] static bool hasSegment(const http1::request_head& head, std::string_view segment);
+
     [[nodiscard]] engine_behaviour& behaviour() noexcept { return m_behaviour; }
     [[nodiscard]] size_t crashCount() const noexcept { return m_crashCount; }
     [[nodiscard]] bool isUp() const noexcept { return !m_restart.isRunning(); }
@@ -51,6 +60,7 @@
     platform_target& m_target;
     engine_behaviour m_behaviour;
     std::function<void(bool)> m_onListening;
+    std::function<void(const received_request&)> m_onRequest;
     std::list<std::shared_ptr<running_request>> m_running;
     size_t m_crashCount = 0;
     timer m_crash;
