Log the limit that a target states

Change: the limit is decoded, and the line about the end of a response has it as stated_limit. No decision reads it. Measured: the tests of gateway_truncated_response, which match that line, pass.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -396,7 +396,7 @@
     const http1::response_trace& trace = m_call->trace();
     const std::string_view connection = trace.connectionEnd ? nameOf(*trace.connectionEnd) : "open";
     m_context.counters.count("responses_total", { { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "end", std::string(nameOf(outcome)) } });
-    logLine(log_level::Info, logComponent, "The response of a target ended.", { { "request", m_request.callerRequest.id }, { "target", m_target->listed.id }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(m_hasHead ? m_head.status : 0) }, { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "body_bytes", std::to_string(trace.bodyBytes) }, { "inside_event", m_events.isAtBoundary() ? "false" : "true" }, { "unsent_bytes", std::to_string(trace.unsentBytes) } });
+    logLine(log_level::Info, logComponent, "The response of a target ended.", { { "request", m_request.callerRequest.id }, { "target", m_target->listed.id }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(m_hasHead ? m_head.status : 0) }, { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "body_bytes", std::to_string(trace.bodyBytes) }, { "inside_event", m_events.isAtBoundary() ? "false" : "true" }, { "unsent_bytes", std::to_string(trace.unsentBytes) }, { "stated_limit", std::string(platform::decodeLimit(m_head).text) } });
 }
 
 bool request_run::isStreamTruncated(http1::call_outcome outcome) const noexcept
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace bilberryseam::platform {
@@ -33,6 +34,9 @@
     constexpr std::string_view sealName = "X-Response-Seal";
     constexpr std::string_view notExecutedName = "X-Not-Executed";
 
+    /// Requests a second that a target takes from all entries together, a decimal number.
+    constexpr std::string_view limitName = "Server-Limit";
+
     constexpr size_t maxPromptSegments = 1000;
 
     /// Fields that apply to one connection and are not forwarded.
@@ -204,6 +208,19 @@
     return { "Retry-After", text };
 }
 
+stated_limit decodeLimit(const http1::response_head& head)
+{
+    const auto value = http1::findHeader(head.headers, limitName);
+    if (!value)
+        return {};
+    const std::string_view digits = http1::trim(*value);
+    double perSecond = 0;
+    const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), perSecond, std::chars_format::fixed);
+    const bool isNumber = problem == std::errc() && end == digits.data() + digits.size() && std::isfinite(perSecond) && perSecond >= 0;
+    const bool isUnique = http1::countHeaders(head.headers, limitName) == 1;
+    return { *value, isNumber && isUnique ? std::optional(perSecond) : std::nullopt };
+}
+
 bool isNotExecuted(const http1::response_head& head)
 {
     return head.status == http1::statusMisdirected || http1::findHeader(head.headers, notExecutedName).has_value();
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -55,6 +55,16 @@
 /// @return A `Retry-After` header field in seconds with two decimals.
 [[nodiscard]] std::pair<std::string, std::string> retryAfterHeader(milliseconds delay);
 
+/// What a response says of the requests a second that its target takes from all entries together.
+struct stated_limit {
+    /// The field's value; empty if the response has none.
+    std::string_view text;
+    /// Requests a second; not set if the response states none, or no number that is at least zero.
+    std::optional<double> perSecond;
+};
+
+[[nodiscard]] stated_limit decodeLimit(const http1::response_head& head);
+
 /// @return True if the target states that it did not execute the request.
 [[nodiscard]] bool isNotExecuted(const http1::response_head& head);
 
