--- a/src/fakes/platform_engine.cpp
+++ b/src/fakes/platform_engine.cpp
@@ -53,6 +53,7 @@
 
 void platform_engine::start(std::shared_ptr<http1::exchange> exchange)
 {
+    m_arrivals.push_back(monotonicNow());
     if (m_onRequest)
         m_onRequest(m_target.requests().back());
     const auto request = std::make_shared<running_request>();
@@ -72,7 +73,10 @@
         return;
     }
     if (request->nextEvent == 1) {
-        exchange.startChunked(http1::statusOk, m_target.responseHeaders(exchange));
+        http1::header_list headers = m_target.responseHeaders(exchange);
+        if (m_behaviour.statedLimit)
+            headers.emplace_back("Server-Limit", *m_behaviour.statedLimit);
+        exchange.startChunked(http1::statusOk, std::move(headers));
         if (isCrashing(exchange.head())) {
             m_crash.startWhenIdle([this] { crash(); });
             return;
--- a/src/fakes/platform_engine.hpp
+++ b/src/fakes/platform_engine.hpp
@@ -18,6 +18,8 @@
     std::set<std::string> crashingSegments;
     /// Time from a crash until the engine listens again.
     milliseconds restartDelay { 800 };
+    /// Requests a second that the engine says it takes, as text in each response; not set for no limit.
+    std::optional<std::string> statedLimit;
 };
 
 /// Serves the requests of a target. While it is down, connections to it are refused.
@@ -40,6 +42,8 @@
 
     [[nodiscard]] engine_behaviour& behaviour() noexcept { return m_behaviour; }
     [[nodiscard]] size_t crashCount() const noexcept { return m_crashCount; }
+    /// @return Arrival times of all requests.
+    [[nodiscard]] const std::vector<time_point>& arrivals() const noexcept { return m_arrivals; }
     [[nodiscard]] bool isUp() const noexcept { return !m_restart.isRunning(); }
     /// @return Number of requests received with a prompt segment.
     [[nodiscard]] size_t requestsWith(const std::string& segment) const;
@@ -62,6 +66,7 @@
     std::function<void(bool)> m_onListening;
     std::function<void(const received_request&)> m_onRequest;
     std::list<std::shared_ptr<running_request>> m_running;
+    std::vector<time_point> m_arrivals;
     size_t m_crashCount = 0;
     timer m_crash;
     timer m_restart;
--- a/src/fakes/platform_target.cpp
+++ b/src/fakes/platform_target.cpp
@@ -68,12 +68,13 @@
         exchange->respond(200, responseHeaders(*exchange), m_id);
 }
 
-void platform_target::respondToBatchCall(http1::exchange& exchange)
+void platform_target::respondToBatchCall(http1::exchange& exchange, http1::header_list headers)
 {
     const json request = json::parse(exchange.body());
     json items = json::array();
     for (size_t i = 0; i < request.at("items").size(); ++i)
         items.push_back({ { "handle", m_endpoint.toString() + "/" + std::to_string(m_nextResult++) } });
-    exchange.respond(200, { { "Content-Type", "application/json" } }, json { { "items", items } }.dump());
+    headers.emplace_back("Content-Type", "application/json");
+    exchange.respond(200, std::move(headers), json { { "items", items } }.dump());
 }
 }
--- a/src/fakes/platform_target.hpp
+++ b/src/fakes/platform_target.hpp
@@ -50,7 +50,8 @@
     void stopListening() { m_server.reset(); }
     void startListening();
     /// Responds to a batch call with a result for each task.
-    void respondToBatchCall(http1::exchange& exchange);
+    /// @param headers  Further header fields of the response.
+    void respondToBatchCall(http1::exchange& exchange, http1::header_list headers = {});
 
 private:
     void handleExchange(std::shared_ptr<http1::exchange> exchange);
