Keep the limits that targets state, summed over all entries

Cause: nothing read the limit. Class: a target's own statement about its capacity is neither read nor shared. Evidence: four gateways sent 104 requests in 4 s to a fake engine with that limit, and 99 batch calls to a pool member. Change: sendToTarget is the one gate for requests, retries, resumed streams, batch calls and releases. Each target has a bucket that starts empty and holds one request. Four entries, chosen by rank for each target, share its limit without asking each other; the owner of a pool has most of it. An entry that has seen the set of entries change assumes the smallest share for five seconds. So the sum stays within the bound during restarts and splits as well. A response without a limit lifts it if its request was sent after the limit was known; the rate then doubles each second for four seconds. Values are bounded, malformed ones are logged and ignored. Requests beyond the limits of all targets are refused at once, with a Retry-After from the limits that is spread; those that wait go by rank and deadline.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -1,5 +1,7 @@
 #include "gateway/context.hpp"
 
+#include "platform/ingress.hpp"
+
 namespace bilberryseam::gateway {
 
 namespace {
@@ -10,6 +12,10 @@
     constexpr double ratioShare = 0.8;
     constexpr double percent = 100;
 
+    constexpr std::string_view limitComponent = "limits";
+    /// Bytes of a malformed limit that are logged.
+    constexpr size_t maxLoggedBytes = 40;
+
     /// Entries that may call the targets of a pool at the same time: its owner, and others while ownership moves.
     constexpr double poolOwners = 3;
 
@@ -29,6 +35,32 @@
         budget.refilledAt = now;
         return budget;
     }
+
+    void applyLimit(context& context, target_state& target, const http1::response_head& head, time_point sentAt)
+    {
+        const auto stated = platform::decodeLimit(head);
+        if (stated.text && !stated.perSecond) {
+            context.counters.count("malformed_limits_total");
+            logLine(log_level::Warning, limitComponent, "The limit that a target states is no positive number and is ignored.", { { "target", target.listed.id }, { "value", std::string(stated.text->substr(0, maxLoggedBytes)) } });
+            return;
+        }
+        if (!policy::applyStatedLimit(target.limit, stated.perSecond, sentAt, monotonicNow()))
+            return;
+        context.counters.count("target_limits_total", { { "change", stated.perSecond ? "stated" : "lifted" } });
+        logLine(log_level::Info, limitComponent, stated.perSecond ? "A target states how many requests a second it takes." : "A target no longer states a limit; its rate rises for some seconds.", { { "target", target.listed.id }, { "per_second", std::to_string(*target.limit.perSecond) }, { "share", std::to_string(target.limit.share) } });
+    }
+}
+
+std::shared_ptr<http1::client_call> sendToTarget(context& context, const target_ptr& target, const http1::outgoing_request& request, const http1::call_options& options, http1::client_call::callbacks callbacks)
+{
+    const time_point sentAt = monotonicNow();
+    policy::recordSend(target->limit, sentAt);
+    callbacks.onHead = [&context, target, sentAt, onHead = std::move(callbacks.onHead)](const http1::response_head& head) {
+        applyLimit(context, *target, head, sentAt);
+        if (onHead)
+            onHead(head);
+    };
+    return context.client.send(target->listed.endpoint, request, options, std::move(callbacks));
 }
 
 void earnRetries(context& context, std::string_view service, time_point now)
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -42,6 +42,10 @@
     /// Number of entries that share the retry budget of the deployment: the known ones, but at least four. The initial value applies
     /// until the directory or the configuration was read.
     unsigned entryCount = 8;
+    /// Last change of the set of entries.
+    time_point entriesChangedAt {};
+    /// Requests that wait for a limited target, by service.
+    std::map<std::string, size_t, std::less<>> waitingForLimits;
     /// Bytes of the request bodies of open requests.
     size_t heldBodyBytes = 0;
 
@@ -53,6 +57,10 @@
     }
 };
 
+/// Sends a request to a target. All requests go through here: each counts against the limit that the target states, and each
+/// response may change it.
+[[nodiscard]] std::shared_ptr<http1::client_call> sendToTarget(context& context, const target_ptr& target, const http1::outgoing_request& request, const http1::call_options& options, http1::client_call::callbacks callbacks);
+
 /// Adds to the retry budget of a service for an accepted request.
 void earnRetries(context& context, std::string_view service, time_point now);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,6 +34,9 @@
     /// Margin before the process is killed.
     constexpr milliseconds stopMargin { 400 };
 
+    /// All entries know of a new one within this time.
+    constexpr milliseconds stableEntriesTime { 5000 };
+
     constexpr milliseconds retryWhenNotReady { 500 };
     constexpr milliseconds retryElsewhere { 50 };
     constexpr milliseconds retryWhenFull { 1000 };
@@ -80,7 +83,10 @@
     m_configurationFollower.emplace(m_context.store, std::string(platform::operatorTopic), platform::follow_options { readPause(std::min(settings.bounds.configuration, settings.bounds.revocation)) }, configurationCallbacks());
     m_targetFollower.emplace(m_context.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), readPause(settings.bounds.leaving) }, targetCallbacks());
     const int64_t startedAtMs = wallNow().time_since_epoch().count();
-    m_directory.emplace(m_context, entry_record { settings.name, settings.peerListen, settings.processorShare, startedAtMs }, [this] { m_pools->onMembersChanged(); });
+    m_directory.emplace(m_context, entry_record { settings.name, settings.peerListen, settings.processorShare, startedAtMs }, [this] {
+        m_context.entriesChangedAt = monotonicNow();
+        m_pools->onMembersChanged();
+    });
     m_pools.emplace(m_context, m_scheduler, *m_directory);
     m_crashes.emplace(m_context.counters, m_context.store, settings.name,
         crash_watch::callbacks { [this](const wire::message& message) { m_pools->broadcast(message); },
@@ -388,15 +394,27 @@
     exchange.respond(http1::statusNotFound, {}, {});
 }
 
+double gateway::limitShareOf(const target_state& target, time_point now)
+{
+    const bool isPool = m_context.configuration && deployment::poolOf(*m_context.configuration, target.listed.service);
+    const size_t rank = m_pools->rankFor(isPool ? target.listed.service : target.listed.id);
+    const bool isStable = now - m_context.entriesChangedAt > stableEntriesTime;
+    return policy::shareOf(rank, m_directory->others().size() + 1, isStable, isPool);
+}
+
 void gateway::tick()
 {
     const time_point now = monotonicNow();
     m_finishedRuns.clear();
     m_context.targets.tick(now);
+    m_context.targets.updateLimits([this, now](const target_state& target) { return limitShareOf(target, now); }, now);
     m_scheduler.tick(now);
     m_pools->tick(now);
     m_crashes->tick(now);
-    const auto runs = m_openRuns;
+    auto runs = m_openRuns;
+    const bool isAnyLimited = std::any_of(m_context.waitingForLimits.begin(), m_context.waitingForLimits.end(), [](const auto& item) { return item.second > 0; });
+    if (isAnyLimited)
+        runs.sort([](const auto& left, const auto& right) { return left->urgency() < right->urgency(); });
     for (const auto& run : runs)
         run->tick(now);
     if (!m_isStopping)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -55,6 +55,8 @@
     void onVerdict(time_point firstCrashAt);
     void refuse(http1::exchange& exchange, std::string_view id, unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter = {});
     void handleOperatorRequest(http1::exchange& exchange);
+    /// @return Share of the limit of a target that this entry may use.
+    [[nodiscard]] double limitShareOf(const target_state& target, time_point now);
     void tick();
     void stop();
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -34,6 +34,12 @@
     /// A request for which no target is usable is refused this long after its arrival.
     constexpr milliseconds maxPlacementTime { 1500 };
 
+    /// Delay after which callers may retry at an entry that has a share in the limits of targets.
+    constexpr milliseconds retryElsewhereTime { 300 };
+
+    /// Longest time that a caller is asked to stay away.
+    constexpr milliseconds longestRetryAfter { 10000 };
+
     /// A target counts as unresponsive if it sends no first byte for this multiple of the latency objective, or no further
     /// byte for this multiple of the gap objective; the request then moves to another target.
     constexpr double unresponsiveObjectiveFactor = 1.5;
@@ -184,11 +190,20 @@
     }
     const target_ptr target = chooseTarget(now);
     if (target) {
+        m_limitPlace.reset();
         send(target);
         return;
     }
+    if (const auto limitWait = waitForLimits(now)) {
+        refuseLimited(*limitWait);
+        return;
+    }
     const bool hasTargets = !m_context.targets.ofService(m_request.service).empty();
     const bool mayWait = hasTargets && m_sends < maxSends && now - m_arrivedAt < maxPlacementTime && !m_request.exchange->isStarted();
+    if (!mayWait && m_limitPlace && !m_mayHaveRun) {
+        refuseLimited(maxPlacementTime);
+        return;
+    }
     if (!mayWait) {
         onAttemptFailed("no_target", false);
         return;
@@ -198,6 +213,37 @@
     m_retryAt = now + placementRetryDelay;
 }
 
+std::optional<milliseconds> request_run::waitForLimits(time_point now)
+{
+    double rate = 0;
+    bool isLimited = false;
+    for (const auto& target : m_context.targets.ofService(m_request.service)) {
+        if (!target->isAvailable(now) || !target->limit.perSecond)
+            continue;
+        isLimited = true;
+        rate += policy::ownRate(target->limit, now).value_or(0);
+    }
+    if (!isLimited || m_mayHaveRun || m_limitPlace)
+        return std::nullopt;
+    size_t& waiting = m_context.waitingForLimits[m_request.service];
+    const milliseconds expected = policy::expectedWait(waiting, rate);
+    // Without a share in the limits, this entry can only send the caller to another one.
+    if (rate == 0)
+        return retryElsewhereTime;
+    if (expected >= maxPlacementTime)
+        return expected;
+    m_limitPlace.emplace(waiting);
+    return std::nullopt;
+}
+
+void request_run::refuseLimited(milliseconds expectedWait)
+{
+    // Callers that are refused at the same moment come back spread over as long again.
+    const auto spread = static_cast<double>(hashOf(m_request.callerRequest.id) % 1000) / 1000;
+    const auto retryAfter = std::min(longestRetryAfter, milliseconds(static_cast<int64_t>(static_cast<double>(expectedWait.count()) * (1 + spread))));
+    refuse("rate_limited", std::max(retryAfterTransientFailure, retryAfter));
+}
+
 void request_run::send(const target_ptr& target)
 {
     const time_point now = monotonicNow();
@@ -238,7 +284,7 @@
     callbacks.onBody = [this](std::string_view bytes) { onBytes(bytes); };
     callbacks.onEnd = [this](http1::call_outcome outcome) { onAttemptEnded(outcome); };
     const bool needsNewConnection = !m_request.route->isRetryable();
-    m_call = m_context.client.send(target->listed.endpoint, request, { needsNewConnection }, std::move(callbacks));
+    m_call = sendToTarget(m_context, target, request, { needsNewConnection }, std::move(callbacks));
     m_context.counters.count("sends_total", { { "service", m_request.service } });
     logLine(log_level::Info, logComponent, "The request was sent to a target.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "send", std::to_string(m_sends) }, { "left_ms", std::to_string(call.timeLeft.count()) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target->listedAt)) }, { "in_flight", std::to_string(target->inFlight) } });
 }
@@ -396,7 +442,7 @@
     const http1::response_trace& trace = m_call->trace();
     const std::string_view connection = trace.connectionEnd ? nameOf(*trace.connectionEnd) : "open";
     m_context.counters.count("responses_total", { { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "end", std::string(nameOf(outcome)) } });
-    logLine(log_level::Info, logComponent, "The response of a target ended.", { { "request", m_request.callerRequest.id }, { "target", m_target->listed.id }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(m_hasHead ? m_head.status : 0) }, { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "body_bytes", std::to_string(trace.bodyBytes) }, { "inside_event", m_events.isAtBoundary() ? "false" : "true" }, { "unsent_bytes", std::to_string(trace.unsentBytes) }, { "stated_limit", std::string(platform::decodeLimit(m_head).text) } });
+    logLine(log_level::Info, logComponent, "The response of a target ended.", { { "request", m_request.callerRequest.id }, { "target", m_target->listed.id }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(m_hasHead ? m_head.status : 0) }, { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "body_bytes", std::to_string(trace.bodyBytes) }, { "inside_event", m_events.isAtBoundary() ? "false" : "true" }, { "unsent_bytes", std::to_string(trace.unsentBytes) }, { "stated_limit", m_hasHead ? std::string(platform::decodeLimit(m_head).text.value_or("")) : "" } });
 }
 
 bool request_run::isStreamTruncated(http1::call_outcome outcome) const noexcept
@@ -550,6 +596,7 @@
 {
     if (std::exchange(m_isFinished, true))
         return;
+    m_limitPlace.reset();
     cancelAndReleaseStages();
     const auto duration = monotonicNow() - m_arrivedAt;
     m_context.counters.count("requests_total", { { "outcome", std::string(outcome) }, { "reason", std::string(reason) } });
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -34,6 +34,22 @@
     bool isTrial = false;
 };
 
+/// Counts a request among those that wait for the limited targets of a service, while it exists.
+class limit_place {
+public:
+    explicit limit_place(size_t& counter) noexcept
+        : m_counter(counter)
+    {
+        ++m_counter;
+    }
+    limit_place(const limit_place&) = delete;
+    limit_place& operator=(const limit_place&) = delete;
+    ~limit_place() { --m_counter; }
+
+private:
+    size_t& m_counter;
+};
+
 /// Runs the stages of a request, sends it to a target, and relays the response.
 class request_run : public std::enable_shared_from_this<request_run> {
 public:
@@ -52,6 +68,8 @@
     void onVerdict(time_point now);
 
     [[nodiscard]] bool isFinished() const noexcept { return m_isFinished; }
+    /// @return Priority rank and deadline, by which waiting requests get the next place at a limited target.
+    [[nodiscard]] std::pair<int, time_point> urgency() const noexcept { return { m_request.rank, m_deadline }; }
 
 private:
     using bytes_by_domain = std::map<std::string, double, std::less<>>;
@@ -91,6 +109,10 @@
     [[nodiscard]] target_ptr chooseTarget(time_point now) const;
     [[nodiscard]] policy::placement_candidate candidateOf(const target_state& target, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const;
     void dispatch();
+    /// Takes a place among the requests that wait for limited targets.
+    /// @return The expected wait if it is too long; nothing if the request has a place or no target is limited.
+    [[nodiscard]] std::optional<milliseconds> waitForLimits(time_point now);
+    void refuseLimited(milliseconds expectedWait);
     void send(const target_ptr& target);
     void onHead(const http1::response_head& head);
     void onBytes(std::string_view bytes);
@@ -134,6 +156,7 @@
     bool m_areInputsReleased = false;
     bool m_isWaitingForTarget = false;
     time_point m_retryAt {};
+    std::optional<limit_place> m_limitPlace;
 
     // The current attempt.
     target_ptr m_target;
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "deployment/deployment.hpp"
+#include "policy/rate_limit.hpp"
 #include "policy/target_health.hpp"
 
 #include <functional>
@@ -23,6 +24,7 @@
     /// The address responded as another target; stays set until the record names another address or service.
     bool isReplaced = false;
     policy::target_health health;
+    policy::rate_limit limit;
 
     /// Calls of this process in progress.
     uint32_t inFlight = 0;
@@ -36,7 +38,9 @@
     /// Time at which the target last processed a prompt prefix for this process, by the hash of the prompt segments in it.
     std::unordered_map<uint64_t, time_point> cachedPrefixes;
 
-    [[nodiscard]] bool mayGetWork(time_point now) const noexcept { return !isRemoved && !isReplaced && !listed.isDraining && policy::isUsable(health, now); }
+    /// @return Whether the target may get work as soon as its limit allows.
+    [[nodiscard]] bool isAvailable(time_point now) const noexcept { return !isRemoved && !isReplaced && !listed.isDraining && policy::isUsable(health, now); }
+    [[nodiscard]] bool mayGetWork(time_point now) const noexcept { return isAvailable(now) && policy::canSend(limit, now); }
 };
 
 using target_ptr = std::shared_ptr<target_state>;
@@ -60,6 +64,10 @@
     /// Carries out deferred removals.
     void tick(time_point now);
 
+    /// Updates the limits of targets.
+    /// @param shareOf  Share of a target's limit that this process may use.
+    void updateLimits(const std::function<double(const target_state&)>& shareOf, time_point now);
+
     /// @return The listed targets of a service, in a stable order.
     [[nodiscard]] const std::vector<target_ptr>& ofService(std::string_view service) const;
     /// @return The target that holds a result, or null if no target is listed at its address.
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -235,7 +235,7 @@
     callbacks.onBody = [call](std::string_view bytes) { call->body.append(bytes); };
     callbacks.onEnd = [this, service, call](http1::call_outcome outcome) { onCallEnded(service, call, outcome); };
     const milliseconds timeout = std::chrono::duration_cast<milliseconds>(call->startsAt - now) + std::max(minCallTimeout, call->expectedTime * callTimeoutFactor);
-    call->call = m_context.client.send(target->listed.endpoint, request, { false, targetConnectTimeout, timeout }, std::move(callbacks));
+    call->call = sendToTarget(m_context, target, request, { false, targetConnectTimeout, timeout }, std::move(callbacks));
     logLine(log_level::Info, logComponent, "A batch call was sent to a target of its pool.", { { "service", service }, { "target", target->listed.id }, { "pieces", std::to_string(items.size()) }, { "waiting", std::to_string(pool.queue.size()) }, { "free_bytes", std::to_string(static_cast<int64_t>(profile->resultMemoryBytes - target->heldBytes)) }, { "first_request", call->tasks.front()->job->requestId } });
     m_context.counters.count("piece_calls_total", { { "service", service } });
     m_context.counters.count("pieces_total", { { "service", service } }, static_cast<double>(items.size()));
@@ -335,11 +335,16 @@
             eraseResult(position);
     }
     for (const auto& [target, items] : byHolder) {
+        // A limited target is spared the call: its results expire by themselves.
+        if (!policy::canSend(target->limit, monotonicNow())) {
+            m_context.counters.count("releases_left_out_total");
+            continue;
+        }
         http1::outgoing_request request { "POST", std::string(platform::releaseResultsPath), platform::encodeInternalCallHeaders(target->listed), platform::encodeReleaseCall(items) };
         const auto position = m_releaseCalls.insert(m_releaseCalls.end(), nullptr);
         http1::client_call::callbacks callbacks;
         callbacks.onEnd = [this, position](http1::call_outcome) { m_releaseCalls.erase(position); };
-        *position = m_context.client.send(target->listed.endpoint, request, { false, targetConnectTimeout, releaseTimeout }, std::move(callbacks));
+        *position = sendToTarget(m_context, target, request, { false, targetConnectTimeout, releaseTimeout }, std::move(callbacks));
     }
 }
 }
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -57,9 +57,9 @@
 
 /// What a response says of the requests a second that its target takes from all entries together.
 struct stated_limit {
-    /// The field's value; empty if the response has none.
-    std::string_view text;
-    /// Requests a second; not set if the response states none, or no number that is at least zero.
+    /// The field's value; not set if the response has none.
+    std::optional<std::string_view> text;
+    /// Requests a second; not set if the response states none, or not exactly one number that is at least zero.
     std::optional<double> perSecond;
 };
 
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -11,6 +11,7 @@
 #include "policy/orders.hpp"
 #include "policy/ownership.hpp"
 #include "policy/placement.hpp"
+#include "policy/rate_limit.hpp"
 #include "policy/routing.hpp"
 #include "policy/suspicion.hpp"
 #include "policy/target_health.hpp"
