--- a/src/fakes/platform_engine.hpp
+++ b/src/fakes/platform_engine.hpp
@@ -41,6 +41,7 @@
     [[nodiscard]] static bool hasSegment(const http1::request_head& head, std::string_view segment);
 
     [[nodiscard]] engine_behaviour& behaviour() noexcept { return m_behaviour; }
+    [[nodiscard]] const engine_behaviour& behaviour() const noexcept { return m_behaviour; }
     [[nodiscard]] size_t crashCount() const noexcept { return m_crashCount; }
     /// @return Arrival times of all requests.
     [[nodiscard]] const std::vector<time_point>& arrivals() const noexcept { return m_arrivals; }
