Relay the whole of a plain response that is larger than the relay buffer

Callers saw: a plain response over 256 KiB arrived short, framed as complete and with a valid seal. Cause: when the buffer was full, the relay started with its content, but all later bytes were still buffered and never sent, and the last chunk followed. Change: once a response is being relayed, later bytes are relayed as they arrive, which applies flow control to the target as well; a failed response of a resumed stream is still not relayed. Class: the size of a response decides whether it is whole; other readers collect the whole body.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -318,6 +318,8 @@
         m_buffer.append(bytes);
         if (m_buffer.size() > maxBufferedBytes && isRelayable)
             startRelay();
+        if (isRelayable && m_request.exchange->isStarted())
+            relay(std::exchange(m_buffer, {}));
         return;
     }
     if (!m_request.route->isResumable) {
