Bound what is read of responses without end

Callers and targets saw: a target that sends bytes without end takes a gateway to half a gigabyte of memory, or holds a caller to its deadline. Cause: responses that are not relayed, events of resumable streams and batch calls were buffered up to 256 MB, interim responses without limit, and each read searched an unfinished event again from its start. Class: the sender decides how much a reader buffers. Change: 1 MiB for responses that are not relayed and for batch calls, 8 MiB for the store, 256 KiB for an event, which is searched once, and eight interim responses; beyond that the connection is closed, the target's health is told, and the attempt fails or moves on.

--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -11,12 +11,15 @@
     constexpr std::array<std::string_view, 3> eventEnds { "\n\n", "\n\r\n", "\r\r" };
     constexpr size_t longestEventEnd = std::string_view("\n\r\n").size();
 
+    /// @param searchedBytes  Bytes at the start that contain no whole end of an event.
     /// @return Size of the first whole event, or nothing.
-    std::optional<size_t> firstEventSize(std::string_view text) noexcept
+    std::optional<size_t> firstEventSize(std::string_view text, size_t searchedBytes) noexcept
     {
+        // An end may have begun in the bytes that were searched before.
+        const size_t start = searchedBytes - std::min(searchedBytes, longestEventEnd - 1);
         std::optional<size_t> size;
         for (const std::string_view end : eventEnds) {
-            if (const size_t position = text.find(end); position != std::string_view::npos)
+            if (const size_t position = text.find(end, start); position != std::string_view::npos)
                 size = std::min(size.value_or(text.size()), position + end.size());
         }
         return size;
@@ -59,6 +62,7 @@
 void event_stream::restart() noexcept
 {
     m_incompleteEvent.clear();
+    m_searchedBytes = 0;
     m_lastBytes.clear();
 }
 
@@ -72,9 +76,10 @@
     observe(bytes);
     m_incompleteEvent.append(bytes);
     for (;;) {
-        const auto size = firstEventSize(m_incompleteEvent);
+        const auto size = firstEventSize(m_incompleteEvent, m_searchedBytes);
+        m_searchedBytes = size ? 0 : m_incompleteEvent.size();
         if (!size)
-            return state::Good;
+            return m_incompleteEvent.size() <= maxEventBytes ? state::Good : state::TooLong;
         const std::string event = m_incompleteEvent.substr(0, *size);
         m_incompleteEvent.erase(0, event.size());
         const auto id = detail::idOf(event);
--- a/src/gateway/event_stream.hpp
+++ b/src/gateway/event_stream.hpp
@@ -8,6 +8,9 @@
 
 namespace bilberryseam::gateway {
 
+/// Largest event that is buffered, in bytes.
+constexpr size_t maxEventBytes = 256 * 1024;
+
 /// Knows whether a stream ends inside an event, and can pass on whole events only, each once and in order.
 class event_stream {
 public:
@@ -16,6 +19,8 @@
         Good,
         /// An event is missing, so the stream cannot be continued without a gap.
         Gap,
+        /// An event is larger than `maxEventBytes`; it may have no end.
+        TooLong,
     };
 
     /// Adds bytes of a target's response; appends whole new events to `out`.
@@ -38,6 +43,8 @@
 
 private:
     std::string m_incompleteEvent;
+    /// Bytes of the incomplete event in which no end was found.
+    size_t m_searchedBytes = 0;
     /// The last bytes of this attempt, as many as the longest end of an event has.
     std::string m_lastBytes;
     std::string m_lastId;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -14,6 +14,9 @@
     /// Bytes of a response that are buffered before it is relayed, so that an attempt that breaks off can be retried.
     constexpr size_t maxBufferedBytes = 256 * 1024;
 
+    /// Largest body of a response that is not relayed while it arrives.
+    constexpr size_t maxUnrelayedBytes = 1024 * 1024;
+
     /// Unsent bytes towards a caller at which the gateway stops reading from the target.
     constexpr size_t maxUnreadBytes = 256 * 1024;
 
@@ -320,6 +323,8 @@
             startRelay();
         if (isRelayable && m_request.exchange->isStarted())
             relay(std::exchange(m_buffer, {}));
+        if (m_buffer.size() > maxUnrelayedBytes)
+            abandonAttempt("too_large");
         return;
     }
     if (!m_request.route->isResumable) {
@@ -334,12 +339,22 @@
         startRelay();
         relay(wholeEvents);
     }
+    if (state == event_stream::state::TooLong)
+        abandonAttempt("too_large");
     if (state == event_stream::state::Gap) {
         detachFromTarget();
         onAttemptFailed("gap", true);
     }
 }
 
+void request_run::abandonAttempt(std::string_view reason)
+{
+    logLine(log_level::Warning, logComponent, "A target sends a response that may have no end; its connection is closed.", { { "request", m_request.callerRequest.id }, { "target", m_target->listed.id }, { "status", std::to_string(m_response.status) }, { "reason", std::string(reason) } });
+    policy::recordFailure(m_target->health, policy::call_failure::Failed, m_lastByteAt);
+    detachFromTarget();
+    onAttemptFailed(reason, true);
+}
+
 void request_run::startRelay()
 {
     if (m_request.exchange->isStarted())
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -131,6 +131,8 @@
     void detachFromTarget();
     void relay(std::string_view bytes);
     void startRelay();
+    /// Ends an attempt whose target sends more than it may.
+    void abandonAttempt(std::string_view reason);
     [[nodiscard]] bool isStream() const noexcept { return m_request.route->kind == deployment::call_kind::Streaming; }
 
     // End of the request.
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -40,6 +40,9 @@
     /// Longest time for establishing a connection to a target.
     constexpr milliseconds targetConnectTimeout { 300 };
 
+    /// Largest response to a batch call.
+    constexpr uint64_t maxResultBytes = 1024 * 1024;
+
     /// A target that had no memory for a result gets no tasks for this long.
     constexpr milliseconds noMemoryPause { 200 };
 
@@ -235,7 +238,7 @@
     callbacks.onBody = [call](std::string_view bytes) { call->body.append(bytes); };
     callbacks.onEnd = [this, service, call](http1::call_outcome outcome) { onCallEnded(service, call, outcome); };
     const milliseconds timeout = std::chrono::duration_cast<milliseconds>(call->startsAt - now) + std::max(minCallTimeout, call->expectedTime * callTimeoutFactor);
-    call->call = sendToTarget(m_context, target, request, { false, targetConnectTimeout, timeout }, std::move(callbacks));
+    call->call = sendToTarget(m_context, target, request, { false, targetConnectTimeout, timeout, maxResultBytes }, std::move(callbacks));
     logLine(log_level::Info, logComponent, "A batch call was sent to a target of its pool.", { { "service", service }, { "target", target->listed.id }, { "pieces", std::to_string(items.size()) }, { "waiting", std::to_string(pool.queue.size()) }, { "free_bytes", std::to_string(static_cast<int64_t>(profile->resultMemoryBytes - target->heldBytes)) }, { "first_request", call->tasks.front()->job->requestId } });
     m_context.counters.count("piece_calls_total", { { "service", service } });
     m_context.counters.count("pieces_total", { { "service", service } }, static_cast<double>(items.size()));
@@ -344,7 +347,7 @@
         const auto position = m_releaseCalls.insert(m_releaseCalls.end(), nullptr);
         http1::client_call::callbacks callbacks;
         callbacks.onEnd = [this, position](http1::call_outcome) { m_releaseCalls.erase(position); };
-        *position = sendToTarget(m_context, target, request, { false, targetConnectTimeout, releaseTimeout }, std::move(callbacks));
+        *position = sendToTarget(m_context, target, request, { false, targetConnectTimeout, releaseTimeout, maxResultBytes }, std::move(callbacks));
     }
 }
 }
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -9,6 +9,7 @@
 
 namespace {
     constexpr size_t maxResponseHeaderBytes = 64 * 1024;
+    constexpr unsigned maxInterimResponses = 8;
     constexpr milliseconds cleanupPeriod { 500 };
 
     /// Lifetime of an idle connection if the server sends no `Keep-Alive` timeout.
@@ -181,6 +182,10 @@
         const bool isInterim = state.parser.is_header_done() && state.parser.get().result_int() / 100 == 1;
         if (!isInterim)
             break;
+        if (++m_interimResponses > maxInterimResponses) {
+            finish(call_outcome::Malformed);
+            return;
+        }
         std::string rest = std::move(state.readBuffer);
         m_parserState = std::make_unique<parser_state>(m_options.maxResponseBytes, m_isHeadRequest);
         m_parserState->readBuffer = std::move(rest);
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -125,6 +125,7 @@
     timer m_connectTimer;
     timer m_timeoutTimer;
     response_trace m_trace;
+    unsigned m_interimResponses = 0;
     bool m_isReused = false;
     bool m_isHeadRequest = false;
     bool m_hasResponseBytes = false;
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -9,6 +9,8 @@
 
 namespace {
     constexpr size_t offsetBytes = 8;
+    /// Largest response of the store: a page of newest records in base64, or a read with one more record.
+    constexpr uint64_t maxStoreResponseBytes = 8 * 1024 * 1024;
     /// A read response begins with the offset of the next record and the oldest offset.
     constexpr size_t readHeadBytes = 2 * offsetBytes;
     /// Size of the length in front of each record.
@@ -144,7 +146,7 @@
     callbacks.onHead = [response](const http1::response_head& head) { response->status = head.status; };
     callbacks.onBody = [response](std::string_view bytes) { response->body.append(bytes); };
     callbacks.onEnd = [response, done = std::move(done)](http1::call_outcome outcome) { done(outcome, response->status, response->body); };
-    return m_client.send(m_endpoint, request, { false, timeout, timeout }, std::move(callbacks));
+    return m_client.send(m_endpoint, request, { false, timeout, timeout, maxStoreResponseBytes }, std::move(callbacks));
 }
 
 store_call store_client::append(std::string_view topic, std::span<const std::string> records, on_append done)
