A sound segment that runs beside two crashing ones is cleared again

Besides, an entry that connects got all reports before the survivals that refute them, and published verdicts from them. Change: a trial is a request with one refused segment only; crashes that another refused segment explains do not count for a new verdict; an entry that connects gets reports without their refuted segments.

--- a/src/execution/crash_exchange.cpp
+++ b/src/execution/crash_exchange.cpp
@@ -100,10 +100,11 @@
     }
 }
 
-bool crash_exchange::tryStartTrial(uint64_t segment, milliseconds rankDelay, time_point now)
+bool crash_exchange::tryStartTrial(std::span<const uint64_t> segments, milliseconds rankDelay, time_point now)
 {
-    if (!policy::tryStartTrial(m_evidence, segment, rankDelay, now))
+    if (!policy::tryStartTrial(m_evidence, segments, rankDelay, now))
         return false;
+    const uint64_t segment = policy::refusedSegment(m_evidence, segments, now).value();
     const policy::segment_verdict& verdict = m_evidence.verdicts.at(segment);
     logLine(log_level::Warning, logComponent, "One request with a refused prompt segment is let through as a trial.", { { "segment", textOfHash(segment) }, { "trial", std::to_string(verdict.trials) }, { "next_trial_ms", std::to_string(asMilliseconds(verdict.nextTrialAt - now)) } });
     publish(messageOf(segment, verdict, now));
@@ -174,7 +175,8 @@
 
 void crash_exchange::sendAll(const std::function<void(wire::message)>& send, time_point now) const
 {
-    for (const auto& report : m_evidence.reports)
+    // Without its refuted segments, a report cannot be misread before the survivals arrive.
+    for (const auto& report : policy::unrefutedReports(m_evidence))
         send(messageOf(report, now));
     for (const auto& [segment, beganAt] : m_evidence.survivals)
         send(wire::segment_survival { segment, toMilliseconds(now - beganAt) });
--- a/src/execution/crash_exchange.hpp
+++ b/src/execution/crash_exchange.hpp
@@ -36,7 +36,7 @@
     [[nodiscard]] std::optional<uint64_t> refusedSegment(std::span<const uint64_t> segments, time_point now) const noexcept { return policy::refusedSegment(m_evidence, segments, now); }
 
     /// Lets one request with a refused segment through, if a trial is due; see `policy::tryStartTrial`.
-    [[nodiscard]] bool tryStartTrial(uint64_t segment, milliseconds rankDelay, time_point now);
+    [[nodiscard]] bool tryStartTrial(std::span<const uint64_t> segments, milliseconds rankDelay, time_point now);
 
     /// @return Time until the next trial of a refused segment; zero if none is due any more.
     [[nodiscard]] milliseconds timeUntilTrial(uint64_t segment, time_point now) const;
--- a/src/execution/suspicion_exchange.cpp
+++ b/src/execution/suspicion_exchange.cpp
@@ -39,7 +39,7 @@
     if (policy::executionModeOf(m_table, fingerprint, now) == policy::execution_mode::Refused)
         return false;
     const auto segment = m_crashes.refusedSegment(segments, now);
-    return segment && m_crashes.tryStartTrial(*segment, trialDelayStep * static_cast<int64_t>(hashOfPair(m_ownName, *segment) % trialDelaySteps), now);
+    return segment && m_crashes.tryStartTrial(segments, trialDelayStep * static_cast<int64_t>(hashOfPair(m_ownName, *segment) % trialDelaySteps), now);
 }
 
 wire::crash_suspicion suspicion_exchange::messageOf(uint64_t fingerprint, const policy::suspicion& suspicion, time_point now)
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -44,9 +44,10 @@
     m_probe.onBrokenRequest({ hash, target.listed.id, target.listed.endpoint }, std::move(request), now);
 }
 
-bool crash_watch::tryStartTrial(uint64_t segment, time_point now)
+bool crash_watch::tryStartTrial(std::span<const uint64_t> segments, time_point now)
 {
-    return m_exchange.tryStartTrial(segment, trialRankDelay * static_cast<int64_t>(m_callbacks.trialRankOf(segment)), now);
+    const auto segment = m_exchange.refusedSegment(segments, now);
+    return segment && m_exchange.tryStartTrial(segments, trialRankDelay * static_cast<int64_t>(m_callbacks.trialRankOf(*segment)), now);
 }
 
 milliseconds crash_watch::retryAfter(uint64_t segment, time_point now) const
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -36,7 +36,7 @@
 
     [[nodiscard]] std::optional<uint64_t> refusedSegment(std::span<const uint64_t> segments, time_point now) const noexcept { return m_exchange.refusedSegment(segments, now); }
     /// @return True if the request may run although one of its segments is refused, as the one trial that is due.
-    [[nodiscard]] bool tryStartTrial(uint64_t segment, time_point now);
+    [[nodiscard]] bool tryStartTrial(std::span<const uint64_t> segments, time_point now);
     /// @return When a caller may come back with a refused segment.
     [[nodiscard]] milliseconds retryAfter(uint64_t segment, time_point now) const;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -294,7 +294,7 @@
     const auto segment = m_crashes->refusedSegment(request.segments, now);
     if (!segment)
         return true;
-    request.isTrial = m_crashes->tryStartTrial(*segment, now);
+    request.isTrial = m_crashes->tryStartTrial(request.segments, now);
     logLine(log_level::Info, logComponent, request.isTrial ? "The request runs as the trial of a refused prompt segment." : "The request contains a prompt segment on which targets crashed.", { { "request", id }, { "segment", textOfHash(*segment) } });
     if (!request.isTrial)
         refuse(exchange, id, http1::statusUnavailable, "crashes_targets", m_crashes->retryAfter(*segment, now));
--- a/src/policy/crash_evidence.cpp
+++ b/src/policy/crash_evidence.cpp
@@ -73,10 +73,19 @@
         evidence.verdicts.erase(first);
     }
 
+    /// @return True if each request of the group that has the segment has another one that is refused.
+    bool isExplained(const crash_evidence& evidence, std::span<const uint64_t> refused, uint64_t segment, const report_group& group)
+    {
+        return std::any_of(refused.begin(), refused.end(), [&](uint64_t other) { return other != segment && accompanies(evidence, other, segment, group); });
+    }
+
+    /// @param refused  Segments that were refused before the newest report.
     /// @return True if the segment was not refused before.
-    bool updateVerdict(crash_evidence& evidence, uint64_t segment, time_point now)
+    bool updateVerdict(crash_evidence& evidence, std::span<const uint64_t> refused, uint64_t segment, time_point now)
     {
-        const auto crashes = crashesOf(evidence, segment);
+        auto crashes = crashesOf(evidence, segment);
+        if (crashes.size() >= crashesToRefuse && !evidence.verdicts.contains(segment))
+            std::erase_if(crashes, [&](const auto& group) { return isExplained(evidence, refused, segment, group); });
         if (crashes.size() < crashesToRefuse)
             return false;
         if (!evidence.verdicts.contains(segment))
@@ -136,9 +145,12 @@
     if (evidence.reports.size() >= maxCrashReports)
         removeOldestReport(evidence);
     evidence.reports.push_back(std::move(report));
+    std::vector<uint64_t> refused;
+    for (const auto& [segment, verdict] : evidence.verdicts)
+        refused.push_back(segment);
     merge_result result { true, {} };
     for (const auto& item : evidence.reports.back().segments) {
-        if (updateVerdict(evidence, item.segment, now))
+        if (updateVerdict(evidence, refused, item.segment, now))
             result.newVerdicts.push_back(item.segment);
     }
     return result;
@@ -207,10 +219,14 @@
     return std::nullopt;
 }
 
-bool tryStartTrial(crash_evidence& evidence, uint64_t segment, milliseconds rankDelay, time_point now)
+bool tryStartTrial(crash_evidence& evidence, std::span<const uint64_t> segments, milliseconds rankDelay, time_point now)
 {
-    const auto position = evidence.verdicts.find(segment);
-    if (position == evidence.verdicts.end())
+    const auto segment = refusedSegment(evidence, segments, now);
+    if (!segment)
+        return false;
+    const bool hasOther = std::any_of(segments.begin(), segments.end(), [&](uint64_t other) { return other != *segment && evidence.verdicts.contains(other); });
+    const auto position = evidence.verdicts.find(*segment);
+    if (hasOther && position->second.companions.empty())
         return false;
     segment_verdict& verdict = position->second;
     verdict.expires = now + verdictLifetime;
@@ -231,6 +247,16 @@
     std::erase_if(evidence.verdicts, [now](const auto& item) { return item.second.expires <= now; });
 }
 
+std::vector<crash_report> unrefutedReports(const crash_evidence& evidence)
+{
+    std::vector<crash_report> reports;
+    for (const auto& report : evidence.reports) {
+        crash_report& copy = reports.emplace_back(report);
+        std::erase_if(copy.segments, [&](const auto& item) { return isRefuted(evidence, item.segment, report.at); });
+    }
+    return reports;
+}
+
 uint32_t crashCountOf(const crash_evidence& evidence, uint64_t segment)
 {
     return static_cast<uint32_t>(crashesOf(evidence, segment).size());
--- a/src/policy/crash_evidence.hpp
+++ b/src/policy/crash_evidence.hpp
@@ -111,9 +111,12 @@
 /// @return The segment for which a request with these segments is refused, or nothing.
 [[nodiscard]] std::optional<uint64_t> refusedSegment(const crash_evidence& evidence, std::span<const uint64_t> segments, time_point now) noexcept;
 
-/// Lets one request with a refused segment through, if a trial is due.
+/// Lets one request through that has exactly one refused segment, if a trial of the segment is due.
 /// @param rankDelay  Time by which this process waits longer than the first in rank, so that only one of them starts the trial.
-[[nodiscard]] bool tryStartTrial(crash_evidence& evidence, uint64_t segment, milliseconds rankDelay, time_point now);
+[[nodiscard]] bool tryStartTrial(crash_evidence& evidence, std::span<const uint64_t> segments, milliseconds rankDelay, time_point now);
+
+/// @return The reports, without the segments that survivals refute.
+[[nodiscard]] std::vector<crash_report> unrefutedReports(const crash_evidence& evidence);
 
 /// Removes expired reports and verdicts.
 void removeExpired(crash_evidence& evidence, time_point now);
--- a/tests/unit/crash_evidence_test.cpp
+++ b/tests/unit/crash_evidence_test.cpp
@@ -123,6 +123,47 @@
     cr_assert(test.isRefused({ bad }));
 }
 
+Test(crash_evidence, what_accompanies_two_refused_segments_is_not_refused_itself)
+{
+    evidence_test test;
+    for (int i = 0; i < 3; ++i)
+        test.crash({ { bad, subject } });
+    // Sound requests with the subject still run, so it is cleared before the second segment begins.
+    cr_assert_not(test.isRefused({ system1, subject }));
+    test.survive({ system1, subject });
+    for (int i = 0; i < 3; ++i)
+        test.crash({ { otherBad, subject } });
+    cr_assert_not(test.isRefused({ system1, subject }));
+    cr_assert(test.isRefused({ bad, subject }));
+    cr_assert(test.isRefused({ otherBad, subject }));
+}
+
+Test(crash_evidence, a_request_with_two_refused_segments_is_no_trial)
+{
+    evidence_test test;
+    for (int i = 0; i < 3; ++i)
+        test.crash({ { bad }, { otherBad } });
+    test.now += seconds(60);
+    cr_assert(test.isRefused({ bad, otherBad }));
+    cr_assert_not(tryStartTrial(test.evidence, std::vector<uint64_t> { bad, otherBad }, milliseconds(0), test.now), "the trial of one segment would crash its target because of the other");
+    cr_assert(tryStartTrial(test.evidence, std::vector<uint64_t> { bad, subject }, milliseconds(0), test.now));
+}
+
+Test(crash_evidence, a_process_that_starts_gets_no_evidence_that_was_refuted)
+{
+    evidence_test test;
+    for (uint64_t i = 0; i < 3; ++i) {
+        test.crash({ { system1, subject, bad } });
+        test.survive({ system1, subject });
+    }
+    evidence_test started;
+    for (auto& report : unrefutedReports(test.evidence))
+        static_cast<void>(mergeReport(started.evidence, std::move(report), test.now));
+    cr_assert(started.isRefused({ system1, subject, bad }));
+    cr_assert_not(started.isRefused({ system1, subject }));
+    cr_assert_eq(crashCountOf(started.evidence, system1), 0u);
+}
+
 Test(crash_evidence, reports_of_several_processes_about_one_crash_count_once)
 {
     evidence_test test;
@@ -145,14 +186,14 @@
     evidence_test test;
     for (int i = 0; i < 3; ++i)
         test.crash({ { bad } });
-    cr_assert_not(tryStartTrial(test.evidence, bad, milliseconds(0), test.now));
+    cr_assert_not(tryStartTrial(test.evidence, std::vector<uint64_t> { bad }, milliseconds(0), test.now));
     uint32_t trials = 0;
     for (int second = 0; second < 3000; ++second) {
         test.now += seconds(1);
-        if (!tryStartTrial(test.evidence, bad, milliseconds(0), test.now))
+        if (!tryStartTrial(test.evidence, std::vector<uint64_t> { bad }, milliseconds(0), test.now))
             continue;
         ++trials;
-        cr_assert_not(tryStartTrial(test.evidence, bad, milliseconds(0), test.now), "two trials at a time");
+        cr_assert_not(tryStartTrial(test.evidence, std::vector<uint64_t> { bad }, milliseconds(0), test.now), "two trials at a time");
         test.crash({ { bad } }, milliseconds(100));
         cr_assert(test.isRefused({ bad }));
     }
@@ -162,8 +203,8 @@
     for (int i = 0; i < 3; ++i)
         mended.crash({ { bad } });
     mended.now += firstTrialDelay;
-    cr_assert_not(tryStartTrial(mended.evidence, bad, milliseconds(500), mended.now), "a process of a later rank must wait");
-    cr_assert(tryStartTrial(mended.evidence, bad, milliseconds(0), mended.now));
+    cr_assert_not(tryStartTrial(mended.evidence, std::vector<uint64_t> { bad }, milliseconds(500), mended.now), "a process of a later rank must wait");
+    cr_assert(tryStartTrial(mended.evidence, std::vector<uint64_t> { bad }, milliseconds(0), mended.now));
     mended.now += seconds(1);
     mended.survive({ bad });
     cr_assert_not(mended.isRefused({ bad }));
