After a freeze, requests wait until the target list is read again

Cause: a gateway that was stopped served the queued requests from the list of before, while its next read of the list was still due or hung on a silenced connection. Change: the main loop notices that it did not run for 700 ms; the list is then read on a new call, and no request is sent until it was read, or for 400 ms if the store does not respond.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -51,6 +51,11 @@
     }
 }
 
+bool isTargetListUncertain(const context& context, time_point now) noexcept
+{
+    return now < context.targetsUncertainUntil || now - context.lastTickAt > freezeTime;
+}
+
 std::shared_ptr<http1::client_call> sendToTarget(context& context, const target_ptr& target, const http1::outgoing_request& request, const http1::call_options& options, http1::client_call::callbacks callbacks)
 {
     const time_point sentAt = monotonicNow();
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -15,6 +15,9 @@
 
 namespace bilberryseam::gateway {
 
+/// A main loop that did not run for this long was frozen; a slow one runs more often.
+constexpr milliseconds freezeTime { 700 };
+
 /// Retries that this process may still send to one service.
 struct retry_budget {
     policy::budget units;
@@ -42,6 +45,10 @@
     /// Number of entries that share the retry budget of the deployment: the known ones, but at least four. The initial value applies
     /// until the directory or the configuration was read.
     unsigned entryCount = 8;
+    /// Last tick of the main loop. A long time since then shows that the process was frozen.
+    time_point lastTickAt {};
+    /// After a freeze, requests wait until this time for the target list to be read again.
+    time_point targetsUncertainUntil {};
     /// Last change of the set of entries.
     time_point entriesChangedAt {};
     /// Requests that wait for a limited target, by service.
@@ -57,6 +64,9 @@
     }
 };
 
+/// @return True if the process has just woken from a freeze in which targets may have left.
+[[nodiscard]] bool isTargetListUncertain(const context& context, time_point now) noexcept;
+
 /// Sends a request to a target. All requests go through here: each counts against the limit that the target states, and each
 /// response may change it.
 [[nodiscard]] std::shared_ptr<http1::client_call> sendToTarget(context& context, const target_ptr& target, const http1::outgoing_request& request, const http1::call_options& options, http1::client_call::callbacks callbacks);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,6 +34,9 @@
     /// Margin before the process is killed.
     constexpr milliseconds stopMargin { 400 };
 
+    /// After a freeze, requests wait for so long for the target list; if the store is away, they are then sent by the known one.
+    constexpr milliseconds rereadTime { 400 };
+
     /// All entries know of a new one within this time.
     constexpr milliseconds stableEntriesTime { 5000 };
 
@@ -93,6 +96,7 @@
             [this](time_point firstCrashAt) { onVerdict(firstCrashAt); },
             [this](uint64_t segment) { return m_pools->rankFor(textOfHash(segment)); } });
     m_context.crashes = &*m_crashes;
+    m_context.lastTickAt = monotonicNow();
     m_tick.startEvery(tickPeriod, [this] { tick(); });
     m_loop.onTerminate([this] { stop(); });
 }
@@ -157,6 +161,8 @@
     callbacks.onRecord = [this](const platform::keyed_record& record) { applyTarget(record); };
     callbacks.onReadSuccess = [this](time_point sentAt) {
         m_context.targets.onStoreReachable(monotonicNow());
+        if (sentAt >= m_wokeAt)
+            m_context.targetsUncertainUntil = {};
         recordRead(platform::targetTopic, m_isTargetListUnreachable, sentAt);
     };
     callbacks.onReadFailure = [this](std::string_view reason) {
@@ -394,6 +400,18 @@
     exchange.respond(http1::statusNotFound, {}, {});
 }
 
+void gateway::checkForFreeze(time_point now)
+{
+    const bool wasFrozen = m_context.lastTickAt != time_point() && now - m_context.lastTickAt > freezeTime;
+    const auto gap = now - std::exchange(m_context.lastTickAt, now);
+    if (!wasFrozen)
+        return;
+    m_wokeAt = now;
+    m_context.targetsUncertainUntil = now + rereadTime;
+    m_targetFollower->restartRead();
+    logLine(log_level::Warning, logComponent, "The process was frozen; requests wait until the target list is read again.", { { "frozen_ms", std::to_string(asMilliseconds(gap)) } });
+}
+
 double gateway::limitShareOf(const target_state& target, time_point now)
 {
     const bool isPool = m_context.configuration && deployment::poolOf(*m_context.configuration, target.listed.service);
@@ -405,6 +423,7 @@
 void gateway::tick()
 {
     const time_point now = monotonicNow();
+    checkForFreeze(now);
     m_finishedRuns.clear();
     m_context.targets.tick(now);
     m_context.targets.updateLimits([this, now](const target_state& target) { return limitShareOf(target, now); }, now);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -57,6 +57,8 @@
     void handleOperatorRequest(http1::exchange& exchange);
     /// @return Share of the limit of a target that this entry may use.
     [[nodiscard]] double limitShareOf(const target_state& target, time_point now);
+    /// Has the target list read again if the process was frozen.
+    void checkForFreeze(time_point now);
     void tick();
     void stop();
 
@@ -75,6 +77,7 @@
     bool m_isConfigurationUnreachable = false;
     bool m_isTargetListUnreachable = false;
     bool m_hasTargets = false;
+    time_point m_wokeAt {};
     timer m_tick;
     bool m_isStopping = false;
     time_point m_stopRequestedAt {};
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -191,6 +191,11 @@
         restartStages("inputs_freed");
         return;
     }
+    if (isTargetListUncertain(m_context, now)) {
+        m_isWaitingForTarget = true;
+        m_retryAt = now + placementRetryDelay;
+        return;
+    }
     const target_ptr target = chooseTarget(now);
     if (target) {
         m_limitPlace.reset();
--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -68,6 +68,12 @@
         scheduleRead(milliseconds(0));
 }
 
+void topic_follower::restartRead()
+{
+    m_call.reset();
+    scheduleRead(milliseconds(0));
+}
+
 void topic_follower::scheduleRead(milliseconds delay)
 {
     m_timer.startOnce(delay, [this] {
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -45,6 +45,9 @@
     /// Ends the current pause between reads; has no effect during a read.
     void readNow();
 
+    /// Reads at once, on a new call if one is in progress, whose connection may have gone silent.
+    void restartRead();
+
 private:
     void readSnapshotPage(const std::string& after);
     void handleSnapshotPage(newest_page page);
--- a/tests/process/gateway_store_test.cpp
+++ b/tests/process/gateway_store_test.cpp
@@ -60,6 +60,28 @@
     deployment.waitUntil([&] { return deployment.sendAndWait("GET", "/p/3", { { "X-Api-Key", "key-2" } })->head.status == 200; }, "the newer key");
 }
 
+Test(gateway_store, a_gateway_that_was_paused_sends_nothing_to_a_target_that_left_meanwhile)
+{
+    constexpr int pendingRequests = 8;
+    deployment_fixture deployment(194);
+    auto& leaving = deployment.addTarget("t-1", "pages");
+    auto& other = deployment.addTarget("t-2", "pages");
+    deployment.configure(3, routes);
+    const size_t gateway = deployment.startGateway();
+    deployment.waitUntilReady();
+    deployment.signal(gateway, SIGSTOP);
+    deployment.listTarget(leaving, "pages", "draining");
+    deployment.runLoopFor(milliseconds(2700));
+    std::vector<caller_ptr> callers;
+    for (int i = 0; i < pendingRequests; ++i)
+        callers.push_back(deployment.send("GET", "/p/" + std::to_string(i)));
+    deployment.runLoopFor(milliseconds(50));
+    deployment.signal(gateway, SIGCONT);
+    deployment.waitUntil([&] { return std::all_of(callers.begin(), callers.end(), [](const auto& item) { return item->isFinished; }); }, "the responses after the pause");
+    cr_assert_eq(leaving.requests().size(), 0u);
+    cr_assert_eq(other.requests().size(), static_cast<size_t>(pendingRequests));
+}
+
 Test(gateway_store, targets_that_expire_during_an_outage_are_kept_until_the_store_returns)
 {
     deployment_fixture deployment(192);
