Bound the time of a crash report with many segments

Cause: each segment of a report was compared with all crashes, verdicts and other segments; with 300 reports of the same 128 segments the worst took 51 ms, and with 640 segments the measurement did not end in two minutes. Change: the five newest crashes decide, candidates for companions are filtered by their requests first, and a verdict without companions is not computed again.

--- a/bench/component_bench.cpp
+++ b/bench/component_bench.cpp
@@ -104,6 +104,43 @@
     print({ { "bench", "claims" }, { "entries", count }, { "heapBytes", heapBytes() - before }, { "microsecondsEach", 1e6 * seconds / static_cast<double>(count) } });
 }
 
+/// Crashes beside hostile traffic: each report has 32 requests with so many segments that no other has.
+/// @param repeats  Every report has the same segments, so that all of them are candidates for a verdict.
+void measureCrashEvidence(size_t segmentsPerRequest, bool repeats)
+{
+    constexpr size_t reports = 300;
+    const size_t before = heapBytes();
+    policy::crash_evidence evidence;
+    uint64_t next = 1;
+    double longestMerge = 0;
+    time_point now {};
+    for (size_t i = 0; i < reports; ++i) {
+        std::vector<std::vector<uint64_t>> requests(policy::maxReportedRequests);
+        if (repeats)
+            next = 1;
+        for (auto& request : requests) {
+            for (size_t k = 0; k < segmentsPerRequest; ++k)
+                request.push_back(next++);
+        }
+        now += seconds(1);
+        longestMerge = std::max(longestMerge, secondsOf([&] { static_cast<void>(policy::mergeReport(evidence, { i + 1, i + 1, now, policy::suspectedSegments(requests) }, now)); }));
+    }
+    std::vector<uint64_t> request;
+    for (size_t k = 0; k < segmentsPerRequest; ++k)
+        request.push_back(next++);
+    constexpr int rounds = 2000;
+    size_t refused = 0;
+    const double check = secondsOf([&] {
+        for (int i = 0; i < rounds; ++i)
+            refused += policy::refusedSegment(evidence, request, now) ? 1 : 0;
+    });
+    const double survival = secondsOf([&] {
+        for (int i = 0; i < rounds; ++i)
+            static_cast<void>(policy::recordSurvival(evidence, request, now));
+    });
+    print({ { "bench", "crash_evidence" }, { "segmentsPerRequest", segmentsPerRequest }, { "repeats", repeats }, { "reports", evidence.reports.size() }, { "verdicts", evidence.verdicts.size() }, { "heapBytes", heapBytes() - before }, { "longestMergeMilliseconds", 1e3 * longestMerge }, { "checkMicroseconds", 1e6 * check / rounds }, { "survivalMicroseconds", 1e6 * survival / rounds }, { "check", refused } });
+}
+
 void measureCodec(size_t messagesPerFrame)
 {
     wire::frame frame { 1, 1, false, {} };
@@ -135,6 +172,10 @@
         measureRouting(candidates);
     for (const size_t entries : { 10000, 25000, 50000, 100000 })
         measureClaims(entries);
+    for (const size_t segments : { 4, 20, 100 }) {
+        for (const bool repeats : { false, true })
+            measureCrashEvidence(segments, repeats);
+    }
     for (const size_t messages : { 1, 4, 16, 64 })
         measureCodec(messages);
 }
--- a/src/policy/crash_evidence.cpp
+++ b/src/policy/crash_evidence.cpp
@@ -6,6 +6,9 @@
 namespace bilberryseam::policy {
 
 namespace {
+    /// Newest crashes of a segment that decide about its verdict; bounds the time of a report with many segments.
+    constexpr ptrdiff_t maxConsideredCrashes = 5;
+
     const suspected_segment* findSegment(const crash_report& report, uint64_t segment) noexcept
     {
         const auto position = std::lower_bound(report.segments.begin(), report.segments.end(), segment, [](const auto& item, uint64_t wanted) { return item.segment < wanted; });
@@ -54,8 +57,9 @@
         // therefore in the first or in the second crash.
         std::vector<uint64_t> companions;
         for (const auto& candidateCrash : { crashes[0], crashes[1] }) {
+            const uint32_t needed = findSegment(*candidateCrash.front(), segment)->requests;
             for (const auto& [other, requests] : candidateCrash.front()->segments) {
-                if (other == segment || std::find(companions.begin(), companions.end(), other) != companions.end())
+                if (other == segment || (requests & needed) != needed || std::find(companions.begin(), companions.end(), other) != companions.end())
                     continue;
                 const auto shared = std::count_if(crashes.begin(), crashes.end(), [&, other = other](const auto& group) { return accompanies(evidence, other, segment, group); });
                 if (static_cast<size_t>(shared) + 1 >= crashes.size())
@@ -84,6 +88,9 @@
     bool updateVerdict(crash_evidence& evidence, std::span<const uint64_t> refused, uint64_t segment, time_point now)
     {
         auto crashes = crashesOf(evidence, segment);
+        const auto crashCount = static_cast<uint32_t>(crashes.size());
+        if (std::ssize(crashes) > maxConsideredCrashes)
+            crashes.erase(crashes.begin(), crashes.end() - maxConsideredCrashes);
         if (crashes.size() >= crashesToRefuse && !evidence.verdicts.contains(segment))
             std::erase_if(crashes, [&](const auto& group) { return isExplained(evidence, refused, segment, group); });
         if (crashes.size() < crashesToRefuse)
@@ -96,8 +103,9 @@
             verdict.firstCrashAt = crashes.front().front()->at;
             verdict.nextTrialAt = now + firstTrialDelay;
         }
-        verdict.companions = companionsOf(evidence, segment, crashes);
-        verdict.crashCount = std::max(verdict.crashCount, static_cast<uint32_t>(crashes.size()));
+        if (isNew || !verdict.companions.empty())
+            verdict.companions = companionsOf(evidence, segment, crashes);
+        verdict.crashCount = std::max(verdict.crashCount, crashCount);
         verdict.lastCrashAt = std::max(verdict.lastCrashAt, crashes.back().back()->at);
         verdict.expires = now + verdictLifetime;
         return isNew;
