gateway: refusals because of crashes and limits in a file of their own

The functions move unchanged, with the constants that only they use; two constants that both files need are in the header.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -31,18 +31,6 @@
 
     /// Delay after which callers may retry if no target is usable.
     constexpr milliseconds retryWithoutTargets { 1000 };
-    /// Delay after which callers may retry in other cases, which are likely to be transient.
-    constexpr milliseconds retryAfterTransientFailure { 100 };
-
-    /// A request for which no target is usable is refused this long after its arrival.
-    constexpr milliseconds maxPlacementTime { 1500 };
-
-    /// Delay after which callers may retry at an entry that has a share in the limits of targets.
-    constexpr milliseconds retryElsewhereTime { 300 };
-
-    /// Longest time that a caller is asked to stay away.
-    constexpr milliseconds longestRetryAfter { 10000 };
-
     /// A target counts as unresponsive if it sends no first byte for this multiple of the latency objective, or no further
     /// byte for this multiple of the gap objective; the request then moves to another target.
     constexpr double unresponsiveObjectiveFactor = 1.5;
@@ -58,12 +46,6 @@
     /// A retry after a crash waits until the crash is known everywhere, which may refuse it.
     constexpr milliseconds crashReportTime { 50 };
 
-    /// Reason of requests that are refused because targets crashed on them or on a segment of their prompt.
-    constexpr std::string_view crashReason = "crashes_targets";
-
-    /// Number of crashes after which a request is quarantined and refused.
-    constexpr uint32_t crashesToQuarantine = 2;
-
     std::vector<uint64_t> prefixHashes(const deployment::generation_request& prompt)
     {
         std::vector<uint64_t> hashes;
@@ -207,9 +189,9 @@
         return;
     }
     const bool hasTargets = !m_context.targets.ofService(m_request.service).empty();
-    const bool mayWait = hasTargets && m_sends < maxSends && now - m_arrivedAt < maxPlacementTime && !m_request.exchange->isStarted();
+    const bool mayWait = hasTargets && m_sends < maxSends && now - m_arrivedAt < detail::maxPlacementTime && !m_request.exchange->isStarted();
     if (!mayWait && m_limitPlace && !m_mayHaveRun) {
-        refuseLimited(maxPlacementTime);
+        refuseLimited(detail::maxPlacementTime);
         return;
     }
     if (!mayWait) {
@@ -221,37 +203,6 @@
     m_retryAt = now + placementRetryDelay;
 }
 
-std::optional<milliseconds> request_run::waitForLimits(time_point now)
-{
-    double rate = 0;
-    bool isLimited = false;
-    for (const auto& target : m_context.targets.ofService(m_request.service)) {
-        if (!target->isAvailable(now) || !target->limit.perSecond)
-            continue;
-        isLimited = true;
-        rate += policy::ownRate(target->limit, now).value_or(0);
-    }
-    if (!isLimited || m_mayHaveRun || m_limitPlace)
-        return std::nullopt;
-    size_t& waiting = m_context.waitingForLimits[m_request.service];
-    const milliseconds expected = policy::expectedWait(waiting, rate);
-    // Without a share in the limits, this entry can only send the caller to another one.
-    if (rate == 0)
-        return retryElsewhereTime;
-    if (expected >= maxPlacementTime)
-        return expected;
-    m_limitPlace.emplace(waiting);
-    return std::nullopt;
-}
-
-void request_run::refuseLimited(milliseconds expectedWait)
-{
-    // Callers that are refused at the same moment come back spread over as long again.
-    const auto spread = static_cast<double>(hashOf(m_request.callerRequest.id) % 1000) / 1000;
-    const auto retryAfter = std::min(longestRetryAfter, milliseconds(static_cast<int64_t>(static_cast<double>(expectedWait.count()) * (1 + spread))));
-    refuse("rate_limited", std::max(retryAfterTransientFailure, retryAfter));
-}
-
 void request_run::send(const target_ptr& target)
 {
     const time_point now = monotonicNow();
@@ -475,55 +426,6 @@
     return isWithoutEvents || !m_events.isAtBoundary();
 }
 
-void request_run::recordCrash(const target_state& target, time_point now)
-{
-    policy::suspicion suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, false, now);
-    if (suspicion.crashCount >= crashesToQuarantine)
-        suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, true, now);
-    logCrash(target, suspicion, now);
-    m_mayHaveCrashed = !m_request.segments.empty();
-    if (m_mayHaveCrashed)
-        m_context.crashes->onBrokenRequest(target, { m_request.segments, m_sentAt }, now);
-    m_pools.broadcastSuspicion(m_request.fingerprint, suspicion, now);
-}
-
-void request_run::recordSurvival(time_point now)
-{
-    const bool isOwnResponse = m_hasFirstByte && m_response.status == http1::statusOk && m_response.isForRequest && m_response.isSealed;
-    if (!isOwnResponse || std::exchange(m_hasSurvived, true) || m_request.segments.empty())
-        return;
-    m_context.crashes->recordSurvival(m_request.segments, m_firstByteAt, now);
-}
-
-std::optional<uint64_t> request_run::refusedSegment(time_point now) const noexcept
-{
-    if (m_request.isTrial && m_sends == 0)
-        return std::nullopt;
-    return m_context.crashes->refusedSegment(m_request.segments, now);
-}
-
-void request_run::onVerdict(time_point now)
-{
-    const auto segment = m_isFinished || (m_call && m_hasFirstByte) ? std::nullopt : refusedSegment(now);
-    if (!segment || (m_request.isTrial && m_sends == 1))
-        return;
-    const auto keepAlive = shared_from_this();
-    // Most targets drop a request that they have not begun when its connection closes.
-    m_mayHaveRun = m_mayHaveRun || m_call;
-    detachFromTarget();
-    refuseSegment(*segment, now);
-}
-
-void request_run::logCrash(const target_state& target, const policy::suspicion& suspicion, time_point now) const
-{
-    std::string segments;
-    for (const uint64_t hash : m_request.segments)
-        segments.append(segments.empty() ? "" : ",").append(textOfHash(hash));
-    const std::string begunMs = m_hasFirstByte ? std::to_string(asMilliseconds(now - m_firstByteAt)) : "not_begun";
-    m_context.counters.count("crash_strikes_total", { { "begun", m_hasFirstByte ? "true" : "false" } });
-    logLine(log_level::Info, logComponent, "The request is suspected of crashing its target.", { { "request", m_request.callerRequest.id }, { "target", target.listed.id }, { "fingerprint", std::to_string(m_request.fingerprint) }, { "strikes", std::to_string(suspicion.crashCount) }, { "segments", segments }, { "first_event_ms_ago", begunMs }, { "others_in_flight", std::to_string(target.inFlight) } });
-}
-
 void request_run::completeResponse()
 {
     const bool impliesNotRun = m_response.status == http1::statusUnavailable || m_response.status == http1::statusTooManyRequests || m_response.status == http1::statusTimeout;
@@ -570,7 +472,7 @@
     } else if (m_mayHaveRun)
         fail(http1::statusBadGateway, reason);
     else
-        refuse(reason, hasUsableTarget ? retryAfterTransientFailure : retryWithoutTargets);
+        refuse(reason, hasUsableTarget ? detail::retryAfterTransientFailure : retryWithoutTargets);
 }
 
 void request_run::refuse(std::string_view reason, milliseconds retryAfter)
@@ -579,15 +481,6 @@
     finish("refused", reason, http1::statusUnavailable);
 }
 
-void request_run::refuseSegment(uint64_t segment, time_point now)
-{
-    logLine(log_level::Info, logComponent, "The request contains a prompt segment on which targets crashed.", { { "request", m_request.callerRequest.id }, { "segment", textOfHash(segment) }, { "may_have_run", m_mayHaveRun ? "true" : "false" } });
-    if (m_request.exchange->isStarted() || m_mayHaveRun)
-        finishWithoutResponse(crashReason);
-    else
-        refuse(crashReason, m_context.crashes->retryAfter(segment, now));
-}
-
 void request_run::fail(unsigned status, std::string_view reason)
 {
     m_request.exchange->respond(status, {}, {});
@@ -604,7 +497,7 @@
     } else if (wasSent)
         fail(http1::statusGatewayTimeout, reason);
     else
-        refuse(reason, retryAfterTransientFailure);
+        refuse(reason, detail::retryAfterTransientFailure);
 }
 
 void request_run::onCallerDisconnected()
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -16,6 +16,14 @@
 
 namespace bilberryseam::gateway {
 
+namespace detail {
+    /// Delay after which callers may retry if the failure is likely to be transient.
+    constexpr milliseconds retryAfterTransientFailure { 100 };
+
+    /// A request for which no target is usable is refused this long after its arrival.
+    constexpr milliseconds maxPlacementTime { 1500 };
+}
+
 /// An accepted request with everything that is needed to run it.
 struct accepted_request {
     std::shared_ptr<http1::exchange> exchange;
