--- a/tests/soak/engine_soak_test.cpp
+++ b/tests/soak/engine_soak_test.cpp
@@ -87,12 +87,10 @@
     {
         if (condition)
             return;
-        if (const char* folder = std::getenv("BILBERRYSEAM_SOAK_LOGS")) {
-            std::ofstream file(std::string(folder) + "/engine-soak-" + std::to_string(m_seed) + ".log");
-            file << description << "\n";
-            for (size_t i = 0; i < gatewayCount; ++i)
-                file << m_fleet.deployment.logOf(i);
-        }
+        std::string logs;
+        for (size_t i = 0; i < gatewayCount; ++i)
+            logs += m_fleet.deployment.logOf(i);
+        keepLogs("engine-soak", m_seed, description, logs);
         cr_assert(false, "seed %u: %s", m_seed, description.c_str());
     }
 
@@ -340,9 +338,7 @@
 {
     constexpr int firstSlot = 119;
     constexpr int slotCount = 9;
-    const char* seconds = std::getenv("BILBERRYSEAM_SOAK_SECONDS");
-    const milliseconds duration(1000 * (seconds ? std::stoi(seconds) : 12));
-    engine_soak run(*seed, duration, firstSlot + static_cast<int>(*seed % slotCount));
+    engine_soak run(*seed, selectedDuration(12), firstSlot + static_cast<int>(*seed % slotCount));
     run.run();
     std::fprintf(stderr, "engine soak: seed %u, %s\n", *seed, run.summary().c_str());
 }
--- a/tests/soak/seeds.hpp
+++ b/tests/soak/seeds.hpp
@@ -1,7 +1,10 @@
 /// Seeds of a soak run.
 #pragma once
 
+#include "base/time.hpp"
+
 #include <cstdlib>
+#include <fstream>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -27,4 +30,19 @@
     return seeds;
 }
 
+/// @return The duration in BILBERRYSEAM_SOAK_SECONDS, or that of the run in CI.
+inline milliseconds selectedDuration(int defaultSeconds)
+{
+    const char* text = std::getenv("BILBERRYSEAM_SOAK_SECONDS");
+    return milliseconds(1000 * (text ? std::stoi(text) : defaultSeconds));
+}
+
+/// Writes the logs of a failed run to the folder in BILBERRYSEAM_SOAK_LOGS, if there is one.
+inline void keepLogs(const std::string& name, unsigned seed, const std::string& description, const std::string& logs)
+{
+    if (const char* folder = std::getenv("BILBERRYSEAM_SOAK_LOGS"))
+        std::ofstream(std::string(folder) + "/" + name + "-" + std::to_string(seed) + ".log") << description << "\n"
+                                                                                              << logs;
+}
+
 }
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -107,9 +107,7 @@
         std::string logs;
         for (size_t i = 0; i < gatewayCount; ++i)
             logs += m_deployment.logOf(i);
-        if (const char* folder = std::getenv("BILBERRYSEAM_SOAK_LOGS"))
-            std::ofstream(std::string(folder) + "/soak-" + std::to_string(m_seed) + ".log") << description << "\n"
-                                                                                            << logs;
+        keepLogs("soak", m_seed, description, logs);
         cr_assert(false, "seed %u: %s", m_seed, description.c_str());
     }
 
@@ -477,9 +475,7 @@
 {
     constexpr int firstSlot = 196;
     constexpr int slotCount = 9;
-    const char* seconds = std::getenv("BILBERRYSEAM_SOAK_SECONDS");
-    const milliseconds duration(1000 * (seconds ? std::stoi(seconds) : 8));
-    soak run(*seed, duration, firstSlot + static_cast<int>(*seed % slotCount));
+    soak run(*seed, selectedDuration(8), firstSlot + static_cast<int>(*seed % slotCount));
     run.run();
     std::fprintf(stderr, "soak: seed %u, %zu faults, %zu requests, %zu complete responses, %zu truncated streams\n", *seed, run.faultCount(), run.requestCount(), run.completeCount(), run.truncatedCount());
 }
