Requests wait for targets without a limit that are blocked for a moment

Callers saw: with one limited target, a request whose other target was full for a moment was refused with rate_limited. Cause: the refusal looked at the limited targets only. Change: as long as a target of the service has no limit, requests wait for it as before. Limited targets are kept in a list, so that ticks do not visit all targets.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -36,16 +36,20 @@
         return budget;
     }
 
-    void applyLimit(context& context, target_state& target, const http1::response_head& head, time_point sentAt)
+    void applyLimit(context& context, const target_ptr& limitedTarget, const http1::response_head& head, time_point sentAt)
     {
+        target_state& target = *limitedTarget;
         const auto stated = platform::decodeLimit(head);
         if (stated.text && !stated.perSecond) {
             context.counters.count("malformed_limits_total");
             logLine(log_level::Warning, limitComponent, "The limit that a target states is no positive number and is ignored.", { { "target", target.listed.id }, { "value", std::string(stated.text->substr(0, maxLoggedBytes)) } });
             return;
         }
+        const bool wasLimited = target.limit.perSecond.has_value();
         if (!policy::applyStatedLimit(target.limit, stated.perSecond, sentAt, monotonicNow()))
             return;
+        if (!wasLimited)
+            context.limitedTargets.push_back(limitedTarget);
         context.counters.count("target_limits_total", { { "change", stated.perSecond ? "stated" : "lifted" } });
         logLine(log_level::Info, limitComponent, stated.perSecond ? "A target states how many requests a second it takes." : "A target no longer states a limit; its rate rises for some seconds.", { { "target", target.listed.id }, { "per_second", std::to_string(*target.limit.perSecond) }, { "share", std::to_string(target.limit.share) } });
     }
@@ -61,13 +65,22 @@
     const time_point sentAt = monotonicNow();
     policy::recordSend(target->limit, sentAt);
     callbacks.onHead = [&context, target, sentAt, onHead = std::move(callbacks.onHead)](const http1::response_head& head) {
-        applyLimit(context, *target, head, sentAt);
+        applyLimit(context, target, head, sentAt);
         if (onHead)
             onHead(head);
     };
     return context.client.send(target->listed.endpoint, request, options, std::move(callbacks));
 }
 
+void updateLimits(context& context, const std::function<double(const target_state&)>& shareOf, time_point now)
+{
+    for (const auto& target : context.limitedTargets) {
+        policy::setShare(target->limit, shareOf(*target), now);
+        policy::removeLifted(target->limit, now);
+    }
+    std::erase_if(context.limitedTargets, [](const auto& target) { return target->isRemoved || !target->limit.perSecond; });
+}
+
 void earnRetries(context& context, std::string_view service, time_point now)
 {
     policy::earn(budgetOf(context, service, now).units, context.settings.bounds.retryRatio * ratioShare * percent);
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -51,6 +51,8 @@
     time_point targetsUncertainUntil {};
     /// Last change of the set of entries.
     time_point entriesChangedAt {};
+    /// Targets that state a limit, or did so until a moment ago.
+    std::vector<target_ptr> limitedTargets;
     /// Requests that wait for a limited target, by service.
     std::map<std::string, size_t, std::less<>> waitingForLimits;
     /// Bytes of the request bodies of open requests.
@@ -71,6 +73,10 @@
 /// response may change it.
 [[nodiscard]] std::shared_ptr<http1::client_call> sendToTarget(context& context, const target_ptr& target, const http1::outgoing_request& request, const http1::call_options& options, http1::client_call::callbacks callbacks);
 
+/// Updates the limits of all limited targets.
+/// @param shareOf  Share of a target's limit that this process may use.
+void updateLimits(context& context, const std::function<double(const target_state&)>& shareOf, time_point now);
+
 /// Adds to the retry budget of a service for an accepted request.
 void earnRetries(context& context, std::string_view service, time_point now);
 
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -77,7 +77,7 @@
 
 void crash_watch::put(const std::string& key, const std::string& value)
 {
-    // The calls end in the order of their start, nearly; a call is kept until later ones have pushed it out.
+    // A call is kept until later ones replace it; it has ended or timed out by then.
     if (m_puts.size() >= maxPuts)
         m_puts.pop_front();
     m_puts.push_back(platform::putKey(m_store, topic, key, value, [key](bool isAcknowledged) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -426,7 +426,8 @@
     checkForFreeze(now);
     m_finishedRuns.clear();
     m_context.targets.tick(now);
-    m_context.targets.updateLimits([this, now](const target_state& target) { return limitShareOf(target, now); }, now);
+    updateLimits(
+        m_context, [this, now](const target_state& target) { return limitShareOf(target, now); }, now);
     m_scheduler.tick(now);
     m_pools->tick(now);
     m_crashes->tick(now);
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -30,7 +30,10 @@
     double rate = 0;
     bool isLimited = false;
     for (const auto& target : m_context.targets.ofService(m_request.service)) {
-        if (!target->isAvailable(now) || !target->limit.perSecond)
+        // A target without a limit that is blocked for a moment, or was tried already, is soon usable again.
+        if (target->isInService() && !target->limit.perSecond)
+            return std::nullopt;
+        if (!target->isAvailable(now))
             continue;
         isLimited = true;
         rate += policy::ownRate(target->limit, now).value_or(0);
@@ -113,5 +116,4 @@
     else
         refuse(crashReason, m_context.crashes->retryAfter(segment, now));
 }
-
 }
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -105,16 +105,6 @@
     rebuildIndexesIf(isOutOfDate);
 }
 
-void target_registry::updateLimits(const std::function<double(const target_state&)>& shareOf, time_point now)
-{
-    for (const auto& [id, state] : m_targets) {
-        if (!state->limit.perSecond)
-            continue;
-        policy::setShare(state->limit, shareOf(*state), now);
-        policy::removeLifted(state->limit, now);
-    }
-}
-
 const std::vector<target_ptr>& target_registry::ofService(std::string_view service) const
 {
     static const std::vector<target_ptr> noTargets;
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -38,8 +38,9 @@
     /// Time at which the target last processed a prompt prefix for this process, by the hash of the prompt segments in it.
     std::unordered_map<uint64_t, time_point> cachedPrefixes;
 
+    [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !listed.isDraining; }
     /// @return Whether the target may get work as soon as its limit allows.
-    [[nodiscard]] bool isAvailable(time_point now) const noexcept { return !isRemoved && !isReplaced && !listed.isDraining && policy::isUsable(health, now); }
+    [[nodiscard]] bool isAvailable(time_point now) const noexcept { return isInService() && policy::isUsable(health, now); }
     [[nodiscard]] bool mayGetWork(time_point now) const noexcept { return isAvailable(now) && policy::canSend(limit, now); }
 };
 
@@ -64,10 +65,6 @@
     /// Carries out deferred removals.
     void tick(time_point now);
 
-    /// Updates the limits of targets.
-    /// @param shareOf  Share of a target's limit that this process may use.
-    void updateLimits(const std::function<double(const target_state&)>& shareOf, time_point now);
-
     /// @return The listed targets of a service, in a stable order.
     [[nodiscard]] const std::vector<target_ptr>& ofService(std::string_view service) const;
     /// @return The target that holds a result, or null if no target is listed at its address.
--- a/tests/process/gateway_rate_limit_test.cpp
+++ b/tests/process/gateway_rate_limit_test.cpp
@@ -112,6 +112,30 @@
     cr_assert_neq(fleet.deployment.logOf(0).find("rate_limited"), std::string::npos);
 }
 
+Test(gateway_rate_limit, a_request_waits_for_an_unlimited_target_that_is_full_for_a_moment)
+{
+    deployment_fixture deployment(59);
+    auto& limited = deployment.addTarget("t-1", "pages");
+    auto& unlimited = deployment.addTarget("t-2", "pages");
+    limited.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) {
+        auto headers = limited.responseHeaders(*exchange);
+        headers.emplace_back("Server-Limit", "0.2");
+        exchange->respond(200, std::move(headers), "t-1");
+    });
+    deployment.configure(3, { deployment_fixture::route("/p/", "idempotent", "pages") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    deployment.waitUntil([&] { return deployment.sendAndWait("GET", "/p/1")->body == "t-1"; }, "the first response with a limit");
+    bool isFull = true;
+    unlimited.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) {
+        if (std::exchange(isFull, false))
+            exchange->respond(503, { { "X-Not-Executed", "1" } }, {});
+        else
+            exchange->respond(200, unlimited.responseHeaders(*exchange), "t-2");
+    });
+    cr_assert_eq(deployment.sendAndWait("GET", "/p/2")->body, "t-2");
+}
+
 Test(gateway_rate_limit, a_limit_that_is_no_number_changes_nothing)
 {
     engine_fleet fleet(131, 1, 1, {}, false);
