Announce only verdicts that are kept

Read-through of the diff. Cause: a report with more new verdicts than are kept named some that were evicted again; the entry would have ended with an exception when it announced them. Only reports whose several hundred segments crash targets three times get there. Change: the list of new verdicts holds those that exist at its end. Measured: the new test failed before and passes.

--- a/src/policy/crash_evidence.cpp
+++ b/src/policy/crash_evidence.cpp
@@ -161,6 +161,8 @@
         if (updateVerdict(evidence, refused, item.segment, now))
             result.newVerdicts.push_back(item.segment);
     }
+    // A report with very many segments can form more verdicts than are kept.
+    std::erase_if(result.newVerdicts, [&evidence](uint64_t segment) { return !evidence.verdicts.contains(segment); });
     return result;
 }
 
--- a/tests/unit/crash_evidence_test.cpp
+++ b/tests/unit/crash_evidence_test.cpp
@@ -225,6 +225,27 @@
     cr_assert(test.isRefused({ system1 }));
 }
 
+Test(crash_evidence, only_verdicts_that_are_kept_are_announced)
+{
+    evidence_test test;
+    requests inProgress(8);
+    uint64_t next = 1000;
+    for (auto& request : inProgress) {
+        for (int i = 0; i < 60; ++i)
+            request.push_back(next++);
+    }
+    size_t announced = 0;
+    for (int i = 0; i < 5; ++i) {
+        test.now += seconds(1);
+        const auto result = mergeReport(test.evidence, { ++test.reportId, ++test.target, test.now, suspectedSegments(inProgress) }, test.now);
+        for (const uint64_t segment : result.newVerdicts)
+            cr_assert(test.evidence.verdicts.contains(segment), "crash %d", i);
+        announced += result.newVerdicts.size();
+    }
+    cr_assert_geq(announced, maxVerdicts);
+    cr_assert_eq(test.evidence.verdicts.size(), maxVerdicts);
+}
+
 Test(crash_evidence, a_hundred_segments_a_request_and_a_million_different_ones_stay_bounded)
 {
     evidence_test test;
