Survivals are told to other entries only when a segment is near its verdict

Cause: when targets crash, each response that survives clears all segments that ran beside, and each entry sent each of them to all others, which forwarded it; an owner of pools fell silent for 0.9 s. Change: a survival is sent only if the segment is one crash short of its verdict, or refused.

--- a/src/execution/crash_exchange.cpp
+++ b/src/execution/crash_exchange.cpp
@@ -88,8 +88,12 @@
 {
     for (const uint64_t segment : segments) {
         const bool wasRefused = m_evidence.verdicts.contains(segment);
+        const uint32_t crashCount = policy::crashCountOf(m_evidence, segment);
         if (policy::recordSurvival(m_evidence, std::span(&segment, 1), beganAt).empty())
             continue;
+        // After one crash, the entries clear the many segments of the requests beside it by their own traffic.
+        if (!wasRefused && crashCount + 1 < policy::crashesToRefuse)
+            continue;
         const wire::segment_survival message { segment, toMilliseconds(now - beganAt) };
         if (!wasRefused) {
             m_callbacks.sendToAll(message);
