tests: the loopback address comes from the environment

Cause: all test programs listen on fixed ports of 127.0.0.1, so two work trees cannot run their tests at the same time. Change: BILBERRYSEAM_TEST_HOST selects another loopback address; the default stays. No test or check changes.

--- a/tests/process/soup_client_test.cpp
+++ b/tests/process/soup_client_test.cpp
@@ -2,6 +2,7 @@
 /// therefore use `isOnNewConnection`, which sends them exactly once.
 #include "http1/tcp_stream.hpp"
 #include "loop/http.hpp"
+#include "support/test_host.hpp"
 
 #include <criterion/criterion.h>
 
@@ -59,7 +60,7 @@
 
 Test(soup_client, libsoup_resends_a_get_on_a_reused_connection)
 {
-    const ip_endpoint listen { "127.0.0.1", 25970 };
+    const ip_endpoint listen { tests::testHost(), 25970 };
     closing_server server(listen, "GET");
     http_client client;
     cr_assert(sendRequest(client, listen, "GET", false) == exchange_outcome::Complete);
@@ -70,7 +71,7 @@
 Test(soup_client, a_request_on_a_new_connection_is_sent_once)
 {
     for (const char* method : { "GET", "POST" }) {
-        const ip_endpoint listen { "127.0.0.1", 25971 };
+        const ip_endpoint listen { tests::testHost(), 25971 };
         closing_server server(listen, method);
         http_client client;
         cr_assert(sendRequest(client, listen, method, false) == exchange_outcome::Complete);
--- a/tests/process/topic_follower_test.cpp
+++ b/tests/process/topic_follower_test.cpp
@@ -3,6 +3,7 @@
 /// store is unreachable: the store then delays the first response after its recovery.
 #include "fakes/platform_store.hpp"
 #include "platform/topic_follower.hpp"
+#include "support/test_host.hpp"
 #include "support/wait.hpp"
 
 #include <criterion/criterion.h>
@@ -45,7 +46,7 @@
 
 Test(topic_follower, store_recovery_is_detected_without_a_change)
 {
-    const ip_endpoint storeEndpoint { "127.0.0.1", 25980 };
+    const ip_endpoint storeEndpoint { tests::testHost(), 25980 };
     fakes::platform_store store(storeEndpoint);
     store.put("keyed.op", "config", "one");
     follower_fixture topic(storeEndpoint);
@@ -64,7 +65,7 @@
 
 Test(topic_follower, a_truncated_read_does_not_count_as_up_to_date)
 {
-    const ip_endpoint storeEndpoint { "127.0.0.1", 25981 };
+    const ip_endpoint storeEndpoint { tests::testHost(), 25981 };
     fakes::platform_store store(storeEndpoint);
     store.put("keyed.op", "config", "one");
     follower_fixture topic(storeEndpoint, { milliseconds(0), milliseconds(100) });
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "loop/timer.hpp"
 #include "platform/log_client.hpp"
+#include "support/test_host.hpp"
 #include "support/wait.hpp"
 
 #include <criterion/criterion.h>
@@ -105,7 +106,7 @@
 
 std::string cluster::allocateAddress()
 {
-    return "127.0.0.1:" + std::to_string(m_nextPort++);
+    return testHost() + ":" + std::to_string(m_nextPort++);
 }
 
 void cluster::writeSettings(const std::string& process, const json& settings)
--- a/tests/support/deployment_fixture.cpp
+++ b/tests/support/deployment_fixture.cpp
@@ -1,6 +1,7 @@
 #include "support/deployment_fixture.hpp"
 
 #include "support/cluster.hpp"
+#include "support/test_host.hpp"
 #include "support/wait.hpp"
 
 #include <criterion/criterion.h>
@@ -46,7 +47,7 @@
 
 ip_endpoint deployment_fixture::allocateAddress()
 {
-    return { "127.0.0.1", static_cast<uint16_t>(m_nextPort++) };
+    return { testHost(), static_cast<uint16_t>(m_nextPort++) };
 }
 
 fakes::platform_target& deployment_fixture::addTarget(const std::string& id, const std::string& service, const std::string& domain)
--- a/tests/unit/endless_response_test.cpp
+++ b/tests/unit/endless_response_test.cpp
@@ -4,6 +4,7 @@
 #include "loop/http.hpp"
 #include "platform/store_client.hpp"
 #include "support/endless_sender.hpp"
+#include "support/test_host.hpp"
 #include "support/wait.hpp"
 
 #include <criterion/criterion.h>
@@ -24,7 +25,7 @@
 /// Sends the same start and blocks to each client that connects and sends a request.
 struct endless_server {
     endless_server(uint16_t port, std::string newStart, std::string newBlock)
-        : endpoint { "127.0.0.1", port }
+        : endpoint { tests::testHost(), port }
         , start(std::move(newStart))
         , block(std::move(newBlock))
         , listener(endpoint, [this](std::shared_ptr<http1::tcp_stream> stream) {
--- a/tests/unit/http1_test.cpp
+++ b/tests/unit/http1_test.cpp
@@ -1,6 +1,7 @@
 /// Tests for the HTTP/1.1 server with hostile clients and for the client with faulty servers, on real sockets in one event loop.
 #include "http1/client.hpp"
 #include "http1/server.hpp"
+#include "support/test_host.hpp"
 #include "support/wait.hpp"
 
 #include <criterion/criterion.h>
@@ -17,7 +18,7 @@
 ip_endpoint endpointOf(uint16_t test)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    return { "127.0.0.1", static_cast<uint16_t>(1500 + test) };
+    return { tests::testHost(), static_cast<uint16_t>(1500 + test) };
 }
 
 void runUntil(const std::function<bool()>& condition, const char* what)
--- a/tests/unit/target_call_test.cpp
+++ b/tests/unit/target_call_test.cpp
@@ -1,6 +1,7 @@
 /// Calls of a side to a target that breaks off its response.
 #include "http1/tcp_stream.hpp"
 #include "side/target_call.hpp"
+#include "support/test_host.hpp"
 #include "support/wait.hpp"
 
 #include <criterion/criterion.h>
@@ -46,40 +47,40 @@
 Test(target_call, truncated_json_without_length_is_not_a_response)
 {
     const std::string response = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"rows\": [1, 2";
-    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1540 }, response, true).end, wire::call_end::TargetCrashed);
-    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1541 }, response, false).end, wire::call_end::Unknown);
+    cr_assert_eq(callTargetThatSends({ tests::testHost(), 1540 }, response, true).end, wire::call_end::TargetCrashed);
+    cr_assert_eq(callTargetThatSends({ tests::testHost(), 1541 }, response, false).end, wire::call_end::Unknown);
 }
 
 Test(target_call, response_shorter_than_its_length_is_not_a_response)
 {
     const std::string response = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 100\r\n\r\n{}";
-    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1543 }, response, true).end, wire::call_end::TargetCrashed);
-    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1544 }, response, false).end, wire::call_end::Unknown);
+    cr_assert_eq(callTargetThatSends({ tests::testHost(), 1543 }, response, true).end, wire::call_end::TargetCrashed);
+    cr_assert_eq(callTargetThatSends({ tests::testHost(), 1544 }, response, false).end, wire::call_end::Unknown);
 }
 
 Test(target_call, truncated_json_without_its_last_chunk_is_not_a_response)
 {
     const std::string response = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"rows\": \r\n";
-    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1545 }, response, true).end, wire::call_end::TargetCrashed);
-    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1546 }, response, false).end, wire::call_end::Unknown);
+    cr_assert_eq(callTargetThatSends({ tests::testHost(), 1545 }, response, true).end, wire::call_end::TargetCrashed);
+    cr_assert_eq(callTargetThatSends({ tests::testHost(), 1546 }, response, false).end, wire::call_end::Unknown);
 }
 
 Test(target_call, response_without_its_last_chunk_is_not_a_response)
 {
     const std::string response = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n";
-    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1549 }, response, true).end, wire::call_end::TargetCrashed);
-    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1550 }, response, false).end, wire::call_end::Unknown);
+    cr_assert_eq(callTargetThatSends({ tests::testHost(), 1549 }, response, true).end, wire::call_end::TargetCrashed);
+    cr_assert_eq(callTargetThatSends({ tests::testHost(), 1550 }, response, false).end, wire::call_end::Unknown);
 }
 
 Test(target_call, response_without_a_body_is_a_response)
 {
-    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1547 }, "HTTP/1.1 204 No Content\r\n\r\n", false).end, wire::call_end::Answered);
-    cr_assert_eq(callTargetThatSends({ "127.0.0.1", 1548 }, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext", false).body, "text");
+    cr_assert_eq(callTargetThatSends({ tests::testHost(), 1547 }, "HTTP/1.1 204 No Content\r\n\r\n", false).end, wire::call_end::Answered);
+    cr_assert_eq(callTargetThatSends({ tests::testHost(), 1548 }, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext", false).body, "text");
 }
 
 Test(target_call, whole_json_without_length_is_a_response)
 {
-    const auto result = callTargetThatSends({ "127.0.0.1", 1542 }, "HTTP/1.1 200 OK\r\n\r\n{\"rows\": [1, 2]}", false);
+    const auto result = callTargetThatSends({ tests::testHost(), 1542 }, "HTTP/1.1 200 OK\r\n\r\n{\"rows\": [1, 2]}", false);
     cr_assert_eq(result.end, wire::call_end::Answered);
     cr_assert_eq(result.body, R"({"rows": [1, 2]})");
 }
