gateway: log what was possible when a target is silent

Cause: LOST cannot be traced in the logs: the line about a failed attempt says `silent`, but not whether another target was usable, whether the budget for retries was spent, or which configuration the request runs under. Change: one line a silence, with the time without a byte, whether the response had begun, other usable targets, budget, attempts and both configuration versions; counter silent_targets_total. What the gateway does is unchanged.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -103,6 +103,7 @@
     if (m_call && !m_areInputsReleased && m_inputsFetchedAt && now >= *m_inputsFetchedAt)
         cancelAndReleaseStages();
     if (isTargetUnresponsive(now)) {
+        logSilence(now);
         policy::recordFailure(m_target->health, policy::call_failure::Failed, now);
         detachFromTarget();
         onAttemptFailed("silent", true);
@@ -337,6 +338,14 @@
     return !m_hasFirstByte && now - m_sentAt > minFirstByteTimeout && asSeconds(now - m_sentAt) > asSeconds(route.objective) * unresponsiveObjectiveFactor;
 }
 
+void request_run::logSilence(time_point now) const
+{
+    const bool hasOther = static_cast<bool>(chooseTarget(now));
+    const bool hasBudget = m_context.retryBudgets.contains(m_request.service) && m_context.retryBudgets.at(m_request.service).units.units >= 1;
+    m_context.counters.count("silent_targets_total", { { "begun", m_request.exchange->isStarted() ? "true" : "false" } });
+    logLine(log_level::Info, logComponent, "The target of a request is silent.", { { "request", m_request.callerRequest.id }, { "target", m_target->listed.id }, { "silent_ms", std::to_string(asMilliseconds(now - (m_hasFirstByte ? m_lastByteAt : m_sentAt))) }, { "response_begun", m_request.exchange->isStarted() ? "true" : "false" }, { "inside_event", m_events.isAtBoundary() ? "false" : "true" }, { "other_target", hasOther ? "true" : "false" }, { "retry_budget", hasBudget ? "true" : "false" }, { "attempts", std::to_string(m_attempts) }, { "version", std::to_string(m_request.configuration->version) }, { "newest_version", std::to_string(m_context.configuration->version) } });
+}
+
 void request_run::detachFromTarget()
 {
     m_call.reset();
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -136,6 +136,8 @@
     void logCrash(const target_state& target, const policy::suspicion& suspicion, time_point now) const;
     void completeResponse();
     [[nodiscard]] bool isTargetUnresponsive(time_point now) const;
+    /// Logs that the target sends nothing, and whether another one could run the request.
+    void logSilence(time_point now) const;
     void detachFromTarget();
     void relay(std::string_view bytes);
     void startRelay();
