Failing tests: requests that are ended because their target is silent

What callers see: a stream is reset in the middle, or a request is sent again, though its target would have gone on. With one target, with the retry budget spent, and with a second target that refuses, breaks off or fails, the caller's connection is reset 1.0 s after the last event; with silence before the first event the request is sent to the same target again; a second run ends the first before it has delivered.

--- /dev/null
+++ b/tests/process/gateway_silence_test.cpp
@@ -0,0 +1,264 @@
+/// Targets that are silent for a while and then go on: no response may be ended for silence alone.
+#include "support/deployment_fixture.hpp"
+
+#include <criterion/criterion.h>
+#include <deque>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+using nlohmann::json;
+
+namespace {
+/// Longer than the gateway waits for a byte before it treats a target as silent.
+constexpr milliseconds silence { 1500 };
+
+std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: text " + std::to_string(number) + "\n\n";
+}
+
+/// One step of a response, some time after the step before.
+struct step {
+    milliseconds pause;
+    std::function<void(http1::exchange&)> action;
+};
+
+/// Runs the steps of responses of one target.
+class scripted_target {
+public:
+    scripted_target(fakes::platform_target& target, std::vector<step> steps)
+        : m_target(target)
+        , m_steps(std::move(steps))
+    {
+        m_target.setRequestHandler([this](std::shared_ptr<http1::exchange> exchange) { runStep(exchange, 0); });
+    }
+
+    /// @return A step that begins a stream.
+    [[nodiscard]] step head(milliseconds pause) const
+    {
+        return { pause, [this](http1::exchange& exchange) { exchange.startChunked(200, m_target.responseHeaders(exchange)); } };
+    }
+
+    void setSteps(std::vector<step> steps) { m_steps = std::move(steps); }
+    [[nodiscard]] size_t requestCount() const { return m_target.requests().size(); }
+    [[nodiscard]] const std::string lastEventIdOf(size_t request) const { return std::string(http1::findHeader(m_target.requests()[request].head.headers, "Last-Event-Id").value_or("none")); }
+    /// @return Responses whose connection the gateway closed before their end.
+    [[nodiscard]] size_t closedCount() const noexcept { return m_closedCount; }
+
+private:
+    void runStep(const std::shared_ptr<http1::exchange>& exchange, size_t index)
+    {
+        if (index == 0)
+            exchange->setOnDisconnect([this] { ++m_closedCount; });
+        if (index >= m_steps.size() || exchange->isFinished())
+            return;
+        m_timers.emplace_back();
+        m_timers.back().startOnce(m_steps[index].pause, [this, exchange, index] {
+            if (!exchange->isFinished())
+                m_steps[index].action(*exchange);
+            runStep(exchange, index + 1);
+        });
+    }
+
+    fakes::platform_target& m_target;
+    std::vector<step> m_steps;
+    std::deque<timer> m_timers;
+    size_t m_closedCount = 0;
+};
+
+step bytes(milliseconds pause, const std::string& text)
+{
+    return { pause, [text](http1::exchange& exchange) { exchange.writeChunk(text); } };
+}
+
+step end(milliseconds pause = milliseconds(10))
+{
+    return { pause, [](http1::exchange& exchange) { exchange.finishChunked(); } };
+}
+
+/// A resumable route with short objectives, so that silence is noticed soon.
+json resumableRoute(const json& changes = json::object())
+{
+    json route = deployment_fixture::route("/m/", "streaming", "model", { { "resumable", true }, { "target_latency_ms", 300 }, { "gap_aim_ms", 100 } });
+    route.update(changes);
+    return route;
+}
+
+constexpr std::string_view wholeStream = "id: 1\ndata: text 1\n\nid: 2\ndata: text 2\n\n";
+
+void checkWhole(const caller_exchange& stream)
+{
+    cr_assert_eq(stream.outcome, http1::call_outcome::Complete);
+    cr_assert_eq(stream.head.status, 200);
+    cr_assert_eq(stream.body, std::string(wholeStream), "the caller received: %s", stream.body.c_str());
+}
+}
+
+Test(gateway_silence, a_stream_that_is_silent_between_events_is_not_cut_if_no_other_target_is_listed)
+{
+    deployment_fixture deployment(9);
+    auto& target = deployment.addTarget("t-1", "model");
+    scripted_target script(target, {});
+    script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), event(1)), bytes(silence, event(2)), end() });
+    deployment.configure(3, { resumableRoute() });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    checkWhole(*deployment.sendAndWait("POST", "/m/1"));
+    cr_assert_eq(script.requestCount(), 1u);
+}
+
+Test(gateway_silence, a_stream_that_is_silent_inside_an_event_is_not_cut_if_no_other_target_is_listed)
+{
+    deployment_fixture deployment(10);
+    auto& target = deployment.addTarget("t-1", "model");
+    scripted_target script(target, {});
+    script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), event(1) + "id: 2\nda"), bytes(silence, "ta: text 2\n\n"), end() });
+    deployment.configure(3, { resumableRoute() });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    checkWhole(*deployment.sendAndWait("POST", "/m/1"));
+    cr_assert_eq(script.requestCount(), 1u);
+}
+
+Test(gateway_silence, a_request_whose_target_is_silent_before_the_head_is_not_failed_if_no_other_target_is_listed)
+{
+    deployment_fixture deployment(11);
+    auto& target = deployment.addTarget("t-1", "model");
+    scripted_target script(target, {});
+    // Longer than a request without a usable target waits.
+    script.setSteps({ script.head(silence + milliseconds(700)), bytes(milliseconds(10), event(1)), bytes(milliseconds(10), event(2)), end() });
+    deployment.configure(3, { resumableRoute() });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    checkWhole(*deployment.sendAndWait("POST", "/m/1"));
+    cr_assert_eq(script.requestCount(), 1u);
+}
+
+Test(gateway_silence, a_stream_that_is_silent_between_head_and_body_is_not_cut_if_no_other_target_is_listed)
+{
+    deployment_fixture deployment(12);
+    auto& target = deployment.addTarget("t-1", "model");
+    scripted_target script(target, {});
+    script.setSteps({ script.head(milliseconds(0)), bytes(silence + milliseconds(700), event(1)), bytes(milliseconds(10), event(2)), end() });
+    deployment.configure(3, { resumableRoute() });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    checkWhole(*deployment.sendAndWait("POST", "/m/1"));
+    cr_assert_eq(script.requestCount(), 1u);
+}
+
+Test(gateway_silence, a_silent_stream_is_not_cut_if_the_retry_budget_is_spent)
+{
+    deployment_fixture deployment(13);
+    std::deque<scripted_target> scripts;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& script = scripts.emplace_back(deployment.addTarget(id, "model"), std::vector<step>());
+        script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), event(1)), bytes(silence, event(2)), end() });
+    }
+    deployment.configure(3, { resumableRoute() });
+    deployment.startGateway({ { "retrySlack", 0 }, { "retryRatio", 0 } });
+    deployment.waitUntilReady();
+    checkWhole(*deployment.sendAndWait("POST", "/m/1"));
+    cr_assert_eq(scripts[0].requestCount() + scripts[1].requestCount(), 1u);
+}
+
+Test(gateway_silence, a_silent_stream_goes_on_if_the_other_target_refuses_breaks_off_or_fails)
+{
+    deployment_fixture deployment(14);
+    deployment.configure(3, { resumableRoute() });
+    std::vector<std::function<void(std::shared_ptr<http1::exchange>)>> failures;
+    auto& target = deployment.addTarget("t-1", "model");
+    auto& other = deployment.addTarget("t-2", "model");
+    failures.emplace_back([](std::shared_ptr<http1::exchange> exchange) { exchange->respond(503, { { "X-Not-Executed", "1" } }, {}); });
+    failures.emplace_back([](std::shared_ptr<http1::exchange> exchange) { exchange->abort(); });
+    failures.emplace_back([&](std::shared_ptr<http1::exchange> exchange) { exchange->respond(500, other.responseHeaders(*exchange), "failed"); });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    scripted_target script(target, {});
+    script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), event(1)), bytes(silence, event(2)), end() });
+    for (size_t i = 0; i < failures.size(); ++i) {
+        // The first send goes to the scripted target, since the other one refuses it.
+        other.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) {
+            if (http1::findHeader(exchange->head().headers, "Last-Event-Id"))
+                failures[i](std::move(exchange));
+            else
+                exchange->respond(503, { { "X-Not-Executed", "1" } }, {});
+        });
+        checkWhole(*deployment.sendAndWait("POST", "/m/" + std::to_string(i)));
+        // The target is not blocked for the next request.
+        deployment.runLoopFor(milliseconds(300));
+    }
+    cr_assert_eq(script.requestCount(), failures.size());
+    cr_assert_eq(script.closedCount(), 0u);
+}
+
+Test(gateway_silence, a_target_that_goes_on_before_the_other_one_delivers_keeps_its_stream)
+{
+    deployment_fixture deployment(15);
+    std::deque<scripted_target> scripts;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& script = scripts.emplace_back(deployment.addTarget(id, "model"), std::vector<step>());
+        script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), event(1)), bytes(silence, event(2)), end() });
+    }
+    deployment.configure(3, { resumableRoute() });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    checkWhole(*deployment.sendAndWait("POST", "/m/1"));
+    // The second run began when the first was silent for a second, and would have delivered only its duplicate first event.
+    cr_assert_eq(scripts[0].requestCount(), 1u);
+    cr_assert_eq(scripts[1].requestCount(), 1u);
+    deployment.waitUntil([&] { return scripts[0].closedCount() + scripts[1].closedCount() == 1; }, "the end of the second run");
+}
+
+Test(gateway_silence, the_first_run_of_a_silent_stream_continues_until_the_second_has_delivered)
+{
+    deployment_fixture deployment(16);
+    std::deque<scripted_target> scripts;
+    std::vector<bool> wasFirstOpen;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& target = deployment.addTarget(id, "model");
+        scripts.emplace_back(target, std::vector<step>());
+        target.setRequestHandler([&, answers = std::make_shared<std::deque<timer>>()](std::shared_ptr<http1::exchange> exchange) {
+            const bool isResumed = http1::findHeader(exchange->head().headers, "Last-Event-Id").has_value();
+            exchange->startChunked(200, target.responseHeaders(*exchange));
+            static std::shared_ptr<http1::exchange> first;
+            if (!isResumed) {
+                exchange->writeChunk(event(1));
+                first = exchange;
+                return;
+            }
+            answers->emplace_back().startOnce(milliseconds(300), [&, exchange] {
+                wasFirstOpen.push_back(!first->isFinished());
+                exchange->writeChunk(event(2));
+                exchange->finishChunked();
+            });
+        });
+    }
+    deployment.configure(3, { resumableRoute() });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    checkWhole(*deployment.sendAndWait("POST", "/m/1"));
+    cr_assert_eq(wasFirstOpen.size(), 1u);
+    cr_assert(wasFirstOpen[0], "the first run was ended before the second had delivered");
+}
+
+Test(gateway_silence, an_idempotent_request_is_answered_by_whichever_target_goes_on_first)
+{
+    deployment_fixture deployment(17);
+    std::deque<scripted_target> scripts;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& target = deployment.addTarget(id, "pages");
+        scripts.emplace_back(target, std::vector<step> { { milliseconds(1000), [&target](http1::exchange& exchange) { exchange.respond(200, target.responseHeaders(exchange), target.id()); } } });
+    }
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages", { { "target_latency_ms", 300 } }) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const time_point sentAt = monotonicNow();
+    const auto response = deployment.sendAndWait("GET", "/p/1");
+    cr_assert_eq(response->head.status, 200);
+    // The second request is sent after 450 ms and answered 1000 ms later; the first one answers earlier.
+    const std::string first = scripts[0].closedCount() == 0 && scripts[0].requestCount() == 1 ? "t-1" : "t-2";
+    cr_assert_eq(response->header("X-Response-Seal"), "seal-" + response->body);
+    cr_assert_eq(scripts[0].requestCount() + scripts[1].requestCount(), 2u);
+    cr_assert(monotonicNow() - sentAt < milliseconds(3500));
+}
