Failing test: a silent stream whose stage results are released

What callers see: on a route with stages each stream whose target is silent for a second is reset, whatever other targets there are. Seen on the code before the fix: the stream is cut after 1.0 s of silence. A second run needs the stage results, which are released once the target has fetched them; making them again is refused once the latency objective has passed, and the first run was ended before that was known.

--- a/tests/process/gateway_silence_test.cpp
+++ b/tests/process/gateway_silence_test.cpp
@@ -262,3 +262,21 @@
     cr_assert_eq(scripts[0].requestCount() + scripts[1].requestCount(), 2u);
     cr_assert(monotonicNow() - sentAt < milliseconds(3500));
 }
+
+Test(gateway_silence, a_silent_stream_whose_stage_results_are_released_is_not_cut)
+{
+    deployment_fixture deployment(18);
+    std::deque<scripted_target> scripts;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& script = scripts.emplace_back(deployment.addTarget(id, "model"), std::vector<step>());
+        script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), event(1)), bytes(silence, event(2)), end() });
+    }
+    deployment.addTarget("e-1", "encode");
+    const json pool { { "name", "encode" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 8 }, { "call_ms", 5 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 4 } } } };
+    const json stages { { { "service", "encode" }, { "after", json::array() }, { "bytes", 1000 } } };
+    deployment.configure(3, { resumableRoute({ { "stages", stages } }) }, { pool });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    checkWhole(*deployment.sendAndWait("POST", "/m/1", { { "X-Pieces", "1" }, { "X-Piece-Key", "k" } }));
+    cr_assert_eq(scripts[0].requestCount() + scripts[1].requestCount(), 1u);
+}
