A silent target keeps its request until another target has delivered

What callers saw: a request that a gateway had read whole ended without a complete answer, though its target would have gone on. Cause: a target that sent nothing for 1.5 times the latency objective, or for a second between two events, was detached first, and another target was looked for afterwards. Without another target, retry budget or attempts, and always on routes with stages once their results were released, the caller's connection was reset. A configuration moves routes and changes which targets are usable everywhere at once, so the cuts came beside configurations. Change: an attempt is a module of its own (target_attempt). A silent target stays attached; a second attempt begins beside it only if the request may run again, its stage results are still held, a target is usable, and the budget allows it. The attempt that delivers first is kept, the other one is ended. A second attempt that is refused, breaks off or fails costs the first nothing. Silence makes a target less preferred, and does not block it: it may be sound.

--- a/src/deployment/caller_request.hpp
+++ b/src/deployment/caller_request.hpp
@@ -44,6 +44,18 @@
     return hashes;
 }
 
+/// @return The hash of each prefix of the prompt, which ends with a whole segment, in prompt order.
+[[nodiscard]] inline std::vector<uint64_t> prefixHashes(const generation_request& prompt)
+{
+    std::vector<uint64_t> hashes;
+    uint64_t hash = hashOf(prompt.model);
+    for (const auto& item : prompt.segments) {
+        hash = hashOf(item.id, hash);
+        hashes.push_back(hash);
+    }
+    return hashes;
+}
+
 /// A caller's request, without its body.
 struct caller_request {
     /// Identifies this attempt of the caller.
--- /dev/null
+++ b/src/gateway/request_attempts.cpp
@@ -0,0 +1,349 @@
+/// The attempts of a request: what targets respond, how attempts end, and a second attempt beside a silent target.
+#include "gateway/request_run.hpp"
+
+#include "gateway/crash_watch.hpp"
+#include "policy/crash_evidence.hpp"
+
+#include <algorithm>
+
+namespace bilberryseam::gateway {
+
+namespace {
+    constexpr std::string_view logComponent = "request";
+
+    /// Bytes of a response that are buffered before it is relayed, so that an attempt that breaks off can be retried.
+    constexpr size_t maxBufferedBytes = 256 * 1024;
+
+    /// Largest body of a response that is not relayed while it arrives.
+    constexpr size_t maxUnrelayedBytes = 1024 * 1024;
+
+    /// A target counts as silent if it sends no first byte for this multiple of the latency objective, or no further byte for
+    /// this multiple of the gap objective.
+    constexpr double silentObjectiveFactor = 1.5;
+    constexpr int silentGapFactor = 5;
+    constexpr milliseconds minFirstByteTimeout { 150 };
+    /// Lower limit of the time without a further byte, since routes may state no gap objective.
+    constexpr milliseconds minGapTimeout { 1000 };
+    /// Pause between two searches for a target beside a silent one.
+    constexpr milliseconds backupSearchPeriod { 200 };
+
+    /// After a target missed a result, results for its service are released only at the first event for this long, about the
+    /// length of a burst.
+    constexpr milliseconds keepInputsDuration { 10000 };
+
+    /// A retry after a crash waits until the crash is known everywhere, which may refuse it.
+    constexpr milliseconds crashReportTime { 50 };
+}
+
+// Responses.
+
+void request_run::onHead(target_attempt& attempt, const http1::response_head& head)
+{
+    attempt.hasHead = true;
+    attempt.head = head;
+    attempt.response = platform::decodeResponse(head, m_request.callerRequest.id);
+}
+
+void request_run::onBytes(target_attempt& attempt, std::string_view bytes)
+{
+    const auto keepAlive = shared_from_this();
+    const time_point now = monotonicNow();
+    attempt.lastByteAt = now;
+    attempt.isSilenceRecorded = false;
+    if (!std::exchange(attempt.hasFirstByte, true))
+        onFirstByte(attempt);
+    if (now - attempt.firstByteAt >= policy::survivalTime)
+        recordSurvival(attempt, now);
+    if (isStream() && attempt.isRelayable()) {
+        onEventBytes(attempt, bytes);
+        return;
+    }
+    attempt.buffer.append(bytes);
+    const bool isLarge = attempt.buffer.size() > maxBufferedBytes;
+    if (attempt.isRelayable() && (isLarge || m_request.exchange->isStarted())) {
+        keepOnly(attempt);
+        startRelay(attempt);
+        relay(std::exchange(attempt.buffer, {}));
+    }
+    if (attempt.buffer.size() > maxUnrelayedBytes)
+        abandonAttempt(attempt, "too_large");
+}
+
+void request_run::onFirstByte(target_attempt& attempt)
+{
+    attempt.firstByteAt = attempt.lastByteAt;
+    attempt.endPrefill();
+    if (!m_request.callerRequest.generation || attempt.response.status != http1::statusOk)
+        return;
+    for (const uint64_t hash : deployment::prefixHashes(*m_request.callerRequest.generation))
+        attempt.target->cachedPrefixes[hash] = attempt.firstByteAt;
+    if (!m_backup)
+        cancelAndReleaseStages();
+}
+
+void request_run::onEventBytes(target_attempt& attempt, std::string_view bytes)
+{
+    if (!m_request.route->isResumable) {
+        attempt.events.observe(bytes);
+        startRelay(attempt);
+        relay(bytes);
+        return;
+    }
+    std::string wholeEvents;
+    const auto state = attempt.events.append(bytes, wholeEvents);
+    if (!wholeEvents.empty()) {
+        keepOnly(attempt);
+        m_lastEventId = attempt.events.lastId();
+        startRelay(attempt);
+        relay(wholeEvents);
+    }
+    if (state == event_stream::state::TooLong)
+        abandonAttempt(attempt, "too_large");
+    if (state == event_stream::state::Gap) {
+        static_cast<void>(extract(attempt));
+        onAttemptFailed("gap", true);
+    }
+}
+
+void request_run::startRelay(target_attempt& attempt)
+{
+    if (m_request.exchange->isStarted())
+        return;
+    m_context.counters.observeSeconds("first_byte_seconds", { { "route", m_request.route->name } }, asSeconds(monotonicNow() - m_arrivedAt));
+    m_request.exchange->startChunked(attempt.response.status, platform::encodeCallerHeaders(attempt.head));
+}
+
+void request_run::relay(std::string_view bytes)
+{
+    m_request.exchange->writeChunk(bytes);
+    if (m_request.exchange->pendingBytes() >= detail::maxUnreadBytes && m_current)
+        m_current->call->setReading(false);
+}
+
+void request_run::keepOnly(target_attempt& attempt)
+{
+    if (!m_backup)
+        return;
+    const target_attempt_ptr other = extract(m_backup.get() == &attempt ? *m_current : *m_backup);
+    m_mayHaveRun = true;
+    m_context.counters.count("second_runs_total", { { "delivered", other->sentAt < attempt.sentAt ? "second" : "first" } });
+    logLine(log_level::Info, logComponent, "One of two targets has delivered; the run at the other one is ended.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "ended_at", other->target->listed.id } });
+    if (attempt.hasFirstByte)
+        cancelAndReleaseStages();
+}
+
+target_attempt_ptr request_run::extract(const target_attempt& attempt)
+{
+    target_attempt_ptr extracted = std::move(m_backup.get() == &attempt ? m_backup : m_current);
+    if (!m_current)
+        m_current = std::move(m_backup);
+    return extracted;
+}
+
+void request_run::detachFromTargets()
+{
+    m_backup.reset();
+    m_current.reset();
+}
+
+// Silence.
+
+bool request_run::isSilent(const target_attempt& attempt, time_point now) const
+{
+    const auto silence = attempt.silenceAt(now);
+    if (attempt.hasFirstByte)
+        return m_request.exchange->pendingBytes() == 0 && silence > std::max<microseconds>(minGapTimeout, m_request.route->gapObjective * silentGapFactor);
+    return silence > minFirstByteTimeout && asSeconds(silence) > asSeconds(m_request.route->objective) * silentObjectiveFactor;
+}
+
+std::optional<std::string_view> request_run::secondRunObstacle(time_point now) const
+{
+    const auto& route = *m_request.route;
+    const bool mayRunAgain = route.isRetryable() && (isStream() || !m_request.exchange->isStarted());
+    if (!mayRunAgain)
+        return "not_repeatable";
+    if (m_attempts >= route.maxAttempts || m_sends >= detail::maxSends)
+        return "attempts";
+    if (m_areInputsReleased)
+        return "inputs_released";
+    if (isTargetListUncertain(m_context, now))
+        return "list_uncertain";
+    if (refusedSegment(now))
+        return "segment_refused";
+    return std::nullopt;
+}
+
+void request_run::checkSilence(time_point now)
+{
+    if (!m_current || m_backup || now < m_nextBackupSearchAt || !isSilent(*m_current, now))
+        return;
+    m_nextBackupSearchAt = now + backupSearchPeriod;
+    if (const auto obstacle = secondRunObstacle(now)) {
+        recordSilence(*m_current, *obstacle, now);
+        return;
+    }
+    const target_ptr target = chooseTarget(now);
+    const bool hasBudget = target && trySpendRetry(m_context, m_request.service, now);
+    recordSilence(*m_current, !target ? "no_target" : hasBudget ? "sent"
+                                                                : "retry_budget",
+        now);
+    if (!hasBudget)
+        return;
+    m_context.counters.count("repeats_total", { { "reason", "silent" } });
+    send(target);
+}
+
+void request_run::recordSilence(target_attempt& attempt, std::string_view secondRun, time_point now)
+{
+    if (std::exchange(attempt.isSilenceRecorded, true))
+        return;
+    if (m_request.route->isRetryable())
+        policy::recordSilence(attempt.target->health, now);
+    m_context.counters.count("silent_targets_total", { { "second_run", std::string(secondRun) } });
+    logLine(log_level::Info, logComponent, "The target of a request is silent.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "silent_ms", std::to_string(asMilliseconds(attempt.silenceAt(now))) }, { "response_begun", m_request.exchange->isStarted() ? "true" : "false" }, { "inside_event", attempt.events.isAtBoundary() ? "false" : "true" }, { "second_run", std::string(secondRun) }, { "attempts", std::to_string(m_attempts) }, { "version", std::to_string(m_request.configuration->version) }, { "newest_version", std::to_string(m_context.configuration->version) } });
+}
+
+bool request_run::areInputsFetched(time_point now) const noexcept
+{
+    const auto isFetched = [now](const target_attempt_ptr& attempt) { return !attempt || (attempt->inputsFetchedAt && now >= *attempt->inputsFetchedAt); };
+    return isFetched(m_current) && isFetched(m_backup);
+}
+
+// Ends of attempts.
+
+void request_run::abandonAttempt(target_attempt& attempt, std::string_view reason)
+{
+    logLine(log_level::Warning, logComponent, "A target sends a response that may have no end; its connection is closed.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "status", std::to_string(attempt.response.status) }, { "reason", std::string(reason) } });
+    policy::recordFailure(attempt.target->health, policy::call_failure::Failed, attempt.lastByteAt);
+    static_cast<void>(extract(attempt));
+    onAttemptFailed(reason, true);
+}
+
+void request_run::onAttemptEnded(target_attempt& endedAttempt, http1::call_outcome outcome)
+{
+    const auto keepAlive = shared_from_this();
+    const time_point now = monotonicNow();
+    logResponseEnd(endedAttempt, outcome);
+    const target_attempt_ptr attempt = extract(endedAttempt);
+    if (m_isFinished)
+        return;
+    const platform::target_response& response = attempt->response;
+    auto& health = attempt->target->health;
+    if (outcome == http1::call_outcome::NotSent) {
+        policy::recordFailure(health, policy::call_failure::Unreachable, now);
+        --m_attempts;
+        onAttemptFailed("unreachable", false);
+        return;
+    }
+    if (attempt->hasHead && response.isNotExecuted && http1::isReceived(outcome)) {
+        onNotExecuted(*attempt, now);
+        return;
+    }
+    const bool isTruncatedStream = isStreamTruncated(*attempt, outcome);
+    if (!http1::isReceived(outcome) || !attempt->isOwnResponse() || isTruncatedStream) {
+        const bool isCrash = isTruncatedStream || outcome == http1::call_outcome::NoResponse || outcome == http1::call_outcome::Truncated;
+        policy::recordFailure(health, policy::call_failure::Failed, now);
+        if (isCrash && !attempt->hasSurvived)
+            recordCrash(*attempt, now);
+        const std::string_view reason = isTruncatedStream ? "half_event" : "not_own_answer";
+        onAttemptFailed(http1::isReceived(outcome) ? reason : nameOf(outcome), true);
+        return;
+    }
+    const bool isServerFailure = response.status >= 500;
+    if (isServerFailure)
+        policy::recordFailure(health, policy::call_failure::Failed, now);
+    else {
+        policy::recordSuccess(health, 1, now);
+        recordSurvival(*attempt, now);
+    }
+    policy::clearSuspicion(m_context.suspicions, m_request.fingerprint);
+    if (isServerFailure && (m_current || m_request.exchange->isStarted())) {
+        onAttemptFailed("target_failed", true);
+        return;
+    }
+    const bool mayRetry = m_request.route->isRetryable() && m_attempts < m_request.route->maxAttempts && !m_request.exchange->isStarted();
+    if (isServerFailure && mayRetry && trySpendRetry(m_context, m_request.service, now)) {
+        m_context.counters.count("repeats_total", { { "reason", "server_failure" } });
+        dispatch();
+        return;
+    }
+    detachFromTargets();
+    completeResponse(*attempt);
+}
+
+void request_run::onNotExecuted(const target_attempt& attempt, time_point now)
+{
+    const std::string& targetId = attempt.target->listed.id;
+    --m_attempts;
+    if (!attempt.response.isInputMissing) {
+        attempt.target->isReplaced = attempt.target->isReplaced || attempt.response.isWrongTarget;
+        policy::recordFailure(attempt.target->health, policy::call_failure::Full, now);
+        onAttemptFailed(attempt.response.isWrongTarget ? "wrong_target" : "target_full", false);
+        return;
+    }
+    m_context.keepInputsUntil[m_request.service] = now + keepInputsDuration;
+    logLine(log_level::Warning, logComponent, "The target could not find a stage result that the request needs.", { { "request", m_request.callerRequest.id }, { "target", targetId }, { "was_given_up", m_areInputsReleased ? "true" : "false" } });
+    if (m_current) {
+        onAttemptFailed("input_gone", false);
+        return;
+    }
+    // The target is healthy, and may be tried again with new results.
+    std::erase(m_triedTargets, targetId);
+    restartStages("input_gone");
+}
+
+void request_run::logResponseEnd(const target_attempt& attempt, http1::call_outcome outcome)
+{
+    const http1::response_trace& trace = attempt.call->trace();
+    const std::string_view connection = trace.connectionEnd ? nameOf(*trace.connectionEnd) : "open";
+    m_context.counters.count("responses_total", { { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "end", std::string(nameOf(outcome)) } });
+    logLine(log_level::Info, logComponent, "The response of a target ended.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(attempt.hasHead ? attempt.head.status : 0) }, { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "body_bytes", std::to_string(trace.bodyBytes) }, { "inside_event", attempt.events.isAtBoundary() ? "false" : "true" }, { "unsent_bytes", std::to_string(trace.unsentBytes) }, { "stated_limit", attempt.hasHead ? std::string(platform::decodeLimit(attempt.head).text.value_or("")) : "" } });
+}
+
+bool request_run::isStreamTruncated(const target_attempt& attempt, http1::call_outcome outcome) const noexcept
+{
+    if (!http1::isReceived(outcome) || !isStream() || attempt.response.status != http1::statusOk)
+        return false;
+    const bool isWithoutEvents = outcome == http1::call_outcome::Unframed && !attempt.hasFirstByte;
+    return isWithoutEvents || !attempt.events.isAtBoundary();
+}
+
+void request_run::completeResponse(target_attempt& attempt)
+{
+    const unsigned status = attempt.response.status;
+    const bool impliesNotRun = status == http1::statusUnavailable || status == http1::statusTooManyRequests || status == http1::statusTimeout;
+    if (impliesNotRun) {
+        // The request ran, but these statuses would tell the caller that it did not.
+        fail(http1::statusBadGateway, "target_failed");
+        return;
+    }
+    if (m_request.exchange->isStarted())
+        m_request.exchange->finishChunked();
+    else
+        m_request.exchange->respond(status, platform::encodeCallerHeaders(attempt.head), attempt.buffer);
+    finish("answered", "", status);
+}
+
+void request_run::onAttemptFailed(std::string_view reason, bool mayHaveRun)
+{
+    const time_point now = monotonicNow();
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    const auto& route = *m_request.route;
+    const bool mayRetry = !m_mayHaveRun || (route.isRetryable() && m_attempts < route.maxAttempts);
+    const bool isInTime = now < m_deadline;
+    logLine(log_level::Info, logComponent, "An attempt of the request failed.", { { "request", m_request.callerRequest.id }, { "reason", std::string(reason) }, { "may_have_run", m_mayHaveRun ? "true" : "false" }, { "after_ms", std::to_string(m_sends == 0 ? 0 : asMilliseconds(now - m_lastSentAt)) }, { "other_attempt", m_current ? m_current->target->listed.id : "" } });
+    if (m_current)
+        return;
+    const bool hasUsableTarget = reason != "no_target";
+    if (mayRetry && isInTime && hasUsableTarget && m_sends < detail::maxSends && (m_sends == 0 || trySpendRetry(m_context, m_request.service, now))) {
+        m_context.counters.count("repeats_total", { { "reason", std::string(reason) } });
+        if (std::exchange(m_mayHaveCrashed, false)) {
+            m_isWaitingForTarget = true;
+            m_retryAt = now + crashReportTime;
+        } else
+            dispatch();
+        return;
+    }
+    finishWithoutResponse(reason, hasUsableTarget);
+}
+}
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -59,24 +59,24 @@
     refuse("rate_limited", std::max(detail::retryAfterTransientFailure, retryAfter));
 }
 
-void request_run::recordCrash(const target_state& target, time_point now)
+void request_run::recordCrash(const target_attempt& attempt, time_point now)
 {
     policy::suspicion suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, false, now);
     if (suspicion.crashCount >= crashesToQuarantine)
         suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, true, now);
-    logCrash(target, suspicion, now);
+    logCrash(attempt, suspicion, now);
     m_mayHaveCrashed = !m_request.segments.empty();
     if (m_mayHaveCrashed)
-        m_context.crashes->onBrokenRequest(target, { m_request.segments, m_sentAt }, now);
+        m_context.crashes->onBrokenRequest(*attempt.target, { m_request.segments, attempt.sentAt }, now);
     m_pools.broadcastSuspicion(m_request.fingerprint, suspicion, now);
 }
 
-void request_run::recordSurvival(time_point now)
+void request_run::recordSurvival(target_attempt& attempt, time_point now)
 {
-    const bool isOwnResponse = m_hasFirstByte && m_response.status == http1::statusOk && m_response.isForRequest && m_response.isSealed;
-    if (!isOwnResponse || std::exchange(m_hasSurvived, true) || m_request.segments.empty())
+    const bool isOwnResponse = attempt.hasFirstByte && attempt.response.status == http1::statusOk && attempt.response.isForRequest && attempt.response.isSealed;
+    if (!isOwnResponse || std::exchange(attempt.hasSurvived, true) || m_request.segments.empty())
         return;
-    m_context.crashes->recordSurvival(m_request.segments, m_firstByteAt, now);
+    m_context.crashes->recordSurvival(m_request.segments, attempt.firstByteAt, now);
 }
 
 std::optional<uint64_t> request_run::refusedSegment(time_point now) const noexcept
@@ -88,24 +88,29 @@
 
 void request_run::onVerdict(time_point now)
 {
-    const auto segment = m_isFinished || (m_call && m_hasFirstByte) ? std::nullopt : refusedSegment(now);
+    const auto segment = m_isFinished ? std::nullopt : refusedSegment(now);
     if (!segment || (m_request.isTrial && m_sends == 1))
         return;
     const auto keepAlive = shared_from_this();
     // Most targets drop a request that they have not begun when its connection closes.
-    m_mayHaveRun = m_mayHaveRun || m_call;
-    detachFromTarget();
-    refuseSegment(*segment, now);
+    for (const auto* attempt : { m_backup.get(), m_current.get() }) {
+        if (!attempt || attempt->hasFirstByte)
+            continue;
+        m_mayHaveRun = true;
+        static_cast<void>(extract(*attempt));
+    }
+    if (!m_current)
+        refuseSegment(*segment, now);
 }
 
-void request_run::logCrash(const target_state& target, const policy::suspicion& suspicion, time_point now) const
+void request_run::logCrash(const target_attempt& attempt, const policy::suspicion& suspicion, time_point now) const
 {
     std::string segments;
     for (const uint64_t hash : m_request.segments)
         segments.append(segments.empty() ? "" : ",").append(textOfHash(hash));
-    const std::string begunMs = m_hasFirstByte ? std::to_string(asMilliseconds(now - m_firstByteAt)) : "not_begun";
-    m_context.counters.count("crash_strikes_total", { { "begun", m_hasFirstByte ? "true" : "false" } });
-    logLine(log_level::Info, logComponent, "The request is suspected of crashing its target.", { { "request", m_request.callerRequest.id }, { "target", target.listed.id }, { "fingerprint", std::to_string(m_request.fingerprint) }, { "strikes", std::to_string(suspicion.crashCount) }, { "segments", segments }, { "first_event_ms_ago", begunMs }, { "others_in_flight", std::to_string(target.inFlight) } });
+    const std::string begunMs = attempt.hasFirstByte ? std::to_string(asMilliseconds(now - attempt.firstByteAt)) : "not_begun";
+    m_context.counters.count("crash_strikes_total", { { "begun", attempt.hasFirstByte ? "true" : "false" } });
+    logLine(log_level::Info, logComponent, "The request is suspected of crashing its target.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "fingerprint", std::to_string(m_request.fingerprint) }, { "strikes", std::to_string(suspicion.crashCount) }, { "segments", segments }, { "first_event_ms_ago", begunMs }, { "others_in_flight", std::to_string(attempt.target->inFlight - 1) } });
 }
 
 void request_run::refuseSegment(uint64_t segment, time_point now)
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -3,8 +3,8 @@
 
 #include "deployment/caller_request.hpp"
 #include "gateway/context.hpp"
-#include "gateway/event_stream.hpp"
 #include "gateway/pool_router.hpp"
+#include "gateway/target_attempt.hpp"
 #include "http1/server.hpp"
 #include "platform/ingress.hpp"
 #include "policy/placement.hpp"
@@ -22,6 +22,12 @@
 
     /// A request for which no target is usable is refused this long after its arrival.
     constexpr milliseconds maxPlacementTime { 1500 };
+
+    /// Unsent bytes towards a caller at which the gateway stops reading from the target.
+    constexpr size_t maxUnreadBytes = 256 * 1024;
+
+    /// Limit of how often one request is sent, including the sends that targets refused.
+    constexpr int maxSends = 5;
 }
 
 /// An accepted request with everything that is needed to run it.
@@ -69,10 +75,12 @@
     /// Starts the request; may respond at once.
     void start();
 
-    /// Ends the request if its deadline has passed, sends it if it waits for a target, and leaves an unresponsive target.
+    /// Ends the request if its deadline has passed, sends it if it waits for a target, and looks for a second target if its
+    /// target is silent.
     void tick(time_point now);
 
-    /// Ends the request if a segment of its prompt is refused and its target has not begun to respond.
+    /// Ends the attempts whose targets have not begun to respond if a segment of the prompt is refused, and the request with
+    /// the last of them.
     void onVerdict(time_point now);
 
     [[nodiscard]] bool isFinished() const noexcept { return m_isFinished; }
@@ -122,27 +130,45 @@
     [[nodiscard]] std::optional<milliseconds> waitForLimits(time_point now);
     void refuseLimited(milliseconds expectedWait);
     void send(const target_ptr& target);
-    void onHead(const http1::response_head& head);
-    void onBytes(std::string_view bytes);
-    void onAttemptEnded(http1::call_outcome outcome);
+
+    // Responses; in request_attempts.cpp.
+    void onHead(target_attempt& attempt, const http1::response_head& head);
+    void onBytes(target_attempt& attempt, std::string_view bytes);
+    void onFirstByte(target_attempt& attempt);
+    void onEventBytes(target_attempt& attempt, std::string_view bytes);
+    void onAttemptEnded(target_attempt& attempt, http1::call_outcome outcome);
+    /// Handles the end of an attempt whose target did not execute the request.
+    void onNotExecuted(const target_attempt& attempt, time_point now);
+    /// Sends the request again if possible, unless another attempt is in progress.
     void onAttemptFailed(std::string_view reason, bool mayHaveRun);
-    void logResponseEnd(http1::call_outcome outcome);
+    void logResponseEnd(const target_attempt& attempt, http1::call_outcome outcome);
     /// @return True if the content of a stream shows that it is incomplete, although its framing does not.
-    [[nodiscard]] bool isStreamTruncated(http1::call_outcome outcome) const noexcept;
-    /// @return The segment for which the request must not be sent, or nothing.
-    [[nodiscard]] std::optional<uint64_t> refusedSegment(time_point now) const noexcept;
-    void recordCrash(const target_state& target, time_point now);
-    void recordSurvival(time_point now);
-    void logCrash(const target_state& target, const policy::suspicion& suspicion, time_point now) const;
-    void completeResponse();
-    [[nodiscard]] bool isTargetUnresponsive(time_point now) const;
-    /// Logs that the target sends nothing, and whether another one could run the request.
-    void logSilence(time_point now) const;
-    void detachFromTarget();
+    [[nodiscard]] bool isStreamTruncated(const target_attempt& attempt, http1::call_outcome outcome) const noexcept;
+    /// Removes an attempt; if another one is in progress, it becomes the current one.
+    [[nodiscard]] target_attempt_ptr extract(const target_attempt& attempt);
+    /// Ends the other attempt, since this one has delivered.
+    void keepOnly(target_attempt& attempt);
+    /// Ends all attempts.
+    void detachFromTargets();
+    void completeResponse(target_attempt& attempt);
     void relay(std::string_view bytes);
-    void startRelay();
+    void startRelay(target_attempt& attempt);
     /// Ends an attempt whose target sends more than it may.
-    void abandonAttempt(std::string_view reason);
+    void abandonAttempt(target_attempt& attempt, std::string_view reason);
+    [[nodiscard]] bool isSilent(const target_attempt& attempt, time_point now) const;
+    /// Sends the request to a second target if its target is silent. The first attempt continues: its target may go on.
+    void checkSilence(time_point now);
+    /// @return Why a second run may not begin, whatever targets are usable; nothing if it may.
+    [[nodiscard]] std::optional<std::string_view> secondRunObstacle(time_point now) const;
+    void recordSilence(target_attempt& attempt, std::string_view secondRun, time_point now);
+    [[nodiscard]] bool areInputsFetched(time_point now) const noexcept;
+
+    // Crashes; in request_refusals.cpp.
+    /// @return The segment for which the request must not be sent, or nothing.
+    [[nodiscard]] std::optional<uint64_t> refusedSegment(time_point now) const noexcept;
+    void recordCrash(const target_attempt& attempt, time_point now);
+    void recordSurvival(target_attempt& attempt, time_point now);
+    void logCrash(const target_attempt& attempt, const policy::suspicion& suspicion, time_point now) const;
     [[nodiscard]] bool isStream() const noexcept { return m_request.route->kind == deployment::call_kind::Streaming; }
 
     // End of the request.
@@ -170,24 +196,15 @@
     time_point m_retryAt {};
     std::optional<limit_place> m_limitPlace;
 
-    // The current attempt.
-    target_ptr m_target;
-    std::shared_ptr<http1::client_call> m_call;
-    time_point m_sentAt {};
-    /// Time at which the results that the target fetches are released, if not at the first event.
-    std::optional<time_point> m_inputsFetchedAt;
-    time_point m_firstByteAt {};
-    time_point m_lastByteAt {};
-    http1::response_head m_head;
-    platform::target_response m_response;
-    bool m_hasHead = false;
-    bool m_hasFirstByte = false;
-    /// The response went on for so long that the request cannot have crashed its target.
-    bool m_hasSurvived = false;
-    uint64_t m_sentTokens = 0;
-
-    std::string m_buffer;
-    event_stream m_events;
+    /// The attempt whose response is passed on.
+    target_attempt_ptr m_current;
+    /// A second attempt while the target of the first is silent. Whichever delivers first is kept.
+    target_attempt_ptr m_backup;
+    time_point m_nextBackupSearchAt {};
+    time_point m_lastSentAt {};
+
+    /// Identifier of the last event that the caller has.
+    std::string m_lastEventId;
     int m_attempts = 0;
     int m_sends = 0;
     bool m_mayHaveRun = false;
--- /dev/null
+++ b/src/gateway/target_attempt.hpp
@@ -0,0 +1,56 @@
+/// One send of a request to a target, and what the target has responded so far.
+#pragma once
+
+#include "gateway/event_stream.hpp"
+#include "gateway/target_registry.hpp"
+#include "http1/client.hpp"
+#include "platform/ingress.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace bilberryseam::gateway {
+
+/// Destroying the attempt closes its connection, at which most targets drop the request.
+struct target_attempt {
+    /// Counts the attempt among the calls in flight at the target.
+    target_attempt(target_ptr newTarget, uint64_t promptTokens, time_point now);
+    target_attempt(const target_attempt&) = delete;
+    target_attempt& operator=(const target_attempt&) = delete;
+    ~target_attempt();
+
+    /// Records that the target has read the prompt.
+    void endPrefill() noexcept;
+    /// @return True for a response that may be passed on as it arrives: it is the target's own, and a success.
+    [[nodiscard]] bool isRelayable() const noexcept;
+    /// @return True if the head states a response of the target to this request.
+    [[nodiscard]] bool isOwnResponse() const noexcept { return hasHead && response.isForRequest && response.isSealed && !response.isEncoded; }
+    /// @return Time since the target's last byte, or since the send.
+    [[nodiscard]] microseconds silenceAt(time_point now) const noexcept { return now - (hasFirstByte ? lastByteAt : sentAt); }
+
+    target_ptr target;
+    time_point sentAt {};
+    /// Time at which the results that the target fetches are released, if not at the first event.
+    std::optional<time_point> inputsFetchedAt;
+    time_point firstByteAt {};
+    time_point lastByteAt {};
+    http1::response_head head;
+    platform::target_response response;
+    bool hasHead = false;
+    bool hasFirstByte = false;
+    /// The response went on for so long that the request cannot have crashed its target.
+    bool hasSurvived = false;
+    /// The target's present silence was recorded.
+    bool isSilenceRecorded = false;
+    /// Tokens of the prompt that the target has not read yet.
+    uint64_t queuedTokens = 0;
+    /// Received bytes of the body that were not passed on.
+    std::string buffer;
+    event_stream events;
+    /// Destroyed first, so that no callback runs while the other members are destroyed.
+    std::shared_ptr<http1::client_call> call;
+};
+
+using target_attempt_ptr = std::unique_ptr<target_attempt>;
+}
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -50,6 +50,12 @@
         health.blockedUntil = now + std::min(maxBlock, minBlock * (1 << std::min(health.consecutiveFailures - blockThreshold, 4u)));
 }
 
+void recordSilence(target_health& health, time_point now) noexcept
+{
+    blend(health.failureRate, 1);
+    health.changedAt = now;
+}
+
 bool isUsable(const target_health& health, time_point now) noexcept
 {
     return now >= health.blockedUntil;
--- a/src/policy/target_health.hpp
+++ b/src/policy/target_health.hpp
@@ -31,6 +31,8 @@
 
 void recordSuccess(target_health& health, double slowness, time_point now) noexcept;
 void recordFailure(target_health& health, call_failure failure, time_point now) noexcept;
+/// Records that a call has got no bytes for a while. The target is preferred less but not blocked, since it may go on.
+void recordSilence(target_health& health, time_point now) noexcept;
 
 /// @return Whether the target may get work now. A block expires; the next call then serves as the probe.
 [[nodiscard]] bool isUsable(const target_health& health, time_point now) noexcept;
