Failing test: a large plain response is continued with the start of another

Seen: an idempotent request whose target breaks off after more than 256 KB, when the caller has a part already, is sent again; what the second target sends is appended. The response is framed as complete.

--- a/tests/process/gateway_retry_test.cpp
+++ b/tests/process/gateway_retry_test.cpp
@@ -1,4 +1,5 @@
 /// Which requests the gateway retries, which it never retries, and what it returns to the caller.
+#include "loop/timer.hpp"
 #include "support/deployment_fixture.hpp"
 
 #include <criterion/criterion.h>
@@ -172,3 +173,32 @@
     cr_assert_eq(countRequests(first, second), before);
     cr_assert_eq(deployment.sendAndWait("POST", "/p/good", {}, "harmless", right)->head.status, 502);
 }
+
+Test(gateway_retry, a_large_plain_response_that_breaks_off_is_not_continued_with_the_start_of_another)
+{
+    deployment_fixture deployment(19);
+    // Larger than what the gateway buffers, so that the caller has the first part when the target breaks off.
+    const std::string part(300 * 1024, 'a');
+    std::vector<std::unique_ptr<timer>> timers;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& target = deployment.addTarget(id, "pages");
+        target.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) {
+            exchange->startChunked(200, target.responseHeaders(*exchange));
+            exchange->writeChunk(part);
+            const bool isFirst = timers.empty();
+            timers.push_back(std::make_unique<timer>());
+            timers.back()->startOnce(milliseconds(300), [exchange, isFirst] {
+                if (isFirst)
+                    exchange->abort();
+                else
+                    exchange->finishChunked();
+            });
+        });
+    }
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto response = deployment.sendAndWait("GET", "/p/1");
+    cr_assert_eq(response->outcome, http1::call_outcome::Truncated);
+    cr_assert_eq(response->body.size(), part.size());
+}
