A plain response that the caller has in part is not sent for again

What callers saw: a large response with status 200 that holds the beginning of one target's body and then the whole of another's, framed as complete. Cause: a failed attempt of an idempotent request was retried also after its first bytes were relayed. Only streams of events can continue. Result: gateway_retry/a_large_plain_response_that_breaks_off_is_not_continued_with_the_start_of_another failed before and passes now, with the other nine tests of its suite.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -329,7 +329,9 @@
     const time_point now = monotonicNow();
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     const auto& route = *m_request.route;
-    const bool mayRetry = !m_mayHaveRun || (route.isRetryable() && m_attempts < route.maxAttempts);
+    // Only events can be continued; the rest of a plain response cannot be asked for.
+    const bool mayContinue = isStream() || !m_request.exchange->isStarted();
+    const bool mayRetry = mayContinue && (!m_mayHaveRun || (route.isRetryable() && m_attempts < route.maxAttempts));
     const bool isInTime = now < m_deadline;
     logLine(log_level::Info, logComponent, "An attempt of the request failed.", { { "request", m_request.callerRequest.id }, { "reason", std::string(reason) }, { "may_have_run", m_mayHaveRun ? "true" : "false" }, { "after_ms", std::to_string(m_sends == 0 ? 0 : asMilliseconds(now - m_lastSentAt)) }, { "other_attempt", m_current ? m_current->target->listed.id : "" } });
     if (m_current)
