fakes: a target may pause in its response and go on

Cause: no fake of the product's own interface could be silent for a while and then go on, so no test had a target that is slow to send and sound. Change: fake_target has a switch `silence`: one pause in each response, before it, between two tokens or inside an event. Length and place are drawn from a seed.

--- a/src/fakes/fake_target.cpp
+++ b/src/fakes/fake_target.cpp
@@ -22,6 +22,11 @@
     {
         return "data: " + dumpText(data) + "\n\n";
     }
+
+    std::string tokenEvent(const std::string& prompt, uint32_t index)
+    {
+        return eventText({ { "choices", json::array({ { { "text", wordAt(prompt, index) } } }) } });
+    }
 }
 
 /// A streamed response in progress.
@@ -31,6 +36,11 @@
     uint32_t nextToken = 0;
     uint32_t count = 0;
     uint32_t sentTokens = 0;
+    /// Zero once the pause has begun.
+    milliseconds silence { 0 };
+    uint32_t silentToken = 0;
+    /// Rest of the event within which the stream paused.
+    std::string heldBytes;
     bool isComplete = false;
     gulong finishedHandler = 0;
     timer tokenTimer;
@@ -158,12 +168,13 @@
 void fake_target::respond(SoupServerMessage* message, const json& request)
 {
     const json output = outputFor(request);
-    if (m_behaviour.latency.count() == 0) {
+    const milliseconds latency = m_behaviour.latency + drawSilence();
+    if (latency.count() == 0) {
         setJsonResponse(message, 200, output);
         return;
     }
     m_maxRunning = std::max(m_maxRunning, ++m_running);
-    respondLater(message, m_behaviour.latency, [this, output] {
+    respondLater(message, latency, [this, output] {
         m_running -= std::min(m_running, 1u);
         return std::pair(200u, output);
     });
@@ -203,6 +214,9 @@
     open->count = request.value("max_tokens", defaultTokens);
     const std::string resumeText = request.value("resume_text", "");
     open->nextToken = static_cast<uint32_t>(std::count(resumeText.begin(), resumeText.end(), ' '));
+    open->silence = drawSilence();
+    if (open->silence.count() > 0)
+        open->silentToken = open->nextToken + m_behaviour.silence.afterTokens.value_or(static_cast<uint32_t>(m_random() % std::max(1u, open->count - std::min(open->count, open->nextToken))));
     open->finishedHandler = g_signal_connect(message, "finished", G_CALLBACK(+[](SoupServerMessage* ended, gpointer self) {
         auto* owner = static_cast<fake_target*>(self);
         for (auto& [raw, candidate] : owner->m_streams) {
@@ -228,21 +242,45 @@
         soup_message_body_complete(soup_server_message_get_response_body(open->message.get()));
         soup_server_message_unpause(open->message.get());
     });
-    open->tokenTimer.startOnce(m_behaviour.latency, [this, open] {
-        if (m_behaviour.tokenTime.count() == 0) {
-            sendTokens(*open, open->count);
-            return;
-        }
-        open->tokenTimer.startEvery(m_behaviour.tokenTime, [this, open] { sendTokens(*open, 1); });
-        sendTokens(*open, 1);
-    });
+    open->tokenTimer.startOnce(m_behaviour.latency, [this, open] { startTokens(*open); });
+}
+
+void fake_target::startTokens(stream& open)
+{
+    if (m_behaviour.tokenTime.count() == 0) {
+        sendTokens(open, open.count);
+        return;
+    }
+    open.tokenTimer.startEvery(m_behaviour.tokenTime, [this, &open] { sendTokens(open, 1); });
+    sendTokens(open, 1);
+}
+
+std::string fake_target::startSilence(stream& open, std::string bytes)
+{
+    const milliseconds silence = std::exchange(open.silence, milliseconds(0));
+    if (m_behaviour.silence.isInsideEvent) {
+        const std::string event = tokenEvent(open.prompt, open.nextToken++);
+        ++open.sentTokens;
+        bytes += event.substr(0, event.size() / 2);
+        open.heldBytes = event.substr(event.size() / 2);
+    }
+    open.tokenTimer.startOnce(silence, [this, &open] { startTokens(open); });
+    return bytes;
+}
+
+milliseconds fake_target::drawSilence()
+{
+    const silence_behaviour& silence = m_behaviour.silence;
+    if (silence.longest.count() == 0)
+        return milliseconds(0);
+    return milliseconds(std::uniform_int_distribution<int64_t>(silence.shortest.count(), silence.longest.count())(m_random));
 }
 
 void fake_target::sendTokens(stream& open, uint32_t count)
 {
     SoupServerMessage* message = open.message.get();
     SoupMessageBody* body = soup_server_message_get_response_body(message);
-    std::string bytes;
+    std::string bytes = std::exchange(open.heldBytes, "");
     for (; count > 0 && open.nextToken < open.count; --count, ++open.nextToken, ++open.sentTokens) {
         if (m_behaviour.cutAfterTokens > 0 && open.sentTokens >= m_behaviour.cutAfterTokens) {
             open.isComplete = true;
@@ -251,9 +289,15 @@
             soup_server_message_unpause(message);
             return;
         }
-        bytes += eventText({ { "choices", json::array({ { { "text", wordAt(open.prompt, open.nextToken) } } }) } });
+        if (open.silence.count() > 0 && open.nextToken >= open.silentToken) {
+            bytes = startSilence(open, std::move(bytes));
+            break;
+        }
+        bytes += tokenEvent(open.prompt, open.nextToken);
     }
-    if (open.nextToken >= open.count) {
+    if (bytes.empty() && open.nextToken < open.count)
+        return;
+    if (open.nextToken >= open.count && open.heldBytes.empty()) {
         bytes += eventText({ { "choices", json::array() }, { "usage", { { "completion_tokens", open.count } } } }) + "data: [DONE]\n\n";
         open.isComplete = true;
         open.tokenTimer.stop();
@@ -288,10 +332,25 @@
     behaviour.ignoredOrders = changes.value("forgottenOrders", behaviour.ignoredOrders);
     behaviour.poison = changes.value("poison", behaviour.poison);
     behaviour.restartTime = milliseconds(changes.value("restartMs", behaviour.restartTime.count()));
+    if (const auto silence = changes.find("silence"); silence != changes.end())
+        setSilence(*silence);
     if (changes.value("die", false))
         crash();
 }
 
+void fake_target::setSilence(const json& silence)
+{
+    m_behaviour.silence = {};
+    if (!silence.is_object())
+        return;
+    m_random.seed(silence.value("seed", uint64_t { 1 }));
+    m_behaviour.silence.shortest = milliseconds(silence.value("minMs", 500));
+    m_behaviour.silence.longest = milliseconds(silence.value("maxMs", 3000));
+    m_behaviour.silence.isInsideEvent = silence.value("insideEvent", false);
+    if (silence.contains("afterTokens"))
+        m_behaviour.silence.afterTokens = silence["afterTokens"].get<uint32_t>();
+}
+
 json fake_target::counts() const
 {
     return { { "name", m_name }, { "runs", m_runs }, { "cancelled", m_cancelled }, { "deaths", m_crashes }, { "running", m_running }, { "mostRunning", m_maxRunning },
--- a/src/fakes/fake_target.hpp
+++ b/src/fakes/fake_target.hpp
@@ -5,6 +5,8 @@
 #include "loop/timer.hpp"
 
 #include <map>
+#include <optional>
+#include <random>
 #include <set>
 
 namespace bilberryseam::fakes {
@@ -17,6 +19,17 @@
     Plain,
 };
 
+/// One pause in each response, after which the target goes on. Length and place are drawn from a seed.
+struct silence_behaviour {
+    milliseconds shortest { 0 };
+    /// Zero for no pause.
+    milliseconds longest { 0 };
+    /// Number of tokens that a stream sends first; drawn for each stream if empty.
+    std::optional<uint32_t> afterTokens;
+    /// The pause is inside the event that follows these tokens.
+    bool isInsideEvent = false;
+};
+
 /// Timing of a target and the faults that it currently injects.
 struct target_behaviour {
     /// Time before the response, or before the first token of a stream.
@@ -39,6 +52,7 @@
     uint32_t lostOrderResponses = 0;
     /// Number of orders that are confirmed but not executed.
     uint32_t ignoredOrders = 0;
+    silence_behaviour silence;
     /// Time until the target listens again after a crash.
     milliseconds restartTime { 500 };
 };
@@ -51,7 +65,8 @@
 
     /// Changes the behaviour as given in JSON: `latencyMs`, `tokenMs`, `frozen`, `lostAnswers`, `failStatus`,
     /// `cutAfterTokens`, `checksFencing`, `lostOrderAnswers`, `forgottenOrders`, `poison`, `restartMs`; `die` crashes the
-    /// target. Missing keys keep their values.
+    /// target; `silence` is an object with `seed`, `minMs`, `maxMs`, `afterTokens` and `insideEvent`, null for none.
+    /// Missing keys keep their values.
     void applySwitches(const nlohmann::json& changes);
 
     [[nodiscard]] nlohmann::json counts() const;
@@ -67,7 +82,12 @@
     void respond(SoupServerMessage* message, const nlohmann::json& request);
     nlohmann::json outputFor(const nlohmann::json& request) const;
     void startStream(SoupServerMessage* message, const nlohmann::json& request);
+    void startTokens(stream& open);
     void sendTokens(stream& open, uint32_t count);
+    /// @return The bytes to send before the pause; the rest of the event follows after it.
+    std::string startSilence(stream& open, std::string bytes);
+    [[nodiscard]] milliseconds drawSilence();
+    void setSilence(const nlohmann::json& silence);
     void onStreamFinished(stream* finishedStream);
     void recordRun(SoupServerMessage* message);
     void reportModels(SoupServerMessage* message);
@@ -77,6 +97,7 @@
     target_kind m_kind;
     ip_endpoint m_listen;
     target_behaviour m_behaviour;
+    std::mt19937_64 m_random;
     gobject_ptr<SoupServer> m_server;
     timer m_restartTimer;
     /// Versions of the loaded models by name.
