tests: a call whose target is silent for a moment is ended

Cause: a side ends a call whose target has sent nothing for targetSilenceMs, and the entry looks for another target only afterwards.

--- /dev/null
+++ b/tests/process/silent_target_test.cpp
@@ -0,0 +1,105 @@
+/// Targets and sides that send nothing for a while and then go on: no request ends for silence alone.
+#include "support/check.hpp"
+#include "support/cluster.hpp"
+
+#include <criterion/criterion.h>
+#include <csignal>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+using nlohmann::json;
+
+namespace {
+constexpr uint32_t tokens = 12;
+constexpr int requestCount = 6;
+
+/// Far below the pauses of the targets.
+constexpr int silenceLimitMs = 200;
+
+json silence(uint64_t seed, json changes = json::object())
+{
+    json settings { { "seed", seed }, { "minMs", 500 }, { "maxMs", 3000 } };
+    settings.update(changes);
+    return settings;
+}
+
+cluster_spec engines(int slot, int count, const json& pause)
+{
+    cluster_spec spec;
+    spec.slot = slot;
+    for (int i = 1; i <= count; ++i)
+        spec.targets.push_back({ .name = "llm-" + std::to_string(i), .service = "generate", .kind = "engine", .capacity = 16, .behaviour = { { "tokenMs", 10 }, { "silence", pause } } });
+    spec.pipelines = json::array({ pipelineOf("assistant", { "generate" }, tokens) });
+    spec.sideLimits = { { "targetSilenceMs", silenceLimitMs } };
+    return spec;
+}
+
+cluster_spec plainTargets(int slot)
+{
+    cluster_spec spec;
+    spec.slot = slot;
+    spec.targets = { { .name = "rank-1", .service = "rank", .kind = "reranker", .capacity = 16, .behaviour = { { "silence", silence(3) } } },
+        { .name = "book-1", .service = "book", .kind = "plain", .capacity = 16, .behaviour = { { "silence", silence(4) } }, .isRetryable = false } };
+    spec.pipelines = json::array({ pipelineOf("ranking", { "rank" }), pipelineOf("booking", { "book" }) });
+    spec.sideLimits = { { "targetSilenceMs", silenceLimitMs } };
+    return spec;
+}
+
+std::string promptOf(int number)
+{
+    return "question " + std::to_string(number);
+}
+
+std::vector<std::shared_ptr<sent_request>> sendStreams(cluster& deployment, int count)
+{
+    std::vector<std::shared_ptr<sent_request>> requests;
+    for (int i = 0; i < count; ++i)
+        requests.push_back(deployment.send({ .pipeline = "assistant", .input = { { "prompt", promptOf(i) } }, .isStreamed = true }));
+    return requests;
+}
+
+void checkWholeStreams(cluster& deployment, const std::vector<std::shared_ptr<sent_request>>& requests)
+{
+    for (size_t i = 0; i < requests.size(); ++i) {
+        deployment.waitUntil([&] { return requests[i]->isDone; }, "the response");
+        checkEqual(requests[i]->outcomeName(), "answered");
+        checkEqual(requests[i]->text(), wordsFor(promptOf(static_cast<int>(i)), tokens));
+    }
+}
+
+/// Sends requests to the only target of a service; each must be answered by its one run.
+void checkLateResponses(cluster& deployment, const std::string& pipeline, const std::string& target)
+{
+    std::vector<std::shared_ptr<sent_request>> requests;
+    for (int i = 0; i < requestCount; ++i)
+        requests.push_back(deployment.send({ .pipeline = pipeline, .input = { { "seat", i } } }));
+    for (const auto& request : requests) {
+        deployment.waitUntil([&] { return request->isDone; }, "the response");
+        checkEqual(request->outcomeName(), "answered");
+    }
+    cr_assert_eq(deployment.targetCounts(target)["runs"], requestCount);
+}
+}
+
+Test(silent_target, a_stream_without_another_target_goes_on_after_silence)
+{
+    cluster deployment(engines(36, 1, silence(1)));
+    checkWholeStreams(deployment, sendStreams(deployment, requestCount));
+    // The same with pauses inside an event.
+    deployment.switchFakes({ { "targets", { { "llm-1", { { "silence", silence(2, { { "insideEvent", true } }) } } } } } });
+    checkWholeStreams(deployment, sendStreams(deployment, requestCount));
+    cr_assert_eq(deployment.targetCounts("llm-1")["runs"], 2 * requestCount);
+    cr_assert_eq(deployment.targetCounts("llm-1")["cancelled"], 0);
+}
+
+Test(silent_target, a_late_response_is_delivered)
+{
+    cluster deployment(plainTargets(37));
+    checkLateResponses(deployment, "ranking", "rank-1");
+}
+
+Test(silent_target, a_late_response_to_a_call_that_must_not_run_twice_is_delivered)
+{
+    cluster deployment(plainTargets(38));
+    checkLateResponses(deployment, "booking", "book-1");
+}
