tests: a call whose side is frozen for a moment is ended

Cause: an entry cancels the calls of a link that has been down for 1.2 s and looks for another target afterwards.

--- a/tests/process/silent_target_test.cpp
+++ b/tests/process/silent_target_test.cpp
@@ -103,3 +103,17 @@
     cluster deployment(plainTargets(38));
     checkLateResponses(deployment, "booking", "book-1");
 }
+
+Test(silent_side, a_stream_without_another_target_goes_on_after_its_side_was_frozen)
+{
+    cluster deployment(engines(46, 1, nullptr));
+    deployment.switchFakes({ { "targets", { { "llm-1", { { "tokenMs", 100 } } } } } });
+    const auto requests = sendStreams(deployment, requestCount);
+    for (const auto& request : requests)
+        deployment.waitUntil([&] { return !request->text().empty(); }, "the first token");
+    deployment.signal("side-llm-1", SIGSTOP);
+    deployment.runFor(milliseconds(4000));
+    deployment.signal("side-llm-1", SIGCONT);
+    checkWholeStreams(deployment, requests);
+    cr_assert_eq(deployment.targetCounts("llm-1")["runs"], requestCount);
+}
