tests: a rejected hedge ends the request

Cause: the first error status of any attempt ends the request, also while another attempt is running. Change: a test with a slow target and one that answers 500.

--- a/tests/process/silent_target_test.cpp
+++ b/tests/process/silent_target_test.cpp
@@ -117,3 +117,29 @@
     checkWholeStreams(deployment, requests);
     cr_assert_eq(deployment.targetCounts("llm-1")["runs"], requestCount);
 }
+
+Test(straggler, a_rejected_hedge_does_not_end_the_first_attempt)
+{
+    cluster_spec spec;
+    spec.slot = 47;
+    for (const char* name : { "pool-1", "pool-2" })
+        spec.targets.push_back({ .name = name, .service = "rerank", .kind = "reranker", .capacity = 16, .behaviour = { { "latencyMs", 5 } } });
+    spec.pipelines = json::array({ pipelineOf("rank", { "rerank" }) });
+    cluster deployment(spec);
+    for (int i = 0; i < 40; ++i)
+        checkEqual(deployment.sendAndWait({ .pipeline = "rank" })->outcomeName(), "answered");
+    deployment.switchFakes({ { "targets", { { "pool-1", { { "latencyMs", 600 } } }, { "pool-2", { { "failStatus", 500 } } } } } });
+    const json earlierRuns = deployment.targetCounts("pool-1")["runsByRequest"];
+    std::vector<std::shared_ptr<sent_request>> requests;
+    for (int i = 0; i < 12; ++i)
+        requests.push_back(deployment.send({ .pipeline = "rank" }));
+    for (const auto& request : requests)
+        deployment.waitUntil([&] { return request->isDone; }, "the response");
+    const json runs = deployment.targetCounts("pool-1")["runsByRequest"];
+    cr_assert_gt(runs.size(), earlierRuns.size());
+    for (const auto& request : requests) {
+        if (runs.contains(request->outcome()["request"].get<std::string>()))
+            checkEqual(request->outcomeName(), "answered");
+    }
+    cr_assert_geq(deployment.entryMetric("bilberryseam_hedges_total"), 1);
+}
