tests: a stopping entry closes a connection while it reads a request

Cause: a planned stop waits only for requests that have been read whole. Change: a test that sends half of a body, stops the entry, and sends the rest after 3 s.

--- a/tests/process/stopping_test.cpp
+++ b/tests/process/stopping_test.cpp
@@ -1,4 +1,5 @@
 /// Planned stops interrupt no request; draining targets receive no new calls.
+#include "http1/tcp_stream.hpp"
 #include "platform/instance_list.hpp"
 #include "support/check.hpp"
 #include "support/cluster.hpp"
@@ -121,3 +122,23 @@
     checkEqual(deployment.sendAndWait({ .pipeline = "short", .input = { { "prompt", "new" } }, .isStreamed = true })->text(), wordsFor("new", 1));
     cr_assert_eq(deployment.entryMetric("bilberryseam_protocol_violations_total", 0), 0);
 }
+
+Test(stopping, a_request_whose_body_is_half_read_is_answered_before_the_entry_exits)
+{
+    cluster deployment(twoEngineSpec(48));
+    const std::string body = R"({"input":{"prompt":"half"},"stream":false})";
+    std::string response;
+    const auto connection = http1::tcp_stream::connectTo(ip_endpoint::parse(deployment.entryAddress()).value());
+    http1::tcp_stream::callbacks callbacks;
+    callbacks.onBytes = [&response](std::string_view bytes) { response.append(bytes); };
+    connection->setCallbacks(std::move(callbacks));
+    connection->write("POST /v1/pipelines/short HTTP/1.1\r\nHost: entry\r\nBilberryseam-Account: acme\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body.substr(0, 10));
+    deployment.runFor(milliseconds(300));
+    deployment.signal("entry-0", SIGTERM);
+    deployment.runFor(milliseconds(3000));
+    connection->write(body.substr(10));
+    deployment.waitUntil([&] { return !response.empty() || deployment.hasExited("entry-0"); }, "the response or the exit");
+    cr_assert(response.starts_with("HTTP/1.1 200"), "the response is \"%s\"", response.c_str());
+    cr_assert(response.find("Connection: close") != std::string::npos, "the caller may send another request on the connection");
+    deployment.waitUntil([&] { return deployment.hasExited("entry-0"); }, "the entry to exit");
+}
