tests: an overdue stop of an entry leaves requests without an outcome

Cause: when drainTimeoutMs has passed, the entry exits at once. Result: the connections are closed without an outcome.

--- a/tests/process/stopping_test.cpp
+++ b/tests/process/stopping_test.cpp
@@ -142,3 +142,21 @@
     cr_assert(response.find("Connection: close") != std::string::npos, "the caller may send another request on the connection");
     deployment.waitUntil([&] { return deployment.hasExited("entry-0"); }, "the entry to exit");
 }
+
+Test(stopping, requests_that_outlast_the_stop_of_their_entry_end_with_an_outcome)
+{
+    cluster_spec spec = twoEngineSpec(49);
+    spec.entryLimits = { { "drainTimeoutMs", 500 } };
+    cluster deployment(spec);
+    const auto streams = openStreams(deployment, 4);
+    const auto unstreamed = deployment.send({ .pipeline = "assistant" });
+    deployment.runFor(milliseconds(200));
+    deployment.signal("entry-0", SIGTERM);
+    deployment.waitUntil([&] { return deployment.hasExited("entry-0"); }, "the entry to exit");
+    deployment.waitUntil([&] { return unstreamed->isDone; }, "the end of the response");
+    checkEqual(unstreamed->outcomeName(), "failed");
+    for (const auto& stream : streams) {
+        deployment.waitUntil([&] { return stream->isDone; }, "the end of the stream");
+        checkEqual(stream->outcomeName(), "failed");
+    }
+}
