A silent target does not end a call

Callers saw: a request whose target sent nothing for targetSilenceMs (10 s, less if set) ended as failed, or unknown if it must not run twice, although the target would have gone on. Cause: the side closed the connection to the target first; only then did the entry look for another target, which may not exist or be allowed by the retry budget. Change: the side only reports the silence (log, target_silences_total). The entry, with a targetSilenceMs of its own, starts a second attempt where the call may run again and the retry budget allows it. The first goes on; the first one that delivers output or a response cancels the other. Time in the queue of a side is not silence. A call that must not run twice waits until its deadline.

--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -33,7 +33,6 @@
     /// region is chosen only if it saves more time than that.
     constexpr double slackShare = 0.2;
 
-    constexpr uint32_t maxRetriesPerStage = 8;
     constexpr milliseconds defaultRetryAfter { 1000 };
 
     /// Age at which the measured run time of a target is ignored, so that a slow target is tried again.
@@ -174,7 +173,9 @@
     const identifier attempt = m_context.identifiers.next();
     m_triedTargets.insert(target.config->name);
     const bool isIsolated = executionMode() == policy::execution_mode::Isolated;
-    m_attempts[attempt] = { &target, target.config->region, monotonicNow(), body.size(), 0, false, isIsolated, isHedge };
+    const time_point now = monotonicNow();
+    m_attempts[attempt] = { &target, target.config->region, now, now, body.size(), 0, false, isIsolated, isHedge };
+    m_replacementTimer.startOnce(m_context.targetSilence, [this] { replaceDoubtful(); });
     m_context.counters.count("attempts_total", { { "stage", stage().stage.name }, { "target_region", target.config->region } });
     m_context.links.dispatch(target, makeCall(target, attempt, std::move(body), isIsolated), [weak = weak_from_this(), attempt](attempt_event& event) {
         if (const auto self = weak.lock())
@@ -190,6 +191,7 @@
     if (std::holds_alternative<wire::call_started>(event)) {
         // The side may still refuse the call if the target turns out not to have accepted it.
         it->second.hasStarted = true;
+        it->second.lastSignAt = monotonicNow();
         m_waitingSince.reset();
         return;
     }
@@ -203,6 +205,8 @@
     }
     active_attempt finishedAttempt = std::move(it->second);
     m_attempts.erase(it);
+    if (!m_attempts.empty())
+        m_replacementTimer.startOnce(replacementCheckPeriod, [this] { replaceDoubtful(); });
     if (const auto* message = std::get_if<wire::call_finished>(&event))
         finishedAttempt.bytesReceived += message->body.size();
     recordTraffic(finishedAttempt);
@@ -232,6 +236,7 @@
     if (m_attempts.size() > 1)
         cancelAttempts(attempt);
     m_attempts.at(attempt).bytesReceived += text.size();
+    m_attempts.at(attempt).lastSignAt = monotonicNow();
     if (m_outputText.empty())
         policy::recordLatency(m_context.serviceStatistics[stage().service->name].latencies, asSeconds(monotonicNow() - m_attempts.at(attempt).sentAt));
     if (m_outputText.empty() && isLastStage())
@@ -424,6 +429,7 @@
         return;
     }
     m_hedgeTimer.stop();
+    m_replacementTimer.stop();
     m_previousOutput = std::move(output);
     ++m_stageIndex;
     m_waitReason = outcome_reason::None;
@@ -481,6 +487,7 @@
     m_deadlineTimer.stop();
     m_waitTimer.stop();
     m_hedgeTimer.stop();
+    m_replacementTimer.stop();
     m_isWaiting = false;
     const auto self = shared_from_this();
     const auto onOutcome = std::move(m_callbacks.onOutcome);
--- a/src/entry/pipeline_run.hpp
+++ b/src/entry/pipeline_run.hpp
@@ -41,6 +41,8 @@
         known_target* target = nullptr;
         std::string region;
         time_point sentAt;
+        /// Start or newest output of the call at its target.
+        time_point lastSignAt;
         size_t bytesSent = 0;
         size_t bytesReceived = 0;
         bool hasStarted = false;
@@ -48,6 +50,11 @@
         bool isHedge = false;
     };
 
+    static constexpr uint32_t maxRetriesPerStage = 8;
+
+    /// Delay before another target is looked for again while all attempts are in doubt.
+    static constexpr milliseconds replacementCheckPeriod { 100 };
+
     [[nodiscard]] const planned_stage& stage() const { return m_request.stages[m_stageIndex]; }
     [[nodiscard]] bool isLastStage() const { return m_stageIndex + 1 == m_request.stages.size(); }
 
@@ -68,13 +75,19 @@
     void handleOutput(identifier attempt, const std::string& text);
     void handleFinish(const active_attempt& attempt, wire::call_finished& message);
     void handleLoss(const active_attempt& attempt);
-    void handleStall(identifier attempt);
     void completeStage(wire::call_finished& message);
+    void handleStall(identifier attempt);
     void handleCrash(const active_attempt& attempt, std::string detail);
     void recordRun(const active_attempt& attempt, const wire::call_finished& message);
     void scheduleHedge();
     void startHedge();
     policy::budget& retryBudget();
+    /// @return Time after which the attempt may not deliver any more; zero if its target is silent.
+    [[nodiscard]] milliseconds timeUntilDoubt(const active_attempt& attempt) const;
+    /// If all attempts may not deliver any more, starts one at another target. They go on until it has delivered.
+    void replaceDoubtful();
+    /// @return False if no attempt can start now.
+    bool startReplacement();
     void retryStage(outcome_reason reason, std::string detail);
     void waitForTarget(outcome_reason reason, milliseconds retryAfter);
     void cancelAttempts(std::optional<identifier> except);
@@ -110,6 +123,7 @@
     std::optional<time_point> m_waitingSince;
     timer m_waitTimer;
     timer m_hedgeTimer;
+    timer m_replacementTimer;
     timer m_deadlineTimer;
 };
 }
--- a/src/entry/run_context.hpp
+++ b/src/entry/run_context.hpp
@@ -42,6 +42,8 @@
     std::map<std::pair<std::string, std::string>, policy::budget> retryBudgets;
     /// Configured price of one GiB, keyed by source and destination region.
     std::map<std::pair<std::string, std::string>, double> prices;
+    /// Time without output of a started call after which another target may run it too.
+    milliseconds targetSilence { 0 };
 
     /// @return The price of one GiB between two regions, or zero if none is configured.
     [[nodiscard]] double priceOf(const std::string& from, const std::string& to) const
--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -24,7 +24,7 @@
             , m_sideLinks(settings.name, m_metrics, linkCallbacks())
             , m_suspicions(
                   m_metrics, settings.name, [this](const wire::message& message) { m_sideLinks.postToAll(message); }, {})
-            , m_context { m_sideLinks, m_metrics, m_suspicions, settings.region, identifier_generator::fromSystem(), std::mt19937_64(std::random_device {}()), {}, {}, {} }
+            , m_context { m_sideLinks, m_metrics, m_suspicions, settings.region, identifier_generator::fromSystem(), std::mt19937_64(std::random_device {}()), {}, {}, {}, settings.limits.targetInactivityTimeout }
             , m_follower(settings.platform, m_metrics, true, { [this](const configuration::state& state) { applyConfiguration(state); }, [this](identifier peer, wire::message message) { m_sideLinks.post(peer, std::move(message)); } })
             , m_callers(m_settings, m_context, { [this] { return m_follower.isReady() ? &m_follower.current() : nullptr; } })
             , m_operators(settings.operatorListen, m_metrics, { [this] { return m_follower.isReady() && !m_isStopping; }, [this] { return status(); } })
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -43,6 +43,7 @@
             "maxBodyBytes": { "type": "integer", "minimum": 1, "maximum": 4000000 },
             "maxUnreadBytes": { "type": "integer", "minimum": 1024, "maximum": 1000000000 },
             "idempotencyWindowMs": { "type": "integer", "minimum": 1000, "maximum": 86400000 },
+            "targetSilenceMs": { "type": "integer", "minimum": 10, "maximum": 600000 },
             "drainTimeoutMs": { "type": "integer", "minimum": 0, "maximum": 3600000 }
           }
         }
@@ -59,6 +60,7 @@
         limits.maxBodyBytes = values.value("maxBodyBytes", limits.maxBodyBytes);
         limits.maxUnreadBytes = values.value("maxUnreadBytes", limits.maxUnreadBytes);
         limits.idempotencyWindow = milliseconds(values.value("idempotencyWindowMs", limits.idempotencyWindow.count()));
+        limits.targetInactivityTimeout = milliseconds(values.value("targetSilenceMs", limits.targetInactivityTimeout.count()));
         limits.drainTimeout = milliseconds(values.value("drainTimeoutMs", limits.drainTimeout.count()));
         return limits;
     }
@@ -125,6 +127,6 @@
 {
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() },
         { "operatorListen", operatorListen.toString() }, { "platform", detail::platformToJson(platform) },
-        { "limits", { { "maxRequests", limits.maxRequests }, { "maxBodyBytes", limits.maxBodyBytes }, { "maxUnreadBytes", limits.maxUnreadBytes }, { "idempotencyWindowMs", limits.idempotencyWindow.count() }, { "drainTimeoutMs", limits.drainTimeout.count() } } } };
+        { "limits", { { "maxRequests", limits.maxRequests }, { "maxBodyBytes", limits.maxBodyBytes }, { "maxUnreadBytes", limits.maxUnreadBytes }, { "idempotencyWindowMs", limits.idempotencyWindow.count() }, { "targetSilenceMs", limits.targetInactivityTimeout.count() }, { "drainTimeoutMs", limits.drainTimeout.count() } } } };
 }
 }
--- a/src/settings/entry_settings.hpp
+++ b/src/settings/entry_settings.hpp
@@ -34,6 +34,8 @@
     size_t maxUnreadBytes = 1024 * 1024;
     /// Age after which an idempotency key is refused; must be shorter than the log's retention time.
     milliseconds idempotencyWindow { 600000 };
+    /// Time without output of a started call after which another target may run it too.
+    milliseconds targetInactivityTimeout { 10000 };
     /// Longest time that a planned shutdown waits for requests in progress.
     milliseconds drainTimeout { 60000 };
 };
--- a/src/settings/side_settings.hpp
+++ b/src/settings/side_settings.hpp
@@ -11,7 +11,7 @@
     uint32_t maxCalls = 20000;
     /// Age after which an idempotency key is refused; must be shorter than the log's retention time.
     milliseconds idempotencyWindow { 600000 };
-    /// Longest time without data from a target within one response.
+    /// Time without data from a target within one response after which the target is reported as silent.
     milliseconds targetInactivityTimeout { 10000 };
     /// Longest time that a planned shutdown waits for calls in progress.
     milliseconds drainTimeout { 60000 };
--- a/src/side/call_dispatcher.cpp
+++ b/src/side/call_dispatcher.cpp
@@ -193,10 +193,17 @@
     m_callbacks.send(call.session, wire::call_started { attempt });
     target_call::callbacks callbacks;
     callbacks.onOutput = [this, attempt](std::string_view text) { handleOutput(attempt, text); };
+    callbacks.onSilence = [this, attempt] { recordSilence(*m_calls.at(attempt)); };
     callbacks.onEnd = [this, attempt](call_result result) { handleEnd(attempt, std::move(result)); };
     call.targetCall = std::make_unique<target_call>(m_http, *call.runtime->service, call.runtime->target, call.call, m_settings.limits.targetInactivityTimeout, std::move(callbacks));
 }
 
+void call_dispatcher::recordSilence(const active_call& call)
+{
+    m_metrics.count("target_silences_total", { { "target", call.call.target } });
+    logLine(log_level::Warning, logComponent, "A target has sent nothing for the inactivity timeout; the call goes on.", { { "request", call.call.request.toString() }, { "target", call.call.target } });
+}
+
 void call_dispatcher::handleOutput(identifier attempt, std::string_view text)
 {
     active_call& call = *m_calls.at(attempt);
--- a/src/side/call_dispatcher.hpp
+++ b/src/side/call_dispatcher.hpp
@@ -84,6 +84,7 @@
     void refuseQuarantined(target_runtime& runtime);
     void startQueuedCalls(target_runtime& runtime);
     void launch(active_call& call);
+    void recordSilence(const active_call& call);
     void handleOutput(identifier attempt, std::string_view text);
     void handleEnd(identifier attempt, call_result result);
     void finish(active_call& call, wire::call_end end, std::string body, std::string detail);
--- a/src/side/target_call.cpp
+++ b/src/side/target_call.cpp
@@ -40,13 +40,9 @@
 void target_call::watchInactivity()
 {
     m_inactivityTimer.startOnce(m_inactivityTimeout, [this] {
-        const milliseconds inactiveTime = std::chrono::duration_cast<milliseconds>(monotonicNow() - m_lastByteAt);
-        if (inactiveTime < m_inactivityTimeout) {
-            watchInactivity();
-            return;
-        }
-        m_exchange.reset();
-        end({ false, m_isRetryable ? wire::call_end::TimedOut : wire::call_end::Unknown, "", "The target fell silent." });
+        if (monotonicNow() - m_lastByteAt >= m_inactivityTimeout && m_callbacks.onSilence)
+            m_callbacks.onSilence();
+        watchInactivity();
     });
 }
 
--- a/src/side/target_call.hpp
+++ b/src/side/target_call.hpp
@@ -26,6 +26,8 @@
 public:
     struct callbacks {
         std::function<void(std::string_view text)> onOutput;
+        /// The target has sent nothing for the inactivity timeout; the call goes on.
+        std::function<void()> onSilence;
         std::function<void(call_result)> onEnd;
     };
 
@@ -33,7 +35,7 @@
     /// @param service            Service of the target: its kind, path and whether it is retryable.
     /// @param target             The target.
     /// @param call               The call to run.
-    /// @param inactivityTimeout  Longest time without data from the target.
+    /// @param inactivityTimeout  Time without data from the target after which it is reported as silent.
     /// @param callbacks          Receive output and result; `onEnd` may destroy the call.
     target_call(http_client& http, const configuration::service& service, const configuration::target& target, const wire::start_call& call, milliseconds inactivityTimeout, callbacks callbacks);
 
--- a/tests/process/silent_target_test.cpp
+++ b/tests/process/silent_target_test.cpp
@@ -92,6 +92,23 @@
     cr_assert_eq(deployment.targetCounts("llm-1")["cancelled"], 0);
 }
 
+Test(silent_target, a_second_run_costs_a_silent_stream_nothing_until_it_delivers)
+{
+    cluster_spec spec = engines(39, 2, nullptr);
+    spec.entryLimits = { { "targetSilenceMs", silenceLimitMs } };
+    cluster deployment(spec);
+    // The second run never delivers, so each stream goes on at the target that was silent.
+    deployment.switchFakes({ { "targets", { { "llm-1", { { "silence", silence(5, { { "afterTokens", 4 } }) } } }, { "llm-2", { { "frozen", true } } } } } });
+    checkWholeStreams(deployment, sendStreams(deployment, requestCount));
+    cr_assert_eq(deployment.targetCounts("llm-1")["runs"], requestCount);
+    cr_assert_eq(deployment.targetCounts("llm-1")["cancelled"], 0);
+    cr_assert_eq(deployment.targetCounts("llm-2")["runsByRequest"].size(), static_cast<size_t>(requestCount));
+    // The second run delivers, so the streams do not wait for the silent target.
+    deployment.switchFakes({ { "targets", { { "llm-1", { { "silence", silence(6, { { "minMs", 60000 }, { "maxMs", 60000 }, { "afterTokens", 4 } }) } } }, { "llm-2", { { "frozen", false } } } } } });
+    checkWholeStreams(deployment, sendStreams(deployment, requestCount));
+    cr_assert_geq(deployment.entryMetric("bilberryseam_retries_total{reason=\"silent\""), 1);
+}
+
 Test(silent_target, a_late_response_is_delivered)
 {
     cluster deployment(plainTargets(37));
