A link that is down for a moment does not end its calls

Callers saw: a request whose side was frozen or cut off for some seconds ended as failed (no_target) although the side kept the call and its output for 30 s. Cause: 1.2 s after the link went down the entry cancelled the call, and looked for another target afterwards; without one it gave up after another second. Change: the attempt stays. Where the call may run again, a second attempt starts beside it as for a silent target, within the retry budget; the first that delivers cancels the other. Without another target the request waits for the link until its deadline.

--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -200,7 +200,7 @@
         return;
     }
     if (std::holds_alternative<attempt_stalled>(event)) {
-        handleStall(attempt);
+        replaceDoubtful();
         return;
     }
     active_attempt finishedAttempt = std::move(it->second);
@@ -362,19 +362,6 @@
     retryStage(outcome_reason::LinkLost, "The side restarted while it had the call.");
 }
 
-void pipeline_run::handleStall(identifier attempt)
-{
-    // A call that must not run twice waits for its link until the deadline.
-    if (!stage().service->isRetryable)
-        return;
-    m_hasUnknownAttempt = true;
-    m_hasStarted = m_hasStarted || m_attempts.at(attempt).hasStarted;
-    recordTraffic(m_attempts.at(attempt));
-    m_context.links.cancel(attempt);
-    m_attempts.erase(attempt);
-    retryStage(outcome_reason::LinkLost, "The link to the side is down.");
-}
-
 void pipeline_run::handleCrash(const active_attempt& attempt, std::string detail)
 {
     // The side has already recorded the crash; its message may still be in flight on another link.
--- a/src/entry/pipeline_run.hpp
+++ b/src/entry/pipeline_run.hpp
@@ -76,14 +76,13 @@
     void handleFinish(const active_attempt& attempt, wire::call_finished& message);
     void handleLoss(const active_attempt& attempt);
     void completeStage(wire::call_finished& message);
-    void handleStall(identifier attempt);
     void handleCrash(const active_attempt& attempt, std::string detail);
     void recordRun(const active_attempt& attempt, const wire::call_finished& message);
     void scheduleHedge();
     void startHedge();
     policy::budget& retryBudget();
-    /// @return Time after which the attempt may not deliver any more; zero if its target is silent.
-    [[nodiscard]] milliseconds timeUntilDoubt(const active_attempt& attempt) const;
+    /// @return Time after which the attempt may not deliver any more; zero if its link is down or its target silent.
+    [[nodiscard]] milliseconds timeUntilDoubt(identifier id, const active_attempt& attempt) const;
     /// If all attempts may not deliver any more, starts one at another target. They go on until it has delivered.
     void replaceDoubtful();
     /// @return False if no attempt can start now.
--- a/src/entry/pipeline_run_parallel.cpp
+++ b/src/entry/pipeline_run_parallel.cpp
@@ -41,8 +41,10 @@
     return m_context.retryBudgets.try_emplace({ m_request.account->name, stage().stage.name }, policy::budgetOf(retryBurst)).first->second;
 }
 
-milliseconds pipeline_run::timeUntilDoubt(const active_attempt& attempt) const
+milliseconds pipeline_run::timeUntilDoubt(identifier id, const active_attempt& attempt) const
 {
+    if (m_context.links.isStalled(id))
+        return milliseconds(0);
     // Time in the queue of the side is not silence of the target.
     if (!attempt.hasStarted)
         return m_context.targetSilence;
@@ -56,7 +58,7 @@
         return;
     milliseconds wait { 0 };
     for (const auto& [id, attempt] : m_attempts)
-        wait = std::max(wait, timeUntilDoubt(attempt));
+        wait = std::max(wait, timeUntilDoubt(id, attempt));
     if (wait.count() == 0 && startReplacement())
         return;
     m_replacementTimer.startOnce(std::max(wait, replacementCheckPeriod), [this] { replaceDoubtful(); });
--- a/src/entry/side_links.cpp
+++ b/src/entry/side_links.cpp
@@ -142,6 +142,12 @@
     m_attempts.erase(it);
 }
 
+bool side_links::isStalled(identifier attempt) const
+{
+    const auto it = m_attempts.find(attempt);
+    return it != m_attempts.end() && it->second.sideLink->isStallReported;
+}
+
 void side_links::post(identifier peer, wire::message message)
 {
     if (const auto it = m_peers.find(peer); it != m_peers.end())
--- a/src/entry/side_links.hpp
+++ b/src/entry/side_links.hpp
@@ -67,6 +67,9 @@
     /// Cancels an attempt; its handler is not called again.
     void cancel(identifier attempt);
 
+    /// @return Whether the link of the attempt has been down for so long that its outcome is in doubt.
+    [[nodiscard]] bool isStalled(identifier attempt) const;
+
     void post(identifier peer, wire::message message);
     void postToAll(const wire::message& message);
 
