A rejected hedge does not end the first attempt

Callers saw: a slow request ended as failed (target_rejected) as soon as the target of its hedge answered with an error status. Cause: the first error status of any attempt ended the request and cancelled the others. Change: an error status ends the request only if no other attempt is left.

--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -328,7 +328,9 @@
         completeStage(message);
         return;
     case wire::call_end::Rejected:
-        finishUnanswered(outcome_reason::TargetRejected, milliseconds(0), message.detail);
+        // Another attempt may still answer.
+        if (m_attempts.empty())
+            finishUnanswered(outcome_reason::TargetRejected, milliseconds(0), message.detail);
         return;
     case wire::call_end::TargetCrashed:
         handleCrash(attempt, std::move(message.detail));
