A stopping entry answers the requests that it is still reading

Callers saw: a connection closed without a response when the entry stopped while they were sending the body; on kept connections they could send further requests until the process ended. Cause: a request counted as open only once it had been read whole. Change: a request counts as open from its headers on, so a planned stop waits for it, at most drainTimeoutMs. maxRequests still counts requests that have been read. Responses of a stopping entry contain `Connection: close`. A connection that is idle when the process ends is closed without that notice, as before.

--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -13,6 +13,8 @@
     constexpr std::string_view logComponent = "caller";
     constexpr std::string_view pipelinePath = "/v1/pipelines/";
 
+    constexpr const char* exchangeKey = "bilberryseam-exchange";
+
     json outcomeToJson(const outcome& result, identifier id)
     {
         json body { { "outcome", nameOf(result.kind) }, { "request", id.toString() } };
@@ -52,6 +54,8 @@
         : m_server(server)
         , m_message(gobject_ptr<SoupServerMessage>::share(message))
     {
+        ++m_server.m_receiving;
+        g_object_set_data(G_OBJECT(message), exchangeKey, this);
         m_finishedHandler = g_signal_connect(message, "finished", G_CALLBACK(+[](SoupServerMessage*, gpointer self) { static_cast<exchange*>(self)->onMessageFinished(); }), this);
         m_bodyWrittenHandler = g_signal_connect(message, "wrote-body-data", G_CALLBACK(+[](SoupServerMessage*, guint count, gpointer self) { static_cast<exchange*>(self)->onBodyWritten(count); }), this);
     }
@@ -62,6 +66,13 @@
         g_signal_handler_disconnect(m_message.get(), m_bodyWrittenHandler);
     }
 
+    /// The request has been read, or never will be.
+    void stopReceiving()
+    {
+        if (std::exchange(m_isReceiving, false))
+            --m_server.m_receiving;
+    }
+
     void run(request request)
     {
         m_isStreamed = request.isStreamed;
@@ -190,6 +201,8 @@
 
     void respond(const outcome& result)
     {
+        if (m_server.m_isStopping)
+            soup_message_headers_replace(soup_server_message_get_response_headers(m_message.get()), "Connection", "close");
         setRetryAfter(m_message.get(), result.retryAfter);
         soup_message_headers_replace(soup_server_message_get_response_headers(m_message.get()), "Bilberryseam-Request", m_id.toString().c_str());
         soup_message_headers_replace(soup_server_message_get_response_headers(m_message.get()), "Bilberryseam-Outcome", std::string(nameOf(result.kind)).c_str());
@@ -222,6 +235,7 @@
     {
         if (m_request && !m_isFinished && !std::exchange(m_isCallerDisconnected, true))
             cancel(outcome_reason::CallerDisconnected);
+        stopReceiving();
         m_server.removeExchange(this);
     }
 
@@ -238,6 +252,7 @@
     std::shared_ptr<pipeline_run> m_run;
     std::optional<disconnect_watch> m_disconnectWatch;
     size_t m_unreadBytes = 0;
+    bool m_isReceiving = true;
     bool m_isStreamed = false;
     bool m_hasStreamStarted = false;
     bool m_isCallerDisconnected = false;
@@ -251,6 +266,7 @@
     , m_admission(context)
     , m_server(gobject_ptr<SoupServer>::adopt(soup_server_new(nullptr, nullptr)))
 {
+    soup_server_add_early_handler(m_server.get(), "/", &caller_server::startReceiving, this, nullptr);
     soup_server_add_handler(m_server.get(), "/", &caller_server::handle, this, nullptr);
     listenOn(m_server.get(), settings.listen);
 }
@@ -260,10 +276,17 @@
     soup_server_disconnect(m_server.get());
 }
 
+void caller_server::startReceiving(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer self)
+{
+    auto* server = static_cast<caller_server*>(self);
+    server->m_exchanges.push_back(std::make_unique<exchange>(*server, message));
+}
+
 void caller_server::handle(SoupServer*, SoupServerMessage* message, const char* path, GHashTable*, gpointer self)
 {
     auto* server = static_cast<caller_server*>(self);
-    exchange& newExchange = *server->m_exchanges.emplace_back(std::make_unique<exchange>(*server, message));
+    exchange& newExchange = *static_cast<exchange*>(g_object_get_data(G_OBJECT(message), exchangeKey));
+    newExchange.stopReceiving();
     try {
         server->handleRequest(newExchange, message, path);
     } catch (const std::exception& exception) {
@@ -286,7 +309,7 @@
         newExchange.refuse(id, { outcome_kind::NotRun, outcome_reason::NotReady, "", milliseconds(1000), "No configuration is in force here yet.", {} });
         return;
     }
-    if (m_exchanges.size() > m_settings.limits.maxRequests) {
+    if (m_exchanges.size() - m_receiving > m_settings.limits.maxRequests) {
         newExchange.refuse(id, { outcome_kind::NotRun, outcome_reason::Overloaded, "", milliseconds(1000), "This entry has too many open requests.", {} });
         return;
     }
--- a/src/entry/caller_server.hpp
+++ b/src/entry/caller_server.hpp
@@ -26,11 +26,16 @@
     /// Lets queued requests and waiting runs look for targets again.
     void onCapacityChanged();
 
+    /// Ends each connection after its next response.
+    void stopKeepingConnections() noexcept { m_isStopping = true; }
+
+    /// @return The number of requests whose headers have been read and whose responses have not been written.
     [[nodiscard]] size_t openRequests() const noexcept { return m_exchanges.size(); }
 
 private:
     class exchange;
 
+    static void startReceiving(SoupServer* server, SoupServerMessage* message, const char* path, GHashTable* query, gpointer self);
     static void handle(SoupServer* server, SoupServerMessage* message, const char* path, GHashTable* query, gpointer self);
     void handleRequest(exchange& newExchange, SoupServerMessage* message, std::string_view path);
     void removeExchange(exchange* finishedExchange);
@@ -41,6 +46,9 @@
     admission m_admission;
     gobject_ptr<SoupServer> m_server;
     std::list<std::unique_ptr<exchange>> m_exchanges;
+    /// Number of exchanges whose request body is still being read.
+    size_t m_receiving = 0;
+    bool m_isStopping = false;
     timer m_cleanupTimer;
     timer m_capacityTimer;
     std::list<std::unique_ptr<exchange>> m_finishedExchanges;
--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -81,6 +81,7 @@
                 return;
             m_isStopping = true;
             m_stopSince = monotonicNow();
+            m_callers.stopKeepingConnections();
             logLine(log_level::Info, logComponent, "Stopping after the open requests have finished.");
             m_drainCheck.startEvery(drainCheckPeriod, [this] {
                 const auto waitTime = monotonicNow() - m_stopSince;
