An overdue stop of an entry ends its requests with an outcome

Callers saw: connections closed without an outcome when requests took longer than drainTimeoutMs after SIGTERM. Cause: when the time for the stop had passed, the entry left its main loop with requests open. Change: it ends them first, each with an outcome and the reason `stopping`, and leaves at most 1 s for writing the responses. Requests that wait for admission end before the admitted ones, so that none starts in place of another.

--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -5,6 +5,8 @@
 #include "loop/disconnect_watch.hpp"
 #include "telemetry/log.hpp"
 
+#include <algorithm>
+
 namespace bilberryseam::entry {
 
 using nlohmann::json;
@@ -13,6 +15,9 @@
     constexpr std::string_view logComponent = "caller";
     constexpr std::string_view pipelinePath = "/v1/pipelines/";
 
+    /// Another entry can take the request at once.
+    constexpr milliseconds retryAfterStop { 1000 };
+
     constexpr const char* exchangeKey = "bilberryseam-exchange";
 
     json outcomeToJson(const outcome& result, identifier id)
@@ -100,6 +105,15 @@
             m_run->onCapacityChanged();
     }
 
+    [[nodiscard]] bool isAdmitted() const noexcept { return static_cast<bool>(m_run); }
+
+    /// Ends the request because the entry stops.
+    void end()
+    {
+        if (m_request && !m_isFinished)
+            cancel(outcome_reason::Stopping, retryAfterStop);
+    }
+
 private:
     void handleAdmission(const admission_decision& decision)
     {
@@ -127,15 +141,14 @@
         m_server.m_admission.finish(*m_request, isAnswered ? std::optional(asSeconds(monotonicNow() - m_admittedSince)) : std::nullopt);
     }
 
-    /// Cancels the request on behalf of the caller.
-    void cancel(outcome_reason reason)
+    void cancel(outcome_reason reason, milliseconds retryAfter = milliseconds(0))
     {
         if (m_run) {
-            m_run->cancel(reason);
+            m_run->cancel(reason, retryAfter);
             return;
         }
         m_server.m_admission.cancel(*m_request);
-        finish({ outcome_kind::NotRun, reason, "", milliseconds(0), "", {} });
+        finish({ outcome_kind::NotRun, reason, "", retryAfter, "", {} });
     }
 
     void startStream()
@@ -332,6 +345,18 @@
     m_cleanupTimer.startWhenIdle([this] { m_finishedExchanges.clear(); });
 }
 
+void caller_server::endRequests()
+{
+    // Ended exchanges are destroyed when the main loop is idle.
+    std::vector<exchange*> exchanges;
+    for (const auto& item : m_exchanges)
+        exchanges.push_back(item.get());
+    // A request that waits for admission must not start in place of one that has ended.
+    std::ranges::stable_partition(exchanges, [](const exchange* item) { return !item->isAdmitted(); });
+    for (exchange* item : exchanges)
+        item->end();
+}
+
 void caller_server::onCapacityChanged()
 {
     if (m_capacityTimer.isRunning())
--- a/src/entry/caller_server.hpp
+++ b/src/entry/caller_server.hpp
@@ -29,6 +29,9 @@
     /// Ends each connection after its next response.
     void stopKeepingConnections() noexcept { m_isStopping = true; }
 
+    /// Ends all requests that have been read, each with an outcome.
+    void endRequests();
+
     /// @return The number of requests whose headers have been read and whose responses have not been written.
     [[nodiscard]] size_t openRequests() const noexcept { return m_exchanges.size(); }
 
--- a/src/entry/outcome.cpp
+++ b/src/entry/outcome.cpp
@@ -89,6 +89,8 @@
         return "slow_reader";
     case outcome_reason::CallerDisconnected:
         return "caller_gone";
+    case outcome_reason::Stopping:
+        return "stopping";
     case outcome_reason::OutputLost:
         return "output_lost";
     }
--- a/src/entry/outcome.hpp
+++ b/src/entry/outcome.hpp
@@ -46,6 +46,8 @@
     LinkLost,
     SlowReader,
     CallerDisconnected,
+    /// The entry stopped before the request finished.
+    Stopping,
     OutputLost,
 };
 
--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -442,10 +442,10 @@
     finishUnanswered(outcome_reason::DeadlinePassed, defaultRetryAfter, "");
 }
 
-void pipeline_run::cancel(outcome_reason reason)
+void pipeline_run::cancel(outcome_reason reason, milliseconds retryAfter)
 {
     if (!m_isFinished)
-        finishUnanswered(reason, milliseconds(0), "");
+        finishUnanswered(reason, retryAfter, "");
 }
 
 void pipeline_run::finishUnanswered(outcome_reason reason, milliseconds retryAfter, std::string detail)
--- a/src/entry/pipeline_run.hpp
+++ b/src/entry/pipeline_run.hpp
@@ -28,8 +28,8 @@
 
     void start();
 
-    /// Ends the run on behalf of the caller and cancels its attempts at the sides and targets.
-    void cancel(outcome_reason reason);
+    /// Ends the run and cancels its attempts at the sides and targets.
+    void cancel(outcome_reason reason, milliseconds retryAfter);
 
     /// Looks for a target again if the run waits for one.
     void onCapacityChanged();
--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -13,6 +13,9 @@
     constexpr std::string_view logComponent = "entry";
     constexpr milliseconds drainCheckPeriod { 50 };
 
+    /// Time for writing the responses of the requests that an overdue stop has ended.
+    constexpr milliseconds responseGrace { 1000 };
+
     /// Minimum time that a stopping entry still accepts requests, so that the load balancer can remove it first.
     constexpr milliseconds balancerGrace { 2000 };
 
@@ -85,8 +88,11 @@
             logLine(log_level::Info, logComponent, "Stopping after the open requests have finished.");
             m_drainCheck.startEvery(drainCheckPeriod, [this] {
                 const auto waitTime = monotonicNow() - m_stopSince;
-                const bool isDone = m_callers.openRequests() == 0 && waitTime > balancerGrace;
-                if (isDone || waitTime > m_settings.limits.drainTimeout)
+                const bool isOverdue = waitTime > m_settings.limits.drainTimeout;
+                if (isOverdue)
+                    m_callers.endRequests();
+                const bool isDone = m_callers.openRequests() == 0 && (isOverdue || waitTime > balancerGrace);
+                if (isDone || waitTime > m_settings.limits.drainTimeout + responseGrace)
                     m_loop.quit();
             });
         }
