A withdrawn target stays until its last call has ended

Callers saw: nothing certain; beside a note that withdraws a target, its side used freed memory for calls that must not run twice, which can end the process and with it all calls of the side. Cause: removeExpired looked only at the queue, in which a call that waits for its claim is not. Change: the target stays while any call refers to it.

--- a/src/side/call_dispatcher.cpp
+++ b/src/side/call_dispatcher.cpp
@@ -4,6 +4,8 @@
 #include "side/detail/call_dispatcher_state.hpp"
 #include "telemetry/log.hpp"
 
+#include <algorithm>
+
 namespace bilberryseam::side {
 
 namespace {
@@ -331,6 +333,11 @@
         cancel(attempt);
 }
 
+bool call_dispatcher::hasCalls(const target_runtime& runtime) const
+{
+    return std::ranges::any_of(m_calls, [&runtime](const auto& item) { return item.second->runtime == &runtime; });
+}
+
 void call_dispatcher::removeExpired()
 {
     const time_point now = monotonicNow();
@@ -345,7 +352,7 @@
         if (const auto position = m_calls.find(attempt); position != m_calls.end())
             abort(*position->second, wire::call_end::TimedOut);
     }
-    std::erase_if(m_targets, [](const auto& item) { return item.second->isWithdrawn && item.second->callQueue.running == 0 && item.second->callQueue.waiting.empty(); });
+    std::erase_if(m_targets, [this](const auto& item) { return item.second->isWithdrawn && !hasCalls(*item.second); });
 }
 
 void call_dispatcher::markDown(target_runtime& runtime, std::string_view message)
--- a/src/side/call_dispatcher.hpp
+++ b/src/side/call_dispatcher.hpp
@@ -99,6 +99,8 @@
     void broadcastLoad(const target_runtime& runtime);
     void updateDraining(target_runtime& runtime);
     wire::target_load loadOf(const target_runtime& runtime) const;
+    /// @return Whether any call refers to the target: queued, running or waiting for its claim.
+    [[nodiscard]] bool hasCalls(const target_runtime& runtime) const;
     void removeExpired();
 
     settings::side_settings m_settings;
