Load reports count only from the side of their target

Callers saw: not_run (no_target) for a target whose configuration had moved it to another side, until the new side next reported its load. Cause: the former side reports the target as draining, and an entry applied the report whichever side sent it. Change: an entry ignores load reports of a side that is not the target's.

--- a/src/entry/side_links.cpp
+++ b/src/entry/side_links.cpp
@@ -165,7 +165,7 @@
     else if (auto* start = std::get_if<wire::call_started>(&message))
         deliver(sender, start->attempt, {}, *start, false);
     else if (auto* load = std::get_if<wire::target_load>(&message))
-        handleLoad(*load);
+        handleLoad(sender, *load);
     else
         m_callbacks.onOtherMessage(sender.id, message);
 }
@@ -218,12 +218,15 @@
     logLine(log_level::Error, logComponent, "Side violated the wire protocol.", { { "rule", std::string(rule) } });
 }
 
-void side_links::handleLoad(wire::target_load& load)
+void side_links::handleLoad(const link& sender, wire::target_load& load)
 {
     const auto it = m_targets.find(load.target);
     if (it == m_targets.end())
         return;
     known_target& target = *it->second;
+    // A target that has moved is still reported as draining by its former side.
+    if (sender.session->peer() != target.config->side)
+        return;
     target.load = std::move(load);
     target.hasLoadReport = true;
     m_callbacks.onCapacityChanged();
--- a/src/entry/side_links.hpp
+++ b/src/entry/side_links.hpp
@@ -86,7 +86,7 @@
     void handleMessage(link& sender, wire::message& message);
     void deliver(link& sender, identifier attempt, identifier request, attempt_event event, bool isFinal);
     void handleOutput(link& sender, wire::call_output& output);
-    void handleLoad(wire::target_load& load);
+    void handleLoad(const link& sender, wire::target_load& load);
     void handleSessionLost(link& link);
     void reportStall(link& link);
     void tick();
