tests: a request ends because the side of its next stage is frozen

Cause: a request that has run a stage waits at most 1 s for a usable target, also if the links of the targets are down only for silence. Change: silent_side/* also sends a request of two stages whose first stage ends while the side of the second is frozen.

--- a/tests/process/silent_target_test.cpp
+++ b/tests/process/silent_target_test.cpp
@@ -123,16 +123,23 @@
 
 Test(silent_side, a_stream_without_another_target_goes_on_after_its_side_was_frozen)
 {
-    cluster deployment(engines(46, 1, nullptr));
+    cluster_spec spec = engines(46, 1, nullptr);
+    spec.targets.push_back({ .name = "enc-1", .service = "encode", .kind = "encoder", .behaviour = { { "latencyMs", 1500 } } });
+    spec.pipelines.push_back(pipelineOf("two_stages", { "encode", "generate" }, tokens));
+    cluster deployment(spec);
     deployment.switchFakes({ { "targets", { { "llm-1", { { "tokenMs", 100 } } } } } });
     const auto requests = sendStreams(deployment, requestCount);
     for (const auto& request : requests)
         deployment.waitUntil([&] { return !request->text().empty(); }, "the first token");
+    // The first stage of this request ends while the side of its second stage is known to be silent.
+    const auto laterRequest = deployment.send({ .pipeline = "two_stages" });
     deployment.signal("side-llm-1", SIGSTOP);
     deployment.runFor(milliseconds(4000));
     deployment.signal("side-llm-1", SIGCONT);
     checkWholeStreams(deployment, requests);
-    cr_assert_eq(deployment.targetCounts("llm-1")["runs"], requestCount);
+    deployment.waitUntil([&] { return laterRequest->isDone; }, "the response");
+    checkEqual(laterRequest->outcomeName(), "answered");
+    cr_assert_eq(deployment.targetCounts("llm-1")["runs"], requestCount + 1);
 }
 
 Test(straggler, a_rejected_hedge_does_not_end_the_first_attempt)
