entry: an algorithm that clang-tidy accepts

Cause: clang 14 cannot compile std::ranges::stable_partition of g++ 12. Change: std::stable_partition. No behaviour changes.

--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -352,7 +352,7 @@
     for (const auto& item : m_exchanges)
         exchanges.push_back(item.get());
     // A request that waits for admission must not start in place of one that has ended.
-    std::ranges::stable_partition(exchanges, [](const exchange* item) { return !item->isAdmitted(); });
+    std::stable_partition(exchanges.begin(), exchanges.end(), [](const exchange* item) { return !item->isAdmitted(); });
     for (exchange* item : exchanges)
         item->end();
 }
