A started request waits for a silent target of its next stage

Callers saw: a request that had run a stage ended as failed (no_target) when the side of its next stage was silent for more than a second. Cause: such a request waited 1 s for a usable target, whatever had made the targets unusable. Change: while a target of the service is unusable only because its link is down, and its address does not refuse connections, a started request waits until its deadline. Requests that have not started are refused as before.

--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -26,6 +26,9 @@
     /// Delay before all targets are tried again.
     constexpr milliseconds targetCheckPeriod { 25 };
 
+    /// The same while the link of a target is down: its return is reported at once.
+    constexpr milliseconds silentTargetCheckPeriod { 250 };
+
     /// Delay before the stage is sent again if its idempotency key is running at another side.
     constexpr milliseconds runningKeyBackoff { 150 };
 
@@ -295,13 +298,15 @@
     // A started request waits for full targets, as its work would be lost otherwise; for unavailable
     // targets it waits only a short time.
     const milliseconds maxWait = m_hasStarted ? maxStartedTargetWait : maxTargetWait;
-    const bool isWaitUseless = isAtCapacity ? !m_hasStarted : now - *m_waitingSince >= maxWait;
+    // A target that is only silent may go on: a started request waits for it until its deadline.
+    const bool isTargetSilent = m_hasStarted && m_context.links.hasSilentTarget(stage().service->name);
+    const bool isWaitUseless = isAtCapacity ? !m_hasStarted : !isTargetSilent && now - *m_waitingSince >= maxWait;
     if (!hasTargets || isWaitUseless) {
         finishUnanswered(reason, retryAfter, "");
         return;
     }
     m_isWaiting = true;
-    m_waitTimer.startOnce(targetCheckPeriod, [this] {
+    m_waitTimer.startOnce(isTargetSilent ? silentTargetCheckPeriod : targetCheckPeriod, [this] {
         m_triedTargets.clear();
         tryDispatch();
     });
--- a/src/entry/side_links.cpp
+++ b/src/entry/side_links.cpp
@@ -113,14 +113,28 @@
     return it->second;
 }
 
+bool side_links::isInService(const known_target& target) noexcept
+{
+    return !target.isRemoved && !target.isInstanceLeaving && target.hasLoadReport && !target.load.isDraining && !target.load.isDown;
+}
+
 bool side_links::isUsable(const known_target& target) const
 {
-    if (target.isRemoved || target.isInstanceLeaving || !target.hasLoadReport || target.load.isDraining || target.load.isDown)
+    if (!isInService(target))
         return false;
     const auto it = m_links.find(target.config->side);
     return it != m_links.end() && it->second->session->isUp();
 }
 
+bool side_links::hasSilentTarget(std::string_view service) const
+{
+    const std::span<known_target* const> targets = targetsOf(service);
+    return std::any_of(targets.begin(), targets.end(), [this](const known_target* target) {
+        const auto it = m_links.find(target->config->side);
+        return isInService(*target) && it != m_links.end() && !it->second->session->isUp() && !it->second->isRefused;
+    });
+}
+
 void side_links::dispatch(known_target& target, wire::start_call call, attempt_handler handler)
 {
     link& sideLink = linkTo(target.config->side);
--- a/src/entry/side_links.hpp
+++ b/src/entry/side_links.hpp
@@ -61,6 +61,9 @@
     /// @return Whether a call may be dispatched to the target now.
     [[nodiscard]] bool isUsable(const known_target& target) const;
 
+    /// @return Whether the service has a target that is unusable only because its link is down and does not refuse connections.
+    [[nodiscard]] bool hasSilentTarget(std::string_view service) const;
+
     /// Sends a call to the side of the target. `handler` receives its events.
     void dispatch(known_target& target, wire::start_call call, attempt_handler handler);
 
@@ -82,6 +85,7 @@
     struct link;
     struct pending_attempt;
 
+    [[nodiscard]] static bool isInService(const known_target& target) noexcept;
     link& linkTo(const ip_endpoint& side);
     void handleMessage(link& sender, wire::message& message);
     void deliver(link& sender, identifier attempt, identifier request, attempt_event event, bool isFinal);
