SIGHUP does not end a daemon

Callers saw: closed connections without an outcome when an operator sent SIGHUP to an entry, and failed or unknown calls when one sent it to a side. Cause: the signal had its default action, which ends the process at once. Change: daemons ignore it unless they reload their settings, as the gateway does.

--- a/src/programs/daemon_main.hpp
+++ b/src/programs/daemon_main.hpp
@@ -4,6 +4,7 @@
 #include "settings/command_line.hpp"
 #include "telemetry/log.hpp"
 
+#include <csignal>
 #include <iostream>
 #include <string_view>
 #include <type_traits>
@@ -30,6 +31,8 @@
         if (options->isPrintOnly || options->isCheckOnly)
             return 0;
         startLogging(format, level);
+        // A daemon that reloads its settings installs a handler; the others must not end with requests open.
+        std::signal(SIGHUP, SIG_IGN);
         if constexpr (std::is_constructible_v<Process, const Settings&, const std::string&>) {
             Process process(daemonSettings, options->settingsPath);
             process.run();
