--- a/src/entry/pipeline_run.cpp
+++ b/src/entry/pipeline_run.cpp
@@ -26,6 +26,9 @@
     /// Delay before all targets are tried again.
     constexpr milliseconds targetCheckPeriod { 25 };
 
+    /// The same while the link of a target is down: its return is reported at once.
+    constexpr milliseconds silentTargetCheckPeriod { 250 };
+
     /// Delay before the stage is sent again if its idempotency key is running at another side.
     constexpr milliseconds runningKeyBackoff { 150 };
 
@@ -33,7 +36,6 @@
     /// region is chosen only if it saves more time than that.
     constexpr double slackShare = 0.2;
 
-    constexpr uint32_t maxRetriesPerStage = 8;
     constexpr milliseconds defaultRetryAfter { 1000 };
 
     /// Age at which the measured run time of a target is ignored, so that a slow target is tried again.
@@ -174,7 +176,9 @@
     const identifier attempt = m_context.identifiers.next();
     m_triedTargets.insert(target.config->name);
     const bool isIsolated = executionMode() == policy::execution_mode::Isolated;
-    m_attempts[attempt] = { &target, target.config->region, monotonicNow(), body.size(), 0, false, isIsolated, isHedge };
+    const time_point now = monotonicNow();
+    m_attempts[attempt] = { &target, target.config->region, now, now, body.size(), 0, false, isIsolated, isHedge };
+    m_replacementTimer.startOnce(m_context.targetSilence, [this] { replaceDoubtful(); });
     m_context.counters.count("attempts_total", { { "stage", stage().stage.name }, { "target_region", target.config->region } });
     m_context.links.dispatch(target, makeCall(target, attempt, std::move(body), isIsolated), [weak = weak_from_this(), attempt](attempt_event& event) {
         if (const auto self = weak.lock())
@@ -190,6 +194,7 @@
     if (std::holds_alternative<wire::call_started>(event)) {
         // The side may still refuse the call if the target turns out not to have accepted it.
         it->second.hasStarted = true;
+        it->second.lastSignAt = monotonicNow();
         m_waitingSince.reset();
         return;
     }
@@ -198,11 +203,13 @@
         return;
     }
     if (std::holds_alternative<attempt_stalled>(event)) {
-        handleStall(attempt);
+        replaceDoubtful();
         return;
     }
     active_attempt finishedAttempt = std::move(it->second);
     m_attempts.erase(it);
+    if (!m_attempts.empty())
+        m_replacementTimer.startOnce(replacementCheckPeriod, [this] { replaceDoubtful(); });
     if (const auto* message = std::get_if<wire::call_finished>(&event))
         finishedAttempt.bytesReceived += message->body.size();
     recordTraffic(finishedAttempt);
@@ -232,6 +239,7 @@
     if (m_attempts.size() > 1)
         cancelAttempts(attempt);
     m_attempts.at(attempt).bytesReceived += text.size();
+    m_attempts.at(attempt).lastSignAt = monotonicNow();
     if (m_outputText.empty())
         policy::recordLatency(m_context.serviceStatistics[stage().service->name].latencies, asSeconds(monotonicNow() - m_attempts.at(attempt).sentAt));
     if (m_outputText.empty() && isLastStage())
@@ -290,13 +298,15 @@
     // A started request waits for full targets, as its work would be lost otherwise; for unavailable
     // targets it waits only a short time.
     const milliseconds maxWait = m_hasStarted ? maxStartedTargetWait : maxTargetWait;
-    const bool isWaitUseless = isAtCapacity ? !m_hasStarted : now - *m_waitingSince >= maxWait;
+    // A target that is only silent may go on: a started request waits for it until its deadline.
+    const bool isTargetSilent = m_hasStarted && m_context.links.hasSilentTarget(stage().service->name);
+    const bool isWaitUseless = isAtCapacity ? !m_hasStarted : !isTargetSilent && now - *m_waitingSince >= maxWait;
     if (!hasTargets || isWaitUseless) {
         finishUnanswered(reason, retryAfter, "");
         return;
     }
     m_isWaiting = true;
-    m_waitTimer.startOnce(targetCheckPeriod, [this] {
+    m_waitTimer.startOnce(isTargetSilent ? silentTargetCheckPeriod : targetCheckPeriod, [this] {
         m_triedTargets.clear();
         tryDispatch();
     });
@@ -323,7 +333,9 @@
         completeStage(message);
         return;
     case wire::call_end::Rejected:
-        finishUnanswered(outcome_reason::TargetRejected, milliseconds(0), message.detail);
+        // Another attempt may still answer.
+        if (m_attempts.empty())
+            finishUnanswered(outcome_reason::TargetRejected, milliseconds(0), message.detail);
         return;
     case wire::call_end::TargetCrashed:
         handleCrash(attempt, std::move(message.detail));
@@ -357,19 +369,6 @@
     retryStage(outcome_reason::LinkLost, "The side restarted while it had the call.");
 }
 
-void pipeline_run::handleStall(identifier attempt)
-{
-    // A call that must not run twice waits for its link until the deadline.
-    if (!stage().service->isRetryable)
-        return;
-    m_hasUnknownAttempt = true;
-    m_hasStarted = m_hasStarted || m_attempts.at(attempt).hasStarted;
-    recordTraffic(m_attempts.at(attempt));
-    m_context.links.cancel(attempt);
-    m_attempts.erase(attempt);
-    retryStage(outcome_reason::LinkLost, "The link to the side is down.");
-}
-
 void pipeline_run::handleCrash(const active_attempt& attempt, std::string detail)
 {
     // The side has already recorded the crash; its message may still be in flight on another link.
@@ -396,37 +395,6 @@
         m_context.counters.count("hedges_won_total", { { "stage", stage().stage.name } });
 }
 
-void pipeline_run::scheduleHedge()
-{
-    service_statistics& statistics = m_context.serviceStatistics[stage().service->name];
-    policy::earn(statistics.hedgeBudget, m_request.policy->hedgePercent);
-    policy::earn(retryBudget(), m_request.policy->retryPercent);
-    const bool isHedgeable = stage().service->isRetryable && m_request.policy->mode != "baseline" && m_attempts.size() == 1 && !m_attempts.begin()->second.isIsolated;
-    if (!isHedgeable)
-        return;
-    if (const auto delay = policy::hedgeDelay(statistics.latencies))
-        m_hedgeTimer.startOnce(*delay, [this] { startHedge(); });
-}
-
-void pipeline_run::startHedge()
-{
-    const bool hasOutput = isEngine(stage()) && !m_attempts.empty() && m_attempts.begin()->second.bytesReceived > 0;
-    if (m_isFinished || m_attempts.size() != 1 || hasOutput || m_isTrial || executionMode() == policy::execution_mode::Refused)
-        return;
-    std::string body = writeStageBody(stage(), m_request.input, m_previousOutput, m_outputText);
-    const std::vector<policy::routing_candidate> candidates = listCandidates();
-    const std::optional<size_t> candidateIndex = chooseCandidate(candidates, static_cast<double>(body.size()));
-    if (!candidateIndex || !policy::trySpend(m_context.serviceStatistics[stage().service->name].hedgeBudget))
-        return;
-    m_context.counters.count("hedges_total", { { "stage", stage().stage.name } });
-    dispatchTo(*m_context.links.targetsOf(stage().service->name)[*candidateIndex], std::move(body), true);
-}
-
-policy::budget& pipeline_run::retryBudget()
-{
-    return m_context.retryBudgets.try_emplace({ m_request.account->name, stage().stage.name }, policy::budgetOf(retryBurst)).first->second;
-}
-
 void pipeline_run::retryStage(outcome_reason reason, std::string detail)
 {
     if (!m_attempts.empty())
@@ -455,6 +423,7 @@
         return;
     }
     m_hedgeTimer.stop();
+    m_replacementTimer.stop();
     m_previousOutput = std::move(output);
     ++m_stageIndex;
     m_waitReason = outcome_reason::None;
@@ -478,10 +447,10 @@
     finishUnanswered(outcome_reason::DeadlinePassed, defaultRetryAfter, "");
 }
 
-void pipeline_run::cancel(outcome_reason reason)
+void pipeline_run::cancel(outcome_reason reason, milliseconds retryAfter)
 {
     if (!m_isFinished)
-        finishUnanswered(reason, milliseconds(0), "");
+        finishUnanswered(reason, retryAfter, "");
 }
 
 void pipeline_run::finishUnanswered(outcome_reason reason, milliseconds retryAfter, std::string detail)
@@ -512,6 +481,7 @@
     m_deadlineTimer.stop();
     m_waitTimer.stop();
     m_hedgeTimer.stop();
+    m_replacementTimer.stop();
     m_isWaiting = false;
     const auto self = shared_from_this();
     const auto onOutcome = std::move(m_callbacks.onOutcome);
--- a/src/entry/side_links.cpp
+++ b/src/entry/side_links.cpp
@@ -113,14 +113,28 @@
     return it->second;
 }
 
+bool side_links::isInService(const known_target& target) noexcept
+{
+    return !target.isRemoved && !target.isInstanceLeaving && target.hasLoadReport && !target.load.isDraining && !target.load.isDown;
+}
+
 bool side_links::isUsable(const known_target& target) const
 {
-    if (target.isRemoved || target.isInstanceLeaving || !target.hasLoadReport || target.load.isDraining || target.load.isDown)
+    if (!isInService(target))
         return false;
     const auto it = m_links.find(target.config->side);
     return it != m_links.end() && it->second->session->isUp();
 }
 
+bool side_links::hasSilentTarget(std::string_view service) const
+{
+    const std::span<known_target* const> targets = targetsOf(service);
+    return std::any_of(targets.begin(), targets.end(), [this](const known_target* target) {
+        const auto it = m_links.find(target->config->side);
+        return isInService(*target) && it != m_links.end() && !it->second->session->isUp() && !it->second->isRefused;
+    });
+}
+
 void side_links::dispatch(known_target& target, wire::start_call call, attempt_handler handler)
 {
     link& sideLink = linkTo(target.config->side);
@@ -142,6 +156,12 @@
     m_attempts.erase(it);
 }
 
+bool side_links::isStalled(identifier attempt) const
+{
+    const auto it = m_attempts.find(attempt);
+    return it != m_attempts.end() && it->second.sideLink->isStallReported;
+}
+
 void side_links::post(identifier peer, wire::message message)
 {
     if (const auto it = m_peers.find(peer); it != m_peers.end())
@@ -159,7 +179,7 @@
     else if (auto* start = std::get_if<wire::call_started>(&message))
         deliver(sender, start->attempt, {}, *start, false);
     else if (auto* load = std::get_if<wire::target_load>(&message))
-        handleLoad(*load);
+        handleLoad(sender, *load);
     else
         m_callbacks.onOtherMessage(sender.id, message);
 }
@@ -212,12 +232,15 @@
     logLine(log_level::Error, logComponent, "Side violated the wire protocol.", { { "rule", std::string(rule) } });
 }
 
-void side_links::handleLoad(wire::target_load& load)
+void side_links::handleLoad(const link& sender, wire::target_load& load)
 {
     const auto it = m_targets.find(load.target);
     if (it == m_targets.end())
         return;
     known_target& target = *it->second;
+    // A target that has moved is still reported as draining by its former side.
+    if (sender.session->peer() != target.config->side)
+        return;
     target.load = std::move(load);
     target.hasLoadReport = true;
     m_callbacks.onCapacityChanged();
--- a/src/entry/side_links.hpp
+++ b/src/entry/side_links.hpp
@@ -61,12 +61,18 @@
     /// @return Whether a call may be dispatched to the target now.
     [[nodiscard]] bool isUsable(const known_target& target) const;
 
+    /// @return Whether the service has a target that is unusable only because its link is down and does not refuse connections.
+    [[nodiscard]] bool hasSilentTarget(std::string_view service) const;
+
     /// Sends a call to the side of the target. `handler` receives its events.
     void dispatch(known_target& target, wire::start_call call, attempt_handler handler);
 
     /// Cancels an attempt; its handler is not called again.
     void cancel(identifier attempt);
 
+    /// @return Whether the link of the attempt has been down for so long that its outcome is in doubt.
+    [[nodiscard]] bool isStalled(identifier attempt) const;
+
     void post(identifier peer, wire::message message);
     void postToAll(const wire::message& message);
 
@@ -79,11 +85,12 @@
     struct link;
     struct pending_attempt;
 
+    [[nodiscard]] static bool isInService(const known_target& target) noexcept;
     link& linkTo(const ip_endpoint& side);
     void handleMessage(link& sender, wire::message& message);
     void deliver(link& sender, identifier attempt, identifier request, attempt_event event, bool isFinal);
     void handleOutput(link& sender, wire::call_output& output);
-    void handleLoad(wire::target_load& load);
+    void handleLoad(const link& sender, wire::target_load& load);
     void handleSessionLost(link& link);
     void reportStall(link& link);
     void tick();
--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -13,6 +13,9 @@
     constexpr std::string_view logComponent = "entry";
     constexpr milliseconds drainCheckPeriod { 50 };
 
+    /// Time for writing the responses of the requests that an overdue stop has ended.
+    constexpr milliseconds responseGrace { 1000 };
+
     /// Minimum time that a stopping entry still accepts requests, so that the load balancer can remove it first.
     constexpr milliseconds balancerGrace { 2000 };
 
@@ -24,7 +27,7 @@
             , m_sideLinks(settings.name, m_metrics, linkCallbacks())
             , m_suspicions(
                   m_metrics, settings.name, [this](const wire::message& message) { m_sideLinks.postToAll(message); }, {})
-            , m_context { m_sideLinks, m_metrics, m_suspicions, settings.region, identifier_generator::fromSystem(), std::mt19937_64(std::random_device {}()), {}, {}, {} }
+            , m_context { m_sideLinks, m_metrics, m_suspicions, settings.region, identifier_generator::fromSystem(), std::mt19937_64(std::random_device {}()), {}, {}, {}, settings.limits.targetInactivityTimeout }
             , m_follower(settings.platform, m_metrics, true, { [this](const configuration::state& state) { applyConfiguration(state); }, [this](identifier peer, wire::message message) { m_sideLinks.post(peer, std::move(message)); } })
             , m_callers(m_settings, m_context, { [this] { return m_follower.isReady() ? &m_follower.current() : nullptr; } })
             , m_operators(settings.operatorListen, m_metrics, { [this] { return m_follower.isReady() && !m_isStopping; }, [this] { return status(); } })
@@ -81,11 +84,15 @@
                 return;
             m_isStopping = true;
             m_stopSince = monotonicNow();
+            m_callers.stopKeepingConnections();
             logLine(log_level::Info, logComponent, "Stopping after the open requests have finished.");
             m_drainCheck.startEvery(drainCheckPeriod, [this] {
                 const auto waitTime = monotonicNow() - m_stopSince;
-                const bool isDone = m_callers.openRequests() == 0 && waitTime > balancerGrace;
-                if (isDone || waitTime > m_settings.limits.drainTimeout)
+                const bool isOverdue = waitTime > m_settings.limits.drainTimeout;
+                if (isOverdue)
+                    m_callers.endRequests();
+                const bool isDone = m_callers.openRequests() == 0 && (isOverdue || waitTime > balancerGrace);
+                if (isDone || waitTime > m_settings.limits.drainTimeout + responseGrace)
                     m_loop.quit();
             });
         }
