Server: connections that end before their responses are reported

One line and the counter unfinished_connections_total{reason} for each such connection, with the request if one is open, the bytes of requests without a complete response (including those that the kernel holds) and the response bytes not handed to the kernel. The rate limit of the log bounds the lines.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -81,6 +81,7 @@
         m_context.counters.count("unread_requests_total", { { "status", std::to_string(status) } });
         logLine(log_level::Warning, logComponent, reason, { { "status", std::to_string(status) } });
     });
+    m_callers->setOnUnfinished([this](const http1::unfinished_connection& connection) { recordUnfinished(connection); });
     m_operators.emplace(
         settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleOperatorRequest(*exchange); });
     m_configurationFollower.emplace(m_context.store, std::string(platform::operatorTopic), platform::follow_options { readPause(std::min(settings.bounds.configuration, settings.bounds.revocation)) }, configurationCallbacks());
@@ -105,6 +106,7 @@
 {
     logLine(log_level::Info, logComponent, "The gateway started.", { { "name", m_context.settings.name }, { "listen", m_context.settings.listen.toString() }, { "store", m_context.settings.store.toString() }, { "version", BILBERRYSEAM_VERSION } });
     m_loop.run();
+    m_callers->reportUnfinished("stop");
     logLine(log_level::Info, logComponent, "The gateway stopped.", { { "open_requests", std::to_string(m_openRuns.size()) } });
 }
 
@@ -383,6 +385,17 @@
     exchange.respond(status, std::move(headers), {});
 }
 
+void gateway::recordUnfinished(const http1::unfinished_connection& connection)
+{
+    std::string id;
+    if (connection.openRequest) {
+        if (const auto decoded = platform::decodeRequest(*connection.openRequest))
+            id = decoded.value().id;
+    }
+    m_context.counters.count("unfinished_connections_total", { { "reason", std::string(connection.reason) } });
+    logLine(log_level::Warning, logComponent, "A connection ended before its requests had complete responses.", { { "request", id }, { "reason", std::string(connection.reason) }, { "unanswered_bytes", std::to_string(connection.unansweredBytes) }, { "unsent_bytes", std::to_string(connection.unsentBytes) } });
+}
+
 void gateway::handleOperatorRequest(http1::exchange& exchange)
 {
     const std::string_view path = http1::pathOf(exchange.head().target);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -54,6 +54,7 @@
     [[nodiscard]] bool checkCrashes(accepted_request& request, time_point now);
     void onVerdict(time_point firstCrashAt);
     void refuse(http1::exchange& exchange, std::string_view id, unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter = {});
+    void recordUnfinished(const http1::unfinished_connection& connection);
     void handleOperatorRequest(http1::exchange& exchange);
     /// @return Share of the limit of a target that this entry may use.
     [[nodiscard]] double limitShareOf(const target_state& target, time_point now);
--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -14,6 +14,8 @@
     void start();
     /// Closes the connection, or refuses its request, if a timeout expired.
     void enforceTimeouts(time_point now, const server_limits& limits);
+    /// Reports the connection if it ends now and a request has no complete response.
+    void reportUnfinished(std::string_view reason) const;
     /// Called by the server's destructor; the connection processes no further requests.
     void detachServer();
 
@@ -44,6 +46,7 @@
     void refuse(unsigned status, std::string_view reason);
     void onClosed();
     void startLingering();
+    void closeUnfinished(std::string_view reason);
 
     using request_parser = http::request_parser<http::string_body>;
 
@@ -51,6 +54,8 @@
     std::shared_ptr<tcp_stream> m_stream;
     std::optional<request_parser> m_parser;
     std::string m_readBuffer;
+    /// Bytes that were read since the last complete response.
+    size_t m_unansweredBytes = 0;
     phase m_phase = phase::Idle;
     bool m_mustClose = false;
     bool m_isHeaderDone = false;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -48,6 +48,7 @@
 
     void server_connection::handleBytes(std::string_view bytes)
     {
+        m_unansweredBytes += bytes.size();
         if (m_phase == phase::Lingering)
             return;
         if (m_phase == phase::Reading)
@@ -67,8 +68,10 @@
             return true;
         // Empty lines before a request are ignored (RFC 9112, section 2.2).
         m_readBuffer.erase(0, std::min(m_readBuffer.find_first_not_of("\r\n"), m_readBuffer.size()));
-        if (m_readBuffer.empty())
+        if (m_readBuffer.empty()) {
+            m_unansweredBytes = 0;
             return false;
+        }
         const server_limits limits = m_server->m_limits();
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
@@ -149,6 +152,7 @@
     {
         m_phase = phase::Lingering;
         m_lastProgressAt = monotonicNow();
+        m_unansweredBytes = m_readBuffer.size();
         m_readBuffer.clear();
         m_stream->setReading(true);
         m_stream->finishWriting();
@@ -166,6 +170,7 @@
         }
         m_phase = phase::Idle;
         m_lastProgressAt = monotonicNow();
+        m_unansweredBytes = m_readBuffer.size();
         if (!m_readBuffer.empty())
             parse();
     }
@@ -189,18 +194,33 @@
             current->m_isFinished = true;
             if (const auto onDisconnect = std::exchange(current->m_onDisconnect, nullptr))
                 onDisconnect();
+        } else if (m_phase != phase::Reading) {
+            reportUnfinished("client_end");
         }
     }
 
+    void server_connection::reportUnfinished(std::string_view reason) const
+    {
+        const unfinished_connection state { reason, m_currentExchange ? &m_currentExchange->head() : nullptr, m_unansweredBytes + m_stream->unreadBytes(), m_stream->pendingBytes() };
+        if (m_server && m_server->m_onUnfinished && (state.openRequest || state.unansweredBytes > 0 || state.unsentBytes > 0))
+            m_server->m_onUnfinished(state);
+    }
+
+    void server_connection::closeUnfinished(std::string_view reason)
+    {
+        reportUnfinished(reason);
+        m_stream->close();
+    }
+
     void server_connection::enforceTimeouts(time_point now, const server_limits& limits)
     {
         const auto elapsed = now - m_lastProgressAt;
         if (m_phase == phase::Idle && elapsed > limits.idleTimeout)
-            m_stream->close();
+            closeUnfinished("idle");
         else if (m_phase == phase::Reading && elapsed > limits.headerTimeout)
             refuse(statusTimeout, "The request was not received within the time limit.");
         else if (m_phase == phase::Lingering && elapsed > lingerTimeout)
-            m_stream->close();
+            closeUnfinished("linger");
     }
 
     void server_connection::detachServer()
@@ -333,6 +353,14 @@
     std::erase_if(m_connections, [](const auto& connection) { return !connection->isOpen(); });
 }
 
+void server::reportUnfinished(std::string_view reason)
+{
+    for (const auto& connection : m_connections) {
+        if (connection->isOpen())
+            connection->reportUnfinished(reason);
+    }
+}
+
 void server::stopListening() noexcept
 {
     m_listener.stop();
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -25,6 +25,18 @@
     size_t maxConnections = 2000;
 };
 
+/// A connection that ends while a request has no complete response.
+struct unfinished_connection {
+    /// `idle`, `linger`, `client_end`, or the reason of `server::reportUnfinished`.
+    std::string_view reason;
+    /// The request that the handler has not finished responding to; null if there is none.
+    const request_head* openRequest = nullptr;
+    /// Bytes of requests that arrived after the last complete response.
+    size_t unansweredBytes = 0;
+    /// Bytes of responses that were not handed to the kernel.
+    size_t unsentBytes = 0;
+};
+
 namespace detail {
     class server_connection;
 }
@@ -109,6 +121,13 @@
     /// Sets a callback for each request or connection that is refused before it reaches the handler. The status is 0 for a connection.
     void setOnRefused(std::function<void(unsigned status, std::string_view reason)> onRefused) { m_onRefused = std::move(onRefused); }
 
+    /// Sets a callback for each connection that ends while a request has no complete response. A client that leaves before its
+    /// response is complete is reported to the exchange instead.
+    void setOnUnfinished(std::function<void(const unfinished_connection&)> onUnfinished) { m_onUnfinished = std::move(onUnfinished); }
+
+    /// Calls the callback of `setOnUnfinished` for each open connection with an unfinished request, before the process ends.
+    void reportUnfinished(std::string_view reason);
+
 private:
     friend class detail::server_connection;
 
@@ -118,6 +137,7 @@
     std::function<server_limits()> m_limits;
     handler m_onRequest;
     std::function<void(unsigned, std::string_view)> m_onRefused;
+    std::function<void(const unfinished_connection&)> m_onUnfinished;
     std::list<std::shared_ptr<detail::server_connection>> m_connections;
     bool m_closesAfterResponse = false;
     timer m_checkTimer;
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -7,6 +7,7 @@
 #include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -214,6 +215,12 @@
     updateInterest();
 }
 
+size_t tcp_stream::unreadBytes() const noexcept
+{
+    int count = 0;
+    return isOpen() && ioctl(m_descriptor, FIONREAD, &count) == 0 ? static_cast<size_t>(count) : 0;
+}
+
 void tcp_stream::setReading(bool isReading)
 {
     m_isReading = isReading;
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -59,6 +59,9 @@
     [[nodiscard]] size_t pendingBytes() const noexcept { return m_writeBuffer.size(); }
     [[nodiscard]] bool isOpen() const noexcept { return m_descriptor >= 0; }
 
+    /// @return Bytes that the kernel has received and `onBytes` has not reported yet; 0 if the connection is closed.
+    [[nodiscard]] size_t unreadBytes() const noexcept;
+
     /// @return True once any byte has been handed to the kernel.
     [[nodiscard]] bool hasSent() const noexcept { return m_hasSent; }
 
--- a/tests/unit/http1_test.cpp
+++ b/tests/unit/http1_test.cpp
@@ -1,6 +1,7 @@
 /// Tests for the HTTP/1.1 server with hostile clients and for the client with faulty servers, on real sockets in one event loop.
 #include "http1/client.hpp"
 #include "http1/server.hpp"
+#include "support/raw_client.hpp"
 #include "support/test_host.hpp"
 #include "support/wait.hpp"
 
@@ -10,6 +11,7 @@
 
 using namespace bilberryseam;
 using namespace bilberryseam::http1;
+using tests::raw_client;
 
 namespace {
 constexpr milliseconds testTimeout { 10000 };
@@ -26,24 +28,6 @@
     tests::runUntil(condition, testTimeout, what);
 }
 
-/// A client that sends raw bytes.
-struct raw_client {
-    explicit raw_client(const ip_endpoint& server)
-        : stream(tcp_stream::connectTo(server))
-    {
-        tcp_stream::callbacks callbacks;
-        callbacks.onBytes = [this](std::string_view bytes) { received.append(bytes); };
-        callbacks.onEnd = [this](close_reason) { isClosed = true; };
-        stream->setCallbacks(std::move(callbacks));
-    }
-
-    ~raw_client() { stream->close(); }
-
-    std::shared_ptr<tcp_stream> stream;
-    std::string received;
-    bool isClosed = false;
-};
-
 struct raw_exchange_result {
     std::string response;
     size_t handledRequests = 0;
