Server: a connection closes only after a response that announced it

Callers saw a kept connection end without a response to their next request beside a SIGTERM. Cause: the server decided on the close when a response was complete, not when its head was sent. A response whose head went out before SIGTERM without Connection: close was followed by the close, and a request that the client had rightly sent behind it was discarded, also one that was already in the buffer when the first response began.

The close is now decided with the head of the response. A request that is already in the buffer keeps the connection open for its own response, which announces the close.

--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -21,7 +21,9 @@
 
     [[nodiscard]] bool isOpen() const noexcept { return m_stream->isOpen(); }
     [[nodiscard]] tcp_stream& stream() noexcept { return *m_stream; }
-    [[nodiscard]] bool mustClose() const noexcept;
+    /// Called when the head of a response is sent.
+    /// @return True if the response announces the close of the connection.
+    [[nodiscard]] bool decideClose() noexcept;
     void setMustClose() noexcept { m_mustClose = true; }
     /// Called when the response is complete; continues with the next request or closes the connection.
     void onResponseComplete();
@@ -58,6 +60,8 @@
     size_t m_unansweredBytes = 0;
     phase m_phase = phase::Idle;
     bool m_mustClose = false;
+    bool m_isLastRequest = false;
+    bool m_isCloseAnnounced = false;
     bool m_isHeaderDone = false;
     time_point m_lastProgressAt {};
     time_point m_arrivedAt {};
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -41,9 +41,12 @@
         m_stream->setCallbacks(std::move(callbacks));
     }
 
-    bool server_connection::mustClose() const noexcept
+    bool server_connection::decideClose() noexcept
     {
-        return m_mustClose || !m_server || m_server->m_closesAfterResponse;
+        // A request that was already received gets its response on this connection, unless its client closes it anyway.
+        const bool isWanted = m_mustClose || !m_server || m_server->m_closesAfterResponse;
+        m_isCloseAnnounced = m_isLastRequest || !m_server || (isWanted && m_readBuffer.empty());
+        return m_isCloseAnnounced;
     }
 
     void server_connection::handleBytes(std::string_view bytes)
@@ -127,7 +130,7 @@
     {
         m_phase = phase::Responding;
         auto message = m_parser->release();
-        m_mustClose = m_mustClose || !m_parser->keep_alive();
+        m_isLastRequest = !m_parser->keep_alive();
         m_parser.reset();
         const auto newExchange = std::make_shared<exchange>(shared_from_this());
         newExchange->m_head = { std::string(message.method_string()), std::string(message.target()), headersOf(message) };
@@ -164,7 +167,8 @@
         if (!isOpen())
             return;
         m_stream->setReading(true);
-        if (mustClose()) {
+        // A client may send its next request until a response announces the close.
+        if (m_isCloseAnnounced || !m_server) {
             startLingering();
             return;
         }
@@ -247,7 +251,7 @@
     for (const auto& [name, value] : headers)
         message.insert(name, value);
     message.insert(std::string(framingName), std::string(framingValue));
-    if (m_connection->mustClose())
+    if (m_connection->decideClose())
         message.set(detail::http::field::connection, "close");
     std::string bytes = detail::serializeHead(message);
     bytes.append(body);
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -71,7 +71,8 @@
     /// @return The connection, without callbacks; the server neither reads it nor applies timeouts to it.
     [[nodiscard]] std::shared_ptr<tcp_stream> releaseConnection();
 
-    /// Closes the connection after this response and adds `Connection: close` to it.
+    /// Closes the connection after this response and adds `Connection: close` to it, unless its head is already sent or the next
+    /// request has already been received; then the same applies to the next response.
     void closeAfterResponse();
 
     [[nodiscard]] bool isStarted() const noexcept { return m_isStarted; }
@@ -113,7 +114,8 @@
     /// Stops accepting connections; open ones continue.
     void stopListening() noexcept;
 
-    /// Makes every response close its connection, for a graceful shutdown.
+    /// Makes responses announce and perform the close of their connections, for a graceful shutdown. A request behind a response
+    /// that could not announce it is answered.
     void setCloseAfterResponse(bool isEnabled) noexcept { m_closesAfterResponse = isEnabled; }
 
     [[nodiscard]] size_t connectionCount() const noexcept { return m_connections.size(); }
