Server: no timeout cuts a response that a slow client is still reading

Callers saw a response end early, at most 1 s after the gateway had written its last byte, if the response announced the close: every response beside a SIGTERM does. Cause: the time of the linger, and the idle timeout of a kept connection, ran from the moment at which the response was complete in the process, although its bytes were still in the buffers of the process and the kernel; closing discards the former, and the latter too if the client sends anything more.

A connection now ends when nothing happened for the timeout and the client has acknowledged everything, or when it has acknowledged nothing for the time after which TCP_USER_TIMEOUT gives up an unresponsive peer. The kernel is asked only when a timeout is about to expire.

--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -48,6 +48,9 @@
     void refuse(unsigned status, std::string_view reason);
     void onClosed();
     void startLingering();
+    /// @return True if the connection needs no more time: nothing happened for `timeout`, and the client has received the last
+    /// response or does not read it.
+    [[nodiscard]] bool isDone(time_point now, milliseconds timeout);
     void closeUnfinished(std::string_view reason);
 
     using request_parser = http::request_parser<http::string_body>;
@@ -64,6 +67,8 @@
     bool m_isCloseAnnounced = false;
     bool m_isHeaderDone = false;
     time_point m_lastProgressAt {};
+    /// Written bytes that the client had not acknowledged when a timeout was last about to expire.
+    size_t m_unacknowledgedBytes = 0;
     time_point m_arrivedAt {};
     exchange* m_currentExchange = nullptr;
 };
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -218,15 +218,26 @@
 
     void server_connection::enforceTimeouts(time_point now, const server_limits& limits)
     {
-        const auto elapsed = now - m_lastProgressAt;
-        if (m_phase == phase::Idle && elapsed > limits.idleTimeout)
+        if (m_phase == phase::Idle && isDone(now, limits.idleTimeout))
             closeUnfinished("idle");
-        else if (m_phase == phase::Reading && elapsed > limits.headerTimeout)
+        else if (m_phase == phase::Reading && now - m_lastProgressAt > limits.headerTimeout)
             refuse(statusTimeout, "The request was not received within the time limit.");
-        else if (m_phase == phase::Lingering && elapsed > lingerTimeout)
+        else if (m_phase == phase::Lingering && isDone(now, lingerTimeout))
             closeUnfinished("linger");
     }
 
+    bool server_connection::isDone(time_point now, milliseconds timeout)
+    {
+        if (now - m_lastProgressAt <= timeout)
+            return false;
+        const size_t unacknowledgedBytes = m_stream->unacknowledgedBytes();
+        if (std::exchange(m_unacknowledgedBytes, unacknowledgedBytes) != unacknowledgedBytes) {
+            m_lastProgressAt = now;
+            return false;
+        }
+        return unacknowledgedBytes == 0 || now - m_lastProgressAt > unresponsivePeerTimeout;
+    }
+
     void server_connection::detachServer()
     {
         m_server = nullptr;
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <cstring>
 #include <glib-unix.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -78,6 +79,13 @@
         return -1;
     }
 
+    /// @return Size of the queue that `request` (`SIOCINQ` or `SIOCOUTQ`) selects.
+    size_t queuedBytes(int descriptor, unsigned long request)
+    {
+        int count = 0;
+        return ioctl(descriptor, request, &count) == 0 ? static_cast<size_t>(count) : 0;
+    }
+
     bool isTransientError()
     {
         return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
@@ -215,10 +223,14 @@
     updateInterest();
 }
 
+size_t tcp_stream::unacknowledgedBytes() const noexcept
+{
+    return isOpen() ? m_writeBuffer.size() + queuedBytes(m_descriptor, SIOCOUTQ) : 0;
+}
+
 size_t tcp_stream::unreadBytes() const noexcept
 {
-    int count = 0;
-    return isOpen() && ioctl(m_descriptor, FIONREAD, &count) == 0 ? static_cast<size_t>(count) : 0;
+    return isOpen() ? queuedBytes(m_descriptor, SIOCINQ) : 0;
 }
 
 void tcp_stream::setReading(bool isReading)
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -59,6 +59,8 @@
     [[nodiscard]] size_t pendingBytes() const noexcept { return m_writeBuffer.size(); }
     [[nodiscard]] bool isOpen() const noexcept { return m_descriptor >= 0; }
 
+    /// @return Written bytes that the peer has not acknowledged; 0 if the connection is closed.
+    [[nodiscard]] size_t unacknowledgedBytes() const noexcept;
     /// @return Bytes that the kernel has received and `onBytes` has not reported yet; 0 if the connection is closed.
     [[nodiscard]] size_t unreadBytes() const noexcept;
 
--- a/tests/unit/http1_server_end_test.cpp
+++ b/tests/unit/http1_server_end_test.cpp
@@ -222,3 +222,16 @@
     cr_assert(client.received.starts_with("HTTP/1.1 413 "), "received: %s", client.received.c_str());
     cr_assert_eq(client.closeReason, close_reason::Closed);
 }
+
+Test(http1_server_end, a_client_that_reads_nothing_does_not_keep_its_connection)
+{
+    server testServer(
+        endpointOf(50), [] { return server_limits(); }, [](std::shared_ptr<exchange> request) { request->respond(200, {}, std::string(largeBodyBytes, 'x')); });
+    std::vector<std::string> reasons;
+    testServer.setOnUnfinished([&](const unfinished_connection& connection) { reasons.emplace_back(connection.reason); });
+    raw_client client(endpointOf(50));
+    client.stream->write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    client.stream->setReading(false);
+    runUntil([&] { return !reasons.empty(); }, "the end of the connection");
+    cr_assert_eq(reasons.size(), 1u);
+}
