Server: a client that ends its sending side gets the rest of its response

Callers that shut down their sending side once they have seen the begin of a response that is complete in the server lost its unsent bytes: the end of the client's data closed the connection at once.

Behind a complete response, the connection now ends once the buffered bytes are sent or sending fails. Before that, a client that closes its sending side still counts as gone: on the wire a close cannot be told from it, and the work of a client that left must end.

--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -137,6 +137,7 @@
         newExchange->m_body = std::move(message.body());
         newExchange->m_arrivedAt = m_arrivedAt;
         m_currentExchange = newExchange.get();
+        m_stream->setSendsAfterEnd(false);
         m_server->m_onRequest(newExchange);
     }
 
@@ -166,6 +167,8 @@
         m_currentExchange = nullptr;
         if (!isOpen())
             return;
+        // A client that closes its sending side during its request counts as gone; behind a complete response, it may still read.
+        m_stream->setSendsAfterEnd(true);
         m_stream->setReading(true);
         // A client may send its next request until a response announces the close.
         if (m_isCloseAnnounced || !m_server) {
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -166,6 +166,10 @@
     }
     if (ready & G_IO_OUT) {
         flush();
+        if (m_hasPeerEnded && (m_writeBuffer.empty() || m_hasSendFailed)) {
+            closeAndNotify(m_hasSendFailed ? close_reason::Reset : close_reason::Closed);
+            return;
+        }
         if (const auto callback = m_callbacks.onDrained; callback && m_writeBuffer.empty())
             callback();
         if (!isOpen())
@@ -185,6 +189,10 @@
         return;
     }
     if (count == 0) {
+        m_hasPeerEnded = true;
+        updateInterest();
+        if (m_sendsAfterEnd && !m_writeBuffer.empty() && !m_hasSendFailed)
+            return;
         closeAndNotify(m_hasSendFailed ? close_reason::Reset : close_reason::Closed);
         return;
     }
@@ -250,7 +258,7 @@
 {
     if (!isOpen() || !m_descriptorTag)
         return;
-    int condition = m_isReading && !m_isConnecting ? G_IO_IN : 0;
+    int condition = m_isReading && !m_isConnecting && !m_hasPeerEnded ? G_IO_IN : 0;
     if (m_isConnecting || !m_writeBuffer.empty())
         condition |= G_IO_OUT;
     g_source_modify_unix_fd(m_source, m_descriptorTag, static_cast<GIOCondition>(condition));
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -70,6 +70,10 @@
     /// Pauses or resumes reading.
     void setReading(bool isReading);
 
+    /// Selects what happens when the peer closes its sending side while written bytes are unsent: the connection ends at once, or
+    /// once they are sent.
+    void setSendsAfterEnd(bool isEnabled) noexcept { m_sendsAfterEnd = isEnabled; }
+
     /// Closes the sending side once the buffered bytes are sent; reading continues.
     void finishWriting();
 
@@ -93,6 +97,8 @@
     bool m_isConnecting;
     bool m_isReading = true;
     bool m_isWriteShutdownRequested = false;
+    bool m_sendsAfterEnd = false;
+    bool m_hasPeerEnded = false;
     bool m_hasSent = false;
     bool m_hasSendFailed = false;
     bool m_isConnectFailurePending = false;
