Server: a request that is being read keeps the limits with which it began

Callers got 408 for a request that was within the limits under which they sent it, when a configuration shortened the header timeout meanwhile. Cause: the timeout was read anew at each check; the size limits were already fixed when the request began.

--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -66,6 +66,8 @@
     bool m_isLastRequest = false;
     bool m_isCloseAnnounced = false;
     bool m_isHeaderDone = false;
+    /// Limit of the request that is being read, as it was when the request began.
+    milliseconds m_headerTimeout {};
     time_point m_lastProgressAt {};
     /// Written bytes that the client had not acknowledged when a timeout was last about to expire.
     size_t m_unacknowledgedBytes = 0;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -76,6 +76,7 @@
             return false;
         }
         const server_limits limits = m_server->m_limits();
+        m_headerTimeout = limits.headerTimeout;
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         m_parser->body_limit(limits.maxBodyBytes);
@@ -223,7 +224,7 @@
     {
         if (m_phase == phase::Idle && isDone(now, limits.idleTimeout))
             closeUnfinished("idle");
-        else if (m_phase == phase::Reading && now - m_lastProgressAt > limits.headerTimeout)
+        else if (m_phase == phase::Reading && now - m_lastProgressAt > m_headerTimeout)
             refuse(statusTimeout, "The request was not received within the time limit.");
         else if (m_phase == phase::Lingering && isDone(now, lingerTimeout))
             closeUnfinished("linger");
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -18,6 +18,7 @@
     /// Largest size of a request body.
     size_t maxBodyBytes = 4 * 1024 * 1024;
     /// Longest time from the first byte of a request to the end of its header, and between two reads of its body.
+    /// A request keeps the value, and the sizes, that applied when it began.
     milliseconds headerTimeout { 3000 };
     /// Longest time that a connection may be open without a request in progress.
     milliseconds idleTimeout { 15000 };
