Server: a timeout does not end a connection whose bytes were not read yet

After a stall of the process longer than a timeout, a request that had arrived during the stall got a reset (idle timeout) or a 408 (header timeout). Cause: the timer of the checks runs before the sockets are read, and both measure by when bytes were read, not by when they arrived.

A connection that holds unread bytes is not ended by the check; the bytes are read next.

--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -222,6 +222,11 @@
 
     void server_connection::enforceTimeouts(time_point now, const server_limits& limits)
     {
+        // After a stall of the process, the timers run before the sockets are read.
+        const bool isIdleOrReading = m_phase == phase::Idle || m_phase == phase::Reading;
+        const milliseconds timeout = m_phase == phase::Reading ? m_headerTimeout : limits.idleTimeout;
+        if (isIdleOrReading && now - m_lastProgressAt > timeout && m_stream->unreadBytes() > 0)
+            return;
         if (m_phase == phase::Idle && isDone(now, limits.idleTimeout))
             closeUnfinished("idle");
         else if (m_phase == phase::Reading && now - m_lastProgressAt > m_headerTimeout)
