Gateway: a shorter idle limit waits until nobody relies on the longer one

Callers saw a kept connection close while their next request was on its way, beside a configuration that shortened the idle limit: a caller may reuse a connection for most of the limit that it knows. Cause: the limit in force was applied to all idle connections at once.

policy::idle_limits keeps each former, longer limit for as long as its own length, since a connection may have become idle under it until the moment it ended; a longer limit applies at once. The number of limits kept is bounded by the distinct descending values.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -189,6 +189,7 @@
     const auto& configuration = *m_context.configuration;
     m_context.counters.count("configurations_total", { { "outcome", "in_force" } });
     m_context.counters.set("configuration_version", {}, static_cast<double>(configuration.version));
+    policy::changeIdleLimit(m_idleLimits, configuration.limits.idleTimeout, monotonicNow());
     m_pools->onMembersChanged();
     logLine(log_level::Info, logComponent, "A newer configuration came into force.", { { "version", std::to_string(configuration.version) }, { "before", previousVersion }, { "routes", std::to_string(configuration.routes.size()) }, { "keys", std::to_string(configuration.accountsByApiKey.size()) } });
 }
@@ -231,7 +232,7 @@
         limits.maxHeaderBytes = configuration->limits.maxHeaderBytes;
         limits.maxBodyBytes = configuration->limits.maxBodyBytes;
         limits.headerTimeout = configuration->limits.headerTimeout;
-        limits.idleTimeout = configuration->limits.idleTimeout;
+        limits.idleTimeout = policy::longestIdleLimit(m_idleLimits, monotonicNow());
     }
     return limits;
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "gateway/request_run.hpp"
 #include "loop/main_loop.hpp"
 #include "platform/topic_follower.hpp"
+#include "policy/idle_limit.hpp"
 
 #include <list>
 #include <memory>
@@ -75,6 +76,7 @@
     std::optional<http1::server> m_operators;
     std::optional<platform::topic_follower> m_configurationFollower;
     std::optional<platform::topic_follower> m_targetFollower;
+    policy::idle_limits m_idleLimits;
     bool m_isConfigurationUnreachable = false;
     bool m_isTargetListUnreachable = false;
     bool m_hasTargets = false;
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -8,6 +8,7 @@
 #include "policy/crash_evidence.hpp"
 #include "policy/fairness.hpp"
 #include "policy/hedging.hpp"
+#include "policy/idle_limit.hpp"
 #include "policy/orders.hpp"
 #include "policy/ownership.hpp"
 #include "policy/placement.hpp"
