--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "gateway/request_run.hpp"
 #include "loop/main_loop.hpp"
 #include "platform/topic_follower.hpp"
+#include "policy/idle_limit.hpp"
 
 #include <list>
 #include <memory>
@@ -54,6 +55,7 @@
     [[nodiscard]] bool checkCrashes(accepted_request& request, time_point now);
     void onVerdict(time_point firstCrashAt);
     void refuse(http1::exchange& exchange, std::string_view id, unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter = {});
+    void recordUnfinished(const http1::unfinished_connection& connection);
     void handleOperatorRequest(http1::exchange& exchange);
     /// @return Share of the limit of a target that this entry may use.
     [[nodiscard]] double limitShareOf(const target_state& target, time_point now);
@@ -74,6 +76,7 @@
     std::optional<http1::server> m_operators;
     std::optional<platform::topic_follower> m_configurationFollower;
     std::optional<platform::topic_follower> m_targetFollower;
+    policy::idle_limits m_idleLimits;
     bool m_isConfigurationUnreachable = false;
     bool m_isTargetListUnreachable = false;
     bool m_hasTargets = false;
--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -14,12 +14,16 @@
     void start();
     /// Closes the connection, or refuses its request, if a timeout expired.
     void enforceTimeouts(time_point now, const server_limits& limits);
+    /// Reports the connection if it ends now and a request has no complete response.
+    void reportUnfinished(std::string_view reason) const;
     /// Called by the server's destructor; the connection processes no further requests.
     void detachServer();
 
     [[nodiscard]] bool isOpen() const noexcept { return m_stream->isOpen(); }
     [[nodiscard]] tcp_stream& stream() noexcept { return *m_stream; }
-    [[nodiscard]] bool mustClose() const noexcept;
+    /// Called when the head of a response is sent.
+    /// @return True if the response announces the close of the connection.
+    [[nodiscard]] bool decideClose() noexcept;
     void setMustClose() noexcept { m_mustClose = true; }
     /// Called when the response is complete; continues with the next request or closes the connection.
     void onResponseComplete();
@@ -44,6 +48,10 @@
     void refuse(unsigned status, std::string_view reason);
     void onClosed();
     void startLingering();
+    /// @return True if the connection needs no more time: nothing happened for `timeout`, and the client has received the last
+    /// response or does not read it.
+    [[nodiscard]] bool isDone(time_point now, milliseconds timeout);
+    void closeUnfinished(std::string_view reason);
 
     using request_parser = http::request_parser<http::string_body>;
 
@@ -51,10 +59,18 @@
     std::shared_ptr<tcp_stream> m_stream;
     std::optional<request_parser> m_parser;
     std::string m_readBuffer;
+    /// Bytes that were read since the last complete response.
+    size_t m_unansweredBytes = 0;
     phase m_phase = phase::Idle;
     bool m_mustClose = false;
+    bool m_isLastRequest = false;
+    bool m_isCloseAnnounced = false;
     bool m_isHeaderDone = false;
+    /// Limit of the request that is being read, as it was when the request began.
+    milliseconds m_headerTimeout {};
     time_point m_lastProgressAt {};
+    /// Written bytes that the client had not acknowledged when a timeout was last about to expire.
+    size_t m_unacknowledgedBytes = 0;
     time_point m_arrivedAt {};
     exchange* m_currentExchange = nullptr;
 };
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -41,13 +41,17 @@
         m_stream->setCallbacks(std::move(callbacks));
     }
 
-    bool server_connection::mustClose() const noexcept
+    bool server_connection::decideClose() noexcept
     {
-        return m_mustClose || !m_server || m_server->m_closesAfterResponse;
+        // A request that was already received gets its response on this connection, unless its client closes it anyway.
+        const bool isWanted = m_mustClose || !m_server || m_server->m_closesAfterResponse;
+        m_isCloseAnnounced = m_isLastRequest || !m_server || (isWanted && m_readBuffer.empty());
+        return m_isCloseAnnounced;
     }
 
     void server_connection::handleBytes(std::string_view bytes)
     {
+        m_unansweredBytes += bytes.size();
         if (m_phase == phase::Lingering)
             return;
         if (m_phase == phase::Reading)
@@ -67,9 +71,12 @@
             return true;
         // Empty lines before a request are ignored (RFC 9112, section 2.2).
         m_readBuffer.erase(0, std::min(m_readBuffer.find_first_not_of("\r\n"), m_readBuffer.size()));
-        if (m_readBuffer.empty())
+        if (m_readBuffer.empty()) {
+            m_unansweredBytes = 0;
             return false;
+        }
         const server_limits limits = m_server->m_limits();
+        m_headerTimeout = limits.headerTimeout;
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         m_parser->body_limit(limits.maxBodyBytes);
@@ -124,13 +131,14 @@
     {
         m_phase = phase::Responding;
         auto message = m_parser->release();
-        m_mustClose = m_mustClose || !m_parser->keep_alive();
+        m_isLastRequest = !m_parser->keep_alive();
         m_parser.reset();
         const auto newExchange = std::make_shared<exchange>(shared_from_this());
         newExchange->m_head = { std::string(message.method_string()), std::string(message.target()), headersOf(message) };
         newExchange->m_body = std::move(message.body());
         newExchange->m_arrivedAt = m_arrivedAt;
         m_currentExchange = newExchange.get();
+        m_stream->setSendsAfterEnd(false);
         m_server->m_onRequest(newExchange);
     }
 
@@ -149,6 +157,7 @@
     {
         m_phase = phase::Lingering;
         m_lastProgressAt = monotonicNow();
+        m_unansweredBytes = m_readBuffer.size();
         m_readBuffer.clear();
         m_stream->setReading(true);
         m_stream->finishWriting();
@@ -159,13 +168,17 @@
         m_currentExchange = nullptr;
         if (!isOpen())
             return;
+        // A client that closes its sending side during its request counts as gone; behind a complete response, it may still read.
+        m_stream->setSendsAfterEnd(true);
         m_stream->setReading(true);
-        if (mustClose()) {
+        // A client may send its next request until a response announces the close.
+        if (m_isCloseAnnounced || !m_server) {
             startLingering();
             return;
         }
         m_phase = phase::Idle;
         m_lastProgressAt = monotonicNow();
+        m_unansweredBytes = m_readBuffer.size();
         if (!m_readBuffer.empty())
             parse();
     }
@@ -189,18 +202,49 @@
             current->m_isFinished = true;
             if (const auto onDisconnect = std::exchange(current->m_onDisconnect, nullptr))
                 onDisconnect();
+        } else if (m_phase != phase::Reading) {
+            reportUnfinished("client_end");
         }
     }
 
+    void server_connection::reportUnfinished(std::string_view reason) const
+    {
+        const unfinished_connection state { reason, m_currentExchange ? &m_currentExchange->head() : nullptr, m_unansweredBytes + m_stream->unreadBytes(), m_stream->pendingBytes() };
+        if (m_server && m_server->m_onUnfinished && (state.openRequest || state.unansweredBytes > 0 || state.unsentBytes > 0))
+            m_server->m_onUnfinished(state);
+    }
+
+    void server_connection::closeUnfinished(std::string_view reason)
+    {
+        reportUnfinished(reason);
+        m_stream->close();
+    }
+
     void server_connection::enforceTimeouts(time_point now, const server_limits& limits)
     {
-        const auto elapsed = now - m_lastProgressAt;
-        if (m_phase == phase::Idle && elapsed > limits.idleTimeout)
-            m_stream->close();
-        else if (m_phase == phase::Reading && elapsed > limits.headerTimeout)
+        // After a stall of the process, the timers run before the sockets are read.
+        const bool isIdleOrReading = m_phase == phase::Idle || m_phase == phase::Reading;
+        const milliseconds timeout = m_phase == phase::Reading ? m_headerTimeout : limits.idleTimeout;
+        if (isIdleOrReading && now - m_lastProgressAt > timeout && m_stream->unreadBytes() > 0)
+            return;
+        if (m_phase == phase::Idle && isDone(now, limits.idleTimeout))
+            closeUnfinished("idle");
+        else if (m_phase == phase::Reading && now - m_lastProgressAt > m_headerTimeout)
             refuse(statusTimeout, "The request was not received within the time limit.");
-        else if (m_phase == phase::Lingering && elapsed > lingerTimeout)
-            m_stream->close();
+        else if (m_phase == phase::Lingering && isDone(now, lingerTimeout))
+            closeUnfinished("linger");
+    }
+
+    bool server_connection::isDone(time_point now, milliseconds timeout)
+    {
+        if (now - m_lastProgressAt <= timeout)
+            return false;
+        const size_t unacknowledgedBytes = m_stream->unacknowledgedBytes();
+        if (std::exchange(m_unacknowledgedBytes, unacknowledgedBytes) != unacknowledgedBytes) {
+            m_lastProgressAt = now;
+            return false;
+        }
+        return unacknowledgedBytes == 0 || now - m_lastProgressAt > unresponsivePeerTimeout;
     }
 
     void server_connection::detachServer()
@@ -227,7 +271,7 @@
     for (const auto& [name, value] : headers)
         message.insert(name, value);
     message.insert(std::string(framingName), std::string(framingValue));
-    if (m_connection->mustClose())
+    if (m_connection->decideClose())
         message.set(detail::http::field::connection, "close");
     std::string bytes = detail::serializeHead(message);
     bytes.append(body);
@@ -333,6 +377,14 @@
     std::erase_if(m_connections, [](const auto& connection) { return !connection->isOpen(); });
 }
 
+void server::reportUnfinished(std::string_view reason)
+{
+    for (const auto& connection : m_connections) {
+        if (connection->isOpen())
+            connection->reportUnfinished(reason);
+    }
+}
+
 void server::stopListening() noexcept
 {
     m_listener.stop();
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -18,6 +18,7 @@
     /// Largest size of a request body.
     size_t maxBodyBytes = 4 * 1024 * 1024;
     /// Longest time from the first byte of a request to the end of its header, and between two reads of its body.
+    /// A request keeps the value, and the sizes, that applied when it began.
     milliseconds headerTimeout { 3000 };
     /// Longest time that a connection may be open without a request in progress.
     milliseconds idleTimeout { 15000 };
@@ -25,6 +26,18 @@
     size_t maxConnections = 2000;
 };
 
+/// A connection that ends while a request has no complete response.
+struct unfinished_connection {
+    /// `idle`, `linger`, `client_end`, or the reason of `server::reportUnfinished`.
+    std::string_view reason;
+    /// The request that the handler has not finished responding to; null if there is none.
+    const request_head* openRequest = nullptr;
+    /// Bytes of requests that arrived after the last complete response.
+    size_t unansweredBytes = 0;
+    /// Bytes of responses that were not handed to the kernel.
+    size_t unsentBytes = 0;
+};
+
 namespace detail {
     class server_connection;
 }
@@ -59,7 +72,8 @@
     /// @return The connection, without callbacks; the server neither reads it nor applies timeouts to it.
     [[nodiscard]] std::shared_ptr<tcp_stream> releaseConnection();
 
-    /// Closes the connection after this response and adds `Connection: close` to it.
+    /// Closes the connection after this response and adds `Connection: close` to it, unless its head is already sent or the next
+    /// request has already been received; then the same applies to the next response.
     void closeAfterResponse();
 
     [[nodiscard]] bool isStarted() const noexcept { return m_isStarted; }
@@ -101,7 +115,8 @@
     /// Stops accepting connections; open ones continue.
     void stopListening() noexcept;
 
-    /// Makes every response close its connection, for a graceful shutdown.
+    /// Makes responses announce and perform the close of their connections, for a graceful shutdown. A request behind a response
+    /// that could not announce it is answered.
     void setCloseAfterResponse(bool isEnabled) noexcept { m_closesAfterResponse = isEnabled; }
 
     [[nodiscard]] size_t connectionCount() const noexcept { return m_connections.size(); }
@@ -109,6 +124,13 @@
     /// Sets a callback for each request or connection that is refused before it reaches the handler. The status is 0 for a connection.
     void setOnRefused(std::function<void(unsigned status, std::string_view reason)> onRefused) { m_onRefused = std::move(onRefused); }
 
+    /// Sets a callback for each connection that ends while a request has no complete response. A client that leaves before its
+    /// response is complete is reported to the exchange instead.
+    void setOnUnfinished(std::function<void(const unfinished_connection&)> onUnfinished) { m_onUnfinished = std::move(onUnfinished); }
+
+    /// Calls the callback of `setOnUnfinished` for each open connection with an unfinished request, before the process ends.
+    void reportUnfinished(std::string_view reason);
+
 private:
     friend class detail::server_connection;
 
@@ -118,6 +140,7 @@
     std::function<server_limits()> m_limits;
     handler m_onRequest;
     std::function<void(unsigned, std::string_view)> m_onRefused;
+    std::function<void(const unfinished_connection&)> m_onUnfinished;
     std::list<std::shared_ptr<detail::server_connection>> m_connections;
     bool m_closesAfterResponse = false;
     timer m_checkTimer;
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -5,8 +5,10 @@
 #include <cerrno>
 #include <cstring>
 #include <glib-unix.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -77,6 +79,13 @@
         return -1;
     }
 
+    /// @return Size of the queue that `request` (`SIOCINQ` or `SIOCOUTQ`) selects.
+    size_t queuedBytes(int descriptor, unsigned long request)
+    {
+        int count = 0;
+        return ioctl(descriptor, request, &count) == 0 ? static_cast<size_t>(count) : 0;
+    }
+
     bool isTransientError()
     {
         return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
@@ -157,6 +166,10 @@
     }
     if (ready & G_IO_OUT) {
         flush();
+        if (m_hasPeerEnded && (m_writeBuffer.empty() || m_hasSendFailed)) {
+            closeAndNotify(m_hasSendFailed ? close_reason::Reset : close_reason::Closed);
+            return;
+        }
         if (const auto callback = m_callbacks.onDrained; callback && m_writeBuffer.empty())
             callback();
         if (!isOpen())
@@ -176,6 +189,10 @@
         return;
     }
     if (count == 0) {
+        m_hasPeerEnded = true;
+        updateInterest();
+        if (m_sendsAfterEnd && !m_writeBuffer.empty() && !m_hasSendFailed)
+            return;
         closeAndNotify(m_hasSendFailed ? close_reason::Reset : close_reason::Closed);
         return;
     }
@@ -214,6 +231,16 @@
     updateInterest();
 }
 
+size_t tcp_stream::unacknowledgedBytes() const noexcept
+{
+    return isOpen() ? m_writeBuffer.size() + queuedBytes(m_descriptor, SIOCOUTQ) : 0;
+}
+
+size_t tcp_stream::unreadBytes() const noexcept
+{
+    return isOpen() ? queuedBytes(m_descriptor, SIOCINQ) : 0;
+}
+
 void tcp_stream::setReading(bool isReading)
 {
     m_isReading = isReading;
@@ -231,7 +258,7 @@
 {
     if (!isOpen() || !m_descriptorTag)
         return;
-    int condition = m_isReading && !m_isConnecting ? G_IO_IN : 0;
+    int condition = m_isReading && !m_isConnecting && !m_hasPeerEnded ? G_IO_IN : 0;
     if (m_isConnecting || !m_writeBuffer.empty())
         condition |= G_IO_OUT;
     g_source_modify_unix_fd(m_source, m_descriptorTag, static_cast<GIOCondition>(condition));
