--- a/src/gateway/stage_job.hpp
+++ b/src/gateway/stage_job.hpp
@@ -46,11 +46,14 @@
     /// Tasks that have finished, so that none is reported twice.
     std::vector<bool> finishedTasks;
 
+    /// @return Whether the result of a task is still needed.
+    [[nodiscard]] bool isNeeded(uint32_t task) const { return !isCancelled && task < taskCount && !finishedTasks[task]; }
+
     /// Reports the outcome of a task.
     /// @return False if the job was cancelled or the outcome was reported before; the result is then unused.
     bool finishTask(uint32_t task, const task_outcome& outcome)
     {
-        if (isCancelled || task >= taskCount || finishedTasks[task])
+        if (!isNeeded(task))
             return false;
         finishedTasks[task] = true;
         if (const auto callback = onTaskFinished)
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -60,7 +60,6 @@
     time_point startsAt {};
     milliseconds expectedTime { 0 };
     bool isOverdue = false;
-    bool isRequeued = false;
     double resultBytes = 0;
     std::shared_ptr<http1::client_call> call;
     unsigned status = 0;
@@ -130,6 +129,8 @@
             return true;
         });
         for (const auto& task : infeasible) {
+            if (!isAbandoned(pool, *task))
+                continue;
             m_context.counters.count("pieces_late_total", { { "service", service } });
             task->job->finishTask(task->index, { "", platform::task_failure::Expired });
         }
@@ -138,6 +139,15 @@
     }
 }
 
+bool task_scheduler::isAbandoned(const pool& pool, const queued_task& task)
+{
+    if (!task.job->isNeeded(task.index))
+        return false;
+    const auto isSameTask = [&task](const auto& item) { return item->job == task.job && item->index == task.index; };
+    const bool isRunning = std::any_of(pool.calls.begin(), pool.calls.end(), [&](const auto& call) { return std::any_of(call->tasks.begin(), call->tasks.end(), isSameTask); });
+    return !isRunning && std::none_of(pool.queue.begin(), pool.queue.end(), isSameTask);
+}
+
 void task_scheduler::requeueOverdueCalls(const std::string& service, pool& pool, time_point now)
 {
     for (const auto& call : pool.calls) {
@@ -151,11 +161,9 @@
             continue;
         m_context.counters.count("piece_retries_total", { { "service", service }, { "reason", "overdue" } });
         for (const auto& task : call->tasks) {
-            const bool isNeeded = !task->job->isCancelled && !task->job->finishedTasks[task->index] && task->attempts < maxSends;
-            if (isNeeded)
+            if (task->job->isNeeded(task->index) && task->attempts < maxSends)
                 pool.queue.push_back(std::make_shared<queued_task>(*task));
         }
-        call->isRequeued = true;
     }
 }
 
@@ -179,7 +187,7 @@
 {
     const auto* profile = profileOf(service);
     // An overdue call may have delivered the result of a queued task in the meantime.
-    pool.queue.remove_if([](const auto& task) { return task->job->finishedTasks[task->index]; });
+    pool.queue.remove_if([](const auto& task) { return !task->job->isNeeded(task->index); });
     if (pool.queue.empty() || !profile)
         return;
     const std::vector<target_ptr> listedTargets = m_context.targets.ofService(service);
@@ -251,7 +259,8 @@
     --target.inFlight;
     if (target.inFlight == 0)
         target.busyUntil = now;
-    m_pools[service].calls.remove(call);
+    pool& pool = m_pools[service];
+    pool.calls.remove(call);
     const bool hasResponse = http1::isReceived(outcome) && call->status == http1::statusOk;
     const auto results = hasResponse ? platform::decodeTaskResults(call->body, call->tasks.size()) : result<std::vector<platform::task_result>>(error());
     scheduleTick();
@@ -269,15 +278,17 @@
                                                                                                        : policy::call_failure::Failed;
     policy::recordFailure(target.health, failure, now);
     logLine(log_level::Warning, logComponent, "A batch call to a target failed.", { { "target", target.listed.id }, { "service", service }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(call->status) }, { "pieces", std::to_string(call->tasks.size()) }, { "firstRequest", call->tasks.front()->job->requestId } });
-    if (call->isRequeued)
+    std::vector<task_ptr> tasks;
+    std::copy_if(call->tasks.begin(), call->tasks.end(), std::back_inserter(tasks), [&pool](const auto& task) { return isAbandoned(pool, *task); });
+    if (tasks.empty())
         return;
     const bool wasSent = outcome != http1::call_outcome::NotSent;
     if (wasSent && !trySpendRetry(m_context, service, now)) {
-        for (const auto& task : call->tasks)
+        for (const auto& task : tasks)
             task->job->finishTask(task->index, { "", platform::task_failure::Failed });
         return;
     }
-    for (const auto& task : call->tasks)
+    for (const auto& task : tasks)
         retry(service, task, platform::task_failure::Failed, wasSent);
 }
 
@@ -293,7 +304,8 @@
             call->target->heldBytes -= job.resultBytes;
         else
             m_results[outcome.handle] = { call->target, job.resultBytes, monotonicNow() + resultLifetimeOf(job.service) };
-        if (outcome.handle.empty() && call->isRequeued)
+        // Another run of the task may still deliver its result.
+        if (outcome.handle.empty() && !isAbandoned(m_pools[job.service], *task))
             continue;
         const bool mayRetry = outcome.failure == platform::task_failure::NoMemory || outcome.failure == platform::task_failure::Failed;
         const time_point now = monotonicNow();
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -68,6 +68,8 @@
     void onCallEnded(const std::string& service, const std::shared_ptr<batch_call>& call, http1::call_outcome outcome);
     void applyResults(const std::shared_ptr<batch_call>& call, const std::vector<platform::task_result>& results);
     void retry(const std::string& service, const task_ptr& task, platform::task_failure failure, bool wasSent);
+    /// @return Whether the result of a task is still needed, and the task is neither queued nor part of a call in progress.
+    [[nodiscard]] static bool isAbandoned(const pool& pool, const queued_task& task);
     void scheduleTick();
     [[nodiscard]] milliseconds resultLifetimeOf(std::string_view service) const;
     result_table::iterator eraseResult(result_table::iterator result);
