--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -14,9 +14,10 @@
     /// Limit of how often a task is sent.
     constexpr unsigned maxSends = 4;
 
-    /// A batch call times out after this multiple of its expected time, but not before the minimum.
-    constexpr int callTimeoutFactor = 12;
-    constexpr milliseconds minCallTimeout { 3000 };
+    /// A batch call whose results are no longer needed is closed after this multiple of its expected time, but not before
+    /// the minimum: results that arrive until then can be released at once.
+    constexpr int uselessCallFactor = 12;
+    constexpr milliseconds minUselessCallTime { 3000 };
 
     /// After this multiple of its expected time, the tasks of a batch call may also run at another target; the first target
     /// continues, and whichever result arrives first is used.
@@ -59,7 +60,10 @@
     /// Time at which the target is expected to start the tasks.
     time_point startsAt {};
     milliseconds expectedTime { 0 };
+    /// Time after which the call is closed if no result is needed any more.
+    time_point closesAt {};
     bool isOverdue = false;
+    bool isRequeued = false;
     double resultBytes = 0;
     std::shared_ptr<http1::client_call> call;
     unsigned status = 0;
@@ -134,6 +138,7 @@
             m_context.counters.count("pieces_late_total", { { "service", service } });
             task->job->finishTask(task->index, { "", platform::task_failure::Expired });
         }
+        closeUselessCalls(service, pool, now);
         requeueOverdueCalls(service, pool, now);
         startBatchCalls(service, pool, now);
     }
@@ -152,18 +157,42 @@
 {
     for (const auto& call : pool.calls) {
         const bool isOverdue = asSeconds(now - call->startsAt) > asSeconds(call->expectedTime + networkTime) * overdueFactor;
-        if (!isOverdue || std::exchange(call->isOverdue, true))
+        if (!isOverdue || call->isRequeued)
+            continue;
+        requeueTasks(service, pool, *call, now);
+        if (std::exchange(call->isOverdue, true))
             continue;
         policy::recordSuccess(call->target->health, overdueFactor, now);
-        const bool isWithinBudget = trySpendRetry(m_context, service, now);
-        logLine(log_level::Warning, logComponent, "A batch call is overdue at its target.", { { "target", call->target->listed.id }, { "service", service }, { "pieces", std::to_string(call->tasks.size()) }, { "made_elsewhere", isWithinBudget ? "true" : "false" }, { "first_request", call->tasks.front()->job->requestId } });
-        if (!isWithinBudget)
+        logLine(log_level::Warning, logComponent, "A batch call is overdue at its target.", { { "target", call->target->listed.id }, { "service", service }, { "pieces", std::to_string(call->tasks.size()) }, { "made_elsewhere", call->isRequeued ? "true" : "false" }, { "first_request", call->tasks.front()->job->requestId } });
+    }
+}
+
+void task_scheduler::requeueTasks(const std::string& service, pool& pool, batch_call& call, time_point now)
+{
+    std::vector<task_ptr> copies;
+    for (const auto& task : call.tasks) {
+        if (task->job->isNeeded(task->index) && task->attempts < maxSends)
+            copies.push_back(std::make_shared<queued_task>(*task));
+    }
+    if (copies.empty() || !trySpendRetry(m_context, service, now))
+        return;
+    call.isRequeued = true;
+    m_context.counters.count("piece_retries_total", { { "service", service }, { "reason", "overdue" } });
+    logLine(log_level::Info, logComponent, "The tasks of an overdue batch call may also run at another target.", { { "target", call.target->listed.id }, { "service", service }, { "pieces", std::to_string(copies.size()) }, { "first_request", copies.front()->job->requestId } });
+    pool.queue.insert(pool.queue.end(), copies.begin(), copies.end());
+}
+
+void task_scheduler::closeUselessCalls(const std::string& service, pool& pool, time_point now)
+{
+    const auto calls = pool.calls;
+    for (const auto& call : calls) {
+        const bool isUseful = std::any_of(call->tasks.begin(), call->tasks.end(), [now](const auto& task) { return task->job->isNeeded(task->index) && now < task->job->deadline; });
+        if (isUseful || now < call->closesAt)
             continue;
-        m_context.counters.count("piece_retries_total", { { "service", service }, { "reason", "overdue" } });
-        for (const auto& task : call->tasks) {
-            if (task->job->isNeeded(task->index) && task->attempts < maxSends)
-                pool.queue.push_back(std::make_shared<queued_task>(*task));
-        }
+        call->call.reset();
+        for (const auto& task : call->tasks)
+            task->job->finishTask(task->index, { "", platform::task_failure::Expired });
+        onCallEnded(service, call, http1::call_outcome::TimedOut);
     }
 }
 
@@ -245,8 +274,8 @@
     };
     callbacks.onBody = [call](std::string_view bytes) { call->body.append(bytes); };
     callbacks.onEnd = [this, service, call](http1::call_outcome outcome) { onCallEnded(service, call, outcome); };
-    const milliseconds timeout = std::chrono::duration_cast<milliseconds>(call->startsAt - now) + std::max(minCallTimeout, call->expectedTime * callTimeoutFactor);
-    call->call = sendToTarget(m_context, target, request, { false, targetConnectTimeout, timeout, maxResultBytes }, std::move(callbacks));
+    call->closesAt = call->startsAt + std::max(minUselessCallTime, call->expectedTime * uselessCallFactor);
+    call->call = sendToTarget(m_context, target, request, { .connectTimeout = targetConnectTimeout, .maxResponseBytes = maxResultBytes }, std::move(callbacks));
     logLine(log_level::Info, logComponent, "A batch call was sent to a target of its pool.", { { "service", service }, { "target", target->listed.id }, { "pieces", std::to_string(items.size()) }, { "waiting", std::to_string(pool.queue.size()) }, { "free_bytes", std::to_string(static_cast<int64_t>(profile->resultMemoryBytes - target->heldBytes)) }, { "first_request", call->tasks.front()->job->requestId } });
     m_context.counters.count("piece_calls_total", { { "service", service } });
     m_context.counters.count("pieces_total", { { "service", service } }, static_cast<double>(items.size()));
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -64,6 +64,10 @@
     [[nodiscard]] policy::pool_target planningTarget(const target_state& target, const pool& pool, const deployment::pool_profile& profile, time_point now) const;
     void startBatchCalls(const std::string& service, pool& pool, time_point now);
     void requeueOverdueCalls(const std::string& service, pool& pool, time_point now);
+    /// Queues copies of an overdue call's tasks, as far as the retry budget and the limit of sends allow.
+    void requeueTasks(const std::string& service, pool& pool, batch_call& call, time_point now);
+    /// Closes silent calls whose results have become useless.
+    void closeUselessCalls(const std::string& service, pool& pool, time_point now);
     void send(const std::string& service, pool& pool, const target_ptr& target, std::vector<task_ptr> tasks, time_point now);
     void onCallEnded(const std::string& service, const std::shared_ptr<batch_call>& call, http1::call_outcome outcome);
     void applyResults(const std::shared_ptr<batch_call>& call, const std::vector<platform::task_result>& results);
