--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -279,8 +279,7 @@
 void pool_router::hostJob(identifier session, wire::start_tasks& message)
 {
     constexpr uint32_t maxTasks = 10000;
-    const bool isPool = m_context.configuration && deployment::poolOf(*m_context.configuration, message.service);
-    const bool isServed = isPool && !m_isStopping && !m_context.targets.ofService(message.service).empty();
+    const bool isServed = m_scheduler.hasPool(message.service) && !m_isStopping && !m_context.targets.ofService(message.service).empty();
     if (!isServed || message.taskCount > maxTasks) {
         m_server.post(session, wire::tasks_refused { message.jobNumber });
         return;
@@ -376,6 +375,8 @@
     if (!std::exchange(m_hasMembers, true))
         m_membersSince = monotonicNow();
     m_ownersByService.clear();
+    if (m_context.configuration)
+        m_scheduler.applyProfiles(*m_context.configuration);
     m_context.entryCount = static_cast<unsigned>(std::max<size_t>(4, m_directory.others().size() + 1));
     const auto required = requiredPeers();
     for (auto& [name, other] : m_peers) {
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -78,7 +78,16 @@
 
 const deployment::pool_profile* task_scheduler::profileOf(std::string_view service) const
 {
-    return m_context.configuration ? deployment::poolOf(*m_context.configuration, service) : nullptr;
+    const auto position = m_pools.find(service);
+    return position != m_pools.end() && position->second.profile ? &*position->second.profile : nullptr;
+}
+
+void task_scheduler::applyProfiles(const deployment::configuration& configuration)
+{
+    for (const auto& [name, service] : configuration.services) {
+        if (service.pool)
+            m_pools[name].profile = service.pool;
+    }
 }
 
 void task_scheduler::add(const job_ptr& job)
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,12 @@
 public:
     explicit task_scheduler(context& context);
 
+    /// Takes over the pool profiles of a newer configuration. The profile of a pool that it lacks stays in use for the
+    /// requests that an earlier configuration accepted.
+    void applyProfiles(const deployment::configuration& configuration);
+    /// @return Whether the configuration or an earlier one has a pool of this name.
+    [[nodiscard]] bool hasPool(std::string_view service) const { return profileOf(service); }
+
     /// Queues the unfinished tasks of a job.
     void add(const job_ptr& job);
 
@@ -58,6 +65,7 @@
         std::list<task_ptr> queue;
         policy::value_average values;
         std::list<std::shared_ptr<batch_call>> calls;
+        std::optional<deployment::pool_profile> profile;
     };
 
     /// @return A target's state as input for the planning of batches.
