--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -150,7 +150,7 @@
     const time_point now = monotonicNow();
     const uint64_t number = m_nextJobNumber++;
     m_delegatedJobs[number] = { job, owner.record.name };
-    m_delegatedNumbers[job.get()] = number;
+    m_delegatedNumbers.emplace(job.get(), number);
     ++owner.jobs;
     wire::start_tasks message;
     message.jobNumber = number;
@@ -174,20 +174,29 @@
 void pool_router::cancel(const job_ptr& job)
 {
     m_scheduler.cancel(*job);
-    const auto position = m_delegatedNumbers.find(job.get());
-    if (position == m_delegatedNumbers.end())
-        return;
-    const uint64_t number = position->second;
-    m_delegatedNumbers.erase(position);
-    const auto delegatedJob = m_delegatedJobs.extract(number);
-    if (delegatedJob.empty())
-        return;
-    if (const auto owner = m_peers.find(delegatedJob.mapped().owner); owner != m_peers.end()) {
-        --owner->second->jobs;
-        owner->second->session->post(wire::cancel_tasks { number });
+    cancelDelegated(*job);
+}
+
+void pool_router::cancelDelegated(const stage_job& job)
+{
+    for (auto item = m_delegatedNumbers.find(&job); item != m_delegatedNumbers.end(); item = m_delegatedNumbers.find(&job)) {
+        const auto position = m_delegatedJobs.find(item->second);
+        if (const auto owner = m_peers.find(position->second.owner); owner != m_peers.end())
+            owner->second->session->post(wire::cancel_tasks { position->first });
+        eraseDelegated(position);
     }
 }
 
+pool_router::delegated_jobs::iterator pool_router::eraseDelegated(delegated_jobs::iterator position)
+{
+    const delegated_job& delegated = position->second;
+    const auto [first, last] = m_delegatedNumbers.equal_range(delegated.job.get());
+    m_delegatedNumbers.erase(std::find_if(first, last, [&position](const auto& item) { return item.second == position->first; }));
+    if (const auto owner = m_peers.find(delegated.owner); owner != m_peers.end() && !delegated.isTakenBack)
+        --owner->second->jobs;
+    return m_delegatedJobs.erase(position);
+}
+
 void pool_router::releaseResults(std::string_view service, const std::vector<std::string>& handles)
 {
     if (peer* owner = usableOwner(service))
@@ -196,16 +205,13 @@
         m_scheduler.releaseResults(handles);
 }
 
-void pool_router::onOwnerLost(const std::string& name, std::string_view reason)
+void pool_router::takeBackJobs(const std::string& name, std::string_view reason)
 {
     std::vector<job_ptr> lostJobs;
-    std::erase_if(m_delegatedJobs, [&](const auto& item) {
-        if (item.second.owner != name)
-            return false;
-        m_delegatedNumbers.erase(item.second.job.get());
-        lostJobs.push_back(item.second.job);
-        return true;
-    });
+    for (auto& [number, delegated] : m_delegatedJobs) {
+        if (delegated.owner == name && !std::exchange(delegated.isTakenBack, true))
+            lostJobs.push_back(delegated.job);
+    }
     if (const auto position = m_peers.find(name); position != m_peers.end())
         position->second->jobs = 0;
     if (lostJobs.empty())
@@ -218,6 +224,15 @@
     }
 }
 
+void pool_router::onOwnerRestarted(const std::string& name)
+{
+    takeBackJobs(name, "restarted");
+    for (auto position = m_delegatedJobs.begin(); position != m_delegatedJobs.end();) {
+        const bool isForgotten = position->second.owner == name && position->second.isTakenBack;
+        position = isForgotten ? eraseDelegated(position) : std::next(position);
+    }
+}
+
 void pool_router::handleOwnerMessage(const std::string& name, wire::message& message)
 {
     if (m_context.crashes->handle(message, name, monotonicNow()))
@@ -226,38 +241,53 @@
         handleSuspicion(*suspicion);
         return;
     }
-    const auto findDelegatedJob = [&](uint64_t number) {
-        const auto position = m_delegatedJobs.find(number);
-        return position != m_delegatedJobs.end() && position->second.owner == name ? position : m_delegatedJobs.end();
-    };
-    const auto removeDelegatedJob = [&](auto position) {
-        m_delegatedNumbers.erase(position->second.job.get());
-        if (const auto owner = m_peers.find(name); owner != m_peers.end())
-            --owner->second->jobs;
-        m_delegatedJobs.erase(position);
+    if (const auto* finishedTask = std::get_if<wire::task_finished>(&message))
+        handleFinishedTask(name, *finishedTask);
+    else if (const auto* refusal = std::get_if<wire::tasks_refused>(&message))
+        handleRefusedTasks(name, refusal->jobNumber);
+}
+
+void pool_router::handleFinishedTask(const std::string& name, const wire::task_finished& message)
+{
+    const auto release = [&] {
+        if (const auto owner = m_peers.find(name); owner != m_peers.end() && !message.handle.empty())
+            owner->second->session->post(wire::release_results { { { message.handle } } });
     };
-    if (auto* finishedTask = std::get_if<wire::task_finished>(&message)) {
-        const auto position = findDelegatedJob(finishedTask->jobNumber);
-        if (position == m_delegatedJobs.end()) {
-            if (const auto owner = m_peers.find(name); owner != m_peers.end() && !finishedTask->handle.empty())
-                owner->second->session->post(wire::release_results { { { finishedTask->handle } } });
-            return;
-        }
-        const job_ptr job = position->second.job;
-        const bool isLast = std::count(job->finishedTasks.begin(), job->finishedTasks.end(), false) <= 1;
-        if (isLast)
-            removeDelegatedJob(position);
-        static_cast<void>(job->finishTask(finishedTask->task, { finishedTask->handle, failureOf(finishedTask->failure) }));
-    } else if (const auto* refusal = std::get_if<wire::tasks_refused>(&message)) {
-        const auto position = findDelegatedJob(refusal->jobNumber);
-        if (position == m_delegatedJobs.end())
-            return;
-        const job_ptr job = position->second.job;
-        removeDelegatedJob(position);
-        if (const auto owner = m_peers.find(name); owner != m_peers.end())
-            owner->second->refusedUntil = monotonicNow() + refusedOwnerPause;
-        run(job);
+    const auto position = m_delegatedJobs.find(message.jobNumber);
+    if (position == m_delegatedJobs.end() || position->second.owner != name) {
+        release();
+        return;
     }
+    // The failure of an owner's run of a job that also runs elsewhere costs nothing.
+    if (position->second.isTakenBack && message.handle.empty())
+        return;
+    const job_ptr job = position->second.job;
+    if (!job->isNeeded(message.task)) {
+        release();
+        return;
+    }
+    if (position->second.isTakenBack)
+        logLine(log_level::Info, logComponent, "A pool owner delivered a result after its connection had been lost; the result is used.", { { "entry", name }, { "request", job->requestId }, { "stage", std::to_string(job->stage) }, { "piece", std::to_string(message.task) } });
+    const bool isLast = std::count(job->finishedTasks.begin(), job->finishedTasks.end(), false) <= 1;
+    if (isLast) {
+        eraseDelegated(position);
+        cancelDelegated(*job);
+    }
+    static_cast<void>(job->finishTask(message.task, { message.handle, failureOf(message.failure) }));
+}
+
+void pool_router::handleRefusedTasks(const std::string& name, uint64_t number)
+{
+    const auto position = m_delegatedJobs.find(number);
+    if (position == m_delegatedJobs.end() || position->second.owner != name)
+        return;
+    const bool isRunElsewhere = position->second.isTakenBack;
+    const job_ptr job = position->second.job;
+    eraseDelegated(position);
+    if (const auto owner = m_peers.find(name); owner != m_peers.end())
+        owner->second->refusedUntil = monotonicNow() + refusedOwnerPause;
+    if (!isRunElsewhere)
+        run(job);
 }
 
 void pool_router::handleRequesterMessage(identifier session, wire::message& message)
@@ -389,7 +419,7 @@
         if (record == m_directory.others().end() || (m_peers.contains(name) && !m_peers[name]->isObsolete))
             continue;
         if (m_peers.contains(name)) {
-            onOwnerLost(name, "restarted");
+            onOwnerRestarted(name);
             m_peers.erase(name);
         }
         auto newPeer = std::make_unique<peer>();
@@ -401,8 +431,8 @@
             if (!isResumed)
                 m_context.crashes->sendAll([this, name](wire::message message) { m_peers.at(name)->session->post(std::move(message)); }, monotonicNow());
         };
-        callbacks.onLost = [this, name] { onOwnerLost(name, "restarted"); };
-        callbacks.onDetached = [this, name](std::string_view reason, bool) { onOwnerLost(name, reason); };
+        callbacks.onLost = [this, name] { onOwnerRestarted(name); };
+        callbacks.onDetached = [this, name](std::string_view reason, bool) { takeBackJobs(name, reason); };
         newPeer->session = std::make_unique<wire::session>(newPeer->record.peerListen, m_directory.own().name, m_identifiers.next(), ownerLinkTiming(), std::move(callbacks));
         m_peers[name] = std::move(newPeer);
     }
@@ -410,6 +440,14 @@
 
 void pool_router::tick(time_point now)
 {
+    std::vector<job_ptr> finishedJobs;
+    for (const auto& [number, delegated] : m_delegatedJobs) {
+        const auto& finishedTasks = delegated.job->finishedTasks;
+        if (delegated.isTakenBack && std::find(finishedTasks.begin(), finishedTasks.end(), false) == finishedTasks.end())
+            finishedJobs.push_back(delegated.job);
+    }
+    for (const auto& job : finishedJobs)
+        cancelDelegated(*job);
     for (auto& [name, other] : m_peers)
         other->session->tick(now, other->jobs > 0);
     std::erase_if(m_peers, [](const auto& item) { return item.second->isObsolete && item.second->jobs == 0; });
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -50,6 +50,8 @@
     struct delegated_job {
         job_ptr job;
         std::string owner;
+        /// The connection was lost: the job also runs elsewhere, and the owner may still deliver results.
+        bool isTakenBack = false;
     };
     /// A job that this entry runs for another one.
     struct hosted_job {
@@ -64,7 +66,16 @@
     void delegate(peer& owner, const job_ptr& job);
     /// @return Names of the entries that this one must be connected to.
     [[nodiscard]] std::set<std::string, std::less<>> requiredPeers();
-    void onOwnerLost(const std::string& name, std::string_view reason);
+    /// Runs the jobs delegated to an owner elsewhere as well.
+    void takeBackJobs(const std::string& name, std::string_view reason);
+    /// The owner has no state of its jobs any more.
+    void onOwnerRestarted(const std::string& name);
+    using delegated_jobs = std::unordered_map<uint64_t, delegated_job>;
+    delegated_jobs::iterator eraseDelegated(delegated_jobs::iterator position);
+    /// Cancels all runs of a job at other entries.
+    void cancelDelegated(const stage_job& job);
+    void handleFinishedTask(const std::string& name, const wire::task_finished& message);
+    void handleRefusedTasks(const std::string& name, uint64_t number);
     void handleOwnerMessage(const std::string& name, wire::message& message);
     void handleRequesterMessage(identifier session, wire::message& message);
     void hostJob(identifier session, wire::start_tasks& message);
@@ -77,8 +88,8 @@
     std::map<std::string, std::unique_ptr<peer>, std::less<>> m_peers;
     /// Cached results of `ownersOf`, until the members change.
     std::map<std::string, std::vector<std::string>, std::less<>> m_ownersByService;
-    std::unordered_map<uint64_t, delegated_job> m_delegatedJobs;
-    std::unordered_map<const stage_job*, uint64_t> m_delegatedNumbers;
+    delegated_jobs m_delegatedJobs;
+    std::unordered_multimap<const stage_job*, uint64_t> m_delegatedNumbers;
     uint64_t m_nextJobNumber = 1;
     std::map<std::pair<identifier, uint64_t>, hosted_job> m_hostedJobs;
     identifier_generator m_identifiers;
