--- a/tests/process/gateway_silent_pool_test.cpp
+++ b/tests/process/gateway_silent_pool_test.cpp
@@ -192,3 +192,20 @@
     const auto inputs = http1::findHeader(pool.model->requests().front().head.headers, "X-Inputs");
     cr_assert(inputs && inputs->ends_with("/1"), "the result of the first run was not used");
 }
+
+Test(gateway_silent_pool, a_job_at_an_owner_that_stops_is_finished_there)
+{
+    pool_deployment pool(96, 1, { { "stopSeconds", 8 } }, 2);
+    const size_t owner = ownerOf("encode", 2);
+    const size_t other = 1 - owner;
+    pool.waitForLog("The connection to a pool owner is established.", other);
+    pool.holdCalls();
+    const auto caller = pool.deployment.send("POST", "/m/1", stageHeaders("1"), "", other);
+    pool.waitForHeldCalls(1);
+    pool.deployment.signal(owner, SIGTERM);
+    pool.deployment.runLoopFor(milliseconds(4500));
+    cr_assert_eq(pool.heldCalls.size(), 1u, "the stopping owner gave up a job in progress");
+    pool.respondToHeldCall(0);
+    checkServed(pool.deployment, caller);
+    pool.deployment.waitUntil([&] { return pool.deployment.hasExited(owner); }, "the end of the owner");
+}
