--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -14,10 +14,10 @@
     /// Limit of how often a task is sent.
     constexpr unsigned maxSends = 4;
 
-    /// A batch call whose results are no longer needed is closed after this multiple of its expected time, but not before
-    /// the minimum: results that arrive until then can be released at once.
-    constexpr int uselessCallFactor = 12;
-    constexpr milliseconds minUselessCallTime { 3000 };
+    /// A batch call counts as silent after this multiple of its expected time, but not before the minimum. It is closed if
+    /// its results are no longer needed; results that arrive until then can be released at once.
+    constexpr int silentCallFactor = 12;
+    constexpr milliseconds minSilentCallTime { 3000 };
 
     /// After this multiple of its expected time, the tasks of a batch call may also run at another target; the first target
     /// continues, and whichever result arrives first is used.
@@ -60,10 +60,12 @@
     /// Time at which the target is expected to start the tasks.
     time_point startsAt {};
     milliseconds expectedTime { 0 };
-    /// Time after which the call is closed if no result is needed any more.
-    time_point closesAt {};
+    /// Time after which the call counts as silent.
+    time_point silentAt {};
     bool isOverdue = false;
     bool isRequeued = false;
+    /// The call no longer occupies a slot, because its response may be lost.
+    bool isSlotFree = false;
     double resultBytes = 0;
     std::shared_ptr<http1::client_call> call;
     unsigned status = 0;
@@ -147,7 +149,7 @@
             m_context.counters.count("pieces_late_total", { { "service", service } });
             task->job->finishTask(task->index, { "", platform::task_failure::Expired });
         }
-        closeUselessCalls(service, pool, now);
+        checkSilentCalls(service, pool, now);
         requeueOverdueCalls(service, pool, now);
         startBatchCalls(service, pool, now);
     }
@@ -191,12 +193,19 @@
     pool.queue.insert(pool.queue.end(), copies.begin(), copies.end());
 }
 
-void task_scheduler::closeUselessCalls(const std::string& service, pool& pool, time_point now)
+void task_scheduler::checkSilentCalls(const std::string& service, pool& pool, time_point now)
 {
     const auto calls = pool.calls;
     for (const auto& call : calls) {
+        if (now < call->silentAt)
+            continue;
+        if (!call->isSlotFree) {
+            freeSlot(*call, now);
+            policy::recordFailure(call->target->health, policy::call_failure::Failed, now);
+            logLine(log_level::Warning, logComponent, "A batch call is silent; its target may get another one.", { { "target", call->target->listed.id }, { "service", service }, { "pieces", std::to_string(call->tasks.size()) }, { "first_request", call->tasks.front()->job->requestId } });
+        }
         const bool isUseful = std::any_of(call->tasks.begin(), call->tasks.end(), [now](const auto& task) { return task->job->isNeeded(task->index) && now < task->job->deadline; });
-        if (isUseful || now < call->closesAt)
+        if (isUseful)
             continue;
         call->call.reset();
         for (const auto& task : call->tasks)
@@ -205,6 +214,16 @@
     }
 }
 
+void task_scheduler::freeSlot(batch_call& call, time_point now)
+{
+    if (std::exchange(call.isSlotFree, true))
+        return;
+    target_state& target = *call.target;
+    --target.inFlight;
+    if (target.inFlight == 0)
+        target.busyUntil = now;
+}
+
 policy::pool_target task_scheduler::planningTarget(const target_state& target, const pool& pool, const deployment::pool_profile& profile, time_point now) const
 {
     const auto slots = static_cast<uint32_t>(profile.slots);
@@ -283,7 +302,7 @@
     };
     callbacks.onBody = [call](std::string_view bytes) { call->body.append(bytes); };
     callbacks.onEnd = [this, service, call](http1::call_outcome outcome) { onCallEnded(service, call, outcome); };
-    call->closesAt = call->startsAt + std::max(minUselessCallTime, call->expectedTime * uselessCallFactor);
+    call->silentAt = call->startsAt + std::max(minSilentCallTime, call->expectedTime * silentCallFactor);
     call->call = sendToTarget(m_context, target, request, { .connectTimeout = targetConnectTimeout, .maxResponseBytes = maxResultBytes }, std::move(callbacks));
     logLine(log_level::Info, logComponent, "A batch call was sent to a target of its pool.", { { "service", service }, { "target", target->listed.id }, { "pieces", std::to_string(items.size()) }, { "waiting", std::to_string(pool.queue.size()) }, { "free_bytes", std::to_string(static_cast<int64_t>(profile->resultMemoryBytes - target->heldBytes)) }, { "first_request", call->tasks.front()->job->requestId } });
     m_context.counters.count("piece_calls_total", { { "service", service } });
@@ -294,9 +313,7 @@
 {
     const time_point now = monotonicNow();
     target_state& target = *call->target;
-    --target.inFlight;
-    if (target.inFlight == 0)
-        target.busyUntil = now;
+    freeSlot(*call, now);
     pool& pool = m_pools[service];
     pool.calls.remove(call);
     const bool hasResponse = http1::isReceived(outcome) && call->status == http1::statusOk;
@@ -314,7 +331,9 @@
         target.isReplaced = true;
     const auto failure = isFull ? policy::call_failure::Full : outcome == http1::call_outcome::NotSent ? policy::call_failure::Unreachable
                                                                                                        : policy::call_failure::Failed;
-    policy::recordFailure(target.health, failure, now);
+    // A call that ends here by a timeout was recorded when it became silent.
+    if (outcome != http1::call_outcome::TimedOut)
+        policy::recordFailure(target.health, failure, now);
     logLine(log_level::Warning, logComponent, "A batch call to a target failed.", { { "target", target.listed.id }, { "service", service }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(call->status) }, { "pieces", std::to_string(call->tasks.size()) }, { "firstRequest", call->tasks.front()->job->requestId } });
     std::vector<task_ptr> tasks;
     std::copy_if(call->tasks.begin(), call->tasks.end(), std::back_inserter(tasks), [&pool](const auto& task) { return isAbandoned(pool, *task); });
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -74,8 +74,9 @@
     void requeueOverdueCalls(const std::string& service, pool& pool, time_point now);
     /// Queues copies of an overdue call's tasks, as far as the retry budget and the limit of sends allow.
     void requeueTasks(const std::string& service, pool& pool, batch_call& call, time_point now);
-    /// Closes silent calls whose results have become useless.
-    void closeUselessCalls(const std::string& service, pool& pool, time_point now);
+    /// Frees the slots of calls that have been silent for long, and closes those whose results have become useless.
+    void checkSilentCalls(const std::string& service, pool& pool, time_point now);
+    static void freeSlot(batch_call& call, time_point now);
     void send(const std::string& service, pool& pool, const target_ptr& target, std::vector<task_ptr> tasks, time_point now);
     void onCallEnded(const std::string& service, const std::shared_ptr<batch_call>& call, http1::call_outcome outcome);
     void applyResults(const std::shared_ptr<batch_call>& call, const std::vector<platform::task_result>& results);
--- a/tests/process/gateway_silent_pool_test.cpp
+++ b/tests/process/gateway_silent_pool_test.cpp
@@ -98,6 +98,12 @@
     pool.waitForHeldCalls(1);
     pool.deployment.runLoopFor(milliseconds(4000));
     cr_assert(!caller->isFinished, "the request ended with status %u for the silence of a target", caller->head.status);
+    // Only the response may be lost, so the target gets the tasks of other requests.
+    const auto second = pool.deployment.send("POST", "/m/2", stageHeaders("1"));
+    pool.deployment.runLoopFor(milliseconds(1000));
+    cr_assert_eq(pool.heldCalls.size(), 2u, "the silent call keeps its target from work");
+    pool.respondToHeldCall(1);
+    checkServed(pool.deployment, second);
     pool.respondToHeldCall(0);
     checkServed(pool.deployment, caller);
 }
