--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -14,9 +14,10 @@
     /// Limit of how often a task is sent.
     constexpr unsigned maxSends = 4;
 
-    /// A batch call times out after this multiple of its expected time, but not before the minimum.
-    constexpr int callTimeoutFactor = 12;
-    constexpr milliseconds minCallTimeout { 3000 };
+    /// A batch call counts as silent after this multiple of its expected time, but not before the minimum. It is closed if
+    /// its results are no longer needed; results that arrive until then can be released at once.
+    constexpr int silentCallFactor = 12;
+    constexpr milliseconds minSilentCallTime { 3000 };
 
     /// After this multiple of its expected time, the tasks of a batch call may also run at another target; the first target
     /// continues, and whichever result arrives first is used.
@@ -59,8 +60,12 @@
     /// Time at which the target is expected to start the tasks.
     time_point startsAt {};
     milliseconds expectedTime { 0 };
+    /// Time after which the call counts as silent.
+    time_point silentAt {};
     bool isOverdue = false;
     bool isRequeued = false;
+    /// The call no longer occupies a slot, because its response may be lost.
+    bool isSlotFree = false;
     double resultBytes = 0;
     std::shared_ptr<http1::client_call> call;
     unsigned status = 0;
@@ -75,7 +80,16 @@
 
 const deployment::pool_profile* task_scheduler::profileOf(std::string_view service) const
 {
-    return m_context.configuration ? deployment::poolOf(*m_context.configuration, service) : nullptr;
+    const auto position = m_pools.find(service);
+    return position != m_pools.end() && position->second.profile ? &*position->second.profile : nullptr;
+}
+
+void task_scheduler::applyProfiles(const deployment::configuration& configuration)
+{
+    for (const auto& [name, service] : configuration.services) {
+        if (service.pool)
+            m_pools[name].profile = service.pool;
+    }
 }
 
 void task_scheduler::add(const job_ptr& job)
@@ -130,35 +144,86 @@
             return true;
         });
         for (const auto& task : infeasible) {
+            if (!isAbandoned(pool, *task))
+                continue;
             m_context.counters.count("pieces_late_total", { { "service", service } });
             task->job->finishTask(task->index, { "", platform::task_failure::Expired });
         }
+        checkSilentCalls(service, pool, now);
         requeueOverdueCalls(service, pool, now);
         startBatchCalls(service, pool, now);
     }
 }
 
+bool task_scheduler::isAbandoned(const pool& pool, const queued_task& task)
+{
+    if (!task.job->isNeeded(task.index))
+        return false;
+    const auto isSameTask = [&task](const auto& item) { return item->job == task.job && item->index == task.index; };
+    const bool isRunning = std::any_of(pool.calls.begin(), pool.calls.end(), [&](const auto& call) { return std::any_of(call->tasks.begin(), call->tasks.end(), isSameTask); });
+    return !isRunning && std::none_of(pool.queue.begin(), pool.queue.end(), isSameTask);
+}
+
 void task_scheduler::requeueOverdueCalls(const std::string& service, pool& pool, time_point now)
 {
     for (const auto& call : pool.calls) {
         const bool isOverdue = asSeconds(now - call->startsAt) > asSeconds(call->expectedTime + networkTime) * overdueFactor;
-        if (!isOverdue || std::exchange(call->isOverdue, true))
+        if (!isOverdue || call->isRequeued)
+            continue;
+        requeueTasks(service, pool, *call, now);
+        if (std::exchange(call->isOverdue, true))
             continue;
         policy::recordSuccess(call->target->health, overdueFactor, now);
-        const bool isWithinBudget = trySpendRetry(m_context, service, now);
-        logLine(log_level::Warning, logComponent, "A batch call is overdue at its target.", { { "target", call->target->listed.id }, { "service", service }, { "pieces", std::to_string(call->tasks.size()) }, { "made_elsewhere", isWithinBudget ? "true" : "false" }, { "first_request", call->tasks.front()->job->requestId } });
-        if (!isWithinBudget)
+        logLine(log_level::Warning, logComponent, "A batch call is overdue at its target.", { { "target", call->target->listed.id }, { "service", service }, { "pieces", std::to_string(call->tasks.size()) }, { "made_elsewhere", call->isRequeued ? "true" : "false" }, { "first_request", call->tasks.front()->job->requestId } });
+    }
+}
+
+void task_scheduler::requeueTasks(const std::string& service, pool& pool, batch_call& call, time_point now)
+{
+    std::vector<task_ptr> copies;
+    for (const auto& task : call.tasks) {
+        if (task->job->isNeeded(task->index) && task->attempts < maxSends)
+            copies.push_back(std::make_shared<queued_task>(*task));
+    }
+    if (copies.empty() || !trySpendRetry(m_context, service, now))
+        return;
+    call.isRequeued = true;
+    m_context.counters.count("piece_retries_total", { { "service", service }, { "reason", "overdue" } });
+    logLine(log_level::Info, logComponent, "The tasks of an overdue batch call may also run at another target.", { { "target", call.target->listed.id }, { "service", service }, { "pieces", std::to_string(copies.size()) }, { "first_request", copies.front()->job->requestId } });
+    pool.queue.insert(pool.queue.end(), copies.begin(), copies.end());
+}
+
+void task_scheduler::checkSilentCalls(const std::string& service, pool& pool, time_point now)
+{
+    const auto calls = pool.calls;
+    for (const auto& call : calls) {
+        if (now < call->silentAt)
             continue;
-        m_context.counters.count("piece_retries_total", { { "service", service }, { "reason", "overdue" } });
-        for (const auto& task : call->tasks) {
-            const bool isNeeded = !task->job->isCancelled && !task->job->finishedTasks[task->index] && task->attempts < maxSends;
-            if (isNeeded)
-                pool.queue.push_back(std::make_shared<queued_task>(*task));
+        if (!call->isSlotFree) {
+            freeSlot(*call, now);
+            policy::recordFailure(call->target->health, policy::call_failure::Failed, now);
+            logLine(log_level::Warning, logComponent, "A batch call is silent; its target may get another one.", { { "target", call->target->listed.id }, { "service", service }, { "pieces", std::to_string(call->tasks.size()) }, { "first_request", call->tasks.front()->job->requestId } });
         }
-        call->isRequeued = true;
+        const bool isUseful = std::any_of(call->tasks.begin(), call->tasks.end(), [now](const auto& task) { return task->job->isNeeded(task->index) && now < task->job->deadline; });
+        if (isUseful)
+            continue;
+        call->call.reset();
+        for (const auto& task : call->tasks)
+            task->job->finishTask(task->index, { "", platform::task_failure::Expired });
+        onCallEnded(service, call, http1::call_outcome::TimedOut);
     }
 }
 
+void task_scheduler::freeSlot(batch_call& call, time_point now)
+{
+    if (std::exchange(call.isSlotFree, true))
+        return;
+    target_state& target = *call.target;
+    --target.inFlight;
+    if (target.inFlight == 0)
+        target.busyUntil = now;
+}
+
 policy::pool_target task_scheduler::planningTarget(const target_state& target, const pool& pool, const deployment::pool_profile& profile, time_point now) const
 {
     const auto slots = static_cast<uint32_t>(profile.slots);
@@ -179,7 +244,7 @@
 {
     const auto* profile = profileOf(service);
     // An overdue call may have delivered the result of a queued task in the meantime.
-    pool.queue.remove_if([](const auto& task) { return task->job->finishedTasks[task->index]; });
+    pool.queue.remove_if([](const auto& task) { return !task->job->isNeeded(task->index); });
     if (pool.queue.empty() || !profile)
         return;
     const std::vector<target_ptr> listedTargets = m_context.targets.ofService(service);
@@ -237,8 +302,8 @@
     };
     callbacks.onBody = [call](std::string_view bytes) { call->body.append(bytes); };
     callbacks.onEnd = [this, service, call](http1::call_outcome outcome) { onCallEnded(service, call, outcome); };
-    const milliseconds timeout = std::chrono::duration_cast<milliseconds>(call->startsAt - now) + std::max(minCallTimeout, call->expectedTime * callTimeoutFactor);
-    call->call = sendToTarget(m_context, target, request, { false, targetConnectTimeout, timeout, maxResultBytes }, std::move(callbacks));
+    call->silentAt = call->startsAt + std::max(minSilentCallTime, call->expectedTime * silentCallFactor);
+    call->call = sendToTarget(m_context, target, request, { .connectTimeout = targetConnectTimeout, .maxResponseBytes = maxResultBytes }, std::move(callbacks));
     logLine(log_level::Info, logComponent, "A batch call was sent to a target of its pool.", { { "service", service }, { "target", target->listed.id }, { "pieces", std::to_string(items.size()) }, { "waiting", std::to_string(pool.queue.size()) }, { "free_bytes", std::to_string(static_cast<int64_t>(profile->resultMemoryBytes - target->heldBytes)) }, { "first_request", call->tasks.front()->job->requestId } });
     m_context.counters.count("piece_calls_total", { { "service", service } });
     m_context.counters.count("pieces_total", { { "service", service } }, static_cast<double>(items.size()));
@@ -248,10 +313,9 @@
 {
     const time_point now = monotonicNow();
     target_state& target = *call->target;
-    --target.inFlight;
-    if (target.inFlight == 0)
-        target.busyUntil = now;
-    m_pools[service].calls.remove(call);
+    freeSlot(*call, now);
+    pool& pool = m_pools[service];
+    pool.calls.remove(call);
     const bool hasResponse = http1::isReceived(outcome) && call->status == http1::statusOk;
     const auto results = hasResponse ? platform::decodeTaskResults(call->body, call->tasks.size()) : result<std::vector<platform::task_result>>(error());
     scheduleTick();
@@ -267,17 +331,21 @@
         target.isReplaced = true;
     const auto failure = isFull ? policy::call_failure::Full : outcome == http1::call_outcome::NotSent ? policy::call_failure::Unreachable
                                                                                                        : policy::call_failure::Failed;
-    policy::recordFailure(target.health, failure, now);
+    // A call that ends here by a timeout was recorded when it became silent.
+    if (outcome != http1::call_outcome::TimedOut)
+        policy::recordFailure(target.health, failure, now);
     logLine(log_level::Warning, logComponent, "A batch call to a target failed.", { { "target", target.listed.id }, { "service", service }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(call->status) }, { "pieces", std::to_string(call->tasks.size()) }, { "firstRequest", call->tasks.front()->job->requestId } });
-    if (call->isRequeued)
+    std::vector<task_ptr> tasks;
+    std::copy_if(call->tasks.begin(), call->tasks.end(), std::back_inserter(tasks), [&pool](const auto& task) { return isAbandoned(pool, *task); });
+    if (tasks.empty())
         return;
     const bool wasSent = outcome != http1::call_outcome::NotSent;
     if (wasSent && !trySpendRetry(m_context, service, now)) {
-        for (const auto& task : call->tasks)
+        for (const auto& task : tasks)
             task->job->finishTask(task->index, { "", platform::task_failure::Failed });
         return;
     }
-    for (const auto& task : call->tasks)
+    for (const auto& task : tasks)
         retry(service, task, platform::task_failure::Failed, wasSent);
 }
 
@@ -293,7 +361,8 @@
             call->target->heldBytes -= job.resultBytes;
         else
             m_results[outcome.handle] = { call->target, job.resultBytes, monotonicNow() + resultLifetimeOf(job.service) };
-        if (outcome.handle.empty() && call->isRequeued)
+        // Another run of the task may still deliver its result.
+        if (outcome.handle.empty() && !isAbandoned(m_pools[job.service], *task))
             continue;
         const bool mayRetry = outcome.failure == platform::task_failure::NoMemory || outcome.failure == platform::task_failure::Failed;
         const time_point now = monotonicNow();
