Gateway: a planned stop ends after its connections, not after its requests

Callers lost the last bytes of a response, or the request that they were sending, when the gateway ended 3 s after SIGTERM. Cause: the main loop quit as soon as no request was open. A request counts as finished when its response is in the buffers of the process, and does not count while it is being read; idle connections were cut by the exit of the process.

With no open request, the gateway now closes idle connections (its sending side first, and it reads on for the linger time) and quits when all connections have ended: responses are acknowledged, requests that are being read are answered or have timed out. The bound by the stop time is unchanged.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -456,7 +456,7 @@
     const auto sinceStopRequest = now - m_stopRequestedAt;
     if (sinceStopRequest > listenAfterStop && !std::exchange(m_hasStoppedListening, true))
         m_callers->stopListening();
-    const bool isDone = sinceStopRequest > acceptAfterStop && m_openRuns.empty();
+    const bool isDone = sinceStopRequest > acceptAfterStop && m_openRuns.empty() && m_callers->closeIdleConnections();
     if (isDone || sinceStopRequest > m_context.settings.bounds.stop - stopMargin)
         m_loop.quit();
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -19,7 +19,7 @@
     /// @throws error (`Unavailable`) if an address cannot be bound.
     explicit gateway(const settings::gateway_settings& settings);
 
-    /// Runs until the process is asked to terminate and its open requests are finished.
+    /// Runs until the process is asked to terminate and its callers have received their responses, or the time for it has passed.
     void run();
 
     /// Applies changed settings. Changed listening addresses take effect only after a restart.
--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -27,6 +27,8 @@
     void setMustClose() noexcept { m_mustClose = true; }
     /// Called when the response is complete; continues with the next request or closes the connection.
     void onResponseComplete();
+    /// Closes the connection if it has no request; its sending side first, so that the client gets its last response whole.
+    void closeIfIdle();
     /// Resets the connection because the exchange ended without a complete response.
     void abort();
     /// Hands over the connection; it stays in the phase of a pending response.
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -183,6 +183,12 @@
             parse();
     }
 
+    void server_connection::closeIfIdle()
+    {
+        if (isOpen() && m_phase == phase::Idle && m_stream->unreadBytes() == 0)
+            startLingering();
+    }
+
     void server_connection::abort()
     {
         m_currentExchange = nullptr;
@@ -377,6 +383,16 @@
     std::erase_if(m_connections, [](const auto& connection) { return !connection->isOpen(); });
 }
 
+bool server::closeIdleConnections()
+{
+    bool hasOpen = false;
+    for (const auto& connection : m_connections) {
+        connection->closeIfIdle();
+        hasOpen = hasOpen || connection->isOpen();
+    }
+    return !hasOpen;
+}
+
 void server::reportUnfinished(std::string_view reason)
 {
     for (const auto& connection : m_connections) {
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -119,6 +119,11 @@
     /// that could not announce it is answered.
     void setCloseAfterResponse(bool isEnabled) noexcept { m_closesAfterResponse = isEnabled; }
 
+    /// Closes all connections that have no request, for the end of the process; call it until it returns true. Connections with a
+    /// request end after its response, or by their timeouts.
+    /// @return True once all connections have ended.
+    [[nodiscard]] bool closeIdleConnections();
+
     [[nodiscard]] size_t connectionCount() const noexcept { return m_connections.size(); }
 
     /// Sets a callback for each request or connection that is refused before it reaches the handler. The status is 0 for a connection.
