--- a/tests/process/gateway_silent_pool_test.cpp
+++ b/tests/process/gateway_silent_pool_test.cpp
@@ -201,7 +201,8 @@
 
 Test(gateway_silent_pool, a_job_at_an_owner_that_stops_is_finished_there)
 {
-    pool_deployment pool(96, 1, { { "stopSeconds", 8 } }, 2);
+    // Without a retry budget, only an entry that takes the job back can start a second call.
+    pool_deployment pool(96, 1, { { "stopSeconds", 8 }, { "retryRatio", 0 }, { "retrySlack", 0 } }, 2);
     const size_t owner = ownerOf("encode", 2);
     const size_t other = 1 - owner;
     pool.waitForLog("The connection to a pool owner is established.", other);
