A stopping gateway ends its last open requests with a response

What callers saw: requests still open shortly before the process is killed lost their connection with neither an answer nor a refusal. Cause: the main loop ended at the stop bound whatever was open. Change: at that time each open request is ended as at its deadline: with 503 if no target has run it, else with 504; the process goes on for 250 ms so that the responses leave. A stream in progress is reset, as before. Result: gateway_planned_work/a_request_that_is_open_at_the_end_of_a_planned_stop_gets_a_response failed before (connection ends without a response) and passes, with the other 15 tests of gateway_planned_work and gateway_planned_work_stages.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,8 +31,9 @@
     /// longer.
     constexpr milliseconds listenAfterStop { 2300 };
     constexpr milliseconds acceptAfterStop { 3000 };
-    /// Margin before the process is killed.
+    /// Open requests get their last response this long before the process is killed, and the process ends at the second margin.
     constexpr milliseconds stopMargin { 400 };
+    constexpr milliseconds killMargin { 150 };
 
     /// After a freeze, requests wait for so long for the target list; if the store is away, they are then sent by the known one.
     constexpr milliseconds rereadTime { 400 };
@@ -457,10 +458,19 @@
     if (sinceStopRequest > listenAfterStop && !std::exchange(m_hasStoppedListening, true))
         m_callers->stopListening();
     const bool isDone = sinceStopRequest > acceptAfterStop && m_openRuns.empty() && m_callers->closeIdleConnections();
-    if (isDone || sinceStopRequest > m_context.settings.bounds.stop - stopMargin)
+    if (sinceStopRequest > m_context.settings.bounds.stop - stopMargin)
+        endOpenRequests();
+    if (isDone || sinceStopRequest > m_context.settings.bounds.stop - killMargin)
         m_loop.quit();
 }
 
+void gateway::endOpenRequests()
+{
+    const auto runs = m_openRuns;
+    for (const auto& run : runs)
+        run->expire("stopping");
+}
+
 void gateway::stop()
 {
     if (std::exchange(m_isStopping, true))
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -63,6 +63,8 @@
     void checkForFreeze(time_point now);
     void tick();
     void stop();
+    /// Ends all requests, as the process has no more time for them.
+    void endOpenRequests();
 
     main_loop m_loop;
     context m_context;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -83,6 +83,9 @@
     /// the last of them.
     void onVerdict(time_point now);
 
+    /// Ends the request although it could go on: with a refusal if no target has run it, else with a failure.
+    void expire(std::string_view reason);
+
     [[nodiscard]] bool isFinished() const noexcept { return m_isFinished; }
     /// @return Priority rank and deadline, by which waiting requests get the next place at a limited target.
     [[nodiscard]] std::pair<int, time_point> urgency() const noexcept { return { m_request.rank, m_deadline }; }
@@ -178,7 +181,6 @@
     void refuse(std::string_view reason, milliseconds retryAfter);
     void refuseSegment(uint64_t segment, time_point now);
     void fail(unsigned status, std::string_view reason);
-    void expire(std::string_view reason);
     void onCallerDisconnected();
     void finish(std::string_view outcome, std::string_view reason, unsigned status);
 
