A stopping pool owner finishes the jobs of other entries

What callers saw: a stage whose call was in progress at an entry that stops was run a second time at another target, or failed without retry budget. Cause: a stopping gateway ended as soon as its own requests were answered, also while it ran stage jobs of other entries. Change: it ends when no hosted job is left and the other entries have all results, bounded as before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -457,7 +457,7 @@
     const auto sinceStopRequest = now - m_stopRequestedAt;
     if (sinceStopRequest > listenAfterStop && !std::exchange(m_hasStoppedListening, true))
         m_callers->stopListening();
-    const bool isDone = sinceStopRequest > acceptAfterStop && m_openRuns.empty() && m_callers->closeIdleConnections();
+    const bool isDone = sinceStopRequest > acceptAfterStop && m_openRuns.empty() && m_pools->isDrained(now) && m_callers->closeIdleConnections();
     if (sinceStopRequest > m_context.settings.bounds.stop - stopMargin)
         endOpenRequests();
     if (isDone || sinceStopRequest > m_context.settings.bounds.stop - killMargin)
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -13,6 +13,9 @@
 
 namespace bilberryseam::gateway {
 
+/// A stopping entry does not wait for an entry that has been disconnected for this long.
+constexpr milliseconds disconnectedEntryGrace { 1500 };
+
 /// Correctness does not depend on ownership: a task may run twice, and an entry that cannot reach the owner schedules the
 /// tasks itself. Ownership serves to fill the batch calls of a pool across entries.
 class pool_router {
@@ -43,6 +46,8 @@
     [[nodiscard]] bool isReady(time_point now) const;
     /// From now on this entry refuses jobs of other entries.
     void setStopping() noexcept { m_isStopping = true; }
+    /// @return True if no job of another entry runs here, and the others have received all results.
+    [[nodiscard]] bool isDrained(time_point now) const { return m_hostedJobs.empty() && m_server.isAllAcknowledged(now, disconnectedEntryGrace); }
 
 private:
     struct peer;
