tests: the first attempt reaches the slow target

Cause: straggler/a_rejected_hedge_does_not_end_the_first_attempt failed in 5 of 12 runs on the fixed code, at its check that a request ran at the slow target: routing chose at random between two targets that had been equally fast. Change: the target that later answers with an error is the slower one at first. All checks stay.

--- a/tests/process/silent_target_test.cpp
+++ b/tests/process/silent_target_test.cpp
@@ -146,8 +146,9 @@
 {
     cluster_spec spec;
     spec.slot = 47;
-    for (const char* name : { "pool-1", "pool-2" })
-        spec.targets.push_back({ .name = name, .service = "rerank", .kind = "reranker", .capacity = 16, .behaviour = { { "latencyMs", 5 } } });
+    // The first attempts go to the target that was fast so far.
+    spec.targets = { { .name = "pool-1", .service = "rerank", .kind = "reranker", .capacity = 16, .behaviour = { { "latencyMs", 5 } } },
+        { .name = "pool-2", .service = "rerank", .kind = "reranker", .capacity = 16, .behaviour = { { "latencyMs", 60 } } } };
     spec.pipelines = json::array({ pipelineOf("rank", { "rerank" }) });
     cluster deployment(spec);
     for (int i = 0; i < 40; ++i)
