--- a/src/fakes/platform_target.cpp
+++ b/src/fakes/platform_target.cpp
@@ -20,6 +20,39 @@
         m_listen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleExchange(std::move(exchange)); });
 }
 
+void platform_target::stopListening()
+{
+    m_silenceEnd.stop();
+    m_server.reset();
+    m_held.clear();
+}
+
+void platform_target::fallSilent(milliseconds duration)
+{
+    const time_point now = monotonicNow();
+    if (isSilent() && m_silentUntil >= now + duration)
+        return;
+    m_silentUntil = now + duration;
+    m_silenceEnd.startOnce(duration, [this] { endSilence(); });
+}
+
+void platform_target::endSilence()
+{
+    while (!isSilent() && !m_held.empty()) {
+        const auto function = std::move(m_held.front());
+        m_held.pop_front();
+        function();
+    }
+}
+
+void platform_target::runWhenAudible(std::function<void()> function)
+{
+    if (isSilent())
+        m_held.push_back(std::move(function));
+    else
+        function();
+}
+
 http1::header_list platform_target::responseHeaders(const http1::exchange& exchange) const
 {
     const auto id = http1::findHeader(exchange.head().headers, "X-Attempt-Id");
@@ -42,32 +75,44 @@
     const http1::request_head& head = exchange->head();
     const auto expectedInstance = http1::findHeader(head.headers, "X-Expect-Instance");
     if (expectedInstance && *expectedInstance != m_id) {
-        exchange->respond(421, { { "X-Replica-Id", m_id } }, {});
+        runWhenAudible([this, exchange = std::move(exchange)] { exchange->respond(421, { { "X-Replica-Id", m_id } }, {}); });
         return;
     }
     const std::string_view path = http1::pathOf(head.target);
     if (path == "/v1/stage-run") {
         m_batchCalls.push_back(exchange->body());
-        if (m_batchCallHandler)
-            m_batchCallHandler(std::move(exchange));
-        else
-            respondToBatchCall(*exchange);
+        runWhenAudible([this, exchange = std::move(exchange)] { handleBatchCall(exchange); });
         return;
     }
     if (path == "/v1/stage-free") {
         const json request = json::parse(exchange->body());
         for (const json& handle : request.at("handles"))
             m_releasedResults.push_back(handle);
-        exchange->respond(200, {}, "{}");
+        runWhenAudible([exchange = std::move(exchange)] { exchange->respond(200, {}, "{}"); });
         return;
     }
     m_requests.push_back({ std::string(http1::findHeader(head.headers, "X-Attempt-Id").value_or("")), head, exchange->body() });
+    if (m_onArrival)
+        m_onArrival(m_requests.back());
+    runWhenAudible([this, exchange = std::move(exchange)] { handleRequest(exchange); });
+}
+
+void platform_target::handleRequest(std::shared_ptr<http1::exchange> exchange)
+{
     if (m_requestHandler)
         m_requestHandler(std::move(exchange));
     else
         exchange->respond(200, responseHeaders(*exchange), m_id);
 }
 
+void platform_target::handleBatchCall(std::shared_ptr<http1::exchange> exchange)
+{
+    if (m_batchCallHandler)
+        m_batchCallHandler(std::move(exchange));
+    else
+        respondToBatchCall(*exchange);
+}
+
 void platform_target::respondToBatchCall(http1::exchange& exchange, http1::header_list headers)
 {
     const json request = json::parse(exchange.body());
--- a/src/fakes/platform_target.hpp
+++ b/src/fakes/platform_target.hpp
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "http1/server.hpp"
+#include "loop/timer.hpp"
 
 #include <functional>
+#include <list>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,6 +33,16 @@
     /// Sets the handler of batch calls; without one, each task gets a result at once.
     void setBatchCallHandler(exchange_handler handler) { m_batchCallHandler = std::move(handler); }
 
+    /// Sets a function that is called with each request other than a batch call when it arrives, also while the target is silent.
+    void setOnArrival(std::function<void(const received_request&)> onArrival) { m_onArrival = std::move(onArrival); }
+
+    /// Stops sending for a time; connections are accepted and requests are received, and nothing is lost. Handlers are called
+    /// after the silence, also for requests whose connection has closed in the meantime. A longer silence in progress goes on.
+    void fallSilent(milliseconds duration);
+    [[nodiscard]] bool isSilent() const noexcept { return m_silenceEnd.isRunning(); }
+    /// Calls a function at once, or after the silence in the order of these calls; never if the target stops before.
+    void runWhenAudible(std::function<void()> function);
+
     [[nodiscard]] const std::string& id() const noexcept { return m_id; }
     [[nodiscard]] const ip_endpoint& endpoint() const noexcept { return m_endpoint; }
     /// Sets the address that the target advertises, also in result handles, such as that of a fake link.
@@ -46,8 +58,8 @@
     /// Starts a successful response with neither a length nor chunks; its body ends with the connection.
     /// @return The connection, which the caller writes the body to and closes or resets.
     [[nodiscard]] std::shared_ptr<http1::tcp_stream> startUnframed(http1::exchange& exchange) const;
-    /// Closes all connections and refuses new ones. Must not be called by a handler.
-    void stopListening() { m_server.reset(); }
+    /// Closes all connections, refuses new ones and ends a silence. Must not be called by a handler.
+    void stopListening();
     void startListening();
     /// Responds to a batch call with a result for each task.
     /// @param headers  Further header fields of the response.
@@ -55,15 +67,22 @@
 
 private:
     void handleExchange(std::shared_ptr<http1::exchange> exchange);
+    void handleRequest(std::shared_ptr<http1::exchange> exchange);
+    void handleBatchCall(std::shared_ptr<http1::exchange> exchange);
+    void endSilence();
 
     std::string m_id;
     ip_endpoint m_endpoint;
     exchange_handler m_requestHandler;
     exchange_handler m_batchCallHandler;
+    std::function<void(const received_request&)> m_onArrival;
     std::vector<received_request> m_requests;
     std::vector<std::string> m_batchCalls;
     std::vector<std::string> m_releasedResults;
     uint64_t m_nextResult = 1;
+    time_point m_silentUntil {};
+    timer m_silenceEnd;
+    std::list<std::function<void()>> m_held;
     ip_endpoint m_listen;
     std::optional<http1::server> m_server;
 };
--- a/tests/support/deployment_fixture.cpp
+++ b/tests/support/deployment_fixture.cpp
@@ -50,19 +50,32 @@
     return { testHost(), static_cast<uint16_t>(m_nextPort++) };
 }
 
-fakes::platform_target& deployment_fixture::addTarget(const std::string& id, const std::string& service, const std::string& domain)
+fakes::platform_target& deployment_fixture::addTarget(const std::string& id, const std::string& service, const std::string& domain, const json& version)
 {
     m_targets.push_back(std::make_unique<fakes::platform_target>(id, allocateAddress()));
-    listTarget(*m_targets.back(), service, "ready", domain);
+    listTarget(*m_targets.back(), service, "ready", domain, version);
     return *m_targets.back();
 }
 
-void deployment_fixture::listTarget(const fakes::platform_target& target, const std::string& service, const std::string& state, const std::string& domain)
+void deployment_fixture::listTarget(const fakes::platform_target& target, const std::string& service, const std::string& state, const std::string& domain, const json& version, std::optional<int64_t> startedAtMs)
 {
-    const json record { { "service", service }, { "address", target.endpoint().toString() }, { "zone", domain }, { "version", "v1" }, { "slots", 8 }, { "state", state }, { "cold_left_ms", 0 }, { "seq", 1 } };
+    json record { { "service", service }, { "address", target.endpoint().toString() }, { "zone", domain }, { "slots", 8 }, { "state", state }, { "cold_left_ms", 0 }, { "seq", 1 } };
+    if (!version.is_null())
+        record["version"] = version;
+    if (startedAtMs)
+        record["born"] = *startedAtMs;
     m_store->put("keyed.servers", target.id(), record.dump());
 }
 
+void deployment_fixture::restartEngine(fakes::platform_engine& engine, const std::string& service, const std::string& version, milliseconds recordDelay)
+{
+    engine.restartAs(version, [this, &target = engine.target(), service, version, recordDelay] {
+        const int64_t startedAtMs = wallNow().time_since_epoch().count();
+        m_lateRecords.push_back(std::make_unique<timer>());
+        m_lateRecords.back()->startOnce(recordDelay, [this, &target, service, version, startedAtMs] { listTarget(target, service, "ready", "north-1", version, startedAtMs); });
+    });
+}
+
 json deployment_fixture::route(const std::string& prefix, const std::string& kind, const std::string& service, const json& changes)
 {
     json route { { "name", "r" + prefix }, { "host", "shop.example" }, { "path_prefix", prefix }, { "kind", kind }, { "timeout_ms", 5000 }, { "target_latency_ms", 1000 }, { "priority", 1 }, { "service", service }, { "max_attempts", 2 }, { "public", false } };
--- a/tests/support/deployment_fixture.hpp
+++ b/tests/support/deployment_fixture.hpp
@@ -1,6 +1,7 @@
 /// Gateway processes in front of a fake platform that runs in the main loop of the test.
 #pragma once
 
+#include "fakes/platform_engine.hpp"
 #include "fakes/platform_store.hpp"
 #include "fakes/platform_target.hpp"
 #include "http1/client.hpp"
@@ -10,6 +11,7 @@
 #include <gio/gio.h>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,8 +45,13 @@
     fakes::platform_store& store() { return *m_store; }
 
     /// Starts a target and lists it in the store.
-    fakes::platform_target& addTarget(const std::string& id, const std::string& service, const std::string& domain = "north-1");
-    void listTarget(const fakes::platform_target& target, const std::string& service, const std::string& state = "ready", const std::string& domain = "north-1");
+    /// @param version  Software version in its record, of any type; null for a record without one.
+    fakes::platform_target& addTarget(const std::string& id, const std::string& service, const std::string& domain = "north-1", const nlohmann::json& version = "v1");
+    /// @param startedAtMs  Start of the target in Unix milliseconds; not set for a record without it.
+    void listTarget(const fakes::platform_target& target, const std::string& service, const std::string& state = "ready", const std::string& domain = "north-1", const nlohmann::json& version = "v1", std::optional<int64_t> startedAtMs = std::nullopt);
+    /// Restarts an engine under its identifier and address with another software version.
+    /// @param recordDelay  Time from its start until its record in the store names the start and the version.
+    void restartEngine(fakes::platform_engine& engine, const std::string& service, const std::string& version, milliseconds recordDelay);
     void unlistTarget(const std::string& id) { m_store->put("keyed.servers", id, ""); }
 
     /// @return A route for the configuration; `changes` override or add fields.
@@ -97,6 +104,7 @@
     ip_endpoint m_storeAddress;
     std::unique_ptr<fakes::platform_store> m_store;
     std::vector<std::unique_ptr<fakes::platform_target>> m_targets;
+    std::vector<std::unique_ptr<timer>> m_lateRecords;
     std::vector<gateway_process> m_gateways;
     uint64_t m_nextId = 1;
 };
