--- a/tests/soak/engine_soak_test.cpp
+++ b/tests/soak/engine_soak_test.cpp
@@ -1,6 +1,7 @@
 /// Engines in trouble behind gateways that are killed, stopped, paused and cut off from the store: prompt segments that
 /// crash engines, engines that crash by themselves, and engines that state how many requests they take.
 /// The environment variables of soak_test.cpp select seeds, duration and the folder for logs.
+#include "soak/gateway_faults.hpp"
 #include "soak/seeds.hpp"
 #include "support/engine_fleet.hpp"
 
@@ -62,7 +63,7 @@
         secondSegment.startOnce(milliseconds(1500 + randomBelow(3000)), [this] { startCrashing("bad2"); });
         m_fleet.deployment.waitUntil([&] { return monotonicNow() >= end; }, "the end of the fault phase");
         faults.stop();
-        m_undoTimers.clear();
+        m_undo.clear();
         restoreAll();
         const time_point restoredAt = monotonicNow();
         // The crashing requests still come.
@@ -100,9 +101,9 @@
 
     void sendRequests()
     {
-        if (const size_t gateway = randomBelow(gatewayCount); !m_stopped.contains(gateway))
+        if (const size_t gateway = randomBelow(gatewayCount); !m_faults.isStopped(gateway))
             send({ "system", "subject" + std::to_string(randomBelow(4)), "session" + std::to_string(randomBelow(40)) }, gateway);
-        if (const size_t gateway = randomBelow(gatewayCount); !m_stopped.contains(gateway) && !m_crashingSegments.empty() && randomBelow(6) == 0) {
+        if (const size_t gateway = randomBelow(gatewayCount); !m_faults.isStopped(gateway) && !m_crashingSegments.empty() && randomBelow(6) == 0) {
             const std::string bad = *std::next(m_crashingSegments.begin(), randomBelow(static_cast<unsigned>(m_crashingSegments.size())));
             const std::string subject = "subject" + std::to_string(randomBelow(4));
             send(randomBelow(2) == 0 ? prompt { "system", subject, bad } : prompt { bad, subject }, gateway);
@@ -171,7 +172,7 @@
         const char* value = values[randomBelow(3)];
         m_limits[&engine] = { std::stod(value), monotonicNow(), {}, {} };
         engine.behaviour().statedLimit = value;
-        scheduleUndo(duration, [this, &engine] {
+        m_undo.schedule(duration, [this, &engine] {
             m_limits.erase(&engine);
             engine.behaviour().statedLimit.reset();
         });
@@ -198,7 +199,7 @@
             stopGateway(SIGTERM, duration);
             break;
         case 2:
-            pauseGateway(duration);
+            m_faults.pause(randomBelow(gatewayCount), duration);
             break;
         case 3:
             injectStoreFault(duration);
@@ -217,56 +218,17 @@
         }
     }
 
-    void scheduleUndo(milliseconds delay, std::function<void()> action)
-    {
-        m_undoTimers.push_back(std::make_unique<timer>());
-        m_undoTimers.back()->startOnce(delay, std::move(action));
-    }
-
     void stopGateway(int signal, milliseconds duration)
     {
-        const size_t gateway = randomBelow(gatewayCount);
-        if (m_paused.contains(gateway) || !m_stopped.insert(gateway).second)
-            return;
-        m_disturbedAt[gateway] = monotonicNow();
-        m_fleet.deployment.signal(gateway, signal);
-        scheduleUndo(duration, [this, gateway] { restartGateway(gateway); });
-    }
-
-    void restartGateway(size_t gateway)
-    {
-        m_disturbedAt[gateway] = monotonicNow();
-        if (!m_fleet.deployment.hasExited(gateway)) {
-            scheduleUndo(milliseconds(100), [this, gateway] { restartGateway(gateway); });
-            return;
-        }
-        m_fleet.deployment.restartGateway(gateway);
-        m_stopped.erase(gateway);
-    }
-
-    void pauseGateway(milliseconds duration)
-    {
-        const size_t gateway = randomBelow(gatewayCount);
-        if (m_stopped.contains(gateway) || !m_paused.insert(gateway).second)
-            return;
-        m_fleet.deployment.signal(gateway, SIGSTOP);
-        // While it is paused, its time of disturbance is in the future.
-        m_disturbedAt[gateway] = monotonicNow() + duration;
-        scheduleUndo(duration, [this, gateway] { resume(gateway); });
-    }
-
-    void resume(size_t gateway)
-    {
-        m_disturbedAt[gateway] = monotonicNow();
-        m_fleet.deployment.signal(gateway, SIGCONT);
-        m_paused.erase(gateway);
+        if (const size_t gateway = randomBelow(gatewayCount); !m_faults.isPaused(gateway))
+            m_faults.stop(gateway, signal, duration);
     }
 
     void injectStoreFault(milliseconds duration)
     {
         const fakes::store_faults faults[] { { true, false, 0 }, { false, true, 0 }, { false, false, 503 }, { false, false, 429 } };
         m_fleet.deployment.store().setFaults(faults[randomBelow(4)]);
-        scheduleUndo(duration, [this] { m_fleet.deployment.store().setFaults({}); });
+        m_undo.schedule(duration, [this] { m_fleet.deployment.store().setFaults({}); });
     }
 
     void restoreAll()
@@ -275,13 +237,7 @@
         m_limits.clear();
         for (auto& engine : m_fleet.engines)
             engine.behaviour().statedLimit.reset();
-        for (const size_t gateway : std::set(m_paused))
-            resume(gateway);
-        for (const size_t gateway : std::exchange(m_stopped, {})) {
-            m_fleet.deployment.waitUntil([&] { return m_fleet.deployment.hasExited(gateway); }, "a stopped gateway to exit");
-            m_disturbedAt[gateway] = monotonicNow();
-            m_fleet.deployment.restartGateway(gateway);
-        }
+        m_faults.restoreAll();
     }
 
     /// @return Whether each gateway serves sound requests of each subject.
@@ -319,9 +275,9 @@
     std::map<size_t, time_point> m_disturbedAt;
     std::map<const fakes::platform_engine*, engine_limit> m_limits;
     size_t m_mostLimited = 0;
-    std::set<size_t> m_stopped;
-    std::set<size_t> m_paused;
-    std::vector<std::unique_ptr<timer>> m_undoTimers;
+    undo_actions m_undo;
+    // A pause ends in the future, and so does its disturbance.
+    gateway_faults m_faults { m_fleet.deployment, m_undo, [this](size_t gateway, time_point until) { m_disturbedAt[gateway] = until; } };
     size_t m_faultCount = 0;
     size_t m_servedCount = 0;
 };
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -2,6 +2,7 @@
 /// BILBERRYSEAM_SOAK_SEEDS ("1,2,3" or "100-150") and BILBERRYSEAM_SOAK_SECONDS select seeds and duration;
 /// BILBERRYSEAM_SOAK_LOGS names a directory for the gateway logs of a failed run.
 #include "fakes/fake_link.hpp"
+#include "soak/gateway_faults.hpp"
 #include "soak/seeds.hpp"
 #include "soak/stream_text.hpp"
 #include "support/deployment_fixture.hpp"
@@ -74,7 +75,7 @@
         faults.startEvery(milliseconds(350), [this] { injectFault(); });
         m_deployment.waitUntil([&] { return monotonicNow() >= end; }, "the end of the fault phase");
         faults.stop();
-        m_undoTimers.clear();
+        m_undo.clear();
         restoreAll();
         const time_point restoredAt = monotonicNow();
         m_deployment.waitUntil([&] { return isServiceRestored(); }, "service to be restored after the last fault");
@@ -222,7 +223,7 @@
     void sendRequest()
     {
         const size_t gateway = randomBelow(gatewayCount);
-        if (m_stopped.contains(gateway) || m_requests.size() > 20000)
+        if (m_faults.isStopped(gateway) || m_requests.size() > 20000)
             return;
         soak_request request;
         request.kind = static_cast<request_kind>(randomBelow(4));
@@ -249,13 +250,13 @@
         const milliseconds duration(200 + randomBelow(1800));
         switch (randomBelow(11)) {
         case 0:
-            stopGateway(SIGKILL, duration);
+            m_faults.stop(randomBelow(gatewayCount), SIGKILL, duration);
             break;
         case 1:
-            stopGateway(SIGTERM, duration);
+            m_faults.stop(randomBelow(gatewayCount), SIGTERM, duration);
             break;
         case 2:
-            pauseGateway(duration);
+            m_faults.pause(randomBelow(gatewayCount), duration);
             break;
         case 3:
             injectStoreFault(duration);
@@ -276,61 +277,22 @@
             break;
         case 9:
             m_truncatedPercent = 20 + randomBelow(60);
-            scheduleUndo(duration, [this] { m_truncatedPercent = 0; });
+            m_undo.schedule(duration, [this] { m_truncatedPercent = 0; });
             break;
         default: {
             const size_t index = randomBelow(static_cast<unsigned>(m_targets.size()));
             m_targets[index].faultPercent = 20 + randomBelow(60);
-            scheduleUndo(duration, [this, index] { m_targets[index].faultPercent = 0; });
+            m_undo.schedule(duration, [this, index] { m_targets[index].faultPercent = 0; });
         }
         }
     }
 
-    void scheduleUndo(milliseconds delay, std::function<void()> action)
-    {
-        m_undoTimers.push_back(std::make_unique<timer>());
-        m_undoTimers.back()->startOnce(delay, std::move(action));
-    }
-
-    void stopGateway(int signal, milliseconds duration)
-    {
-        const size_t gateway = randomBelow(gatewayCount);
-        if (!m_stopped.insert(gateway).second)
-            return;
-        m_deployment.signal(gateway, signal);
-        scheduleUndo(duration, [this, gateway] { restartGateway(gateway); });
-    }
-
-    void restartGateway(size_t gateway)
-    {
-        if (!m_stopped.contains(gateway))
-            return;
-        if (!m_deployment.hasExited(gateway)) {
-            scheduleUndo(milliseconds(100), [this, gateway] { restartGateway(gateway); });
-            return;
-        }
-        m_deployment.restartGateway(gateway);
-        m_stopped.erase(gateway);
-    }
-
-    void pauseGateway(milliseconds duration)
-    {
-        const size_t gateway = randomBelow(gatewayCount);
-        if (m_stopped.contains(gateway) || !m_paused.insert(gateway).second)
-            return;
-        m_deployment.signal(gateway, SIGSTOP);
-        scheduleUndo(duration, [this, gateway] {
-            m_deployment.signal(gateway, SIGCONT);
-            m_paused.erase(gateway);
-        });
-    }
-
     void injectStoreFault(milliseconds duration)
     {
         m_isStoreHealthy = false;
         const fakes::store_faults faults[] { { true, false, 0 }, { false, true, 0 }, { false, false, 503 }, { false, false, 429 } };
         m_deployment.store().setFaults(faults[randomBelow(4)]);
-        scheduleUndo(duration, [this] { restoreStore(); });
+        m_undo.schedule(duration, [this] { restoreStore(); });
     }
 
     void restoreStore()
@@ -349,7 +311,7 @@
         target.isLeaving = true;
         target.leavingSince = monotonicNow();
         m_deployment.listTarget(*target.target, target.service, "draining");
-        scheduleUndo(duration + leavingBound, [this, index] { returnTarget(m_targets[index]); });
+        m_undo.schedule(duration + leavingBound, [this, index] { returnTarget(m_targets[index]); });
     }
 
     void returnTarget(soak_target& target)
@@ -375,7 +337,7 @@
         default:
             m_links[index]->applySwitches({ { "down", true } });
         }
-        scheduleUndo(duration, [this, index] {
+        m_undo.schedule(duration, [this, index] {
             m_links[index]->applySwitches({ { "down", false }, { "cutAfterBlocks", 0 } });
             if (index == 0)
                 restoreStore();
@@ -393,13 +355,7 @@
             if (target.isLeaving)
                 returnTarget(target);
         }
-        for (const size_t gateway : std::exchange(m_paused, {}))
-            m_deployment.signal(gateway, SIGCONT);
-        for (const size_t gateway : m_stopped) {
-            m_deployment.waitUntil([&] { return m_deployment.hasExited(gateway); }, "a stopped gateway to exit");
-            m_deployment.restartGateway(gateway);
-        }
-        m_stopped.clear();
+        m_faults.restoreAll();
     }
 
     /// @return Whether each gateway responds with status 200 to a request of each kind.
@@ -449,10 +405,9 @@
     std::vector<soak_request> m_requests;
     std::vector<std::shared_ptr<http1::exchange>> m_unansweredExchanges;
     std::map<std::string, unsigned> m_runs;
-    std::set<size_t> m_stopped;
-    std::set<size_t> m_paused;
     std::vector<std::unique_ptr<timer>> m_timers;
-    std::vector<std::unique_ptr<timer>> m_undoTimers;
+    undo_actions m_undo;
+    gateway_faults m_faults { m_deployment, m_undo };
     int m_version = 0;
     bool m_isStoreHealthy = true;
     time_point m_storeHealthySince = monotonicNow();
