gateway: log software versions of targets and continued streams

Change: the version of a target's record is decoded (empty if it is missing, no text or over 64 bytes), and the request that a caller names as the beginning of its stream. `The request was accepted.` says `continues`, `The request was sent to a target.` the version and the last event of the caller. Nothing else uses them yet.

--- a/src/deployment/caller_request.hpp
+++ b/src/deployment/caller_request.hpp
@@ -69,5 +69,7 @@
     std::vector<uint32_t> taskCounts;
     /// Identifies the inputs of stages that have no input stages.
     std::string taskKey;
+    /// Identifies the earlier request of the caller that brought the first event of the stream; empty if not given.
+    std::string continuedRequest;
 };
 }
--- a/src/deployment/deployment.hpp
+++ b/src/deployment/deployment.hpp
@@ -152,6 +152,8 @@
     bool isDraining = false;
     /// Unix time of its start in milliseconds; zero if not given.
     int64_t startedAtMs = 0;
+    /// Version of its software; empty if it is not known. Responses of different versions cannot be joined.
+    std::string softwareVersion;
 
     bool operator==(const target&) const = default;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,9 @@
 
     constexpr milliseconds tickPeriod { 25 };
 
+    /// Bytes of an identifier from outside that are logged.
+    constexpr size_t maxLoggedBytes = 40;
+
     /// Reads of the store cost money, so they are as rare as the bounds allow. A change must be known in time even if one
     /// read fails, unless the bound is so short that this would take too many reads.
     constexpr double shortestPauseShare = 0.36;
@@ -63,7 +66,7 @@
 
     void logTarget(const target_state& target, std::string_view change)
     {
-        logLine(log_level::Info, "targets", "The record of a target in the target list changed.", { { "target", target.listed.id }, { "change", std::string(change) }, { "service", target.listed.service }, { "address", target.listed.endpoint.toString() }, { "failure_domain", target.listed.failureDomain } });
+        logLine(log_level::Info, "targets", "The record of a target in the target list changed.", { { "target", target.listed.id }, { "change", std::string(change) }, { "service", target.listed.service }, { "address", target.listed.endpoint.toString() }, { "failure_domain", target.listed.failureDomain }, { "software_version", target.listed.softwareVersion } });
     }
 }
 
@@ -360,7 +363,7 @@
 {
     request.service = std::string(deployment::pickService(*request.route, hashOf(request.callerRequest.id)));
     earnRetries(m_context, request.service, now);
-    logLine(log_level::Info, logComponent, "The request was accepted.", { { "request", request.callerRequest.id }, { "route", request.route->name }, { "service", request.service }, { "account", request.account }, { "version", std::to_string(request.configuration->version) }, { "checked_ms_ago", std::to_string(asMilliseconds(now - m_context.configurationCheckedAt)) }, { "open", std::to_string(m_openRuns.size()) } });
+    logLine(log_level::Info, logComponent, "The request was accepted.", { { "request", request.callerRequest.id }, { "route", request.route->name }, { "service", request.service }, { "account", request.account }, { "continues", request.callerRequest.continuedRequest.substr(0, maxLoggedBytes) }, { "version", std::to_string(request.configuration->version) }, { "checked_ms_ago", std::to_string(asMilliseconds(now - m_context.configurationCheckedAt)) }, { "open", std::to_string(m_openRuns.size()) } });
     const auto run = std::make_shared<request_run>(m_context, *m_pools, std::move(request), [this](request_run* finishedRun) {
         const auto position = std::find_if(m_openRuns.begin(), m_openRuns.end(), [finishedRun](const auto& item) { return item.get() == finishedRun; });
         if (position == m_openRuns.end())
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -10,6 +10,9 @@
 namespace {
     constexpr std::string_view logComponent = "request";
 
+    /// Bytes of an identifier from outside that are logged.
+    constexpr size_t maxLoggedBytes = 40;
+
     /// A prompt segment counts as cached at a target for this long after it was last processed there.
     constexpr seconds cachedPrefixLifetime { 60 };
 
@@ -195,7 +198,7 @@
     const bool needsNewConnection = !m_request.route->isRetryable();
     attempt.call = sendToTarget(m_context, target, request, { needsNewConnection }, std::move(callbacks));
     m_context.counters.count("sends_total", { { "service", m_request.service } });
-    logLine(log_level::Info, logComponent, "The request was sent to a target.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "send", std::to_string(m_sends) }, { "left_ms", std::to_string(call.timeLeft.count()) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target->listedAt)) }, { "in_flight", std::to_string(target->inFlight) }, { "beside_a_silent_target", m_backup ? "true" : "false" } });
+    logLine(log_level::Info, logComponent, "The request was sent to a target.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "send", std::to_string(m_sends) }, { "left_ms", std::to_string(call.timeLeft.count()) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target->listedAt)) }, { "software_version", target->listed.softwareVersion }, { "after_event", m_lastEventId.substr(0, maxLoggedBytes) }, { "in_flight", std::to_string(target->inFlight) }, { "beside_a_silent_target", m_backup ? "true" : "false" } });
 }
 
 // End of the request.
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -26,6 +26,8 @@
     /// Identifies the inputs of stages that take no results; it applies to all tasks of the request.
     constexpr std::string_view taskKeyName = "X-Piece-Key";
     constexpr std::string_view lastEventName = "Last-Event-Id";
+    /// Identifies the caller's request that brought the first event of the stream which this request continues.
+    constexpr std::string_view continuedRequestName = "Resumes";
     /// Handles of stage results.
     constexpr std::string_view inputsName = "X-Inputs";
     /// Identifier of the target that the request is meant for.
@@ -132,6 +134,7 @@
         request.generation = readPrompt(headers);
         forEachListItem(findUnique(headers, taskCountsName).value_or(""), [&](std::string_view item) { request.taskCounts.push_back(parseNumber<uint32_t>(item, taskCountsName)); });
         request.taskKey = std::string(findUnique(headers, taskKeyName).value_or(""));
+        request.continuedRequest = std::string(findUnique(headers, continuedRequestName).value_or(""));
         return request;
     }
 
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -139,6 +139,16 @@
         }
     }
 
+    /// @return The version of a target's software; empty if it is missing, no text or longer than any real one.
+    std::string readSoftwareVersion(const json& from)
+    {
+        constexpr size_t maxBytes = 64;
+        const auto it = from.find("version");
+        if (it == from.end() || !it->is_string() || it->get_ref<const std::string&>().size() > maxBytes)
+            return {};
+        return it->get<std::string>();
+    }
+
     deployment::target readTarget(std::string_view id, const json& from)
     {
         deployment::target target;
@@ -153,6 +163,7 @@
         target.isDraining = state == "draining";
         // "born" is the Unix time of the target's start in milliseconds.
         target.startedAtMs = readOr<int64_t>(from, "born", 0);
+        target.softwareVersion = readSoftwareVersion(from);
         return target;
     }
 }
--- a/tests/process/platform_engine_test.cpp
+++ b/tests/process/platform_engine_test.cpp
@@ -101,7 +101,7 @@
 
 Test(platform_engine, a_silence_at_any_point_of_a_response_loses_nothing)
 {
-    deployment_fixture deployment(80);
+    deployment_fixture deployment(240);
     checkSilenceBeforeHead(deployment);
     checkSilenceBetweenHeadAndBody(deployment);
     checkSilenceBetweenEvents(deployment);
@@ -110,7 +110,7 @@
 
 Test(platform_engine, a_silent_target_accepts_connections_and_responds_to_all_requests_afterwards)
 {
-    deployment_fixture deployment(81);
+    deployment_fixture deployment(241);
     http1::client client;
     auto& target = deployment.addTarget("t-1", "pages");
     target.fallSilent(silence);
@@ -128,7 +128,7 @@
 
 Test(platform_engine, random_silences_follow_from_the_seed_and_lose_nothing)
 {
-    deployment_fixture deployment(82);
+    deployment_fixture deployment(242);
     http1::client client;
     std::vector<std::vector<milliseconds>> drawn;
     for (const unsigned seed : { 7U, 7U, 8U }) {
@@ -149,7 +149,7 @@
 
 Test(platform_engine, an_engine_starts_under_its_identifier_with_another_version_and_is_listed_late)
 {
-    deployment_fixture deployment(83);
+    deployment_fixture deployment(243);
     single_stream test(deployment, { .firstEventDelay = milliseconds(10), .restartDelay = milliseconds(100), .version = "v1", .isResuming = true });
     test.deployment.waitUntil([&] { return test.caller->isFinished; }, "the end of the stream");
     cr_assert_eq(test.caller->body, streamOf(4, "v1"));
@@ -168,7 +168,7 @@
 
 Test(platform_engine, a_record_has_any_version_or_none)
 {
-    deployment_fixture deployment(84);
+    deployment_fixture deployment(244);
     constexpr size_t longSize = 10 * 1024;
     for (const json& version : { json(nullptr), json(12), json(std::string(longSize, 'v')), json("v1.2") }) {
         auto& target = deployment.addTarget("t-1", "pages", "north-1", version);
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -19,9 +19,6 @@
 
 namespace {
     /// Ports are below the system's ephemeral port range, so that outgoing connections cannot occupy them.
-    constexpr int firstPort = 2000;
-    constexpr int portsPerSlot = 150;
-
     void endWithParent(gpointer)
     {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -65,7 +62,7 @@
 
 cluster::cluster(cluster_spec spec)
     : m_spec(std::move(spec))
-    , m_nextPort(firstPort + m_spec.slot * portsPerSlot)
+    , m_nextPort(firstPortOfSlot(m_spec.slot))
     , m_directory(std::filesystem::temp_directory_path() / ("bilberryseam-test-" + std::to_string(getpid())))
 {
     std::filesystem::create_directories(m_directory);
@@ -106,7 +103,7 @@
 
 std::string cluster::allocateAddress()
 {
-    return testHost() + ":" + std::to_string(m_nextPort++);
+    return hostOfSlot(m_spec.slot) + ":" + std::to_string(m_nextPort++);
 }
 
 void cluster::writeSettings(const std::string& process, const json& settings)
--- a/tests/support/deployment_fixture.cpp
+++ b/tests/support/deployment_fixture.cpp
@@ -16,9 +16,6 @@
 using nlohmann::json;
 
 namespace {
-    constexpr int firstPort = 2000;
-    constexpr int portsPerSlot = 150;
-
     void endWithParent(gpointer)
     {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -27,7 +24,8 @@
 
 deployment_fixture::deployment_fixture(int slot)
     : m_directory(std::filesystem::temp_directory_path() / ("bilberryseam-deployment-" + std::to_string(getpid())))
-    , m_nextPort(firstPort + slot * portsPerSlot)
+    , m_host(hostOfSlot(slot))
+    , m_nextPort(firstPortOfSlot(slot))
 {
     std::signal(SIGPIPE, SIG_IGN);
     std::filesystem::create_directories(m_directory);
@@ -47,7 +45,7 @@
 
 ip_endpoint deployment_fixture::allocateAddress()
 {
-    return { testHost(), static_cast<uint16_t>(m_nextPort++) };
+    return { m_host, static_cast<uint16_t>(m_nextPort++) };
 }
 
 fakes::platform_target& deployment_fixture::addTarget(const std::string& id, const std::string& service, const std::string& domain, const json& version)
--- a/tests/support/deployment_fixture.hpp
+++ b/tests/support/deployment_fixture.hpp
@@ -99,6 +99,7 @@
     void spawn(gateway_process& gateway);
 
     std::string m_directory;
+    std::string m_host;
     int m_nextPort;
     http1::client m_client;
     ip_endpoint m_storeAddress;
--- a/tests/support/test_host.hpp
+++ b/tests/support/test_host.hpp
@@ -1,4 +1,4 @@
-/// Loopback address of the tests.
+/// Loopback addresses of the tests. Tests run at the same time, so each has a slot with ports of its own.
 #pragma once
 
 #include <cstdlib>
@@ -12,4 +12,22 @@
     const char* host = std::getenv("BILBERRYSEAM_TEST_HOST");
     return host ? host : "127.0.0.1";
 }
+
+constexpr int portsPerSlot = 150;
+/// Slots from here on use the ports of the first ones at another address; ports above are ephemeral.
+constexpr int firstSlotOfSecondHost = 205;
+
+[[nodiscard]] inline std::string hostOfSlot(int slot)
+{
+    std::string host = testHost();
+    if (slot >= firstSlotOfSecondHost)
+        host.replace(0, std::string("127.0.").size(), "127.1.");
+    return host;
+}
+
+[[nodiscard]] constexpr int firstPortOfSlot(int slot) noexcept
+{
+    constexpr int firstPort = 2000;
+    return firstPort + slot % firstSlotOfSecondHost * portsPerSlot;
+}
 }
