--- /dev/null
+++ b/tests/process/gateway_software_version_test.cpp
@@ -0,0 +1,262 @@
+/// Streams and the software versions of their targets: a stream goes on only at the version that began it.
+#include "support/deployment_fixture.hpp"
+
+#include <criterion/criterion.h>
+#include <csignal>
+#include <list>
+#include <set>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+using nlohmann::json;
+
+namespace {
+/// Engines of a service, of which some break off after the first event of each stream that they begin.
+class versioned_fleet {
+public:
+    explicit versioned_fleet(int slot, size_t gatewayCount = 1)
+        : deployment(slot)
+        , m_gatewayCount(gatewayCount)
+    {
+        deployment.configure(3, { deployment_fixture::route("/m/", "streaming", "model", { { "resumable", true } }) });
+        for (size_t i = 0; i < gatewayCount; ++i)
+            deployment.startGateway();
+    }
+
+    fakes::platform_engine& add(const std::string& id, const std::string& version)
+    {
+        auto& target = deployment.addTarget(id, "model", "north-1", version);
+        fakes::engine_behaviour behaviour;
+        behaviour.version = version;
+        behaviour.isResuming = true;
+        behaviour.eventPeriod = milliseconds(150);
+        return engines.emplace_back(target, behaviour);
+    }
+
+    void waitUntilReady()
+    {
+        for (size_t i = 0; i < m_gatewayCount; ++i)
+            deployment.waitUntilReady(i);
+        // The gateways find each other within one read of their directory.
+        deployment.runLoopFor(milliseconds(m_gatewayCount > 1 ? 1500 : 300));
+    }
+
+    /// Begins a stream at a gateway, as attempt `id`, and waits for its first event.
+    caller_ptr begin(const std::string& id, size_t gateway = 0)
+    {
+        const caller_ptr caller = deployment.send("POST", "/m/1", { { "X-Attempt-Id", id } }, "", gateway);
+        deployment.waitUntil([&] { return !caller->body.empty() || caller->isFinished; }, "the first event");
+        return caller;
+    }
+
+    /// Continues a stream after its first event.
+    caller_ptr resume(const std::string& continued, size_t gateway, http1::header_list headers = { { "Last-Event-Id", "1" } })
+    {
+        if (!continued.empty())
+            headers.emplace_back("Resumes", continued);
+        return deployment.sendAndWait("POST", "/m/1", std::move(headers), "", gateway);
+    }
+
+    /// Lists a second version, as a release does, and waits until the gateways know it.
+    void release(const std::string& version, size_t count = 1)
+    {
+        for (size_t i = 0; i < count; ++i)
+            add("new-" + version + "-" + std::to_string(i), version);
+        // The target list is read every 1.25 s at the default bounds.
+        deployment.runLoopFor(milliseconds(1500));
+    }
+
+    deployment_fixture deployment;
+    std::list<fakes::platform_engine> engines;
+
+private:
+    size_t m_gatewayCount;
+};
+
+std::set<std::string> versionsIn(const std::string& body)
+{
+    std::set<std::string> versions;
+    for (size_t position = body.find(" of "); position != std::string::npos; position = body.find(" of ", position + 1))
+        versions.insert(body.substr(position + 4, body.find('\n', position) - position - 4));
+    return versions;
+}
+
+/// @return Whether the caller has a whole stream of one version, together with what it had before.
+bool isWholeStreamOf(const caller_exchange& caller, const std::string& version)
+{
+    return caller.outcome == http1::call_outcome::Complete && caller.head.status == 200 && versionsIn(caller.body) == std::set { version } && caller.body.ends_with(fakes::platform_engine::eventText(4, version));
+}
+}
+
+Test(gateway_software_version, a_stream_that_breaks_off_is_not_continued_at_another_version)
+{
+    versioned_fleet fleet(210);
+    auto& first = fleet.add("t-1", "v1");
+    fleet.waitUntilReady();
+    const auto stream = fleet.begin("a-1");
+    fleet.release("v2", 2);
+    first.crash();
+    fleet.deployment.waitUntil([&] { return stream->isFinished; }, "the end of the stream");
+    cr_assert_eq(stream->outcome, http1::call_outcome::Truncated);
+    cr_assert(versionsIn(stream->body) == std::set<std::string> { "v1" }, "the caller received: %s", stream->body.c_str());
+}
+
+Test(gateway_software_version, a_stream_that_breaks_off_is_continued_at_another_target_of_its_version)
+{
+    versioned_fleet fleet(211);
+    auto& first = fleet.add("t-1", "v1");
+    first.behaviour().eventPeriod = milliseconds(2000);
+    fleet.waitUntilReady();
+    const auto stream = fleet.begin("a-1");
+    fleet.release("v2", 2);
+    fleet.add("t-2", "v1");
+    fleet.deployment.runLoopFor(milliseconds(1500));
+    first.crash();
+    fleet.deployment.waitUntil([&] { return stream->isFinished; }, "the end of the stream");
+    cr_assert(isWholeStreamOf(*stream, "v1"), "the caller received: %s", stream->body.c_str());
+}
+
+Test(gateway_software_version, a_caller_that_comes_back_at_another_gateway_gets_the_version_that_began_its_stream)
+{
+    versioned_fleet fleet(212, 3);
+    fleet.add("t-1", "v1");
+    fleet.waitUntilReady();
+    fleet.begin("a-1")->call.reset();
+    fleet.release("v2", 3);
+    for (size_t gateway = 0; gateway < 3; ++gateway) {
+        for (int i = 0; i < 3; ++i) {
+            const auto resumed = fleet.resume("a-1", gateway);
+            cr_assert(isWholeStreamOf(*resumed, "v1"), "gateway %zu, status %u: %s", gateway, resumed->head.status, resumed->body.c_str());
+        }
+    }
+}
+
+Test(gateway_software_version, a_stream_goes_on_after_the_gateway_that_began_it_was_killed_at_its_first_event)
+{
+    versioned_fleet fleet(213, 3);
+    fleet.add("t-1", "v1");
+    fleet.waitUntilReady();
+    fleet.release("v2", 3);
+    // Until one of them is placed at the only target of v1.
+    caller_ptr stream;
+    std::string id;
+    for (int i = 0; i < 40; ++i) {
+        id = "a-" + std::to_string(i);
+        stream = fleet.begin(id);
+        if (versionsIn(stream->body) == std::set<std::string> { "v1" })
+            break;
+    }
+    const std::string version = *versionsIn(stream->body).begin();
+    fleet.deployment.signal(0, SIGKILL);
+    for (size_t gateway : { 1, 2 }) {
+        const auto resumed = fleet.resume(id, gateway);
+        cr_assert(isWholeStreamOf(*resumed, version), "gateway %zu, status %u: %s", gateway, resumed->head.status, resumed->body.c_str());
+    }
+}
+
+Test(gateway_software_version, a_stream_of_unknown_origin_is_refused_at_once_while_two_versions_serve)
+{
+    versioned_fleet fleet(214, 2);
+    fleet.add("t-1", "v1");
+    fleet.add("t-2", "v2");
+    fleet.waitUntilReady();
+    const std::vector<std::pair<std::string, http1::header_list>> requests {
+        { "forged", { { "Last-Event-Id", "1" } } },
+        { "", { { "Last-Event-Id", "1" } } },
+        { "forged", {} },
+        { std::string(4000, 'x'), { { "Last-Event-Id", "1" } } },
+    };
+    for (const auto& [continued, headers] : requests) {
+        const auto response = fleet.resume(continued, 0, headers);
+        cr_assert_eq(response->head.status, 503, "status %u for a stream that began as '%s'", response->head.status, continued.substr(0, 20).c_str());
+        cr_assert(response->body.find("version") != std::string::npos, "the response does not say why: %s", response->body.c_str());
+    }
+    size_t runs = 0;
+    for (const auto& engine : fleet.engines)
+        runs += engine.arrivals().size();
+    cr_assert_eq(runs, 0u);
+}
+
+Test(gateway_software_version, a_stream_of_unknown_origin_goes_on_while_one_version_serves)
+{
+    versioned_fleet fleet(215);
+    fleet.add("t-1", "v1");
+    fleet.add("t-2", "v1");
+    fleet.waitUntilReady();
+    cr_assert(isWholeStreamOf(*fleet.resume("", 0), "v1"));
+    cr_assert(isWholeStreamOf(*fleet.resume("forged", 0), "v1"));
+}
+
+Test(gateway_software_version, a_stream_whose_version_has_left_is_refused_at_once)
+{
+    versioned_fleet fleet(216, 2);
+    fleet.add("t-1", "v1");
+    fleet.waitUntilReady();
+    fleet.begin("a-1")->call.reset();
+    fleet.release("v2");
+    fleet.deployment.listTarget(fleet.engines.front().target(), "model", "draining");
+    fleet.deployment.runLoopFor(milliseconds(1500));
+    for (size_t gateway = 0; gateway < 2; ++gateway) {
+        const auto response = fleet.resume("a-1", gateway);
+        cr_assert_eq(response->head.status, 503, "status %u: %s", response->head.status, response->body.c_str());
+        cr_assert(response->body.find("version") != std::string::npos);
+    }
+}
+
+Test(gateway_software_version, a_target_that_restarted_with_another_version_under_its_identifier_continues_no_stream)
+{
+    versioned_fleet fleet(217, 2);
+    auto& first = fleet.add("t-1", "v1");
+    fleet.add("t-2", "v1");
+    fleet.waitUntilReady();
+    // The record says v1 for another second, so the stream that begins meanwhile at t-1 is one of v2.
+    fleet.deployment.unlistTarget("t-2");
+    fleet.deployment.runLoopFor(milliseconds(1500));
+    fleet.deployment.restartEngine(first, "model", "v2", milliseconds(1000));
+    fleet.deployment.waitUntil([&] { return first.isUp(); }, "the restart");
+    const auto stream = fleet.begin("a-1");
+    cr_assert(versionsIn(stream->body) == std::set<std::string> { "v2" });
+    stream->call.reset();
+    fleet.deployment.listTarget(std::next(fleet.engines.begin())->target(), "model", "ready", "north-1", "v1");
+    fleet.deployment.runLoopFor(milliseconds(1500));
+    fleet.deployment.listTarget(first.target(), "model", "draining", "north-1", "v2");
+    fleet.deployment.runLoopFor(milliseconds(1500));
+    for (size_t gateway = 0; gateway < 2; ++gateway) {
+        const auto resumed = fleet.resume("a-1", gateway);
+        cr_assert(!versionsIn(resumed->body).contains("v1"), "gateway %zu joined v2 and v1", gateway);
+        cr_assert(resumed->head.status == 503 || isWholeStreamOf(*resumed, "v2"), "status %u", resumed->head.status);
+    }
+}
+
+Test(gateway_software_version, a_stream_goes_on_after_its_gateways_were_restarted_one_after_the_other)
+{
+    versioned_fleet fleet(218, 4);
+    fleet.add("t-1", "v1");
+    fleet.waitUntilReady();
+    fleet.begin("a-1")->call.reset();
+    fleet.release("v2");
+    for (size_t gateway = 0; gateway < 3; ++gateway) {
+        fleet.deployment.signal(gateway, SIGKILL);
+        fleet.deployment.waitUntil([&] { return fleet.deployment.hasExited(gateway); }, "the end of a gateway");
+        fleet.deployment.restartGateway(gateway);
+        fleet.deployment.waitUntilReady(gateway);
+        fleet.deployment.runLoopFor(milliseconds(2000));
+    }
+    for (size_t gateway = 0; gateway < 4; ++gateway) {
+        const auto resumed = fleet.resume("a-1", gateway);
+        cr_assert(isWholeStreamOf(*resumed, "v1"), "gateway %zu, status %u: %s", gateway, resumed->head.status, resumed->body.c_str());
+    }
+}
+
+Test(gateway_software_version, records_without_a_readable_version_name_usable_targets)
+{
+    deployment_fixture deployment(219);
+    const std::vector<json> versions { nullptr, 7, std::string(10000, 'v'), "" };
+    for (size_t i = 0; i < versions.size(); ++i)
+        deployment.addTarget("t-" + std::to_string(i), "pages", "north-1", versions[i]);
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages") });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    for (int i = 0; i < 8; ++i)
+        cr_assert_eq(deployment.sendAndWait("GET", "/p/" + std::to_string(i))->head.status, 200);
+}
