A stream goes on only at the software version that began it

What callers saw: streams that hold events from two software versions of the targets, which do not fit together. Cause: nothing read the version of a target. Change: the version of the target that writes the first event is recorded before the event is passed on, and sent at once to two other entries that the hash of the caller's request selects. An entry that gets a continued stream asks those it may be known to, within 150 ms. The stream goes on at that version, or is refused at once with a reason: the version has left, or it is unknown while several serve. A target that returns under its identifier with another version makes the streams of the last 10 s doubtful. New resumable streams avoid a version that one target alone has. Versions are compared within the service in force. The inner protocol is version 3.

--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -25,6 +25,7 @@
 };
 
 class crash_watch;
+class stream_directory;
 
 struct context {
     settings::gateway_settings settings;
@@ -38,6 +39,8 @@
     policy::suspicion_table suspicions;
     /// Set while the gateway runs.
     crash_watch* crashes = nullptr;
+    /// Set while the gateway runs.
+    stream_directory* streams = nullptr;
     std::map<std::string, retry_budget, std::less<>> retryBudgets;
     /// Services of which a target missed a released stage result: until this time, results are released only at the
     /// first event of the response.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,6 +73,8 @@
 gateway::gateway(const settings::gateway_settings& settings)
     : m_context(settings, [this](const target_state& target, std::string_view change) {
         logTarget(target, change);
+        if (change == target_registry::versionChange)
+            m_streams->onVersionChanged(target.hash, monotonicNow());
         if (target.isRemoved)
             m_context.client.closeIdleConnections(target.listed.endpoint);
     })
@@ -99,6 +101,11 @@
             [this](time_point firstCrashAt) { onVerdict(firstCrashAt); },
             [this](uint64_t segment) { return m_pools->rankFor(textOfHash(segment)); } });
     m_context.crashes = &*m_crashes;
+    m_streams.emplace(m_context.counters, settings.name,
+        stream_directory::callbacks { [this](std::string_view entry, wire::message message) { return m_pools->send(entry, std::move(message)); },
+            [this](std::string_view entry) { m_pools->flush(entry); },
+            [this] { return m_pools->originKeepers(); } });
+    m_context.streams = &*m_streams;
     m_context.lastTickAt = monotonicNow();
     m_tick.startEvery(tickPeriod, [this] { tick(); });
     m_loop.onTerminate([this] { stop(); });
@@ -361,7 +368,9 @@
 
 void gateway::start(accepted_request request, time_point now)
 {
-    request.service = std::string(deployment::pickService(*request.route, hashOf(request.callerRequest.id)));
+    // A stream goes on at the service that began it, as long as the split of the route stays.
+    const std::string& continued = request.callerRequest.continuedRequest;
+    request.service = std::string(deployment::pickService(*request.route, hashOf(continued.empty() ? request.callerRequest.id : continued)));
     earnRetries(m_context, request.service, now);
     logLine(log_level::Info, logComponent, "The request was accepted.", { { "request", request.callerRequest.id }, { "route", request.route->name }, { "service", request.service }, { "account", request.account }, { "continues", request.callerRequest.continuedRequest.substr(0, maxLoggedBytes) }, { "version", std::to_string(request.configuration->version) }, { "checked_ms_ago", std::to_string(asMilliseconds(now - m_context.configurationCheckedAt)) }, { "open", std::to_string(m_openRuns.size()) } });
     const auto run = std::make_shared<request_run>(m_context, *m_pools, std::move(request), [this](request_run* finishedRun) {
@@ -391,6 +400,7 @@
     const std::string_view path = http1::pathOf(exchange.head().target);
     if (path == "/metrics") {
         m_context.counters.set("log_lines_left_out", {}, static_cast<double>(droppedLogLines()));
+        m_context.counters.set("stream_origins", {}, static_cast<double>(m_streams->size()));
         m_context.counters.set("open_requests", {}, static_cast<double>(m_openRuns.size()));
         m_context.counters.set("connections_opened", {}, static_cast<double>(m_context.client.openedConnections()));
         exchange.respond(http1::statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.counters.serialize());
@@ -434,6 +444,7 @@
     m_scheduler.tick(now);
     m_pools->tick(now);
     m_crashes->tick(now);
+    m_streams->tick(now);
     auto runs = m_openRuns;
     const bool isAnyLimited = std::any_of(m_context.waitingForLimits.begin(), m_context.waitingForLimits.end(), [](const auto& item) { return item.second > 0; });
     if (isAnyLimited)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/crash_watch.hpp"
 #include "gateway/request_run.hpp"
+#include "gateway/stream_directory.hpp"
 #include "loop/main_loop.hpp"
 #include "platform/topic_follower.hpp"
 
@@ -68,6 +69,7 @@
     std::optional<entry_directory> m_directory;
     std::optional<pool_router> m_pools;
     std::optional<crash_watch> m_crashes;
+    std::optional<stream_directory> m_streams;
     std::list<std::shared_ptr<request_run>> m_openRuns;
     std::vector<std::shared_ptr<request_run>> m_finishedRuns;
     std::optional<http1::server> m_callers;
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "gateway/crash_watch.hpp"
+#include "gateway/stream_directory.hpp"
 #include "policy/ownership.hpp"
 
 #include <algorithm>
@@ -14,6 +15,9 @@
     /// Entries that each entry stays connected to for a pool: its owner, and the next one in the ranking.
     constexpr size_t connectedOwnersPerPool = 2;
 
+    /// Key of the ranking of entries that keep the origins of streams.
+    constexpr std::string_view originKeeping = "stream-origins";
+
     /// Heartbeat period of a connection to an owner that runs jobs of this entry.
     constexpr milliseconds ownerHeartbeat { 200 };
     /// An owner that sends nothing for this long while it runs jobs of this entry counts as unreachable.
@@ -220,7 +224,8 @@
 
 void pool_router::handleOwnerMessage(const std::string& name, wire::message& message)
 {
-    if (m_context.crashes->handle(message, name, monotonicNow()))
+    const auto reply = [this, &name](wire::message response) { static_cast<void>(send(name, std::move(response))); };
+    if (m_context.crashes->handle(message, name, monotonicNow()) || m_context.streams->handle(message, reply, monotonicNow()))
         return;
     if (const auto* suspicion = std::get_if<wire::crash_suspicion>(&message)) {
         handleSuspicion(*suspicion);
@@ -262,7 +267,8 @@
 
 void pool_router::handleRequesterMessage(identifier session, wire::message& message)
 {
-    if (m_context.crashes->handle(message, "connected_entry", monotonicNow()))
+    const auto reply = [this, session](wire::message response) { m_server.post(session, std::move(response)); };
+    if (m_context.crashes->handle(message, "connected_entry", monotonicNow()) || m_context.streams->handle(message, reply, monotonicNow()))
         return;
     if (auto* jobRequest = std::get_if<wire::start_tasks>(&message)) {
         hostJob(session, *jobRequest);
@@ -334,6 +340,27 @@
     m_server.postToAll(message);
 }
 
+bool pool_router::send(std::string_view entry, wire::message message)
+{
+    const auto position = m_peers.find(entry);
+    if (position == m_peers.end() || !position->second->session->isUp())
+        return false;
+    position->second->session->post(std::move(message));
+    return true;
+}
+
+void pool_router::flush(std::string_view entry)
+{
+    if (const auto position = m_peers.find(entry); position != m_peers.end())
+        position->second->session->flush();
+}
+
+std::span<const std::string> pool_router::originKeepers()
+{
+    const auto& ranked = ownersOf(originKeeping);
+    return std::span(ranked).first(std::min(ranked.size(), policy::originKeeperCount(ranked.size())));
+}
+
 size_t pool_router::rankFor(std::string_view key)
 {
     const auto& ranked = ownersOf(key);
@@ -359,14 +386,13 @@
         if (service.pool)
             pools.push_back(name);
     }
-    // Without pools, the entries still tell each other about crashes.
-    if (pools.empty())
-        pools.emplace_back();
     std::set<std::string, std::less<>> required;
     for (const auto& name : pools) {
         const auto& owners = ownersOf(name);
         required.insert(owners.begin(), owners.begin() + static_cast<std::ptrdiff_t>(std::min(owners.size(), connectedOwnersPerPool)));
     }
+    const auto keepers = originKeepers();
+    required.insert(keepers.begin(), keepers.end());
     required.erase(m_directory.own().name);
     return required;
 }
@@ -397,6 +423,7 @@
         callbacks.onMessage = [this, name](wire::message& message) { handleOwnerMessage(name, message); };
         callbacks.onAttached = [this, name](bool isResumed) {
             logLine(log_level::Info, logComponent, "The connection to a pool owner is established.", { { "entry", name } });
+            m_context.streams->sendKept(name, monotonicNow());
             if (!isResumed)
                 m_context.crashes->sendAll([this, name](wire::message message) { m_peers.at(name)->session->post(std::move(message)); }, monotonicNow());
         };
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -33,6 +33,13 @@
 
     /// Sends a message to all connected entries.
     void broadcast(const wire::message& message);
+    /// Sends a message to another entry.
+    /// @return False if this entry has no connection to it.
+    [[nodiscard]] bool send(std::string_view entry, wire::message message);
+    /// Sends the messages that are queued for another entry now.
+    void flush(std::string_view entry);
+    /// @return The entries that keep the origins of streams.
+    [[nodiscard]] std::span<const std::string> originKeepers();
     /// @return This entry's rank for a key among all entries; 0 for the first.
     [[nodiscard]] size_t rankFor(std::string_view key);
 
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -94,6 +94,7 @@
     if (!wholeEvents.empty()) {
         keepOnly(attempt);
         m_lastEventId = attempt.events.lastId();
+        recordOrigin(attempt);
         startRelay(attempt);
         relay(wholeEvents);
     }
--- /dev/null
+++ b/src/gateway/request_continuation.cpp
@@ -0,0 +1,121 @@
+/// Streams that a request continues: only the software version that began a stream may go on with it.
+#include "gateway/request_run.hpp"
+
+#include "base/hash.hpp"
+#include "gateway/stream_directory.hpp"
+
+namespace bilberryseam::gateway {
+
+namespace {
+    constexpr std::string_view logComponent = "request";
+
+    /// Delay after which callers may retry if an entry that may know the beginning of the stream did not respond.
+    constexpr milliseconds retryUnknownOrigin { 200 };
+
+    constexpr std::string_view versionGoneText = "The software version that began this stream is no longer in service. Start a new request without the fields that continue a stream.\n";
+    constexpr std::string_view originUnknownText = "It is not known which software version began this stream, and several are in service. Start a new request without the fields that continue a stream.\n";
+
+    std::string_view nameOf(policy::continuation decision)
+    {
+        switch (decision) {
+        case policy::continuation::Unrestricted:
+            return "any_version";
+        case policy::continuation::Pinned:
+            return "same_version";
+        case policy::continuation::VersionGone:
+            return "version_gone";
+        case policy::continuation::OriginUnknown:
+            return "version_unknown";
+        }
+        return "version_unknown";
+    }
+}
+
+bool request_run::isContinuation() const noexcept
+{
+    return isStream() && m_request.route->isResumable && (!m_lastEventId.empty() || !m_request.callerRequest.continuedRequest.empty());
+}
+
+uint64_t request_run::streamKey() const noexcept
+{
+    const auto& caller = m_request.callerRequest;
+    // With the account, no caller can affect the streams of another one.
+    return hashOf(caller.continuedRequest.empty() ? caller.id : caller.continuedRequest, hashOf(m_request.account));
+}
+
+void request_run::findOrigin()
+{
+    if (m_request.callerRequest.continuedRequest.empty()) {
+        onOrigin(nullptr, true);
+        return;
+    }
+    m_context.streams->find(streamKey(), monotonicNow(), [weak = weak_from_this()](const policy::stream_origin* origin, bool isCertain) {
+        if (const auto self = weak.lock())
+            self->onOrigin(origin, isCertain);
+    });
+}
+
+void request_run::onOrigin(const policy::stream_origin* origin, bool isCertain)
+{
+    if (m_isFinished)
+        return;
+    if (origin)
+        m_origin = *origin;
+    const auto decision = policy::decideContinuation(origin, versionsInService());
+    const time_point now = monotonicNow();
+    m_context.counters.count("continued_streams_total", { { "decision", std::string(nameOf(decision)) } });
+    logLine(log_level::Info, logComponent, "A caller continues a stream.", { { "request", m_request.callerRequest.id }, { "began_at_version", origin ? origin->softwareVersion : "" }, { "began_at_target", origin ? textOfHash(origin->target) : "" }, { "began_ms_ago", origin ? std::to_string(asMilliseconds(now - origin->beganAt)) : "" }, { "decision", std::string(nameOf(decision)) }, { "certain", isCertain ? "true" : "false" }, { "versions_in_service", std::to_string(versionsInService().size()) }, { "searched_ms", std::to_string(asMilliseconds(now - m_arrivedAt)) } });
+    if (decision == policy::continuation::VersionGone || decision == policy::continuation::OriginUnknown)
+        refuseContinuation(decision, isCertain);
+    else
+        startStages();
+}
+
+std::set<std::string_view> request_run::versionsInService() const
+{
+    std::set<std::string_view> versions;
+    for (const auto& target : m_context.targets.ofService(m_request.service)) {
+        if (target->isInService())
+            versions.insert(target->listed.softwareVersion);
+    }
+    return versions;
+}
+
+policy::continuation request_run::continuationNow() const
+{
+    if (!m_origin)
+        return policy::continuation::Unrestricted;
+    policy::stream_origin origin = *m_origin;
+    if (m_originTarget && m_originTarget->isVersionChanged)
+        origin.softwareVersion.clear();
+    return policy::decideContinuation(&origin, versionsInService());
+}
+
+bool request_run::mayRunAt(const target_state& target) const
+{
+    return !m_origin || m_origin->softwareVersion.empty() || target.listed.softwareVersion == m_origin->softwareVersion;
+}
+
+void request_run::recordOrigin(const target_attempt& attempt)
+{
+    if (m_origin)
+        return;
+    m_originTarget = attempt.target;
+    m_origin = { attempt.target->isVersionChanged ? std::string() : attempt.softwareVersion, attempt.target->hash, monotonicNow() };
+    m_context.streams->record(streamKey(), *m_origin);
+}
+
+void request_run::refuseContinuation(policy::continuation decision, bool isCertain)
+{
+    const std::string_view reason = nameOf(decision);
+    if (m_request.exchange->isStarted() || m_mayHaveRun) {
+        finishWithoutResponse(reason);
+        return;
+    }
+    http1::header_list headers { { "Content-Type", "text/plain; charset=utf-8" } };
+    if (!isCertain)
+        headers.push_back(platform::retryAfterHeader(retryUnknownOrigin));
+    m_request.exchange->respond(http1::statusUnavailable, std::move(headers), decision == policy::continuation::VersionGone ? versionGoneText : originUnknownText);
+    finish("refused", reason, http1::statusUnavailable);
+}
+}
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -30,6 +30,8 @@
     double rate = 0;
     bool isLimited = false;
     for (const auto& target : m_context.targets.ofService(m_request.service)) {
+        if (!mayRunAt(*target))
+            continue;
         // A target without a limit that is blocked for a moment, or was tried already, is soon usable again.
         if (target->isInService() && !target->limit.perSecond)
             return std::nullopt;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -23,6 +23,20 @@
     constexpr milliseconds retryWithoutTargets { 1000 };
 }
 
+namespace {
+    /// Marks the targets whose software version no other target in service has: a stream that begins there can hardly go on.
+    void preferSharedVersions(std::span<const target_ptr> targets, std::vector<policy::placement_candidate>& candidates)
+    {
+        std::map<std::string_view, size_t> counts;
+        for (const auto& target : targets) {
+            if (target->isInService())
+                ++counts[target->listed.softwareVersion];
+        }
+        for (size_t i = 0; i < targets.size(); ++i)
+            candidates[i].isOnlyOfVersion = counts.size() > 1 && counts[targets[i]->listed.softwareVersion] == 1;
+    }
+}
+
 request_run::request_run(context& context, pool_router& pools, accepted_request request, std::function<void(request_run*)> onFinished)
     : m_context(context)
     , m_pools(pools)
@@ -50,7 +64,10 @@
         if (const auto self = weak.lock())
             self->onCallerDisconnected();
     });
-    startStages();
+    if (isContinuation())
+        findOrigin();
+    else
+        startStages();
 }
 
 void request_run::tick(time_point now)
@@ -92,6 +109,8 @@
     candidates.reserve(listed.size());
     for (const auto& target : listed)
         candidates.push_back(candidateOf(*target, hashes, inputBytes, now));
+    if (m_request.route->isResumable && !m_origin)
+        preferSharedVersions(listed, candidates);
     const auto chosenIndex = policy::chooseTarget(candidates, placement, {});
     return chosenIndex ? listed[*chosenIndex] : nullptr;
 }
@@ -101,7 +120,7 @@
     policy::placement_candidate candidate;
     candidate.hash = target.hash;
     const bool wasTried = std::find(m_triedTargets.begin(), m_triedTargets.end(), target.listed.id) != m_triedTargets.end();
-    candidate.isUsable = target.mayGetWork(now) && !wasTried;
+    candidate.isUsable = target.mayGetWork(now) && !wasTried && mayRunAt(target);
     candidate.isInOwnDomain = target.listed.failureDomain == m_context.settings.failureDomain;
     const auto region = m_context.settings.regions.find(target.listed.failureDomain);
     candidate.isInOwnRegion = region != m_context.settings.regions.end() && region->second == m_context.settings.region;
@@ -139,6 +158,10 @@
         m_retryAt = now + placementRetryDelay;
         return;
     }
+    if (const auto decision = continuationNow(); decision == policy::continuation::VersionGone || decision == policy::continuation::OriginUnknown) {
+        refuseContinuation(decision, true);
+        return;
+    }
     const target_ptr target = chooseTarget(now);
     if (target) {
         m_limitPlace.reset();
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -8,10 +8,12 @@
 #include "http1/server.hpp"
 #include "platform/ingress.hpp"
 #include "policy/placement.hpp"
+#include "policy/stream_origins.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 
 namespace bilberryseam::gateway {
@@ -121,6 +123,21 @@
     /// @return Bytes of the results of the final stages in each failure domain.
     [[nodiscard]] bytes_by_domain resultBytesByDomain() const;
 
+    // Continued streams; in request_continuation.cpp.
+    /// @return True if the caller has the beginning of the stream already.
+    [[nodiscard]] bool isContinuation() const noexcept;
+    /// @return Hash of the caller's request that brought, or will bring, the first event.
+    [[nodiscard]] uint64_t streamKey() const noexcept;
+    void findOrigin();
+    void onOrigin(const policy::stream_origin* origin, bool isCertain);
+    [[nodiscard]] std::set<std::string_view> versionsInService() const;
+    [[nodiscard]] policy::continuation continuationNow() const;
+    /// @return True if a target of this version may run the request.
+    [[nodiscard]] bool mayRunAt(const target_state& target) const;
+    /// Records the version that wrote the first event, before the event is passed on.
+    void recordOrigin(const target_attempt& attempt);
+    void refuseContinuation(policy::continuation decision, bool isCertain);
+
     // Attempts.
     [[nodiscard]] target_ptr chooseTarget(time_point now) const;
     [[nodiscard]] policy::placement_candidate candidateOf(const target_state& target, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const;
@@ -205,6 +222,10 @@
 
     /// Identifier of the last event that the caller has.
     std::string m_lastEventId;
+    /// Which version began the stream; not set as long as no event is known to exist.
+    std::optional<policy::stream_origin> m_origin;
+    /// The target that began the stream for this request.
+    target_ptr m_originTarget;
     int m_attempts = 0;
     int m_sends = 0;
     bool m_mayHaveRun = false;
--- /dev/null
+++ b/src/gateway/stream_directory.cpp
@@ -0,0 +1,156 @@
+#include "gateway/stream_directory.hpp"
+
+#include "base/hash.hpp"
+#include "telemetry/log.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace bilberryseam::gateway {
+
+namespace {
+    constexpr std::string_view logComponent = "streams";
+
+    /// Entries that keep an origin besides the one that began the stream.
+    constexpr size_t copies = 2;
+
+    /// A search ends after this time; it allows two round trips between regions.
+    constexpr milliseconds maxSearchTime { 150 };
+
+    constexpr size_t maxSearches = 10000;
+
+    /// Longest version in a message of another entry.
+    constexpr size_t maxVersionBytes = 64;
+
+    uint32_t ageOf(const policy::stream_origin& origin, time_point now)
+    {
+        return static_cast<uint32_t>(std::clamp<int64_t>(asMilliseconds(now - origin.beganAt), 0, std::numeric_limits<uint32_t>::max()));
+    }
+
+    wire::message toMessage(uint64_t stream, const policy::stream_origin& origin, time_point now)
+    {
+        return wire::stream_begun { stream, origin.softwareVersion, origin.target, ageOf(origin, now) };
+    }
+}
+
+stream_directory::stream_directory(metrics& metrics, std::string ownName, callbacks callbacks)
+    : m_metrics(metrics)
+    , m_ownName(std::move(ownName))
+    , m_callbacks(std::move(callbacks))
+{
+}
+
+std::vector<std::string_view> stream_directory::othersFor(uint64_t stream, size_t count) const
+{
+    auto keepers = policy::originKeepers(m_callbacks.keepers(), stream, count + 1);
+    std::erase(keepers, std::string_view(m_ownName));
+    keepers.resize(std::min(keepers.size(), count));
+    return keepers;
+}
+
+void stream_directory::tell(uint64_t stream, const policy::stream_origin& origin, time_point now) const
+{
+    for (const auto entry : othersFor(stream, copies)) {
+        if (!m_callbacks.send(entry, toMessage(stream, origin, now)))
+            m_metrics.count("stream_origins_not_sent_total");
+        // The event follows at once, and this entry may end right after it.
+        m_callbacks.flush(entry);
+    }
+}
+
+void stream_directory::record(uint64_t stream, policy::stream_origin origin)
+{
+    const time_point now = origin.beganAt;
+    if (!policy::addOrigin(m_origins, stream, origin))
+        return;
+    tell(stream, m_origins.byStream.at(stream), now);
+}
+
+void stream_directory::onVersionChanged(uint64_t target, time_point now)
+{
+    const auto streams = policy::doubtOriginsOf(m_origins, target, now);
+    for (const uint64_t stream : streams)
+        tell(stream, m_origins.byStream.at(stream), now);
+    if (!streams.empty())
+        logLine(log_level::Info, logComponent, "A target restarted with another software version; it is doubtful which one began its last streams.", { { "target", textOfHash(target) }, { "streams", std::to_string(streams.size()) } });
+}
+
+void stream_directory::find(uint64_t stream, time_point now, on_origin onFound)
+{
+    if (const auto* origin = policy::findOrigin(m_origins, stream, now)) {
+        onFound(origin, true);
+        return;
+    }
+    // The entry that began the stream may itself be one of those that keep it, so one more than the copies may know it.
+    const auto others = othersFor(stream, copies + 1);
+    const auto position = m_searches.find(stream);
+    if (position != m_searches.end()) {
+        position->second.waiting.push_back(std::move(onFound));
+        return;
+    }
+    search newSearch { {}, 0, true, now + maxSearchTime };
+    for (const auto entry : others) {
+        const bool isAsked = m_searches.size() < maxSearches && m_callbacks.send(entry, wire::stream_query { stream });
+        newSearch.openQueries += isAsked ? 1 : 0;
+        newSearch.isComplete = newSearch.isComplete && isAsked;
+    }
+    if (newSearch.openQueries == 0) {
+        onFound(nullptr, newSearch.isComplete);
+        return;
+    }
+    newSearch.waiting.push_back(std::move(onFound));
+    m_searches.emplace(stream, std::move(newSearch));
+}
+
+bool stream_directory::handle(const wire::message& message, const std::function<void(wire::message)>& reply, time_point now)
+{
+    if (const auto* begun = std::get_if<wire::stream_begun>(&message)) {
+        const bool isPlausible = begun->softwareVersion.size() <= maxVersionBytes;
+        policy::addOrigin(m_origins, begun->stream, { isPlausible ? begun->softwareVersion : "", begun->target, now - milliseconds(begun->ageMs) });
+        finish(begun->stream, now);
+    } else if (const auto* query = std::get_if<wire::stream_query>(&message)) {
+        const auto* origin = policy::findOrigin(m_origins, query->stream, now);
+        reply(origin ? toMessage(query->stream, *origin, now) : wire::stream_unknown { query->stream });
+    } else if (const auto* unknown = std::get_if<wire::stream_unknown>(&message)) {
+        const auto position = m_searches.find(unknown->stream);
+        if (position != m_searches.end() && --position->second.openQueries == 0)
+            finish(unknown->stream, now);
+    } else
+        return false;
+    return true;
+}
+
+void stream_directory::finish(uint64_t stream, time_point now)
+{
+    auto finished = m_searches.extract(stream);
+    if (finished.empty())
+        return;
+    const auto* origin = policy::findOrigin(m_origins, stream, now);
+    m_metrics.count("stream_searches_total", { { "outcome", origin ? "found" : "unknown" } });
+    const std::optional<policy::stream_origin> found = origin ? std::optional(*origin) : std::nullopt;
+    for (const auto& onFound : finished.mapped().waiting)
+        onFound(found ? &*found : nullptr, finished.mapped().isComplete && finished.mapped().openQueries == 0);
+}
+
+void stream_directory::sendKept(std::string_view entry, time_point now) const
+{
+    for (const auto& [stream, origin] : m_origins.byStream) {
+        const auto keepers = policy::originKeepers(m_callbacks.keepers(), stream, copies + 1);
+        const bool isKeeper = std::find(keepers.begin(), keepers.end(), entry) != keepers.end();
+        if (isKeeper && policy::findOrigin(m_origins, stream, now))
+            static_cast<void>(m_callbacks.send(entry, toMessage(stream, origin, now)));
+    }
+}
+
+void stream_directory::tick(time_point now)
+{
+    policy::removeExpiredOrigins(m_origins, now);
+    std::vector<uint64_t> overdue;
+    for (const auto& [stream, search] : m_searches) {
+        if (now >= search.endsAt)
+            overdue.push_back(stream);
+    }
+    for (const uint64_t stream : overdue)
+        finish(stream, now);
+}
+}
--- /dev/null
+++ b/src/gateway/stream_directory.hpp
@@ -0,0 +1,71 @@
+/// Software versions that began streams, shared among the entries, so that a caller may continue its stream at any of them.
+#pragma once
+
+#include "policy/stream_origins.hpp"
+#include "telemetry/metrics.hpp"
+#include "wire/message.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace bilberryseam::gateway {
+
+/// Each origin is kept by the entry that began the stream and by two others, which the hash of the stream selects. An entry
+/// that does not know a stream asks those.
+class stream_directory {
+public:
+    struct callbacks {
+        /// Sends a message to an entry.
+        /// @return False if it is not connected.
+        std::function<bool(std::string_view entry, wire::message message)> send;
+        /// Sends the messages that are queued for an entry now.
+        std::function<void(std::string_view entry)> flush;
+        /// @return All entries that keep origins, with this one if it does.
+        std::function<std::span<const std::string>()> keepers;
+    };
+    /// Receives the origin of a stream; nothing if no entry knows it.
+    /// @param isCertain  All entries that may know it have responded.
+    using on_origin = std::function<void(const policy::stream_origin* origin, bool isCertain)>;
+
+    stream_directory(metrics& metrics, std::string ownName, callbacks callbacks);
+
+    /// Records the origin of a stream, and tells the entries that keep it.
+    void record(uint64_t stream, policy::stream_origin origin);
+    /// Records that a target restarted with another version, so that streams which it began lately are doubtful.
+    void onVersionChanged(uint64_t target, time_point now);
+    /// Finds the origin of a stream; `onFound` may be called at once.
+    void find(uint64_t stream, time_point now, on_origin onFound);
+
+    /// Handles a message of another entry.
+    /// @param reply  Sends a response to it.
+    /// @return False if it is about something else.
+    [[nodiscard]] bool handle(const wire::message& message, const std::function<void(wire::message)>& reply, time_point now);
+    /// Sends the origins that an entry has to keep to it, after it has connected.
+    void sendKept(std::string_view entry, time_point now) const;
+
+    /// Ends searches that have lasted too long, and removes old origins.
+    void tick(time_point now);
+    [[nodiscard]] size_t size() const noexcept { return m_origins.byStream.size(); }
+
+private:
+    /// A search that waits for responses of other entries.
+    struct search {
+        std::vector<on_origin> waiting;
+        size_t openQueries = 0;
+        bool isComplete = true;
+        time_point endsAt {};
+    };
+
+    void tell(uint64_t stream, const policy::stream_origin& origin, time_point now) const;
+    [[nodiscard]] std::vector<std::string_view> othersFor(uint64_t stream, size_t count) const;
+    void finish(uint64_t stream, time_point now);
+
+    metrics& m_metrics;
+    std::string m_ownName;
+    callbacks m_callbacks;
+    policy::stream_origin_table m_origins;
+    std::map<uint64_t, search> m_searches;
+};
+}
--- a/src/gateway/target_attempt.cpp
+++ b/src/gateway/target_attempt.cpp
@@ -5,6 +5,7 @@
 target_attempt::target_attempt(target_ptr newTarget, uint64_t promptTokens, time_point now)
     : target(std::move(newTarget))
     , sentAt(now)
+    , softwareVersion(target->listed.softwareVersion)
     , queuedTokens(promptTokens)
 {
     ++target->inFlight;
--- a/src/gateway/target_attempt.hpp
+++ b/src/gateway/target_attempt.hpp
@@ -31,6 +31,8 @@
 
     target_ptr target;
     time_point sentAt {};
+    /// Software version in the target's record when the request was sent.
+    std::string softwareVersion;
     /// Time at which the results that the target fetches are released, if not at the first event.
     std::optional<time_point> inputsFetchedAt;
     time_point firstByteAt {};
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "platform/batch_call.hpp"
+#include "policy/stream_origins.hpp"
 
 #include <set>
 
@@ -26,7 +27,11 @@
 {
     m_deferredRemovals.erase(listed.id);
     const auto position = m_targets.find(listed.id);
-    const bool isRestarted = position != m_targets.end() && position->second->listed.startedAtMs != listed.startedAtMs;
+    const auto removed = m_lastRemoved.extract(listed.id);
+    const target_ptr previous = position != m_targets.end() ? position->second : !removed.empty() ? removed.mapped().state
+                                                                                                  : nullptr;
+    const bool isVersionChanged = previous && previous->listed.softwareVersion != listed.softwareVersion;
+    const bool isRestarted = position != m_targets.end() && (isVersionChanged || position->second->listed.startedAtMs != listed.startedAtMs);
     if (position != m_targets.end() && !isRestarted) {
         target_state& state = *position->second;
         state.listedAt = now;
@@ -39,14 +44,17 @@
         m_onChange(state, startsLeaving ? "leaving" : "changed");
         return isMoved;
     }
-    if (position != m_targets.end())
-        position->second->isRemoved = true;
+    if (previous) {
+        previous->isRemoved = true;
+        previous->isVersionChanged = isVersionChanged;
+    }
     const auto newTarget = std::make_shared<target_state>();
     newTarget->listed = listed;
     newTarget->listedAt = now;
     newTarget->hash = hashOf(listed.id);
     m_targets[listed.id] = newTarget;
-    m_onChange(*newTarget, isRestarted ? "restarted" : "listed");
+    m_onChange(*newTarget, isVersionChanged ? versionChange : isRestarted ? "restarted"
+                                                                          : "listed");
     return true;
 }
 
@@ -65,7 +73,7 @@
         m_deferredRemovals.emplace(std::string(id), now);
         return false;
     }
-    return removeNow(position->first, "removed");
+    return removeNow(position->first, "removed", now);
 }
 
 void target_registry::applyAll(const std::vector<deployment::target>& listed, time_point now)
@@ -96,12 +104,13 @@
 
 void target_registry::tick(time_point now)
 {
+    std::erase_if(m_lastRemoved, [now](const auto& item) { return now - item.second.since > policy::targetRecordLag; });
     if (m_isStoreUnreachable || m_deferredRemovals.empty() || now - m_storeReachableSince < returnGrace)
         return;
     bool isOutOfDate = false;
     const auto removals = std::exchange(m_deferredRemovals, {});
     for (const auto& [id, since] : removals)
-        isOutOfDate |= removeNow(id, "lapsed");
+        isOutOfDate |= removeNow(id, "lapsed", now);
     rebuildIndexesIf(isOutOfDate);
 }
 
@@ -119,7 +128,7 @@
     return position == m_byEndpoint.end() ? nullptr : position->second;
 }
 
-bool target_registry::removeNow(const std::string& id, std::string_view reason)
+bool target_registry::removeNow(const std::string& id, std::string_view reason, time_point now)
 {
     const auto position = m_targets.find(id);
     if (position == m_targets.end())
@@ -127,6 +136,7 @@
     const target_ptr state = position->second;
     m_targets.erase(position);
     state->isRemoved = true;
+    m_lastRemoved[id] = { state, now };
     m_onChange(*state, reason);
     return true;
 }
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -21,6 +21,8 @@
     uint64_t hash = 0;
     /// The record was removed or replaced by that of a restarted target.
     bool isRemoved = false;
+    /// The record now names another software version: which one ran the last requests is doubtful.
+    bool isVersionChanged = false;
     /// The address responded as another target; stays set until the record names another address or service.
     bool isReplaced = false;
     policy::target_health health;
@@ -51,6 +53,8 @@
 public:
     /// Called for each change of a target, to log it and to close idle connections to a removed one.
     using on_change = std::function<void(const target_state&, std::string_view change)>;
+    /// The change of a target that started again with another software version.
+    static constexpr std::string_view versionChange = "version_changed";
 
     explicit target_registry(on_change onChange);
 
@@ -76,7 +80,7 @@
     [[nodiscard]] bool applyWithoutIndexes(const deployment::target& listed, time_point now);
     /// @return Whether the indexes are out of date.
     [[nodiscard]] bool removeOrDefer(std::string_view id, time_point now);
-    [[nodiscard]] bool removeNow(const std::string& id, std::string_view reason);
+    [[nodiscard]] bool removeNow(const std::string& id, std::string_view reason, time_point now);
     void rebuildIndexesIf(bool isNeeded);
 
     on_change m_onChange;
@@ -84,6 +88,13 @@
     std::map<std::string, std::vector<target_ptr>, std::less<>> m_byService;
     /// If two records name the same address, the one that was updated last counts.
     std::map<ip_endpoint, target_ptr> m_byEndpoint;
+    /// A removed target and when its record went.
+    struct removed_target {
+        target_ptr state;
+        time_point since {};
+    };
+    /// Targets that were removed lately: one that returns with another version had perhaps started before its record went.
+    std::map<std::string, removed_target, std::less<>> m_lastRemoved;
     /// Deferred removals by target, with the time at which they were reported.
     std::map<std::string, time_point, std::less<>> m_deferredRemovals;
     bool m_isStoreUnreachable = false;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -33,6 +33,8 @@
     cost = cost * candidate.penalty + (candidate.penalty - 1) * costs.penalty;
     cost += static_cast<double>(uncachedTokens) / tokensPerUnit * costs.thousandUncachedTokens;
     cost += candidate.remoteInputBytes / bytesPerMegabyte * costs.remoteInputMegabyte;
+    if (candidate.isOnlyOfVersion)
+        cost += costs.onlyOfVersion;
     if (!candidate.isInOwnDomain)
         cost += candidate.isInOwnRegion ? costs.otherDomain : costs.otherRegion;
     return cost;
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -30,6 +30,8 @@
     uint64_t cachedTokens = 0;
     /// Bytes of the request's inputs that are in other failure domains.
     double remoteInputBytes = 0;
+    /// No other target has its software version, so a stream that begins there can hardly be continued.
+    bool isOnlyOfVersion = false;
     /// Factor of at least 1 by which the target appears worse than a healthy one.
     double penalty = 1;
 };
@@ -52,6 +54,8 @@
     double thousandUncachedTokens = 100;
     /// Fetching a megabyte of inputs from another failure domain.
     double remoteInputMegabyte = 39;
+    /// A stream at a target whose software version no other target has.
+    double onlyOfVersion = 60;
     /// Each other call in flight.
     double inFlight = 4;
     /// Each other call in flight if calls of this process alone occupy all slots.
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -13,6 +13,7 @@
 #include "policy/placement.hpp"
 #include "policy/rate_limit.hpp"
 #include "policy/routing.hpp"
+#include "policy/stream_origins.hpp"
 #include "policy/suspicion.hpp"
 #include "policy/target_health.hpp"
 #include "policy/work_value.hpp"
--- /dev/null
+++ b/src/policy/stream_origins.hpp
@@ -0,0 +1,79 @@
+/// Origins of streams: which software version of a target began a stream, so that only that version continues it.
+///
+/// Load pattern: during a release, targets of several versions serve the same streams side by side. Callers come back with
+/// streams that broke off, at any entry; what two versions write cannot be joined.
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace bilberryseam::policy {
+
+/// A stream is continued within this time after its first event, or not at all.
+constexpr seconds streamOriginLifetime { 120 };
+
+/// A target's record may be older than its present incarnation by this much.
+constexpr seconds targetRecordLag { 10 };
+
+struct stream_origin {
+    /// Empty if it is doubtful which version began the stream.
+    std::string softwareVersion;
+    /// Hash of the identifier of the target that began it.
+    uint64_t target = 0;
+    time_point beganAt {};
+
+    bool operator==(const stream_origin&) const = default;
+};
+
+/// Origins by the hash of the request that brought a stream's first event.
+struct stream_origin_table {
+    std::unordered_map<uint64_t, stream_origin> byStream;
+    /// Streams in the order in which they were added.
+    std::deque<uint64_t> order;
+};
+
+/// Adds an origin, or makes a known one doubtful. An origin that names another version than the known one is doubtful, too.
+/// @return True if the table changed.
+bool addOrigin(stream_origin_table& table, uint64_t stream, const stream_origin& origin);
+
+/// @return The origin of a stream, or null.
+[[nodiscard]] const stream_origin* findOrigin(const stream_origin_table& table, uint64_t stream, time_point now) noexcept;
+
+/// Makes the origins doubtful that a target began while its record may have named its previous incarnation.
+/// @return The streams concerned.
+std::vector<uint64_t> doubtOriginsOf(stream_origin_table& table, uint64_t target, time_point now);
+
+/// Removes origins that are too old, and the oldest ones of a table that is too large.
+void removeExpiredOrigins(stream_origin_table& table, time_point now);
+
+/// What a request that continues a stream may do.
+enum class continuation {
+    /// It may run at any target.
+    Unrestricted,
+    /// It may run at targets of the version that began the stream.
+    Pinned,
+    /// No target in service has that version.
+    VersionGone,
+    /// It is not known which version began the stream, and several are in service.
+    OriginUnknown,
+};
+
+/// @param origin    The stream's origin; null if no entry knows it.
+/// @param versions  Versions of the targets in service; empty texts for targets that state none.
+[[nodiscard]] continuation decideContinuation(const stream_origin* origin, const std::set<std::string_view>& versions) noexcept;
+
+/// @return The entries that keep the origin of a stream, best first: at most `count` of `entries`.
+[[nodiscard]] std::vector<std::string_view> originKeepers(std::span<const std::string> entries, uint64_t stream, size_t count);
+
+/// @return How many of the deployment's entries keep origins for all.
+[[nodiscard]] size_t originKeeperCount(size_t entryCount) noexcept;
+}
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -11,7 +11,7 @@
 namespace bilberryseam::wire {
 
 /// Version of the protocol between daemons. The handshake refuses a peer with another version.
-constexpr uint32_t protocolVersion = 2;
+constexpr uint32_t protocolVersion = 3;
 
 /// Why a side refused a call before it started. The call did not run.
 enum class refusal : uint8_t {
@@ -308,10 +308,39 @@
     void visitFields(Visitor& visit) { visit(segment, ageMs); }
 };
 
+/// Between entries: a target has begun a stream. An empty version states that it is doubtful which one did.
+struct stream_begun {
+    /// Hash of the caller's request that brought the first event.
+    uint64_t stream = 0;
+    std::string softwareVersion;
+    /// Hash of the target's identifier.
+    uint64_t target = 0;
+    uint32_t ageMs = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(stream, softwareVersion, target, ageMs); }
+};
+
+/// Between entries: which version began this stream?
+struct stream_query {
+    uint64_t stream = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(stream); }
+};
+
+/// Response to a query by an entry that does not know the stream; one that does sends `stream_begun`.
+struct stream_unknown {
+    uint64_t stream = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(stream); }
+};
+
 /// Any message inside a frame. The index in this list is the type number on the wire.
 using message = std::variant<start_call, cancel_call, call_refused, call_started, call_output, call_finished, target_load,
     configuration_offset, configuration_records, crash_suspicion, start_tasks, task_finished, tasks_refused, cancel_tasks, release_results, crash_report,
-    segment_verdict, segment_survival>;
+    segment_verdict, segment_survival, stream_begun, stream_query, stream_unknown>;
 
 /// A numbered batch of messages. Sequence zero marks a heartbeat, which carries no messages.
 struct frame {
--- a/src/wire/session.hpp
+++ b/src/wire/session.hpp
@@ -46,6 +46,9 @@
 
     void post(message item) { m_channel.post(std::move(item)); }
 
+    /// Sends all queued messages now.
+    void flush() { m_channel.flush(); }
+
     /// Replaces an inactive connection and sends heartbeats; the owner calls it several times a second.
     /// @param isBusy  Whether calls are in flight on this session.
     void tick(time_point now, bool isBusy);
--- a/src/wire/session_channel.hpp
+++ b/src/wire/session_channel.hpp
@@ -37,6 +37,9 @@
     /// Queues a message; when the loop becomes idle, all queued messages are sent in one frame.
     void post(message item);
 
+    /// Sends all queued messages now, for those that must not get lost with this process.
+    void flush();
+
     /// Attaches a connection after its handshake and resends the frames that the peer lacks.
     /// @param connection    The connection.
     /// @param peerReceived  The last sequence number that the peer received.
@@ -65,7 +68,6 @@
     [[nodiscard]] uint64_t bytesReceived() const noexcept { return m_bytesReceived; }
 
 private:
-    void flush();
     void sendBytes(std::string_view bytes);
     void deliver(frame& receivedFrame);
     void scheduleAcknowledgement();
--- a/tests/process/gateway_software_version_test.cpp
+++ b/tests/process/gateway_software_version_test.cpp
@@ -92,6 +92,7 @@
 {
     versioned_fleet fleet(210);
     auto& first = fleet.add("t-1", "v1");
+    first.behaviour().eventPeriod = milliseconds(2500);
     fleet.waitUntilReady();
     const auto stream = fleet.begin("a-1");
     fleet.release("v2", 2);
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -193,3 +193,20 @@
         cr_assert_eq(output, input);
     }
 }
+
+Test(platform_records, a_version_that_is_no_short_text_is_unknown)
+{
+    const auto versionOf = [](const std::string& version) {
+        return decodeTarget("t", R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready")" + version + "}").value().softwareVersion;
+    };
+    cr_assert_eq(versionOf(R"(,"version":"v1.2")"), "v1.2");
+    for (const std::string& unreadable : { std::string(), std::string(R"(,"version":7)"), std::string(R"(,"version":null)"), std::string(R"(,"version":["v1"])"), R"(,"version":")" + std::string(10000, 'v') + "\"" })
+        cr_assert_eq(versionOf(unreadable), "");
+}
+
+Test(platform_ingress, the_request_that_began_a_stream_is_decoded_if_it_is_named_once)
+{
+    cr_assert_eq(decodeRequest(makeRequestHead({ { "X-Attempt-Id", "b" }, { "Resumes", "a" } })).value().continuedRequest, "a");
+    cr_assert_eq(decodeRequest(makeRequestHead({ { "X-Attempt-Id", "b" } })).value().continuedRequest, "");
+    cr_assert(!decodeRequest(makeRequestHead({ { "X-Attempt-Id", "b" }, { "Resumes", "a" }, { "Resumes", "c" } })));
+}
--- a/tests/unit/target_test.cpp
+++ b/tests/unit/target_test.cpp
@@ -146,3 +146,26 @@
     registry.apply(leavingTarget, start);
     cr_assert(!registry.ofService("pages")[0]->mayGetWork(start));
 }
+
+Test(target_registry, a_target_that_returns_with_another_version_makes_its_last_runs_doubtful)
+{
+    std::vector<std::string> changes;
+    target_registry registry([&](const target_state&, std::string_view change) { changes.emplace_back(change); });
+    auto listed = targetOf("t-1");
+    listed.softwareVersion = "v1";
+    registry.apply(listed, start);
+    const target_ptr first = registry.ofService(listed.service).front();
+    listed.softwareVersion = "v2";
+    registry.apply(listed, start);
+    cr_assert(first->isRemoved && first->isVersionChanged);
+    // The record may go and come back within one read of the list.
+    const target_ptr second = registry.ofService(listed.service).front();
+    registry.remove("t-1", start);
+    listed.softwareVersion = "v3";
+    registry.apply(listed, start);
+    cr_assert(second->isVersionChanged);
+    registry.remove("t-1", start);
+    registry.apply(listed, start);
+    const std::vector<std::string> expected { "listed", "version_changed", "removed", "version_changed", "removed", "listed" };
+    cr_assert(changes == expected);
+}
