--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -5,6 +5,8 @@
 #include "loop/disconnect_watch.hpp"
 #include "telemetry/log.hpp"
 
+#include <algorithm>
+
 namespace bilberryseam::entry {
 
 using nlohmann::json;
@@ -13,6 +15,11 @@
     constexpr std::string_view logComponent = "caller";
     constexpr std::string_view pipelinePath = "/v1/pipelines/";
 
+    /// Another entry can take the request at once.
+    constexpr milliseconds retryAfterStop { 1000 };
+
+    constexpr const char* exchangeKey = "bilberryseam-exchange";
+
     json outcomeToJson(const outcome& result, identifier id)
     {
         json body { { "outcome", nameOf(result.kind) }, { "request", id.toString() } };
@@ -52,6 +59,8 @@
         : m_server(server)
         , m_message(gobject_ptr<SoupServerMessage>::share(message))
     {
+        ++m_server.m_receiving;
+        g_object_set_data(G_OBJECT(message), exchangeKey, this);
         m_finishedHandler = g_signal_connect(message, "finished", G_CALLBACK(+[](SoupServerMessage*, gpointer self) { static_cast<exchange*>(self)->onMessageFinished(); }), this);
         m_bodyWrittenHandler = g_signal_connect(message, "wrote-body-data", G_CALLBACK(+[](SoupServerMessage*, guint count, gpointer self) { static_cast<exchange*>(self)->onBodyWritten(count); }), this);
     }
@@ -62,6 +71,13 @@
         g_signal_handler_disconnect(m_message.get(), m_bodyWrittenHandler);
     }
 
+    /// The request has been read, or never will be.
+    void stopReceiving()
+    {
+        if (std::exchange(m_isReceiving, false))
+            --m_server.m_receiving;
+    }
+
     void run(request request)
     {
         m_isStreamed = request.isStreamed;
@@ -89,6 +105,15 @@
             m_run->onCapacityChanged();
     }
 
+    [[nodiscard]] bool isAdmitted() const noexcept { return static_cast<bool>(m_run); }
+
+    /// Ends the request because the entry stops.
+    void end()
+    {
+        if (m_request && !m_isFinished)
+            cancel(outcome_reason::Stopping, retryAfterStop);
+    }
+
 private:
     void handleAdmission(const admission_decision& decision)
     {
@@ -116,15 +141,14 @@
         m_server.m_admission.finish(*m_request, isAnswered ? std::optional(asSeconds(monotonicNow() - m_admittedSince)) : std::nullopt);
     }
 
-    /// Cancels the request on behalf of the caller.
-    void cancel(outcome_reason reason)
+    void cancel(outcome_reason reason, milliseconds retryAfter = milliseconds(0))
     {
         if (m_run) {
-            m_run->cancel(reason);
+            m_run->cancel(reason, retryAfter);
             return;
         }
         m_server.m_admission.cancel(*m_request);
-        finish({ outcome_kind::NotRun, reason, "", milliseconds(0), "", {} });
+        finish({ outcome_kind::NotRun, reason, "", retryAfter, "", {} });
     }
 
     void startStream()
@@ -190,6 +214,8 @@
 
     void respond(const outcome& result)
     {
+        if (m_server.m_isStopping)
+            soup_message_headers_replace(soup_server_message_get_response_headers(m_message.get()), "Connection", "close");
         setRetryAfter(m_message.get(), result.retryAfter);
         soup_message_headers_replace(soup_server_message_get_response_headers(m_message.get()), "Bilberryseam-Request", m_id.toString().c_str());
         soup_message_headers_replace(soup_server_message_get_response_headers(m_message.get()), "Bilberryseam-Outcome", std::string(nameOf(result.kind)).c_str());
@@ -222,6 +248,7 @@
     {
         if (m_request && !m_isFinished && !std::exchange(m_isCallerDisconnected, true))
             cancel(outcome_reason::CallerDisconnected);
+        stopReceiving();
         m_server.removeExchange(this);
     }
 
@@ -238,6 +265,7 @@
     std::shared_ptr<pipeline_run> m_run;
     std::optional<disconnect_watch> m_disconnectWatch;
     size_t m_unreadBytes = 0;
+    bool m_isReceiving = true;
     bool m_isStreamed = false;
     bool m_hasStreamStarted = false;
     bool m_isCallerDisconnected = false;
@@ -251,6 +279,7 @@
     , m_admission(context)
     , m_server(gobject_ptr<SoupServer>::adopt(soup_server_new(nullptr, nullptr)))
 {
+    soup_server_add_early_handler(m_server.get(), "/", &caller_server::startReceiving, this, nullptr);
     soup_server_add_handler(m_server.get(), "/", &caller_server::handle, this, nullptr);
     listenOn(m_server.get(), settings.listen);
 }
@@ -260,10 +289,17 @@
     soup_server_disconnect(m_server.get());
 }
 
+void caller_server::startReceiving(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer self)
+{
+    auto* server = static_cast<caller_server*>(self);
+    server->m_exchanges.push_back(std::make_unique<exchange>(*server, message));
+}
+
 void caller_server::handle(SoupServer*, SoupServerMessage* message, const char* path, GHashTable*, gpointer self)
 {
     auto* server = static_cast<caller_server*>(self);
-    exchange& newExchange = *server->m_exchanges.emplace_back(std::make_unique<exchange>(*server, message));
+    exchange& newExchange = *static_cast<exchange*>(g_object_get_data(G_OBJECT(message), exchangeKey));
+    newExchange.stopReceiving();
     try {
         server->handleRequest(newExchange, message, path);
     } catch (const std::exception& exception) {
@@ -286,7 +322,7 @@
         newExchange.refuse(id, { outcome_kind::NotRun, outcome_reason::NotReady, "", milliseconds(1000), "No configuration is in force here yet.", {} });
         return;
     }
-    if (m_exchanges.size() > m_settings.limits.maxRequests) {
+    if (m_exchanges.size() - m_receiving > m_settings.limits.maxRequests) {
         newExchange.refuse(id, { outcome_kind::NotRun, outcome_reason::Overloaded, "", milliseconds(1000), "This entry has too many open requests.", {} });
         return;
     }
@@ -309,6 +345,18 @@
     m_cleanupTimer.startWhenIdle([this] { m_finishedExchanges.clear(); });
 }
 
+void caller_server::endRequests()
+{
+    // Ended exchanges are destroyed when the main loop is idle.
+    std::vector<exchange*> exchanges;
+    for (const auto& item : m_exchanges)
+        exchanges.push_back(item.get());
+    // A request that waits for admission must not start in place of one that has ended.
+    std::stable_partition(exchanges.begin(), exchanges.end(), [](const exchange* item) { return !item->isAdmitted(); });
+    for (exchange* item : exchanges)
+        item->end();
+}
+
 void caller_server::onCapacityChanged()
 {
     if (m_capacityTimer.isRunning())
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,8 +34,9 @@
     /// longer.
     constexpr milliseconds listenAfterStop { 2300 };
     constexpr milliseconds acceptAfterStop { 3000 };
-    /// Margin before the process is killed.
+    /// Open requests get their last response this long before the process is killed, and the process ends at the second margin.
     constexpr milliseconds stopMargin { 400 };
+    constexpr milliseconds killMargin { 150 };
 
     /// After a freeze, requests wait for so long for the target list; if the store is away, they are then sent by the known one.
     constexpr milliseconds rereadTime { 400 };
@@ -86,6 +87,7 @@
         m_context.counters.count("unread_requests_total", { { "status", std::to_string(status) } });
         logLine(log_level::Warning, logComponent, reason, { { "status", std::to_string(status) } });
     });
+    m_callers->setOnUnfinished([this](const http1::unfinished_connection& connection) { recordUnfinished(connection); });
     m_operators.emplace(
         settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleOperatorRequest(*exchange); });
     m_configurationFollower.emplace(m_context.store, std::string(platform::operatorTopic), platform::follow_options { readPause(std::min(settings.bounds.configuration, settings.bounds.revocation)) }, configurationCallbacks());
@@ -115,6 +117,7 @@
 {
     logLine(log_level::Info, logComponent, "The gateway started.", { { "name", m_context.settings.name }, { "listen", m_context.settings.listen.toString() }, { "store", m_context.settings.store.toString() }, { "version", BILBERRYSEAM_VERSION } });
     m_loop.run();
+    m_callers->reportUnfinished("stop");
     logLine(log_level::Info, logComponent, "The gateway stopped.", { { "open_requests", std::to_string(m_openRuns.size()) } });
 }
 
@@ -197,6 +200,7 @@
     const auto& configuration = *m_context.configuration;
     m_context.counters.count("configurations_total", { { "outcome", "in_force" } });
     m_context.counters.set("configuration_version", {}, static_cast<double>(configuration.version));
+    policy::changeIdleLimit(m_idleLimits, configuration.limits.idleTimeout, monotonicNow());
     m_pools->onMembersChanged();
     logLine(log_level::Info, logComponent, "A newer configuration came into force.", { { "version", std::to_string(configuration.version) }, { "before", previousVersion }, { "routes", std::to_string(configuration.routes.size()) }, { "keys", std::to_string(configuration.accountsByApiKey.size()) } });
 }
@@ -239,7 +243,7 @@
         limits.maxHeaderBytes = configuration->limits.maxHeaderBytes;
         limits.maxBodyBytes = configuration->limits.maxBodyBytes;
         limits.headerTimeout = configuration->limits.headerTimeout;
-        limits.idleTimeout = configuration->limits.idleTimeout;
+        limits.idleTimeout = policy::longestIdleLimit(m_idleLimits, monotonicNow());
     }
     return limits;
 }
@@ -395,6 +399,17 @@
     exchange.respond(status, std::move(headers), {});
 }
 
+void gateway::recordUnfinished(const http1::unfinished_connection& connection)
+{
+    std::string id;
+    if (connection.openRequest) {
+        if (const auto decoded = platform::decodeRequest(*connection.openRequest))
+            id = decoded.value().id;
+    }
+    m_context.counters.count("unfinished_connections_total", { { "reason", std::string(connection.reason) } });
+    logLine(log_level::Warning, logComponent, "A connection ended before its requests had complete responses.", { { "request", id }, { "reason", std::string(connection.reason) }, { "unanswered_bytes", std::to_string(connection.unansweredBytes) }, { "unsent_bytes", std::to_string(connection.unsentBytes) } });
+}
+
 void gateway::handleOperatorRequest(http1::exchange& exchange)
 {
     const std::string_view path = http1::pathOf(exchange.head().target);
@@ -456,11 +471,20 @@
     const auto sinceStopRequest = now - m_stopRequestedAt;
     if (sinceStopRequest > listenAfterStop && !std::exchange(m_hasStoppedListening, true))
         m_callers->stopListening();
-    const bool isDone = sinceStopRequest > acceptAfterStop && m_openRuns.empty();
-    if (isDone || sinceStopRequest > m_context.settings.bounds.stop - stopMargin)
+    const bool isDone = sinceStopRequest > acceptAfterStop && m_openRuns.empty() && m_pools->isDrained(now) && m_callers->closeIdleConnections();
+    if (sinceStopRequest > m_context.settings.bounds.stop - stopMargin)
+        endOpenRequests();
+    if (isDone || sinceStopRequest > m_context.settings.bounds.stop - killMargin)
         m_loop.quit();
 }
 
+void gateway::endOpenRequests()
+{
+    const auto runs = m_openRuns;
+    for (const auto& run : runs)
+        run->expire("stopping");
+}
+
 void gateway::stop()
 {
     if (std::exchange(m_isStopping, true))
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include "gateway/stream_directory.hpp"
 #include "loop/main_loop.hpp"
 #include "platform/topic_follower.hpp"
+#include "policy/idle_limit.hpp"
 
 #include <list>
 #include <memory>
@@ -19,7 +20,7 @@
     /// @throws error (`Unavailable`) if an address cannot be bound.
     explicit gateway(const settings::gateway_settings& settings);
 
-    /// Runs until the process is asked to terminate and its open requests are finished.
+    /// Runs until the process is asked to terminate and its callers have received their responses, or the time for it has passed.
     void run();
 
     /// Applies changed settings. Changed listening addresses take effect only after a restart.
@@ -55,6 +56,7 @@
     [[nodiscard]] bool checkCrashes(accepted_request& request, time_point now);
     void onVerdict(time_point firstCrashAt);
     void refuse(http1::exchange& exchange, std::string_view id, unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter = {});
+    void recordUnfinished(const http1::unfinished_connection& connection);
     void handleOperatorRequest(http1::exchange& exchange);
     /// @return Share of the limit of a target that this entry may use.
     [[nodiscard]] double limitShareOf(const target_state& target, time_point now);
@@ -62,6 +64,8 @@
     void checkForFreeze(time_point now);
     void tick();
     void stop();
+    /// Ends all requests, as the process has no more time for them.
+    void endOpenRequests();
 
     main_loop m_loop;
     context m_context;
@@ -76,6 +80,7 @@
     std::optional<http1::server> m_operators;
     std::optional<platform::topic_follower> m_configurationFollower;
     std::optional<platform::topic_follower> m_targetFollower;
+    policy::idle_limits m_idleLimits;
     bool m_isConfigurationUnreachable = false;
     bool m_isTargetListUnreachable = false;
     bool m_hasTargets = false;
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,12 @@
 public:
     explicit task_scheduler(context& context);
 
+    /// Takes over the pool profiles of a newer configuration. The profile of a pool that it lacks stays in use for the
+    /// requests that an earlier configuration accepted.
+    void applyProfiles(const deployment::configuration& configuration);
+    /// @return Whether the configuration or an earlier one has a pool of this name.
+    [[nodiscard]] bool hasPool(std::string_view service) const { return profileOf(service); }
+
     /// Queues the unfinished tasks of a job.
     void add(const job_ptr& job);
 
@@ -58,16 +65,24 @@
         std::list<task_ptr> queue;
         policy::value_average values;
         std::list<std::shared_ptr<batch_call>> calls;
+        std::optional<deployment::pool_profile> profile;
     };
 
     /// @return A target's state as input for the planning of batches.
     [[nodiscard]] policy::pool_target planningTarget(const target_state& target, const pool& pool, const deployment::pool_profile& profile, time_point now) const;
     void startBatchCalls(const std::string& service, pool& pool, time_point now);
     void requeueOverdueCalls(const std::string& service, pool& pool, time_point now);
+    /// Queues copies of an overdue call's tasks, as far as the retry budget and the limit of sends allow.
+    void requeueTasks(const std::string& service, pool& pool, batch_call& call, time_point now);
+    /// Frees the slots of calls that have been silent for long, and closes those whose results have become useless.
+    void checkSilentCalls(const std::string& service, pool& pool, time_point now);
+    static void freeSlot(batch_call& call, time_point now);
     void send(const std::string& service, pool& pool, const target_ptr& target, std::vector<task_ptr> tasks, time_point now);
     void onCallEnded(const std::string& service, const std::shared_ptr<batch_call>& call, http1::call_outcome outcome);
     void applyResults(const std::shared_ptr<batch_call>& call, const std::vector<platform::task_result>& results);
     void retry(const std::string& service, const task_ptr& task, platform::task_failure failure, bool wasSent);
+    /// @return Whether the result of a task is still needed, and the task is neither queued nor part of a call in progress.
+    [[nodiscard]] static bool isAbandoned(const pool& pool, const queued_task& task);
     void scheduleTick();
     [[nodiscard]] milliseconds resultLifetimeOf(std::string_view service) const;
     result_table::iterator eraseResult(result_table::iterator result);
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -59,12 +59,21 @@
     [[nodiscard]] size_t pendingBytes() const noexcept { return m_writeBuffer.size(); }
     [[nodiscard]] bool isOpen() const noexcept { return m_descriptor >= 0; }
 
+    /// @return Written bytes that the peer has not acknowledged; 0 if the connection is closed.
+    [[nodiscard]] size_t unacknowledgedBytes() const noexcept;
+    /// @return Bytes that the kernel has received and `onBytes` has not reported yet; 0 if the connection is closed.
+    [[nodiscard]] size_t unreadBytes() const noexcept;
+
     /// @return True once any byte has been handed to the kernel.
     [[nodiscard]] bool hasSent() const noexcept { return m_hasSent; }
 
     /// Pauses or resumes reading.
     void setReading(bool isReading);
 
+    /// Selects what happens when the peer closes its sending side while written bytes are unsent: the connection ends at once, or
+    /// once they are sent.
+    void setSendsAfterEnd(bool isEnabled) noexcept { m_sendsAfterEnd = isEnabled; }
+
     /// Closes the sending side once the buffered bytes are sent; reading continues.
     void finishWriting();
 
@@ -88,6 +97,8 @@
     bool m_isConnecting;
     bool m_isReading = true;
     bool m_isWriteShutdownRequested = false;
+    bool m_sendsAfterEnd = false;
+    bool m_hasPeerEnded = false;
     bool m_hasSent = false;
     bool m_hasSendFailed = false;
     bool m_isConnectFailurePending = false;
--- a/src/side/call_dispatcher.cpp
+++ b/src/side/call_dispatcher.cpp
@@ -4,6 +4,8 @@
 #include "side/detail/call_dispatcher_state.hpp"
 #include "telemetry/log.hpp"
 
+#include <algorithm>
+
 namespace bilberryseam::side {
 
 namespace {
@@ -193,10 +195,17 @@
     m_callbacks.send(call.session, wire::call_started { attempt });
     target_call::callbacks callbacks;
     callbacks.onOutput = [this, attempt](std::string_view text) { handleOutput(attempt, text); };
+    callbacks.onSilence = [this, attempt] { recordSilence(*m_calls.at(attempt)); };
     callbacks.onEnd = [this, attempt](call_result result) { handleEnd(attempt, std::move(result)); };
     call.targetCall = std::make_unique<target_call>(m_http, *call.runtime->service, call.runtime->target, call.call, m_settings.limits.targetInactivityTimeout, std::move(callbacks));
 }
 
+void call_dispatcher::recordSilence(const active_call& call)
+{
+    m_metrics.count("target_silences_total", { { "target", call.call.target } });
+    logLine(log_level::Warning, logComponent, "A target has sent nothing for the inactivity timeout; the call goes on.", { { "request", call.call.request.toString() }, { "target", call.call.target } });
+}
+
 void call_dispatcher::handleOutput(identifier attempt, std::string_view text)
 {
     active_call& call = *m_calls.at(attempt);
@@ -324,6 +333,11 @@
         cancel(attempt);
 }
 
+bool call_dispatcher::hasCalls(const target_runtime& runtime) const
+{
+    return std::ranges::any_of(m_calls, [&runtime](const auto& item) { return item.second->runtime == &runtime; });
+}
+
 void call_dispatcher::removeExpired()
 {
     const time_point now = monotonicNow();
@@ -338,7 +352,7 @@
         if (const auto position = m_calls.find(attempt); position != m_calls.end())
             abort(*position->second, wire::call_end::TimedOut);
     }
-    std::erase_if(m_targets, [](const auto& item) { return item.second->isWithdrawn && item.second->callQueue.running == 0 && item.second->callQueue.waiting.empty(); });
+    std::erase_if(m_targets, [this](const auto& item) { return item.second->isWithdrawn && !hasCalls(*item.second); });
 }
 
 void call_dispatcher::markDown(target_runtime& runtime, std::string_view message)
--- a/src/side/call_dispatcher.hpp
+++ b/src/side/call_dispatcher.hpp
@@ -84,6 +84,7 @@
     void refuseQuarantined(target_runtime& runtime);
     void startQueuedCalls(target_runtime& runtime);
     void launch(active_call& call);
+    void recordSilence(const active_call& call);
     void handleOutput(identifier attempt, std::string_view text);
     void handleEnd(identifier attempt, call_result result);
     void finish(active_call& call, wire::call_end end, std::string body, std::string detail);
@@ -98,6 +99,8 @@
     void broadcastLoad(const target_runtime& runtime);
     void updateDraining(target_runtime& runtime);
     wire::target_load loadOf(const target_runtime& runtime) const;
+    /// @return Whether any call refers to the target: queued, running or waiting for its claim.
+    [[nodiscard]] bool hasCalls(const target_runtime& runtime) const;
     void removeExpired();
 
     settings::side_settings m_settings;
