soak: keep the logs of gateway processes that have ended

Change: the fixture removes the old file before a restart, and the soaks keep its content. No check changes.

--- a/tests/soak/engine_soak_test.cpp
+++ b/tests/soak/engine_soak_test.cpp
@@ -88,10 +88,7 @@
     {
         if (condition)
             return;
-        std::string logs;
-        for (size_t i = 0; i < gatewayCount; ++i)
-            logs += m_fleet.deployment.logOf(i);
-        keepLogs("engine-soak", m_seed, description, logs);
+        keepLogs("engine-soak", m_seed, description, m_faults.logs(gatewayCount));
         cr_assert(false, "seed %u: %s", m_seed, description.c_str());
     }
 
--- a/tests/soak/gateway_faults.hpp
+++ b/tests/soak/gateway_faults.hpp
@@ -64,6 +64,15 @@
     [[nodiscard]] bool isStopped(size_t gateway) const { return m_stopped.contains(gateway); }
     [[nodiscard]] bool isPaused(size_t gateway) const { return m_paused.contains(gateway); }
 
+    /// @return The logs of all processes of all gateways so far.
+    [[nodiscard]] std::string logs(size_t gatewayCount) const
+    {
+        std::string text = m_endedLogs;
+        for (size_t i = 0; i < gatewayCount; ++i)
+            text += m_deployment.logOf(i);
+        return text;
+    }
+
     /// Resumes and restarts all gateways, after the undo actions were dropped.
     void restoreAll()
     {
@@ -72,7 +81,7 @@
         for (const size_t gateway : m_stopped) {
             m_deployment.waitUntil([&] { return m_deployment.hasExited(gateway); }, "a stopped gateway to exit");
             report(gateway, monotonicNow());
-            m_deployment.restartGateway(gateway);
+            startAgain(gateway);
         }
         m_stopped.clear();
     }
@@ -87,10 +96,17 @@
             m_undo.schedule(milliseconds(100), [this, gateway] { restart(gateway); });
             return;
         }
-        m_deployment.restartGateway(gateway);
+        startAgain(gateway);
         m_stopped.erase(gateway);
     }
 
+    /// A new process of a gateway replaces its log.
+    void startAgain(size_t gateway)
+    {
+        m_endedLogs += m_deployment.logOf(gateway);
+        m_deployment.restartGateway(gateway);
+    }
+
     void resume(size_t gateway)
     {
         report(gateway, monotonicNow());
@@ -107,6 +123,7 @@
     deployment_fixture& m_deployment;
     undo_actions& m_undo;
     disturbance_callback m_onDisturbed;
+    std::string m_endedLogs;
     std::set<size_t> m_stopped;
     std::set<size_t> m_paused;
 };
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -105,10 +105,7 @@
     {
         if (condition)
             return;
-        std::string logs;
-        for (size_t i = 0; i < gatewayCount; ++i)
-            logs += m_deployment.logOf(i);
-        keepLogs("soak", m_seed, description, logs);
+        keepLogs("soak", m_seed, description, m_faults.logs(gatewayCount));
         cr_assert(false, "seed %u: %s", m_seed, description.c_str());
     }
 
--- a/tests/support/deployment_fixture.cpp
+++ b/tests/support/deployment_fixture.cpp
@@ -112,6 +112,9 @@
 
 void deployment_fixture::restartGateway(size_t gateway)
 {
+    // A new process writes from the start of an existing file and leaves the rest of it.
+    std::error_code ignored;
+    std::filesystem::remove(m_gateways[gateway].logPath, ignored);
     spawn(m_gateways[gateway]);
 }
 
