soak: targets that fall silent and change versions, with all other faults

It checks that a request that was read whole gets a complete answer or a true refusal (unless its gateway was killed, its target broke off, or its deadline or timeout passed), that requests run as often as their kind allows, that each event comes once and in order over all attempts, and that service is restored in time.

--- /dev/null
+++ b/tests/soak/attempt_checks.hpp
@@ -0,0 +1,136 @@
+/// Decides from what targets, gateways and configurations went through whether the end of an attempt is allowed.
+#pragma once
+
+#include "http1/status.hpp"
+#include "soak/soak_callers.hpp"
+
+#include <map>
+#include <optional>
+
+namespace bilberryseam::tests {
+
+/// What happened in a soak run, apart from the attempts.
+class soak_history {
+public:
+    void addRun(const std::string& id, size_t engine) { m_runs[id].push_back({ engine, monotonicNow() }); }
+    void addCrash(size_t engine) { m_crashes[engine].push_back(monotonicNow()); }
+    void addKill(size_t gateway) { m_kills[gateway].push_back(monotonicNow()); }
+    void addPause(size_t gateway, milliseconds duration) { m_pauses[gateway].emplace_back(monotonicNow(), monotonicNow() + duration); }
+    void addTimeout(milliseconds timeout) { m_timeouts.emplace_back(monotonicNow(), timeout); }
+    void addKeyRemoval() { m_isKeyEverRemoved = true; }
+
+    /// @return How many times targets received the request.
+    [[nodiscard]] size_t runsOf(const std::string& id) const { return m_runs.contains(id) ? m_runs.at(id).size() : 0; }
+
+    /// @return Whether a target that received the attempt broke off before its end.
+    [[nodiscard]] bool hasTargetBrokenOff(const attempt& item) const
+    {
+        const auto runs = m_runs.find(item.id);
+        return runs != m_runs.end() && std::any_of(runs->second.begin(), runs->second.end(), [&](const run& entry) { return isAnyIn(m_crashes, entry.engine, entry.at, item.endedAt); });
+    }
+
+    [[nodiscard]] bool wasGatewayKilled(const attempt& item) const { return isAnyIn(m_kills, item.gateway, item.sentAt, item.endedAt); }
+
+    /// @return Whether the deadline passed, or the timeout of a configuration that may have been in force when the gateway read the request.
+    [[nodiscard]] bool hasTimedOut(const attempt& item) const
+    {
+        milliseconds limit = soak_callers::deadline;
+        const time_point readBy = latestReading(item);
+        // The newest configuration before the window may still have been in force.
+        for (size_t i = 0; i < m_timeouts.size(); ++i) {
+            const bool isReplacedBefore = i + 1 < m_timeouts.size() && m_timeouts[i + 1].first < item.sentAt - configurationWindow;
+            if (!isReplacedBefore && m_timeouts[i].first <= readBy)
+                limit = std::min(limit, m_timeouts[i].second);
+        }
+        return item.endedAt - item.sentAt >= limit;
+    }
+
+    /// @return Whether the gateway has read the whole request: a target has it, or the gateway had time to read it.
+    [[nodiscard]] bool wasRead(const attempt& item) const
+    {
+        if (runsOf(item.id) > 0)
+            return true;
+        return item.outcome != http1::call_outcome::NotSent && item.endedAt - item.sentAt > readingTime && latestReading(item) <= item.endedAt;
+    }
+
+    /// @return What is wrong with the end of an attempt; not set if nothing is.
+    [[nodiscard]] std::optional<std::string> complaint(const attempt& item, int eventCount) const
+    {
+        const std::string text = describe(item);
+        if (runsOf(item.id) > 1 && !mayRunTwice(item.kind))
+            return "ran more than once: " + text;
+        if (item.hasLeft)
+            return std::nullopt;
+        if (item.isComplete() && item.head.status == http1::statusOk)
+            return isWhole(item, eventCount) ? std::nullopt : std::optional("a complete response is not whole: " + text);
+        const unsigned refusals[] { http1::statusTimeout, http1::statusMisdirected, http1::statusTooManyRequests, http1::statusUnavailable };
+        if (item.isComplete() && std::find(std::begin(refusals), std::end(refusals), item.head.status) != std::end(refusals))
+            return runsOf(item.id) == 0 || mayRunTwice(item.kind) ? std::nullopt : std::optional("was refused but ran: " + text);
+        if (item.isComplete() && item.head.status == http1::statusUnauthorized && item.hasRevocableKey && m_isKeyEverRemoved)
+            return std::nullopt;
+        if (item.isCrashing || !wasRead(item) || wasGatewayKilled(item) || hasTargetBrokenOff(item) || hasTimedOut(item))
+            return std::nullopt;
+        return (item.isComplete() ? "failed at the gateway: " : "got neither a complete answer nor a refusal: ") + text;
+    }
+
+    [[nodiscard]] std::string describe(const attempt& item) const
+    {
+        return item.id + " at gateway " + std::to_string(item.gateway) + (item.isKept ? " on a kept connection" : "") + ", " + std::string(http1::nameOf(item.outcome)) + ", status " + std::to_string(item.head.status) + ", "
+            + std::to_string(asMilliseconds(item.endedAt - item.sentAt)) + " ms, " + std::to_string(runsOf(item.id)) + " runs, " + std::to_string(item.body.size()) + " bytes";
+    }
+
+private:
+    struct run {
+        size_t engine = 0;
+        time_point at {};
+    };
+
+    using times = std::map<size_t, std::vector<time_point>>;
+
+    static bool isAnyIn(const times& all, size_t index, time_point from, time_point to)
+    {
+        const auto position = all.find(index);
+        return position != all.end() && std::any_of(position->second.begin(), position->second.end(), [&](time_point at) { return from <= at && at <= to; });
+    }
+
+    /// @return When the gateway has read the attempt at the latest.
+    [[nodiscard]] time_point latestReading(const attempt& item) const
+    {
+        time_point readBy = item.sentAt + readingTime;
+        if (const auto pauses = m_pauses.find(item.gateway); pauses != m_pauses.end()) {
+            for (const auto& [from, to] : pauses->second) {
+                if (from <= readBy && to >= item.sentAt)
+                    readBy = to + readingTime;
+            }
+        }
+        return readBy;
+    }
+
+    /// @return Whether a body is the whole response of one engine, with each event once and in order.
+    static bool isWhole(const attempt& item, int eventCount)
+    {
+        const auto events = eventsOf(item.body);
+        const int first = item.stream && item.stream->returns > 0 && !events.empty() ? events.front().number : 1;
+        for (size_t i = 0; i < events.size(); ++i) {
+            if (events[i].number != first + static_cast<int>(i))
+                return false;
+        }
+        const int last = isStream(item.kind) ? eventCount : 1;
+        const bool isResumedAtEnd = events.empty() && item.body.empty() && item.stream && item.stream->lastEvent == eventCount;
+        const bool isOwn = http1::findHeader(item.head.headers, "X-Attempt-Id") == item.id;
+        return isOwn && item.body.ends_with("\n\n") != isResumedAtEnd && (isResumedAtEnd || events.back().number == last);
+    }
+
+    /// A gateway that runs has read a request after this time.
+    static constexpr milliseconds readingTime { 200 };
+    /// Longest time until a configuration is in force, with store faults.
+    static constexpr seconds configurationWindow { 8 };
+
+    std::map<std::string, std::vector<run>> m_runs;
+    times m_crashes;
+    times m_kills;
+    std::map<size_t, std::vector<std::pair<time_point, time_point>>> m_pauses;
+    std::vector<std::pair<time_point, milliseconds>> m_timeouts;
+    bool m_isKeyEverRemoved = false;
+};
+}
--- a/tests/support/deployment_fixture.cpp
+++ b/tests/support/deployment_fixture.cpp
@@ -83,10 +83,11 @@
     return route;
 }
 
-void deployment_fixture::configure(int version, json routes, json services, json tenants)
+void deployment_fixture::configure(int version, json routes, json services, json tenants, const json& limitChanges)
 {
     json document { { "version", version }, { "routes", std::move(routes) }, { "services", std::move(services) },
         { "limits", { { "max_header_bytes", 8192 }, { "max_body_bytes", 100000 }, { "header_timeout_ms", 600 }, { "idle_timeout_ms", 3000 } } } };
+    document["limits"].update(limitChanges);
     if (!tenants.is_null())
         document["tenants"] = std::move(tenants);
     m_store->put("keyed.op", "config", document.dump());
--- a/tests/support/deployment_fixture.hpp
+++ b/tests/support/deployment_fixture.hpp
@@ -57,7 +57,8 @@
     /// @return A route for the configuration; `changes` override or add fields.
     [[nodiscard]] static nlohmann::json route(const std::string& prefix, const std::string& kind, const std::string& service, const nlohmann::json& changes = nlohmann::json::object());
     /// Writes a configuration with these routes and services to the store.
-    void configure(int version, nlohmann::json routes, nlohmann::json services = nlohmann::json::array(), nlohmann::json tenants = nullptr);
+    /// @param limitChanges  Override the limits of the configuration.
+    void configure(int version, nlohmann::json routes, nlohmann::json services = nlohmann::json::array(), nlohmann::json tenants = nullptr, const nlohmann::json& limitChanges = nlohmann::json::object());
 
     /// Starts a gateway.
     /// @return Its index.
