--- a/tests/soak/gateway_faults.hpp
+++ b/tests/soak/gateway_faults.hpp
@@ -64,6 +64,14 @@
     [[nodiscard]] bool isStopped(size_t gateway) const { return m_stopped.contains(gateway); }
     [[nodiscard]] bool isPaused(size_t gateway) const { return m_paused.contains(gateway); }
 
+    /// @return The gateway or, if it is stopped, another one that is not; itself if all are stopped.
+    [[nodiscard]] size_t running(size_t gateway, size_t gatewayCount) const
+    {
+        for (size_t i = 0; i < gatewayCount && m_stopped.contains(gateway); ++i)
+            gateway = (gateway + 1) % gatewayCount;
+        return gateway;
+    }
+
     /// @return The logs of all processes of all gateways so far.
     [[nodiscard]] std::string logs(size_t gatewayCount) const
     {
--- a/tests/soak/seeds.hpp
+++ b/tests/soak/seeds.hpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bilberryseam::tests {
@@ -37,6 +38,13 @@
     return milliseconds(1000 * (text ? std::stoi(text) : defaultSeconds));
 }
 
+/// @return Whether BILBERRYSEAM_SOAK_VERSIONS asks to check that a stream has events of one software version only.
+inline bool areVersionsChecked()
+{
+    const char* text = std::getenv("BILBERRYSEAM_SOAK_VERSIONS");
+    return text && std::string_view(text) == "1";
+}
+
 /// Writes the logs of a failed run to the folder in BILBERRYSEAM_SOAK_LOGS, if there is one.
 inline void keepLogs(const std::string& name, unsigned seed, const std::string& description, const std::string& logs)
 {
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -63,6 +63,12 @@
     [[nodiscard]] bool isComplete() const noexcept { return outcome == http1::call_outcome::Complete; }
 };
 
+/// @param own  Prompt segment that belongs to the request alone.
+[[nodiscard]] inline http1::header_list promptHeaders(const std::string& subject, unsigned session, const std::string& own)
+{
+    return { { "X-Model", "m" }, { "X-Token-Counts", "160,10" }, { "X-Prompt-Prefix", "system:40," + subject + ":40,session" + std::to_string(session) + ":40," + own + ":40" } };
+}
+
 struct stream_event {
     int number = 0;
     std::string version;
