soak: a target that broke off before it had read a request excuses its end

Change: a request that no target received is also excused if a target broke off in the 100 ms before its end. Complaints say how the connection ended.

--- a/tests/soak/attempt_checks.hpp
+++ b/tests/soak/attempt_checks.hpp
@@ -22,11 +22,15 @@
     /// @return How many times targets received the request.
     [[nodiscard]] size_t runsOf(const std::string& id) const { return m_runs.contains(id) ? m_runs.at(id).size() : 0; }
 
-    /// @return Whether a target that received the attempt broke off before its end.
+    /// @return Whether a target that received the attempt broke off before its end, or one that had not read it yet just before.
     [[nodiscard]] bool hasTargetBrokenOff(const attempt& item) const
     {
         const auto runs = m_runs.find(item.id);
-        return runs != m_runs.end() && std::any_of(runs->second.begin(), runs->second.end(), [&](const run& entry) { return isAnyIn(m_crashes, entry.engine, entry.at, item.endedAt); });
+        if (runs == m_runs.end()) {
+            const time_point from = std::max(item.sentAt, item.endedAt - breakOffTime);
+            return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto& entry) { return isAnyIn(m_crashes, entry.first, from, item.endedAt); });
+        }
+        return std::any_of(runs->second.begin(), runs->second.end(), [&](const run& entry) { return isAnyIn(m_crashes, entry.engine, entry.at, item.endedAt); });
     }
 
     [[nodiscard]] bool wasGatewayKilled(const attempt& item) const { return isAnyIn(m_kills, item.gateway, item.sentAt, item.endedAt); }
@@ -75,7 +79,7 @@
 
     [[nodiscard]] std::string describe(const attempt& item) const
     {
-        return item.id + " at gateway " + std::to_string(item.gateway) + (item.isKept ? " on a kept connection" : "") + ", " + std::string(http1::nameOf(item.outcome)) + ", status " + std::to_string(item.head.status) + ", "
+        return item.id + " at gateway " + std::to_string(item.gateway) + (item.isKept ? " on a kept connection" : "") + ", " + std::string(http1::nameOf(item.outcome)) + ", connection " + std::string(item.connectionEnd ? http1::nameOf(*item.connectionEnd) : "open") + ", status " + std::to_string(item.head.status) + ", "
             + std::to_string(asMilliseconds(item.endedAt - item.sentAt)) + " ms, " + std::to_string(runsOf(item.id)) + " runs, " + std::to_string(item.body.size()) + " bytes";
     }
 
@@ -123,6 +127,8 @@
 
     /// A gateway that runs has read a request after this time.
     static constexpr milliseconds readingTime { 200 };
+    /// A request that a target has not read ends within this time after the target broke off.
+    static constexpr milliseconds breakOffTime { 100 };
     /// Longest time until a configuration is in force, with store faults.
     static constexpr seconds configurationWindow { 8 };
 
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 #include <list>
+#include <optional>
 #include <set>
 
 namespace bilberryseam::tests {
@@ -56,6 +57,8 @@
     http1::response_head head;
     std::string body;
     http1::call_outcome outcome = http1::call_outcome::NoResponse;
+    /// How the gateway ended the connection; not set if it was still open.
+    std::optional<http1::close_reason> connectionEnd;
     bool isFinished = false;
     /// The caller closed the connection by itself.
     bool hasLeft = false;
@@ -111,6 +114,7 @@
         callbacks.onBody = [&item](std::string_view bytes) { item.body.append(bytes); };
         callbacks.onEnd = [this, &item](http1::call_outcome outcome) {
             item.outcome = outcome;
+            item.connectionEnd = item.call->trace().connectionEnd;
             finish(item);
         };
         constexpr const char* prefixes[] { "/book/", "/page/", "/stream/", "/resume/" };
