--- a/tests/support/deployment_fixture.cpp
+++ b/tests/support/deployment_fixture.cpp
@@ -81,10 +81,11 @@
     return route;
 }
 
-void deployment_fixture::configure(int version, json routes, json services, json tenants)
+void deployment_fixture::configure(int version, json routes, json services, json tenants, const json& limitChanges)
 {
     json document { { "version", version }, { "routes", std::move(routes) }, { "services", std::move(services) },
         { "limits", { { "max_header_bytes", 8192 }, { "max_body_bytes", 100000 }, { "header_timeout_ms", 600 }, { "idle_timeout_ms", 3000 } } } };
+    document["limits"].update(limitChanges);
     if (!tenants.is_null())
         document["tenants"] = std::move(tenants);
     m_store->put("keyed.op", "config", document.dump());
@@ -110,6 +111,9 @@
 
 void deployment_fixture::restartGateway(size_t gateway)
 {
+    // A new process writes from the start of an existing file and leaves the rest of it.
+    std::error_code ignored;
+    std::filesystem::remove(m_gateways[gateway].logPath, ignored);
     spawn(m_gateways[gateway]);
 }
 
