Verdicts that are passed on no longer look newer than the survivals that ended them

Cause: a message is passed on with the age at its first sender, so each hop moves its event later by the time under way. A verdict then counts as new again after the survival that ended it, and the survival after the verdict. Change: the last crash of a received verdict is taken as earlier by the longest time that a message is under way, so that a known survival wins.

--- a/src/execution/crash_exchange.cpp
+++ b/src/execution/crash_exchange.cpp
@@ -9,6 +9,9 @@
 namespace bilberryseam::execution {
 
 namespace {
+    /// Ages in messages are those at the first sender; an event looks later by the time that the message was under way.
+    constexpr milliseconds maxTransitTime { 250 };
+
     constexpr std::string_view logComponent = "crashes";
 
     /// Segments of a report that are named in the log.
@@ -154,7 +157,8 @@
 bool crash_exchange::mergeVerdict(const wire::segment_verdict& message, std::string_view from, time_point now)
 {
     const bool wasRefused = m_evidence.verdicts.contains(message.segment);
-    const time_point lastCrashAt = now - milliseconds(message.lastCrashAgeMs);
+    // Otherwise a verdict that is passed on looks newer than the survival that ended it, and both circulate.
+    const time_point lastCrashAt = now - milliseconds(message.lastCrashAgeMs) - maxTransitTime;
     policy::segment_verdict verdict { {}, message.crashCount, lastCrashAt, lastCrashAt, message.trials, now + milliseconds(message.nextTrialMs), {} };
     for (const auto& companion : message.companions)
         verdict.companions.push_back(companion.segment);
