--- a/tests/soak/seeds.hpp
+++ b/tests/soak/seeds.hpp
@@ -38,11 +38,12 @@
     return milliseconds(1000 * (text ? std::stoi(text) : defaultSeconds));
 }
 
-/// @return Whether BILBERRYSEAM_SOAK_VERSIONS asks to check that a stream has events of one software version only.
+/// @return Whether it is checked that a stream has events of one software version only; BILBERRYSEAM_SOAK_VERSIONS=0 only
+/// counts those that do not.
 inline bool areVersionsChecked()
 {
     const char* text = std::getenv("BILBERRYSEAM_SOAK_VERSIONS");
-    return text && std::string_view(text) == "1";
+    return !text || std::string_view(text) != "0";
 }
 
 /// Writes the logs of a failed run to the folder in BILBERRYSEAM_SOAK_LOGS, if there is one.
--- a/tests/soak/silence_soak_test.cpp
+++ b/tests/soak/silence_soak_test.cpp
@@ -1,6 +1,6 @@
 /// Targets that fall silent, restart and change their software versions, behind gateways that are killed, stopped, paused
 /// and reconfigured while requests are open. The environment variables of soak_test.cpp select seeds, duration and the
-/// folder for logs; BILBERRYSEAM_SOAK_VERSIONS=1 also checks that a stream has events of one software version only.
+/// folder for logs; BILBERRYSEAM_SOAK_VERSIONS=0 leaves out the check that a stream has events of one software version only.
 #include "soak/attempt_checks.hpp"
 #include "soak/gateway_faults.hpp"
 #include "soak/seeds.hpp"
