A target that says in a response that it leaves gets no new requests

What callers saw: requests at targets that were about to end, until the target list said so; never, while the store was away. Cause: nothing read the field of the response. Change: any response of the target itself counts, of requests and of batch calls, also a refusal. Other entries do not learn of it from this one; they read it in their own responses or the list.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -53,6 +53,14 @@
         context.counters.count("target_limits_total", { { "change", stated.perSecond ? "stated" : "lifted" } });
         logLine(log_level::Info, limitComponent, stated.perSecond ? "A target states how many requests a second it takes." : "A target no longer states a limit; its rate rises for some seconds.", { { "target", target.listed.id }, { "per_second", std::to_string(*target.limit.perSecond) }, { "share", std::to_string(target.limit.share) } });
     }
+
+    void applyLeaving(context& context, target_state& target, const http1::response_head& head)
+    {
+        if (!platform::isLeaving(head) || std::exchange(target.isLeaving, true))
+            return;
+        context.counters.count("leaving_responses_total");
+        logLine(log_level::Info, "targets", "A target said in a response that it leaves; it gets no new requests.", { { "target", target.listed.id }, { "service", target.listed.service }, { "status", std::to_string(head.status) } });
+    }
 }
 
 bool isTargetListUncertain(const context& context, time_point now) noexcept
@@ -66,6 +74,7 @@
     policy::recordSend(target->limit, sentAt);
     callbacks.onHead = [&context, target, sentAt, onHead = std::move(callbacks.onHead)](const http1::response_head& head) {
         applyLimit(context, target, head, sentAt);
+        applyLeaving(context, *target, head);
         if (onHead)
             onHead(head);
     };
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -21,6 +21,8 @@
     uint64_t hash = 0;
     /// The record was removed or replaced by that of a restarted target.
     bool isRemoved = false;
+    /// The target said in a response that it leaves; its record may say so later.
+    bool isLeaving = false;
     /// The record now names another software version: which one ran the last requests is doubtful.
     bool isVersionChanged = false;
     /// The address responded as another target; stays set until the record names another address or service.
@@ -40,7 +42,7 @@
     /// Time at which the target last processed a prompt prefix for this process, by the hash of the prompt segments in it.
     std::unordered_map<uint64_t, time_point> cachedPrefixes;
 
-    [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !listed.isDraining; }
+    [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !isLeaving && !listed.isDraining; }
     /// @return Whether the target may get work as soon as its limit allows.
     [[nodiscard]] bool isAvailable(time_point now) const noexcept { return isInService() && policy::isUsable(health, now); }
     [[nodiscard]] bool mayGetWork(time_point now) const noexcept { return isAvailable(now) && policy::canSend(limit, now); }
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -39,6 +39,9 @@
     /// Requests a second that a target takes from all entries together, a decimal number.
     constexpr std::string_view limitName = "Server-Limit";
 
+    /// "1" if the target leaves, as it also states in the target list.
+    constexpr std::string_view leavingName = "Server-Leaving";
+
     constexpr size_t maxPromptSegments = 1000;
 
     /// Fields that apply to one connection and are not forwarded.
@@ -224,6 +227,12 @@
     return { *value, isNumber && isUnique ? std::optional(perSecond) : std::nullopt };
 }
 
+bool isLeaving(const http1::response_head& head)
+{
+    // A misdirected request was answered by another target at this address.
+    return head.status != http1::statusMisdirected && http1::findHeader(head.headers, leavingName) == "1";
+}
+
 bool isNotExecuted(const http1::response_head& head)
 {
     return head.status == http1::statusMisdirected || http1::findHeader(head.headers, notExecutedName).has_value();
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -65,6 +65,9 @@
 
 [[nodiscard]] stated_limit decodeLimit(const http1::response_head& head);
 
+/// @return True if the target that responded states that it leaves and wants no new requests.
+[[nodiscard]] bool isLeaving(const http1::response_head& head);
+
 /// @return True if the target states that it did not execute the request.
 [[nodiscard]] bool isNotExecuted(const http1::response_head& head);
 
