Failing tests: targets that ask for a pause get requests meanwhile

Seen: two of seven tests of gateway_leaving_target fail: a target that refused a request with a pause is tried again after 60 ms, and when all have asked for one the caller is told to come back after 100 ms. The pause is decoded (bounded, in seconds), but not used yet.

--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -78,6 +78,16 @@
         return number;
     }
 
+    /// @return A decimal number that is finite and at least zero, or nothing.
+    std::optional<double> parseDecimal(std::string_view text)
+    {
+        const std::string_view digits = http1::trim(text);
+        double number = 0;
+        const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), number, std::chars_format::fixed);
+        const bool isNumber = problem == std::errc() && end == digits.data() + digits.size() && std::isfinite(number) && number >= 0;
+        return isNumber ? std::optional(number) : std::nullopt;
+    }
+
     template <typename Handler>
     void forEachListItem(std::string_view list, Handler handler)
     {
@@ -219,12 +229,8 @@
     const auto value = http1::findHeader(head.headers, limitName);
     if (!value)
         return {};
-    const std::string_view digits = http1::trim(*value);
-    double perSecond = 0;
-    const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), perSecond, std::chars_format::fixed);
-    const bool isNumber = problem == std::errc() && end == digits.data() + digits.size() && std::isfinite(perSecond) && perSecond >= 0;
     const bool isUnique = http1::countHeaders(head.headers, limitName) == 1;
-    return { *value, isNumber && isUnique ? std::optional(perSecond) : std::nullopt };
+    return { *value, isUnique ? parseDecimal(*value) : std::nullopt };
 }
 
 bool isLeaving(const http1::response_head& head)
@@ -233,6 +239,17 @@
     return head.status != http1::statusMisdirected && http1::findHeader(head.headers, leavingName) == "1";
 }
 
+std::optional<milliseconds> decodePause(const http1::response_head& head)
+{
+    const auto value = http1::findHeader(head.headers, "Retry-After");
+    if (!value || head.status != http1::statusUnavailable || !isNotExecuted(head))
+        return std::nullopt;
+    const auto pauseSeconds = parseDecimal(*value);
+    if (!pauseSeconds)
+        return std::nullopt;
+    return std::min(longestPause, milliseconds(static_cast<int64_t>(std::min(*pauseSeconds, asSeconds(longestPause)) * 1000)));
+}
+
 bool isNotExecuted(const http1::response_head& head)
 {
     return head.status == http1::statusMisdirected || http1::findHeader(head.headers, notExecutedName).has_value();
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -68,6 +68,12 @@
 /// @return True if the target that responded states that it leaves and wants no new requests.
 [[nodiscard]] bool isLeaving(const http1::response_head& head);
 
+/// Longest pause that a target may ask for; a larger one cannot silence it for good.
+constexpr milliseconds longestPause { 30000 };
+
+/// @return How long the target that refused the request wants no others; nothing if it does not say, or not in seconds.
+[[nodiscard]] std::optional<milliseconds> decodePause(const http1::response_head& head);
+
 /// @return True if the target states that it did not execute the request.
 [[nodiscard]] bool isNotExecuted(const http1::response_head& head);
 
--- a/tests/process/gateway_leaving_target_test.cpp
+++ b/tests/process/gateway_leaving_target_test.cpp
@@ -1,4 +1,5 @@
 /// Targets that state in a response that they leave, or that they want no requests for a while.
+#include "platform/ingress.hpp"
 #include "support/deployment_fixture.hpp"
 
 #include <criterion/criterion.h>
@@ -86,3 +87,41 @@
     targets.sendUntilFirstIsUsed();
     cr_assert_gt(targets.countAtFirst(20), 0u);
 }
+
+Test(gateway_leaving_target, a_target_that_asks_for_a_pause_gets_no_requests_meanwhile)
+{
+    two_targets targets(224);
+    targets.respond(503, { { "X-Not-Executed", "1" }, { "Retry-After", "1.5" } });
+    targets.sendUntilFirstIsUsed();
+    targets.deployment.runLoopFor(milliseconds(200));
+    cr_assert_eq(targets.countAtFirst(20), 0u);
+    targets.first.setRequestHandler({});
+    targets.deployment.runLoopFor(milliseconds(2200));
+    cr_assert_gt(targets.countAtFirst(20), 0u);
+}
+
+Test(gateway_leaving_target, a_request_is_refused_at_once_while_all_targets_ask_for_a_pause)
+{
+    two_targets targets(225);
+    for (auto* target : { &targets.first, &targets.second })
+        target->setRequestHandler([target](std::shared_ptr<http1::exchange> exchange) { exchange->respond(503, { { "X-Not-Executed", "1" }, { "Retry-After", "4" } }, ""); });
+    cr_assert_eq(targets.deployment.sendAndWait("GET", "/p/1")->head.status, 503);
+    const size_t sends = targets.first.requests().size() + targets.second.requests().size();
+    const time_point sentAt = monotonicNow();
+    const auto response = targets.deployment.sendAndWait("GET", "/p/2");
+    cr_assert_eq(response->head.status, 503);
+    cr_assert_lt(monotonicNow() - sentAt, milliseconds(1000));
+    cr_assert_geq(std::stod(response->header("Retry-After")), 2.0);
+    cr_assert_eq(targets.first.requests().size() + targets.second.requests().size(), sends);
+}
+
+Test(gateway_leaving_target, a_pause_that_is_no_plausible_number_is_ignored_or_bounded)
+{
+    for (const char* value : { "-4", "nan", "inf", "soon", "Fri, 31 Dec 1999 23:59:59 GMT", "", "1e300" }) {
+        http1::response_head head { 503, { { "X-Not-Executed", "1" }, { "Retry-After", value } } };
+        const auto pause = platform::decodePause(head);
+        cr_assert(!pause || *pause <= platform::longestPause, "'%s'", value);
+    }
+    cr_assert_eq(platform::decodePause({ 503, { { "X-Not-Executed", "1" }, { "Retry-After", "100000" } } }).value(), platform::longestPause);
+    cr_assert(!platform::decodePause({ 200, { { "Retry-After", "4" } } }));
+}
