A target that asks for a pause gets no requests meanwhile

What callers saw: requests sent to targets that had just refused others and asked for time, and a refusal that told them to come back too early. Cause: the pause in a refusal was not read. If all targets of a service have asked for a pause that outlasts the wait of a request, it is refused at once with the time until the first pause ends.

--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -53,6 +53,18 @@
     return std::nullopt;
 }
 
+std::optional<milliseconds> request_run::pauseOfAllTargets(time_point now) const
+{
+    std::optional<time_point> end;
+    for (const auto& target : m_context.targets.ofService(m_request.service)) {
+        if (target->isInService() && mayRunAt(*target))
+            end = std::min(end.value_or(target->pausedUntil), target->pausedUntil);
+    }
+    if (!end || *end < m_arrivedAt + detail::maxPlacementTime)
+        return std::nullopt;
+    return std::chrono::duration_cast<milliseconds>(*end - now);
+}
+
 void request_run::refuseLimited(milliseconds expectedWait)
 {
     // Callers that are refused at the same moment come back spread over as long again.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -168,6 +168,10 @@
         send(target);
         return;
     }
+    if (const auto pause = pauseOfAllTargets(now); pause && !m_mayHaveRun && !m_request.exchange->isStarted()) {
+        refuse("targets_paused", *pause);
+        return;
+    }
     if (const auto limitWait = waitForLimits(now)) {
         refuseLimited(*limitWait);
         return;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -149,6 +149,8 @@
     /// @return The expected wait if it is too long; nothing if the request has a place or no target is limited.
     [[nodiscard]] std::optional<milliseconds> waitForLimits(time_point now);
     void refuseLimited(milliseconds expectedWait);
+    /// @return Time until the first target's pause ends, if all targets have asked for pauses that outlast the request's wait.
+    [[nodiscard]] std::optional<milliseconds> pauseOfAllTargets(time_point now) const;
     void send(const target_ptr& target);
 
     // Responses; in request_attempts.cpp.
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -407,8 +407,8 @@
             eraseResult(position);
     }
     for (const auto& [target, items] : byHolder) {
-        // A limited target is spared the call: its results expire by themselves.
-        if (!policy::canSend(target->limit, monotonicNow())) {
+        // A limited or paused target is spared the call: its results expire by themselves.
+        if (!policy::canSend(target->limit, monotonicNow()) || monotonicNow() < target->pausedUntil) {
             m_context.counters.count("releases_left_out_total");
             continue;
         }
