--- a/tests/process/gateway_silence_test.cpp
+++ b/tests/process/gateway_silence_test.cpp
@@ -280,3 +280,55 @@
     checkWhole(*deployment.sendAndWait("POST", "/m/1", { { "X-Pieces", "1" }, { "X-Piece-Key", "k" } }));
     cr_assert_eq(scripts[0].requestCount() + scripts[1].requestCount(), 1u);
 }
+
+Test(gateway_silence, a_begun_stream_is_not_ended_by_another_status_of_its_second_run)
+{
+    deployment_fixture deployment(225);
+    deployment.configure(3, { resumableRoute() });
+    auto& target = deployment.addTarget("t-1", "model");
+    auto& other = deployment.addTarget("t-2", "model");
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    scripted_target script(target, {});
+    script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), event(1)), bytes(silence, event(2)), end() });
+    for (const unsigned status : { 404u, 429u, 204u }) {
+        other.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) {
+            // The first send goes to the scripted target, since the other one refuses it.
+            if (http1::findHeader(exchange->head().headers, "Last-Event-Id"))
+                exchange->respond(status, other.responseHeaders(*exchange), {});
+            else
+                exchange->respond(503, { { "X-Not-Executed", "1" } }, {});
+        });
+        checkWhole(*deployment.sendAndWait("POST", "/m/" + std::to_string(status)));
+    }
+    cr_assert_eq(script.closedCount(), 0u);
+}
+
+Test(gateway_silence, a_broken_stream_whose_second_run_gets_another_status_does_not_end_as_complete)
+{
+    deployment_fixture deployment(226);
+    deployment.configure(3, { resumableRoute() });
+    std::deque<timer> ends;
+    unsigned status = 0;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& target = deployment.addTarget(id, "model");
+        target.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) {
+            if (http1::findHeader(exchange->head().headers, "Last-Event-Id")) {
+                exchange->respond(status, target.responseHeaders(*exchange), {});
+                return;
+            }
+            exchange->startChunked(200, target.responseHeaders(*exchange));
+            exchange->writeChunk(event(1));
+            ends.emplace_back().startOnce(milliseconds(100), [exchange] { exchange->abort(); });
+        });
+    }
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    for (const unsigned nextStatus : { 404u, 429u }) {
+        status = nextStatus;
+        const auto stream = deployment.sendAndWait("POST", "/m/" + std::to_string(status));
+        cr_assert_eq(stream->body, event(1));
+        cr_assert_eq(stream->outcome, http1::call_outcome::Truncated, "status %u of the second run ended the stream as %s", status, std::string(nameOf(stream->outcome)).c_str());
+        deployment.runLoopFor(milliseconds(1500));
+    }
+}
