--- a/tests/process/gateway_silence_test.cpp
+++ b/tests/process/gateway_silence_test.cpp
@@ -332,3 +332,26 @@
         deployment.runLoopFor(milliseconds(1500));
     }
 }
+
+Test(gateway_silence, a_silent_target_is_not_given_up_when_the_other_one_answers_with_a_status_that_is_not_passed_on)
+{
+    deployment_fixture deployment(227);
+    std::deque<timer> answers;
+    size_t received = 0;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& target = deployment.addTarget(id, "pages");
+        target.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) {
+            if (++received == 2)
+                exchange->respond(429, target.responseHeaders(*exchange), {});
+            else
+                answers.emplace_back().startOnce(silence, [&target, exchange] { exchange->respond(200, target.responseHeaders(*exchange), "whole"); });
+        });
+    }
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages", { { "target_latency_ms", 300 }, { "max_attempts", 2 } }) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto response = deployment.sendAndWait("GET", "/p/1");
+    cr_assert_eq(received, 2u);
+    cr_assert_eq(response->head.status, 200, "the caller received status %u", response->head.status);
+    cr_assert_eq(response->body, "whole");
+}
