--- a/tests/process/gateway_silence_test.cpp
+++ b/tests/process/gateway_silence_test.cpp
@@ -355,3 +355,22 @@
     cr_assert_eq(response->head.status, 200, "the caller received status %u", response->head.status);
     cr_assert_eq(response->body, "whole");
 }
+
+Test(gateway_silence, a_request_that_a_target_has_run_and_failed_is_not_refused_as_unrun)
+{
+    deployment_fixture deployment(228);
+    std::shared_ptr<http1::exchange> held;
+    auto& target = deployment.addTarget("t-1", "pages");
+    target.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) { held = std::move(exchange); });
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages", { { "target_latency_ms", 6000 }, { "max_attempts", 2 } }) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const caller_ptr caller = deployment.send("GET", "/p/1");
+    deployment.waitUntil([&] { return held != nullptr; }, "the request");
+    deployment.unlistTarget("t-1");
+    deployment.waitUntil([&] { return deployment.logOf(0).find("removed") != std::string::npos; }, "the removal of the target");
+    held->respond(500, target.responseHeaders(*held), {});
+    deployment.waitUntil([&] { return caller->isFinished; }, "the response");
+    cr_assert_eq(target.requests().size(), 1u);
+    cr_assert_eq(caller->head.status, 502, "the caller received status %u", caller->head.status);
+}
