--- a/tests/unit/http1_server_end_test.cpp
+++ b/tests/unit/http1_server_end_test.cpp
@@ -133,6 +133,24 @@
     cr_assert_eq(client.count("Connection: close"), 1u);
 }
 
+Test(http1_server_end, a_pipelined_request_that_was_not_read_yet_is_answered_before_the_close)
+{
+    raw_client* sender = nullptr;
+    server testServer(
+        endpointOf(51), [] { return server_limits(); }, [&](std::shared_ptr<exchange> request) {
+        // The second request arrives while the handler of the first one runs.
+        if (request->head().target == "/first")
+            sender->stream->write(getRequest);
+        request->respond(200, {}, "ok"); });
+    testServer.setCloseAfterResponse(true);
+    raw_client client(endpointOf(51));
+    sender = &client;
+    client.stream->write("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil([&] { return client.isClosed; }, "the close");
+    cr_assert_eq(client.count("200 OK"), 2u, "received: %s", client.received.c_str());
+    cr_assert_eq(client.count("Connection: close"), 1u);
+}
+
 Test(http1_server_end, an_announced_close_does_not_cut_the_response_to_a_slow_client)
 {
     expectWholeResponse(43, server_limits(), "Connection: close\r\n");
