--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -257,7 +257,9 @@
         recordSurvival(*attempt, now);
     }
     policy::clearSuspicion(m_context.suspicions, m_request.fingerprint);
-    if (isServerFailure && (m_current || m_request.exchange->isStarted())) {
+    // A response that has begun is continued only by the body of a success.
+    const bool mayPassOn = !m_request.exchange->isStarted() || attempt->isRelayable();
+    if ((isServerFailure && m_current) || !mayPassOn) {
         onAttemptFailed("target_failed", true);
         return;
     }
