--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -33,6 +33,12 @@
 
     /// A retry after a crash waits until the crash is known everywhere, which may refuse it.
     constexpr milliseconds crashReportTime { 50 };
+
+    /// @return True for a status that tells the caller that the request did not run and never will.
+    bool impliesNotRun(unsigned status) noexcept
+    {
+        return status == http1::statusUnavailable || status == http1::statusTooManyRequests || status == http1::statusTimeout;
+    }
 }
 
 // Responses.
@@ -259,7 +265,7 @@
     policy::clearSuspicion(m_context.suspicions, m_request.fingerprint);
     // A response that has begun is continued only by the body of a success.
     const bool mayPassOn = !m_request.exchange->isStarted() || attempt->isRelayable();
-    if ((isServerFailure && m_current) || !mayPassOn) {
+    if (((isServerFailure || impliesNotRun(response.status)) && m_current) || !mayPassOn) {
         onAttemptFailed("target_failed", true);
         return;
     }
@@ -313,8 +319,7 @@
 void request_run::completeResponse(target_attempt& attempt)
 {
     const unsigned status = attempt.response.status;
-    const bool impliesNotRun = status == http1::statusUnavailable || status == http1::statusTooManyRequests || status == http1::statusTimeout;
-    if (impliesNotRun) {
+    if (impliesNotRun(status)) {
         // The request ran, but these statuses would tell the caller that it did not.
         fail(http1::statusBadGateway, "target_failed");
         return;
