--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -272,6 +272,7 @@
     const bool mayRetry = m_request.route->isRetryable() && m_attempts < m_request.route->maxAttempts && !m_request.exchange->isStarted();
     if (isServerFailure && mayRetry && trySpendRetry(m_context, m_request.service, now)) {
         m_context.counters.count("repeats_total", { { "reason", "server_failure" } });
+        m_mayHaveRun = true;
         dispatch();
         return;
     }
