--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -45,7 +45,7 @@
     {
         // A request that was already received gets its response on this connection, unless its client closes it anyway.
         const bool isWanted = m_mustClose || !m_server || m_server->m_closesAfterResponse;
-        m_isCloseAnnounced = m_isLastRequest || !m_server || (isWanted && m_readBuffer.empty());
+        m_isCloseAnnounced = m_isLastRequest || !m_server || (isWanted && m_readBuffer.empty() && m_stream->unreadBytes() == 0);
         return m_isCloseAnnounced;
     }
 
