--- a/tests/process/gateway_silence_test.cpp
+++ b/tests/process/gateway_silence_test.cpp
@@ -374,3 +374,29 @@
     cr_assert_eq(target.requests().size(), 1u);
     cr_assert_eq(caller->head.status, 502, "the caller received status %u", caller->head.status);
 }
+
+Test(gateway_silence, a_target_that_is_not_read_for_a_slow_caller_does_not_count_as_silent)
+{
+    deployment_fixture deployment(229);
+    std::string events;
+    for (int i = 1; i <= 24 * 1024; ++i)
+        events.append("id: " + std::to_string(i) + "\ndata: " + std::string(1000, 'x') + "\n\n");
+    std::deque<scripted_target> scripts;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& script = scripts.emplace_back(deployment.addTarget(id, "model"), std::vector<step>());
+        script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), events), end() });
+    }
+    deployment.configure(3, { resumableRoute() });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const caller_ptr caller = deployment.send("POST", "/m/1");
+    deployment.waitUntil([&] { return caller->hasHead; }, "the head");
+    caller->call->setReading(false);
+    deployment.runLoopFor(silence + milliseconds(500));
+    caller->call->setReading(true);
+    deployment.waitUntil([&] { return caller->isFinished; }, "the stream");
+    cr_assert_eq(caller->outcome, http1::call_outcome::Complete);
+    cr_assert_eq(caller->body.size(), events.size());
+    cr_assert_eq(deployment.logOf(0).find("The target of a request is silent."), std::string::npos, "the target counted as silent");
+    cr_assert_eq(scripts[0].requestCount() + scripts[1].requestCount(), 1u, "the request ran a second time");
+}
