--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -123,7 +123,7 @@
 {
     m_request.exchange->writeChunk(bytes);
     if (m_request.exchange->pendingBytes() >= detail::maxUnreadBytes && m_current)
-        m_current->call->setReading(false);
+        m_current->setReading(false, monotonicNow());
 }
 
 void request_run::keepOnly(target_attempt& attempt)
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -64,9 +64,9 @@
     }
     if (m_current && !m_areInputsReleased && areInputsFetched(now))
         cancelAndReleaseStages();
-    checkSilence(now);
     if (m_current && m_request.exchange->isStarted())
-        m_current->call->setReading(m_request.exchange->pendingBytes() < detail::maxUnreadBytes);
+        m_current->setReading(m_request.exchange->pendingBytes() < detail::maxUnreadBytes, now);
+    checkSilence(now);
 }
 
 // Attempts.
--- a/src/gateway/target_attempt.cpp
+++ b/src/gateway/target_attempt.cpp
@@ -22,6 +22,14 @@
     target->queuedPrefillTokens -= std::exchange(queuedTokens, 0);
 }
 
+void target_attempt::setReading(bool mayRead, time_point now)
+{
+    if (mayRead && !isReading)
+        resumedAt = now;
+    isReading = mayRead;
+    call->setReading(mayRead);
+}
+
 bool target_attempt::isRelayable() const noexcept
 {
     return isOwnResponse() && response.status == http1::statusOk;
--- a/src/gateway/target_attempt.hpp
+++ b/src/gateway/target_attempt.hpp
@@ -6,6 +6,7 @@
 #include "http1/client.hpp"
 #include "platform/ingress.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,8 +27,10 @@
     [[nodiscard]] bool isRelayable() const noexcept;
     /// @return True if the head states a response of the target to this request.
     [[nodiscard]] bool isOwnResponse() const noexcept { return hasHead && response.isForRequest && response.isSealed && !response.isEncoded; }
-    /// @return Time since the target's last byte, or since the send.
-    [[nodiscard]] microseconds silenceAt(time_point now) const noexcept { return now - (hasFirstByte ? lastByteAt : sentAt); }
+    /// Pauses reading while the caller has too many unsent bytes. Time in which the target is not read is not its silence.
+    void setReading(bool mayRead, time_point now);
+    /// @return Time since the target's last byte, since the send, or since reading was resumed.
+    [[nodiscard]] microseconds silenceAt(time_point now) const noexcept { return now - std::max(hasFirstByte ? lastByteAt : sentAt, resumedAt); }
 
     target_ptr target;
     time_point sentAt {};
@@ -35,6 +38,9 @@
     std::optional<time_point> inputsFetchedAt;
     time_point firstByteAt {};
     time_point lastByteAt {};
+    /// Time at which reading was last resumed after a pause.
+    time_point resumedAt {};
+    bool isReading = true;
     http1::response_head head;
     platform::target_response response;
     bool hasHead = false;
