--- a/tests/process/gateway_silent_pool_test.cpp
+++ b/tests/process/gateway_silent_pool_test.cpp
@@ -216,3 +216,26 @@
     checkServed(pool.deployment, caller);
     pool.deployment.waitUntil([&] { return pool.deployment.hasExited(owner); }, "the end of the owner");
 }
+
+Test(gateway_silent_pool, a_job_at_an_owner_that_moves_to_another_address_is_run)
+{
+    pool_deployment pool(230, 1, noRetries, 2);
+    const size_t owner = ownerOf("encode", 2);
+    const size_t other = 1 - owner;
+    pool.waitForLog("The connection to a pool owner is established.", other);
+    pool.holdCalls();
+    const auto caller = pool.deployment.send("POST", "/m/1", stageHeaders("1"), "", other);
+    pool.waitForHeldCalls(1);
+    // The connection to the former address is up when the new one, where a gateway listens too, is listed.
+    const std::string listed = "\"entry\":\"gateway-" + std::to_string(other) + "\",\"address\":\"";
+    pool.waitForLog(listed, owner);
+    const std::string log = pool.deployment.logOf(owner);
+    const size_t begin = log.find(listed) + listed.size();
+    const json record { { "peerListen", log.substr(begin, log.find('"', begin) - begin) }, { "weight", 1.0 }, { "startedAtMs", 1 } };
+    pool.deployment.store().put("keyed.entries", "gateway-" + std::to_string(owner), record.dump());
+    const std::string moved = "\"entry\":\"gateway-" + std::to_string(owner) + "\",\"address\":\"" + record.at("peerListen").get<std::string>();
+    pool.waitForLog(moved, other);
+    pool.waitForHeldCalls(2);
+    pool.respondToHeldCall(1);
+    checkServed(pool.deployment, caller);
+}
