--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -418,10 +418,9 @@
         const auto record = m_directory.others().find(name);
         if (record == m_directory.others().end() || (m_peers.contains(name) && !m_peers[name]->isObsolete))
             continue;
-        if (m_peers.contains(name)) {
+        // The former connection may be up still, but must not get the jobs that it loses.
+        if (const auto former = m_peers.extract(name); !former.empty())
             onOwnerRestarted(name);
-            m_peers.erase(name);
-        }
         auto newPeer = std::make_unique<peer>();
         newPeer->record = record->second;
         wire::session::callbacks callbacks;
