--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -33,6 +33,12 @@
 
     /// A retry after a crash waits until the crash is known everywhere, which may refuse it.
     constexpr milliseconds crashReportTime { 50 };
+
+    /// @return True for a status that tells the caller that the request did not run and never will.
+    bool impliesNotRun(unsigned status) noexcept
+    {
+        return status == http1::statusUnavailable || status == http1::statusTooManyRequests || status == http1::statusTimeout;
+    }
 }
 
 // Responses.
@@ -118,7 +124,7 @@
 {
     m_request.exchange->writeChunk(bytes);
     if (m_request.exchange->pendingBytes() >= detail::maxUnreadBytes && m_current)
-        m_current->call->setReading(false);
+        m_current->setReading(false, monotonicNow());
 }
 
 void request_run::keepOnly(target_attempt& attempt)
@@ -258,13 +264,16 @@
         recordSurvival(*attempt, now);
     }
     policy::clearSuspicion(m_context.suspicions, m_request.fingerprint);
-    if (isServerFailure && (m_current || m_request.exchange->isStarted())) {
+    // A response that has begun is continued only by the body of a success.
+    const bool mayPassOn = !m_request.exchange->isStarted() || attempt->isRelayable();
+    if (((isServerFailure || impliesNotRun(response.status)) && m_current) || !mayPassOn) {
         onAttemptFailed("target_failed", true);
         return;
     }
     const bool mayRetry = m_request.route->isRetryable() && m_attempts < m_request.route->maxAttempts && !m_request.exchange->isStarted();
     if (isServerFailure && mayRetry && trySpendRetry(m_context, m_request.service, now)) {
         m_context.counters.count("repeats_total", { { "reason", "server_failure" } });
+        m_mayHaveRun = true;
         dispatch();
         return;
     }
@@ -312,8 +321,7 @@
 void request_run::completeResponse(target_attempt& attempt)
 {
     const unsigned status = attempt.response.status;
-    const bool impliesNotRun = status == http1::statusUnavailable || status == http1::statusTooManyRequests || status == http1::statusTimeout;
-    if (impliesNotRun) {
+    if (impliesNotRun(status)) {
         // The request ran, but these statuses would tell the caller that it did not.
         fail(http1::statusBadGateway, "target_failed");
         return;
--- a/tests/process/gateway_silence_test.cpp
+++ b/tests/process/gateway_silence_test.cpp
@@ -280,3 +280,123 @@
     checkWhole(*deployment.sendAndWait("POST", "/m/1", { { "X-Pieces", "1" }, { "X-Piece-Key", "k" } }));
     cr_assert_eq(scripts[0].requestCount() + scripts[1].requestCount(), 1u);
 }
+
+Test(gateway_silence, a_begun_stream_is_not_ended_by_another_status_of_its_second_run)
+{
+    deployment_fixture deployment(225);
+    deployment.configure(3, { resumableRoute() });
+    auto& target = deployment.addTarget("t-1", "model");
+    auto& other = deployment.addTarget("t-2", "model");
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    scripted_target script(target, {});
+    script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), event(1)), bytes(silence, event(2)), end() });
+    for (const unsigned status : { 404u, 429u, 204u }) {
+        other.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) {
+            // The first send goes to the scripted target, since the other one refuses it.
+            if (http1::findHeader(exchange->head().headers, "Last-Event-Id"))
+                exchange->respond(status, other.responseHeaders(*exchange), {});
+            else
+                exchange->respond(503, { { "X-Not-Executed", "1" } }, {});
+        });
+        checkWhole(*deployment.sendAndWait("POST", "/m/" + std::to_string(status)));
+    }
+    cr_assert_eq(script.closedCount(), 0u);
+}
+
+Test(gateway_silence, a_broken_stream_whose_second_run_gets_another_status_does_not_end_as_complete)
+{
+    deployment_fixture deployment(226);
+    deployment.configure(3, { resumableRoute() });
+    std::deque<timer> ends;
+    unsigned status = 0;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& target = deployment.addTarget(id, "model");
+        target.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) {
+            if (http1::findHeader(exchange->head().headers, "Last-Event-Id")) {
+                exchange->respond(status, target.responseHeaders(*exchange), {});
+                return;
+            }
+            exchange->startChunked(200, target.responseHeaders(*exchange));
+            exchange->writeChunk(event(1));
+            ends.emplace_back().startOnce(milliseconds(100), [exchange] { exchange->abort(); });
+        });
+    }
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    for (const unsigned nextStatus : { 404u, 429u }) {
+        status = nextStatus;
+        const auto stream = deployment.sendAndWait("POST", "/m/" + std::to_string(status));
+        cr_assert_eq(stream->body, event(1));
+        cr_assert_eq(stream->outcome, http1::call_outcome::Truncated, "status %u of the second run ended the stream as %s", status, std::string(nameOf(stream->outcome)).c_str());
+        deployment.runLoopFor(milliseconds(1500));
+    }
+}
+
+Test(gateway_silence, a_silent_target_is_not_given_up_when_the_other_one_answers_with_a_status_that_is_not_passed_on)
+{
+    deployment_fixture deployment(227);
+    std::deque<timer> answers;
+    size_t received = 0;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& target = deployment.addTarget(id, "pages");
+        target.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) {
+            if (++received == 2)
+                exchange->respond(429, target.responseHeaders(*exchange), {});
+            else
+                answers.emplace_back().startOnce(silence, [&target, exchange] { exchange->respond(200, target.responseHeaders(*exchange), "whole"); });
+        });
+    }
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages", { { "target_latency_ms", 300 }, { "max_attempts", 2 } }) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto response = deployment.sendAndWait("GET", "/p/1");
+    cr_assert_eq(received, 2u);
+    cr_assert_eq(response->head.status, 200, "the caller received status %u", response->head.status);
+    cr_assert_eq(response->body, "whole");
+}
+
+Test(gateway_silence, a_request_that_a_target_has_run_and_failed_is_not_refused_as_unrun)
+{
+    deployment_fixture deployment(228);
+    std::shared_ptr<http1::exchange> held;
+    auto& target = deployment.addTarget("t-1", "pages");
+    target.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) { held = std::move(exchange); });
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages", { { "target_latency_ms", 6000 }, { "max_attempts", 2 } }) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const caller_ptr caller = deployment.send("GET", "/p/1");
+    deployment.waitUntil([&] { return held != nullptr; }, "the request");
+    deployment.unlistTarget("t-1");
+    deployment.waitUntil([&] { return deployment.logOf(0).find("removed") != std::string::npos; }, "the removal of the target");
+    held->respond(500, target.responseHeaders(*held), {});
+    deployment.waitUntil([&] { return caller->isFinished; }, "the response");
+    cr_assert_eq(target.requests().size(), 1u);
+    cr_assert_eq(caller->head.status, 502, "the caller received status %u", caller->head.status);
+}
+
+Test(gateway_silence, a_target_that_is_not_read_for_a_slow_caller_does_not_count_as_silent)
+{
+    deployment_fixture deployment(229);
+    std::string events;
+    for (int i = 1; i <= 24 * 1024; ++i)
+        events.append("id: " + std::to_string(i) + "\ndata: " + std::string(1000, 'x') + "\n\n");
+    std::deque<scripted_target> scripts;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& script = scripts.emplace_back(deployment.addTarget(id, "model"), std::vector<step>());
+        script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), events), end() });
+    }
+    deployment.configure(3, { resumableRoute() });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const caller_ptr caller = deployment.send("POST", "/m/1");
+    deployment.waitUntil([&] { return caller->hasHead; }, "the head");
+    caller->call->setReading(false);
+    deployment.runLoopFor(silence + milliseconds(500));
+    caller->call->setReading(true);
+    deployment.waitUntil([&] { return caller->isFinished; }, "the stream");
+    cr_assert_eq(caller->outcome, http1::call_outcome::Complete);
+    cr_assert_eq(caller->body.size(), events.size());
+    cr_assert_eq(deployment.logOf(0).find("The target of a request is silent."), std::string::npos, "the target counted as silent");
+    cr_assert_eq(scripts[0].requestCount() + scripts[1].requestCount(), 1u, "the request ran a second time");
+}
