Failing test: a freeze of the gateway counts as silence of its targets

Seen: after a gateway was stopped for 1.5 s, the tick that follows runs before the sockets are read, and records a silence of each target in flight.

--- a/tests/process/gateway_silence_test.cpp
+++ b/tests/process/gateway_silence_test.cpp
@@ -2,6 +2,7 @@
 #include "support/deployment_fixture.hpp"
 
 #include <criterion/criterion.h>
+#include <csignal>
 #include <deque>
 
 using namespace bilberryseam;
@@ -400,3 +401,22 @@
     cr_assert_eq(deployment.logOf(0).find("The target of a request is silent."), std::string::npos, "the target counted as silent");
     cr_assert_eq(scripts[0].requestCount() + scripts[1].requestCount(), 1u, "the request ran a second time");
 }
+
+Test(gateway_silence, a_freeze_of_the_gateway_does_not_count_as_silence_of_its_targets)
+{
+    deployment_fixture deployment(231);
+    auto& target = deployment.addTarget("t-1", "model");
+    scripted_target script(target, {});
+    script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), event(1)), bytes(milliseconds(500), event(2)), end(milliseconds(1700)) });
+    deployment.configure(3, { resumableRoute() });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto stream = deployment.send("POST", "/m/1");
+    deployment.waitUntil([&] { return !stream->body.empty(); }, "the first event");
+    deployment.signal(0, SIGSTOP);
+    deployment.runLoopFor(milliseconds(1500));
+    deployment.signal(0, SIGCONT);
+    deployment.waitUntil([&] { return stream->isFinished; }, "the end");
+    checkWhole(*stream);
+    cr_assert_eq(deployment.logOf(0).find("The target of a request is silent."), std::string::npos);
+}
