A freeze of the gateway is no silence of its targets

Change: silence is not judged until the target list is read again after a freeze, or 0.4 s have passed; responses are read by then. Result: gateway_silence/a_freeze_of_the_gateway_does_not_count_as_silence_of_its_targets failed before and passes, with the other tests of gateway_s*.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -173,8 +173,6 @@
         return "attempts";
     if (m_areInputsReleased)
         return "inputs_released";
-    if (isTargetListUncertain(m_context, now))
-        return "list_uncertain";
     if (refusedSegment(now))
         return "segment_refused";
     return std::nullopt;
@@ -182,7 +180,9 @@
 
 void request_run::checkSilence(time_point now)
 {
-    if (!m_current || m_backup || now < m_nextBackupSearchAt || !isSilent(*m_current, now))
+    // After a freeze of this process, responses may wait in the sockets.
+    const bool mayBeUnread = isTargetListUncertain(m_context, now);
+    if (!m_current || m_backup || mayBeUnread || now < m_nextBackupSearchAt || !isSilent(*m_current, now))
         return;
     m_nextBackupSearchAt = now + backupSearchPeriod;
     if (const auto obstacle = secondRunObstacle(now)) {
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -195,6 +195,9 @@
 
 void task_scheduler::checkSilentCalls(const std::string& service, pool& pool, time_point now)
 {
+    // After a freeze of this process, responses may wait in the sockets.
+    if (isTargetListUncertain(m_context, now))
+        return;
     const auto calls = pool.calls;
     for (const auto& call : calls) {
         if (now < call->silentAt)
