The log names the entry that knows the origin of a stream

Change: a search keeps the names of the entries that have not responded; the line has `known_by`. A test shows that a new stream avoids a version that one target alone has; it passed from its first run.

--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -240,7 +240,7 @@
 void pool_router::handleOwnerMessage(const std::string& name, wire::message& message)
 {
     const auto reply = [this, &name](wire::message response) { static_cast<void>(send(name, std::move(response))); };
-    if (m_context.crashes->handle(message, name, monotonicNow()) || m_context.streams->handle(message, reply, monotonicNow()))
+    if (m_context.crashes->handle(message, name, monotonicNow()) || m_context.streams->handle(message, name, reply, monotonicNow()))
         return;
     if (const auto* suspicion = std::get_if<wire::crash_suspicion>(&message)) {
         handleSuspicion(*suspicion);
@@ -298,7 +298,7 @@
 void pool_router::handleRequesterMessage(identifier session, wire::message& message)
 {
     const auto reply = [this, session](wire::message response) { m_server.post(session, std::move(response)); };
-    if (m_context.crashes->handle(message, "connected_entry", monotonicNow()) || m_context.streams->handle(message, reply, monotonicNow()))
+    if (m_context.crashes->handle(message, "connected_entry", monotonicNow()) || m_context.streams->handle(message, "connected_entry", reply, monotonicNow()))
         return;
     if (auto* jobRequest = std::get_if<wire::start_tasks>(&message)) {
         hostJob(session, *jobRequest);
--- a/src/gateway/request_continuation.cpp
+++ b/src/gateway/request_continuation.cpp
@@ -2,7 +2,6 @@
 #include "gateway/request_run.hpp"
 
 #include "base/hash.hpp"
-#include "gateway/stream_directory.hpp"
 
 namespace bilberryseam::gateway {
 
@@ -46,27 +45,27 @@
 void request_run::findOrigin()
 {
     if (m_request.callerRequest.continuedRequest.empty()) {
-        onOrigin(nullptr, true);
+        onOrigin({ {}, true, {} });
         return;
     }
-    m_context.streams->find(streamKey(), monotonicNow(), [weak = weak_from_this()](const policy::stream_origin* origin, bool isCertain) {
+    m_context.streams->find(streamKey(), monotonicNow(), [weak = weak_from_this()](const stream_directory::found_origin& found) {
         if (const auto self = weak.lock())
-            self->onOrigin(origin, isCertain);
+            self->onOrigin(found);
     });
 }
 
-void request_run::onOrigin(const policy::stream_origin* origin, bool isCertain)
+void request_run::onOrigin(const stream_directory::found_origin& found)
 {
     if (m_isFinished)
         return;
-    if (origin)
-        m_origin = *origin;
+    m_origin = found.origin;
+    const auto* origin = m_origin ? &*m_origin : nullptr;
     const auto decision = policy::decideContinuation(origin, versionsInService());
     const time_point now = monotonicNow();
     m_context.counters.count("continued_streams_total", { { "decision", std::string(nameOf(decision)) } });
-    logLine(log_level::Info, logComponent, "A caller continues a stream.", { { "request", m_request.callerRequest.id }, { "began_at_version", origin ? origin->softwareVersion : "" }, { "began_at_target", origin ? textOfHash(origin->target) : "" }, { "began_ms_ago", origin ? std::to_string(asMilliseconds(now - origin->beganAt)) : "" }, { "decision", std::string(nameOf(decision)) }, { "certain", isCertain ? "true" : "false" }, { "versions_in_service", std::to_string(versionsInService().size()) }, { "searched_ms", std::to_string(asMilliseconds(now - m_arrivedAt)) } });
+    logLine(log_level::Info, logComponent, "A caller continues a stream.", { { "request", m_request.callerRequest.id }, { "began_at_version", origin ? origin->softwareVersion : "" }, { "began_at_target", origin ? textOfHash(origin->target) : "" }, { "began_ms_ago", origin ? std::to_string(asMilliseconds(now - origin->beganAt)) : "" }, { "decision", std::string(nameOf(decision)) }, { "known_by", found.knownBy }, { "certain", found.isCertain ? "true" : "false" }, { "versions_in_service", std::to_string(versionsInService().size()) }, { "searched_ms", std::to_string(asMilliseconds(now - m_arrivedAt)) } });
     if (decision == policy::continuation::VersionGone || decision == policy::continuation::OriginUnknown)
-        refuseContinuation(decision, isCertain);
+        refuseContinuation(decision, found.isCertain);
     else
         startStages();
 }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -4,6 +4,7 @@
 #include "deployment/caller_request.hpp"
 #include "gateway/context.hpp"
 #include "gateway/pool_router.hpp"
+#include "gateway/stream_directory.hpp"
 #include "gateway/target_attempt.hpp"
 #include "http1/server.hpp"
 #include "platform/ingress.hpp"
@@ -132,7 +133,7 @@
     /// @return Hash of the caller's request that brought, or will bring, the first event.
     [[nodiscard]] uint64_t streamKey() const noexcept;
     void findOrigin();
-    void onOrigin(const policy::stream_origin* origin, bool isCertain);
+    void onOrigin(const stream_directory::found_origin& found);
     [[nodiscard]] std::set<std::string_view> versionsInService() const;
     [[nodiscard]] policy::continuation continuationNow() const;
     /// @return True if a target of this version may run the request.
--- a/src/gateway/stream_directory.cpp
+++ b/src/gateway/stream_directory.cpp
@@ -78,7 +78,7 @@
 void stream_directory::find(uint64_t stream, time_point now, on_origin onFound)
 {
     if (const auto* origin = policy::findOrigin(m_origins, stream, now)) {
-        onFound(origin, true);
+        onFound({ *origin, true, m_ownName });
         return;
     }
     // The entry that began the stream may itself be one of those that keep it, so one more than the copies may know it.
@@ -88,48 +88,51 @@
         position->second.waiting.push_back(std::move(onFound));
         return;
     }
-    search newSearch { {}, 0, true, now + maxSearchTime };
+    search newSearch { {}, {}, true, now + maxSearchTime };
     for (const auto entry : others) {
-        const bool isAsked = m_searches.size() < maxSearches && m_callbacks.send(entry, wire::stream_query { stream });
-        newSearch.openQueries += isAsked ? 1 : 0;
-        newSearch.isComplete = newSearch.isComplete && isAsked;
+        if (m_searches.size() < maxSearches && m_callbacks.send(entry, wire::stream_query { stream }))
+            newSearch.asked.emplace_back(entry);
+        else
+            newSearch.isComplete = false;
     }
-    if (newSearch.openQueries == 0) {
-        onFound(nullptr, newSearch.isComplete);
+    if (newSearch.asked.empty()) {
+        onFound({ std::nullopt, newSearch.isComplete, {} });
         return;
     }
     newSearch.waiting.push_back(std::move(onFound));
     m_searches.emplace(stream, std::move(newSearch));
 }
 
-bool stream_directory::handle(const wire::message& message, const std::function<void(wire::message)>& reply, time_point now)
+bool stream_directory::handle(const wire::message& message, std::string_view from, const std::function<void(wire::message)>& reply, time_point now)
 {
     if (const auto* begun = std::get_if<wire::stream_begun>(&message)) {
         const bool isPlausible = begun->softwareVersion.size() <= maxVersionBytes;
         policy::addOrigin(m_origins, begun->stream, { isPlausible ? begun->softwareVersion : "", begun->target, now - milliseconds(begun->ageMs) });
-        finish(begun->stream, now);
+        finish(begun->stream, from, now);
     } else if (const auto* query = std::get_if<wire::stream_query>(&message)) {
         const auto* origin = policy::findOrigin(m_origins, query->stream, now);
         reply(origin ? toMessage(query->stream, *origin, now) : wire::stream_unknown { query->stream });
     } else if (const auto* unknown = std::get_if<wire::stream_unknown>(&message)) {
         const auto position = m_searches.find(unknown->stream);
-        if (position != m_searches.end() && --position->second.openQueries == 0)
-            finish(unknown->stream, now);
+        if (position != m_searches.end() && std::erase(position->second.asked, from) > 0 && position->second.asked.empty())
+            finish(unknown->stream, {}, now);
     } else
         return false;
     return true;
 }
 
-void stream_directory::finish(uint64_t stream, time_point now)
+void stream_directory::finish(uint64_t stream, std::string_view knownBy, time_point now)
 {
-    auto finished = m_searches.extract(stream);
+    const auto finished = m_searches.extract(stream);
     if (finished.empty())
         return;
-    const auto* origin = policy::findOrigin(m_origins, stream, now);
-    m_metrics.count("stream_searches_total", { { "outcome", origin ? "found" : "unknown" } });
-    const std::optional<policy::stream_origin> found = origin ? std::optional(*origin) : std::nullopt;
-    for (const auto& onFound : finished.mapped().waiting)
-        onFound(found ? &*found : nullptr, finished.mapped().isComplete && finished.mapped().openQueries == 0);
+    const search& ended = finished.mapped();
+    found_origin found { {}, ended.isComplete && ended.asked.empty(), {} };
+    if (const auto* origin = policy::findOrigin(m_origins, stream, now))
+        found = { *origin, true, std::string(knownBy) };
+    m_metrics.count("stream_searches_total", { { "outcome", found.origin ? "found" : "unknown" } });
+    for (const auto& onFound : ended.waiting)
+        onFound(found);
 }
 
 void stream_directory::sendKept(std::string_view entry, time_point now) const
@@ -151,6 +154,6 @@
             overdue.push_back(stream);
     }
     for (const uint64_t stream : overdue)
-        finish(stream, now);
+        finish(stream, {}, now);
 }
 }
--- a/src/gateway/stream_directory.hpp
+++ b/src/gateway/stream_directory.hpp
@@ -25,9 +25,16 @@
         /// @return All entries that keep origins, with this one if it does.
         std::function<std::span<const std::string>()> keepers;
     };
-    /// Receives the origin of a stream; nothing if no entry knows it.
-    /// @param isCertain  All entries that may know it have responded.
-    using on_origin = std::function<void(const policy::stream_origin* origin, bool isCertain)>;
+    /// The result of a search.
+    struct found_origin {
+        /// Not set if no entry that responded knows the stream.
+        std::optional<policy::stream_origin> origin;
+        /// All entries that may know the stream have responded, or one of them knows it.
+        bool isCertain = false;
+        /// The entry that knows the stream; empty if none does.
+        std::string knownBy;
+    };
+    using on_origin = std::function<void(const found_origin& found)>;
 
     stream_directory(metrics& metrics, std::string ownName, callbacks callbacks);
 
@@ -39,9 +46,10 @@
     void find(uint64_t stream, time_point now, on_origin onFound);
 
     /// Handles a message of another entry.
+    /// @param from   Name of the entry.
     /// @param reply  Sends a response to it.
     /// @return False if it is about something else.
-    [[nodiscard]] bool handle(const wire::message& message, const std::function<void(wire::message)>& reply, time_point now);
+    [[nodiscard]] bool handle(const wire::message& message, std::string_view from, const std::function<void(wire::message)>& reply, time_point now);
     /// Sends the origins that an entry has to keep to it, after it has connected.
     void sendKept(std::string_view entry, time_point now) const;
 
@@ -53,14 +61,16 @@
     /// A search that waits for responses of other entries.
     struct search {
         std::vector<on_origin> waiting;
-        size_t openQueries = 0;
+        /// Entries that have not responded.
+        std::vector<std::string> asked;
         bool isComplete = true;
         time_point endsAt {};
     };
 
     void tell(uint64_t stream, const policy::stream_origin& origin, time_point now) const;
     [[nodiscard]] std::vector<std::string_view> othersFor(uint64_t stream, size_t count) const;
-    void finish(uint64_t stream, time_point now);
+    /// @param knownBy  The entry that sent the origin; empty if none did.
+    void finish(uint64_t stream, std::string_view knownBy, time_point now);
 
     metrics& m_metrics;
     std::string m_ownName;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -125,3 +125,16 @@
         ownedByWeak += rankOwners(candidates, pool)[0] == 0 ? 1 : 0;
     cr_assert(ownedByWeak > 200 && ownedByWeak < 500, "%zu of 2000 pools", ownedByWeak);
 }
+
+Test(placement, a_stream_avoids_a_version_that_one_target_alone_has_if_there_is_a_choice)
+{
+    std::vector<placement_candidate> candidates(3);
+    for (auto& candidate : candidates)
+        candidate.isInOwnDomain = candidate.isInOwnRegion = true;
+    candidates[0].isOnlyOfVersion = true;
+    candidates[1].inFlight = candidates[2].inFlight = 3;
+    candidates[1].slots = candidates[2].slots = 8;
+    cr_assert_neq(chooseTarget(candidates, {}, {}).value(), 0u);
+    candidates[1].isUsable = candidates[2].isUsable = false;
+    cr_assert_eq(chooseTarget(candidates, {}, {}).value(), 0u);
+}
