--- a/tests/unit/http1_server_end_test.cpp
+++ b/tests/unit/http1_server_end_test.cpp
@@ -31,7 +31,7 @@
 ip_endpoint endpointOf(uint16_t test)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    return { tests::testHost(), static_cast<uint16_t>(1500 + test) };
+    return { tests::testHost(), static_cast<uint16_t>(1600 + test) };
 }
 
 void runUntil(const std::function<bool()>& condition, const char* what)
