Origins of streams are not resent to an entry that kept its session

Cause, suspected from the code and not traced: each time a connection between entries came back, also after a short stall, all origins that the peer keeps were sent again, thousands under load; the peer is busy with them, its connections time out, and the loop feeds itself. Change: only an entry that has lost its state gets them, at most the newest 500.

--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -453,9 +453,11 @@
         callbacks.onMessage = [this, name](wire::message& message) { handleOwnerMessage(name, message); };
         callbacks.onAttached = [this, name](bool isResumed) {
             logLine(log_level::Info, logComponent, "The connection to a pool owner is established.", { { "entry", name } });
+            // A peer that has kept the session has its state, too.
+            if (isResumed)
+                return;
             m_context.streams->sendKept(name, monotonicNow());
-            if (!isResumed)
-                m_context.crashes->sendAll([this, name](wire::message message) { m_peers.at(name)->session->post(std::move(message)); }, monotonicNow());
+            m_context.crashes->sendAll([this, name](wire::message message) { m_peers.at(name)->session->post(std::move(message)); }, monotonicNow());
         };
         callbacks.onLost = [this, name] { onOwnerRestarted(name); };
         callbacks.onDetached = [this, name](std::string_view reason, bool) { takeBackJobs(name, reason); };
--- a/src/gateway/stream_directory.cpp
+++ b/src/gateway/stream_directory.cpp
@@ -19,6 +19,9 @@
 
     constexpr size_t maxSearches = 10000;
 
+    /// Origins that are sent to an entry that has started; more would occupy both while callers wait.
+    constexpr size_t maxResent = 500;
+
     /// Longest version in a message of another entry.
     constexpr size_t maxVersionBytes = 64;
 
@@ -137,11 +140,14 @@
 
 void stream_directory::sendKept(std::string_view entry, time_point now) const
 {
-    for (const auto& [stream, origin] : m_origins.byStream) {
-        const auto keepers = policy::originKeepers(m_callbacks.keepers(), stream, copies + 1);
-        const bool isKeeper = std::find(keepers.begin(), keepers.end(), entry) != keepers.end();
-        if (isKeeper && policy::findOrigin(m_origins, stream, now))
-            static_cast<void>(m_callbacks.send(entry, toMessage(stream, origin, now)));
+    size_t sent = 0;
+    for (auto stream = m_origins.order.rbegin(); stream != m_origins.order.rend() && sent < maxResent; ++stream) {
+        const auto* origin = policy::findOrigin(m_origins, *stream, now);
+        const auto keepers = policy::originKeepers(m_callbacks.keepers(), *stream, copies + 1);
+        if (!origin || std::find(keepers.begin(), keepers.end(), entry) == keepers.end())
+            continue;
+        static_cast<void>(m_callbacks.send(entry, toMessage(*stream, *origin, now)));
+        ++sent;
     }
 }
 
--- a/src/gateway/stream_directory.hpp
+++ b/src/gateway/stream_directory.hpp
@@ -50,7 +50,7 @@
     /// @param reply  Sends a response to it.
     /// @return False if it is about something else.
     [[nodiscard]] bool handle(const wire::message& message, std::string_view from, const std::function<void(wire::message)>& reply, time_point now);
-    /// Sends the origins that an entry has to keep to it, after it has connected.
+    /// Sends the newest origins that an entry has to keep to it, after it has started.
     void sendKept(std::string_view entry, time_point now) const;
 
     /// Ends searches that have lasted too long, and removes old origins.
