--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -133,6 +133,7 @@
         return;
     const target_attempt_ptr other = extract(m_backup.get() == &attempt ? *m_current : *m_backup);
     m_mayHaveRun = true;
+    ++m_endedRuns;
     m_context.counters.count("second_runs_total", { { "delivered", other->sentAt < attempt.sentAt ? "second" : "first" } });
     logLine(log_level::Info, logComponent, "One of two targets has delivered; the run at the other one is ended.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "ended_at", other->target->listed.id } });
     if (attempt.hasFirstByte)
@@ -333,28 +334,44 @@
     finish("answered", "", status);
 }
 
-void request_run::onAttemptFailed(std::string_view reason, bool mayHaveRun)
+std::optional<std::string_view> request_run::retryObstacle(time_point now) const
 {
-    const time_point now = monotonicNow();
-    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     const auto& route = *m_request.route;
     // Only events can be continued; the rest of a plain response cannot be asked for.
     const bool mayContinue = isStream() || !m_request.exchange->isStarted();
-    const bool mayRetry = mayContinue && (!m_mayHaveRun || (route.isRetryable() && m_attempts < route.maxAttempts));
-    const bool isInTime = now < m_deadline;
-    logLine(log_level::Info, logComponent, "An attempt of the request failed.", { { "request", m_request.callerRequest.id }, { "reason", std::string(reason) }, { "may_have_run", m_mayHaveRun ? "true" : "false" }, { "after_ms", std::to_string(m_sends == 0 ? 0 : asMilliseconds(now - m_lastSentAt)) }, { "other_attempt", m_current ? m_current->target->listed.id : "" } });
+    if (!mayContinue || (m_mayHaveRun && !route.isRetryable()))
+        return "not_repeatable";
+    if ((m_mayHaveRun && m_attempts >= route.maxAttempts) || m_sends >= detail::maxSends)
+        return "attempts";
+    if (now >= m_deadline)
+        return "deadline";
+    return std::nullopt;
+}
+
+void request_run::onAttemptFailed(std::string_view reason, bool mayHaveRun)
+{
+    const time_point now = monotonicNow();
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    const bool hasUsableTarget = reason != "no_target";
+    std::optional<std::string_view> obstacle = retryObstacle(now);
+    if (m_current)
+        obstacle = "other_attempt";
+    else if (!hasUsableTarget)
+        obstacle = "no_target";
+    if (!obstacle && m_sends > 0 && !trySpendRetry(m_context, m_request.service, now))
+        obstacle = "retry_budget";
+    logLine(log_level::Info, logComponent, "An attempt of the request failed.", { { "request", m_request.callerRequest.id }, { "reason", std::string(reason) }, { "may_have_run", m_mayHaveRun ? "true" : "false" }, { "after_ms", std::to_string(m_sends == 0 ? 0 : asMilliseconds(now - m_lastSentAt)) }, { "other_attempt", m_current ? m_current->target->listed.id : "" }, { "attempts", std::to_string(m_attempts) }, { "ended_runs", std::to_string(m_endedRuns) }, { "no_retry_because", std::string(obstacle.value_or("")) } });
     if (m_current)
         return;
-    const bool hasUsableTarget = reason != "no_target";
-    if (mayRetry && isInTime && hasUsableTarget && m_sends < detail::maxSends && (m_sends == 0 || trySpendRetry(m_context, m_request.service, now))) {
-        m_context.counters.count("repeats_total", { { "reason", std::string(reason) } });
-        if (std::exchange(m_mayHaveCrashed, false)) {
-            m_isWaitingForTarget = true;
-            m_retryAt = now + crashReportTime;
-        } else
-            dispatch();
+    if (obstacle) {
+        finishWithoutResponse(reason, hasUsableTarget);
         return;
     }
-    finishWithoutResponse(reason, hasUsableTarget);
+    m_context.counters.count("repeats_total", { { "reason", std::string(reason) } });
+    if (std::exchange(m_mayHaveCrashed, false)) {
+        m_isWaitingForTarget = true;
+        m_retryAt = now + crashReportTime;
+    } else
+        dispatch();
 }
 }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -164,6 +164,8 @@
     void onNotExecuted(const target_attempt& attempt, time_point now);
     /// Sends the request again if possible, unless another attempt is in progress.
     void onAttemptFailed(std::string_view reason, bool mayHaveRun);
+    /// @return Why the request may not be sent again, whatever targets and budget there are; nothing if it may.
+    [[nodiscard]] std::optional<std::string_view> retryObstacle(time_point now) const;
     void logResponseEnd(const target_attempt& attempt, http1::call_outcome outcome);
     /// @return True if the content of a stream shows that it is incomplete, although its framing does not.
     [[nodiscard]] bool isStreamTruncated(const target_attempt& attempt, http1::call_outcome outcome) const noexcept;
@@ -233,6 +235,8 @@
     target_ptr m_originTarget;
     int m_attempts = 0;
     int m_sends = 0;
+    /// Runs that were ended because the run at another target delivered.
+    int m_endedRuns = 0;
     bool m_mayHaveRun = false;
     /// The last attempt ended with a broken response; its target is being checked for a crash.
     bool m_mayHaveCrashed = false;
