--- a/tests/process/gateway_second_run_test.cpp
+++ b/tests/process/gateway_second_run_test.cpp
@@ -151,3 +151,28 @@
     cr_assert_eq(response->body, "whole");
     cr_assert_eq(received, 2u);
 }
+
+Test(gateway_second_run, a_target_that_was_full_for_a_moment_is_asked_again_while_the_first_is_silent)
+{
+    deployment_fixture deployment(269);
+    std::vector<exchange_ptr> held;
+    size_t received = 0;
+    for (const char* id : { "t-1", "t-2" }) {
+        auto& target = deployment.addTarget(id, "pages");
+        target.setRequestHandler([&](const exchange_ptr& exchange) {
+            if (++received == 1)
+                held.push_back(exchange);
+            else if (received == 2)
+                exchange->respond(503, { { "X-Not-Executed", "1" } }, {});
+            else
+                exchange->respond(200, target.responseHeaders(*exchange), "whole");
+        });
+    }
+    deployment.configure(3, { deployment.route("/p/", "idempotent", "pages", { { "target_latency_ms", 300 }, { "timeout_ms", 15000 } }) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto response = deployment.sendAndWait("GET", "/p/1", { { "X-Deadline-Ms", "15000" } });
+    cr_assert_eq(response->head.status, 200u, "status %u", response->head.status);
+    cr_assert_eq(response->body, "whole");
+    cr_assert_eq(received, 3u);
+}
