gateway: a run that was ended for a second one may be begun again

Callers saw a cut stream, or none of its events until the deadline, although the first target of their request would have gone on: the second run had ended the first one at its first event, and then broke off, fell silent or left a gap. With max_attempts 2 no run was left, and with a spent budget none was possible.

- A target at which a run was ended may get the request once more.
That is no further target, so it does not count against max_attempts; the limit of five sends and the retry budget hold.
The events that the caller has are continued by their identifier, so runs are not mixed.
- If the budget is spent, such a request waits for it, and for the target, until its deadline.
- Events in front of a gap do not end the other run.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -65,7 +65,8 @@
         return;
     }
     attempt.buffer.append(bytes);
-    const bool isLarge = attempt.buffer.size() > maxBufferedBytes;
+    // The other run is kept until this one is complete, or as large as the gateway buffers.
+    const bool isLarge = attempt.buffer.size() > (m_backup ? maxUnrelayedBytes : maxBufferedBytes);
     if (attempt.isRelayable() && (isLarge || m_request.exchange->isStarted())) {
         keepOnly(attempt);
         startRelay(attempt);
@@ -97,7 +98,9 @@
     }
     std::string wholeEvents;
     const auto state = attempt.events.append(bytes, wholeEvents);
-    if (!wholeEvents.empty()) {
+    // A run that cannot go on does not end the other one.
+    const bool isUseful = state == event_stream::state::Good || !m_backup;
+    if (!wholeEvents.empty() && isUseful) {
         keepOnly(attempt);
         m_lastEventId = attempt.events.lastId();
         recordOrigin(attempt);
@@ -133,7 +136,7 @@
         return;
     const target_attempt_ptr other = extract(m_backup.get() == &attempt ? *m_current : *m_backup);
     m_mayHaveRun = true;
-    ++m_endedRuns;
+    m_endedRuns.push_back(other->target);
     m_context.counters.count("second_runs_total", { { "delivered", other->sentAt < attempt.sentAt ? "second" : "first" } });
     logLine(log_level::Info, logComponent, "One of two targets has delivered; the run at the other one is ended.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "ended_at", other->target->listed.id } });
     if (attempt.hasFirstByte)
@@ -170,7 +173,7 @@
     const bool mayRunAgain = route.isRetryable() && (isStream() || !m_request.exchange->isStarted());
     if (!mayRunAgain)
         return "not_repeatable";
-    if (m_attempts >= route.maxAttempts || m_sends >= detail::maxSends)
+    if (!hasAttemptsLeft() || m_sends >= detail::maxSends)
         return "attempts";
     if (m_areInputsReleased)
         return "inputs_released";
@@ -239,7 +242,7 @@
     auto& health = attempt->target->health;
     if (outcome == http1::call_outcome::NotSent) {
         policy::recordFailure(health, policy::call_failure::Unreachable, now);
-        --m_attempts;
+        uncount(*attempt);
         onAttemptFailed("unreachable", false);
         return;
     }
@@ -285,7 +288,7 @@
 void request_run::onNotExecuted(const target_attempt& attempt, time_point now)
 {
     const std::string& targetId = attempt.target->listed.id;
-    --m_attempts;
+    uncount(attempt);
     if (!attempt.response.isInputMissing) {
         attempt.target->isReplaced = attempt.target->isReplaced || attempt.response.isWrongTarget;
         policy::recordFailure(attempt.target->health, policy::call_failure::Full, now);
@@ -303,6 +306,14 @@
     restartStages("input_gone");
 }
 
+void request_run::uncount(const target_attempt& attempt)
+{
+    if (attempt.isReturn)
+        m_endedRuns.push_back(attempt.target);
+    else
+        --m_attempts;
+}
+
 void request_run::logResponseEnd(const target_attempt& attempt, http1::call_outcome outcome)
 {
     const http1::response_trace& trace = attempt.call->trace();
@@ -341,13 +352,23 @@
     const bool mayContinue = isStream() || !m_request.exchange->isStarted();
     if (!mayContinue || (m_mayHaveRun && !route.isRetryable()))
         return "not_repeatable";
-    if ((m_mayHaveRun && m_attempts >= route.maxAttempts) || m_sends >= detail::maxSends)
+    if ((m_mayHaveRun && !hasAttemptsLeft()) || m_sends >= detail::maxSends)
         return "attempts";
     if (now >= m_deadline)
         return "deadline";
     return std::nullopt;
 }
 
+bool request_run::mayReturnTo(const target_state& target) const noexcept
+{
+    return std::any_of(m_endedRuns.begin(), m_endedRuns.end(), [&target](const target_ptr& ended) { return ended.get() == &target; });
+}
+
+bool request_run::mayReturn() const noexcept
+{
+    return std::any_of(m_endedRuns.begin(), m_endedRuns.end(), [](const target_ptr& ended) { return ended->isInService(); });
+}
+
 void request_run::onAttemptFailed(std::string_view reason, bool mayHaveRun)
 {
     const time_point now = monotonicNow();
@@ -360,9 +381,15 @@
         obstacle = "no_target";
     if (!obstacle && m_sends > 0 && !trySpendRetry(m_context, m_request.service, now))
         obstacle = "retry_budget";
-    logLine(log_level::Info, logComponent, "An attempt of the request failed.", { { "request", m_request.callerRequest.id }, { "reason", std::string(reason) }, { "may_have_run", m_mayHaveRun ? "true" : "false" }, { "after_ms", std::to_string(m_sends == 0 ? 0 : asMilliseconds(now - m_lastSentAt)) }, { "other_attempt", m_current ? m_current->target->listed.id : "" }, { "attempts", std::to_string(m_attempts) }, { "ended_runs", std::to_string(m_endedRuns) }, { "no_retry_because", std::string(obstacle.value_or("")) } });
+    logLine(log_level::Info, logComponent, "An attempt of the request failed.", { { "request", m_request.callerRequest.id }, { "reason", std::string(reason) }, { "may_have_run", m_mayHaveRun ? "true" : "false" }, { "after_ms", std::to_string(m_sends == 0 ? 0 : asMilliseconds(now - m_lastSentAt)) }, { "other_attempt", m_current ? m_current->target->listed.id : "" }, { "attempts", std::to_string(m_attempts) }, { "ended_runs", std::to_string(m_endedRuns.size()) }, { "no_retry_because", std::string(obstacle.value_or("")) } });
     if (m_current)
         return;
+    if (obstacle == "retry_budget" && mayReturn()) {
+        // Without the run that was ended for the failed one, the request would still have a target.
+        m_isRetryUnpaid = true;
+        waitForTarget(now);
+        return;
+    }
     if (obstacle) {
         finishWithoutResponse(reason, hasUsableTarget);
         return;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -120,7 +120,8 @@
     policy::placement_candidate candidate;
     candidate.hash = target.hash;
     const bool wasTried = std::find(m_triedTargets.begin(), m_triedTargets.end(), target.listed.id) != m_triedTargets.end();
-    candidate.isUsable = target.mayGetWork(now) && !wasTried && mayRunAt(target);
+    const bool isFree = !wasTried && (!m_mayHaveRun || m_attempts < m_request.route->maxAttempts);
+    candidate.isUsable = target.mayGetWork(now) && (isFree || mayReturnTo(target)) && mayRunAt(target);
     candidate.isInOwnDomain = target.listed.failureDomain == m_context.settings.failureDomain;
     const auto region = m_context.settings.regions.find(target.listed.failureDomain);
     candidate.isInOwnRegion = region != m_context.settings.regions.end() && region->second == m_context.settings.region;
@@ -149,13 +150,17 @@
         refuseSegment(*segment, now);
         return;
     }
+    if (m_isRetryUnpaid && !trySpendRetry(m_context, m_request.service, now)) {
+        waitForTarget(now);
+        return;
+    }
+    m_isRetryUnpaid = false;
     if (m_areInputsReleased) {
         restartStages("inputs_freed");
         return;
     }
     if (isTargetListUncertain(m_context, now)) {
-        m_isWaitingForTarget = true;
-        m_retryAt = now + placementRetryDelay;
+        waitForTarget(now);
         return;
     }
     if (const auto decision = continuationNow(); decision == policy::continuation::VersionGone || decision == policy::continuation::OriginUnknown) {
@@ -177,7 +182,8 @@
         return;
     }
     const bool hasTargets = !m_context.targets.ofService(m_request.service).empty();
-    const bool mayWait = hasTargets && m_sends < detail::maxSends && now - m_arrivedAt < detail::maxPlacementTime && !m_request.exchange->isStarted();
+    const bool isInPlacementTime = now - m_arrivedAt < detail::maxPlacementTime && !m_request.exchange->isStarted();
+    const bool mayWait = hasTargets && m_sends < detail::maxSends && (isInPlacementTime || mayReturn());
     if (!mayWait && m_limitPlace && !m_mayHaveRun) {
         refuseLimited(detail::maxPlacementTime);
         return;
@@ -187,6 +193,11 @@
         return;
     }
     m_triedTargets.clear();
+    waitForTarget(now);
+}
+
+void request_run::waitForTarget(time_point now)
+{
     m_isWaitingForTarget = true;
     m_retryAt = now + placementRetryDelay;
 }
@@ -215,7 +226,9 @@
     attempt.events.setLastId(m_lastEventId);
     m_lastSentAt = now;
     ++m_sends;
-    ++m_attempts;
+    attempt.isReturn = mayReturnTo(*target);
+    std::erase(m_endedRuns, target);
+    m_attempts += attempt.isReturn ? 0 : 1;
     m_triedTargets.push_back(target->listed.id);
 
     http1::client_call::callbacks callbacks;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -164,6 +164,14 @@
     void onNotExecuted(const target_attempt& attempt, time_point now);
     /// Sends the request again if possible, unless another attempt is in progress.
     void onAttemptFailed(std::string_view reason, bool mayHaveRun);
+    /// @return True if a further target may get the request, or one at which a run was ended.
+    [[nodiscard]] bool hasAttemptsLeft() const noexcept { return m_attempts < m_request.route->maxAttempts || mayReturn(); }
+    /// @return True if a run at this target was ended for another one, so that the request may go back there.
+    [[nodiscard]] bool mayReturnTo(const target_state& target) const noexcept;
+    [[nodiscard]] bool mayReturn() const noexcept;
+    void waitForTarget(time_point now);
+    /// Takes back the attempt at a target that did not run the request.
+    void uncount(const target_attempt& attempt);
     /// @return Why the request may not be sent again, whatever targets and budget there are; nothing if it may.
     [[nodiscard]] std::optional<std::string_view> retryObstacle(time_point now) const;
     void logResponseEnd(const target_attempt& attempt, http1::call_outcome outcome);
@@ -235,8 +243,11 @@
     target_ptr m_originTarget;
     int m_attempts = 0;
     int m_sends = 0;
-    /// Runs that were ended because the run at another target delivered.
-    int m_endedRuns = 0;
+    /// Targets at which a run was ended because another one delivered. They may get the request once more, which makes
+    /// `m_attempts` no higher, if the run that delivered fails.
+    std::vector<target_ptr> m_endedRuns;
+    /// The next send has not been taken from the retry budget yet.
+    bool m_isRetryUnpaid = false;
     bool m_mayHaveRun = false;
     /// The last attempt ended with a broken response; its target is being checked for a crash.
     bool m_mayHaveCrashed = false;
--- a/src/gateway/target_attempt.hpp
+++ b/src/gateway/target_attempt.hpp
@@ -51,6 +51,8 @@
     bool hasSurvived = false;
     /// The target's present silence was recorded.
     bool isSilenceRecorded = false;
+    /// The run is at a target where a run of this request was ended before, so it is at no further target.
+    bool isReturn = false;
     /// Tokens of the prompt that the target has not read yet.
     uint64_t queuedTokens = 0;
     /// Received bytes of the body that were not passed on.
