gateway: ask a full target again while another one is silent

Callers of an idempotent request waited for their deadline, although a second target had only been full for a moment: a target that refuses a request counted as tried until no attempt was left. A refused request has not run, so the target may be asked again.

It is asked again after a second, if there is no other target, within five sends and the retry budget.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -27,6 +27,10 @@
     /// Pause between two searches for a target beside a silent one.
     constexpr milliseconds backupSearchPeriod { 200 };
 
+    /// A target that was full is not asked again for this long while another one is silent: each refusal takes one of the
+    /// request's sends and of the retry budget.
+    constexpr milliseconds fullTargetRetryDelay { 1000 };
+
     /// After a target missed a result, results for its service are released only at the first event for this long, about the
     /// length of a burst.
     constexpr milliseconds keepInputsDuration { 10000 };
@@ -193,7 +197,7 @@
         recordSilence(*m_current, *obstacle, now);
         return;
     }
-    const target_ptr target = chooseTarget(now);
+    const target_ptr target = chooseSecondTarget(now);
     const bool hasBudget = target && trySpendRetry(m_context, m_request.service, now);
     recordSilence(*m_current, !target ? "no_target" : hasBudget ? "sent"
                                                                 : "retry_budget",
@@ -204,6 +208,16 @@
     send(target);
 }
 
+target_ptr request_run::chooseSecondTarget(time_point now)
+{
+    const target_ptr target = chooseTarget(now);
+    if (target || m_fullTargets.empty() || now < m_nextFullTargetAt)
+        return target;
+    std::erase_if(m_triedTargets, [this](const auto& id) { return std::find(m_fullTargets.begin(), m_fullTargets.end(), id) != m_fullTargets.end(); });
+    m_fullTargets.clear();
+    return chooseTarget(now);
+}
+
 void request_run::recordSilence(target_attempt& attempt, std::string_view secondRun, time_point now)
 {
     if (std::exchange(attempt.isSilenceRecorded, true))
@@ -292,6 +306,10 @@
     if (!attempt.response.isInputMissing) {
         attempt.target->isReplaced = attempt.target->isReplaced || attempt.response.isWrongTarget;
         policy::recordFailure(attempt.target->health, policy::call_failure::Full, now);
+        if (!attempt.response.isWrongTarget) {
+            m_fullTargets.push_back(targetId);
+            m_nextFullTargetAt = now + fullTargetRetryDelay;
+        }
         onAttemptFailed(attempt.response.isWrongTarget ? "wrong_target" : "target_full", false);
         return;
     }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -193,6 +193,8 @@
     void checkSilence(time_point now);
     /// @return Why a second run may not begin, whatever targets are usable; nothing if it may.
     [[nodiscard]] std::optional<std::string_view> secondRunObstacle(time_point now) const;
+    /// @return A target for a second run; one that was full is asked again if there is no other.
+    [[nodiscard]] target_ptr chooseSecondTarget(time_point now);
     void recordSilence(target_attempt& attempt, std::string_view secondRun, time_point now);
     [[nodiscard]] bool areInputsFetched(time_point now) const noexcept;
 
@@ -253,5 +255,8 @@
     bool m_mayHaveCrashed = false;
     bool m_isFinished = false;
     std::vector<std::string> m_triedTargets;
+    /// Those of the tried targets that were full; they may be asked again at `m_nextFullTargetAt`.
+    std::vector<std::string> m_fullTargets;
+    time_point m_nextFullTargetAt {};
 };
 }
