gateway: leave targets that are gone, also after their stage results were released

Cause: silence was the only sign that was looked at, and the results of stages were made once.

- A target is presumably lost if its record was removed or replaced without a planned end, its address responds as another target, or connections to it have failed since its last byte.
The first run goes on meanwhile, and the results are released if it does.
- Requests without tasks on a route with stages have no results that could be missing.
- What concerns silence moves to request_silence.cpp.

A request that is not idempotent stays at its target.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -1,4 +1,4 @@
-/// The attempts of a request: what targets respond, how attempts end, and a second attempt beside a silent target.
+/// The attempts of a request: what targets respond and how attempts end.
 #include "gateway/request_run.hpp"
 
 #include "gateway/crash_watch.hpp"
@@ -17,16 +17,6 @@
     /// Largest body of a response that is not relayed while it arrives.
     constexpr size_t maxUnrelayedBytes = 1024 * 1024;
 
-    /// A target counts as silent if it sends no first byte for this multiple of the latency objective, or no further byte for
-    /// this multiple of the gap objective.
-    constexpr double silentObjectiveFactor = 1.5;
-    constexpr int silentGapFactor = 5;
-    constexpr milliseconds minFirstByteTimeout { 150 };
-    /// Lower limit of the time without a further byte, since routes may state no gap objective.
-    constexpr milliseconds minGapTimeout { 1000 };
-    /// Pause between two searches for a target beside a silent one.
-    constexpr milliseconds backupSearchPeriod { 200 };
-
     /// A target that was full is not asked again for this long while another one is silent: each refusal takes one of the
     /// request's sends and of the retry budget.
     constexpr milliseconds fullTargetRetryDelay { 1000 };
@@ -161,79 +151,6 @@
     m_current.reset();
 }
 
-// Silence.
-
-bool request_run::isSilent(const target_attempt& attempt, time_point now) const
-{
-    const auto silence = attempt.silenceAt(now);
-    if (attempt.hasFirstByte)
-        return m_request.exchange->pendingBytes() == 0 && silence > std::max<microseconds>(minGapTimeout, m_request.route->gapObjective * silentGapFactor);
-    return silence > minFirstByteTimeout && asSeconds(silence) > asSeconds(m_request.route->objective) * silentObjectiveFactor;
-}
-
-std::optional<std::string_view> request_run::secondRunObstacle(time_point now) const
-{
-    const auto& route = *m_request.route;
-    const bool mayRunAgain = route.isRetryable() && (isStream() || !m_request.exchange->isStarted());
-    if (!mayRunAgain)
-        return "not_repeatable";
-    if (!hasAttemptsLeft() || m_sends >= detail::maxSends)
-        return "attempts";
-    if (m_areInputsReleased)
-        return "inputs_released";
-    if (refusedSegment(now))
-        return "segment_refused";
-    return std::nullopt;
-}
-
-void request_run::checkSilence(time_point now)
-{
-    // After a freeze of this process, responses may wait in the sockets.
-    const bool mayBeUnread = isTargetListUncertain(m_context, now);
-    if (!m_current || m_backup || mayBeUnread || now < m_nextBackupSearchAt || !isSilent(*m_current, now))
-        return;
-    m_nextBackupSearchAt = now + backupSearchPeriod;
-    if (const auto obstacle = secondRunObstacle(now)) {
-        recordSilence(*m_current, *obstacle, now);
-        return;
-    }
-    const target_ptr target = chooseSecondTarget(now);
-    const bool hasBudget = target && trySpendRetry(m_context, m_request.service, now);
-    recordSilence(*m_current, !target ? "no_target" : hasBudget ? "sent"
-                                                                : "retry_budget",
-        now);
-    if (!hasBudget)
-        return;
-    m_context.counters.count("repeats_total", { { "reason", "silent" } });
-    send(target);
-}
-
-target_ptr request_run::chooseSecondTarget(time_point now)
-{
-    const target_ptr target = chooseTarget(now);
-    if (target || m_fullTargets.empty() || now < m_nextFullTargetAt)
-        return target;
-    std::erase_if(m_triedTargets, [this](const auto& id) { return std::find(m_fullTargets.begin(), m_fullTargets.end(), id) != m_fullTargets.end(); });
-    m_fullTargets.clear();
-    return chooseTarget(now);
-}
-
-void request_run::recordSilence(target_attempt& attempt, std::string_view secondRun, time_point now)
-{
-    if (std::exchange(attempt.isSilenceRecorded, true))
-        return;
-    if (m_request.route->isRetryable())
-        policy::recordSilence(attempt.target->health, now);
-    m_context.counters.count("silent_targets_total", { { "second_run", std::string(secondRun) } });
-    logLine(log_level::Info, logComponent, "The target of a request is silent.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "silent_ms", std::to_string(asMilliseconds(attempt.silenceAt(now))) }, { "response_begun", m_request.exchange->isStarted() ? "true" : "false" }, { "inside_event", attempt.events.isAtBoundary() ? "false" : "true" }, { "second_run", std::string(secondRun) }, { "attempts", std::to_string(m_attempts) }, { "version", std::to_string(m_request.configuration->version) }, { "newest_version", std::to_string(m_context.configuration->version) } });
-}
-
-bool request_run::areInputsFetched(time_point now) const noexcept
-{
-    const auto isFetched = [now](const target_attempt_ptr& attempt) { return !attempt || (attempt->inputsFetchedAt && now >= *attempt->inputsFetchedAt); };
-    return isFetched(m_current) && isFetched(m_backup);
-}
-
 // Ends of attempts.
 
 void request_run::abandonAttempt(target_attempt& attempt, std::string_view reason)
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -82,8 +82,7 @@
         dispatch();
         return;
     }
-    if (m_current && !m_areInputsReleased && areInputsFetched(now))
-        cancelAndReleaseStages();
+    releaseUnneededResults(now);
     if (m_current && m_request.exchange->isStarted())
         m_current->setReading(m_request.exchange->pendingBytes() < detail::maxUnreadBytes, now);
     checkSilence(now);
@@ -159,6 +158,9 @@
         restartStages("inputs_freed");
         return;
     }
+    // The last of the repeated stages calls this function again.
+    if (!areStagesDone())
+        return;
     if (isTargetListUncertain(m_context, now)) {
         waitForTarget(now);
         return;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -29,6 +29,9 @@
     /// Unsent bytes towards a caller at which the gateway stops reading from the target.
     constexpr size_t maxUnreadBytes = 256 * 1024;
 
+    /// Limit of how often the stages of one request are run.
+    constexpr int maxStageRuns = 3;
+
     /// Limit of how often one request is sent, including the sends that targets refused.
     constexpr int maxSends = 5;
 }
@@ -109,6 +112,13 @@
     [[nodiscard]] uint32_t taskCountOf(size_t stage) const noexcept;
     void startStages();
     void restartStages(std::string_view reason);
+    /// Runs the stages again while the target that fetched their results is silent.
+    void repeatStages();
+    [[nodiscard]] bool hasTasks() const noexcept;
+    /// @return True if the results that a target needs exist, or existed until they were released.
+    [[nodiscard]] bool areStagesDone() const noexcept;
+    /// Releases results that no further run will need.
+    void releaseUnneededResults(time_point now);
     void startReadyStages();
     [[nodiscard]] bool mustWait(size_t index) const;
     void startStage(size_t index);
@@ -188,7 +198,14 @@
     void startRelay(target_attempt& attempt);
     /// Ends an attempt whose target sends more than it may.
     void abandonAttempt(target_attempt& attempt, std::string_view reason);
+
+    // Silent targets; in request_silence.cpp.
     [[nodiscard]] bool isSilent(const target_attempt& attempt, time_point now) const;
+    /// @return True if other calls or the target list show that the target has probably ended.
+    [[nodiscard]] bool isPresumablyLost(const target_attempt& attempt) const noexcept;
+    [[nodiscard]] bool needsSecondRun(const target_attempt& attempt, time_point now) const;
+    /// Decides whether stages whose results were released run again for a second run; spends a retry if so.
+    [[nodiscard]] bool mayRepeatStages(time_point now);
     /// Sends the request to a second target if its target is silent. The first attempt continues: its target may go on.
     void checkSilence(time_point now);
     /// @return Why a second run may not begin, whatever targets are usable; nothing if it may.
@@ -226,6 +243,8 @@
     std::string m_requiredDomain;
     int m_stageRuns = 1;
     bool m_areInputsReleased = false;
+    /// The results are those of repeated stages, for a second run.
+    bool m_areInputsForSecondRun = false;
     bool m_isWaitingForTarget = false;
     time_point m_retryAt {};
     std::optional<limit_place> m_limitPlace;
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -34,9 +34,6 @@
 
     /// Factor for the transfer time, since results share the network links of their holders with other transfers.
     constexpr double fetchSlowdown = 2;
-
-    /// Limit of how often the stages of one request are run.
-    constexpr int maxStageRuns = 3;
 }
 
 uint32_t request_run::taskCountOf(size_t stage) const noexcept
@@ -50,8 +47,7 @@
     const auto& stages = m_request.route->stages;
     m_stages.assign(stages.size(), {});
     m_areInputsReleased = false;
-    const bool hasTasks = std::any_of(m_request.callerRequest.taskCounts.begin(), m_request.callerRequest.taskCounts.end(), [](uint32_t count) { return count > 0; });
-    if (stages.empty() || !hasTasks) {
+    if (stages.empty() || !hasTasks()) {
         dispatch();
         return;
     }
@@ -59,11 +55,40 @@
     startReadyStages();
 }
 
+bool request_run::hasTasks() const noexcept
+{
+    return std::any_of(m_request.callerRequest.taskCounts.begin(), m_request.callerRequest.taskCounts.end(), [](uint32_t count) { return count > 0; });
+}
+
+bool request_run::areStagesDone() const noexcept
+{
+    return !hasTasks() || std::all_of(m_stages.begin(), m_stages.end(), [](const auto& item) { return item.isDone(); });
+}
+
+void request_run::repeatStages()
+{
+    ++m_stageRuns;
+    m_areInputsForSecondRun = true;
+    m_context.counters.count("stage_restarts_total", { { "reason", "silent" } });
+    logLine(log_level::Info, logComponent, "The stages of the request are run again because its target is silent and their results were released.", { { "request", m_request.callerRequest.id }, { "target", m_current->target->listed.id } });
+    startStages();
+}
+
+void request_run::releaseUnneededResults(time_point now)
+{
+    if (!m_current || m_areInputsReleased)
+        return;
+    const bool isSecondRunPending = m_areInputsForSecondRun && !m_backup;
+    const bool isFetched = areInputsFetched(now) || (isSecondRunPending && m_current->hasFirstByte);
+    if (isFetched && !(isSecondRunPending && needsSecondRun(*m_current, now)))
+        cancelAndReleaseStages();
+}
+
 void request_run::restartStages(std::string_view reason)
 {
     const time_point now = monotonicNow();
     // A request that is late already would only take capacity from others.
-    const bool isWorthwhile = m_stageRuns < maxStageRuns && now - m_arrivedAt < m_request.route->objective;
+    const bool isWorthwhile = m_stageRuns < detail::maxStageRuns && (now - m_arrivedAt < m_request.route->objective || mayReturn());
     const bool mayRetry = isWorthwhile && trySpendRetry(m_context, m_request.service, now);
     if (!mayRetry) {
         finishWithoutResponse(reason);
@@ -125,8 +150,8 @@
     startAll();
     // Stages with large results that waited for the others may start now.
     startAll();
-    const bool isAllDone = std::all_of(m_stages.begin(), m_stages.end(), [](const auto& item) { return item.isDone(); });
-    if (isAllDone && !m_isFinished)
+    // Beside a silent target, the search for a second one sends the request.
+    if (areStagesDone() && !m_isFinished && !m_current)
         dispatch();
 }
 
@@ -236,7 +261,9 @@
         return;
     if (outcome.handle.empty()) {
         logLine(log_level::Info, logComponent, "A task of the request ended without a result.", { { "request", m_request.callerRequest.id }, { "stage", std::to_string(stage) }, { "piece", std::to_string(task) }, { "reason", std::string(platform::nameOf(outcome.failure)) } });
-        if (outcome.failure == platform::task_failure::Expired)
+        if (m_current)
+            cancelAndReleaseStages();
+        else if (outcome.failure == platform::task_failure::Expired)
             finishWithoutResponse("stage_late");
         else
             restartStages(platform::nameOf(outcome.failure));
@@ -293,7 +320,8 @@
 
 void request_run::cancelAndReleaseStages()
 {
-    m_areInputsReleased = !m_stages.empty();
+    m_areInputsReleased = !m_stages.empty() && hasTasks();
+    m_areInputsForSecondRun = false;
     for (size_t i = 0; i < m_stages.size(); ++i) {
         if (m_stages[i].job && !m_stages[i].isDone())
             m_pools.cancel(m_stages[i].job);
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -31,6 +31,7 @@
     blend(health.slowness, slowness);
     blend(health.failureRate, 0);
     health.consecutiveFailures = 0;
+    health.unreachableAt.reset();
     health.blockedUntil = {};
     health.changedAt = now;
 }
@@ -44,9 +45,10 @@
     }
     blend(health.failureRate, 1);
     ++health.consecutiveFailures;
-    if (failure == call_failure::Unreachable)
+    if (failure == call_failure::Unreachable) {
+        health.unreachableAt = now;
         health.blockedUntil = now + unreachableBlock * std::min(health.consecutiveFailures, 4u);
-    else if (health.consecutiveFailures >= blockThreshold)
+    } else if (health.consecutiveFailures >= blockThreshold)
         health.blockedUntil = now + std::min(maxBlock, minBlock * (1 << std::min(health.consecutiveFailures - blockThreshold, 4u)));
 }
 
@@ -61,6 +63,11 @@
     return now >= health.blockedUntil;
 }
 
+bool isUnreachableSince(const target_health& health, time_point since) noexcept
+{
+    return health.unreachableAt && *health.unreachableAt > since;
+}
+
 double penaltyOf(const target_health& health) noexcept
 {
     return std::max(1.0, health.slowness) * (1 + failureCost * health.failureRate);
--- a/src/policy/target_health.hpp
+++ b/src/policy/target_health.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace bilberryseam::policy {
 
@@ -17,6 +18,8 @@
     /// The target gets no work before this time.
     time_point blockedUntil {};
     time_point changedAt {};
+    /// Last time at which no connection could be established; not set after a call has succeeded.
+    std::optional<time_point> unreachableAt;
 };
 
 /// How a call failed.
@@ -37,6 +40,10 @@
 /// @return Whether the target may get work now. A block expires; the next call then serves as the probe.
 [[nodiscard]] bool isUsable(const target_health& health, time_point now) noexcept;
 
+/// @return True if connections have failed since a time, and no call has succeeded after them: a call that the target has not
+/// responded to since then is presumably lost, although its connection may never end.
+[[nodiscard]] bool isUnreachableSince(const target_health& health, time_point since) noexcept;
+
 /// @return Factor of at least 1 by which the target appears worse than a healthy one.
 [[nodiscard]] double penaltyOf(const target_health& health) noexcept;
 }
--- a/tests/process/gateway_silence_test.cpp
+++ b/tests/process/gateway_silence_test.cpp
@@ -200,7 +200,7 @@
         auto& script = scripts.emplace_back(deployment.addTarget(id, "model"), std::vector<step>());
         script.setSteps({ script.head(milliseconds(0)), bytes(milliseconds(10), event(1)), bytes(silence, event(2)), end() });
     }
-    deployment.addTarget("e-1", "encode");
+    const auto& encoder = deployment.addTarget("e-1", "encode");
     const json pool { { "name", "encode" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 8 }, { "call_ms", 5 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 4 } } } };
     const json stages { { { "service", "encode" }, { "after", json::array() }, { "bytes", 1000 } } };
     deployment.configure(3, { resumableRoute({ { "stages", stages } }) }, { pool });
@@ -208,6 +208,7 @@
     deployment.waitUntilReady();
     checkWhole(*deployment.sendAndWait("POST", "/m/1", { { "X-Pieces", "1" }, { "X-Piece-Key", "k" } }));
     cr_assert_eq(scripts[0].requestCount() + scripts[1].requestCount(), 1u);
+    cr_assert_eq(encoder.batchCalls().size(), 1u, "the stages were repeated for a target that went on");
 }
 
 Test(gateway_silence, a_begun_stream_is_not_ended_by_another_status_of_its_second_run)
--- a/tests/unit/target_test.cpp
+++ b/tests/unit/target_test.cpp
@@ -52,6 +52,20 @@
     cr_assert(!isUsable(health, start + milliseconds(1900)));
 }
 
+Test(target_health, a_target_is_unreachable_since_a_call_until_another_call_succeeds)
+{
+    target_health health;
+    cr_assert(!isUnreachableSince(health, start));
+    recordFailure(health, call_failure::Failed, start + seconds(1));
+    recordFailure(health, call_failure::Full, start + seconds(1));
+    cr_assert(!isUnreachableSince(health, start));
+    recordFailure(health, call_failure::Unreachable, start + seconds(1));
+    cr_assert(isUnreachableSince(health, start));
+    cr_assert(!isUnreachableSince(health, start + seconds(1)));
+    recordSuccess(health, 1, start + seconds(2));
+    cr_assert(!isUnreachableSince(health, start));
+}
+
 Test(target_health, a_full_target_is_blocked_briefly_without_a_penalty)
 {
     target_health health;
