tests: dead targets on a route with stages, also in the middle of a stream

The test of a request whose stage results were released also has a stream whose target is dead after its first event, and one whose target goes on while the stages run again: nothing is cut, and all results are released.

--- a/tests/process/gateway_dead_target_test.cpp
+++ b/tests/process/gateway_dead_target_test.cpp
@@ -1,5 +1,5 @@
 /// Targets that are gone without ending their connections: requests go on elsewhere if their kind allows it.
-#include "support/deployment_fixture.hpp"
+#include "support/scripted_target.hpp"
 
 #include <criterion/criterion.h>
 
@@ -10,9 +10,9 @@
 namespace {
 using exchange_ptr = std::shared_ptr<http1::exchange>;
 
-/// Two targets; the one that receives the first request never responds to it.
+/// Two targets; the one that receives the first request does not respond to it, or sends only the first event of a stream.
 struct dead_target {
-    dead_target(int slot, const json& route, const json& services = json::array())
+    dead_target(int slot, const json& routes, const json& services = json::array())
         : deployment(slot)
         , encoder(deployment.addTarget("e-1", "encode"))
     {
@@ -20,7 +20,7 @@
             auto& target = deployment.addTarget(id, "model");
             target.setRequestHandler([this, &target](const exchange_ptr& exchange) { handle(target, exchange); });
         }
-        deployment.configure(3, json::array({ route }), services);
+        deployment.configure(3, routes, services);
         deployment.startGateway();
         deployment.waitUntilReady();
     }
@@ -28,10 +28,17 @@
     void handle(fakes::platform_target& target, const exchange_ptr& exchange)
     {
         targetIds.push_back(target.id());
-        if (!held) {
+        const bool isFirst = !held;
+        if (isFirst) {
             held = exchange;
             heldTarget = &target;
-        } else
+        }
+        if (http1::pathOf(exchange->head().target).starts_with("/s/")) {
+            exchange->startChunked(200, target.responseHeaders(*exchange));
+            exchange->writeChunk(event(isFirst ? 1 : 2));
+            if (!isFirst)
+                exchange->finishChunked();
+        } else if (!isFirst)
             exchange->respond(200, target.responseHeaders(*exchange), target.id());
     }
 
@@ -92,19 +99,49 @@
 };
 }
 
-Test(gateway_dead_target, a_request_whose_stage_results_are_released_goes_on_at_another_target)
+Test(gateway_dead_target, requests_whose_stage_results_are_released_go_on_at_another_target)
 {
-    const json pool { { "name", "encode" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 8 }, { "call_ms", 5 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 4 } } } };
+    const json pool { { "name", "encode" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 8 }, { "call_ms", 5 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 20 } } } };
     const json stages = json::array({ { { "service", "encode" }, { "after", json::array() }, { "bytes", 1000 } } });
-    dead_target work(265, deployment_fixture::route("/m/", "idempotent", "model", { { "timeout_ms", 15000 }, { "target_latency_ms", 300 }, { "stages", stages } }), json::array({ pool }));
+    const json changes { { "timeout_ms", 15000 }, { "target_latency_ms", 300 }, { "gap_aim_ms", 100 }, { "stages", stages }, { "resumable", true } };
+    const json routes = json::array({ deployment_fixture::route("/m/", "idempotent", "model", changes), deployment_fixture::route("/s/", "streaming", "model", changes) });
+    dead_target work(265, routes, json::array({ pool }));
     work.sendFirst("POST", { { "X-Pieces", "1" }, { "X-Piece-Key", "k" } });
     work.checkServedByOther();
     cr_assert_eq(work.encoder.batchCalls().size(), 2u);
+
+    // A stream whose target is dead, and one whose target goes on while the stages run again.
+    for (const bool goesOn : { false, true }) {
+        work.held.reset();
+        work.targetIds.clear();
+        const size_t tasksBefore = work.encoder.batchCalls().size();
+        exchange_ptr repeatedTask;
+        work.encoder.setBatchCallHandler([&](const exchange_ptr& exchange) {
+            if (goesOn && work.held)
+                repeatedTask = exchange;
+            else
+                work.encoder.respondToBatchCall(*exchange);
+        });
+        work.caller = work.deployment.send("POST", "/s/1", { { "X-Pieces", "1" }, { "X-Piece-Key", "k" }, { "X-Deadline-Ms", "15000" } });
+        if (goesOn) {
+            work.deployment.waitUntil([&] { return repeatedTask != nullptr; }, "the repeated task");
+            work.held->writeChunk(event(2));
+            work.deployment.waitUntil([&] { return work.caller->body == event(1) + event(2); }, "the second event");
+            work.encoder.respondToBatchCall(*repeatedTask);
+            work.deployment.waitUntil([&] { return work.encoder.releasedResults().size() == tasksBefore + 2; }, "the release of the results");
+            work.held->finishChunked();
+        }
+        work.deployment.waitUntil([&] { return work.caller->isFinished; }, "the stream");
+        cr_assert_eq(work.caller->outcome, http1::call_outcome::Complete);
+        cr_assert_eq(work.caller->body, event(1) + event(2), "the caller received: %s", work.caller->body.c_str());
+        cr_assert_eq(work.targetIds.size(), goesOn ? 1u : 2u);
+        cr_assert_eq(work.encoder.batchCalls().size(), tasksBefore + 2);
+    }
 }
 
 Test(gateway_dead_target, a_request_goes_on_when_the_record_of_its_silent_target_is_removed)
 {
-    dead_target work(266, patientRoute);
+    dead_target work(266, json::array({ patientRoute }));
     work.sendFirst("GET");
     work.deployment.unlistTarget(work.targetIds[0]);
     work.checkServedByOther();
@@ -133,7 +170,7 @@
 
 Test(gateway_dead_target, a_non_idempotent_request_stays_when_the_record_of_its_silent_target_is_removed)
 {
-    dead_target work(268, deployment_fixture::route("/m/", "non_idempotent", "model", { { "timeout_ms", 15000 }, { "target_latency_ms", 14000 } }));
+    dead_target work(268, json::array({ deployment_fixture::route("/m/", "non_idempotent", "model", { { "timeout_ms", 15000 }, { "target_latency_ms", 14000 } }) }));
     work.sendFirst("POST");
     work.deployment.unlistTarget(work.targetIds[0]);
     work.deployment.waitUntil([&] { return work.deployment.logOf(0).find("removed") != std::string::npos; }, "the removal of the target");
