--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -1,4 +1,4 @@
-/// The attempts of a request: what targets respond, how attempts end, and a second attempt beside a silent target.
+/// The attempts of a request: what targets respond and how attempts end.
 #include "gateway/request_run.hpp"
 
 #include "gateway/crash_watch.hpp"
@@ -17,15 +17,9 @@
     /// Largest body of a response that is not relayed while it arrives.
     constexpr size_t maxUnrelayedBytes = 1024 * 1024;
 
-    /// A target counts as silent if it sends no first byte for this multiple of the latency objective, or no further byte for
-    /// this multiple of the gap objective.
-    constexpr double silentObjectiveFactor = 1.5;
-    constexpr int silentGapFactor = 5;
-    constexpr milliseconds minFirstByteTimeout { 150 };
-    /// Lower limit of the time without a further byte, since routes may state no gap objective.
-    constexpr milliseconds minGapTimeout { 1000 };
-    /// Pause between two searches for a target beside a silent one.
-    constexpr milliseconds backupSearchPeriod { 200 };
+    /// A target that was full is not asked again for this long while another one is silent: each refusal takes one of the
+    /// request's sends and of the retry budget.
+    constexpr milliseconds fullTargetRetryDelay { 1000 };
 
     /// After a target missed a result, results for its service are released only at the first event for this long, about the
     /// length of a burst.
@@ -65,7 +59,8 @@
         return;
     }
     attempt.buffer.append(bytes);
-    const bool isLarge = attempt.buffer.size() > maxBufferedBytes;
+    // The other run is kept until this one is complete, or as large as the gateway buffers.
+    const bool isLarge = attempt.buffer.size() > (m_backup ? maxUnrelayedBytes : maxBufferedBytes);
     if (attempt.isRelayable() && (isLarge || m_request.exchange->isStarted())) {
         keepOnly(attempt);
         startRelay(attempt);
@@ -97,7 +92,9 @@
     }
     std::string wholeEvents;
     const auto state = attempt.events.append(bytes, wholeEvents);
-    if (!wholeEvents.empty()) {
+    // A run that cannot go on does not end the other one.
+    const bool isUseful = state == event_stream::state::Good || !m_backup;
+    if (!wholeEvents.empty() && isUseful) {
         keepOnly(attempt);
         m_lastEventId = attempt.events.lastId();
         recordOrigin(attempt);
@@ -133,6 +130,7 @@
         return;
     const target_attempt_ptr other = extract(m_backup.get() == &attempt ? *m_current : *m_backup);
     m_mayHaveRun = true;
+    m_endedRuns.push_back(other->target);
     m_context.counters.count("second_runs_total", { { "delivered", other->sentAt < attempt.sentAt ? "second" : "first" } });
     logLine(log_level::Info, logComponent, "One of two targets has delivered; the run at the other one is ended.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "ended_at", other->target->listed.id } });
     if (attempt.hasFirstByte)
@@ -153,69 +151,6 @@
     m_current.reset();
 }
 
-// Silence.
-
-bool request_run::isSilent(const target_attempt& attempt, time_point now) const
-{
-    const auto silence = attempt.silenceAt(now);
-    if (attempt.hasFirstByte)
-        return m_request.exchange->pendingBytes() == 0 && silence > std::max<microseconds>(minGapTimeout, m_request.route->gapObjective * silentGapFactor);
-    return silence > minFirstByteTimeout && asSeconds(silence) > asSeconds(m_request.route->objective) * silentObjectiveFactor;
-}
-
-std::optional<std::string_view> request_run::secondRunObstacle(time_point now) const
-{
-    const auto& route = *m_request.route;
-    const bool mayRunAgain = route.isRetryable() && (isStream() || !m_request.exchange->isStarted());
-    if (!mayRunAgain)
-        return "not_repeatable";
-    if (m_attempts >= route.maxAttempts || m_sends >= detail::maxSends)
-        return "attempts";
-    if (m_areInputsReleased)
-        return "inputs_released";
-    if (refusedSegment(now))
-        return "segment_refused";
-    return std::nullopt;
-}
-
-void request_run::checkSilence(time_point now)
-{
-    // After a freeze of this process, responses may wait in the sockets.
-    const bool mayBeUnread = isTargetListUncertain(m_context, now);
-    if (!m_current || m_backup || mayBeUnread || now < m_nextBackupSearchAt || !isSilent(*m_current, now))
-        return;
-    m_nextBackupSearchAt = now + backupSearchPeriod;
-    if (const auto obstacle = secondRunObstacle(now)) {
-        recordSilence(*m_current, *obstacle, now);
-        return;
-    }
-    const target_ptr target = chooseTarget(now);
-    const bool hasBudget = target && trySpendRetry(m_context, m_request.service, now);
-    recordSilence(*m_current, !target ? "no_target" : hasBudget ? "sent"
-                                                                : "retry_budget",
-        now);
-    if (!hasBudget)
-        return;
-    m_context.counters.count("repeats_total", { { "reason", "silent" } });
-    send(target);
-}
-
-void request_run::recordSilence(target_attempt& attempt, std::string_view secondRun, time_point now)
-{
-    if (std::exchange(attempt.isSilenceRecorded, true))
-        return;
-    if (m_request.route->isRetryable())
-        policy::recordSilence(attempt.target->health, now);
-    m_context.counters.count("silent_targets_total", { { "second_run", std::string(secondRun) } });
-    logLine(log_level::Info, logComponent, "The target of a request is silent.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "silent_ms", std::to_string(asMilliseconds(attempt.silenceAt(now))) }, { "response_begun", m_request.exchange->isStarted() ? "true" : "false" }, { "inside_event", attempt.events.isAtBoundary() ? "false" : "true" }, { "second_run", std::string(secondRun) }, { "attempts", std::to_string(m_attempts) }, { "version", std::to_string(m_request.configuration->version) }, { "newest_version", std::to_string(m_context.configuration->version) } });
-}
-
-bool request_run::areInputsFetched(time_point now) const noexcept
-{
-    const auto isFetched = [now](const target_attempt_ptr& attempt) { return !attempt || (attempt->inputsFetchedAt && now >= *attempt->inputsFetchedAt); };
-    return isFetched(m_current) && isFetched(m_backup);
-}
-
 // Ends of attempts.
 
 void request_run::abandonAttempt(target_attempt& attempt, std::string_view reason)
@@ -238,7 +173,7 @@
     auto& health = attempt->target->health;
     if (outcome == http1::call_outcome::NotSent) {
         policy::recordFailure(health, policy::call_failure::Unreachable, now);
-        --m_attempts;
+        uncount(*attempt);
         onAttemptFailed("unreachable", false);
         return;
     }
@@ -284,10 +219,14 @@
 void request_run::onNotExecuted(const target_attempt& attempt, time_point now)
 {
     const std::string& targetId = attempt.target->listed.id;
-    --m_attempts;
+    uncount(attempt);
     if (!attempt.response.isInputMissing) {
         attempt.target->isReplaced = attempt.target->isReplaced || attempt.response.isWrongTarget;
         policy::recordFailure(attempt.target->health, policy::call_failure::Full, now);
+        if (!attempt.response.isWrongTarget) {
+            m_fullTargets.push_back(targetId);
+            m_nextFullTargetAt = now + fullTargetRetryDelay;
+        }
         onAttemptFailed(attempt.response.isWrongTarget ? "wrong_target" : "target_full", false);
         return;
     }
@@ -302,6 +241,14 @@
     restartStages("input_gone");
 }
 
+void request_run::uncount(const target_attempt& attempt)
+{
+    if (attempt.isReturn)
+        m_endedRuns.push_back(attempt.target);
+    else
+        --m_attempts;
+}
+
 void request_run::logResponseEnd(const target_attempt& attempt, http1::call_outcome outcome)
 {
     const http1::response_trace& trace = attempt.call->trace();
@@ -333,28 +280,60 @@
     finish("answered", "", status);
 }
 
-void request_run::onAttemptFailed(std::string_view reason, bool mayHaveRun)
+std::optional<std::string_view> request_run::retryObstacle(time_point now) const
 {
-    const time_point now = monotonicNow();
-    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     const auto& route = *m_request.route;
     // Only events can be continued; the rest of a plain response cannot be asked for.
     const bool mayContinue = isStream() || !m_request.exchange->isStarted();
-    const bool mayRetry = mayContinue && (!m_mayHaveRun || (route.isRetryable() && m_attempts < route.maxAttempts));
-    const bool isInTime = now < m_deadline;
-    logLine(log_level::Info, logComponent, "An attempt of the request failed.", { { "request", m_request.callerRequest.id }, { "reason", std::string(reason) }, { "may_have_run", m_mayHaveRun ? "true" : "false" }, { "after_ms", std::to_string(m_sends == 0 ? 0 : asMilliseconds(now - m_lastSentAt)) }, { "other_attempt", m_current ? m_current->target->listed.id : "" } });
+    if (!mayContinue || (m_mayHaveRun && !route.isRetryable()))
+        return "not_repeatable";
+    if ((m_mayHaveRun && !hasAttemptsLeft()) || m_sends >= detail::maxSends)
+        return "attempts";
+    if (now >= m_deadline)
+        return "deadline";
+    return std::nullopt;
+}
+
+bool request_run::mayReturnTo(const target_state& target) const noexcept
+{
+    return std::any_of(m_endedRuns.begin(), m_endedRuns.end(), [&target](const target_ptr& ended) { return ended.get() == &target; });
+}
+
+bool request_run::mayReturn() const noexcept
+{
+    return std::any_of(m_endedRuns.begin(), m_endedRuns.end(), [](const target_ptr& ended) { return ended->isInService(); });
+}
+
+void request_run::onAttemptFailed(std::string_view reason, bool mayHaveRun)
+{
+    const time_point now = monotonicNow();
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    const bool hasUsableTarget = reason != "no_target";
+    std::optional<std::string_view> obstacle = retryObstacle(now);
+    if (m_current)
+        obstacle = "other_attempt";
+    else if (!hasUsableTarget)
+        obstacle = "no_target";
+    if (!obstacle && m_sends > 0 && !trySpendRetry(m_context, m_request.service, now))
+        obstacle = "retry_budget";
+    logLine(log_level::Info, logComponent, "An attempt of the request failed.", { { "request", m_request.callerRequest.id }, { "reason", std::string(reason) }, { "may_have_run", m_mayHaveRun ? "true" : "false" }, { "after_ms", std::to_string(m_sends == 0 ? 0 : asMilliseconds(now - m_lastSentAt)) }, { "other_attempt", m_current ? m_current->target->listed.id : "" }, { "attempts", std::to_string(m_attempts) }, { "ended_runs", std::to_string(m_endedRuns.size()) }, { "no_retry_because", std::string(obstacle.value_or("")) } });
     if (m_current)
         return;
-    const bool hasUsableTarget = reason != "no_target";
-    if (mayRetry && isInTime && hasUsableTarget && m_sends < detail::maxSends && (m_sends == 0 || trySpendRetry(m_context, m_request.service, now))) {
-        m_context.counters.count("repeats_total", { { "reason", std::string(reason) } });
-        if (std::exchange(m_mayHaveCrashed, false)) {
-            m_isWaitingForTarget = true;
-            m_retryAt = now + crashReportTime;
-        } else
-            dispatch();
+    if (obstacle == "retry_budget" && mayReturn()) {
+        // Without the run that was ended for the failed one, the request would still have a target.
+        m_isRetryUnpaid = true;
+        waitForTarget(now);
         return;
     }
-    finishWithoutResponse(reason, hasUsableTarget);
+    if (obstacle) {
+        finishWithoutResponse(reason, hasUsableTarget);
+        return;
+    }
+    m_context.counters.count("repeats_total", { { "reason", std::string(reason) } });
+    if (std::exchange(m_mayHaveCrashed, false)) {
+        m_isWaitingForTarget = true;
+        m_retryAt = now + crashReportTime;
+    } else
+        dispatch();
 }
 }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -29,6 +29,9 @@
     /// Unsent bytes towards a caller at which the gateway stops reading from the target.
     constexpr size_t maxUnreadBytes = 256 * 1024;
 
+    /// Limit of how often the stages of one request are run.
+    constexpr int maxStageRuns = 3;
+
     /// Limit of how often one request is sent, including the sends that targets refused.
     constexpr int maxSends = 5;
 }
@@ -109,6 +112,13 @@
     [[nodiscard]] uint32_t taskCountOf(size_t stage) const noexcept;
     void startStages();
     void restartStages(std::string_view reason);
+    /// Runs the stages again while the target that fetched their results is silent.
+    void repeatStages();
+    [[nodiscard]] bool hasTasks() const noexcept;
+    /// @return True if the results that a target needs exist, or existed until they were released.
+    [[nodiscard]] bool areStagesDone() const noexcept;
+    /// Releases results that no further run will need.
+    void releaseUnneededResults(time_point now);
     void startReadyStages();
     [[nodiscard]] bool mustWait(size_t index) const;
     void startStage(size_t index);
@@ -164,6 +174,16 @@
     void onNotExecuted(const target_attempt& attempt, time_point now);
     /// Sends the request again if possible, unless another attempt is in progress.
     void onAttemptFailed(std::string_view reason, bool mayHaveRun);
+    /// @return True if a further target may get the request, or one at which a run was ended.
+    [[nodiscard]] bool hasAttemptsLeft() const noexcept { return m_attempts < m_request.route->maxAttempts || mayReturn(); }
+    /// @return True if a run at this target was ended for another one, so that the request may go back there.
+    [[nodiscard]] bool mayReturnTo(const target_state& target) const noexcept;
+    [[nodiscard]] bool mayReturn() const noexcept;
+    void waitForTarget(time_point now);
+    /// Takes back the attempt at a target that did not run the request.
+    void uncount(const target_attempt& attempt);
+    /// @return Why the request may not be sent again, whatever targets and budget there are; nothing if it may.
+    [[nodiscard]] std::optional<std::string_view> retryObstacle(time_point now) const;
     void logResponseEnd(const target_attempt& attempt, http1::call_outcome outcome);
     /// @return True if the content of a stream shows that it is incomplete, although its framing does not.
     [[nodiscard]] bool isStreamTruncated(const target_attempt& attempt, http1::call_outcome outcome) const noexcept;
@@ -178,11 +198,20 @@
     void startRelay(target_attempt& attempt);
     /// Ends an attempt whose target sends more than it may.
     void abandonAttempt(target_attempt& attempt, std::string_view reason);
+
+    // Silent targets; in request_silence.cpp.
     [[nodiscard]] bool isSilent(const target_attempt& attempt, time_point now) const;
+    /// @return True if other calls or the target list show that the target has probably ended.
+    [[nodiscard]] bool isPresumablyLost(const target_attempt& attempt) const noexcept;
+    [[nodiscard]] bool needsSecondRun(const target_attempt& attempt, time_point now) const;
+    /// Decides whether stages whose results were released run again for a second run; spends a retry if so.
+    [[nodiscard]] bool mayRepeatStages(time_point now);
     /// Sends the request to a second target if its target is silent. The first attempt continues: its target may go on.
     void checkSilence(time_point now);
     /// @return Why a second run may not begin, whatever targets are usable; nothing if it may.
     [[nodiscard]] std::optional<std::string_view> secondRunObstacle(time_point now) const;
+    /// @return A target for a second run; one that was full is asked again if there is no other.
+    [[nodiscard]] target_ptr chooseSecondTarget(time_point now);
     void recordSilence(target_attempt& attempt, std::string_view secondRun, time_point now);
     [[nodiscard]] bool areInputsFetched(time_point now) const noexcept;
 
@@ -214,6 +243,8 @@
     std::string m_requiredDomain;
     int m_stageRuns = 1;
     bool m_areInputsReleased = false;
+    /// The results are those of repeated stages, for a second run.
+    bool m_areInputsForSecondRun = false;
     bool m_isWaitingForTarget = false;
     time_point m_retryAt {};
     std::optional<limit_place> m_limitPlace;
@@ -233,10 +264,18 @@
     target_ptr m_originTarget;
     int m_attempts = 0;
     int m_sends = 0;
+    /// Targets at which a run was ended because another one delivered. They may get the request once more, which makes
+    /// `m_attempts` no higher, if the run that delivered fails.
+    std::vector<target_ptr> m_endedRuns;
+    /// The next send has not been taken from the retry budget yet.
+    bool m_isRetryUnpaid = false;
     bool m_mayHaveRun = false;
     /// The last attempt ended with a broken response; its target is being checked for a crash.
     bool m_mayHaveCrashed = false;
     bool m_isFinished = false;
     std::vector<std::string> m_triedTargets;
+    /// Those of the tried targets that were full; they may be asked again at `m_nextFullTargetAt`.
+    std::vector<std::string> m_fullTargets;
+    time_point m_nextFullTargetAt {};
 };
 }
