The log tells how a caller's connection ended, and that the main loop ran late

Change: a close after a timeout of the kernel is told apart from a reset; `The request finished.` names it as its reason.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -82,6 +82,14 @@
     }
 }
 
+void recordLoopDelay(context& context, milliseconds period, time_point now)
+{
+    if (const auto delay = policy::recordRun(context.loopDelays, period, now); delay.count() > 0)
+        context.counters.observeSeconds("loop_delay_seconds", {}, asSeconds(delay));
+    if (const auto report = policy::takeReport(context.loopDelays, now))
+        logLine(log_level::Warning, "gateway", "The main loop ran late; its timers expired before its sockets were read.", { { "times", std::to_string(report->count) }, { "longest_ms", std::to_string(asMilliseconds(report->longest)) } });
+}
+
 bool isTargetListUncertain(const context& context, time_point now) noexcept
 {
     return now < context.targetsUncertainUntil || now - context.lastTickAt > freezeTime;
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -6,6 +6,7 @@
 #include "http1/client.hpp"
 #include "platform/store_client.hpp"
 #include "policy/budget.hpp"
+#include "policy/loop_delay.hpp"
 #include "policy/suspicion.hpp"
 #include "settings/gateway_settings.hpp"
 #include "telemetry/telemetry.hpp"
@@ -50,6 +51,7 @@
     unsigned entryCount = 8;
     /// Last tick of the main loop. A long time since then shows that the process was frozen.
     time_point lastTickAt {};
+    policy::loop_delays loopDelays;
     /// After a freeze, requests wait until this time for the target list to be read again.
     time_point targetsUncertainUntil {};
     /// Last change of the set of entries.
@@ -69,6 +71,9 @@
     }
 };
 
+/// Counts and logs late runs of the periodic timer of the main loop.
+void recordLoopDelay(context& context, milliseconds period, time_point now);
+
 /// @return True if the process has just woken from a freeze in which targets may have left.
 [[nodiscard]] bool isTargetListUncertain(const context& context, time_point now) noexcept;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -451,6 +451,7 @@
 void gateway::tick()
 {
     const time_point now = monotonicNow();
+    recordLoopDelay(m_context, tickPeriod, now);
     checkForFreeze(now);
     m_finishedRuns.clear();
     m_context.targets.tick(now);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -270,7 +270,7 @@
 {
     const auto keepAlive = shared_from_this();
     detachFromTargets();
-    finish("caller_gone", "", 0);
+    finish("caller_gone", nameOf(m_request.exchange->disconnectReason().value_or(http1::close_reason::Closed)), 0);
 }
 
 void request_run::finish(std::string_view outcome, std::string_view reason, unsigned status)
--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -48,7 +48,7 @@
     void onHeaderComplete();
     void onRequestComplete();
     void refuse(unsigned status, std::string_view reason);
-    void onClosed();
+    void onClosed(close_reason reason);
     void startLingering();
     /// @return True if the connection needs no more time: nothing happened for `timeout`, and the client has received the last
     /// response or does not read it.
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -34,9 +34,9 @@
             if (const auto self = weak.lock())
                 self->handleBytes(bytes);
         };
-        callbacks.onEnd = [weak](close_reason) {
+        callbacks.onEnd = [weak](close_reason reason) {
             if (const auto self = weak.lock())
-                self->onClosed();
+                self->onClosed(reason);
         };
         m_stream->setCallbacks(std::move(callbacks));
     }
@@ -202,10 +202,11 @@
         return m_stream;
     }
 
-    void server_connection::onClosed()
+    void server_connection::onClosed(close_reason reason)
     {
         if (exchange* current = std::exchange(m_currentExchange, nullptr)) {
             current->m_isFinished = true;
+            current->m_disconnectReason = reason;
             if (const auto onDisconnect = std::exchange(current->m_onDisconnect, nullptr))
                 onDisconnect();
         } else if (m_phase != phase::Reading) {
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 
 namespace bilberryseam::http1 {
 
@@ -76,6 +77,9 @@
     /// request has already been received; then the same applies to the next response.
     void closeAfterResponse();
 
+    /// @return How the client's connection ended before the response was complete; not set while it is open.
+    [[nodiscard]] std::optional<close_reason> disconnectReason() const noexcept { return m_disconnectReason; }
+
     [[nodiscard]] bool isStarted() const noexcept { return m_isStarted; }
     [[nodiscard]] bool isFinished() const noexcept { return m_isFinished; }
     /// @return Bytes of the response that are not yet handed to the kernel.
@@ -94,6 +98,7 @@
     std::string m_body;
     time_point m_arrivedAt {};
     std::function<void()> m_onDisconnect;
+    std::optional<close_reason> m_disconnectReason;
     bool m_isStarted = false;
     bool m_isFinished = false;
 };
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -86,6 +86,12 @@
         return ioctl(descriptor, request, &count) == 0 ? static_cast<size_t>(count) : 0;
     }
 
+    /// @return How the connection ended, by the error of the last call.
+    close_reason reasonOfError()
+    {
+        return errno == ETIMEDOUT ? close_reason::TimedOut : close_reason::Reset;
+    }
+
     bool isTransientError()
     {
         return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
@@ -99,6 +105,8 @@
         return "closed";
     case close_reason::Reset:
         return "reset";
+    case close_reason::TimedOut:
+        return "timed_out";
     case close_reason::ConnectFailed:
         return "connect_failed";
     }
@@ -166,8 +174,8 @@
     }
     if (ready & G_IO_OUT) {
         flush();
-        if (m_hasPeerEnded && (m_writeBuffer.empty() || m_hasSendFailed)) {
-            closeAndNotify(m_hasSendFailed ? close_reason::Reset : close_reason::Closed);
+        if (m_hasPeerEnded && (m_writeBuffer.empty() || m_sendFailure)) {
+            closeAndNotify(m_sendFailure.value_or(close_reason::Closed));
             return;
         }
         if (const auto callback = m_callbacks.onDrained; callback && m_writeBuffer.empty())
@@ -185,15 +193,15 @@
     const ssize_t count = recv(m_descriptor, block.data(), block.size(), 0);
     if (count < 0) {
         if (!isTransientError())
-            closeAndNotify(close_reason::Reset);
+            closeAndNotify(reasonOfError());
         return;
     }
     if (count == 0) {
         m_hasPeerEnded = true;
         updateInterest();
-        if (m_sendsAfterEnd && !m_writeBuffer.empty() && !m_hasSendFailed)
+        if (m_sendsAfterEnd && !m_writeBuffer.empty() && !m_sendFailure)
             return;
-        closeAndNotify(m_hasSendFailed ? close_reason::Reset : close_reason::Closed);
+        closeAndNotify(m_sendFailure.value_or(close_reason::Closed));
         return;
     }
     if (const auto callback = m_callbacks.onBytes)
@@ -219,7 +227,8 @@
         const ssize_t count = send(m_descriptor, m_writeBuffer.data() + sentBytes, m_writeBuffer.size() - sentBytes, MSG_NOSIGNAL);
         if (count <= 0) {
             // A failed send consumes the error of a reset, so the next read reports the end of the data.
-            m_hasSendFailed = m_hasSendFailed || (count < 0 && !isTransientError());
+            if (count < 0 && !isTransientError() && !m_sendFailure)
+                m_sendFailure = reasonOfError();
             break;
         }
         sentBytes += static_cast<size_t>(count);
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <glib.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,8 +17,10 @@
 enum class close_reason {
     /// The peer closed its sending side.
     Closed,
-    /// The peer reset the connection, or the kernel closed it after a timeout.
+    /// The peer reset the connection.
     Reset,
+    /// The kernel closed the connection because the peer acknowledged nothing for `unresponsivePeerTimeout`.
+    TimedOut,
     /// The connection was never established.
     ConnectFailed,
 };
@@ -100,7 +103,7 @@
     bool m_sendsAfterEnd = false;
     bool m_hasPeerEnded = false;
     bool m_hasSent = false;
-    bool m_hasSendFailed = false;
+    std::optional<close_reason> m_sendFailure;
     bool m_isConnectFailurePending = false;
     GSource* m_source = nullptr;
     gpointer m_descriptorTag = nullptr;
