A peer that acknowledges probes of its closed window is not taken for dead

Callers that stopped reading for over 3 s, or read 1 kB a second, had their response reset, logged as `caller_gone`. Cause: Linux counts TCP_USER_TIMEOUT from the first probe of a closed window, also while the peer acknowledges the probes, and does not start again when the window opens a little. Change: the option is not set any more. While written bytes are unacknowledged, the connection is checked twice a second and ends with `timed_out` when nothing, not even a probe, was acknowledged for 3 s. Probes are at most 1 s apart (TCP_RTO_MAX_MS, Linux 6.15; older kernels find a peer that vanishes behind a closed window later). Idle connections are probed as before, once after 2 s, and end at 3 s. A first attempt that raised TCP_USER_TIMEOUT at each acknowledgement still lost the caller with a small window.

--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -22,7 +22,18 @@
     /// Idle time before the first keep-alive probe, time between probes, and number of unanswered probes that close the connection.
     constexpr int keepAliveIdleSeconds = 2;
     constexpr int keepAliveIntervalSeconds = 1;
-    constexpr int keepAliveProbes = 2;
+    constexpr int keepAliveProbes = 1;
+
+    /// `TCP_RTO_MAX_MS`, since Linux 6.15: longest time between retransmissions, and between probes of a closed window. Older kernels
+    /// probe at intervals that double, so that a peer that vanishes behind a closed window is found later.
+    constexpr int retransmissionIntervalOption = 44;
+    constexpr int longestRetransmissionIntervalMs = 1000;
+
+    /// Unanswered segments that show a dead peer; a single one may have been sent a moment ago.
+    constexpr unsigned deadPeerSegments = 2;
+
+    /// Time between two checks of a peer that has not acknowledged all written bytes.
+    constexpr milliseconds peerCheckPeriod { 500 };
 
     struct stream_source {
         GSource base;
@@ -35,10 +46,22 @@
         setsockopt(descriptor, level, name, &value, sizeof value);
     }
 
+    /// @return True if the peer has acknowledged no data and no probe within `unresponsivePeerTimeout`. `TCP_USER_TIMEOUT` does not
+    /// tell this: Linux counts it from the first probe of a closed window, also if the peer acknowledges the probes.
+    bool isPeerDead(int descriptor)
+    {
+        tcp_info state {};
+        socklen_t length = sizeof state;
+        if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &state, &length) != 0)
+            return false;
+        const unsigned unansweredSegments = static_cast<unsigned>(state.tcpi_probes) + state.tcpi_retransmits;
+        return unansweredSegments >= deadPeerSegments && milliseconds(state.tcpi_last_ack_recv) > unresponsivePeerTimeout;
+    }
+
     void applySocketOptions(int descriptor)
     {
         setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-        setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<unsigned>(unresponsivePeerTimeout.count()));
+        setOption(descriptor, IPPROTO_TCP, retransmissionIntervalOption, longestRetransmissionIntervalMs);
         setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
         setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
         setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
@@ -151,7 +174,12 @@
         self->closeAndNotify(close_reason::ConnectFailed);
         return G_SOURCE_REMOVE;
     }
-    self->handleReady(g_source_query_unix_fd(source, self->m_descriptorTag));
+    if (const gint64 checkAt = g_source_get_ready_time(source); checkAt >= 0 && g_get_monotonic_time() >= checkAt)
+        self->checkPeer();
+    if (!self->isOpen())
+        return G_SOURCE_REMOVE;
+    if (const GIOCondition ready = g_source_query_unix_fd(source, self->m_descriptorTag); ready != 0)
+        self->handleReady(ready);
     return self->isOpen() ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
@@ -235,11 +263,34 @@
         m_hasSent = true;
     }
     m_writeBuffer.erase(0, sentBytes);
+    if (sentBytes > 0)
+        startPeerChecks();
     if (m_writeBuffer.empty() && m_isWriteShutdownRequested)
         shutdown(m_descriptor, SHUT_WR);
     updateInterest();
 }
 
+void tcp_stream::startPeerChecks()
+{
+    if (g_source_get_ready_time(m_source) >= 0)
+        return;
+    m_unacknowledgedSince = monotonicNow();
+    g_source_set_ready_time(m_source, g_get_monotonic_time() + microseconds(peerCheckPeriod).count());
+}
+
+void tcp_stream::checkPeer()
+{
+    if (unacknowledgedBytes() == 0) {
+        g_source_set_ready_time(m_source, -1);
+        return;
+    }
+    if (monotonicNow() - m_unacknowledgedSince > unresponsivePeerTimeout && isPeerDead(m_descriptor)) {
+        closeAndNotify(close_reason::TimedOut);
+        return;
+    }
+    g_source_set_ready_time(m_source, g_get_monotonic_time() + microseconds(peerCheckPeriod).count());
+}
+
 size_t tcp_stream::unacknowledgedBytes() const noexcept
 {
     return isOpen() ? m_writeBuffer.size() + queuedBytes(m_descriptor, SIOCOUTQ) : 0;
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -19,7 +19,7 @@
     Closed,
     /// The peer reset the connection.
     Reset,
-    /// The kernel closed the connection because the peer acknowledged nothing for `unresponsivePeerTimeout`.
+    /// The connection was closed because the peer acknowledged nothing for `unresponsivePeerTimeout`.
     TimedOut,
     /// The connection was never established.
     ConnectFailed,
@@ -28,7 +28,7 @@
 /// @return The name used in logs.
 [[nodiscard]] std::string_view nameOf(close_reason reason) noexcept;
 
-/// A connection is closed when its peer has not acknowledged data or keep-alive probes for this time (`TCP_USER_TIMEOUT`).
+/// A connection is closed when its peer has not acknowledged data, keep-alive probes or probes of a closed window for this time.
 /// It is below the shortest deadline of the deployments.
 constexpr milliseconds unresponsivePeerTimeout { 3000 };
 
@@ -95,6 +95,8 @@
     void flush();
     void closeAndNotify(close_reason reason);
     void updateInterest();
+    void startPeerChecks();
+    void checkPeer();
 
     int m_descriptor;
     bool m_isConnecting;
@@ -105,6 +107,8 @@
     bool m_hasSent = false;
     std::optional<close_reason> m_sendFailure;
     bool m_isConnectFailurePending = false;
+    /// Since this time, written bytes have been unacknowledged at each check.
+    time_point m_unacknowledgedSince {};
     GSource* m_source = nullptr;
     gpointer m_descriptorTag = nullptr;
     std::string m_writeBuffer;
