Connections in the listen queue are accepted before the listener closes

Callers whose connection was established, but not accepted when a stopping gateway closed its listener, saw a reset, also if their request was already in the socket. Cause: closing a listening socket resets its queue. A connection that is established between the last accept and the close (microseconds) is still reset, unread.

--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -402,8 +402,9 @@
     }
 }
 
-void server::stopListening() noexcept
+void server::stopListening()
 {
+    m_listener.acceptWaiting();
     m_listener.stop();
 }
 
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -117,8 +117,8 @@
     server& operator=(const server&) = delete;
     ~server();
 
-    /// Stops accepting connections; open ones continue.
-    void stopListening() noexcept;
+    /// Stops accepting connections, once those that are established already are accepted; open ones continue.
+    void stopListening();
 
     /// Makes responses announce and perform the close of their connections, for a graceful shutdown. A request behind a response
     /// that could not announce it is answered.
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -384,15 +384,24 @@
     m_descriptor = -1;
 }
 
+bool tcp_listener::acceptOne()
+{
+    const int acceptedDescriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (acceptedDescriptor < 0)
+        return false;
+    m_onAccepted(tcp_stream::adopt(acceptedDescriptor));
+    return true;
+}
+
+void tcp_listener::acceptWaiting()
+{
+    while (m_descriptor >= 0 && (acceptOne() || errno == ECONNABORTED || errno == EINTR)) { }
+}
+
 gboolean tcp_listener::dispatch(gint, GIOCondition, gpointer data)
 {
     auto* self = static_cast<tcp_listener*>(data);
-    for (int i = 0; i < maxAcceptsPerDispatch && self->m_descriptor >= 0; ++i) {
-        const int acceptedDescriptor = accept4(self->m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (acceptedDescriptor < 0)
-            break;
-        self->m_onAccepted(tcp_stream::adopt(acceptedDescriptor));
-    }
+    for (int i = 0; i < maxAcceptsPerDispatch && self->m_descriptor >= 0 && self->acceptOne(); ++i) { }
     return self->m_descriptor >= 0 ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 }
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -124,10 +124,15 @@
     tcp_listener& operator=(const tcp_listener&) = delete;
     ~tcp_listener();
 
-    /// Stops accepting connections.
+    /// Accepts all connections that are established already.
+    void acceptWaiting();
+
+    /// Stops accepting connections; those that are established and not accepted are reset.
     void stop() noexcept;
 
 private:
+    /// @return False if no connection could be accepted; `errno` tells why.
+    bool acceptOne();
     static gboolean dispatch(gint descriptor, GIOCondition, gpointer self);
 
     int m_descriptor = -1;
