An idle connection is closed whole, so that a crossing request is not read

Callers whose request crossed the close of their idle connection by a stopping gateway had it read and dropped, so that a request that must not run twice could not be sent again. Cause: the connection was closed on its sending side first and read for a second longer. Change: it is closed as a whole, once the client has acknowledged the last response; a later request is answered by a reset of the kernel, unread. A response cannot be lost by this, as it has been received.

--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -27,7 +27,8 @@
     void setMustClose() noexcept { m_mustClose = true; }
     /// Called when the response is complete; continues with the next request or closes the connection.
     void onResponseComplete();
-    /// Closes the connection if it has no request; its sending side first, so that the client gets its last response whole.
+    /// Closes the connection if it has no request and the client has received the last response. A request that arrives later is
+    /// not read, and the client's host sees a reset.
     void closeIfIdle();
     /// Resets the connection because the exchange ended without a complete response.
     void abort();
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -185,8 +185,8 @@
 
     void server_connection::closeIfIdle()
     {
-        if (isOpen() && m_phase == phase::Idle && m_stream->unreadBytes() == 0)
-            startLingering();
+        if (isOpen() && m_phase == phase::Idle && m_stream->unreadBytes() == 0 && m_stream->unacknowledgedBytes() == 0)
+            m_stream->close();
     }
 
     void server_connection::abort()
