A request on a connection beyond the limit gets 503 instead of a close

Callers beyond `maxConnections` had their connection closed without a response. Result: gateway_stop/a_request_on_a_connection_beyond_the_limit_is_refused: no response before, 503 after.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -87,6 +87,7 @@
         m_context.counters.count("unread_requests_total", { { "status", std::to_string(status) } });
         logLine(log_level::Warning, logComponent, reason, { { "status", std::to_string(status) } });
     });
+    m_callers->setOverLimitHeaders({ platform::retryAfterHeader(retryWhenFull) });
     m_callers->setOnUnfinished([this](const http1::unfinished_connection& connection) { recordUnfinished(connection); });
     m_operators.emplace(
         settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleOperatorRequest(*exchange); });
--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -9,7 +9,8 @@
 /// Processes the requests of one connection in sequence. Reading continues while a response is pending, to detect a disconnect.
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
-    server_connection(server& owner, std::shared_ptr<tcp_stream> stream);
+    /// @param isOverLimit  The server had too many connections when this one was accepted; it refuses requests as long as that holds.
+    server_connection(server& owner, std::shared_ptr<tcp_stream> stream, bool isOverLimit);
 
     void start();
     /// Closes the connection, or refuses its request, if a timeout expired.
@@ -48,7 +49,7 @@
     bool beginRequest();
     void onHeaderComplete();
     void onRequestComplete();
-    void refuse(unsigned status, std::string_view reason);
+    void refuse(unsigned status, std::string_view reason, const header_list& headers = {});
     void onClosed(close_reason reason);
     void startLingering();
     /// @return True if the connection needs no more time: nothing happened for `timeout`, and the client has received the last
@@ -65,6 +66,7 @@
     /// Bytes that were read since the last complete response.
     size_t m_unansweredBytes = 0;
     phase m_phase = phase::Idle;
+    bool m_isOverLimit;
     bool m_mustClose = false;
     bool m_isLastRequest = false;
     bool m_isCloseAnnounced = false;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -15,13 +15,16 @@
     /// Size of pipelined requests that are buffered while a response is pending; beyond it, reading pauses.
     constexpr size_t maxPipelinedBytes = 64 * 1024;
 
+    /// Connections beyond the limit that are kept until their request can be refused.
+    constexpr size_t maxConnectionsOverLimit = 128;
 }
 
 namespace detail {
 
-    server_connection::server_connection(server& owner, std::shared_ptr<tcp_stream> stream)
+    server_connection::server_connection(server& owner, std::shared_ptr<tcp_stream> stream, bool isOverLimit)
         : m_server(&owner)
         , m_stream(std::move(stream))
+        , m_isOverLimit(isOverLimit)
         , m_lastProgressAt(monotonicNow())
     {
     }
@@ -116,6 +119,11 @@
     {
         m_isHeaderDone = true;
         m_lastProgressAt = monotonicNow();
+        m_isOverLimit = m_isOverLimit && m_server->isOverLimit();
+        if (m_isOverLimit) {
+            refuse(statusUnavailable, "The connection limit is reached.", m_server->m_overLimitHeaders);
+            return;
+        }
         const auto& message = m_parser->get();
         const auto encodingCount = std::distance(message.equal_range(http::field::transfer_encoding).first, message.equal_range(http::field::transfer_encoding).second);
         const bool isTransferEncodingSupported = encodingCount == 0 || (encodingCount == 1 && beast::iequals(message[http::field::transfer_encoding], "chunked"));
@@ -142,11 +150,13 @@
         m_server->m_onRequest(newExchange);
     }
 
-    void server_connection::refuse(unsigned status, std::string_view reason)
+    void server_connection::refuse(unsigned status, std::string_view reason, const header_list& headers)
     {
         if (m_server->m_onRefused)
             m_server->m_onRefused(status, reason);
         http::response<http::empty_body> message(static_cast<http::status>(status), 11);
+        for (const auto& [name, value] : headers)
+            message.insert(name, value);
         message.set(http::field::connection, "close");
         message.set(http::field::content_length, "0");
         m_stream->write(serializeHead(message));
@@ -361,13 +371,14 @@
     // Closed connections stay in the list until the next check, so remove them before applying the limit.
     if (m_connections.size() >= maxConnections)
         checkConnections();
-    if (m_connections.size() >= maxConnections) {
+    const bool isOverLimit = m_connections.size() >= maxConnections;
+    if (m_connections.size() >= maxConnections + maxConnectionsOverLimit) {
         if (m_onRefused)
             m_onRefused(0, "The connection limit is reached; the new connection was closed.");
         stream->close();
         return;
     }
-    const auto connection = std::make_shared<detail::server_connection>(*this, std::move(stream));
+    const auto connection = std::make_shared<detail::server_connection>(*this, std::move(stream), isOverLimit);
     m_connections.push_back(connection);
     connection->start();
 }
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -23,7 +23,8 @@
     milliseconds headerTimeout { 3000 };
     /// Longest time that a connection may be open without a request in progress.
     milliseconds idleTimeout { 15000 };
-    /// Largest number of open connections; further ones are closed when they are accepted.
+    /// Largest number of open connections whose requests are handled. A request on a further one is refused; if there are too many
+    /// of these as well, they are closed when they are accepted.
     size_t maxConnections = 2000;
 };
 
@@ -129,6 +130,9 @@
     /// @return True once all connections have ended.
     [[nodiscard]] bool closeIdleConnections();
 
+    /// Sets header fields of the response with status 503 to requests on connections beyond the limit.
+    void setOverLimitHeaders(header_list headers) { m_overLimitHeaders = std::move(headers); }
+
     [[nodiscard]] size_t connectionCount() const noexcept { return m_connections.size(); }
 
     /// Sets a callback for each request or connection that is refused before it reaches the handler. The status is 0 for a connection.
@@ -145,6 +149,7 @@
     friend class detail::server_connection;
 
     void accept(std::shared_ptr<tcp_stream> stream);
+    [[nodiscard]] bool isOverLimit() const { return m_connections.size() > m_limits().maxConnections; }
     void checkConnections();
 
     std::function<server_limits()> m_limits;
@@ -152,6 +157,7 @@
     std::function<void(unsigned, std::string_view)> m_onRefused;
     std::function<void(const unfinished_connection&)> m_onUnfinished;
     std::list<std::shared_ptr<detail::server_connection>> m_connections;
+    header_list m_overLimitHeaders;
     bool m_closesAfterResponse = false;
     timer m_checkTimer;
     tcp_listener m_listener;
