The steps of a planned stop follow from its grace

With a grace under 3.4 s, callers whose request came after the other requests had been ended got 504 where a refusal was due; at the end of any grace, a request whose body was not complete got no response. Cause: the times of a stop were constants for a grace of 8 s. Change: a policy derives them (at 8 s and above: the same as before); half-received requests get 503 with the last responses, and idle connections are closed then.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "platform/records.hpp"
+#include "policy/stop_schedule.hpp"
 
 #include <algorithm>
 
@@ -30,14 +31,6 @@
     /// route or key may be new.
     constexpr double possiblyNewShare = 0.6;
 
-    /// A stopping entry accepts new connections for this long, until the load balancer has noticed, and new requests a little
-    /// longer.
-    constexpr milliseconds listenAfterStop { 2300 };
-    constexpr milliseconds acceptAfterStop { 3000 };
-    /// Open requests get their last response this long before the process is killed, and the process ends at the second margin.
-    constexpr milliseconds stopMargin { 400 };
-    constexpr milliseconds killMargin { 150 };
-
     /// After a freeze, requests wait for so long for the target list; if the store is away, they are then sent by the known one.
     constexpr milliseconds rereadTime { 400 };
 
@@ -284,7 +277,7 @@
     const std::string& id = request.callerRequest.id;
     if (m_isStopping)
         exchange.closeAfterResponse();
-    if (m_isStopping && now - m_stopRequestedAt > acceptAfterStop) {
+    if (m_isStopping && now - m_stopRequestedAt > policy::stopScheduleFor(m_context.settings.bounds.stop).accepting) {
         refuse(exchange, id, http1::statusUnavailable, "stopping", retryElsewhere);
         return false;
     }
@@ -468,15 +461,22 @@
         runs.sort([](const auto& left, const auto& right) { return left->urgency() < right->urgency(); });
     for (const auto& run : runs)
         run->tick(now);
-    if (!m_isStopping)
-        return;
+    if (m_isStopping)
+        continueStop(now);
+}
+
+void gateway::continueStop(time_point now)
+{
+    const auto schedule = policy::stopScheduleFor(m_context.settings.bounds.stop);
     const auto sinceStopRequest = now - m_stopRequestedAt;
-    if (sinceStopRequest > listenAfterStop && !std::exchange(m_hasStoppedListening, true))
+    if (sinceStopRequest > schedule.listening && !std::exchange(m_hasStoppedListening, true))
         m_callers->stopListening();
-    const bool isDone = sinceStopRequest > acceptAfterStop && m_openRuns.empty() && m_pools->isDrained(now) && m_callers->closeIdleConnections();
-    if (sinceStopRequest > m_context.settings.bounds.stop - stopMargin)
+    const bool mustEnd = sinceStopRequest > schedule.serving;
+    if (mustEnd)
         endOpenRequests();
-    if (isDone || sinceStopRequest > m_context.settings.bounds.stop - killMargin)
+    const bool isServed = sinceStopRequest > schedule.accepting && m_openRuns.empty() && m_pools->isDrained(now);
+    const bool areCallersGone = (isServed || mustEnd) && m_callers->closeIdleConnections();
+    if ((isServed && areCallersGone) || sinceStopRequest > schedule.running)
         m_loop.quit();
 }
 
@@ -485,6 +485,7 @@
     const auto runs = m_openRuns;
     for (const auto& run : runs)
         run->expire("stopping");
+    m_callers->refuseUnfinishedRequests({ platform::retryAfterHeader(retryElsewhere) });
 }
 
 void gateway::stop()
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -64,6 +64,8 @@
     void checkForFreeze(time_point now);
     void tick();
     void stop();
+    /// Performs the steps of a planned stop that are due.
+    void continueStop(time_point now);
     /// Ends all requests, as the process has no more time for them.
     void endOpenRequests();
 
--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -31,6 +31,8 @@
     /// Closes the connection if it has no request and the client has received the last response. A request that arrives later is
     /// not read, and the client's host sees a reset.
     void closeIfIdle();
+    /// Refuses the request that is being received, if there is one.
+    void refuseIfReading(const header_list& headers);
     /// Resets the connection because the exchange ended without a complete response.
     void abort();
     /// Hands over the connection; it stays in the phase of a pending response.
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -199,6 +199,12 @@
             m_stream->close();
     }
 
+    void server_connection::refuseIfReading(const header_list& headers)
+    {
+        if (isOpen() && m_phase == phase::Reading && m_stream->unreadBytes() == 0)
+            refuse(statusUnavailable, "The request was not received before the end of the process.", headers);
+    }
+
     void server_connection::abort()
     {
         m_currentExchange = nullptr;
@@ -405,6 +411,12 @@
     return !hasOpen;
 }
 
+void server::refuseUnfinishedRequests(const header_list& headers)
+{
+    for (const auto& connection : m_connections)
+        connection->refuseIfReading(headers);
+}
+
 void server::reportUnfinished(std::string_view reason)
 {
     for (const auto& connection : m_connections) {
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -130,6 +130,10 @@
     /// @return True once all connections have ended.
     [[nodiscard]] bool closeIdleConnections();
 
+    /// Refuses, with status 503, the requests that are not completely received, for the end of the process.
+    /// @param headers  Header fields of the response.
+    void refuseUnfinishedRequests(const header_list& headers);
+
     /// Sets header fields of the response with status 503 to requests on connections beyond the limit.
     void setOverLimitHeaders(header_list headers) { m_overLimitHeaders = std::move(headers); }
 
