--- a/tests/unit/slow_peer_test.cpp
+++ b/tests/unit/slow_peer_test.cpp
@@ -24,7 +24,7 @@
 constexpr int smallBufferBytes = 4096;
 constexpr size_t readBlockBytes = 1024 * 1024;
 
-/// A server whose responses stay open once the body is written.
+/// A server whose responses stay open once the body is written, unless the client closes the connection after its response.
 struct slow_peer_server {
     explicit slow_peer_server(uint16_t test)
         : endpoint { tests::testHost(), static_cast<uint16_t>(1600 + test) }
@@ -33,7 +33,9 @@
               open = std::move(request);
               open->setOnDisconnect([this] { isDisconnected = true; });
               open->startChunked(statusOk, {});
-              open->writeChunk(std::string(bodyBytes, 'x')); })
+              open->writeChunk(std::string(bodyBytes, 'x'));
+              if (findHeader(open->head().headers, "Connection"))
+                  open->finishChunked(); })
     {
         std::signal(SIGPIPE, SIG_IGN);
     }
@@ -83,6 +85,16 @@
     server.expectWholeBody(client);
 }
 
+Test(slow_peer, a_client_that_stops_reading_for_over_three_seconds_gets_the_rest_of_its_last_response)
+{
+    slow_peer_server server(66);
+    plain_socket client(server.endpoint);
+    client.write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    server.waitForRequest();
+    tests::runFor(longPause);
+    server.expectWholeBody(client);
+}
+
 Test(slow_peer, a_client_that_reads_a_kilobyte_a_second_keeps_its_response)
 {
     slow_peer_server server(61);
