A client that is alive may pause for 6 s before the rest of its last response

Callers that read nothing for over 3 s behind an announced close had their response cut. Cause: the server took 3 s without an acknowledged byte as a dead peer.

--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -12,6 +12,9 @@
     /// How long a closing connection is still read. Closing a socket with unread bytes sends a reset, which could destroy the last response.
     constexpr milliseconds lingerTimeout { 1000 };
 
+    /// Longest time in which a client that is alive may read nothing of the last response.
+    constexpr milliseconds unreadResponseTimeout { 6000 };
+
     /// Size of pipelined requests that are buffered while a response is pending; beyond it, reading pauses.
     constexpr size_t maxPipelinedBytes = 64 * 1024;
 
@@ -267,7 +270,7 @@
             m_lastProgressAt = now;
             return false;
         }
-        return unacknowledgedBytes == 0 || now - m_lastProgressAt > unresponsivePeerTimeout;
+        return unacknowledgedBytes == 0 || now - m_lastProgressAt > unreadResponseTimeout;
     }
 
     void server_connection::detachServer()
