--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "platform/records.hpp"
+#include "policy/stop_schedule.hpp"
 
 #include <algorithm>
 
@@ -30,14 +31,6 @@
     /// route or key may be new.
     constexpr double possiblyNewShare = 0.6;
 
-    /// A stopping entry accepts new connections for this long, until the load balancer has noticed, and new requests a little
-    /// longer.
-    constexpr milliseconds listenAfterStop { 2300 };
-    constexpr milliseconds acceptAfterStop { 3000 };
-    /// Open requests get their last response this long before the process is killed, and the process ends at the second margin.
-    constexpr milliseconds stopMargin { 400 };
-    constexpr milliseconds killMargin { 150 };
-
     /// After a freeze, requests wait for so long for the target list; if the store is away, they are then sent by the known one.
     constexpr milliseconds rereadTime { 400 };
 
@@ -87,6 +80,7 @@
         m_context.counters.count("unread_requests_total", { { "status", std::to_string(status) } });
         logLine(log_level::Warning, logComponent, reason, { { "status", std::to_string(status) } });
     });
+    m_callers->setOverLimitHeaders({ platform::retryAfterHeader(retryWhenFull) });
     m_callers->setOnUnfinished([this](const http1::unfinished_connection& connection) { recordUnfinished(connection); });
     m_operators.emplace(
         settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleOperatorRequest(*exchange); });
@@ -283,7 +277,7 @@
     const std::string& id = request.callerRequest.id;
     if (m_isStopping)
         exchange.closeAfterResponse();
-    if (m_isStopping && now - m_stopRequestedAt > acceptAfterStop) {
+    if (m_isStopping && now - m_stopRequestedAt > policy::stopScheduleFor(m_context.settings.bounds.stop).accepting) {
         refuse(exchange, id, http1::statusUnavailable, "stopping", retryElsewhere);
         return false;
     }
@@ -451,6 +445,7 @@
 void gateway::tick()
 {
     const time_point now = monotonicNow();
+    recordLoopDelay(m_context, tickPeriod, now);
     checkForFreeze(now);
     m_finishedRuns.clear();
     m_context.targets.tick(now);
@@ -466,33 +461,7 @@
         runs.sort([](const auto& left, const auto& right) { return left->urgency() < right->urgency(); });
     for (const auto& run : runs)
         run->tick(now);
-    if (!m_isStopping)
-        return;
-    const auto sinceStopRequest = now - m_stopRequestedAt;
-    if (sinceStopRequest > listenAfterStop && !std::exchange(m_hasStoppedListening, true))
-        m_callers->stopListening();
-    const bool isDone = sinceStopRequest > acceptAfterStop && m_openRuns.empty() && m_pools->isDrained(now) && m_callers->closeIdleConnections();
-    if (sinceStopRequest > m_context.settings.bounds.stop - stopMargin)
-        endOpenRequests();
-    if (isDone || sinceStopRequest > m_context.settings.bounds.stop - killMargin)
-        m_loop.quit();
-}
-
-void gateway::endOpenRequests()
-{
-    const auto runs = m_openRuns;
-    for (const auto& run : runs)
-        run->expire("stopping");
-}
-
-void gateway::stop()
-{
-    if (std::exchange(m_isStopping, true))
-        return;
-    m_stopRequestedAt = monotonicNow();
-    m_callers->setCloseAfterResponse(true);
-    m_pools->setStopping();
-    m_directory->withdraw();
-    logLine(log_level::Info, logComponent, "The gateway received a termination signal and stops after its open requests finish.", { { "open_requests", std::to_string(m_openRuns.size()) } });
+    if (m_isStopping)
+        continueStop(now);
 }
 }
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -12,16 +12,22 @@
     /// How long a closing connection is still read. Closing a socket with unread bytes sends a reset, which could destroy the last response.
     constexpr milliseconds lingerTimeout { 1000 };
 
+    /// Longest time in which a client that is alive may read nothing of the last response.
+    constexpr milliseconds unreadResponseTimeout { 6000 };
+
     /// Size of pipelined requests that are buffered while a response is pending; beyond it, reading pauses.
     constexpr size_t maxPipelinedBytes = 64 * 1024;
 
+    /// Connections beyond the limit that are kept until their request can be refused.
+    constexpr size_t maxConnectionsOverLimit = 128;
 }
 
 namespace detail {
 
-    server_connection::server_connection(server& owner, std::shared_ptr<tcp_stream> stream)
+    server_connection::server_connection(server& owner, std::shared_ptr<tcp_stream> stream, bool isOverLimit)
         : m_server(&owner)
         , m_stream(std::move(stream))
+        , m_isOverLimit(isOverLimit)
         , m_lastProgressAt(monotonicNow())
     {
     }
@@ -34,9 +40,9 @@
             if (const auto self = weak.lock())
                 self->handleBytes(bytes);
         };
-        callbacks.onEnd = [weak](close_reason) {
+        callbacks.onEnd = [weak](close_reason reason) {
             if (const auto self = weak.lock())
-                self->onClosed();
+                self->onClosed(reason);
         };
         m_stream->setCallbacks(std::move(callbacks));
     }
@@ -116,6 +122,11 @@
     {
         m_isHeaderDone = true;
         m_lastProgressAt = monotonicNow();
+        m_isOverLimit = m_isOverLimit && m_server->isOverLimit();
+        if (m_isOverLimit) {
+            refuse(statusUnavailable, "The connection limit is reached.", m_server->m_overLimitHeaders);
+            return;
+        }
         const auto& message = m_parser->get();
         const auto encodingCount = std::distance(message.equal_range(http::field::transfer_encoding).first, message.equal_range(http::field::transfer_encoding).second);
         const bool isTransferEncodingSupported = encodingCount == 0 || (encodingCount == 1 && beast::iequals(message[http::field::transfer_encoding], "chunked"));
@@ -142,11 +153,13 @@
         m_server->m_onRequest(newExchange);
     }
 
-    void server_connection::refuse(unsigned status, std::string_view reason)
+    void server_connection::refuse(unsigned status, std::string_view reason, const header_list& headers)
     {
         if (m_server->m_onRefused)
             m_server->m_onRefused(status, reason);
         http::response<http::empty_body> message(static_cast<http::status>(status), 11);
+        for (const auto& [name, value] : headers)
+            message.insert(name, value);
         message.set(http::field::connection, "close");
         message.set(http::field::content_length, "0");
         m_stream->write(serializeHead(message));
@@ -185,8 +198,14 @@
 
     void server_connection::closeIfIdle()
     {
-        if (isOpen() && m_phase == phase::Idle && m_stream->unreadBytes() == 0)
-            startLingering();
+        if (isOpen() && m_phase == phase::Idle && m_stream->unreadBytes() == 0 && m_stream->unacknowledgedBytes() == 0)
+            m_stream->close();
+    }
+
+    void server_connection::refuseIfReading(const header_list& headers)
+    {
+        if (isOpen() && m_phase == phase::Reading && m_stream->unreadBytes() == 0)
+            refuse(statusUnavailable, "The request was not received before the end of the process.", headers);
     }
 
     void server_connection::abort()
@@ -202,10 +221,11 @@
         return m_stream;
     }
 
-    void server_connection::onClosed()
+    void server_connection::onClosed(close_reason reason)
     {
         if (exchange* current = std::exchange(m_currentExchange, nullptr)) {
             current->m_isFinished = true;
+            current->m_disconnectReason = reason;
             if (const auto onDisconnect = std::exchange(current->m_onDisconnect, nullptr))
                 onDisconnect();
         } else if (m_phase != phase::Reading) {
@@ -250,7 +270,7 @@
             m_lastProgressAt = now;
             return false;
         }
-        return unacknowledgedBytes == 0 || now - m_lastProgressAt > unresponsivePeerTimeout;
+        return unacknowledgedBytes == 0 || now - m_lastProgressAt > unreadResponseTimeout;
     }
 
     void server_connection::detachServer()
@@ -360,13 +380,14 @@
     // Closed connections stay in the list until the next check, so remove them before applying the limit.
     if (m_connections.size() >= maxConnections)
         checkConnections();
-    if (m_connections.size() >= maxConnections) {
+    const bool isOverLimit = m_connections.size() >= maxConnections;
+    if (m_connections.size() >= maxConnections + maxConnectionsOverLimit) {
         if (m_onRefused)
             m_onRefused(0, "The connection limit is reached; the new connection was closed.");
         stream->close();
         return;
     }
-    const auto connection = std::make_shared<detail::server_connection>(*this, std::move(stream));
+    const auto connection = std::make_shared<detail::server_connection>(*this, std::move(stream), isOverLimit);
     m_connections.push_back(connection);
     connection->start();
 }
@@ -393,6 +414,12 @@
     return !hasOpen;
 }
 
+void server::refuseUnfinishedRequests(const header_list& headers)
+{
+    for (const auto& connection : m_connections)
+        connection->refuseIfReading(headers);
+}
+
 void server::reportUnfinished(std::string_view reason)
 {
     for (const auto& connection : m_connections) {
@@ -401,8 +428,9 @@
     }
 }
 
-void server::stopListening() noexcept
+void server::stopListening()
 {
+    m_listener.acceptWaiting();
     m_listener.stop();
 }
 
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 
 namespace bilberryseam::http1 {
 
@@ -22,7 +23,8 @@
     milliseconds headerTimeout { 3000 };
     /// Longest time that a connection may be open without a request in progress.
     milliseconds idleTimeout { 15000 };
-    /// Largest number of open connections; further ones are closed when they are accepted.
+    /// Largest number of open connections whose requests are handled. A request on a further one is refused; if there are too many
+    /// of these as well, they are closed when they are accepted.
     size_t maxConnections = 2000;
 };
 
@@ -76,6 +78,9 @@
     /// request has already been received; then the same applies to the next response.
     void closeAfterResponse();
 
+    /// @return How the client's connection ended before the response was complete; not set while it is open.
+    [[nodiscard]] std::optional<close_reason> disconnectReason() const noexcept { return m_disconnectReason; }
+
     [[nodiscard]] bool isStarted() const noexcept { return m_isStarted; }
     [[nodiscard]] bool isFinished() const noexcept { return m_isFinished; }
     /// @return Bytes of the response that are not yet handed to the kernel.
@@ -94,6 +99,7 @@
     std::string m_body;
     time_point m_arrivedAt {};
     std::function<void()> m_onDisconnect;
+    std::optional<close_reason> m_disconnectReason;
     bool m_isStarted = false;
     bool m_isFinished = false;
 };
@@ -112,8 +118,8 @@
     server& operator=(const server&) = delete;
     ~server();
 
-    /// Stops accepting connections; open ones continue.
-    void stopListening() noexcept;
+    /// Stops accepting connections, once those that are established already are accepted; open ones continue.
+    void stopListening();
 
     /// Makes responses announce and perform the close of their connections, for a graceful shutdown. A request behind a response
     /// that could not announce it is answered.
@@ -124,6 +130,13 @@
     /// @return True once all connections have ended.
     [[nodiscard]] bool closeIdleConnections();
 
+    /// Refuses, with status 503, the requests that are not completely received, for the end of the process.
+    /// @param headers  Header fields of the response.
+    void refuseUnfinishedRequests(const header_list& headers);
+
+    /// Sets header fields of the response with status 503 to requests on connections beyond the limit.
+    void setOverLimitHeaders(header_list headers) { m_overLimitHeaders = std::move(headers); }
+
     [[nodiscard]] size_t connectionCount() const noexcept { return m_connections.size(); }
 
     /// Sets a callback for each request or connection that is refused before it reaches the handler. The status is 0 for a connection.
@@ -140,6 +153,7 @@
     friend class detail::server_connection;
 
     void accept(std::shared_ptr<tcp_stream> stream);
+    [[nodiscard]] bool isOverLimit() const { return m_connections.size() > m_limits().maxConnections; }
     void checkConnections();
 
     std::function<server_limits()> m_limits;
@@ -147,6 +161,7 @@
     std::function<void(unsigned, std::string_view)> m_onRefused;
     std::function<void(const unfinished_connection&)> m_onUnfinished;
     std::list<std::shared_ptr<detail::server_connection>> m_connections;
+    header_list m_overLimitHeaders;
     bool m_closesAfterResponse = false;
     timer m_checkTimer;
     tcp_listener m_listener;
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -22,7 +22,18 @@
     /// Idle time before the first keep-alive probe, time between probes, and number of unanswered probes that close the connection.
     constexpr int keepAliveIdleSeconds = 2;
     constexpr int keepAliveIntervalSeconds = 1;
-    constexpr int keepAliveProbes = 2;
+    constexpr int keepAliveProbes = 1;
+
+    /// `TCP_RTO_MAX_MS`, since Linux 6.15: longest time between retransmissions, and between probes of a closed window. Older kernels
+    /// probe at intervals that double, so that a peer that vanishes behind a closed window is found later.
+    constexpr int retransmissionIntervalOption = 44;
+    constexpr int longestRetransmissionIntervalMs = 1000;
+
+    /// Unanswered segments that show a dead peer; a single one may have been sent a moment ago.
+    constexpr unsigned deadPeerSegments = 2;
+
+    /// Time between two checks of a peer that has not acknowledged all written bytes.
+    constexpr milliseconds peerCheckPeriod { 500 };
 
     struct stream_source {
         GSource base;
@@ -35,10 +46,22 @@
         setsockopt(descriptor, level, name, &value, sizeof value);
     }
 
+    /// @return True if the peer has acknowledged no data and no probe within `unresponsivePeerTimeout`. `TCP_USER_TIMEOUT` does not
+    /// tell this: Linux counts it from the first probe of a closed window, also if the peer acknowledges the probes.
+    bool isPeerDead(int descriptor)
+    {
+        tcp_info state {};
+        socklen_t length = sizeof state;
+        if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &state, &length) != 0)
+            return false;
+        const unsigned unansweredSegments = static_cast<unsigned>(state.tcpi_probes) + state.tcpi_retransmits;
+        return unansweredSegments >= deadPeerSegments && milliseconds(state.tcpi_last_ack_recv) > unresponsivePeerTimeout;
+    }
+
     void applySocketOptions(int descriptor)
     {
         setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-        setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<unsigned>(unresponsivePeerTimeout.count()));
+        setOption(descriptor, IPPROTO_TCP, retransmissionIntervalOption, longestRetransmissionIntervalMs);
         setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
         setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
         setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
@@ -86,6 +109,12 @@
         return ioctl(descriptor, request, &count) == 0 ? static_cast<size_t>(count) : 0;
     }
 
+    /// @return How the connection ended, by the error of the last call.
+    close_reason reasonOfError()
+    {
+        return errno == ETIMEDOUT ? close_reason::TimedOut : close_reason::Reset;
+    }
+
     bool isTransientError()
     {
         return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
@@ -99,6 +128,8 @@
         return "closed";
     case close_reason::Reset:
         return "reset";
+    case close_reason::TimedOut:
+        return "timed_out";
     case close_reason::ConnectFailed:
         return "connect_failed";
     }
@@ -143,7 +174,12 @@
         self->closeAndNotify(close_reason::ConnectFailed);
         return G_SOURCE_REMOVE;
     }
-    self->handleReady(g_source_query_unix_fd(source, self->m_descriptorTag));
+    if (const gint64 checkAt = g_source_get_ready_time(source); checkAt >= 0 && g_get_monotonic_time() >= checkAt)
+        self->checkPeer();
+    if (!self->isOpen())
+        return G_SOURCE_REMOVE;
+    if (const GIOCondition ready = g_source_query_unix_fd(source, self->m_descriptorTag); ready != 0)
+        self->handleReady(ready);
     return self->isOpen() ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
@@ -166,8 +202,8 @@
     }
     if (ready & G_IO_OUT) {
         flush();
-        if (m_hasPeerEnded && (m_writeBuffer.empty() || m_hasSendFailed)) {
-            closeAndNotify(m_hasSendFailed ? close_reason::Reset : close_reason::Closed);
+        if (m_hasPeerEnded && (m_writeBuffer.empty() || m_sendFailure)) {
+            closeAndNotify(m_sendFailure.value_or(close_reason::Closed));
             return;
         }
         if (const auto callback = m_callbacks.onDrained; callback && m_writeBuffer.empty())
@@ -185,15 +221,15 @@
     const ssize_t count = recv(m_descriptor, block.data(), block.size(), 0);
     if (count < 0) {
         if (!isTransientError())
-            closeAndNotify(close_reason::Reset);
+            closeAndNotify(reasonOfError());
         return;
     }
     if (count == 0) {
         m_hasPeerEnded = true;
         updateInterest();
-        if (m_sendsAfterEnd && !m_writeBuffer.empty() && !m_hasSendFailed)
+        if (m_sendsAfterEnd && !m_writeBuffer.empty() && !m_sendFailure)
             return;
-        closeAndNotify(m_hasSendFailed ? close_reason::Reset : close_reason::Closed);
+        closeAndNotify(m_sendFailure.value_or(close_reason::Closed));
         return;
     }
     if (const auto callback = m_callbacks.onBytes)
@@ -219,18 +255,42 @@
         const ssize_t count = send(m_descriptor, m_writeBuffer.data() + sentBytes, m_writeBuffer.size() - sentBytes, MSG_NOSIGNAL);
         if (count <= 0) {
             // A failed send consumes the error of a reset, so the next read reports the end of the data.
-            m_hasSendFailed = m_hasSendFailed || (count < 0 && !isTransientError());
+            if (count < 0 && !isTransientError() && !m_sendFailure)
+                m_sendFailure = reasonOfError();
             break;
         }
         sentBytes += static_cast<size_t>(count);
         m_hasSent = true;
     }
     m_writeBuffer.erase(0, sentBytes);
+    if (sentBytes > 0)
+        startPeerChecks();
     if (m_writeBuffer.empty() && m_isWriteShutdownRequested)
         shutdown(m_descriptor, SHUT_WR);
     updateInterest();
 }
 
+void tcp_stream::startPeerChecks()
+{
+    if (g_source_get_ready_time(m_source) >= 0)
+        return;
+    m_unacknowledgedSince = monotonicNow();
+    g_source_set_ready_time(m_source, g_get_monotonic_time() + microseconds(peerCheckPeriod).count());
+}
+
+void tcp_stream::checkPeer()
+{
+    if (unacknowledgedBytes() == 0) {
+        g_source_set_ready_time(m_source, -1);
+        return;
+    }
+    if (monotonicNow() - m_unacknowledgedSince > unresponsivePeerTimeout && isPeerDead(m_descriptor)) {
+        closeAndNotify(close_reason::TimedOut);
+        return;
+    }
+    g_source_set_ready_time(m_source, g_get_monotonic_time() + microseconds(peerCheckPeriod).count());
+}
+
 size_t tcp_stream::unacknowledgedBytes() const noexcept
 {
     return isOpen() ? m_writeBuffer.size() + queuedBytes(m_descriptor, SIOCOUTQ) : 0;
@@ -324,15 +384,24 @@
     m_descriptor = -1;
 }
 
+bool tcp_listener::acceptOne()
+{
+    const int acceptedDescriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (acceptedDescriptor < 0)
+        return false;
+    m_onAccepted(tcp_stream::adopt(acceptedDescriptor));
+    return true;
+}
+
+void tcp_listener::acceptWaiting()
+{
+    while (m_descriptor >= 0 && (acceptOne() || errno == ECONNABORTED || errno == EINTR)) { }
+}
+
 gboolean tcp_listener::dispatch(gint, GIOCondition, gpointer data)
 {
     auto* self = static_cast<tcp_listener*>(data);
-    for (int i = 0; i < maxAcceptsPerDispatch && self->m_descriptor >= 0; ++i) {
-        const int acceptedDescriptor = accept4(self->m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (acceptedDescriptor < 0)
-            break;
-        self->m_onAccepted(tcp_stream::adopt(acceptedDescriptor));
-    }
+    for (int i = 0; i < maxAcceptsPerDispatch && self->m_descriptor >= 0 && self->acceptOne(); ++i) { }
     return self->m_descriptor >= 0 ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 }
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <glib.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,8 +17,10 @@
 enum class close_reason {
     /// The peer closed its sending side.
     Closed,
-    /// The peer reset the connection, or the kernel closed it after a timeout.
+    /// The peer reset the connection.
     Reset,
+    /// The connection was closed because the peer acknowledged nothing for `unresponsivePeerTimeout`.
+    TimedOut,
     /// The connection was never established.
     ConnectFailed,
 };
@@ -25,7 +28,7 @@
 /// @return The name used in logs.
 [[nodiscard]] std::string_view nameOf(close_reason reason) noexcept;
 
-/// A connection is closed when its peer has not acknowledged data or keep-alive probes for this time (`TCP_USER_TIMEOUT`).
+/// A connection is closed when its peer has not acknowledged data, keep-alive probes or probes of a closed window for this time.
 /// It is below the shortest deadline of the deployments.
 constexpr milliseconds unresponsivePeerTimeout { 3000 };
 
@@ -92,6 +95,8 @@
     void flush();
     void closeAndNotify(close_reason reason);
     void updateInterest();
+    void startPeerChecks();
+    void checkPeer();
 
     int m_descriptor;
     bool m_isConnecting;
@@ -100,8 +105,10 @@
     bool m_sendsAfterEnd = false;
     bool m_hasPeerEnded = false;
     bool m_hasSent = false;
-    bool m_hasSendFailed = false;
+    std::optional<close_reason> m_sendFailure;
     bool m_isConnectFailurePending = false;
+    /// Since this time, written bytes have been unacknowledged at each check.
+    time_point m_unacknowledgedSince {};
     GSource* m_source = nullptr;
     gpointer m_descriptorTag = nullptr;
     std::string m_writeBuffer;
@@ -117,10 +124,15 @@
     tcp_listener& operator=(const tcp_listener&) = delete;
     ~tcp_listener();
 
-    /// Stops accepting connections.
+    /// Accepts all connections that are established already.
+    void acceptWaiting();
+
+    /// Stops accepting connections; those that are established and not accepted are reset.
     void stop() noexcept;
 
 private:
+    /// @return False if no connection could be accepted; `errno` tells why.
+    bool acceptOne();
     static gboolean dispatch(gint descriptor, GIOCondition, gpointer self);
 
     int m_descriptor = -1;
