--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -46,16 +46,30 @@
         setsockopt(descriptor, level, name, &value, sizeof value);
     }
 
-    /// @return True if the peer has acknowledged no data and no probe within `unresponsivePeerTimeout`. `TCP_USER_TIMEOUT` does not
-    /// tell this: Linux counts it from the first probe of a closed window, also if the peer acknowledges the probes.
-    bool isPeerDead(int descriptor)
+    std::optional<tcp_info> readState(int descriptor)
     {
         tcp_info state {};
         socklen_t length = sizeof state;
-        if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &state, &length) != 0)
+        const bool isKnown = getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &state, &length) == 0 && state.tcpi_state != 0;
+        return isKnown ? std::optional(state) : std::nullopt;
+    }
+
+    /// @return True if the peer has acknowledged no data and no probe within `unresponsivePeerTimeout`.
+    bool isPeerDead(int descriptor)
+    {
+        const auto state = readState(descriptor);
+        if (!state)
             return false;
-        const unsigned unansweredSegments = static_cast<unsigned>(state.tcpi_probes) + state.tcpi_retransmits;
-        return unansweredSegments >= deadPeerSegments && milliseconds(state.tcpi_last_ack_recv) > unresponsivePeerTimeout;
+        const unsigned unansweredSegments = static_cast<unsigned>(state->tcpi_probes) + state->tcpi_retransmits;
+        return unansweredSegments >= deadPeerSegments && milliseconds(state->tcpi_last_ack_recv) > unresponsivePeerTimeout;
+    }
+
+    /// Has the kernel end a connection whose peer acknowledges nothing, where this process cannot see that. It is the second
+    /// choice: Linux counts this time from the first probe of a closed window, also if the peer acknowledges the probes.
+    void setTimeoutIfStateIsUnknown(int descriptor)
+    {
+        if (!readState(descriptor))
+            setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<unsigned>(unresponsivePeerTimeout.count()));
     }
 
     void applySocketOptions(int descriptor)
@@ -159,6 +173,7 @@
 std::shared_ptr<tcp_stream> tcp_stream::adopt(int descriptor)
 {
     applySocketOptions(descriptor);
+    setTimeoutIfStateIsUnknown(descriptor);
     return std::shared_ptr<tcp_stream>(new tcp_stream(descriptor, false));
 }
 
@@ -194,6 +209,7 @@
             return;
         }
         m_isConnecting = false;
+        setTimeoutIfStateIsUnknown(m_descriptor);
         if (const auto callback = m_callbacks.onConnected)
             callback();
         if (isOpen())
