--- a/src/fakes/platform_engine.cpp
+++ b/src/fakes/platform_engine.cpp
@@ -74,6 +74,15 @@
 
 void platform_engine::start(std::shared_ptr<http1::exchange> exchange)
 {
+    if (m_behaviour.maxRequests > 0) {
+        std::erase_if(m_running, [](const auto& running) { return running->exchange->isFinished(); });
+        if (m_running.size() >= m_behaviour.maxRequests) {
+            if (m_onRejected)
+                m_onRejected(std::string(http1::findHeader(exchange->head().headers, "X-Attempt-Id").value_or("")));
+            exchange->respond(http1::statusUnavailable, { { "X-Not-Executed", "1" } }, {});
+            return;
+        }
+    }
     const auto request = std::make_shared<running_request>();
     if (m_behaviour.isResuming)
         request->nextEvent = firstEventOf(exchange->head());
--- a/src/fakes/platform_engine.hpp
+++ b/src/fakes/platform_engine.hpp
@@ -31,6 +31,8 @@
     std::set<std::string> crashingSegments;
     /// Time from a crash until the engine listens again.
     milliseconds restartDelay { 800 };
+    /// Requests that the engine runs at the same time; it rejects further ones unrun. Zero for no limit.
+    size_t maxRequests = 0;
     /// Requests a second that the engine says it takes, as text in each response; not set for no limit.
     std::optional<std::string> statedLimit;
     /// Read when the engine is created.
@@ -63,6 +65,9 @@
     /// Sets a function that is called with each request when it arrives.
     void setOnRequest(std::function<void(const received_request&)> onRequest) { m_onRequest = std::move(onRequest); }
 
+    /// Sets a function that is called with the identifier of each request that the engine rejects unrun.
+    void setOnRejected(std::function<void(const std::string& id)> onRejected) { m_onRejected = std::move(onRejected); }
+
     /// @return True if a request's prompt has the segment.
     [[nodiscard]] static bool hasSegment(const http1::request_head& head, std::string_view segment);
 
@@ -72,6 +77,8 @@
     [[nodiscard]] size_t crashCount() const noexcept { return m_crashCount; }
     /// @return Arrival times of all requests.
     [[nodiscard]] const std::vector<time_point>& arrivals() const noexcept { return m_arrivals; }
+    /// @return Number of requests that the engine is working on.
+    [[nodiscard]] size_t runningCount() const noexcept { return m_running.size(); }
     [[nodiscard]] bool isUp() const noexcept { return !m_restart.isRunning(); }
     /// @return The random silences so far, in the order in which they were drawn.
     [[nodiscard]] const std::vector<milliseconds>& drawnSilences() const noexcept { return m_drawnSilences; }
@@ -109,6 +116,7 @@
     std::function<void(bool)> m_onListening;
     std::function<void()> m_onStarted;
     std::function<void(const received_request&)> m_onRequest;
+    std::function<void(const std::string&)> m_onRejected;
     std::list<running_request_ptr> m_running;
     std::vector<time_point> m_arrivals;
     size_t m_crashCount = 0;
--- a/tests/soak/attempt_checks.hpp
+++ b/tests/soak/attempt_checks.hpp
@@ -13,14 +13,20 @@
 class soak_history {
 public:
     void addRun(const std::string& id, size_t engine) { m_runs[id].push_back({ engine, monotonicNow() }); }
+    void addRejection(const std::string& id) { ++m_rejections[id]; }
     void addCrash(size_t engine) { m_crashes[engine].push_back(monotonicNow()); }
     void addKill(size_t gateway) { m_kills[gateway].push_back(monotonicNow()); }
     void addPause(size_t gateway, milliseconds duration) { m_pauses[gateway].emplace_back(monotonicNow(), monotonicNow() + duration); }
     void addTimeout(milliseconds timeout) { m_timeouts.emplace_back(monotonicNow(), timeout); }
     void addKeyRemoval() { m_isKeyEverRemoved = true; }
+    /// @param prefix  Path of a route that the configuration lacks from now on, or has from now on.
+    void addRouteChange(const std::string& prefix, bool isPresent) { m_routeChanges[prefix].emplace_back(monotonicNow(), isPresent); }
+    void addConfiguration() { m_configurations.push_back(monotonicNow()); }
 
     /// @return How many times targets received the request.
-    [[nodiscard]] size_t runsOf(const std::string& id) const { return m_runs.contains(id) ? m_runs.at(id).size() : 0; }
+    [[nodiscard]] size_t arrivalsOf(const std::string& id) const { return m_runs.contains(id) ? m_runs.at(id).size() : 0; }
+    /// @return How many times targets received the request and did not reject it.
+    [[nodiscard]] size_t runsOf(const std::string& id) const { return arrivalsOf(id) - (m_rejections.contains(id) ? m_rejections.at(id) : 0); }
 
     /// @return Whether a target that received the attempt broke off before its end, or one that had not read it yet just before.
     [[nodiscard]] bool hasTargetBrokenOff(const attempt& item) const
@@ -38,7 +44,7 @@
     /// @return Whether the deadline passed, or the timeout of a configuration that may have been in force when the gateway read the request.
     [[nodiscard]] bool hasTimedOut(const attempt& item) const
     {
-        milliseconds limit = soak_callers::deadline;
+        milliseconds limit = callerDeadline;
         const time_point readBy = latestReading(item);
         // The newest configuration before the window may still have been in force.
         for (size_t i = 0; i < m_timeouts.size(); ++i) {
@@ -46,17 +52,23 @@
             if (!isReplacedBefore && m_timeouts[i].first <= readBy)
                 limit = std::min(limit, m_timeouts[i].second);
         }
-        return item.endedAt - item.sentAt >= limit;
+        return item.endedAt - item.begunAt >= limit;
     }
 
     /// @return Whether the gateway has read the whole request: a target has it, or the gateway had time to read it.
     [[nodiscard]] bool wasRead(const attempt& item) const
     {
-        if (runsOf(item.id) > 0)
+        if (arrivalsOf(item.id) > 0)
             return true;
         return item.outcome != http1::call_outcome::NotSent && item.endedAt - item.sentAt > readingTime && latestReading(item) <= item.endedAt;
     }
 
+    /// @return Whether a configuration came into force while the attempt ran, or may have.
+    [[nodiscard]] bool isBesideConfiguration(const attempt& item) const
+    {
+        return std::any_of(m_configurations.begin(), m_configurations.end(), [&](time_point at) { return at <= item.endedAt && item.sentAt <= at + calmConfigurationWindow; });
+    }
+
     /// @return What is wrong with the end of an attempt; not set if nothing is.
     [[nodiscard]] std::optional<std::string> complaint(const attempt& item, int eventCount) const
     {
@@ -72,6 +84,8 @@
             return runsOf(item.id) == 0 || mayRunTwice(item.kind) ? std::nullopt : std::optional("was refused but ran: " + text);
         if (item.isComplete() && item.head.status == http1::statusUnauthorized && item.hasRevocableKey && m_isKeyEverRemoved)
             return std::nullopt;
+        if (item.isComplete() && item.head.status == http1::statusNotFound && mayRouteBeMissing(item))
+            return std::nullopt;
         if (item.isCrashing || !wasRead(item) || wasGatewayKilled(item) || hasTargetBrokenOff(item) || hasTimedOut(item))
             return std::nullopt;
         return (item.isComplete() ? "failed at the gateway: " : "got neither a complete answer nor a refusal: ") + text;
@@ -110,9 +124,27 @@
         return readBy;
     }
 
+    /// @return Whether a configuration without the attempt's route may have been in force when the gateway read it.
+    [[nodiscard]] bool mayRouteBeMissing(const attempt& item) const
+    {
+        const auto changes = m_routeChanges.find(item.prefix);
+        if (changes == m_routeChanges.end())
+            return false;
+        for (size_t i = 0; i < changes->second.size(); ++i) {
+            const auto& [at, isPresent] = changes->second[i];
+            const bool isReplacedBefore = i + 1 < changes->second.size() && changes->second[i + 1].first + calmConfigurationWindow < item.sentAt;
+            if (!isPresent && !isReplacedBefore && at <= item.endedAt)
+                return true;
+        }
+        return false;
+    }
+
     /// @return Whether a body is the whole response of one engine, with each event once and in order.
     static bool isWhole(const attempt& item, int eventCount)
     {
+        const bool isOwn = http1::findHeader(item.head.headers, "X-Attempt-Id") == item.id;
+        if (item.plainBytes)
+            return isOwn && item.body.size() == *item.plainBytes;
         const auto events = eventsOf(item.body);
         const int first = item.stream && item.stream->returns > 0 && !events.empty() ? events.front().number : 1;
         for (size_t i = 0; i < events.size(); ++i) {
@@ -121,7 +153,6 @@
         }
         const int last = isStream(item.kind) ? eventCount : 1;
         const bool isResumedAtEnd = events.empty() && item.body.empty() && item.stream && item.stream->lastEvent == eventCount;
-        const bool isOwn = http1::findHeader(item.head.headers, "X-Attempt-Id") == item.id;
         return isOwn && item.body.ends_with("\n\n") != isResumedAtEnd && (isResumedAtEnd || events.back().number == last);
     }
 
@@ -131,12 +162,17 @@
     static constexpr milliseconds breakOffTime { 100 };
     /// Longest time until a configuration is in force, with store faults.
     static constexpr seconds configurationWindow { 8 };
+    /// Longest time until a configuration is in force and requests that it disturbs have ended, without store faults.
+    static constexpr milliseconds calmConfigurationWindow { 3500 };
 
     std::map<std::string, std::vector<run>> m_runs;
+    std::map<std::string, size_t> m_rejections;
     times m_crashes;
     times m_kills;
     std::map<size_t, std::vector<std::pair<time_point, time_point>>> m_pauses;
     std::vector<std::pair<time_point, milliseconds>> m_timeouts;
+    std::map<std::string, std::vector<std::pair<time_point, bool>>> m_routeChanges;
+    std::vector<time_point> m_configurations;
     bool m_isKeyEverRemoved = false;
 };
 }
--- a/tests/soak/silence_soak_test.cpp
+++ b/tests/soak/silence_soak_test.cpp
@@ -4,6 +4,7 @@
 #include "soak/attempt_checks.hpp"
 #include "soak/gateway_faults.hpp"
 #include "soak/seeds.hpp"
+#include "soak/soak_configuration.hpp"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -23,8 +24,6 @@
 
 /// Time in which service must be restored after the last fault.
 constexpr milliseconds recoveryBound { 12000 };
-constexpr milliseconds longTimeout { 8000 };
-constexpr milliseconds shortTimeout { 4500 };
 constexpr unsigned maxReturns = 3;
 
 class silence_soak {
@@ -72,7 +71,7 @@
         const time_point restoredAt = monotonicNow();
         bool isRestored = false;
         m_deployment.waitUntil([&] {
-            isRestored = isServiceRestored();
+            isRestored = isSoakServed(m_deployment, gatewayCount);
             return isRestored || monotonicNow() - restoredAt > recoveryBound; }, "the recovery bound");
         if (!isRestored || monotonicNow() - restoredAt > recoveryBound)
             m_complaints.emplace_back("service was not restored in time");
@@ -120,29 +119,13 @@
         });
     }
 
-    void configure(bool isServiceMoved = false, bool isSplit = false, milliseconds timeout = longTimeout, bool isKeyRemoved = false, milliseconds idleTimeout = milliseconds(3000))
+    void configure(const soak_configuration& configuration = {})
     {
-        const json common { { "timeout_ms", timeout.count() }, { "max_attempts", 3 } };
-        const auto route = [&](const char* prefix, const char* kind, const char* service, const json& changes) {
-            json all = common;
-            all.update(changes);
-            return deployment_fixture::route(prefix, kind, service, all);
-        };
-        const json stages { { { "service", "encode" }, { "after", json::array() }, { "bytes", 1000 } } };
-        const json halves { { { "service", "pages" }, { "weight", 50 } }, { { "service", "other-pages" }, { "weight", 50 } } };
-        const json pages = isSplit ? json { { "traffic_split", halves } } : json::object();
-        const json streams { { "stages", stages }, { "sticky", true }, { "gap_aim_ms", 200 } };
-        json resumable = streams;
-        resumable["resumable"] = true;
-        const json pool { { "name", "encode" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 8 }, { "call_ms", 5 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 4 } } } };
-        const json revocableKeys = isKeyRemoved ? json::array() : json::array({ "revocable" });
-        const json tenants = json::array({ { { "name", "acme" }, { "api_keys", json::array({ "lasting" }) } }, { { "name", "beta" }, { "api_keys", revocableKeys } } });
-        const char* service = isServiceMoved ? "other-pages" : "pages";
         m_version += 1 + randomBelow(3);
-        m_history.addTimeout(timeout);
-        if (isKeyRemoved)
+        m_history.addTimeout(configuration.timeout);
+        if (configuration.isKeyRemoved)
             m_history.addKeyRemoval();
-        m_deployment.configure(static_cast<int>(m_version), { route("/book/", "non_idempotent", service, pages), route("/page/", "idempotent", service, pages), route("/stream/", "streaming", "model", streams), route("/resume/", "streaming", "model", resumable) }, { pool }, tenants, { { "idle_timeout_ms", idleTimeout.count() } });
+        configureSoak(m_deployment, m_version, configuration);
     }
 
     void configureRandomly()
@@ -151,7 +134,7 @@
         const bool isSplit = randomBelow(3) == 0;
         const milliseconds timeout = randomBelow(2) == 0 ? longTimeout : shortTimeout;
         const bool isKeyRemoved = randomBelow(3) == 0;
-        configure(isServiceMoved, isSplit, timeout, isKeyRemoved, milliseconds(randomBelow(2) == 0 ? 3000 : 600));
+        configure({ isServiceMoved, isSplit, timeout, isKeyRemoved, milliseconds(randomBelow(2) == 0 ? 3000 : 600) });
     }
 
     // Load.
@@ -405,21 +388,6 @@
         m_faults.restoreAll();
     }
 
-    /// @return Whether each gateway serves requests of each kind.
-    bool isServiceRestored()
-    {
-        for (size_t gateway = 0; gateway < gatewayCount; ++gateway) {
-            for (const char* path : { "/book/", "/page/", "/stream/", "/resume/" }) {
-                http1::header_list headers = promptHeaders("subject0", 0, "after");
-                headers.insert(headers.end(), { { "X-Api-Key", "lasting" }, { "X-Pieces", "1" }, { "X-Piece-Key", "k" } });
-                const auto caller = m_deployment.sendAndWait("POST", std::string(path) + "after", std::move(headers), "", gateway);
-                if (caller->outcome != http1::call_outcome::Complete || caller->head.status != http1::statusOk)
-                    return false;
-            }
-        }
-        return true;
-    }
-
     // Results.
 
     void addComplaint(const attempt& item)
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -48,9 +48,16 @@
     bool hasRevocableKey = false;
     /// The prompt has a segment on which engines crash.
     bool isCrashing = false;
+    /// Path before the identifier; empty for that of the kind.
+    std::string prefix;
+    /// Size of the whole body of a response that has no events.
+    std::optional<size_t> plainBytes;
     http1::header_list headers;
     std::shared_ptr<stream_record> stream;
 
+    /// When the caller began to send the request; the limits of the request count from here.
+    time_point begunAt {};
+    /// When the last byte was sent.
     time_point sentAt {};
     time_point endedAt {};
     std::shared_ptr<http1::client_call> call;
@@ -97,6 +104,20 @@
     return events;
 }
 
+/// How long callers wait, as their requests say.
+constexpr milliseconds callerDeadline { 9000 };
+
+/// @return The request of an attempt as its caller sends it.
+[[nodiscard]] inline http1::outgoing_request requestOf(const attempt& item)
+{
+    constexpr const char* prefixes[] { "/book/", "/page/", "/stream/", "/resume/" };
+    const std::string prefix = item.prefix.empty() ? prefixes[static_cast<size_t>(item.kind)] : item.prefix;
+    const bool isPage = item.kind == attempt_kind::Page;
+    http1::header_list headers = item.headers;
+    headers.insert(headers.end(), { { "Host", "shop.example" }, { "X-Attempt-Id", item.id }, { "X-Deadline-Ms", std::to_string(callerDeadline.count()) } });
+    return { isPage ? "GET" : "POST", prefix + item.id, std::move(headers), isPage ? "" : item.id };
+}
+
 /// Sends attempts and keeps them.
 class soak_callers {
 public:
@@ -106,9 +127,12 @@
     {
     }
 
+    /// Keeps an attempt that is sent elsewhere and ends with `finish`.
+    attempt& add(attempt spec) { return m_attempts.emplace_back(std::move(spec)); }
+
     void send(attempt spec)
     {
-        attempt& item = m_attempts.emplace_back(std::move(spec));
+        attempt& item = add(std::move(spec));
         http1::client_call::callbacks callbacks;
         callbacks.onHead = [&item](const http1::response_head& head) { item.head = head; };
         callbacks.onBody = [&item](std::string_view bytes) { item.body.append(bytes); };
@@ -117,13 +141,8 @@
             item.connectionEnd = item.call->trace().connectionEnd;
             finish(item);
         };
-        constexpr const char* prefixes[] { "/book/", "/page/", "/stream/", "/resume/" };
-        const bool isPage = item.kind == attempt_kind::Page;
-        http1::header_list headers = item.headers;
-        headers.insert(headers.end(), { { "Host", "shop.example" }, { "X-Attempt-Id", item.id }, { "X-Deadline-Ms", std::to_string(deadline.count()) } });
-        const http1::outgoing_request request { isPage ? "GET" : "POST", prefixes[static_cast<size_t>(item.kind)] + item.id, std::move(headers), isPage ? "" : item.id };
-        item.sentAt = monotonicNow();
-        item.call = m_client.send(m_deployment.listenAddress(item.gateway), request, { !item.isKept, milliseconds(300), deadline + milliseconds(3000) }, std::move(callbacks));
+        item.begunAt = item.sentAt = monotonicNow();
+        item.call = m_client.send(m_deployment.listenAddress(item.gateway), requestOf(item), { !item.isKept, milliseconds(300), callerDeadline + milliseconds(3000) }, std::move(callbacks));
     }
 
     /// Closes the connection of a caller that has not got its whole response.
@@ -144,10 +163,6 @@
         return std::all_of(m_attempts.begin(), m_attempts.end(), [](const auto& item) { return item.isFinished; });
     }
 
-    /// How long callers wait, as their requests say.
-    static constexpr milliseconds deadline { 9000 };
-
-private:
     void finish(attempt& item)
     {
         item.isFinished = true;
@@ -155,6 +170,7 @@
         m_onFinished(item);
     }
 
+private:
     deployment_fixture& m_deployment;
     std::function<void(attempt&)> m_onFinished;
     http1::client m_client;
