--- a/tests/soak/planned_work_soak_test.cpp
+++ b/tests/soak/planned_work_soak_test.cpp
@@ -28,6 +28,8 @@
 constexpr size_t slowCallerCount = 4;
 
 constexpr milliseconds stepPeriod { 1000 };
+constexpr size_t stepsWithConfigurations = 9;
+constexpr size_t stepsPerCycle = 15;
 /// Time after which a leaving target must not get new requests.
 constexpr milliseconds leavingBound { 2500 };
 /// A stopping gateway serves requests for this long.
@@ -108,10 +110,11 @@
         time_point continueAt {};
     };
 
-    /// Requests that a gateway read whole and that ended without a complete response or a true refusal.
-    struct lost_counts {
-        size_t besideConfiguration = 0;
-        size_t otherwise = 0;
+    struct read_counts {
+        /// Requests that a gateway read whole.
+        size_t read = 0;
+        /// Those that ended without a complete response or a true refusal.
+        size_t lost = 0;
     };
 
     unsigned randomBelow(unsigned below) { return static_cast<unsigned>(m_random() % below); }
@@ -217,13 +220,15 @@
         configure(std::move(configuration), randomBelow(2) == 0);
     }
 
-    /// A configuration, SIGHUP and SIGTERM follow each other, on one gateway after the other.
+    /// A configuration, SIGHUP and SIGTERM follow each other, on one gateway after the other; then only the signals, so that some
+    /// requests are away from a configuration.
     void doPlannedWork()
     {
         const size_t gateway = m_stepCount / 3 % gatewayCount;
         switch (m_stepCount++ % 3) {
         case 0:
-            configureRandomly();
+            if (m_stepCount % stepsPerCycle <= stepsWithConfigurations)
+                configureRandomly();
             break;
         case 1:
             m_deployment.changeSettings(gateway, { { "bounds", { { "retrySlack", 30 + randomBelow(30) } } } });
@@ -327,9 +332,10 @@
     /// Targets may reject an attempt after its end, so this is checked last.
     void checkEnd(const attempt& item)
     {
+        read_counts& counts = m_counts[{ item.gateway, m_history.isBesideConfiguration(item) }];
+        counts.read += item.isComplete() || m_history.wasRead(item) ? 1 : 0;
         if (const auto complaint = m_history.complaint(item, eventsPerAnswer)) {
-            auto& counts = m_lost[item.gateway];
-            ++(m_history.isBesideConfiguration(item) ? counts.besideConfiguration : counts.otherwise);
+            ++counts.lost;
             m_complaints.push_back(*complaint);
             m_complainedIds.push_back(item.id);
         }
@@ -375,6 +381,8 @@
         return lines;
     }
 
+    [[nodiscard]] static std::string textOf(const read_counts& counts) { return std::to_string(counts.lost) + "/" + std::to_string(counts.read); }
+
     void report()
     {
         const auto& attempts = m_callers.attempts();
@@ -383,8 +391,8 @@
         const auto countOf = [&](const auto& condition) { return static_cast<size_t>(std::count_if(attempts.begin(), attempts.end(), condition)); };
         std::string lost;
         for (size_t i = 0; i < gatewayCount; ++i)
-            lost += " " + std::to_string(m_lost[i].besideConfiguration) + "+" + std::to_string(m_lost[i].otherwise);
-        std::fprintf(stderr, "planned work soak: seed %u, %zu steps, %zu requests, %zu served, %zu refused, %zu not connected, %zu closed unread, lost by gateway (beside a configuration + otherwise):%s, %zu complaints\n", m_seed, m_stepCount, attempts.size(),
+            lost += " " + textOf(m_counts[{ i, true }]) + "+" + textOf(m_counts[{ i, false }]);
+        std::fprintf(stderr, "planned work soak: seed %u, %zu steps, %zu requests, %zu served, %zu refused, %zu not connected, %zu closed unread, lost/read by gateway (beside a configuration + otherwise):%s, %zu complaints\n", m_seed, m_stepCount, attempts.size(),
             countOf([](const auto& item) { return item.isComplete() && item.head.status == http1::statusOk; }), countOf([](const auto& item) { return item.isComplete() && item.head.status == http1::statusUnavailable; }),
             countOf([](const auto& item) { return item.outcome == http1::call_outcome::NotSent; }), countOf([this](const auto& item) { return !item.isComplete() && item.outcome != http1::call_outcome::NotSent && !m_history.wasRead(item); }), lost.c_str(), m_complaints.size());
         if (m_complaints.empty())
@@ -411,7 +419,8 @@
     std::vector<fakes::platform_target*> m_plainTargets;
     std::map<size_t, time_point> m_leftAt;
     std::map<size_t, time_point> m_stoppedAt;
-    std::map<size_t, lost_counts> m_lost;
+    /// By gateway, and whether a configuration was near.
+    std::map<std::pair<size_t, bool>, read_counts> m_counts;
     soak_callers m_callers;
     std::list<raw_caller> m_rawCallers;
     std::vector<std::unique_ptr<slow_reader>> m_slowReaders;
