soak: the timeout of a pipelined request counts in the configuration that read it

The check took the timeouts of the moment of sending only. An attempt now has the time of its turn, and the timeouts that were in force by then count.

--- a/tests/soak/attempt_checks.hpp
+++ b/tests/soak/attempt_checks.hpp
@@ -45,7 +45,7 @@
     [[nodiscard]] bool hasTimedOut(const attempt& item) const
     {
         milliseconds limit = callerDeadline;
-        const time_point readBy = latestReading(item);
+        const time_point readBy = std::max(latestReading(item), item.turnAt + readingTime);
         // The newest configuration before the window may still have been in force.
         for (size_t i = 0; i < m_timeouts.size(); ++i) {
             const bool isReplacedBefore = i + 1 < m_timeouts.size() && m_timeouts[i + 1].first < item.sentAt - configurationWindow;
--- a/tests/soak/raw_callers.hpp
+++ b/tests/soak/raw_callers.hpp
@@ -92,6 +92,8 @@
         item.body = message.body();
         m_isCloseAnnounced = m_isCloseAnnounced || http1::hasToken(item.head.headers, "Connection", "close");
         end(http1::call_outcome::Complete, std::nullopt);
+        if (!m_waiting.empty())
+            m_waiting.front()->turnAt = monotonicNow();
     }
 
     void end(http1::call_outcome outcome, std::optional<http1::close_reason> reason)
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -59,6 +59,8 @@
     time_point begunAt {};
     /// When the last byte was sent.
     time_point sentAt {};
+    /// When the response to the request before it on a pipelined connection was complete; the gateway reads it from then on.
+    time_point turnAt {};
     time_point endedAt {};
     std::shared_ptr<http1::client_call> call;
     http1::response_head head;
