tests: a verdict on a prompt segment cuts requests that wait at sound targets (red)

The call may have run, so the caller gets 502 instead of a response or a true refusal. The response would also have refuted the verdict.

The test crashes targets by themselves after their segments were shown to be harmless.

--- a/tests/process/gateway_segment_verdict_test.cpp
+++ b/tests/process/gateway_segment_verdict_test.cpp
@@ -171,3 +171,41 @@
     cr_assert_geq(crashLines, 3u);
     cr_assert_eq(log.find("\"bad\""), std::string::npos, "the log shows the segment in clear");
 }
+
+Test(gateway_segment_verdict, a_verdict_does_not_cut_waiting_requests_whose_segment_targets_have_survived)
+{
+    constexpr size_t engineCount = 4;
+    constexpr size_t requestCount = 30;
+    engine_fleet fleet(300, engineCount, 1, { .firstEventDelay = milliseconds(2000), .restartDelay = milliseconds(300) }, false);
+    const auto crashBusyEngine = [&] {
+        const auto busy = std::find_if(fleet.engines.begin(), fleet.engines.end(), [](const auto& engine) { return engine.isUp() && engine.runningCount() > 0; });
+        cr_assert(busy != fleet.engines.end(), "no target has a request");
+        busy->crash();
+        fleet.deployment.runLoopFor(milliseconds(100));
+    };
+    const auto runningCount = [&] {
+        size_t sum = 0;
+        for (const auto& engine : fleet.engines)
+            sum += engine.runningCount();
+        return sum;
+    };
+    // The first crash makes the segments suspected, and a response clears them.
+    const auto cutOff = fleet.send(soundPrompt);
+    fleet.deployment.waitUntil([&] { return runningCount() == 1; }, "the first request at its target");
+    crashBusyEngine();
+    fleet.deployment.waitUntil([&] { return cutOff->isFinished; }, "the end of the first request");
+    cr_assert(engine_fleet::isServed(*fleet.sendAndWait(soundPrompt)));
+    fleet.deployment.runLoopFor(milliseconds(1500));
+    std::vector<caller_ptr> callers;
+    for (size_t i = 0; i < requestCount; ++i)
+        callers.push_back(fleet.send(soundPrompt));
+    fleet.deployment.waitUntil([&] { return runningCount() == requestCount; }, "the requests at their targets");
+    for (int i = 0; i < 3; ++i)
+        crashBusyEngine();
+    fleet.deployment.waitUntil([&] { return fleet.deployment.logOf(0).find("are refused because targets crashed on it") != std::string::npos; }, "the verdict");
+    const size_t waitingCount = runningCount();
+    cr_assert_gt(waitingCount, 0u);
+    fleet.deployment.waitUntil([&] { return std::all_of(callers.begin(), callers.end(), [](const auto& item) { return item->isFinished; }); }, "the responses");
+    const auto servedCount = static_cast<size_t>(std::count_if(callers.begin(), callers.end(), [](const auto& item) { return engine_fleet::isServed(*item); }));
+    cr_assert_eq(servedCount, waitingCount, "%zu of %zu requests at sound targets were served", servedCount, waitingCount);
+}
