entry: log how many requests a planned stop finds and ends

Change: the number of open requests when the stop begins, and a warning with their number when drainTimeoutMs ends them.

--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -85,18 +85,25 @@
             m_isStopping = true;
             m_stopSince = monotonicNow();
             m_callers.stopKeepingConnections();
-            logLine(log_level::Info, logComponent, "Stopping after the open requests have finished.");
+            logLine(log_level::Info, logComponent, "Stopping after the open requests have finished.", { { "open", std::to_string(m_callers.openRequests()) } });
             m_drainCheck.startEvery(drainCheckPeriod, [this] {
                 const auto waitTime = monotonicNow() - m_stopSince;
                 const bool isOverdue = waitTime > m_settings.limits.drainTimeout;
                 if (isOverdue)
-                    m_callers.endRequests();
+                    endRequests();
                 const bool isDone = m_callers.openRequests() == 0 && (isOverdue || waitTime > balancerGrace);
                 if (isDone || waitTime > m_settings.limits.drainTimeout + responseGrace)
                     m_loop.quit();
             });
         }
 
+        void endRequests()
+        {
+            if (const size_t count = m_callers.openRequests(); count > 0)
+                logLine(log_level::Warning, logComponent, "The time for the stop is over; open requests end without an answer.", { { "open", std::to_string(count) } });
+            m_callers.endRequests();
+        }
+
         main_loop m_loop;
         metrics m_metrics;
         settings::entry_settings m_settings;
