entry: a stopping entry refuses new connections after its accept time

Callers saw: requests to an entry that was stopping ended as failed, stopping (502). Cause: the entry accepted connections for as long as it ran. While callers went on sending it never was without an open request, so it ended at drainTimeoutMs and cut what was open. Evidence: 99 of 106 requests answered, 7 failed, stopping, with drainTimeoutMs 12 s; in the series of configuration, SIGHUP and SIGTERM the entry did not exit within 20 s. Change: policy::stopPhase decides from the time of the stop. The entry exits one check later at the earliest, when its requests are answered.

--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -6,6 +6,8 @@
 #include "telemetry/log.hpp"
 
 #include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace bilberryseam::entry {
 
@@ -345,6 +347,24 @@
     m_cleanupTimer.startWhenIdle([this] { m_finishedExchanges.clear(); });
 }
 
+bool caller_server::stopListening()
+{
+    if (!m_isListening)
+        return true;
+    const std::unique_ptr<GSList, decltype(&g_slist_free)> listeners(soup_server_get_listeners(m_server.get()), &g_slist_free);
+    for (const GSList* item = listeners.get(); item; item = item->next) {
+        if (g_socket_condition_check(static_cast<GSocket*>(item->data), G_IO_IN) != 0)
+            return false;
+    }
+    for (const GSList* item = listeners.get(); item; item = item->next) {
+        // soup_server_disconnect would also close the connections, and g_socket_shutdown refuses a listening socket.
+        if (::shutdown(g_socket_get_fd(static_cast<GSocket*>(item->data)), SHUT_RD) != 0)
+            logLine(log_level::Error, logComponent, "A listening socket cannot be closed.", { { "detail", g_strerror(errno) } });
+    }
+    m_isListening = false;
+    return true;
+}
+
 void caller_server::endRequests()
 {
     // Ended exchanges are destroyed when the main loop is idle.
--- a/src/entry/caller_server.hpp
+++ b/src/entry/caller_server.hpp
@@ -29,6 +29,10 @@
     /// Ends each connection after its next response.
     void stopKeepingConnections() noexcept { m_isStopping = true; }
 
+    /// Closes the listening sockets. Does nothing while connections wait to be accepted: closing would reset them.
+    /// @return Whether the sockets are closed.
+    [[nodiscard]] bool stopListening();
+
     /// Ends all requests that have been read, each with an outcome.
     void endRequests();
 
@@ -52,6 +56,7 @@
     /// Number of exchanges whose request body is still being read.
     size_t m_receiving = 0;
     bool m_isStopping = false;
+    bool m_isListening = true;
     timer m_cleanupTimer;
     timer m_capacityTimer;
     std::list<std::unique_ptr<exchange>> m_finishedExchanges;
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -12,6 +12,7 @@
 #include "policy/orders.hpp"
 #include "policy/ownership.hpp"
 #include "policy/placement.hpp"
+#include "policy/planned_stop.hpp"
 #include "policy/rate_limit.hpp"
 #include "policy/routing.hpp"
 #include "policy/stream_origins.hpp"
--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -3,6 +3,7 @@
 #include "execution/execution.hpp"
 #include "loop/main_loop.hpp"
 #include "platform/instance_list.hpp"
+#include "policy/planned_stop.hpp"
 #include "programs/daemon_main.hpp"
 #include "settings/settings.hpp"
 #include "telemetry/telemetry.hpp"
@@ -16,7 +17,7 @@
     /// Time for writing the responses of the requests that an overdue stop has ended.
     constexpr milliseconds responseGrace { 1000 };
 
-    /// Minimum time that a stopping entry still accepts requests, so that the load balancer can remove it first.
+    /// Time that a stopping entry still accepts connections, so that the load balancer can remove it first.
     constexpr milliseconds balancerGrace { 2000 };
 
     /// Creates and connects the components of the process.
@@ -86,15 +87,25 @@
             m_stopSince = monotonicNow();
             m_callers.stopKeepingConnections();
             logLine(log_level::Info, logComponent, "Stopping after the open requests have finished.", { { "open", std::to_string(m_callers.openRequests()) } });
-            m_drainCheck.startEvery(drainCheckPeriod, [this] {
-                const auto waitTime = monotonicNow() - m_stopSince;
-                const bool isOverdue = waitTime > m_settings.limits.drainTimeout;
-                if (isOverdue)
-                    endRequests();
-                const bool isDone = m_callers.openRequests() == 0 && (isOverdue || waitTime > balancerGrace);
-                if (isDone || waitTime > m_settings.limits.drainTimeout + responseGrace)
-                    m_loop.quit();
-            });
+            m_drainCheck.startEvery(drainCheckPeriod, [this] { continueStop(); });
+        }
+
+        void continueStop()
+        {
+            const auto elapsed = std::chrono::floor<milliseconds>(monotonicNow() - m_stopSince);
+            const milliseconds limit = m_settings.limits.drainTimeout;
+            const policy::stop_phase phase = policy::stopPhase(elapsed, balancerGrace, limit);
+            if (phase == policy::stop_phase::Accepting)
+                return;
+            // A connection that was accepted last may not have been read yet, so the process does not exit in the same check.
+            const bool wasListening = std::exchange(m_isListening, !m_callers.stopListening());
+            if (wasListening && !m_isListening)
+                logLine(log_level::Info, logComponent, "New connections are refused.", { { "open", std::to_string(m_callers.openRequests()) } });
+            if (phase == policy::stop_phase::Overdue)
+                endRequests();
+            const bool isDone = m_callers.openRequests() == 0 && !wasListening;
+            if (isDone || elapsed > limit + responseGrace)
+                m_loop.quit();
         }
 
         void endRequests()
@@ -117,6 +128,7 @@
         std::optional<platform::instance_list> m_instances;
         timer m_drainCheck;
         bool m_isStopping = false;
+        bool m_isListening = true;
         time_point m_stopSince {};
     };
 }
