gateway: no second run of a stream whose version is doubtful

A target that is presumably lost may have started again with another version, which makes the version of its streams doubtful. The search for a second target looked only at the recorded version, while a repeated attempt is refused then. Found by reading, with the silence soak; no test shows it.

--- a/src/gateway/request_silence.cpp
+++ b/src/gateway/request_silence.cpp
@@ -71,6 +71,9 @@
         return "stages_running";
     if (refusedSegment(now))
         return "segment_refused";
+    // The target may have started again with another version, so that it is doubtful which one began the stream.
+    if (const auto decision = continuationNow(); decision == policy::continuation::VersionGone || decision == policy::continuation::OriginUnknown)
+        return "version_unknown";
     return std::nullopt;
 }
 
