A closed connection does not count against the limit of a request beyond it

Cause: connections that have closed stay in the list for up to 250 ms and were counted. Change: only open ones are counted.

--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -392,6 +392,13 @@
     connection->start();
 }
 
+bool server::isOverLimit() const
+{
+    // Closed connections stay in the list until the next check.
+    const auto openCount = std::count_if(m_connections.begin(), m_connections.end(), [](const auto& connection) { return connection->isOpen(); });
+    return static_cast<size_t>(openCount) > m_limits().maxConnections;
+}
+
 void server::checkConnections()
 {
     const server_limits limits = m_limits();
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -153,7 +153,7 @@
     friend class detail::server_connection;
 
     void accept(std::shared_ptr<tcp_stream> stream);
-    [[nodiscard]] bool isOverLimit() const { return m_connections.size() > m_limits().maxConnections; }
+    [[nodiscard]] bool isOverLimit() const;
     void checkConnections();
 
     std::function<server_limits()> m_limits;
