The log shows which pauses targets ask for and how they end

Cause: a line was written only for the first refusal of a pause; what a refusal asked for, a pause that was lengthened, ended or went with the record of its target, and the targets that were out when a request was refused could not be seen.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -1,6 +1,6 @@
 #include "gateway/context.hpp"
 
-#include "base/hash.hpp"
+#include "gateway/target_pauses.hpp"
 #include "platform/ingress.hpp"
 
 namespace bilberryseam::gateway {
@@ -17,9 +17,6 @@
     /// Bytes of a malformed limit that are logged.
     constexpr size_t maxLoggedBytes = 40;
 
-    /// Share of a target's pause by which entries return later than it asks.
-    constexpr double maxPauseSpread = 0.2;
-
     /// Entries that may call the targets of a pool at the same time: its owner, and others while ownership moves.
     constexpr double poolOwners = 3;
 
@@ -65,21 +62,6 @@
         context.counters.count("leaving_responses_total");
         logLine(log_level::Info, "targets", "A target said in a response that it leaves; it gets no new requests.", { { "target", target.listed.id }, { "service", target.listed.service }, { "status", std::to_string(head.status) } });
     }
-
-    void applyPause(context& context, target_state& target, const http1::response_head& head, time_point now)
-    {
-        const auto pause = platform::decodePause(head);
-        if (!pause)
-            return;
-        // Entries that were refused at the same moment return spread over a fifth of the pause.
-        const double spread = maxPauseSpread * static_cast<double>(hashOf(context.settings.name, target.hash) % 1000) / 1000;
-        const auto length = *pause + milliseconds(static_cast<int64_t>(static_cast<double>(pause->count()) * spread));
-        const bool isNew = now >= target.pausedUntil;
-        target.pausedUntil = std::max(target.pausedUntil, now + length);
-        context.counters.count("target_pauses_total");
-        if (isNew)
-            logLine(log_level::Info, "targets", "A target asks for a pause; it gets no requests meanwhile.", { { "target", target.listed.id }, { "service", target.listed.service }, { "pause_ms", std::to_string(length.count()) } });
-    }
 }
 
 bool isTargetListUncertain(const context& context, time_point now) noexcept
@@ -94,7 +76,7 @@
     callbacks.onHead = [&context, target, sentAt, onHead = std::move(callbacks.onHead)](const http1::response_head& head) {
         applyLimit(context, target, head, sentAt);
         applyLeaving(context, *target, head);
-        applyPause(context, *target, head, monotonicNow());
+        applyPause(context, target, head, monotonicNow());
         if (onHead)
             onHead(head);
     };
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -56,6 +56,8 @@
     time_point entriesChangedAt {};
     /// Targets that state a limit, or did so until a moment ago.
     std::vector<target_ptr> limitedTargets;
+    /// Targets that asked for a pause which was not yet reported as ended.
+    std::vector<target_ptr> pausedTargets;
     /// Requests that wait for a limited target, by service.
     std::map<std::string, size_t, std::less<>> waitingForLimits;
     /// Bytes of the request bodies of open requests.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "base/hash.hpp"
+#include "gateway/target_pauses.hpp"
 #include "platform/records.hpp"
 
 #include <algorithm>
@@ -64,16 +65,11 @@
     {
         return hashOf(exchange.body(), hashOf(exchange.head().target, hashOf(key)));
     }
-
-    void logTarget(const target_state& target, std::string_view change)
-    {
-        logLine(log_level::Info, "targets", "The record of a target in the target list changed.", { { "target", target.listed.id }, { "change", std::string(change) }, { "service", target.listed.service }, { "address", target.listed.endpoint.toString() }, { "failure_domain", target.listed.failureDomain }, { "software_version", target.listed.softwareVersion } });
-    }
 }
 
 gateway::gateway(const settings::gateway_settings& settings)
     : m_context(settings, [this](const target_state& target, std::string_view change) {
-        logTarget(target, change);
+        logRecordChange(target, change, monotonicNow());
         if (change == target_registry::versionChange)
             m_streams->onVersionChanged(target.hash, monotonicNow());
         if (target.isRemoved)
@@ -456,6 +452,7 @@
     m_context.targets.tick(now);
     updateLimits(
         m_context, [this, now](const target_state& target) { return limitShareOf(target, now); }, now);
+    endPauses(m_context, now);
     m_scheduler.tick(now);
     m_pools->tick(now);
     m_crashes->tick(now);
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -1,6 +1,7 @@
 #include "base/hash.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/request_run.hpp"
+#include "gateway/target_pauses.hpp"
 #include "policy/suspicion.hpp"
 
 #include <algorithm>
@@ -58,13 +59,22 @@
     std::optional<time_point> end;
     for (const auto& target : m_context.targets.ofService(m_request.service)) {
         if (target->isInService() && mayRunAt(*target))
-            end = std::min(end.value_or(target->pausedUntil), target->pausedUntil);
+            end = std::min(end.value_or(target->pause.until), target->pause.until);
     }
     if (!end || *end < m_arrivedAt + detail::maxPlacementTime)
         return std::nullopt;
     return std::chrono::duration_cast<milliseconds>(*end - now);
 }
 
+void request_run::logPauses(std::string_view next, time_point now)
+{
+    const auto& targets = m_context.targets.ofService(m_request.service);
+    const bool isAnyPaused = std::any_of(targets.begin(), targets.end(), [now](const auto& target) { return policy::isPaused(target->pause, now); });
+    if (!isAnyPaused || std::exchange(m_arePausesReported, true))
+        return;
+    logLine(log_level::Info, logComponent, "No target is available for the request while targets pause.", { { "request", m_request.callerRequest.id }, { "service", m_request.service }, { "next", std::string(next) }, { "unavailable", textOfUnavailable(targets, now) } });
+}
+
 void request_run::refuseLimited(milliseconds expectedWait)
 {
     // Callers that are refused at the same moment come back spread over as long again.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -169,10 +169,12 @@
         return;
     }
     if (const auto pause = pauseOfAllTargets(now); pause && !m_mayHaveRun && !m_request.exchange->isStarted()) {
+        logPauses("refused", now);
         refuse("targets_paused", *pause);
         return;
     }
     if (const auto limitWait = waitForLimits(now)) {
+        logPauses("refused", now);
         refuseLimited(*limitWait);
         return;
     }
@@ -183,9 +185,11 @@
         return;
     }
     if (!mayWait) {
+        logPauses("ends", now);
         onAttemptFailed("no_target", false);
         return;
     }
+    logPauses("waits", now);
     m_triedTargets.clear();
     m_isWaitingForTarget = true;
     m_retryAt = now + placementRetryDelay;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -152,6 +152,9 @@
     void refuseLimited(milliseconds expectedWait);
     /// @return Time until the first target's pause ends, if all targets have asked for pauses that outlast the request's wait.
     [[nodiscard]] std::optional<milliseconds> pauseOfAllTargets(time_point now) const;
+    /// Reports once which targets are unavailable, if any of them pauses.
+    /// @param next  What happens to the request.
+    void logPauses(std::string_view next, time_point now);
     void send(const target_ptr& target);
 
     // Responses; in request_attempts.cpp.
@@ -233,6 +236,7 @@
     target_ptr m_originTarget;
     int m_attempts = 0;
     int m_sends = 0;
+    bool m_arePausesReported = false;
     bool m_mayHaveRun = false;
     /// The last attempt ended with a broken response; its target is being checked for a crash.
     bool m_mayHaveCrashed = false;
--- /dev/null
+++ b/src/gateway/target_pauses.cpp
@@ -0,0 +1,87 @@
+#include "gateway/target_pauses.hpp"
+
+#include "base/hash.hpp"
+#include "platform/ingress.hpp"
+
+namespace bilberryseam::gateway {
+
+namespace {
+    constexpr std::string_view logComponent = "targets";
+
+    /// Share of a target's pause by which entries return later than it asks.
+    constexpr double maxPauseSpread = 0.2;
+
+    /// Targets that one log line names.
+    constexpr size_t maxNamedTargets = 8;
+
+    void logPause(std::string_view message, const target_state& target, time_point now)
+    {
+        logLine(log_level::Info, logComponent, message, { { "target", target.listed.id }, { "service", target.listed.service }, { "pause_ms", std::to_string(asMilliseconds(target.pause.until - target.pause.since)) }, { "left_ms", std::to_string(asMilliseconds(target.pause.until - now)) }, { "listed", target.isRemoved ? "false" : "true" } });
+    }
+
+    std::string unavailabilityOf(const target_state& target, time_point now)
+    {
+        const auto left = [now](time_point end) { return std::to_string(asMilliseconds(end - now)); };
+        if (target.isReplaced)
+            return "replaced::";
+        if (target.isLeaving || target.listed.isDraining)
+            return "leaving::";
+        if (policy::isPaused(target.pause, now))
+            return "paused:" + std::to_string(asMilliseconds(now - target.pause.since)) + ":" + left(target.pause.until);
+        if (!policy::isUsable(target.health, now))
+            return "blocked:" + std::to_string(asMilliseconds(now - target.health.changedAt)) + ":" + left(target.health.blockedUntil);
+        return target.mayGetWork(now) ? "" : "limited::";
+    }
+}
+
+void applyPause(context& context, const target_ptr& target, const http1::response_head& head, time_point now)
+{
+    const auto stated = platform::decodePause(head);
+    if (!stated.problem.empty() && head.status == http1::statusUnavailable)
+        logLine(log_level::Warning, logComponent, "The pause that a target asks for is not kept as stated.", { { "target", target->listed.id }, { "value", stated.text }, { "reason", std::string(stated.problem) }, { "pause_ms", std::to_string(stated.length.value_or(milliseconds(0)).count()) } });
+    if (!stated.length)
+        return;
+    // Entries that were refused at the same moment return spread over a fifth of the pause.
+    const double spread = maxPauseSpread * static_cast<double>(hashOf(context.settings.name, target->hash) % 1000) / 1000;
+    const auto length = *stated.length + milliseconds(static_cast<int64_t>(static_cast<double>(stated.length->count()) * spread));
+    context.counters.count("target_pauses_total");
+    const auto change = policy::applyPause(target->pause, length, now);
+    if (change == policy::pause_change::None)
+        return;
+    if (change == policy::pause_change::Lengthened) {
+        logPause("The pause of a target was lengthened.", *target, now);
+        return;
+    }
+    context.pausedTargets.push_back(target);
+    logPause("A target asks for a pause; it gets no requests meanwhile.", *target, now);
+}
+
+void endPauses(context& context, time_point now)
+{
+    std::erase_if(context.pausedTargets, [now](const target_ptr& target) {
+        if (policy::isPaused(target->pause, now))
+            return false;
+        logPause("The pause of a target ended.", *target, now);
+        return true;
+    });
+}
+
+void logRecordChange(const target_state& target, std::string_view change, time_point now)
+{
+    logLine(log_level::Info, logComponent, "The record of a target in the target list changed.", { { "target", target.listed.id }, { "change", std::string(change) }, { "service", target.listed.service }, { "address", target.listed.endpoint.toString() }, { "failure_domain", target.listed.failureDomain }, { "software_version", target.listed.softwareVersion }, { "pause_left_ms", std::to_string(std::max<int64_t>(0, asMilliseconds(target.pause.until - now))) }, { "says_it_leaves", target.isLeaving ? "true" : "false" } });
+}
+
+std::string textOfUnavailable(std::span<const target_ptr> targets, time_point now)
+{
+    std::string text;
+    size_t count = 0;
+    for (const auto& target : targets) {
+        const std::string reason = unavailabilityOf(*target, now);
+        if (!reason.empty() && ++count <= maxNamedTargets)
+            text.append(text.empty() ? "" : ",").append(target->listed.id).append(":").append(reason);
+    }
+    if (count > maxNamedTargets)
+        text.append(",and ").append(std::to_string(count - maxNamedTargets));
+    return text;
+}
+}
--- /dev/null
+++ b/src/gateway/target_pauses.hpp
@@ -0,0 +1,23 @@
+/// Pauses that targets ask for in refusals, and log lines about targets and their pauses.
+#pragma once
+
+#include "gateway/context.hpp"
+
+#include <span>
+#include <string>
+
+namespace bilberryseam::gateway {
+
+/// Applies the pause that a response asks for, if any.
+void applyPause(context& context, const target_ptr& target, const http1::response_head& head, time_point now);
+
+/// Reports the pauses that have ended.
+void endPauses(context& context, time_point now);
+
+/// Reports a change of a target's record, with what the target said of itself.
+void logRecordChange(const target_state& target, std::string_view change, time_point now);
+
+/// @return The targets that get no requests now, as `ID:REASON:SINCE_MS_AGO:LEFT_MS`; times are empty if unknown. Names at most
+/// eight and counts the others.
+[[nodiscard]] std::string textOfUnavailable(std::span<const target_ptr> targets, time_point now);
+}
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "deployment/deployment.hpp"
+#include "policy/pause.hpp"
 #include "policy/rate_limit.hpp"
 #include "policy/target_health.hpp"
 
@@ -23,8 +24,7 @@
     bool isRemoved = false;
     /// The target said in a response that it leaves; its record may say so later.
     bool isLeaving = false;
-    /// The target wants no requests before this time.
-    time_point pausedUntil {};
+    policy::target_pause pause;
     /// The record now names another software version: which one ran the last requests is doubtful.
     bool isVersionChanged = false;
     /// The address responded as another target; stays set until the record names another address or service.
@@ -46,7 +46,7 @@
 
     [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !isLeaving && !listed.isDraining; }
     /// @return Whether the target may get work as soon as its limit allows.
-    [[nodiscard]] bool isAvailable(time_point now) const noexcept { return isInService() && now >= pausedUntil && policy::isUsable(health, now); }
+    [[nodiscard]] bool isAvailable(time_point now) const noexcept { return isInService() && !policy::isPaused(pause, now) && policy::isUsable(health, now); }
     [[nodiscard]] bool mayGetWork(time_point now) const noexcept { return isAvailable(now) && policy::canSend(limit, now); }
 };
 
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -70,6 +70,8 @@
     std::shared_ptr<http1::client_call> call;
     unsigned status = 0;
     bool isNotRun = false;
+    /// What the response asks for, as it was received.
+    std::string retryAfter;
     std::string body;
 };
 
@@ -302,6 +304,7 @@
     callbacks.onHead = [call](const http1::response_head& head) {
         call->status = head.status;
         call->isNotRun = platform::isNotExecuted(head);
+        call->retryAfter = platform::decodePause(head).text;
     };
     callbacks.onBody = [call](std::string_view bytes) { call->body.append(bytes); };
     callbacks.onEnd = [this, service, call](http1::call_outcome outcome) { onCallEnded(service, call, outcome); };
@@ -337,7 +340,7 @@
     // A call that ends here by a timeout was recorded when it became silent.
     if (outcome != http1::call_outcome::TimedOut)
         policy::recordFailure(target.health, failure, now);
-    logLine(log_level::Warning, logComponent, "A batch call to a target failed.", { { "target", target.listed.id }, { "service", service }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(call->status) }, { "pieces", std::to_string(call->tasks.size()) }, { "firstRequest", call->tasks.front()->job->requestId } });
+    logLine(log_level::Warning, logComponent, "A batch call to a target failed.", { { "target", target.listed.id }, { "service", service }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(call->status) }, { "retry_after", call->retryAfter }, { "not_executed", call->isNotRun ? "true" : "false" }, { "pieces", std::to_string(call->tasks.size()) }, { "firstRequest", call->tasks.front()->job->requestId } });
     std::vector<task_ptr> tasks;
     std::copy_if(call->tasks.begin(), call->tasks.end(), std::back_inserter(tasks), [&pool](const auto& task) { return isAbandoned(pool, *task); });
     if (tasks.empty())
@@ -411,7 +414,7 @@
     }
     for (const auto& [target, items] : byHolder) {
         // A limited or paused target is spared the call: its results expire by themselves.
-        if (!policy::canSend(target->limit, monotonicNow()) || monotonicNow() < target->pausedUntil) {
+        if (!policy::canSend(target->limit, monotonicNow()) || policy::isPaused(target->pause, monotonicNow())) {
             m_context.counters.count("releases_left_out_total");
             continue;
         }
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -39,11 +39,17 @@
     /// Requests a second that a target takes from all entries together, a decimal number.
     constexpr std::string_view limitName = "Server-Limit";
 
+    /// In a refusal: seconds for which the target wants no requests of this entry, a decimal number.
+    constexpr std::string_view retryAfterName = "Retry-After";
+
     /// "1" if the target leaves, as it also states in the target list.
     constexpr std::string_view leavingName = "Server-Leaving";
 
     constexpr size_t maxPromptSegments = 1000;
 
+    /// Bytes of a field from outside that are logged.
+    constexpr size_t maxLoggedBytes = 40;
+
     /// Fields that apply to one connection and are not forwarded.
     constexpr std::array hopByHopFields { std::string_view("Connection"), std::string_view("Keep-Alive"), std::string_view("Proxy-Connection"),
         std::string_view("Proxy-Authenticate"), std::string_view("Proxy-Authorization"), std::string_view("TE"), std::string_view("Trailer"),
@@ -151,6 +157,16 @@
         return request;
     }
 
+    std::string textOfFields(const http1::response_head& head, std::string_view wanted)
+    {
+        std::string text;
+        for (const auto& [name, value] : head.headers) {
+            if (http1::isSameName(name, wanted))
+                text.append(text.empty() ? "" : ",").append(value);
+        }
+        return text.substr(0, maxLoggedBytes);
+    }
+
     std::string join(std::span<const std::string> items)
     {
         std::string joined;
@@ -221,7 +237,7 @@
 {
     char text[32];
     std::snprintf(text, sizeof text, "%.2f", asSeconds(delay));
-    return { "Retry-After", text };
+    return { std::string(retryAfterName), text };
 }
 
 stated_limit decodeLimit(const http1::response_head& head)
@@ -239,15 +255,22 @@
     return head.status != http1::statusMisdirected && http1::findHeader(head.headers, leavingName) == "1";
 }
 
-std::optional<milliseconds> decodePause(const http1::response_head& head)
+stated_pause decodePause(const http1::response_head& head)
 {
-    const auto value = http1::findHeader(head.headers, "Retry-After");
-    if (!value || head.status != http1::statusUnavailable || !isNotExecuted(head))
-        return std::nullopt;
+    const auto value = http1::findHeader(head.headers, retryAfterName);
+    if (!value)
+        return {};
+    stated_pause pause { textOfFields(head, retryAfterName), std::nullopt, {} };
     const auto pauseSeconds = parseDecimal(*value);
-    if (!pauseSeconds)
-        return std::nullopt;
-    return std::min(longestPause, milliseconds(static_cast<int64_t>(std::min(*pauseSeconds, asSeconds(longestPause)) * 1000)));
+    if (head.status != http1::statusUnavailable || !isNotExecuted(head))
+        pause.problem = "no_refusal";
+    else if (!pauseSeconds)
+        pause.problem = "no_number";
+    else {
+        pause.length = milliseconds(static_cast<int64_t>(std::min(*pauseSeconds, asSeconds(longestPause)) * 1000));
+        pause.problem = *pauseSeconds > asSeconds(longestPause) ? "too_long" : "";
+    }
+    return pause;
 }
 
 bool isNotExecuted(const http1::response_head& head)
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -71,8 +71,17 @@
 /// Longest pause that a target may ask for; a larger one cannot silence it for good.
 constexpr milliseconds longestPause { 30000 };
 
-/// @return How long the target that refused the request wants no others; nothing if it does not say, or not in seconds.
-[[nodiscard]] std::optional<milliseconds> decodePause(const http1::response_head& head);
+/// What a response says of the time for which its target wants no requests.
+struct stated_pause {
+    /// The values of all `Retry-After` fields as they were received, cut to a length that may be logged.
+    std::string text;
+    /// Not set if the response asks for no pause.
+    std::optional<milliseconds> length;
+    /// Why the text is not taken as it is; empty if it is.
+    std::string_view problem;
+};
+
+[[nodiscard]] stated_pause decodePause(const http1::response_head& head);
 
 /// @return True if the target states that it did not execute the request.
 [[nodiscard]] bool isNotExecuted(const http1::response_head& head);
--- a/tests/process/gateway_leaving_target_test.cpp
+++ b/tests/process/gateway_leaving_target_test.cpp
@@ -119,9 +119,9 @@
 {
     for (const char* value : { "-4", "nan", "inf", "soon", "Fri, 31 Dec 1999 23:59:59 GMT", "", "1e300" }) {
         http1::response_head head { 503, { { "X-Not-Executed", "1" }, { "Retry-After", value } } };
-        const auto pause = platform::decodePause(head);
+        const auto pause = platform::decodePause(head).length;
         cr_assert(!pause || *pause <= platform::longestPause, "'%s'", value);
     }
-    cr_assert_eq(platform::decodePause({ 503, { { "X-Not-Executed", "1" }, { "Retry-After", "100000" } } }).value(), platform::longestPause);
-    cr_assert(!platform::decodePause({ 200, { { "Retry-After", "4" } } }));
+    cr_assert_eq(platform::decodePause({ 503, { { "X-Not-Executed", "1" }, { "Retry-After", "100000" } } }).length.value(), platform::longestPause);
+    cr_assert(!platform::decodePause({ 200, { { "Retry-After", "4" } } }).length);
 }
--- /dev/null
+++ b/tests/process/gateway_pause_test.cpp
@@ -0,0 +1,78 @@
+/// Targets that ask for a pause: what is logged, and what happens when their records or processes change meanwhile.
+#include "support/deployment_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+
+namespace {
+/// A target that refuses all requests and asks for a pause, and optionally another one that serves.
+struct pausing_target {
+    explicit pausing_target(int slot, const std::string& retryAfter, bool hasOther = true)
+        : deployment(slot)
+        , first(deployment.addTarget("t-1", "pages"))
+    {
+        if (hasOther)
+            deployment.addTarget("t-2", "pages");
+        deployment.configure(3, { deployment.route("/p/", "idempotent", "pages") });
+        refuse({ { "X-Not-Executed", "1" }, { "Retry-After", retryAfter } });
+    }
+
+    void start(size_t gateways = 1)
+    {
+        for (size_t i = 0; i < gateways; ++i)
+            deployment.waitUntilReady(deployment.startGateway());
+    }
+
+    void refuse(http1::header_list fields)
+    {
+        first.setRequestHandler([fields](std::shared_ptr<http1::exchange> exchange) { exchange->respond(503, fields, ""); });
+    }
+
+    /// Sends requests to a gateway until it has sent one to the first target.
+    void sendUntilRefused(size_t gateway = 0)
+    {
+        const size_t before = first.requests().size();
+        for (int i = 0; i < 40 && first.requests().size() == before; ++i)
+            deployment.sendAndWait("GET", "/p/" + std::to_string(i), {}, "", gateway);
+        cr_assert_gt(first.requests().size(), before);
+    }
+
+    /// @return How many of further requests reach the first target.
+    size_t countAtFirst(int requests, size_t gateway = 0)
+    {
+        const size_t before = first.requests().size();
+        for (int i = 0; i < requests; ++i)
+            deployment.sendAndWait("GET", "/p/after-" + std::to_string(i), {}, "", gateway);
+        return first.requests().size() - before;
+    }
+
+    [[nodiscard]] bool hasLogged(std::string_view text, size_t gateway = 0) const { return deployment.logOf(gateway).find(text) != std::string::npos; }
+
+    deployment_fixture deployment;
+    fakes::platform_target& first;
+};
+}
+
+Test(gateway_pause, the_log_shows_why_a_request_is_refused_and_how_the_pause_goes_on)
+{
+    pausing_target target(275, "2", false);
+    target.start();
+    target.sendUntilRefused();
+    target.deployment.sendAndWait("GET", "/p/refused");
+    cr_assert(target.hasLogged("\"retry_after\":\"2\",\"not_executed\":\"true\""));
+    cr_assert(target.hasLogged("A target asks for a pause"));
+    cr_assert(target.hasLogged("\"unavailable\":\"t-1:paused:"));
+    target.deployment.unlistTarget("t-1");
+    target.deployment.waitUntil([&] { return target.hasLogged("\"change\":\"removed\""); }, "the record is gone");
+    target.deployment.waitUntil([&] { return target.hasLogged("The pause of a target ended."); }, "the pause has ended");
+}
+
+Test(gateway_pause, a_pause_that_is_not_kept_as_stated_is_logged_with_the_reason)
+{
+    pausing_target target(276, "soon");
+    target.start();
+    target.sendUntilRefused();
+    cr_assert(target.hasLogged("\"value\":\"soon\",\"reason\":\"no_number\""));
+}
