tests: a target that asks for rest is called again when its record returns (red)

Cause: the target list makes a new state when a record was removed, overwritten by another writer or read from an older list, so pause, leaving, limit and health are lost and late responses change a state that nobody uses.

--- a/tests/process/gateway_pause_test.cpp
+++ b/tests/process/gateway_pause_test.cpp
@@ -7,6 +7,14 @@
 using namespace bilberryseam::tests;
 
 namespace {
+size_t countOf(const std::string& text, std::string_view part)
+{
+    size_t count = 0;
+    for (size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size()))
+        ++count;
+    return count;
+}
+
 /// A target that refuses all requests and asks for a pause, and optionally another one that serves.
 struct pausing_target {
     explicit pausing_target(int slot, const std::string& retryAfter, bool hasOther = true)
@@ -76,3 +84,16 @@
     target.sendUntilRefused();
     cr_assert(target.hasLogged("\"value\":\"soon\",\"reason\":\"no_number\""));
 }
+
+Test(gateway_pause, a_target_whose_record_goes_and_returns_gets_no_requests_before_the_end_of_its_pause)
+{
+    pausing_target target(277, "300");
+    target.start();
+    target.sendUntilRefused();
+    target.deployment.unlistTarget("t-1");
+    target.deployment.waitUntil([&] { return target.hasLogged("\"change\":\"removed\""); }, "the record is gone");
+    target.deployment.listTarget(target.first, "pages");
+    const auto timesListed = [&] { return countOf(target.deployment.logOf(0), "\"target\":\"t-1\",\"change\":\"listed\""); };
+    target.deployment.waitUntil([&] { return timesListed() == 2; }, "the record is back");
+    cr_assert_eq(target.countAtFirst(20), 0u);
+}
