A target keeps its state while its record goes and returns

Seen by callers: none directly; a target that had asked for 300 s of rest got requests again as soon as its record was back, and each of them was refused and sent once more. Cause: target_registry made a new state for each record that returned, so pause, leaving, stated limit and health were lost, and late responses changed a state that nobody used. Change: the registry keeps states without a record for an hour, at most 1,000, the oldest dropped first. A record with the same start and version gets the same object, at whatever address; an older start, or another version with the same start, gets a new state with pause and leaving; a later start begins anew. Without a known start, only the pause is kept across a removal, since a restart cannot be told from a return. Limits of targets without a record stay among the limited ones until the state is dropped.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -89,7 +89,7 @@
         policy::setShare(target->limit, shareOf(*target), now);
         policy::removeLifted(target->limit, now);
     }
-    std::erase_if(context.limitedTargets, [](const auto& target) { return target->isRemoved || !target->limit.perSecond; });
+    std::erase_if(context.limitedTargets, [](const auto& target) { return target->isForgotten || !target->limit.perSecond; });
 }
 
 void earnRetries(context& context, std::string_view service, time_point now)
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -4,6 +4,7 @@
 #include "platform/batch_call.hpp"
 #include "policy/stream_origins.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace bilberryseam::gateway {
@@ -11,6 +12,31 @@
 namespace {
     /// Records that expired during an outage of the store are renewed within about two seconds of its return.
     constexpr milliseconds returnGrace { 2300 };
+
+    /// A target without a record keeps its state for this long, as long as the longest pause.
+    constexpr std::chrono::minutes formerTargetLifetime { 60 };
+    /// States without a record; the oldest are dropped first.
+    constexpr size_t maxFormerTargets = 1000;
+
+    bool isSameRun(const deployment::target& left, const deployment::target& right) noexcept
+    {
+        return left.startedAtMs == right.startedAtMs && left.softwareVersion == right.softwareVersion;
+    }
+
+    bool isStartKnown(const deployment::target& listed) noexcept { return listed.startedAtMs != 0; }
+
+    target_ptr makeState(const deployment::target& listed, const target_state* previous)
+    {
+        const auto state = std::make_shared<target_state>();
+        state->listed = listed;
+        state->hash = hashOf(listed.id);
+        // Only a later start is a restart. An older record may be read again after an outage of the store.
+        if (previous && listed.startedAtMs <= previous->listed.startedAtMs) {
+            state->pause = previous->pause;
+            state->isLeaving = previous->isLeaving && isStartKnown(listed);
+        }
+        return state;
+    }
 }
 
 target_registry::target_registry(on_change onChange)
@@ -27,37 +53,82 @@
 {
     m_deferredRemovals.erase(listed.id);
     const auto position = m_targets.find(listed.id);
-    const auto removed = m_lastRemoved.extract(listed.id);
-    const target_ptr previous = position != m_targets.end() ? position->second : !removed.empty() ? removed.mapped().state
-                                                                                                  : nullptr;
-    const bool isVersionChanged = previous && previous->listed.softwareVersion != listed.softwareVersion;
-    const bool isRestarted = position != m_targets.end() && (isVersionChanged || position->second->listed.startedAtMs != listed.startedAtMs);
-    if (position != m_targets.end() && !isRestarted) {
-        target_state& state = *position->second;
-        state.listedAt = now;
-        if (state.listed == listed)
-            return false;
-        const bool startsLeaving = listed.isDraining && !state.listed.isDraining;
-        const bool isMoved = state.listed.endpoint != listed.endpoint || state.listed.service != listed.service;
-        state.listed = listed;
-        state.isReplaced = state.isReplaced && !isMoved;
-        m_onChange(state, startsLeaving ? "leaving" : "changed");
-        return isMoved;
+    if (position != m_targets.end() && isSameRun(position->second->listed, listed)) {
+        position->second->listedAt = now;
+        return update(*position->second, listed);
     }
-    if (previous) {
+    const bool isRestarted = position != m_targets.end();
+    const former_target* const lastFormer = isRestarted ? nullptr : this->lastFormer(listed.id);
+    const target_ptr previous = isRestarted ? position->second : lastFormer ? lastFormer->state
+                                                                            : nullptr;
+    const bool isVersionDoubtful = isRestarted || (lastFormer && now - lastFormer->since <= policy::targetRecordLag);
+    const bool isVersionChanged = isVersionDoubtful && previous->listed.softwareVersion != listed.softwareVersion;
+    if (previous)
+        previous->isVersionChanged = previous->isVersionChanged || isVersionChanged;
+    target_ptr state = takeFormer(listed);
+    if (isRestarted) {
         previous->isRemoved = true;
-        previous->isVersionChanged = isVersionChanged;
+        addFormer(previous, now);
     }
-    const auto newTarget = std::make_shared<target_state>();
-    newTarget->listed = listed;
-    newTarget->listedAt = now;
-    newTarget->hash = hashOf(listed.id);
-    m_targets[listed.id] = newTarget;
-    m_onChange(*newTarget, isVersionChanged ? versionChange : isRestarted ? "restarted"
-                                                                          : "listed");
+    if (!state)
+        state = makeState(listed, previous.get());
+    state->listed = listed;
+    state->listedAt = now;
+    state->isRemoved = false;
+    state->isReplaced = false;
+    // Without a start, a restarted target cannot be told from one that leaves.
+    state->isLeaving = state->isLeaving && isStartKnown(listed);
+    m_targets[listed.id] = state;
+    m_onChange(*state, isVersionChanged ? versionChange : isRestarted ? "restarted"
+                                                                      : "listed");
     return true;
 }
 
+bool target_registry::update(target_state& state, const deployment::target& listed)
+{
+    if (state.listed == listed)
+        return false;
+    const bool startsLeaving = listed.isDraining && !state.listed.isDraining;
+    const bool isMoved = state.listed.endpoint != listed.endpoint || state.listed.service != listed.service;
+    state.listed = listed;
+    state.isReplaced = state.isReplaced && !isMoved;
+    m_onChange(state, startsLeaving ? "leaving" : "changed");
+    return isMoved;
+}
+
+const target_registry::former_target* target_registry::lastFormer(std::string_view id) const noexcept
+{
+    const auto position = std::find_if(m_formers.rbegin(), m_formers.rend(), [id](const auto& former) { return former.state->listed.id == id; });
+    return position == m_formers.rend() ? nullptr : &*position;
+}
+
+target_ptr target_registry::takeFormer(const deployment::target& listed)
+{
+    // Which version ran the last requests of a state is doubtful for good once its record named another one.
+    const auto position = std::find_if(m_formers.begin(), m_formers.end(), [&listed](const auto& former) {
+        return former.state->listed.id == listed.id && isSameRun(former.state->listed, listed) && !former.state->isVersionChanged;
+    });
+    if (position == m_formers.end())
+        return nullptr;
+    const target_ptr state = position->state;
+    m_formers.erase(position);
+    return state;
+}
+
+void target_registry::addFormer(const target_ptr& state, time_point now)
+{
+    m_formers.push_back({ state, now });
+    dropFormers(now);
+}
+
+void target_registry::dropFormers(time_point now)
+{
+    while (!m_formers.empty() && (m_formers.size() > maxFormerTargets || now - m_formers.front().since > formerTargetLifetime)) {
+        m_formers.front().state->isForgotten = true;
+        m_formers.pop_front();
+    }
+}
+
 void target_registry::remove(std::string_view id, time_point now)
 {
     rebuildIndexesIf(removeOrDefer(id, now));
@@ -104,7 +175,7 @@
 
 void target_registry::tick(time_point now)
 {
-    std::erase_if(m_lastRemoved, [now](const auto& item) { return now - item.second.since > policy::targetRecordLag; });
+    dropFormers(now);
     if (m_isStoreUnreachable || m_deferredRemovals.empty() || now - m_storeReachableSince < returnGrace)
         return;
     bool isOutOfDate = false;
@@ -136,7 +207,7 @@
     const target_ptr state = position->second;
     m_targets.erase(position);
     state->isRemoved = true;
-    m_lastRemoved[id] = { state, now };
+    addFormer(state, now);
     m_onChange(*state, reason);
     return true;
 }
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -6,6 +6,7 @@
 #include "policy/rate_limit.hpp"
 #include "policy/target_health.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,6 +23,8 @@
     uint64_t hash = 0;
     /// The record was removed or replaced by that of a restarted target.
     bool isRemoved = false;
+    /// The registry no longer holds the state: the target gets a new one if its record returns.
+    bool isForgotten = false;
     /// The target said in a response that it leaves; its record may say so later.
     bool isLeaving = false;
     policy::target_pause pause;
@@ -92,13 +95,24 @@
     std::map<std::string, std::vector<target_ptr>, std::less<>> m_byService;
     /// If two records name the same address, the one that was updated last counts.
     std::map<ip_endpoint, target_ptr> m_byEndpoint;
-    /// A removed target and when its record went.
-    struct removed_target {
+    /// A target without a record, and when its record went.
+    struct former_target {
         target_ptr state;
         time_point since {};
     };
-    /// Targets that were removed lately: one that returns with another version had perhaps started before its record went.
-    std::map<std::string, removed_target, std::less<>> m_lastRemoved;
+    /// @return The newest state without a record of this target, or null.
+    [[nodiscard]] const former_target* lastFormer(std::string_view id) const noexcept;
+    /// Takes the state without a record that has the same start and version out of the table.
+    /// @return The state, or null.
+    [[nodiscard]] target_ptr takeFormer(const deployment::target& listed);
+    void addFormer(const target_ptr& state, time_point now);
+    void dropFormers(time_point now);
+    /// Applies the record of a target that has the same start and version as the state.
+    /// @return Whether the indexes are out of date.
+    [[nodiscard]] bool update(target_state& state, const deployment::target& listed);
+
+    /// States without a record, in the order in which their records went. A target whose record returns keeps its state.
+    std::deque<former_target> m_formers;
     /// Deferred removals by target, with the time at which they were reported.
     std::map<std::string, time_point, std::less<>> m_deferredRemovals;
     bool m_isStoreUnreachable = false;
