tests: pauses that are cut at 30 s or not read (red)

Cause: decodePause demands the field that says that the request was not executed, cuts a pause at 30 s, and takes the first of several values.

--- a/tests/process/gateway_pause_test.cpp
+++ b/tests/process/gateway_pause_test.cpp
@@ -97,3 +97,13 @@
     target.deployment.waitUntil([&] { return timesListed() == 2; }, "the record is back");
     cr_assert_eq(target.countAtFirst(20), 0u);
 }
+
+Test(gateway_pause, a_refusal_that_does_not_say_that_the_request_did_not_run_asks_for_a_pause_too)
+{
+    pausing_target target(278, "300", false);
+    target.refuse({ { "Retry-After", "300" } });
+    target.start();
+    target.sendUntilRefused();
+    target.deployment.runLoopFor(milliseconds(700));
+    cr_assert_eq(target.countAtFirst(4), 0u);
+}
