A pause is read from any 503 and kept whole

Seen by callers: none directly; a target that asked for more than 30 s, or whose refusal did not state that the request had not run, got requests before the end of the pause. Cause: decodePause demanded that statement, cut a pause at 30 s and rounded it down, and took the first of several values. Change: each 503 with Retry-After counts; of several values the longest counts; up to an hour is kept as stated and rounded up to milliseconds; more is cut to an hour, what is no number is ignored, both are logged with the reason. A 429 is not a pause: it concerns one caller. Callers are still asked to stay away for 30 s at most. States without a record are kept for as long as the longest pause.

--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -22,7 +22,10 @@
     /// Delay after which callers may retry at an entry that has a share in the limits of targets.
     constexpr milliseconds retryElsewhereTime { 300 };
 
-    /// Longest time that a caller is asked to stay away.
+    /// Longest time that a caller is asked to stay away because all targets pause.
+    constexpr milliseconds longestPauseOfCallers { 30000 };
+
+    /// Longest time that a caller is asked to stay away because all targets are limited.
     constexpr milliseconds longestRetryAfter { 10000 };
 }
 
@@ -63,7 +66,8 @@
     }
     if (!end || *end < m_arrivedAt + detail::maxPlacementTime)
         return std::nullopt;
-    return std::chrono::duration_cast<milliseconds>(*end - now);
+    // Other targets may be listed before a long pause ends.
+    return std::min(longestPauseOfCallers, std::chrono::duration_cast<milliseconds>(*end - now));
 }
 
 void request_run::logPauses(std::string_view next, time_point now)
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "platform/batch_call.hpp"
+#include "platform/ingress.hpp"
 #include "policy/stream_origins.hpp"
 
 #include <algorithm>
@@ -13,8 +14,8 @@
     /// Records that expired during an outage of the store are renewed within about two seconds of its return.
     constexpr milliseconds returnGrace { 2300 };
 
-    /// A target without a record keeps its state for this long, as long as the longest pause.
-    constexpr std::chrono::minutes formerTargetLifetime { 60 };
+    /// A target without a record keeps its state for this long.
+    constexpr milliseconds formerTargetLifetime { platform::longestPause };
     /// States without a record; the oldest are dropped first.
     constexpr size_t maxFormerTargets = 1000;
 
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -85,11 +85,11 @@
     }
 
     /// @return A decimal number that is finite and at least zero, or nothing.
-    std::optional<double> parseDecimal(std::string_view text)
+    std::optional<double> parseDecimal(std::string_view text, std::chars_format format = std::chars_format::fixed)
     {
         const std::string_view digits = http1::trim(text);
         double number = 0;
-        const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), number, std::chars_format::fixed);
+        const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), number, format);
         const bool isNumber = problem == std::errc() && end == digits.data() + digits.size() && std::isfinite(number) && number >= 0;
         return isNumber ? std::optional(number) : std::nullopt;
     }
@@ -157,6 +157,21 @@
         return request;
     }
 
+    /// @return The largest number among the values of all fields of this name.
+    std::optional<double> longestOf(const http1::response_head& head, std::string_view wanted)
+    {
+        std::optional<double> longest;
+        for (const auto& [name, value] : head.headers) {
+            if (!http1::isSameName(name, wanted))
+                continue;
+            forEachListItem(value, [&longest](std::string_view item) {
+                if (const auto number = parseDecimal(item, std::chars_format::general))
+                    longest = std::max(longest.value_or(*number), *number);
+            });
+        }
+        return longest;
+    }
+
     std::string textOfFields(const http1::response_head& head, std::string_view wanted)
     {
         std::string text;
@@ -257,18 +272,20 @@
 
 stated_pause decodePause(const http1::response_head& head)
 {
-    const auto value = http1::findHeader(head.headers, retryAfterName);
-    if (!value)
+    const size_t fieldCount = http1::countHeaders(head.headers, retryAfterName);
+    if (fieldCount == 0)
         return {};
     stated_pause pause { textOfFields(head, retryAfterName), std::nullopt, {} };
-    const auto pauseSeconds = parseDecimal(*value);
-    if (head.status != http1::statusUnavailable || !isNotExecuted(head))
+    const auto longest = longestOf(head, retryAfterName);
+    if (head.status != http1::statusUnavailable)
         pause.problem = "no_refusal";
-    else if (!pauseSeconds)
+    else if (!longest)
         pause.problem = "no_number";
     else {
-        pause.length = milliseconds(static_cast<int64_t>(std::min(*pauseSeconds, asSeconds(longestPause)) * 1000));
-        pause.problem = *pauseSeconds > asSeconds(longestPause) ? "too_long" : "";
+        const bool isTooLong = *longest > asSeconds(longestPause);
+        pause.length = isTooLong ? longestPause : milliseconds(static_cast<int64_t>(std::ceil(*longest * 1000)));
+        pause.problem = isTooLong ? "too_long" : fieldCount > 1 ? "several"
+                                                                : "";
     }
     return pause;
 }
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -68,8 +68,9 @@
 /// @return True if the target that responded states that it leaves and wants no new requests.
 [[nodiscard]] bool isLeaving(const http1::response_head& head);
 
-/// Longest pause that a target may ask for; a larger one cannot silence it for good.
-constexpr milliseconds longestPause { 30000 };
+/// Longest pause that a target may ask for. One that wants no requests for longer is taken out of the target list, and a
+/// mistaken value must not keep a target out for good.
+constexpr milliseconds longestPause { 3600000 };
 
 /// What a response says of the time for which its target wants no requests.
 struct stated_pause {
@@ -81,6 +82,8 @@
     std::string_view problem;
 };
 
+/// Reads the pause from a refusal with 503, whether or not it states that the request was not executed: the time concerns the
+/// target and not the request. A 429 concerns one caller, and a misdirected request was answered by another target.
 [[nodiscard]] stated_pause decodePause(const http1::response_head& head);
 
 /// @return True if the target states that it did not execute the request.
