--- a/tests/process/gateway_pause_test.cpp
+++ b/tests/process/gateway_pause_test.cpp
@@ -1,6 +1,7 @@
 /// Targets that ask for a pause: what is logged, and what happens when their records or processes change meanwhile.
 #include "support/deployment_fixture.hpp"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace bilberryseam;
@@ -107,3 +108,50 @@
     target.deployment.runLoopFor(milliseconds(700));
     cr_assert_eq(target.countAtFirst(4), 0u);
 }
+
+Test(gateway_pause, requests_return_a_few_at_a_time_after_a_pause)
+{
+    pausing_target target(279, "1", false);
+    target.start();
+    target.sendUntilRefused();
+    target.deployment.waitUntil([&] { return target.hasLogged("The pause of a target ended."); }, "the pause has ended");
+    std::vector<std::shared_ptr<http1::exchange>> held;
+    target.first.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) { held.push_back(std::move(exchange)); });
+    const size_t before = target.first.requests().size();
+    std::vector<caller_ptr> callers;
+    for (int i = 0; i < 12; ++i)
+        callers.push_back(target.deployment.send("GET", "/p/return-" + std::to_string(i)));
+    target.deployment.waitUntil([&] { return !held.empty(); }, "a request has arrived");
+    target.deployment.runLoopFor(milliseconds(400));
+    cr_assert_geq(target.first.requests().size() - before, 1u);
+    cr_assert_leq(target.first.requests().size() - before, 4u);
+    target.first.setRequestHandler({});
+    for (const auto& exchange : std::exchange(held, {}))
+        exchange->respond(200, target.first.responseHeaders(*exchange), "");
+    target.deployment.waitUntil([&] { return std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return caller->isFinished; }); }, "all requests have ended");
+    cr_assert_eq(target.deployment.sendAndWait("GET", "/p/later")->head.status, 200);
+}
+
+Test(gateway_pause, callers_that_are_refused_in_a_pause_are_asked_to_return_at_different_times)
+{
+    pausing_target target(280, "20", false);
+    target.start();
+    target.sendUntilRefused();
+    double shortest = 1e9;
+    double longest = 0;
+    for (int i = 0; i < 20; ++i) {
+        const double wait = std::stod(target.deployment.sendAndWait("GET", "/p/spread")->header("Retry-After"));
+        shortest = std::min(shortest, wait);
+        longest = std::max(longest, wait);
+    }
+    cr_assert_geq(longest - shortest, 1.0);
+}
+
+Test(gateway_pause, a_request_whose_time_ends_before_the_pause_is_refused_at_once)
+{
+    pausing_target target(281, "1.2", false);
+    target.start();
+    target.sendUntilRefused();
+    target.deployment.sendAndWait("GET", "/p/short", { { "X-Attempt-Id", "short" }, { "X-Deadline-Ms", "400" } });
+    cr_assert(target.hasLogged("\"request\":\"short\",\"outcome\":\"refused\",\"reason\":\"targets_paused\""));
+}
