tests: gateway_pause waits for lines that reach the log late

Cause: the gateway writes its log from a queue; a line may reach the file after the response reached the caller. a_request_whose_time_ends_before_the_pause_is_refused_at_once failed once with the fix in place for this reason. Change: the tests wait for the line, up to the timeout of the fixture, and fail without it as before.

--- a/tests/process/gateway_pause_test.cpp
+++ b/tests/process/gateway_pause_test.cpp
@@ -59,6 +59,12 @@
 
     [[nodiscard]] bool hasLogged(std::string_view text, size_t gateway = 0) const { return deployment.logOf(gateway).find(text) != std::string::npos; }
 
+    /// Waits for a line that may have been written a moment before it reaches the file.
+    void waitUntilLogged(std::string_view text)
+    {
+        deployment.waitUntil([&] { return hasLogged(text); }, std::string(text).c_str());
+    }
+
     deployment_fixture deployment;
     fakes::platform_target& first;
 };
@@ -70,12 +76,12 @@
     target.start();
     target.sendUntilRefused();
     target.deployment.sendAndWait("GET", "/p/refused");
-    cr_assert(target.hasLogged("\"retry_after\":\"2\",\"not_executed\":\"true\""));
-    cr_assert(target.hasLogged("A target asks for a pause"));
-    cr_assert(target.hasLogged("\"unavailable\":\"t-1:paused:"));
+    target.waitUntilLogged("\"retry_after\":\"2\",\"not_executed\":\"true\"");
+    target.waitUntilLogged("A target asks for a pause");
+    target.waitUntilLogged("\"unavailable\":\"t-1:paused:");
     target.deployment.unlistTarget("t-1");
-    target.deployment.waitUntil([&] { return target.hasLogged("\"change\":\"removed\""); }, "the record is gone");
-    target.deployment.waitUntil([&] { return target.hasLogged("The pause of a target ended."); }, "the pause has ended");
+    target.waitUntilLogged("\"change\":\"removed\"");
+    target.waitUntilLogged("The pause of a target ended.");
 }
 
 Test(gateway_pause, a_pause_that_is_not_kept_as_stated_is_logged_with_the_reason)
@@ -83,7 +89,7 @@
     pausing_target target(276, "soon");
     target.start();
     target.sendUntilRefused();
-    cr_assert(target.hasLogged("\"value\":\"soon\",\"reason\":\"no_number\""));
+    target.waitUntilLogged("\"value\":\"soon\",\"reason\":\"no_number\"");
 }
 
 Test(gateway_pause, a_target_whose_record_goes_and_returns_gets_no_requests_before_the_end_of_its_pause)
@@ -92,7 +98,7 @@
     target.start();
     target.sendUntilRefused();
     target.deployment.unlistTarget("t-1");
-    target.deployment.waitUntil([&] { return target.hasLogged("\"change\":\"removed\""); }, "the record is gone");
+    target.waitUntilLogged("\"change\":\"removed\"");
     target.deployment.listTarget(target.first, "pages");
     const auto timesListed = [&] { return countOf(target.deployment.logOf(0), "\"target\":\"t-1\",\"change\":\"listed\""); };
     target.deployment.waitUntil([&] { return timesListed() == 2; }, "the record is back");
@@ -114,7 +120,7 @@
     pausing_target target(279, "1", false);
     target.start();
     target.sendUntilRefused();
-    target.deployment.waitUntil([&] { return target.hasLogged("The pause of a target ended."); }, "the pause has ended");
+    target.waitUntilLogged("The pause of a target ended.");
     std::vector<std::shared_ptr<http1::exchange>> held;
     target.first.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) { held.push_back(std::move(exchange)); });
     const size_t before = target.first.requests().size();
@@ -153,5 +159,6 @@
     target.start();
     target.sendUntilRefused();
     target.deployment.sendAndWait("GET", "/p/short", { { "X-Attempt-Id", "short" }, { "X-Deadline-Ms", "400" } });
+    target.waitUntilLogged("\"request\":\"short\",\"outcome\":");
     cr_assert(target.hasLogged("\"request\":\"short\",\"outcome\":\"refused\",\"reason\":\"targets_paused\""));
 }
