A request whose time ends before the pause of all targets is refused at once

Seen by callers: with 400 ms left and all targets paused for 1.2 s, a request waited until its deadline and was then refused. Cause: only pauses beyond the longest wait of 1.5 s were compared, not with the request's own time, and one blocked target beside paused ones counted as available. Change: a request is refused if targets pause and none is available before the sooner of its longest wait and its deadline; a blocked target is available when its block ends.

--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -60,11 +60,15 @@
 std::optional<milliseconds> request_run::pauseOfAllTargets(time_point now) const
 {
     std::optional<time_point> end;
+    bool isAnyPaused = false;
     for (const auto& target : m_context.targets.ofService(m_request.service)) {
-        if (target->isInService() && mayRunAt(*target))
-            end = std::min(end.value_or(target->pause.until), target->pause.until);
+        if (!target->isInService() || !mayRunAt(*target))
+            continue;
+        isAnyPaused = isAnyPaused || policy::isPaused(target->pause, now);
+        const time_point availableAt = std::max(target->pause.until, target->health.blockedUntil);
+        end = std::min(end.value_or(availableAt), availableAt);
     }
-    if (!end || *end < m_arrivedAt + detail::maxPlacementTime)
+    if (!isAnyPaused || *end < std::min(m_deadline, m_arrivedAt + detail::maxPlacementTime))
         return std::nullopt;
     // Other targets may be listed before a long pause ends.
     return std::min(longestPauseOfCallers, std::chrono::duration_cast<milliseconds>(*end - now));
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -150,7 +150,8 @@
     /// @return The expected wait if it is too long; nothing if the request has a place or no target is limited.
     [[nodiscard]] std::optional<milliseconds> waitForLimits(time_point now);
     void refuseLimited(milliseconds expectedWait);
-    /// @return Time until the first target's pause ends, if all targets have asked for pauses that outlast the request's wait.
+    /// @return Time until the first target is available, if targets pause and none is available before the request's wait or
+    /// its time ends.
     [[nodiscard]] std::optional<milliseconds> pauseOfAllTargets(time_point now) const;
     /// Reports once which targets are unavailable, if any of them pauses.
     /// @param next  What happens to the request.
