Callers that are refused in a pause are asked to return at different times

Seen by callers: all that were refused while the targets of a service paused got the same end in Retry-After and came back together. Cause: Retry-After was the rest of the pause. Change: it is the rest of the pause, at most 30 s, and up to half as much again by the request's identifier. Result: of 20 refusals in a pause of 20 s, the longest and shortest Retry-After differ by over 1 s (gateway_pause/callers_that_are_refused_*, red before).

--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -22,7 +22,10 @@
     /// Delay after which callers may retry at an entry that has a share in the limits of targets.
     constexpr milliseconds retryElsewhereTime { 300 };
 
-    /// Longest time that a caller is asked to stay away because all targets pause.
+    /// Callers that are refused in a pause come back spread over this part of it.
+    constexpr int pauseSpreadDivisor = 2;
+
+    /// Longest time that a caller is asked to stay away because all targets pause, without the spread.
     constexpr milliseconds longestPauseOfCallers { 30000 };
 
     /// Longest time that a caller is asked to stay away because all targets are limited.
@@ -70,8 +73,21 @@
     }
     if (!isAnyPaused || *end < std::min(m_deadline, m_arrivedAt + detail::maxPlacementTime))
         return std::nullopt;
+    return std::chrono::duration_cast<milliseconds>(*end - now);
+}
+
+milliseconds request_run::spreadOver(milliseconds time) const
+{
+    const double position = static_cast<double>(hashOf(m_request.callerRequest.id) % 1000) / 1000;
+    return milliseconds(static_cast<int64_t>(asSeconds(time) * 1000 * position));
+}
+
+void request_run::refusePaused(milliseconds pauseLeft, time_point now)
+{
+    logPauses("refused", now);
     // Other targets may be listed before a long pause ends.
-    return std::min(longestPauseOfCallers, std::chrono::duration_cast<milliseconds>(*end - now));
+    const milliseconds shortest = std::min(longestPauseOfCallers, pauseLeft);
+    refuse("targets_paused", shortest + spreadOver(shortest / pauseSpreadDivisor));
 }
 
 void request_run::logPauses(std::string_view next, time_point now)
@@ -86,8 +102,7 @@
 void request_run::refuseLimited(milliseconds expectedWait)
 {
     // Callers that are refused at the same moment come back spread over as long again.
-    const auto spread = static_cast<double>(hashOf(m_request.callerRequest.id) % 1000) / 1000;
-    const auto retryAfter = std::min(longestRetryAfter, milliseconds(static_cast<int64_t>(static_cast<double>(expectedWait.count()) * (1 + spread))));
+    const auto retryAfter = std::min(longestRetryAfter, expectedWait + spreadOver(expectedWait));
     refuse("rate_limited", std::max(detail::retryAfterTransientFailure, retryAfter));
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -169,8 +169,7 @@
         return;
     }
     if (const auto pause = pauseOfAllTargets(now); pause && !m_mayHaveRun && !m_request.exchange->isStarted()) {
-        logPauses("refused", now);
-        refuse("targets_paused", *pause);
+        refusePaused(*pause, now);
         return;
     }
     if (const auto limitWait = waitForLimits(now)) {
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -150,6 +150,9 @@
     /// @return The expected wait if it is too long; nothing if the request has a place or no target is limited.
     [[nodiscard]] std::optional<milliseconds> waitForLimits(time_point now);
     void refuseLimited(milliseconds expectedWait);
+    void refusePaused(milliseconds pauseLeft, time_point now);
+    /// @return A part of the time that differs between requests.
+    [[nodiscard]] milliseconds spreadOver(milliseconds time) const;
     /// @return Time until the first target is available, if targets pause and none is available before the request's wait or
     /// its time ends.
     [[nodiscard]] std::optional<milliseconds> pauseOfAllTargets(time_point now) const;
