Requests return a few at a time after a pause

Seen by callers: all requests that waited for a target went to it in the moment in which its pause ended; 12 of 12 arrived together, and a target that was still full refused them. Cause: nothing bounded how many requests return at once, and entries were spread over a fifth of the pause whatever their number. Change: after a pause one request may be unanswered at the target; each response that serves doubles this, as does each second without a refusal, up to 32, from where on it is not bounded. A refusal starts again at one. Entries return 20 ms apart (0.6 s for 30, 6 s for 300). The counted request gives its place back when its call is destroyed. Responses to requests that were sent before a newer pause do not count. A request that finds a target returning shows it as such in the log. Not measured: worth and wasted attempts under load.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -73,9 +73,11 @@
 {
     const time_point sentAt = monotonicNow();
     policy::recordSend(target->limit, sentAt);
-    callbacks.onHead = [&context, target, sentAt, onHead = std::move(callbacks.onHead)](const http1::response_head& head) {
+    const auto trial = std::make_shared<return_trial>(target);
+    callbacks.onHead = [&context, target, sentAt, trial, onHead = std::move(callbacks.onHead)](const http1::response_head& head) {
         applyLimit(context, target, head, sentAt);
         applyLeaving(context, *target, head);
+        trial->onResponse(head);
         applyPause(context, target, head, monotonicNow());
         if (onHead)
             onHead(head);
--- a/src/gateway/target_pauses.cpp
+++ b/src/gateway/target_pauses.cpp
@@ -8,9 +8,6 @@
 namespace {
     constexpr std::string_view logComponent = "targets";
 
-    /// Share of a target's pause by which entries return later than it asks.
-    constexpr double maxPauseSpread = 0.2;
-
     /// Targets that one log line names.
     constexpr size_t maxNamedTargets = 8;
 
@@ -30,20 +27,44 @@
             return "paused:" + std::to_string(asMilliseconds(now - target.pause.since)) + ":" + left(target.pause.until);
         if (!policy::isUsable(target.health, now))
             return "blocked:" + std::to_string(asMilliseconds(now - target.health.changedAt)) + ":" + left(target.health.blockedUntil);
+        if (!policy::mayReturn(target.pause, now))
+            return "returning:" + std::to_string(asMilliseconds(now - target.pause.until)) + ":";
         return target.mayGetWork(now) ? "" : "limited::";
     }
 }
 
+return_trial::return_trial(target_ptr target)
+    : m_target(std::move(target))
+    , m_pausedSince(m_target->pause.since)
+    , m_isOpen(policy::beginTrial(m_target->pause))
+{
+}
+
+return_trial::~return_trial()
+{
+    end(policy::trial_outcome::Unknown);
+}
+
+void return_trial::onResponse(const http1::response_head& head)
+{
+    end(head.status == http1::statusUnavailable ? policy::trial_outcome::Refused : policy::trial_outcome::Served);
+}
+
+void return_trial::end(policy::trial_outcome outcome)
+{
+    if (std::exchange(m_isOpen, false))
+        policy::endTrial(m_target->pause, m_pausedSince, outcome, monotonicNow());
+}
+
 void applyPause(context& context, const target_ptr& target, const http1::response_head& head, time_point now)
 {
     const auto stated = platform::decodePause(head);
     if (!stated.problem.empty() && head.status == http1::statusUnavailable)
         logLine(log_level::Warning, logComponent, "The pause that a target asks for is not kept as stated.", { { "target", target->listed.id }, { "value", stated.text }, { "reason", std::string(stated.problem) }, { "pause_ms", std::to_string(stated.length.value_or(milliseconds(0)).count()) } });
-    if (!stated.length)
+    if (!stated.length || stated.length->count() == 0)
         return;
-    // Entries that were refused at the same moment return spread over a fifth of the pause.
-    const double spread = maxPauseSpread * static_cast<double>(hashOf(context.settings.name, target->hash) % 1000) / 1000;
-    const auto length = *stated.length + milliseconds(static_cast<int64_t>(static_cast<double>(stated.length->count()) * spread));
+    const double position = static_cast<double>(hashOf(context.settings.name, target->hash) % 1000) / 1000;
+    const auto length = *stated.length + policy::returnDelay(context.entryCount, position);
     context.counters.count("target_pauses_total");
     const auto change = policy::applyPause(target->pause, length, now);
     if (change == policy::pause_change::None)
--- a/src/gateway/target_pauses.hpp
+++ b/src/gateway/target_pauses.hpp
@@ -8,6 +8,24 @@
 
 namespace bilberryseam::gateway {
 
+/// One request that is counted among those that return after a pause, until its target responds or the call is destroyed.
+class return_trial {
+public:
+    explicit return_trial(target_ptr target);
+    return_trial(const return_trial&) = delete;
+    return_trial& operator=(const return_trial&) = delete;
+    ~return_trial();
+
+    void onResponse(const http1::response_head& head);
+
+private:
+    void end(policy::trial_outcome outcome);
+
+    target_ptr m_target;
+    time_point m_pausedSince;
+    bool m_isOpen;
+};
+
 /// Applies the pause that a response asks for, if any.
 void applyPause(context& context, const target_ptr& target, const http1::response_head& head, time_point now);
 
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -49,7 +49,7 @@
 
     [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !isLeaving && !listed.isDraining; }
     /// @return Whether the target may get work as soon as its limit allows.
-    [[nodiscard]] bool isAvailable(time_point now) const noexcept { return isInService() && !policy::isPaused(pause, now) && policy::isUsable(health, now); }
+    [[nodiscard]] bool isAvailable(time_point now) const noexcept { return isInService() && policy::mayReturn(pause, now) && policy::isUsable(health, now); }
     [[nodiscard]] bool mayGetWork(time_point now) const noexcept { return isAvailable(now) && policy::canSend(limit, now); }
 };
 
