--- a/tests/process/gateway_pause_test.cpp
+++ b/tests/process/gateway_pause_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <csignal>
 
 using namespace bilberryseam;
 using namespace bilberryseam::tests;
@@ -162,3 +163,52 @@
     target.waitUntilLogged("\"request\":\"short\",\"outcome\":");
     cr_assert(target.hasLogged("\"request\":\"short\",\"outcome\":\"refused\",\"reason\":\"targets_paused\""));
 }
+
+Test(gateway_pause, an_outage_of_the_store_and_a_freeze_of_the_gateway_do_not_end_a_pause)
+{
+    pausing_target target(282, "300");
+    target.start(2);
+    target.sendUntilRefused(0);
+    target.deployment.store().setFaults({ true, false, 0 });
+    target.deployment.signal(0, SIGSTOP);
+    target.deployment.runLoopFor(milliseconds(1000));
+    target.deployment.signal(0, SIGCONT);
+    target.waitUntilLogged("The process was frozen");
+    cr_assert_eq(target.countAtFirst(10, 0), 0u);
+    target.sendUntilRefused(1);
+    cr_assert_eq(target.countAtFirst(10, 1), 0u);
+    target.deployment.store().setFaults({});
+    target.waitUntilLogged("The store is reachable again.");
+    cr_assert_eq(target.countAtFirst(10, 0), 0u);
+}
+
+Test(gateway_pause, a_leaving_target_gets_no_requests_after_its_pause)
+{
+    pausing_target target(283, "1");
+    target.refuse({ { "X-Not-Executed", "1" }, { "Retry-After", "0.5" }, { "Server-Leaving", "1" }, { "Server-Limit", "5" } });
+    target.start(2);
+    for (const size_t gateway : { 0, 1 }) {
+        target.sendUntilRefused(gateway);
+        target.deployment.waitUntil([&] { return target.hasLogged("The pause of a target ended.", gateway); }, "the pause has ended");
+        cr_assert_eq(target.countAtFirst(10, gateway), 0u);
+    }
+}
+
+Test(gateway_pause, a_target_that_states_a_limit_and_asks_for_a_pause_keeps_both)
+{
+    pausing_target target(284, "3", false);
+    target.refuse({ { "X-Not-Executed", "1" }, { "Retry-After", "3" }, { "Server-Limit", "4" } });
+    target.start(2);
+    for (const size_t gateway : { 0, 1 }) {
+        target.sendUntilRefused(gateway);
+        cr_assert_eq(target.countAtFirst(10, gateway), 0u);
+    }
+    target.first.setRequestHandler([&](std::shared_ptr<http1::exchange> exchange) {
+        auto headers = target.first.responseHeaders(*exchange);
+        headers.emplace_back("Server-Limit", "4");
+        exchange->respond(200, headers, "");
+    });
+    for (const size_t gateway : { 0, 1 })
+        target.deployment.waitUntil([&] { return target.deployment.sendAndWait("GET", "/p/back", {}, "", gateway)->head.status == 200; }, "the target serves again");
+    cr_assert(target.hasLogged("A target states how many requests a second it takes."));
+}
