--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -1,6 +1,7 @@
 #include "base/hash.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/request_run.hpp"
+#include "gateway/target_pauses.hpp"
 #include "policy/suspicion.hpp"
 
 #include <algorithm>
@@ -21,7 +22,13 @@
     /// Delay after which callers may retry at an entry that has a share in the limits of targets.
     constexpr milliseconds retryElsewhereTime { 300 };
 
-    /// Longest time that a caller is asked to stay away.
+    /// Callers that are refused in a pause come back spread over this part of it.
+    constexpr int pauseSpreadDivisor = 2;
+
+    /// Longest time that a caller is asked to stay away because all targets pause, without the spread.
+    constexpr milliseconds longestPauseOfCallers { 30000 };
+
+    /// Longest time that a caller is asked to stay away because all targets are limited.
     constexpr milliseconds longestRetryAfter { 10000 };
 }
 
@@ -56,20 +63,46 @@
 std::optional<milliseconds> request_run::pauseOfAllTargets(time_point now) const
 {
     std::optional<time_point> end;
+    bool isAnyPaused = false;
     for (const auto& target : m_context.targets.ofService(m_request.service)) {
-        if (target->isInService() && mayRunAt(*target))
-            end = std::min(end.value_or(target->pausedUntil), target->pausedUntil);
+        if (!target->isInService() || !mayRunAt(*target))
+            continue;
+        isAnyPaused = isAnyPaused || policy::isPaused(target->pause, now);
+        const time_point availableAt = std::max(target->pause.until, target->health.blockedUntil);
+        end = std::min(end.value_or(availableAt), availableAt);
     }
-    if (!end || *end < m_arrivedAt + detail::maxPlacementTime)
+    if (!isAnyPaused || *end < std::min(m_deadline, m_arrivedAt + detail::maxPlacementTime))
         return std::nullopt;
     return std::chrono::duration_cast<milliseconds>(*end - now);
 }
 
+milliseconds request_run::spreadOver(milliseconds time) const
+{
+    const double position = static_cast<double>(hashOf(m_request.callerRequest.id) % 1000) / 1000;
+    return milliseconds(static_cast<int64_t>(asSeconds(time) * 1000 * position));
+}
+
+void request_run::refusePaused(milliseconds pauseLeft, time_point now)
+{
+    logPauses("refused", now);
+    // Other targets may be listed before a long pause ends.
+    const milliseconds shortest = std::min(longestPauseOfCallers, pauseLeft);
+    refuse("targets_paused", shortest + spreadOver(shortest / pauseSpreadDivisor));
+}
+
+void request_run::logPauses(std::string_view next, time_point now)
+{
+    const auto& targets = m_context.targets.ofService(m_request.service);
+    const bool isAnyPaused = std::any_of(targets.begin(), targets.end(), [now](const auto& target) { return policy::isPaused(target->pause, now); });
+    if (!isAnyPaused || std::exchange(m_arePausesReported, true))
+        return;
+    logLine(log_level::Info, logComponent, "No target is available for the request while targets pause.", { { "request", m_request.callerRequest.id }, { "service", m_request.service }, { "next", std::string(next) }, { "unavailable", textOfUnavailable(targets, now) } });
+}
+
 void request_run::refuseLimited(milliseconds expectedWait)
 {
     // Callers that are refused at the same moment come back spread over as long again.
-    const auto spread = static_cast<double>(hashOf(m_request.callerRequest.id) % 1000) / 1000;
-    const auto retryAfter = std::min(longestRetryAfter, milliseconds(static_cast<int64_t>(static_cast<double>(expectedWait.count()) * (1 + spread))));
+    const auto retryAfter = std::min(longestRetryAfter, expectedWait + spreadOver(expectedWait));
     refuse("rate_limited", std::max(detail::retryAfterTransientFailure, retryAfter));
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -176,10 +176,11 @@
         return;
     }
     if (const auto pause = pauseOfAllTargets(now); pause && !m_mayHaveRun && !m_request.exchange->isStarted()) {
-        refuse("targets_paused", *pause);
+        refusePaused(*pause, now);
         return;
     }
     if (const auto limitWait = waitForLimits(now)) {
+        logPauses("refused", now);
         refuseLimited(*limitWait);
         return;
     }
@@ -191,9 +192,11 @@
         return;
     }
     if (!mayWait) {
+        logPauses("ends", now);
         onAttemptFailed("no_target", false);
         return;
     }
+    logPauses("waits", now);
     m_triedTargets.clear();
     waitForTarget(now);
 }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -160,8 +160,15 @@
     /// @return The expected wait if it is too long; nothing if the request has a place or no target is limited.
     [[nodiscard]] std::optional<milliseconds> waitForLimits(time_point now);
     void refuseLimited(milliseconds expectedWait);
-    /// @return Time until the first target's pause ends, if all targets have asked for pauses that outlast the request's wait.
+    void refusePaused(milliseconds pauseLeft, time_point now);
+    /// @return A part of the time that differs between requests.
+    [[nodiscard]] milliseconds spreadOver(milliseconds time) const;
+    /// @return Time until the first target is available, if targets pause and none is available before the request's wait or
+    /// its time ends.
     [[nodiscard]] std::optional<milliseconds> pauseOfAllTargets(time_point now) const;
+    /// Reports once which targets are unavailable, if any of them pauses.
+    /// @param next  What happens to the request.
+    void logPauses(std::string_view next, time_point now);
     void send(const target_ptr& target);
 
     // Responses; in request_attempts.cpp.
@@ -269,6 +276,7 @@
     std::vector<target_ptr> m_endedRuns;
     /// The next send has not been taken from the retry budget yet.
     bool m_isRetryUnpaid = false;
+    bool m_arePausesReported = false;
     bool m_mayHaveRun = false;
     /// The last attempt ended with a broken response; its target is being checked for a crash.
     bool m_mayHaveCrashed = false;
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -39,11 +39,17 @@
     /// Requests a second that a target takes from all entries together, a decimal number.
     constexpr std::string_view limitName = "Server-Limit";
 
+    /// In a refusal: seconds for which the target wants no requests of this entry, a decimal number.
+    constexpr std::string_view retryAfterName = "Retry-After";
+
     /// "1" if the target leaves, as it also states in the target list.
     constexpr std::string_view leavingName = "Server-Leaving";
 
     constexpr size_t maxPromptSegments = 1000;
 
+    /// Bytes of a field from outside that are logged.
+    constexpr size_t maxLoggedBytes = 40;
+
     /// Fields that apply to one connection and are not forwarded.
     constexpr std::array hopByHopFields { std::string_view("Connection"), std::string_view("Keep-Alive"), std::string_view("Proxy-Connection"),
         std::string_view("Proxy-Authenticate"), std::string_view("Proxy-Authorization"), std::string_view("TE"), std::string_view("Trailer"),
@@ -79,11 +85,11 @@
     }
 
     /// @return A decimal number that is finite and at least zero, or nothing.
-    std::optional<double> parseDecimal(std::string_view text)
+    std::optional<double> parseDecimal(std::string_view text, std::chars_format format = std::chars_format::fixed)
     {
         const std::string_view digits = http1::trim(text);
         double number = 0;
-        const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), number, std::chars_format::fixed);
+        const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), number, format);
         const bool isNumber = problem == std::errc() && end == digits.data() + digits.size() && std::isfinite(number) && number >= 0;
         return isNumber ? std::optional(number) : std::nullopt;
     }
@@ -151,6 +157,31 @@
         return request;
     }
 
+    /// @return The largest number among the values of all fields of this name.
+    std::optional<double> longestOf(const http1::response_head& head, std::string_view wanted)
+    {
+        std::optional<double> longest;
+        for (const auto& [name, value] : head.headers) {
+            if (!http1::isSameName(name, wanted))
+                continue;
+            forEachListItem(value, [&longest](std::string_view item) {
+                if (const auto number = parseDecimal(item, std::chars_format::general))
+                    longest = std::max(longest.value_or(*number), *number);
+            });
+        }
+        return longest;
+    }
+
+    std::string textOfFields(const http1::response_head& head, std::string_view wanted)
+    {
+        std::string text;
+        for (const auto& [name, value] : head.headers) {
+            if (http1::isSameName(name, wanted))
+                text.append(text.empty() ? "" : ",").append(value);
+        }
+        return text.substr(0, maxLoggedBytes);
+    }
+
     std::string join(std::span<const std::string> items)
     {
         std::string joined;
@@ -221,7 +252,7 @@
 {
     char text[32];
     std::snprintf(text, sizeof text, "%.2f", asSeconds(delay));
-    return { "Retry-After", text };
+    return { std::string(retryAfterName), text };
 }
 
 stated_limit decodeLimit(const http1::response_head& head)
@@ -239,15 +270,24 @@
     return head.status != http1::statusMisdirected && http1::findHeader(head.headers, leavingName) == "1";
 }
 
-std::optional<milliseconds> decodePause(const http1::response_head& head)
+stated_pause decodePause(const http1::response_head& head)
 {
-    const auto value = http1::findHeader(head.headers, "Retry-After");
-    if (!value || head.status != http1::statusUnavailable || !isNotExecuted(head))
-        return std::nullopt;
-    const auto pauseSeconds = parseDecimal(*value);
-    if (!pauseSeconds)
-        return std::nullopt;
-    return std::min(longestPause, milliseconds(static_cast<int64_t>(std::min(*pauseSeconds, asSeconds(longestPause)) * 1000)));
+    const size_t fieldCount = http1::countHeaders(head.headers, retryAfterName);
+    if (fieldCount == 0)
+        return {};
+    stated_pause pause { textOfFields(head, retryAfterName), std::nullopt, {} };
+    const auto longest = longestOf(head, retryAfterName);
+    if (head.status != http1::statusUnavailable)
+        pause.problem = "no_refusal";
+    else if (!longest)
+        pause.problem = "no_number";
+    else {
+        const bool isTooLong = *longest > asSeconds(longestPause);
+        pause.length = isTooLong ? longestPause : milliseconds(static_cast<int64_t>(std::ceil(*longest * 1000)));
+        pause.problem = isTooLong ? "too_long" : fieldCount > 1 ? "several"
+                                                                : "";
+    }
+    return pause;
 }
 
 bool isNotExecuted(const http1::response_head& head)
