--- a/tests/unit/http1_closing_test.cpp
+++ b/tests/unit/http1_closing_test.cpp
@@ -99,3 +99,21 @@
     cr_assert_gt(client.received.size(), bodyBytes);
     cr_assert_eq(client.closeReason, close_reason::Closed);
 }
+
+Test(http1_closing, a_connection_beyond_the_limit_is_served_once_another_one_has_closed)
+{
+    const ip_endpoint endpoint = endpointOf(73);
+    server_limits limits;
+    limits.maxConnections = 1;
+    server testServer(
+        endpoint, [limits] { return limits; }, respondOk);
+    auto first = std::make_unique<raw_client>(endpoint);
+    raw_client second(endpoint);
+    tests::runUntil([&] { return testServer.connectionCount() == 2; }, testTimeout, "both connections");
+    first.reset();
+    // Shorter than the period at which closed connections are removed.
+    tests::runFor(milliseconds(20));
+    second.stream->write(request);
+    tests::runUntil([&] { return second.count("HTTP/1.1 ") == 1; }, testTimeout, "the response");
+    cr_assert_eq(second.count("200 OK"), 1u, "received: %s", second.received.c_str());
+}
