side: record error statuses of targets and their Retry-After

Cause: a call that a target refused for a time was logged as rejected, like any other error, so nothing told whether a target had asked for rest and what the side did then. Change: target_error_responses_total by target and status, and a log line with the request, the status and Retry-After.

--- a/src/loop/http.cpp
+++ b/src/loop/http.cpp
@@ -65,6 +65,8 @@
                 return;
             }
             self->m_response.status = soup_message_get_status(self->m_message.get());
+            if (const char* retryAfter = soup_message_headers_get_list(soup_message_get_response_headers(self->m_message.get()), "Retry-After"))
+                self->m_response.retryAfter = retryAfter;
             self->readStatedLength();
             self->readMore();
         }
--- a/src/loop/http.hpp
+++ b/src/loop/http.hpp
@@ -31,6 +31,8 @@
     /// The response states its length, and a shorter body is `Truncated`. Otherwise only the content can show whether the
     /// response is whole: libsoup also reports a chunked one as complete if the connection ends between two chunks.
     bool hasStatedLength = false;
+    /// The `Retry-After` field; several ones are joined by commas, and it is empty if there is none.
+    std::string retryAfter;
     std::string body;
     std::string detail;
 
--- a/src/side/call_dispatcher.cpp
+++ b/src/side/call_dispatcher.cpp
@@ -217,6 +217,13 @@
     m_callbacks.send(call.session, wire::call_output { call.call.request, attempt, call.outputCount++, std::string(text) });
 }
 
+void call_dispatcher::recordErrorStatus(const active_call& call, const call_result& result)
+{
+    const std::string status = std::to_string(result.errorStatus);
+    m_metrics.count("target_error_responses_total", { { "target", call.call.target }, { "status", status } });
+    logLine(log_level::Info, logComponent, "A target answered with an error status.", { { "request", call.call.request.toString() }, { "target", call.call.target }, { "status", status }, { "retryAfter", result.retryAfter } });
+}
+
 void call_dispatcher::handleEnd(identifier attempt, call_result result)
 {
     active_call& call = *m_calls.at(attempt);
@@ -224,6 +231,8 @@
     const double runSeconds = asSeconds(monotonicNow() - call.startedAt);
     const bool isAnswered = result.end == wire::call_end::Answered;
     policy::finishCall(runtime.callQueue, call.call.isIsolated, isAnswered ? std::optional(runSeconds) : std::nullopt);
+    if (result.errorStatus != 0)
+        recordErrorStatus(call, result);
     updateClaim(call, result);
     updateSuspicion(call, result);
     if (result.isNotStarted) {
--- a/src/side/call_dispatcher.hpp
+++ b/src/side/call_dispatcher.hpp
@@ -86,6 +86,7 @@
     void launch(active_call& call);
     void recordSilence(const active_call& call);
     void handleOutput(identifier attempt, std::string_view text);
+    void recordErrorStatus(const active_call& call, const call_result& result);
     void handleEnd(identifier attempt, call_result result);
     void finish(active_call& call, wire::call_end end, std::string body, std::string detail);
     void refuse(identifier session, const wire::start_call& call, wire::refusal reason);
--- a/src/side/target_call.cpp
+++ b/src/side/target_call.cpp
@@ -93,7 +93,7 @@
         // A service that is not retryable may have executed the call before it failed with a 5xx; with a 4xx it refused
         // the call.
         const bool isOutcomeUnknown = !m_isRetryable && reply.status >= 500;
-        return { false, isOutcomeUnknown ? wire::call_end::Unknown : wire::call_end::Rejected, reply.body, "The target answered with status " + std::to_string(reply.status) + "." };
+        return { false, isOutcomeUnknown ? wire::call_end::Unknown : wire::call_end::Rejected, reply.body, "The target answered with status " + std::to_string(reply.status) + ".", reply.status, reply.retryAfter };
     }
     // A stream without its end marker is incomplete, even if the connection was closed cleanly.
     if (m_isEngine && !m_isStreamComplete)
--- a/src/side/target_call.hpp
+++ b/src/side/target_call.hpp
@@ -19,6 +19,9 @@
     wire::call_end end = wire::call_end::Unknown;
     std::string body;
     std::string detail;
+    /// Status of a response other than 2xx, otherwise zero, and its `Retry-After` field.
+    unsigned errorStatus = 0;
+    std::string retryAfter;
 };
 
 /// A call in progress. Destroying it closes the connection, which cancels the call at the target.
