--- a/src/fakes/fake_target.cpp
+++ b/src/fakes/fake_target.cpp
@@ -156,6 +156,8 @@
     }
     const json request = json::parse(body, nullptr, false);
     if (m_behaviour.failureStatus > 0 || !request.is_object()) {
+        if (!m_behaviour.retryAfter.empty())
+            soup_message_headers_replace(soup_server_message_get_response_headers(message), "Retry-After", m_behaviour.retryAfter.c_str());
         setJsonResponse(message, m_behaviour.failureStatus > 0 ? m_behaviour.failureStatus : 400, { { "error", "told to fail" } });
         return;
     }
@@ -326,6 +328,7 @@
     behaviour.isFrozen = changes.value("frozen", behaviour.isFrozen);
     behaviour.lostResponses = changes.value("lostAnswers", behaviour.lostResponses);
     behaviour.failureStatus = changes.value("failStatus", behaviour.failureStatus);
+    behaviour.retryAfter = changes.value("retryAfter", behaviour.retryAfter);
     behaviour.cutAfterTokens = changes.value("cutAfterTokens", behaviour.cutAfterTokens);
     behaviour.checksFencingToken = changes.value("checksFencing", behaviour.checksFencingToken);
     behaviour.lostOrderResponses = changes.value("lostOrderAnswers", behaviour.lostOrderResponses);
--- a/src/fakes/fake_target.hpp
+++ b/src/fakes/fake_target.hpp
@@ -42,6 +42,8 @@
     uint32_t lostResponses = 0;
     /// Status of the responses to all calls; zero for normal responses.
     unsigned failureStatus = 0;
+    /// `Retry-After` of responses with `failureStatus`; empty for none.
+    std::string retryAfter;
     /// Closes the connection of a stream after this many tokens; zero for never.
     uint32_t cutAfterTokens = 0;
     /// A request whose body contains this text crashes the target; empty for none.
@@ -64,7 +66,7 @@
     ~fake_target();
 
     /// Changes the behaviour as given in JSON: `latencyMs`, `tokenMs`, `frozen`, `lostAnswers`, `failStatus`,
-    /// `cutAfterTokens`, `checksFencing`, `lostOrderAnswers`, `forgottenOrders`, `poison`, `restartMs`; `die` crashes the
+    /// `retryAfter`, `cutAfterTokens`, `checksFencing`, `lostOrderAnswers`, `forgottenOrders`, `poison`, `restartMs`; `die` crashes the
     /// target; `silence` is an object with `seed`, `minMs`, `maxMs`, `afterTokens` and `insideEvent`, null for none.
     /// Missing keys keep their values.
     void applySwitches(const nlohmann::json& changes);
