side: targets that ask for rest get no calls until their pause ends

Callers saw: failed, target_rejected for each request whose target answered 429 or 503 with Retry-After, although another target of the service was free. Cause: a side treated these answers as final errors and read no Retry-After; the failing target looked idle, so it attracted the next calls. Evidence: of 40 requests to two targets one was answered; the target that had asked for 5 s of rest got 39 calls. Change: policy::readPause reads the time (0.1 to 600 s; 1 s if it is no number; logged if implausible); policy::call_queue starts no call before its end, counts it in the expected wait, refuses calls that cannot wait, and lets calls return one at a time, doubling each half second. The refused call goes to another target, unless it must not run twice and got 503. Entries learn of the pause from the expected wait in the load report. Why it works: the side is the only sender to its target, so a pause held there holds for all entries. Not tested: engines, calls under way, several sides.

--- a/src/policy/call_queue.cpp
+++ b/src/policy/call_queue.cpp
@@ -8,9 +8,9 @@
     /// Weight of the newest run in the mean.
     constexpr double newestRunWeight = 0.1;
 
-    bool mayStart(const call_queue& queue, const queued_call& next) noexcept
+    bool mayStart(const call_queue& queue, const queued_call& next, time_point now) noexcept
     {
-        if (queue.isIsolatedRunning || queue.running >= queue.capacity)
+        if (queue.isIsolatedRunning || queue.running >= callLimit(queue, now))
             return false;
         return !next.isIsolated || queue.running == 0;
     }
@@ -22,12 +22,13 @@
     }
 }
 
-double expectedWaitSeconds(const call_queue& queue) noexcept
+double expectedWaitSeconds(const call_queue& queue, time_point now) noexcept
 {
+    const double pauseSeconds = queue.pausedUntil ? std::max(0.0, asSeconds(*queue.pausedUntil - now)) : 0;
     if (queue.running < queue.capacity && queue.waiting.empty())
-        return 0;
+        return pauseSeconds;
     const double ahead = static_cast<double>(queue.waiting.size()) + 1;
-    return ahead * queue.meanRunSeconds / queue.capacity;
+    return pauseSeconds + ahead * queue.meanRunSeconds / queue.capacity;
 }
 
 admission_verdict checkAdmission(const call_queue& queue, const queued_call& call, time_point now)
@@ -38,7 +39,7 @@
         return admission_verdict::Down;
     if (queue.waiting.size() >= queue.maxWaiting && queue.running >= queue.capacity)
         return admission_verdict::QueueFull;
-    if (asSeconds(call.deadline - now) <= expectedWaitSeconds(queue))
+    if (asSeconds(call.deadline - now) <= expectedWaitSeconds(queue, now))
         return admission_verdict::Infeasible;
     return admission_verdict::Accept;
 }
@@ -60,7 +61,7 @@
             result.expired.push_back(call);
         return isExpired;
     });
-    while (!queue.waiting.empty() && mayStart(queue, queue.waiting.front())) {
+    while (!queue.waiting.empty() && mayStart(queue, queue.waiting.front(), now)) {
         const queued_call next = queue.waiting.front();
         queue.waiting.pop_front();
         ++queue.running;
@@ -70,6 +71,30 @@
     return result;
 }
 
+uint32_t callLimit(const call_queue& queue, time_point now) noexcept
+{
+    if (!queue.pausedUntil)
+        return queue.capacity;
+    if (now < *queue.pausedUntil)
+        return 0;
+    constexpr int64_t maxSteps = 31;
+    const int64_t steps = std::min(maxSteps, static_cast<int64_t>((now - *queue.pausedUntil) / returnStep));
+    return std::min(queue.capacity, uint32_t { 1 } << steps);
+}
+
+std::vector<queued_call> pauseCalls(call_queue& queue, time_point until)
+{
+    queue.pausedUntil = std::max(queue.pausedUntil.value_or(until), until);
+    std::vector<queued_call> infeasible;
+    std::erase_if(queue.waiting, [&](const queued_call& call) {
+        const bool isInfeasible = call.deadline <= *queue.pausedUntil;
+        if (isInfeasible)
+            infeasible.push_back(call);
+        return isInfeasible;
+    });
+    return infeasible;
+}
+
 bool removeCall(call_queue& queue, identifier attempt)
 {
     return std::erase_if(queue.waiting, [&](const queued_call& call) { return call.attempt == attempt; }) > 0;
--- a/src/policy/call_queue.hpp
+++ b/src/policy/call_queue.hpp
@@ -30,6 +30,8 @@
     bool isDraining = false;
     bool isDown = false;
     bool isIsolatedRunning = false;
+    /// End of the newest pause that the target asked for; no call starts before.
+    std::optional<time_point> pausedUntil;
     std::deque<queued_call> waiting;
     /// Exponentially weighted mean run time of calls; zero before the first.
     double meanRunSeconds = 0;
@@ -45,7 +47,7 @@
 };
 
 /// @return The expected wait of a call that arrives now, in seconds.
-[[nodiscard]] double expectedWaitSeconds(const call_queue& queue) noexcept;
+[[nodiscard]] double expectedWaitSeconds(const call_queue& queue, time_point now) noexcept;
 
 /// @return The verdict of `admit`, without queueing the call.
 [[nodiscard]] admission_verdict checkAdmission(const call_queue& queue, const queued_call& call, time_point now);
@@ -64,6 +66,16 @@
 /// Removes expired calls and those that may start now from the queue; counts the latter as running.
 [[nodiscard]] dispatch_result startCalls(call_queue& queue, time_point now);
 
+/// After a pause, one call runs at a time, and twice as many after each such step, up to the capacity.
+constexpr milliseconds returnStep { 500 };
+
+/// @return The calls that may run at a time; zero in a pause.
+[[nodiscard]] uint32_t callLimit(const call_queue& queue, time_point now) noexcept;
+
+/// Starts no call before `until`. A pause that already lasts longer stays.
+/// @return The waiting calls whose deadlines pass before the end of the pause; they are removed.
+[[nodiscard]] std::vector<queued_call> pauseCalls(call_queue& queue, time_point until);
+
 /// Removes a waiting call.
 /// @return False if the call is not in the queue.
 [[nodiscard]] bool removeCall(call_queue& queue, identifier attempt);
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -18,4 +18,5 @@
 #include "policy/stream_origins.hpp"
 #include "policy/suspicion.hpp"
 #include "policy/target_health.hpp"
+#include "policy/target_pause.hpp"
 #include "policy/work_value.hpp"
--- a/src/side/call_dispatcher.cpp
+++ b/src/side/call_dispatcher.cpp
@@ -244,7 +244,12 @@
         return;
     }
     const bool hasCrashed = result.end == wire::call_end::TargetCrashed;
-    if (call.isOrphaned)
+    const bool isPaused = pauseTarget(runtime, result);
+    if (isPaused && result.end == wire::call_end::Rejected && !call.isOrphaned) {
+        // The target did not run the call, so another one may.
+        refuse(call.session, call.call, wire::refusal::QueueFull);
+        remove(call);
+    } else if (call.isOrphaned)
         remove(call);
     else
         finish(call, result.end, std::move(result.body), std::move(result.detail));
@@ -275,7 +280,7 @@
     logLine(log_level::Debug, logComponent, "A call was refused.", { { "request", call.request.toString() }, { "reason", std::string(nameOf(reason)) } });
     uint32_t retryAfterMs = minRetryAfterMs;
     if (const target_runtime* runtime = findTarget(call.target)) {
-        retryAfterMs = std::max(retryAfterMs, static_cast<uint32_t>(1000 * policy::expectedWaitSeconds(runtime->callQueue)));
+        retryAfterMs = std::max(retryAfterMs, static_cast<uint32_t>(1000 * policy::expectedWaitSeconds(runtime->callQueue, monotonicNow())));
         sendLoad(*runtime, session);
     }
     m_callbacks.send(session, wire::call_refused { call.request, call.attempt, reason, retryAfterMs });
@@ -399,7 +404,7 @@
 
 wire::target_load call_dispatcher::loadOf(const target_runtime& runtime) const
 {
-    const auto waitMs = static_cast<uint32_t>(1000 * policy::expectedWaitSeconds(runtime.callQueue));
+    const auto waitMs = static_cast<uint32_t>(1000 * policy::expectedWaitSeconds(runtime.callQueue, monotonicNow()));
     return { runtime.target.name, static_cast<uint32_t>(runtime.callQueue.waiting.size()), runtime.callQueue.running, runtime.callQueue.capacity, waitMs, runtime.callQueue.isDraining, runtime.callQueue.isDown, static_cast<uint32_t>(std::max<size_t>(1, m_callbacks.entryCount())) };
 }
 
--- a/src/side/call_dispatcher.hpp
+++ b/src/side/call_dispatcher.hpp
@@ -86,6 +86,11 @@
     void launch(active_call& call);
     void recordSilence(const active_call& call);
     void handleOutput(identifier attempt, std::string_view text);
+    /// Starts the pause that a response asks for.
+    /// @return False if it asks for none.
+    bool pauseTarget(target_runtime& runtime, const call_result& result);
+    /// Starts calls after a pause until the target runs as many as it has capacity for.
+    void returnCalls(target_runtime& runtime);
     void recordErrorStatus(const active_call& call, const call_result& result);
     void handleEnd(identifier attempt, call_result result);
     void finish(active_call& call, wire::call_end end, std::string body, std::string detail);
--- a/src/side/detail/call_dispatcher_state.hpp
+++ b/src/side/detail/call_dispatcher_state.hpp
@@ -14,6 +14,8 @@
     bool isWithdrawn = false;
     bool isDrainedByOperator = false;
     timer probeTimer;
+    /// Runs during the pause that the target asked for, and while calls return.
+    timer pauseTimer;
     std::shared_ptr<void> probeExchange;
 };
 
