--- a/src/side/call_dispatcher.cpp
+++ b/src/side/call_dispatcher.cpp
@@ -217,6 +217,13 @@
     m_callbacks.send(call.session, wire::call_output { call.call.request, attempt, call.outputCount++, std::string(text) });
 }
 
+void call_dispatcher::recordErrorStatus(const active_call& call, const call_result& result)
+{
+    const std::string status = std::to_string(result.errorStatus);
+    m_metrics.count("target_error_responses_total", { { "target", call.call.target }, { "status", status } });
+    logLine(log_level::Info, logComponent, "A target answered with an error status.", { { "request", call.call.request.toString() }, { "target", call.call.target }, { "status", status }, { "retryAfter", result.retryAfter } });
+}
+
 void call_dispatcher::handleEnd(identifier attempt, call_result result)
 {
     active_call& call = *m_calls.at(attempt);
@@ -224,6 +231,8 @@
     const double runSeconds = asSeconds(monotonicNow() - call.startedAt);
     const bool isAnswered = result.end == wire::call_end::Answered;
     policy::finishCall(runtime.callQueue, call.call.isIsolated, isAnswered ? std::optional(runSeconds) : std::nullopt);
+    if (result.errorStatus != 0)
+        recordErrorStatus(call, result);
     updateClaim(call, result);
     updateSuspicion(call, result);
     if (result.isNotStarted) {
@@ -235,7 +244,12 @@
         return;
     }
     const bool hasCrashed = result.end == wire::call_end::TargetCrashed;
-    if (call.isOrphaned)
+    const bool isPaused = pauseTarget(runtime, result);
+    if (isPaused && result.end == wire::call_end::Rejected && !call.isOrphaned) {
+        // The target did not run the call, so another one may.
+        refuse(call.session, call.call, wire::refusal::QueueFull);
+        remove(call);
+    } else if (call.isOrphaned)
         remove(call);
     else
         finish(call, result.end, std::move(result.body), std::move(result.detail));
@@ -266,7 +280,7 @@
     logLine(log_level::Debug, logComponent, "A call was refused.", { { "request", call.request.toString() }, { "reason", std::string(nameOf(reason)) } });
     uint32_t retryAfterMs = minRetryAfterMs;
     if (const target_runtime* runtime = findTarget(call.target)) {
-        retryAfterMs = std::max(retryAfterMs, static_cast<uint32_t>(1000 * policy::expectedWaitSeconds(runtime->callQueue)));
+        retryAfterMs = std::max(retryAfterMs, static_cast<uint32_t>(1000 * policy::expectedWaitSeconds(runtime->callQueue, monotonicNow())));
         sendLoad(*runtime, session);
     }
     m_callbacks.send(session, wire::call_refused { call.request, call.attempt, reason, retryAfterMs });
@@ -390,7 +404,7 @@
 
 wire::target_load call_dispatcher::loadOf(const target_runtime& runtime) const
 {
-    const auto waitMs = static_cast<uint32_t>(1000 * policy::expectedWaitSeconds(runtime.callQueue));
+    const auto waitMs = static_cast<uint32_t>(1000 * policy::expectedWaitSeconds(runtime.callQueue, monotonicNow()));
     return { runtime.target.name, static_cast<uint32_t>(runtime.callQueue.waiting.size()), runtime.callQueue.running, runtime.callQueue.capacity, waitMs, runtime.callQueue.isDraining, runtime.callQueue.isDown, static_cast<uint32_t>(std::max<size_t>(1, m_callbacks.entryCount())) };
 }
 
