Metrics count messages between entries by type

No metric counts either messages or bytes between entries. Change: entry_messages_total{direction,kind}, entry_connection_bytes. No decision reads them.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -416,6 +416,7 @@
     if (path == "/metrics") {
         m_context.counters.set("log_lines_left_out", {}, static_cast<double>(droppedLogLines()));
         m_context.counters.set("stream_origins", {}, static_cast<double>(m_streams->size()));
+        m_context.counters.set("entry_connection_bytes", {}, static_cast<double>(m_pools->byteCount()));
         m_context.counters.set("open_requests", {}, static_cast<double>(m_openRuns.size()));
         m_context.counters.set("connections_opened", {}, static_cast<double>(m_context.client.openedConnections()));
         exchange.respond(http1::statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.counters.serialize());
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -237,8 +237,14 @@
     }
 }
 
+void pool_router::countMessages(std::string_view direction, const wire::message& message, size_t amount)
+{
+    m_context.counters.count("entry_messages_total", { { "direction", std::string(direction) }, { "kind", std::string(wire::nameOf(message)) } }, static_cast<double>(amount));
+}
+
 void pool_router::handleOwnerMessage(const std::string& name, wire::message& message)
 {
+    countMessages("received", message, 1);
     const auto reply = [this, &name](wire::message response) { static_cast<void>(send(name, std::move(response))); };
     if (m_context.crashes->handle(message, name, monotonicNow()) || m_context.streams->handle(message, name, reply, monotonicNow()))
         return;
@@ -297,6 +303,7 @@
 
 void pool_router::handleRequesterMessage(identifier session, wire::message& message)
 {
+    countMessages("received", message, 1);
     const auto reply = [this, session](wire::message response) { m_server.post(session, std::move(response)); };
     if (m_context.crashes->handle(message, "connected_entry", monotonicNow()) || m_context.streams->handle(message, "connected_entry", reply, monotonicNow()))
         return;
@@ -364,11 +371,20 @@
 
 void pool_router::broadcast(const wire::message& message)
 {
+    countMessages("broadcast", message, m_peers.size() + m_server.sessionCount());
     for (auto& [name, other] : m_peers)
         other->session->post(message);
     m_server.postToAll(message);
 }
 
+uint64_t pool_router::byteCount() const
+{
+    uint64_t bytes = m_server.byteCount();
+    for (const auto& [name, other] : m_peers)
+        bytes += other->session->channel().bytesSent() + other->session->channel().bytesReceived();
+    return bytes;
+}
+
 bool pool_router::send(std::string_view entry, wire::message message)
 {
     const auto position = m_peers.find(entry);
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -41,6 +41,8 @@
     [[nodiscard]] bool send(std::string_view entry, wire::message message);
     /// Sends the messages that are queued for another entry now.
     void flush(std::string_view entry);
+    /// @return Bytes sent and received on the current connections to other entries.
+    [[nodiscard]] uint64_t byteCount() const;
     /// @return The entries that keep the origins of streams.
     [[nodiscard]] std::span<const std::string> originKeepers();
     /// @return This entry's rank for a key among all entries; 0 for the first.
@@ -88,6 +90,8 @@
     void cancelDelegated(const stage_job& job);
     void handleFinishedTask(const std::string& name, const wire::task_finished& message);
     void handleRefusedTasks(const std::string& name, uint64_t number);
+    /// @param direction  `broadcast` for messages to all connected entries, or `received`.
+    void countMessages(std::string_view direction, const wire::message& message, size_t amount);
     void handleOwnerMessage(const std::string& name, wire::message& message);
     void handleRequesterMessage(identifier session, wire::message& message);
     void hostJob(identifier session, wire::start_tasks& message);
--- a/src/wire/message.cpp
+++ b/src/wire/message.cpp
@@ -1,7 +1,21 @@
 #include "wire/message.hpp"
 
+#include <array>
+
 namespace bilberryseam::wire {
 
+namespace {
+    /// In the order of the variant.
+    constexpr std::array<std::string_view, std::variant_size_v<message>> messageNames { "start_call", "cancel_call", "call_refused", "call_started", "call_output", "call_finished", "target_load",
+        "configuration_offset", "configuration_records", "crash_suspicion", "start_tasks", "task_finished", "tasks_refused", "cancel_tasks", "release_results", "crash_report",
+        "segment_verdict", "segment_survival", "stream_begun", "stream_query", "stream_unknown" };
+}
+
+std::string_view nameOf(const message& item) noexcept
+{
+    return item.valueless_by_exception() ? "unknown" : messageNames[item.index()];
+}
+
 std::string_view nameOf(refusal reason) noexcept
 {
     switch (reason) {
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -342,6 +343,9 @@
     configuration_offset, configuration_records, crash_suspicion, start_tasks, task_finished, tasks_refused, cancel_tasks, release_results, crash_report,
     segment_verdict, segment_survival, stream_begun, stream_query, stream_unknown>;
 
+/// @return The name of a message's type, used in metrics.
+[[nodiscard]] std::string_view nameOf(const message& item) noexcept;
+
 /// A numbered batch of messages. Sequence zero marks a heartbeat, which carries no messages.
 struct frame {
     uint64_t sequence = 0;
