--- /dev/null
+++ b/src/gateway/detail/pool_router_peer.hpp
@@ -0,0 +1,16 @@
+/// A connected entry, for the sources of `pool_router`.
+#pragma once
+
+#include "gateway/pool_router.hpp"
+
+namespace bilberryseam::gateway {
+
+struct pool_router::peer {
+    entry_record record;
+    uint64_t jobs = 0;
+    bool isObsolete = false;
+    /// The owner refused a job and gets no further ones before this time.
+    time_point refusedUntil {};
+    std::unique_ptr<wire::session> session;
+};
+}
--- /dev/null
+++ b/src/gateway/pool_router_peers.cpp
@@ -0,0 +1,114 @@
+/// The connections to other entries, and messages to all of them.
+#include "gateway/crash_watch.hpp"
+#include "gateway/detail/pool_router_peer.hpp"
+#include "gateway/stream_directory.hpp"
+
+#include <algorithm>
+
+namespace bilberryseam::gateway {
+
+namespace {
+    constexpr std::string_view logComponent = "pools";
+
+    /// Entries that each entry stays connected to for a pool: its owner, and the next one in the ranking.
+    constexpr size_t connectedOwnersPerPool = 2;
+
+    /// Key of the ranking of entries that keep the origins of streams.
+    constexpr std::string_view originKeeping = "stream-origins";
+
+    /// Heartbeat period of a connection to an owner that runs jobs of this entry.
+    constexpr milliseconds ownerHeartbeat { 200 };
+    /// An owner that sends nothing for this long while it runs jobs of this entry counts as unreachable.
+    constexpr milliseconds ownerInactivityTimeout { 600 };
+
+    wire::link_timing ownerLinkTiming()
+    {
+        wire::link_timing timing;
+        timing.busyHeartbeatPeriod = ownerHeartbeat;
+        timing.busyInactivityTimeout = ownerInactivityTimeout;
+        return timing;
+    }
+}
+
+std::span<const std::string> pool_router::originKeepers()
+{
+    const auto& ranked = ownersOf(originKeeping);
+    return std::span(ranked).first(std::min(ranked.size(), policy::originKeeperCount(ranked.size())));
+}
+
+std::set<std::string, std::less<>> pool_router::requiredPeers()
+{
+    if (!m_context.configuration)
+        return {};
+    std::vector<std::string> pools;
+    for (const auto& [name, service] : m_context.configuration->services) {
+        if (service.pool)
+            pools.push_back(name);
+    }
+    std::set<std::string, std::less<>> required;
+    for (const auto& name : pools) {
+        const auto& owners = ownersOf(name);
+        required.insert(owners.begin(), owners.begin() + static_cast<std::ptrdiff_t>(std::min(owners.size(), connectedOwnersPerPool)));
+    }
+    const auto keepers = originKeepers();
+    required.insert(keepers.begin(), keepers.end());
+    required.erase(m_directory.own().name);
+    return required;
+}
+
+void pool_router::onMembersChanged()
+{
+    if (!std::exchange(m_hasMembers, true))
+        m_membersSince = monotonicNow();
+    m_ownersByService.clear();
+    if (m_context.configuration)
+        m_scheduler.applyProfiles(*m_context.configuration);
+    m_context.entryCount = static_cast<unsigned>(std::max<size_t>(4, m_directory.others().size() + 1));
+    const auto required = requiredPeers();
+    for (auto& [name, other] : m_peers) {
+        const auto record = m_directory.others().find(name);
+        // A restart at the same address needs no new connection: the session detects it.
+        other->isObsolete = !required.contains(name) || record == m_directory.others().end() || record->second.peerListen != other->record.peerListen;
+    }
+    for (const auto& name : required) {
+        const auto record = m_directory.others().find(name);
+        if (record == m_directory.others().end() || (m_peers.contains(name) && !m_peers[name]->isObsolete))
+            continue;
+        // The former connection may be up still, but must not get the jobs that it loses.
+        if (const auto former = m_peers.extract(name); !former.empty())
+            onOwnerRestarted(name);
+        auto newPeer = std::make_unique<peer>();
+        newPeer->record = record->second;
+        wire::session::callbacks callbacks;
+        callbacks.onMessage = [this, name](wire::message& message) { handleOwnerMessage(name, message); };
+        callbacks.onAttached = [this, name](bool isResumed) {
+            logLine(log_level::Info, logComponent, "The connection to a pool owner is established.", { { "entry", name } });
+            // A peer that has kept the session has its state, too.
+            if (isResumed)
+                return;
+            m_context.streams->sendKept(name, monotonicNow());
+            m_context.crashes->sendAll([this, name](wire::message message) { m_peers.at(name)->session->post(std::move(message)); }, monotonicNow());
+        };
+        callbacks.onLost = [this, name] { onOwnerRestarted(name); };
+        callbacks.onDetached = [this, name](std::string_view reason, bool) { takeBackJobs(name, reason); };
+        newPeer->session = std::make_unique<wire::session>(newPeer->record.peerListen, m_directory.own().name, m_identifiers.next(), ownerLinkTiming(), std::move(callbacks));
+        m_peers[name] = std::move(newPeer);
+    }
+}
+
+void pool_router::broadcast(const wire::message& message)
+{
+    countMessages("broadcast", message, m_peers.size() + m_server.sessionCount());
+    for (auto& [name, other] : m_peers)
+        other->session->post(message);
+    m_server.postToAll(message);
+}
+
+uint64_t pool_router::byteCount() const
+{
+    uint64_t bytes = m_server.byteCount();
+    for (const auto& [name, other] : m_peers)
+        bytes += other->session->channel().bytesSent() + other->session->channel().bytesReceived();
+    return bytes;
+}
+}
