--- a/tests/unit/crash_exchange_test.cpp
+++ b/tests/unit/crash_exchange_test.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 #include <deque>
+#include <map>
 #include <memory>
 
 using namespace bilberryseam;
@@ -20,8 +21,10 @@
         for (size_t i = 0; i < peerCount; ++i) {
             const auto sendToAll = [this, i](const wire::message& message) {
                 for (size_t to = 0; to < peerCount; ++to) {
-                    if (to != i)
-                        underway.push_back({ to, now + messageDelay, message });
+                    if (to == i)
+                        continue;
+                    underway.push_back({ to, now + messageDelay, message });
+                    sentVerdicts[i] += std::holds_alternative<wire::segment_verdict>(message) ? 1 : 0;
                 }
             };
             peers.push_back(std::make_unique<execution::crash_exchange>(counters, "peer-" + std::to_string(i), execution::crash_exchange::callbacks { sendToAll, [](time_point) {}, {} }));
@@ -42,6 +45,8 @@
         return count;
     }
 
+    [[nodiscard]] size_t verdictsSentBy(size_t peer) { return sentVerdicts[peer]; }
+
     struct message_underway {
         size_t to = 0;
         time_point arrivesAt {};
@@ -51,6 +56,7 @@
     metrics counters;
     time_point now = start;
     std::deque<message_underway> underway;
+    std::map<size_t, size_t> sentVerdicts;
     std::vector<std::unique_ptr<execution::crash_exchange>> peers;
 };
 }
@@ -75,3 +81,18 @@
         cr_assert_lt(count, messageLimit, "messages still circulate after %zu, with a survival %d ms after the crash", count, survivalMs);
     }
 }
+
+Test(crash_exchange, a_verdict_that_all_form_from_the_same_reports_is_announced_once)
+{
+    peer_group group;
+    for (uint64_t target = 1; target <= 3; ++target) {
+        group.now += milliseconds(1000);
+        group.peers[0]->reportCrash(target, "target", std::vector<std::vector<uint64_t>> { { segment } }, group.now);
+        while (group.deliver(1) > 0) {
+        }
+    }
+    for (const auto& peer : group.peers)
+        cr_assert(peer->refusedSegment(std::vector<uint64_t> { segment }, group.now));
+    cr_assert_eq(group.verdictsSentBy(0), peerCount - 1);
+    cr_assert_eq(group.verdictsSentBy(1) + group.verdictsSentBy(2), 0u);
+}
