--- a/tests/process/gateway_silent_pool_test.cpp
+++ b/tests/process/gateway_silent_pool_test.cpp
@@ -199,6 +199,25 @@
     cr_assert(inputs && inputs->ends_with("/1"), "the result of the first run was not used");
 }
 
+Test(gateway_silent_pool, a_job_at_an_owner_that_is_late_for_a_moment_runs_once)
+{
+    // Without a retry budget, a second run costs more than a late first one.
+    pool_deployment pool(332, 1, noRetries, 2);
+    const size_t owner = ownerOf("encode", 2);
+    const size_t other = 1 - owner;
+    pool.waitForLog("The connection to a pool owner is established.", other);
+    pool.holdCalls();
+    const auto caller = pool.deployment.send("POST", "/m/1", stageHeaders("1"), "", other);
+    pool.waitForHeldCalls(1);
+    pool.deployment.signal(owner, SIGSTOP);
+    pool.deployment.runLoopFor(milliseconds(1200));
+    pool.deployment.signal(owner, SIGCONT);
+    pool.deployment.runLoopFor(milliseconds(300));
+    cr_assert_eq(pool.heldCalls.size(), 1u, "the job runs %zu times", pool.heldCalls.size());
+    pool.respondToHeldCall(0);
+    checkServed(pool.deployment, caller);
+}
+
 Test(gateway_silent_pool, a_job_at_an_owner_that_stops_is_finished_there)
 {
     // Without a retry budget, only an entry that takes the job back can start a second call.
