--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -14,6 +14,7 @@
 #include "policy/placement.hpp"
 #include "policy/rate_limit.hpp"
 #include "policy/routing.hpp"
+#include "policy/spread.hpp"
 #include "policy/stream_origins.hpp"
 #include "policy/suspicion.hpp"
 #include "policy/target_health.hpp"
--- a/src/wire/session.cpp
+++ b/src/wire/session.cpp
@@ -4,6 +4,11 @@
 
 namespace bilberryseam::wire {
 
+namespace {
+    /// Longest time between two ticks that counts as silence of the peer; the owner's ticks are more frequent.
+    constexpr milliseconds maxCountedTickGap { 200 };
+}
+
 session::session(ip_endpoint peer, std::string ownName, identifier id, link_timing timing, callbacks callbacks)
     : m_peer(std::move(peer))
     , m_ownName(std::move(ownName))
@@ -131,21 +136,32 @@
     m_callbacks.onDetached(reason, isRefused);
 }
 
+microseconds session::silenceAt(time_point now, bool isBusy)
+{
+    const auto sinceLastTick = now - std::exchange(m_lastTickAt, now);
+    const bool becomesBusy = !std::exchange(m_wasBusy, isBusy) && isBusy;
+    if (becomesBusy || m_silentSince != m_channel.lastReceivedAt()) {
+        m_silentSince = m_channel.lastReceivedAt();
+        m_silence = microseconds(0);
+        return m_silence;
+    }
+    // What the peer sent during a stall of this process waits in the socket.
+    m_silence += std::min<microseconds>(std::chrono::duration_cast<microseconds>(sinceLastTick), maxCountedTickGap);
+    return m_silence;
+}
+
 void session::tick(time_point now, bool isBusy)
 {
     if (!isUp())
         return;
     isBusy = isBusy || m_channel.isAwaitingAcknowledgement();
-    if (isBusy && !m_wasBusy)
-        m_busySince = now;
-    m_wasBusy = isBusy;
-    const time_point inactiveSince = isBusy ? std::max(m_busySince, m_channel.lastReceivedAt()) : m_channel.lastReceivedAt();
-    if (now - inactiveSince > (isBusy ? m_timing.busyInactivityTimeout : m_timing.idleInactivityTimeout)) {
+    const microseconds silence = silenceAt(now, isBusy);
+    if (silence > (isBusy ? m_timing.busyInactivityTimeout : m_timing.idleInactivityTimeout)) {
         replaceConnection("silent");
         return;
     }
     const milliseconds period = isBusy ? m_timing.busyHeartbeatPeriod : m_timing.idleHeartbeatPeriod;
-    if (now - inactiveSince < period || now - m_lastHeartbeat < period)
+    if (silence < period || now - m_lastHeartbeat < period)
         return;
     m_lastHeartbeat = now;
     m_channel.sendHeartbeat(true);
--- a/src/wire/session.hpp
+++ b/src/wire/session.hpp
@@ -65,6 +65,8 @@
     void scheduleReconnect(std::string_view reason, bool isRefused);
     void restartSession(std::string_view rule);
     void replaceConnection(std::string_view reason);
+    /// @return Time since the peer's last bytes, or since the session became busy, in which this process could have read some.
+    [[nodiscard]] microseconds silenceAt(time_point now, bool isBusy);
 
     ip_endpoint m_peer;
     std::string m_ownName;
@@ -80,7 +82,10 @@
     timer m_handshakeTimer;
     milliseconds m_reconnectDelay { 0 };
     time_point m_lastHeartbeat {};
-    time_point m_busySince {};
+    time_point m_lastTickAt {};
+    /// The arrival from which the silence is measured.
+    time_point m_silentSince {};
+    microseconds m_silence { 0 };
     bool m_wasBusy = false;
     std::minstd_rand m_jitterGenerator;
 };
