--- a/src/execution/crash_exchange.cpp
+++ b/src/execution/crash_exchange.cpp
@@ -73,8 +73,11 @@
     if (!result.isNew)
         return;
     publish(message);
-    for (const uint64_t segment : result.newVerdicts)
+    for (const uint64_t segment : result.newVerdicts) {
+        // The others form it from the same reports; this is for those that lack some.
+        publish(messageOf(segment, m_evidence.verdicts.at(segment), now));
         onNewVerdict(segment, "own", now);
+    }
 }
 
 void crash_exchange::onNewVerdict(uint64_t segment, std::string_view from, time_point now)
@@ -83,7 +86,6 @@
     const wire::segment_verdict message = messageOf(segment, verdict, now);
     m_metrics.count("refused_segments_total");
     logLine(log_level::Warning, logComponent, "Requests with a prompt segment are refused because targets crashed on it.", { { "segment", textOfHash(segment) }, { "crashes", std::to_string(verdict.crashCount) }, { "only_with", textOfSegments(message.companions) }, { "from", std::string(from) } });
-    publish(message);
     m_callbacks.onVerdict(verdict.firstCrashAt);
 }
 
