--- a/src/gateway/detail/pool_router_peer.hpp
+++ b/src/gateway/detail/pool_router_peer.hpp
@@ -11,6 +11,8 @@
     bool isObsolete = false;
     /// The owner refused a job and gets no further ones before this time.
     time_point refusedUntil {};
+    /// Messages about crashes were left out; all that is known is sent once the peer reads again.
+    bool hasMissedMessages = false;
     std::unique_ptr<wire::session> session;
 };
 }
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -385,6 +385,7 @@
         cancelDelegated(*job);
     for (auto& [name, other] : m_peers)
         other->session->tick(now, other->jobs > 0);
+    repeatMissedMessages();
     std::erase_if(m_peers, [](const auto& item) { return item.second->isObsolete && item.second->jobs == 0; });
 }
 }
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -34,7 +34,7 @@
     /// Sends the suspicion against a request's fingerprint to the other entries.
     void broadcastSuspicion(uint64_t fingerprint, const policy::suspicion& suspicion, time_point now);
 
-    /// Sends a message to all connected entries.
+    /// Has a message reach all entries. It is sent to some of them, and those to which it is new pass it on.
     void broadcast(const wire::message& message);
     /// Sends a message to another entry.
     /// @return False if this entry has no connection to it.
@@ -78,6 +78,10 @@
     /// @return The connected entry that ranks first for the pool of a service, or null if this entry runs the jobs of the pool itself.
     [[nodiscard]] peer* usableOwner(std::string_view service);
     void delegate(peer& owner, const job_ptr& job);
+    /// @return Names of the entries to which this one passes on messages to all.
+    [[nodiscard]] std::vector<std::string> spreadNames() const;
+    /// Sends all that is known about crashes to the peers that have missed some of it.
+    void repeatMissedMessages();
     /// @return Names of the entries that this one must be connected to.
     [[nodiscard]] std::set<std::string, std::less<>> requiredPeers();
     /// Runs the jobs delegated to an owner elsewhere as well.
@@ -104,6 +108,7 @@
     std::map<std::string, std::unique_ptr<peer>, std::less<>> m_peers;
     /// Cached results of `ownersOf`, until the members change.
     std::map<std::string, std::vector<std::string>, std::less<>> m_ownersByService;
+    std::vector<std::string> m_spreadNames;
     delegated_jobs m_delegatedJobs;
     std::unordered_multimap<const stage_job*, uint64_t> m_delegatedNumbers;
     uint64_t m_nextJobNumber = 1;
--- a/src/gateway/pool_router_peers.cpp
+++ b/src/gateway/pool_router_peers.cpp
@@ -2,6 +2,7 @@
 #include "gateway/crash_watch.hpp"
 #include "gateway/detail/pool_router_peer.hpp"
 #include "gateway/stream_directory.hpp"
+#include "policy/spread.hpp"
 
 #include <algorithm>
 
@@ -16,6 +17,9 @@
     /// Key of the ranking of entries that keep the origins of streams.
     constexpr std::string_view originKeeping = "stream-origins";
 
+    /// A peer that has not acknowledged this much gets no messages about crashes, so that results of jobs are not delayed.
+    constexpr size_t maxQueuedBytes = 256 * 1024;
+
     /// Heartbeat period of a connection to an owner that runs jobs of this entry.
     constexpr milliseconds ownerHeartbeat { 200 };
     /// An owner that sends nothing for this long while it runs jobs of this entry counts as unreachable.
@@ -36,6 +40,19 @@
     return std::span(ranked).first(std::min(ranked.size(), policy::originKeeperCount(ranked.size())));
 }
 
+std::vector<std::string> pool_router::spreadNames() const
+{
+    std::vector<std::string> all { m_directory.own().name };
+    for (const auto& [name, record] : m_directory.others())
+        all.push_back(name);
+    std::sort(all.begin(), all.end());
+    const auto own = static_cast<size_t>(std::find(all.begin(), all.end(), m_directory.own().name) - all.begin());
+    std::vector<std::string> names;
+    for (const size_t position : policy::spreadPeers(own, all.size()))
+        names.push_back(all[position]);
+    return names;
+}
+
 std::set<std::string, std::less<>> pool_router::requiredPeers()
 {
     if (!m_context.configuration)
@@ -52,6 +69,7 @@
     }
     const auto keepers = originKeepers();
     required.insert(keepers.begin(), keepers.end());
+    required.insert(m_spreadNames.begin(), m_spreadNames.end());
     required.erase(m_directory.own().name);
     return required;
 }
@@ -64,6 +82,7 @@
     if (m_context.configuration)
         m_scheduler.applyProfiles(*m_context.configuration);
     m_context.entryCount = static_cast<unsigned>(std::max<size_t>(4, m_directory.others().size() + 1));
+    m_spreadNames = spreadNames();
     const auto required = requiredPeers();
     for (auto& [name, other] : m_peers) {
         const auto record = m_directory.others().find(name);
@@ -98,10 +117,33 @@
 
 void pool_router::broadcast(const wire::message& message)
 {
-    countMessages("broadcast", message, m_peers.size() + m_server.sessionCount());
-    for (auto& [name, other] : m_peers)
-        other->session->post(message);
-    m_server.postToAll(message);
+    const bool isRepeatable = !std::holds_alternative<wire::crash_suspicion>(message);
+    size_t sent = 0;
+    for (const auto& name : m_spreadNames) {
+        const auto position = m_peers.find(name);
+        if (position == m_peers.end())
+            continue;
+        peer& other = *position->second;
+        const bool canRead = other.session->isUp() && other.session->channel().unacknowledgedBytes() < maxQueuedBytes;
+        if (!canRead && isRepeatable) {
+            other.hasMissedMessages = true;
+            continue;
+        }
+        other.session->post(message);
+        ++sent;
+    }
+    countMessages("broadcast", message, sent);
+}
+
+void pool_router::repeatMissedMessages()
+{
+    for (auto& [name, other] : m_peers) {
+        const bool canRead = other->session->isUp() && other->session->channel().unacknowledgedBytes() == 0;
+        if (!canRead || !std::exchange(other->hasMissedMessages, false))
+            continue;
+        m_context.counters.count("crash_messages_repeated_total");
+        m_context.crashes->sendAll([&other](wire::message message) { other->session->post(std::move(message)); }, monotonicNow());
+    }
 }
 
 uint64_t pool_router::byteCount() const
--- a/src/wire/session_channel.hpp
+++ b/src/wire/session_channel.hpp
@@ -62,6 +62,7 @@
     [[nodiscard]] bool isAttached() const noexcept { return static_cast<bool>(m_connection); }
     [[nodiscard]] bool isAwaitingAcknowledgement() const noexcept { return !m_state.unacknowledgedFrames.empty() || !m_batch.empty(); }
     [[nodiscard]] bool isOverLimit() const noexcept { return m_state.unacknowledgedBytes > maxUnacknowledgedBytes; }
+    [[nodiscard]] size_t unacknowledgedBytes() const noexcept { return m_state.unacknowledgedBytes; }
     [[nodiscard]] time_point lastReceivedAt() const noexcept { return m_lastReceivedAt; }
     [[nodiscard]] uint64_t receivedSequence() const noexcept { return m_state.receivedSequence; }
     [[nodiscard]] uint64_t bytesSent() const noexcept { return m_bytesSent; }
