--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -59,7 +59,10 @@
     , m_identifiers(identifier_generator::fromSystem())
     , m_server(directory.own().peerListen, directory.own().name, m_identifiers.next(), ownerServerLimits(),
           { [this](identifier session, wire::message& message) { handleRequesterMessage(session, message); },
-              [this](identifier session) {
+              [this](identifier session, bool isResumed) {
+                  // An entry that has kept the session has its state, too.
+                  if (isResumed)
+                      return;
                   m_directory.scheduleRead();
                   m_context.crashes->sendAll([this, session](wire::message message) { m_server.post(session, std::move(message)); }, monotonicNow());
               },
--- a/src/programs/side.cpp
+++ b/src/programs/side.cpp
@@ -53,7 +53,7 @@
         {
             wire::session_server::callbacks callbacks;
             callbacks.onMessage = [this](identifier session, wire::message& message) { handleMessage(session, message); };
-            callbacks.onAttached = [this](identifier session) {
+            callbacks.onAttached = [this](identifier session, bool) {
                 m_dispatcher.sendAllLoads(session);
                 m_suspicions.sendAll([this, session](wire::message message) { m_server->post(session, std::move(message)); }, monotonicNow());
                 m_follower.onPeerAttached(session);
--- a/src/wire/server.cpp
+++ b/src/wire/server.cpp
@@ -129,7 +129,7 @@
         return;
     }
     pendingConnection->session = &session;
-    m_callbacks.onAttached(peerHello.session);
+    m_callbacks.onAttached(peerHello.session, isResumed);
 }
 
 session_server::stored_session& session_server::sessionFor(identifier id)
--- a/src/wire/server.hpp
+++ b/src/wire/server.hpp
@@ -26,7 +26,8 @@
 public:
     struct callbacks {
         std::function<void(identifier session, message&)> onMessage;
-        std::function<void(identifier session)> onAttached;
+        /// A connection is ready; `isResumed` if the session is kept from an earlier one, with its unacknowledged messages.
+        std::function<void(identifier session, bool isResumed)> onAttached;
         /// The session expired or violated the protocol: cancel everything that it requested.
         std::function<void(identifier session)> onExpired;
         /// A peer violated a rule of the protocol.
--- a/tests/unit/policy_test.cpp
+++ b/tests/unit/policy_test.cpp
@@ -164,3 +164,11 @@
     candidates[first].isEligible = false;
     cr_assert_neq(*chooseByKey(candidates, 42), first);
 }
+
+Test(ownership, a_second_run_of_a_job_begins_when_waiting_longer_would_make_it_late)
+{
+    const time_point lostAt { seconds(100) };
+    cr_assert_eq(policy::secondRunAt(lostAt, lostAt + milliseconds(300)), lostAt + milliseconds(300));
+    cr_assert_eq(policy::secondRunAt(lostAt, lostAt + seconds(5)), lostAt + policy::ownerReturnTime);
+    cr_assert_eq(policy::secondRunAt(lostAt, lostAt - milliseconds(1)), lostAt + policy::ownerReturnTime);
+}
--- a/tests/unit/session_test.cpp
+++ b/tests/unit/session_test.cpp
@@ -25,7 +25,7 @@
     {
         wire::session_server::callbacks callbacks;
         callbacks.onMessage = [](identifier, wire::message&) {};
-        callbacks.onAttached = [](identifier) {};
+        callbacks.onAttached = [](identifier, bool) {};
         callbacks.onExpired = [](identifier) {};
         callbacks.onViolation = [](std::string_view) {};
         return callbacks;
--- a/tests/unit/side_links_test.cpp
+++ b/tests/unit/side_links_test.cpp
@@ -34,7 +34,7 @@
     {
         wire::session_server::callbacks handlers;
         handlers.onMessage = [this](identifier, wire::message& message) { callCount += std::holds_alternative<wire::start_call>(message) ? 1 : 0; };
-        handlers.onAttached = [this](identifier) { report(false); };
+        handlers.onAttached = [this](identifier, bool) { report(false); };
         handlers.onExpired = [](identifier) {};
         handlers.onViolation = [](std::string_view) {};
         return handlers;
