--- a/src/gateway/detail/pool_router_peer.hpp
+++ b/src/gateway/detail/pool_router_peer.hpp
@@ -11,6 +11,9 @@
     bool isObsolete = false;
     /// The owner refused a job and gets no further ones before this time.
     time_point refusedUntil {};
+    /// When the connection was lost, until it returns.
+    std::optional<time_point> lostAt;
+    std::string lostReason;
     /// Messages about crashes were left out; all that is known is sent once the peer reads again.
     bool hasMissedMessages = false;
     std::unique_ptr<wire::session> session;
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -185,17 +185,19 @@
         m_scheduler.releaseResults(handles);
 }
 
-void pool_router::takeBackJobs(const std::string& name, std::string_view reason)
+void pool_router::takeBackJobs(const std::string& name, std::string_view reason, const std::function<bool(const stage_job&)>& isDue)
 {
     std::vector<job_ptr> lostJobs;
     for (auto& [number, delegated] : m_delegatedJobs) {
-        if (delegated.owner == name && !std::exchange(delegated.isTakenBack, true))
-            lostJobs.push_back(delegated.job);
+        if (delegated.owner != name || delegated.isTakenBack || !isDue(*delegated.job))
+            continue;
+        delegated.isTakenBack = true;
+        lostJobs.push_back(delegated.job);
     }
-    if (const auto position = m_peers.find(name); position != m_peers.end())
-        position->second->jobs = 0;
     if (lostJobs.empty())
         return;
+    if (const auto position = m_peers.find(name); position != m_peers.end())
+        position->second->jobs -= lostJobs.size();
     m_context.counters.count("jobs_taken_back_total", { { "reason", std::string(reason) } }, static_cast<double>(lostJobs.size()));
     logLine(log_level::Warning, logComponent, "The connection to a pool owner was lost; the jobs delegated to it are run elsewhere.", { { "entry", name }, { "reason", std::string(reason) }, { "jobs", std::to_string(lostJobs.size()) }, { "first_request", lostJobs.front()->requestId } });
     for (const auto& job : lostJobs) {
@@ -204,9 +206,43 @@
     }
 }
 
+void pool_router::onOwnerDetached(const std::string& name, std::string_view reason, bool isRefused)
+{
+    if (isRefused) {
+        takeBackJobs(name, "refused", [](const auto&) { return true; });
+        return;
+    }
+    peer& owner = *m_peers.at(name);
+    if (owner.lostAt)
+        return;
+    owner.lostAt = monotonicNow();
+    owner.lostReason = reason;
+    if (owner.jobs > 0)
+        logLine(log_level::Info, logComponent, "The connection to a pool owner was lost; its jobs wait for it for a moment.", { { "entry", name }, { "reason", owner.lostReason }, { "jobs", std::to_string(owner.jobs) } });
+}
+
+bool pool_router::mustRunElsewhere(const stage_job& job, time_point lostAt, time_point now)
+{
+    // The owner cancels the jobs of an entry that stays away.
+    if (now - lostAt >= disconnectedEntryExpiry)
+        return true;
+    return now >= policy::secondRunAt(lostAt, job.latestStart) && trySpendRetry(m_context, job.service, now);
+}
+
+void pool_router::takeBackDueJobs(time_point now)
+{
+    std::vector<std::pair<std::string, peer*>> lostOwners;
+    for (const auto& [name, other] : m_peers) {
+        if (other->lostAt && other->jobs > 0)
+            lostOwners.emplace_back(name, other.get());
+    }
+    for (const auto& [name, owner] : lostOwners)
+        takeBackJobs(name, owner->lostReason, [&, lostAt = *owner->lostAt](const stage_job& job) { return mustRunElsewhere(job, lostAt, now); });
+}
+
 void pool_router::onOwnerRestarted(const std::string& name)
 {
-    takeBackJobs(name, "restarted");
+    takeBackJobs(name, "restarted", [](const auto&) { return true; });
     for (auto position = m_delegatedJobs.begin(); position != m_delegatedJobs.end();) {
         const bool isForgotten = position->second.owner == name && position->second.isTakenBack;
         position = isForgotten ? eraseDelegated(position) : std::next(position);
@@ -378,6 +414,7 @@
 
 void pool_router::tick(time_point now)
 {
+    takeBackDueJobs(now);
     std::vector<job_ptr> finishedJobs;
     for (const auto& [number, delegated] : m_delegatedJobs) {
         const auto& finishedTasks = delegated.job->finishedTasks;
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -84,8 +84,12 @@
     void repeatMissedMessages();
     /// @return Names of the entries that this one must be connected to.
     [[nodiscard]] std::set<std::string, std::less<>> requiredPeers();
-    /// Runs the jobs delegated to an owner elsewhere as well.
-    void takeBackJobs(const std::string& name, std::string_view reason);
+    void onOwnerDetached(const std::string& name, std::string_view reason, bool isRefused);
+    /// Runs the jobs delegated to an owner elsewhere as well, if they are due.
+    void takeBackJobs(const std::string& name, std::string_view reason, const std::function<bool(const stage_job&)>& isDue);
+    /// Takes back the jobs for which waiting longer for their owners is too late.
+    void takeBackDueJobs(time_point now);
+    [[nodiscard]] bool mustRunElsewhere(const stage_job& job, time_point lostAt, time_point now);
     /// The owner has no state of its jobs any more.
     void onOwnerRestarted(const std::string& name);
     using delegated_jobs = std::unordered_map<uint64_t, delegated_job>;
--- a/src/gateway/pool_router_peers.cpp
+++ b/src/gateway/pool_router_peers.cpp
@@ -102,6 +102,7 @@
         callbacks.onMessage = [this, name](wire::message& message) { handleOwnerMessage(name, message); };
         callbacks.onAttached = [this, name](bool isResumed) {
             logLine(log_level::Info, logComponent, "The connection to a pool owner is established.", { { "entry", name } });
+            m_peers.at(name)->lostAt.reset();
             // A peer that has kept the session has its state, too.
             if (isResumed)
                 return;
@@ -109,7 +110,7 @@
             m_context.crashes->sendAll([this, name](wire::message message) { m_peers.at(name)->session->post(std::move(message)); }, monotonicNow());
         };
         callbacks.onLost = [this, name] { onOwnerRestarted(name); };
-        callbacks.onDetached = [this, name](std::string_view reason, bool) { takeBackJobs(name, reason); };
+        callbacks.onDetached = [this, name](std::string_view reason, bool isRefused) { onOwnerDetached(name, reason, isRefused); };
         newPeer->session = std::make_unique<wire::session>(newPeer->record.peerListen, m_directory.own().name, m_identifiers.next(), ownerLinkTiming(), std::move(callbacks));
         m_peers[name] = std::move(newPeer);
     }
--- a/src/policy/ownership.cpp
+++ b/src/policy/ownership.cpp
@@ -18,6 +18,12 @@
     }
 }
 
+time_point secondRunAt(time_point lostAt, time_point latestStart) noexcept
+{
+    const time_point last = lostAt + ownerReturnTime;
+    return latestStart <= lostAt ? last : std::min(last, latestStart);
+}
+
 std::vector<size_t> rankOwners(std::span<const owner_candidate> candidates, uint64_t pool)
 {
     std::vector<double> scores;
--- a/src/policy/ownership.hpp
+++ b/src/policy/ownership.hpp
@@ -4,6 +4,8 @@
 /// be small and compete for the same targets. A single owner sends full calls and tracks which targets are idle.
 #pragma once
 
+#include "base/time.hpp"
+
 #include <cstdint>
 #include <span>
 #include <string_view>
@@ -19,6 +21,15 @@
     double weight = 1;
 };
 
+/// How long jobs wait at most for an owner whose connection was lost and whose process may be late only.
+constexpr milliseconds ownerReturnTime { 900 };
+
+/// When a job of an owner that may return also runs elsewhere. A second run takes capacity from other jobs, so it begins
+/// only when waiting longer would make the job late; one that is late anyway waits for the whole time.
+/// @param lostAt       When the connection was lost.
+/// @param latestStart  When the job must start to be in time.
+[[nodiscard]] time_point secondRunAt(time_point lostAt, time_point latestStart) noexcept;
+
 /// @param pool  Stable hash of the pool's name.
 /// @return The indexes of the candidates, preferred owner first; equal in all processes with the same candidates.
 [[nodiscard]] std::vector<size_t> rankOwners(std::span<const owner_candidate> candidates, uint64_t pool);
