--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -34,13 +34,15 @@
     /// Sends the suspicion against a request's fingerprint to the other entries.
     void broadcastSuspicion(uint64_t fingerprint, const policy::suspicion& suspicion, time_point now);
 
-    /// Sends a message to all connected entries.
+    /// Has a message reach all entries. It is sent to some of them, and those to which it is new pass it on.
     void broadcast(const wire::message& message);
     /// Sends a message to another entry.
     /// @return False if this entry has no connection to it.
     [[nodiscard]] bool send(std::string_view entry, wire::message message);
     /// Sends the messages that are queued for another entry now.
     void flush(std::string_view entry);
+    /// @return Bytes sent and received on the current connections to other entries.
+    [[nodiscard]] uint64_t byteCount() const;
     /// @return The entries that keep the origins of streams.
     [[nodiscard]] std::span<const std::string> originKeepers();
     /// @return This entry's rank for a key among all entries; 0 for the first.
@@ -76,10 +78,18 @@
     /// @return The connected entry that ranks first for the pool of a service, or null if this entry runs the jobs of the pool itself.
     [[nodiscard]] peer* usableOwner(std::string_view service);
     void delegate(peer& owner, const job_ptr& job);
+    /// @return Names of the entries to which this one passes on messages to all.
+    [[nodiscard]] std::vector<std::string> spreadNames() const;
+    /// Sends all that is known about crashes to the peers that have missed some of it.
+    void repeatMissedMessages();
     /// @return Names of the entries that this one must be connected to.
     [[nodiscard]] std::set<std::string, std::less<>> requiredPeers();
-    /// Runs the jobs delegated to an owner elsewhere as well.
-    void takeBackJobs(const std::string& name, std::string_view reason);
+    void onOwnerDetached(const std::string& name, std::string_view reason, bool isRefused);
+    /// Runs the jobs delegated to an owner elsewhere as well, if they are due.
+    void takeBackJobs(const std::string& name, std::string_view reason, const std::function<bool(const stage_job&)>& isDue);
+    /// Takes back the jobs for which waiting longer for their owners is too late.
+    void takeBackDueJobs(time_point now);
+    [[nodiscard]] bool mustRunElsewhere(const stage_job& job, time_point lostAt, time_point now);
     /// The owner has no state of its jobs any more.
     void onOwnerRestarted(const std::string& name);
     using delegated_jobs = std::unordered_map<uint64_t, delegated_job>;
@@ -88,6 +98,8 @@
     void cancelDelegated(const stage_job& job);
     void handleFinishedTask(const std::string& name, const wire::task_finished& message);
     void handleRefusedTasks(const std::string& name, uint64_t number);
+    /// @param direction  `broadcast` for messages to all connected entries, or `received`.
+    void countMessages(std::string_view direction, const wire::message& message, size_t amount);
     void handleOwnerMessage(const std::string& name, wire::message& message);
     void handleRequesterMessage(identifier session, wire::message& message);
     void hostJob(identifier session, wire::start_tasks& message);
@@ -100,6 +112,7 @@
     std::map<std::string, std::unique_ptr<peer>, std::less<>> m_peers;
     /// Cached results of `ownersOf`, until the members change.
     std::map<std::string, std::vector<std::string>, std::less<>> m_ownersByService;
+    std::vector<std::string> m_spreadNames;
     delegated_jobs m_delegatedJobs;
     std::unordered_multimap<const stage_job*, uint64_t> m_delegatedNumbers;
     uint64_t m_nextJobNumber = 1;
