--- a/tests/process/gateway_crashing_segment_test.cpp
+++ b/tests/process/gateway_crashing_segment_test.cpp
@@ -118,7 +118,8 @@
         fleet.sendAndWait({ "system", "bad" });
     fleet.deployment.waitUntil([&] { return waiting->isFinished; }, "the refusal of the waiting request");
     cr_assert_eq(waiting->head.status, 503);
-    cr_assert_neq(fleet.deployment.logOf(0).find(R"("reason":"crashes_targets","status":"503","sends":"0")"), std::string::npos, "the request was not refused by the verdict");
+    // The log reaches its file a little later than the response its caller.
+    fleet.deployment.waitUntil([&] { return fleet.deployment.logOf(0).find(R"("reason":"crashes_targets","status":"503","sends":"0")") != std::string::npos; }, "the line about the refusal by the verdict");
     cr_assert_leq(fleet.crashCount(), maxCrashes);
 }
 
