--- a/tests/process/gateway_dead_target_test.cpp
+++ b/tests/process/gateway_dead_target_test.cpp
@@ -181,3 +181,21 @@
     cr_assert_eq(work.caller->body, "whole");
     cr_assert_eq(work.targetIds.size(), 1u);
 }
+
+Test(gateway_dead_target, stages_that_fail_when_they_run_again_are_repeated_once_more)
+{
+    const json pool { { "name", "encode" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 8 }, { "call_ms", 5 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 20 } } } };
+    const json stages = json::array({ { { "service", "encode" }, { "after", json::array() }, { "bytes", 1000 } } });
+    const json changes { { "timeout_ms", 15000 }, { "target_latency_ms", 300 }, { "stages", stages } };
+    dead_target work(333, json::array({ deployment_fixture::route("/m/", "idempotent", "model", changes) }), json::array({ pool }));
+    size_t calls = 0;
+    work.encoder.setBatchCallHandler([&](const exchange_ptr& exchange) {
+        if (++calls == 2)
+            exchange->respond(200, { { "Content-Type", "application/json" } }, R"({"items":[{"reason":"gone"}]})");
+        else
+            work.encoder.respondToBatchCall(*exchange);
+    });
+    work.sendFirst("POST", { { "X-Pieces", "1" }, { "X-Piece-Key", "k" } });
+    work.checkServedByOther();
+    cr_assert_eq(calls, 3u);
+}
