--- a/src/gateway/request_silence.cpp
+++ b/src/gateway/request_silence.cpp
@@ -67,7 +67,7 @@
         return "not_repeatable";
     if (!hasAttemptsLeft() || m_sends >= detail::maxSends)
         return "attempts";
-    if (!areStagesDone())
+    if (!m_areInputsReleased && !areStagesDone())
         return "stages_running";
     if (refusedSegment(now))
         return "segment_refused";
