A begun stream does not go on at a target whose connections broke off a moment ago

Callers got streams with events of two software versions: a target restarts under its identifier, and its record names the former version until the next one is read. Returns to a target at which a run was ended made this more frequent. Cause: the record was trusted although connections to the target had just broken off.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -90,6 +90,13 @@
         if (onHead)
             onHead(head);
     };
+    callbacks.onEnd = [target, onEnd = std::move(callbacks.onEnd)](http1::call_outcome outcome) {
+        const bool isBroken = outcome == http1::call_outcome::NotSent || outcome == http1::call_outcome::NoResponse || outcome == http1::call_outcome::Truncated;
+        if (isBroken)
+            target->lastBrokenAt = monotonicNow();
+        if (onEnd)
+            onEnd(outcome);
+    };
     return context.client.send(target->listed.endpoint, request, options, std::move(callbacks));
 }
 
--- a/src/gateway/request_continuation.cpp
+++ b/src/gateway/request_continuation.cpp
@@ -92,7 +92,9 @@
 
 bool request_run::mayRunAt(const target_state& target) const
 {
-    return !m_origin || m_origin->softwareVersion.empty() || target.listed.softwareVersion == m_origin->softwareVersion;
+    if (!m_origin || m_origin->softwareVersion.empty())
+        return true;
+    return target.listed.softwareVersion == m_origin->softwareVersion && !target.mayHaveRestarted(monotonicNow());
 }
 
 void request_run::recordOrigin(const target_attempt& attempt)
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -4,6 +4,7 @@
 #include "deployment/deployment.hpp"
 #include "policy/pause.hpp"
 #include "policy/rate_limit.hpp"
+#include "policy/stream_origins.hpp"
 #include "policy/target_health.hpp"
 
 #include <deque>
@@ -30,6 +31,9 @@
     policy::target_pause pause;
     /// The record now names another software version: which one ran the last requests is doubtful.
     bool isVersionChanged = false;
+    /// Time at which a connection to the target last failed or broke off. It may have restarted since, with another version
+    /// than the one in its record.
+    time_point lastBrokenAt {};
     /// The address responded as another target; stays set until the record names another address or service.
     bool isReplaced = false;
     policy::target_health health;
@@ -47,6 +51,8 @@
     /// Time at which the target last processed a prompt prefix for this process, by the hash of the prompt segments in it.
     std::unordered_map<uint64_t, time_point> cachedPrefixes;
 
+    /// @return Whether the record may be older than a restart of the target.
+    [[nodiscard]] bool mayHaveRestarted(time_point now) const noexcept { return lastBrokenAt != time_point() && now - lastBrokenAt < policy::targetRecordLag; }
     [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !isLeaving && !listed.isDraining; }
     /// @return Whether the target may get work as soon as its limit allows.
     [[nodiscard]] bool isAvailable(time_point now) const noexcept { return isInService() && policy::mayReturn(pause, now) && policy::isUsable(health, now); }
