--- a/src/gateway/pool_router_peers.cpp
+++ b/src/gateway/pool_router_peers.cpp
@@ -143,7 +143,7 @@
         if (!canRead || !std::exchange(other->hasMissedMessages, false))
             continue;
         m_context.counters.count("crash_messages_repeated_total");
-        m_context.crashes->sendAll([&other](wire::message message) { other->session->post(std::move(message)); }, monotonicNow());
+        m_context.crashes->sendAll([&session = *other->session](wire::message message) { session.post(std::move(message)); }, monotonicNow());
     }
 }
 
