--- a/src/gateway/pool_router_peers.cpp
+++ b/src/gateway/pool_router_peers.cpp
@@ -133,6 +133,11 @@
         other.session->post(message);
         ++sent;
     }
+    // It is not repeated, and an entry that has just started may be connected before the directory lists it.
+    if (!isRepeatable) {
+        m_server.postToAll(message);
+        sent += m_server.sessionCount();
+    }
     countMessages("broadcast", message, sent);
 }
 
