--- a/src/execution/crash_exchange.hpp
+++ b/src/execution/crash_exchange.hpp
@@ -35,6 +35,9 @@
     /// @return The segment for which a request is refused, or nothing.
     [[nodiscard]] std::optional<uint64_t> refusedSegment(std::span<const uint64_t> segments, time_point now) const noexcept { return policy::refusedSegment(m_evidence, segments, now); }
 
+    /// @return True if responses with a refused segment did not crash their targets before; see `policy::hasSurvived`.
+    [[nodiscard]] bool hasSurvived(uint64_t segment) const noexcept { return policy::hasSurvived(m_evidence, segment); }
+
     /// Lets one request with a refused segment through, if a trial is due; see `policy::tryStartTrial`.
     [[nodiscard]] bool tryStartTrial(std::span<const uint64_t> segments, milliseconds rankDelay, time_point now);
 
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -35,6 +35,8 @@
     void recordSurvival(std::span<const uint64_t> segments, time_point beganAt, time_point now) { m_exchange.recordSurvival(segments, beganAt, now); }
 
     [[nodiscard]] std::optional<uint64_t> refusedSegment(std::span<const uint64_t> segments, time_point now) const noexcept { return m_exchange.refusedSegment(segments, now); }
+    /// @return True if responses with a refused segment did not crash their targets before.
+    [[nodiscard]] bool hasSurvived(uint64_t segment) const noexcept { return m_exchange.hasSurvived(segment); }
     /// @return True if the request may run although one of its segments is refused, as the one trial that is due.
     [[nodiscard]] bool tryStartTrial(std::span<const uint64_t> segments, time_point now);
     /// @return When a caller may come back with a refused segment.
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -138,6 +138,10 @@
     const auto segment = m_isFinished ? std::nullopt : refusedSegment(now);
     if (!segment || (m_request.isTrial && m_sends == 1))
         return;
+    // Responses that are under way refute a verdict which other causes of the crashes led to.
+    const bool isAtTarget = m_current || m_backup;
+    if (isAtTarget && m_context.crashes->hasSurvived(*segment))
+        return;
     const auto keepAlive = shared_from_this();
     // Most targets drop a request that they have not begun when its connection closes.
     for (const auto* attempt : { m_backup.get(), m_current.get() }) {
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -85,8 +85,8 @@
     /// target is silent.
     void tick(time_point now);
 
-    /// Ends the attempts whose targets have not begun to respond if a segment of the prompt is refused, and the request with
-    /// the last of them.
+    /// Ends the attempts whose targets have not begun to respond if a segment of the prompt is refused that no response has
+    /// survived before, and the request with the last of them.
     void onVerdict(time_point now);
 
     /// Ends the request although it could go on: with a refusal if no target has run it, else with a failure.
--- a/src/policy/crash_evidence.cpp
+++ b/src/policy/crash_evidence.cpp
@@ -229,6 +229,15 @@
     return std::nullopt;
 }
 
+bool hasSurvived(const crash_evidence& evidence, uint64_t segment) noexcept
+{
+    const auto verdict = evidence.verdicts.find(segment);
+    if (verdict == evidence.verdicts.end() || !evidence.survivals.contains(segment))
+        return false;
+    const auto& companions = verdict->second.companions;
+    return std::all_of(companions.begin(), companions.end(), [&evidence](uint64_t other) { return evidence.survivals.contains(other); });
+}
+
 bool tryStartTrial(crash_evidence& evidence, std::span<const uint64_t> segments, milliseconds rankDelay, time_point now)
 {
     const auto segment = refusedSegment(evidence, segments, now);
--- a/src/policy/crash_evidence.hpp
+++ b/src/policy/crash_evidence.hpp
@@ -111,6 +111,11 @@
 /// @return The segment for which a request with these segments is refused, or nothing.
 [[nodiscard]] std::optional<uint64_t> refusedSegment(const crash_evidence& evidence, std::span<const uint64_t> segments, time_point now) noexcept;
 
+/// Load pattern: targets crash by themselves, one after the other, while most requests share a segment and wait for their
+/// first event. Requests that wait at the other targets then show that the segment is harmless, unless they are ended.
+/// @return True if responses with the refused segment, and with each of its companions, did not crash their targets before.
+[[nodiscard]] bool hasSurvived(const crash_evidence& evidence, uint64_t segment) noexcept;
+
 /// Lets one request through that has exactly one refused segment, if a trial of the segment is due.
 /// @param rankDelay  Time by which this process waits longer than the first in rank, so that only one of them starts the trial.
 [[nodiscard]] bool tryStartTrial(crash_evidence& evidence, std::span<const uint64_t> segments, milliseconds rankDelay, time_point now);
--- a/tests/unit/crash_evidence_test.cpp
+++ b/tests/unit/crash_evidence_test.cpp
@@ -225,6 +225,27 @@
     cr_assert(test.isRefused({ system1 }));
 }
 
+Test(crash_evidence, a_refused_segment_has_survived_only_if_its_companions_have)
+{
+    evidence_test test;
+    test.crash({ { system1, bad } });
+    test.survive({ system1 });
+    for (int i = 0; i < 3; ++i)
+        test.crash({ { system1, bad } });
+    cr_assert(test.isRefused({ system1, bad }));
+    cr_assert_not(hasSurvived(test.evidence, system1), "no response with the companion has begun");
+    cr_assert_not(hasSurvived(test.evidence, bad));
+    cr_assert_not(hasSurvived(test.evidence, otherBad));
+
+    evidence_test sound;
+    sound.crash({ { system1, subject } });
+    sound.survive({ system1, subject });
+    for (int i = 0; i < 3; ++i)
+        sound.crash({ { system1, subject } });
+    cr_assert(sound.isRefused({ system1, subject }));
+    cr_assert(hasSurvived(sound.evidence, system1));
+}
+
 Test(crash_evidence, only_verdicts_that_are_kept_are_announced)
 {
     evidence_test test;
