--- a/src/policy/ownership.cpp
+++ b/src/policy/ownership.cpp
@@ -29,9 +29,15 @@
     std::vector<double> scores;
     for (const auto& candidate : candidates)
         scores.push_back(scoreOf(candidate, pool));
+    double largest = 0;
+    for (const auto& candidate : candidates)
+        largest = std::max(largest, candidate.weight);
+    const auto isSmall = [&](size_t index) { return candidates[index].weight < largest * minOwnerShare; };
     std::vector<size_t> order(candidates.size());
     std::iota(order.begin(), order.end(), size_t { 0 });
     std::sort(order.begin(), order.end(), [&](size_t left, size_t right) {
+        if (isSmall(left) != isSmall(right))
+            return isSmall(right);
         return scores[left] != scores[right] ? scores[left] > scores[right] : candidates[left].hash < candidates[right].hash;
     });
     return order;
--- a/src/policy/ownership.hpp
+++ b/src/policy/ownership.hpp
@@ -1,5 +1,9 @@
 /// Pool ownership: which entry schedules the tasks of a pool for all entries.
 ///
+/// Load pattern: in a large deployment most entries are small, and together they outweigh the few large ones, although each
+/// of them is too small for the work of a pool. An owner that has no processor time left delays the requests of all entries.
+/// Only entries of at least `minOwnerShare` of the largest weight are preferred.
+///
 /// Load pattern: several entries each have a few tasks for the same pool. If each sent its own calls, the calls would
 /// be small and compete for the same targets. A single owner sends full calls and tracks which targets are idle.
 #pragma once
@@ -21,6 +25,9 @@
     double weight = 1;
 };
 
+/// Entries with less than this share of the largest weight rank behind all others.
+constexpr double minOwnerShare = 0.5;
+
 /// How long jobs wait at most for an owner whose connection was lost and whose process may be late only.
 constexpr milliseconds ownerReturnTime { 900 };
 
