--- a/src/execution/crash_exchange.cpp
+++ b/src/execution/crash_exchange.cpp
@@ -14,6 +14,13 @@
 
     constexpr std::string_view logComponent = "crashes";
 
+    /// Origin of a verdict that follows from reports of this daemon, or from those that it collected.
+    constexpr std::string_view ownReports = "own";
+
+    /// Queries about one segment within this time are one; each collector may ask.
+    constexpr milliseconds queryRepeatTime { 1000 };
+    constexpr size_t maxAnsweredQueries = 4096;
+
     /// Segments of a report that are named in the log.
     constexpr size_t maxLoggedSegments = 32;
 
@@ -69,15 +76,79 @@
     const wire::crash_report message = messageOf(report, now);
     m_metrics.count("target_crashes_total");
     logLine(log_level::Warning, logComponent, "A target crashed while requests had not begun to respond.", { { "target", std::string(targetName) }, { "target_hash", textOfHash(target) }, { "requests", std::to_string(requests.size()) }, { "segments", textOfSegments(message.segments) } });
-    const auto result = policy::mergeReport(m_evidence, std::move(report), now);
-    if (!result.isNew)
-        return;
-    publish(message);
-    for (const uint64_t segment : result.newVerdicts) {
-        // The others form it from the same reports; this is for those that lack some.
-        publish(messageOf(segment, m_evidence.verdicts.at(segment), now));
-        onNewVerdict(segment, "own", now);
+    if (hasCollectors())
+        m_callbacks.sendToCollectors(message);
+    else
+        m_callbacks.sendToAll(message);
+    if (m_callbacks.onOwnChange)
+        m_callbacks.onOwnChange(message);
+    if (role().isCollector)
+        static_cast<void>(collect(std::move(report), ownReports, now));
+}
+
+bool crash_exchange::collect(policy::crash_report report, std::string_view from, time_point now)
+{
+    const auto segments = report.segments;
+    if (!policy::addReport(m_evidence, std::move(report)))
+        return false;
+    if (hasCollectors()) {
+        // Responses that began after the crash may have been seen before the report arrived.
+        for (const auto& item : segments) {
+            if (const auto beganAt = policy::findRecentSurvival(m_survivals, item.segment))
+                static_cast<void>(policy::recordSurvival(m_evidence, std::span(&item.segment, 1), *beganAt));
+        }
     }
+    std::vector<uint64_t> due;
+    const auto candidates = policy::verdictCandidates(m_evidence, segments);
+    const bool mustAsk = role().hasOthers;
+    for (const auto& item : segments) {
+        const bool isCandidate = std::find(candidates.begin(), candidates.end(), item.segment) != candidates.end();
+        if (!isCandidate || !mustAsk) {
+            due.push_back(item.segment);
+            continue;
+        }
+        if (!m_pendingVerdicts.emplace(item.segment, now + survivalQueryTime).second)
+            continue;
+        m_metrics.count("survival_queries_total");
+        m_callbacks.sendToAll(wire::survival_query { item.segment });
+        m_answeredQueries[item.segment] = now + queryRepeatTime;
+    }
+    announceVerdicts(policy::formVerdicts(m_evidence, due, now), from, now);
+    return true;
+}
+
+void crash_exchange::announceVerdicts(std::span<const uint64_t> segments, std::string_view from, time_point now)
+{
+    for (const uint64_t segment : segments) {
+        // Collectors form it from the same reports; this is for the others, and for those that lack some.
+        if (from == ownReports)
+            publish(messageOf(segment, m_evidence.verdicts.at(segment), now));
+        onNewVerdict(segment, from, now);
+    }
+}
+
+void crash_exchange::tick(time_point now)
+{
+    std::vector<uint64_t> due;
+    std::erase_if(m_pendingVerdicts, [&](const auto& item) {
+        const bool isDue = item.second <= now;
+        if (isDue)
+            due.push_back(item.first);
+        return isDue;
+    });
+    if (!due.empty())
+        announceVerdicts(policy::formVerdicts(m_evidence, due, now), ownReports, now);
+    std::erase_if(m_answeredQueries, [now](const auto& item) { return item.second <= now; });
+    policy::removeExpired(m_evidence, now);
+}
+
+bool crash_exchange::answerQuery(uint64_t segment, time_point now)
+{
+    if (m_answeredQueries.size() >= maxAnsweredQueries || !m_answeredQueries.emplace(segment, now + queryRepeatTime).second)
+        return false;
+    if (const auto beganAt = policy::findRecentSurvival(m_survivals, segment); beganAt && hasCollectors())
+        m_callbacks.sendToCollectors(wire::segment_survival { segment, toMilliseconds(now - *beganAt) });
+    return true;
 }
 
 void crash_exchange::onNewVerdict(uint64_t segment, std::string_view from, time_point now)
@@ -92,12 +163,14 @@
 void crash_exchange::recordSurvival(std::span<const uint64_t> segments, time_point beganAt, time_point now)
 {
     for (const uint64_t segment : segments) {
+        policy::recordRecentSurvival(m_survivals, segment, beganAt);
         const bool wasRefused = m_evidence.verdicts.contains(segment);
         const uint32_t crashCount = policy::crashCountOf(m_evidence, segment);
         if (policy::recordSurvival(m_evidence, std::span(&segment, 1), beganAt).empty())
             continue;
         // After one crash, the entries clear the many segments of the requests beside it by their own traffic.
-        if (!wasRefused && crashCount + 1 < policy::crashesToRefuse)
+        // Collectors ask for survivals before they form a verdict.
+        if (!wasRefused && (hasCollectors() || crashCount + 1 < policy::crashesToRefuse))
             continue;
         const wire::segment_survival message { segment, toMilliseconds(now - beganAt) };
         if (!wasRefused) {
@@ -136,6 +209,8 @@
         isNew = mergeVerdict(*verdict, from, now);
     else if (const auto* survival = std::get_if<wire::segment_survival>(&message))
         isNew = mergeSurvival(*survival, from, now);
+    else if (const auto* query = std::get_if<wire::survival_query>(&message))
+        isNew = answerQuery(query->segment, now);
     else
         return false;
     if (isNew)
@@ -148,12 +223,13 @@
     policy::crash_report report { message.id, message.target, now - milliseconds(message.ageMs), {} };
     for (const auto& [segment, requests] : message.segments)
         report.segments.push_back({ segment, requests });
-    const auto result = policy::mergeReport(m_evidence, std::move(report), now);
-    if (result.isNew)
+    if (!role().isCollector)
+        return false;
+    const bool isNew = collect(std::move(report), from, now);
+    if (isNew)
         logLine(log_level::Info, logComponent, "A peer reported a crash of a target.", { { "target_hash", textOfHash(message.target) }, { "age_ms", std::to_string(message.ageMs) }, { "segments", textOfSegments(message.segments) }, { "from", std::string(from) } });
-    for (const uint64_t segment : result.newVerdicts)
-        onNewVerdict(segment, from, now);
-    return result.isNew;
+    // Daemons that are no collectors do not need it, and the other collectors get it from its sender.
+    return isNew && !hasCollectors();
 }
 
 bool crash_exchange::mergeVerdict(const wire::segment_verdict& message, std::string_view from, time_point now)
@@ -180,16 +256,18 @@
         return false;
     if (wasRefused && !m_evidence.verdicts.contains(message.segment))
         logLine(log_level::Warning, logComponent, "A peer reported that a refused prompt segment does not crash targets; requests with it run again.", { { "segment", textOfHash(message.segment) }, { "from", std::string(from) } });
-    return true;
+    return wasRefused || !hasCollectors();
 }
 
 void crash_exchange::sendAll(const std::function<void(wire::message)>& send, time_point now) const
 {
-    // Without its refuted segments, a report cannot be misread before the survivals arrive.
-    for (const auto& report : policy::unrefutedReports(m_evidence))
-        send(messageOf(report, now));
-    for (const auto& [segment, beganAt] : m_evidence.survivals)
-        send(wire::segment_survival { segment, toMilliseconds(now - beganAt) });
+    if (!role().hasOthers) {
+        // Without its refuted segments, a report cannot be misread before the survivals arrive.
+        for (const auto& report : policy::unrefutedReports(m_evidence))
+            send(messageOf(report, now));
+        for (const auto& [segment, beganAt] : m_evidence.survivals)
+            send(wire::segment_survival { segment, toMilliseconds(now - beganAt) });
+    }
     for (const auto& [segment, verdict] : m_evidence.verdicts)
         send(messageOf(segment, verdict, now));
 }
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -11,11 +11,13 @@
     constexpr std::string_view logComponent = "crashes";
     constexpr std::string_view topic = "keyed.crashes";
 
-    /// How long the store may hold a read. Changes are known at once; a connection that went silent is noticed after this time.
-    constexpr milliseconds readWait { 4000 };
+    /// Pause between two reads. Connected entries learn of verdicts at once; the store is for those that start or are cut off.
+    constexpr milliseconds readPause { 4000 };
 
     /// Reports of one entry in the store; the next one replaces the oldest.
     constexpr size_t storedReports = 8;
+    /// Shortest time between two reports of one entry in the store; a wave of crashes says no more than its first one.
+    constexpr milliseconds storedReportPeriod { 1000 };
     constexpr size_t maxPuts = 64;
 
     /// Records older than this are removed by the entry that reads them.
@@ -33,8 +35,8 @@
     , m_ownName(std::move(ownName))
     , m_callbacks(std::move(callbacks))
     , m_probe(metrics, [this](const execution::probed_target& target, std::span<const std::vector<uint64_t>> requests, time_point at) { m_exchange.reportCrash(target.hash, target.name, requests, at); })
-    , m_exchange(metrics, m_ownName, { m_callbacks.sendToAll, m_callbacks.onVerdict, [this](const wire::message& message) { storeChange(message); } })
-    , m_follower(store, std::string(topic), { readWait, milliseconds(0) }, followCallbacks())
+    , m_exchange(metrics, m_ownName, { m_callbacks.sendToAll, m_callbacks.onVerdict, [this](const wire::message& message) { storeChange(message); }, m_callbacks.sendToCollectors, m_callbacks.role })
+    , m_follower(store, std::string(topic), { milliseconds(0), readPause }, followCallbacks())
 {
 }
 
@@ -58,7 +60,7 @@
 
 void crash_watch::tick(time_point now)
 {
-    m_exchange.removeExpired(now);
+    m_exchange.tick(now);
 }
 
 // The store.
@@ -66,9 +68,13 @@
 void crash_watch::storeChange(const wire::message& message)
 {
     std::string key;
-    if (std::holds_alternative<wire::crash_report>(message))
+    if (std::holds_alternative<wire::crash_report>(message)) {
+        const time_point now = monotonicNow();
+        if (m_nextReport > 0 && now - m_lastReportStoredAt < storedReportPeriod)
+            return;
+        m_lastReportStoredAt = now;
         key = "report/" + m_ownName + "/" + std::to_string(m_nextReport++ % storedReports);
-    else if (const auto* verdict = std::get_if<wire::segment_verdict>(&message))
+    } else if (const auto* verdict = std::get_if<wire::segment_verdict>(&message))
         key = "segment/" + textOfHash(verdict->segment);
     else if (const auto* survival = std::get_if<wire::segment_survival>(&message))
         key = "segment/" + textOfHash(survival->segment);
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -17,6 +17,10 @@
     struct callbacks {
         /// Sends a message to all connected entries.
         std::function<void(const wire::message&)> sendToAll;
+        /// Sends a message to the entries that collect reports about crashes, without this one.
+        std::function<void(const wire::message&)> sendToCollectors;
+        /// @return Whether this entry collects reports.
+        std::function<execution::collection_role()> role;
         /// Called after a segment was refused for the first time, with the first of the crashes behind it.
         std::function<void(time_point firstCrashAt)> onVerdict;
         /// @return This entry's rank among those that may start a trial of a segment.
@@ -65,6 +69,7 @@
     execution::crash_exchange m_exchange;
     std::list<platform::store_call> m_puts;
     size_t m_nextReport = 0;
+    time_point m_lastReportStoredAt {};
     bool m_hasRecords = false;
     platform::topic_follower m_follower;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,6 +90,8 @@
     m_pools.emplace(m_context, m_scheduler, *m_directory);
     m_crashes.emplace(m_context.counters, m_context.store, settings.name,
         crash_watch::callbacks { [this](const wire::message& message) { m_pools->broadcast(message); },
+            [this](const wire::message& message) { m_pools->sendToCrashCollectors(message); },
+            [this] { return m_pools->crashCollectionRole(); },
             [this](time_point firstCrashAt) { onVerdict(firstCrashAt); },
             [this](uint64_t segment) { return m_pools->rankFor(textOfHash(segment)); } });
     m_context.crashes = &*m_crashes;
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -264,6 +264,10 @@
         handleSuspicion(*suspicion);
         return;
     }
+    if (const auto* strike = std::get_if<wire::crash_strike>(&message)) {
+        handleStrike(*strike);
+        return;
+    }
     if (const auto* finishedTask = std::get_if<wire::task_finished>(&message))
         handleFinishedTask(name, *finishedTask);
     else if (const auto* refusal = std::get_if<wire::tasks_refused>(&message))
@@ -328,6 +332,8 @@
         m_scheduler.releaseResults(toTexts(release->handles));
     } else if (const auto* suspicion = std::get_if<wire::crash_suspicion>(&message)) {
         handleSuspicion(*suspicion);
+    } else if (const auto* strike = std::get_if<wire::crash_strike>(&message)) {
+        handleStrike(*strike);
     }
 }
 
@@ -402,6 +408,22 @@
     return static_cast<size_t>(std::find(ranked.begin(), ranked.end(), m_directory.own().name) - ranked.begin());
 }
 
+void pool_router::reportStrike(uint64_t fingerprint, time_point now)
+{
+    sendToCrashCollectors(wire::crash_strike { fingerprint, hashOfPair(hashOf(m_directory.own().name), static_cast<uint64_t>(now.time_since_epoch().count())) });
+}
+
+void pool_router::handleStrike(const wire::crash_strike& message)
+{
+    const time_point now = monotonicNow();
+    const auto suspicion = policy::recordStrike(m_context.suspicions, message.fingerprint, message.id, now);
+    if (!suspicion)
+        return;
+    logLine(log_level::Info, logComponent, "A peer reported a request that is suspected of crashing targets.", { { "fingerprint", std::to_string(message.fingerprint) }, { "strikes", std::to_string(suspicion->crashCount) }, { "quarantined", suspicion->isQuarantined ? "true" : "false" } });
+    if (suspicion->isQuarantined)
+        broadcastSuspicion(message.fingerprint, *suspicion, now);
+}
+
 void pool_router::handleSuspicion(const wire::crash_suspicion& message)
 {
     const time_point now = monotonicNow();
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -1,6 +1,7 @@
 /// Routes stage jobs to the entry that owns their pool, or to the local scheduler.
 #pragma once
 
+#include "execution/crash_exchange.hpp"
 #include "gateway/entry_directory.hpp"
 #include "gateway/task_scheduler.hpp"
 #include "wire/server.hpp"
@@ -31,6 +32,11 @@
     /// Releases results that the service's pool produced.
     void releaseResults(std::string_view service, const std::vector<std::string>& handles);
 
+    /// Sends a message to the entries that collect what is known about crashes, without this one.
+    void sendToCrashCollectors(const wire::message& message);
+    [[nodiscard]] execution::collection_role crashCollectionRole();
+    /// Tells the collectors that a target crashed which ran a request with this fingerprint.
+    void reportStrike(uint64_t fingerprint, time_point now);
     /// Sends the suspicion against a request's fingerprint to the other entries.
     void broadcastSuspicion(uint64_t fingerprint, const policy::suspicion& suspicion, time_point now);
 
@@ -105,6 +111,8 @@
     void hostJob(identifier session, wire::start_tasks& message);
     void onSessionExpired(identifier session);
     void handleSuspicion(const wire::crash_suspicion& message);
+    void handleStrike(const wire::crash_strike& message);
+    [[nodiscard]] std::span<const std::string> crashCollectors();
 
     context& m_context;
     task_scheduler& m_scheduler;
--- a/src/gateway/pool_router_peers.cpp
+++ b/src/gateway/pool_router_peers.cpp
@@ -17,6 +17,9 @@
     /// Key of the ranking of entries that keep the origins of streams.
     constexpr std::string_view originKeeping = "stream-origins";
 
+    /// Entries that collect what is known about crashes: the first of those that keep the origins of streams.
+    constexpr size_t maxCrashCollectors = 4;
+
     /// A peer that has not acknowledged this much gets no messages about crashes, so that results of jobs are not delayed.
     constexpr size_t maxQueuedBytes = 256 * 1024;
 
@@ -40,6 +43,36 @@
     return std::span(ranked).first(std::min(ranked.size(), policy::originKeeperCount(ranked.size())));
 }
 
+std::span<const std::string> pool_router::crashCollectors()
+{
+    return originKeepers().first(std::min(originKeepers().size(), maxCrashCollectors));
+}
+
+void pool_router::sendToCrashCollectors(const wire::message& message)
+{
+    size_t sent = 0;
+    for (const auto& name : crashCollectors())
+        sent += send(name, message) ? 1 : 0;
+    // An entry that has just started may be connected before the directory lists it.
+    if (m_directory.others().size() < maxCrashCollectors) {
+        m_server.postToAll(message);
+        sent += m_server.sessionCount();
+    }
+    countMessages("collectors", message, sent);
+}
+
+execution::collection_role pool_router::crashCollectionRole()
+{
+    const auto collectors = crashCollectors();
+    const bool isCollector = std::find(collectors.begin(), collectors.end(), m_directory.own().name) != collectors.end();
+    // An entry that reaches no collector judges by what it sees itself.
+    const bool isReachable = std::any_of(collectors.begin(), collectors.end(), [this](const auto& name) {
+        const auto position = m_peers.find(name);
+        return position != m_peers.end() && position->second->session->isUp();
+    });
+    return { isCollector || !isReachable, m_directory.others().size() >= maxCrashCollectors };
+}
+
 std::vector<std::string> pool_router::spreadNames() const
 {
     std::vector<std::string> all { m_directory.own().name };
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -13,9 +13,6 @@
 namespace {
     constexpr std::string_view logComponent = "request";
 
-    /// Number of crashes after which a request is quarantined and refused.
-    constexpr uint32_t crashesToQuarantine = 2;
-
     /// Reason of requests that are refused because targets crashed on them or on a segment of their prompt.
     constexpr std::string_view crashReason = "crashes_targets";
 
@@ -109,13 +106,16 @@
 void request_run::recordCrash(const target_attempt& attempt, time_point now)
 {
     policy::suspicion suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, false, now);
-    if (suspicion.crashCount >= crashesToQuarantine)
+    if (suspicion.crashCount >= policy::crashesToQuarantine)
         suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, true, now);
     logCrash(attempt, suspicion, now);
     m_mayHaveCrashed = !m_request.segments.empty();
     if (m_mayHaveCrashed)
         m_context.crashes->onBrokenRequest(*attempt.target, { m_request.segments, attempt.sentAt }, now);
-    m_pools.broadcastSuspicion(m_request.fingerprint, suspicion, now);
+    if (suspicion.isQuarantined)
+        m_pools.broadcastSuspicion(m_request.fingerprint, suspicion, now);
+    else
+        m_pools.reportStrike(m_request.fingerprint, now);
 }
 
 void request_run::recordSurvival(target_attempt& attempt, time_point now)
--- a/src/policy/crash_evidence.cpp
+++ b/src/policy/crash_evidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace bilberryseam::policy {
 
@@ -115,6 +116,9 @@
     {
         const crash_report report = std::move(evidence.reports.front());
         evidence.reports.pop_front();
+        evidence.formerReports.push_back(report.id);
+        if (evidence.formerReports.size() > maxFormerReports)
+            evidence.formerReports.pop_front();
         for (const auto& item : report.segments) {
             if (!isSuspected(evidence, item.segment))
                 evidence.survivals.erase(item.segment);
@@ -137,10 +141,30 @@
     return segments;
 }
 
-merge_result mergeReport(crash_evidence& evidence, crash_report report, time_point now)
+void recordRecentSurvival(recent_survivals& survivals, uint64_t segment, time_point beganAt)
 {
-    if (std::any_of(evidence.reports.begin(), evidence.reports.end(), [&report](const auto& known) { return known.id == report.id; }))
-        return {};
+    if (survivals.newer.size() >= maxRecentSurvivals && !survivals.newer.contains(segment))
+        survivals.older = std::exchange(survivals.newer, {});
+    time_point& newest = survivals.newer[segment];
+    newest = std::max(newest, beganAt);
+}
+
+std::optional<time_point> findRecentSurvival(const recent_survivals& survivals, uint64_t segment) noexcept
+{
+    std::optional<time_point> newest;
+    for (const auto* table : { &survivals.newer, &survivals.older }) {
+        if (const auto position = table->find(segment); position != table->end())
+            newest = std::max(newest.value_or(position->second), position->second);
+    }
+    return newest;
+}
+
+bool addReport(crash_evidence& evidence, crash_report report)
+{
+    const bool isKnown = std::any_of(evidence.reports.begin(), evidence.reports.end(), [&report](const auto& known) { return known.id == report.id; })
+        || std::find(evidence.formerReports.begin(), evidence.formerReports.end(), report.id) != evidence.formerReports.end();
+    if (isKnown)
+        return false;
     for (auto& known : evidence.reports) {
         if (known.target != report.target || std::chrono::abs(known.at - report.at) > sameCrashTime)
             continue;
@@ -153,17 +177,42 @@
     if (evidence.reports.size() >= maxCrashReports)
         removeOldestReport(evidence);
     evidence.reports.push_back(std::move(report));
+    return true;
+}
+
+std::vector<uint64_t> verdictCandidates(const crash_evidence& evidence, std::span<const suspected_segment> segments)
+{
+    std::vector<uint64_t> candidates;
+    for (const auto& item : segments) {
+        if (!evidence.verdicts.contains(item.segment) && crashCountOf(evidence, item.segment) >= crashesToRefuse)
+            candidates.push_back(item.segment);
+    }
+    return candidates;
+}
+
+std::vector<uint64_t> formVerdicts(crash_evidence& evidence, std::span<const uint64_t> segments, time_point now)
+{
     std::vector<uint64_t> refused;
     for (const auto& [segment, verdict] : evidence.verdicts)
         refused.push_back(segment);
-    merge_result result { true, {} };
-    for (const auto& item : evidence.reports.back().segments) {
-        if (updateVerdict(evidence, refused, item.segment, now))
-            result.newVerdicts.push_back(item.segment);
+    std::vector<uint64_t> newVerdicts;
+    for (const uint64_t segment : segments) {
+        if (updateVerdict(evidence, refused, segment, now))
+            newVerdicts.push_back(segment);
     }
     // A report with very many segments can form more verdicts than are kept.
-    std::erase_if(result.newVerdicts, [&evidence](uint64_t segment) { return !evidence.verdicts.contains(segment); });
-    return result;
+    std::erase_if(newVerdicts, [&evidence](uint64_t segment) { return !evidence.verdicts.contains(segment); });
+    return newVerdicts;
+}
+
+merge_result mergeReport(crash_evidence& evidence, crash_report report, time_point now)
+{
+    if (!addReport(evidence, std::move(report)))
+        return {};
+    std::vector<uint64_t> segments;
+    for (const auto& item : evidence.reports.back().segments)
+        segments.push_back(item.segment);
+    return { true, formVerdicts(evidence, segments, now) };
 }
 
 bool mergeVerdict(crash_evidence& evidence, uint64_t segment, const segment_verdict& verdict, time_point now)
@@ -229,13 +278,13 @@
     return std::nullopt;
 }
 
-bool hasSurvived(const crash_evidence& evidence, uint64_t segment) noexcept
+bool hasSurvived(const crash_evidence& evidence, const recent_survivals& survivals, uint64_t segment) noexcept
 {
     const auto verdict = evidence.verdicts.find(segment);
-    if (verdict == evidence.verdicts.end() || !evidence.survivals.contains(segment))
+    if (verdict == evidence.verdicts.end() || !findRecentSurvival(survivals, segment))
         return false;
     const auto& companions = verdict->second.companions;
-    return std::all_of(companions.begin(), companions.end(), [&evidence](uint64_t other) { return evidence.survivals.contains(other); });
+    return std::all_of(companions.begin(), companions.end(), [&survivals](uint64_t other) { return findRecentSurvival(survivals, other).has_value(); });
 }
 
 bool tryStartTrial(crash_evidence& evidence, std::span<const uint64_t> segments, milliseconds rankDelay, time_point now)
--- a/src/policy/crash_evidence.hpp
+++ b/src/policy/crash_evidence.hpp
@@ -79,8 +79,29 @@
     bool operator==(const segment_verdict&) const = default;
 };
 
+/// Segments of responses that began a moment ago and did not crash their targets, whether suspected or not. A process that
+/// learns only later of a crash elsewhere can refute it with them.
+struct recent_survivals {
+    /// Start of the newest response by segment. When the table is full, it becomes the older one.
+    std::unordered_map<uint64_t, time_point> newer;
+    std::unordered_map<uint64_t, time_point> older;
+};
+
+/// Most segments in each of the two tables.
+constexpr size_t maxRecentSurvivals = 4096;
+
+void recordRecentSurvival(recent_survivals& survivals, uint64_t segment, time_point beganAt);
+
+/// @return The start of the newest response with the segment, or nothing.
+[[nodiscard]] std::optional<time_point> findRecentSurvival(const recent_survivals& survivals, uint64_t segment) noexcept;
+
+/// Most identifiers of removed reports that are kept, so that one of them is not taken for a new report.
+constexpr size_t maxFormerReports = 1024;
+
 struct crash_evidence {
     std::deque<crash_report> reports;
+    /// Identifiers of removed reports.
+    std::deque<uint64_t> formerReports;
     /// Start of the newest response that a segment survived; only of segments in `reports` or `verdicts`.
     std::unordered_map<uint64_t, time_point> survivals;
     std::unordered_map<uint64_t, segment_verdict> verdicts;
@@ -97,6 +118,17 @@
     std::vector<uint64_t> newVerdicts;
 };
 
+/// Adds a report without forming verdicts.
+/// @return False if the report was known already.
+[[nodiscard]] bool addReport(crash_evidence& evidence, crash_report report);
+
+/// @return Those of the segments that enough crashes count against, and that are not refused yet.
+[[nodiscard]] std::vector<uint64_t> verdictCandidates(const crash_evidence& evidence, std::span<const suspected_segment> segments);
+
+/// Forms the verdicts that follow from the reports.
+/// @return Those of the segments that are refused from now on.
+[[nodiscard]] std::vector<uint64_t> formVerdicts(crash_evidence& evidence, std::span<const uint64_t> segments, time_point now);
+
 /// Adds a report and forms the verdicts that follow from it.
 [[nodiscard]] merge_result mergeReport(crash_evidence& evidence, crash_report report, time_point now);
 
@@ -114,7 +146,7 @@
 /// Load pattern: targets crash by themselves, one after the other, while most requests share a segment and wait for their
 /// first event. Requests that wait at the other targets then show that the segment is harmless, unless they are ended.
 /// @return True if responses with the refused segment, and with each of its companions, did not crash their targets before.
-[[nodiscard]] bool hasSurvived(const crash_evidence& evidence, uint64_t segment) noexcept;
+[[nodiscard]] bool hasSurvived(const crash_evidence& evidence, const recent_survivals& survivals, uint64_t segment) noexcept;
 
 /// Lets one request through that has exactly one refused segment, if a trial of the segment is due.
 /// @param rankDelay  Time by which this process waits longer than the first in rank, so that only one of them starts the trial.
--- a/src/policy/suspicion.cpp
+++ b/src/policy/suspicion.cpp
@@ -46,6 +46,17 @@
     return record;
 }
 
+std::optional<suspicion> recordStrike(suspicion_table& table, uint64_t fingerprint, uint64_t strike, time_point now)
+{
+    const suspicion known = recordOf(table, fingerprint, now);
+    if (known.lastStrike == strike)
+        return std::nullopt;
+    recordCrash(table, fingerprint, known.crashCount + 1 >= crashesToQuarantine, now);
+    suspicion& record = table.byFingerprint.at(fingerprint);
+    record.lastStrike = strike;
+    return record;
+}
+
 void clearSuspicion(suspicion_table& table, uint64_t fingerprint) noexcept
 {
     if (const auto it = table.byFingerprint.find(fingerprint); it != table.byFingerprint.end() && !it->second.isQuarantined)
--- a/src/policy/suspicion.hpp
+++ b/src/policy/suspicion.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 namespace bilberryseam::policy {
@@ -14,6 +15,9 @@
 /// How long a quarantine lasts.
 constexpr seconds quarantineTime { 600 };
 
+/// Number of crashes after which a request is quarantined and refused.
+constexpr uint32_t crashesToQuarantine = 2;
+
 /// Most fingerprints in a table; when it is full, the one that expires first is removed.
 constexpr size_t maxSuspicions = 10000;
 
@@ -23,6 +27,8 @@
     bool isQuarantined = false;
     time_point expires {};
     time_point lastCrashAt {};
+    /// Identifier of the last crash that a peer reported.
+    uint64_t lastStrike = 0;
 };
 
 struct suspicion_table {
@@ -45,6 +51,10 @@
 /// @return The updated suspicion.
 suspicion recordCrash(suspicion_table& table, uint64_t fingerprint, bool wasIsolated, time_point now);
 
+/// Records a crash that a peer reported; quarantines the request if enough crashes count against it.
+/// @return The updated suspicion; nothing if the crash was counted already.
+[[nodiscard]] std::optional<suspicion> recordStrike(suspicion_table& table, uint64_t fingerprint, uint64_t strike, time_point now);
+
 /// Removes the suspicion after the request ran without a crash; a quarantine stays.
 void clearSuspicion(suspicion_table& table, uint64_t fingerprint) noexcept;
 
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -12,7 +12,7 @@
 namespace bilberryseam::wire {
 
 /// Version of the protocol between daemons. The handshake refuses a peer with another version.
-constexpr uint32_t protocolVersion = 3;
+constexpr uint32_t protocolVersion = 4;
 
 /// Why a side refused a call before it started. The call did not run.
 enum class refusal : uint8_t {
@@ -338,10 +338,29 @@
     void visitFields(Visitor& visit) { visit(stream); }
 };
 
+/// Between entries: have responses with this prompt segment begun that did not crash their targets? The receiver passes the
+/// query on, and sends `segment_survival` to the collectors of crash reports if it has seen one.
+struct survival_query {
+    uint64_t segment = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(segment); }
+};
+
+/// Entry to the collectors of crash reports: a target crashed that ran a request with this fingerprint.
+struct crash_strike {
+    uint64_t fingerprint = 0;
+    /// Unique, since a strike may arrive on several paths.
+    uint64_t id = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(fingerprint, id); }
+};
+
 /// Any message inside a frame. The index in this list is the type number on the wire.
 using message = std::variant<start_call, cancel_call, call_refused, call_started, call_output, call_finished, target_load,
     configuration_offset, configuration_records, crash_suspicion, start_tasks, task_finished, tasks_refused, cancel_tasks, release_results, crash_report,
-    segment_verdict, segment_survival, stream_begun, stream_query, stream_unknown>;
+    segment_verdict, segment_survival, stream_begun, stream_query, stream_unknown, survival_query, crash_strike>;
 
 /// @return The name of a message's type, used in metrics.
 [[nodiscard]] std::string_view nameOf(const message& item) noexcept;
--- a/tests/unit/crash_evidence_test.cpp
+++ b/tests/unit/crash_evidence_test.cpp
@@ -20,6 +20,7 @@
 /// Evidence of a process, and the time.
 struct evidence_test {
     crash_evidence evidence;
+    recent_survivals survivals;
     time_point now = start;
     uint64_t target = 100;
     uint64_t reportId = 0;
@@ -32,7 +33,12 @@
 
     [[nodiscard]] bool isRefused(const std::vector<uint64_t>& request) const { return refusedSegment(evidence, request, now).has_value(); }
 
-    void survive(const std::vector<uint64_t>& request) { static_cast<void>(recordSurvival(evidence, request, now)); }
+    void survive(const std::vector<uint64_t>& request)
+    {
+        for (const uint64_t segment : request)
+            recordRecentSurvival(survivals, segment, now);
+        static_cast<void>(recordSurvival(evidence, request, now));
+    }
 };
 }
 
@@ -233,9 +239,9 @@
     for (int i = 0; i < 3; ++i)
         test.crash({ { system1, bad } });
     cr_assert(test.isRefused({ system1, bad }));
-    cr_assert_not(hasSurvived(test.evidence, system1), "no response with the companion has begun");
-    cr_assert_not(hasSurvived(test.evidence, bad));
-    cr_assert_not(hasSurvived(test.evidence, otherBad));
+    cr_assert_not(hasSurvived(test.evidence, test.survivals, system1), "no response with the companion has begun");
+    cr_assert_not(hasSurvived(test.evidence, test.survivals, bad));
+    cr_assert_not(hasSurvived(test.evidence, test.survivals, otherBad));
 
     evidence_test sound;
     sound.crash({ { system1, subject } });
@@ -243,7 +249,7 @@
     for (int i = 0; i < 3; ++i)
         sound.crash({ { system1, subject } });
     cr_assert(sound.isRefused({ system1, subject }));
-    cr_assert(hasSurvived(sound.evidence, system1));
+    cr_assert(hasSurvived(sound.evidence, sound.survivals, system1));
 }
 
 Test(crash_evidence, only_verdicts_that_are_kept_are_announced)
