--- a/src/fakes/platform_store.cpp
+++ b/src/fakes/platform_store.cpp
@@ -1,6 +1,7 @@
 #include "fakes/platform_store.hpp"
 
 #include <glib.h>
+#include <utility>
 
 namespace bilberryseam::fakes {
 
@@ -103,6 +104,18 @@
     }
 }
 
+void platform_store::restoreOlderCopy(const std::string& name, size_t lostRecords)
+{
+    ++m_era;
+    topic& restored = m_topics[name];
+    const size_t kept = restored.records.size() - std::min(restored.records.size(), lostRecords);
+    std::deque<std::string> records = std::exchange(restored.records, {});
+    records.resize(kept);
+    restored.newest.clear();
+    for (auto& record : records)
+        addRecord(name, std::move(record));
+}
+
 void platform_store::truncateHistory(const std::string& name)
 {
     topic& topicRecords = m_topics[name];
@@ -164,10 +177,17 @@
         exchange->respond(404, {}, {});
 }
 
+http1::header_list platform_store::headers() const
+{
+    if (m_era == 0)
+        return {};
+    return { { "Store-Era", std::to_string(m_era) } };
+}
+
 void platform_store::respond(std::shared_ptr<http1::exchange> exchange, unsigned status, std::string body)
 {
     if (m_faults.delay.count() == 0) {
-        exchange->respond(status, {}, body);
+        exchange->respond(status, headers(), body);
         return;
     }
     std::erase_if(m_delayedResponses, [](const auto& item) { return !item->sendTimer.isRunning(); });
@@ -175,9 +195,9 @@
     item.exchange = std::move(exchange);
     item.status = status;
     item.body = std::move(body);
-    item.sendTimer.startOnce(m_faults.delay, [&item] {
+    item.sendTimer.startOnce(m_faults.delay, [this, &item] {
         if (!item.exchange->isFinished())
-            item.exchange->respond(item.status, {}, item.body);
+            item.exchange->respond(item.status, headers(), item.body);
     });
 }
 
--- a/src/fakes/platform_store.hpp
+++ b/src/fakes/platform_store.hpp
@@ -37,6 +37,8 @@
 
     /// Sets a key; an empty value removes it.
     void put(const std::string& topic, const std::string& key, const std::string& value);
+    /// Returns from an older copy that lacks the newest records of a topic: the era rises, and their offsets are given out again.
+    void restoreOlderCopy(const std::string& topic, size_t lostRecords);
     /// Removes the records of a topic; the newest value of each key stays available.
     void truncateHistory(const std::string& topic);
     void setFaults(store_faults faults) { m_faults = faults; }
@@ -80,6 +82,7 @@
     void read(std::shared_ptr<http1::exchange> exchange, const std::string& name);
     void append(std::shared_ptr<http1::exchange> exchange, const std::string& name);
     void respondToRead(std::shared_ptr<http1::exchange> exchange, const topic& topic, uint64_t from, size_t maxBytes);
+    [[nodiscard]] http1::header_list headers() const;
     void respond(std::shared_ptr<http1::exchange> exchange, unsigned status, std::string body);
     void completeWaitingReads();
     void addRecord(const std::string& name, std::string record);
@@ -90,6 +93,8 @@
     std::vector<std::shared_ptr<http1::exchange>> m_unansweredExchanges;
     std::vector<std::unique_ptr<delayed_response>> m_delayedResponses;
     store_faults m_faults;
+    /// Sent with each response unless it is zero.
+    uint64_t m_era = 0;
     size_t m_reads = 0;
     size_t m_appends = 0;
     timer m_waitTimer;
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -27,6 +27,7 @@
 
 class crash_watch;
 class stream_directory;
+class topic_relay;
 
 struct context {
     settings::gateway_settings settings;
@@ -42,6 +43,8 @@
     crash_watch* crashes = nullptr;
     /// Set while the gateway runs.
     stream_directory* streams = nullptr;
+    /// Set while the gateway runs.
+    topic_relay* relay = nullptr;
     std::map<std::string, retry_budget, std::less<>> retryBudgets;
     /// Services of which a target missed a released stage result: until this time, results are released only at the
     /// first event of the response.
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -54,6 +54,7 @@
 
     /// @return True once the store's records were read.
     [[nodiscard]] bool isReady() const noexcept { return m_hasRecords; }
+    [[nodiscard]] platform::topic_follower& follower() noexcept { return m_follower; }
     void tick(time_point now);
 
 private:
--- a/src/gateway/entry_directory.cpp
+++ b/src/gateway/entry_directory.cpp
@@ -19,14 +19,14 @@
 
 std::string entry_record::encode() const
 {
-    return json { { "peerListen", peerListen.toString() }, { "weight", weight }, { "startedAtMs", startedAtMs } }.dump();
+    return json { { "peerListen", peerListen.toString() }, { "weight", weight }, { "startedAtMs", startedAtMs }, { "failureDomain", failureDomain } }.dump();
 }
 
 result<entry_record> entry_record::decode(std::string_view name, std::string_view text)
 {
     try {
         const json document = json::parse(text);
-        entry_record record { std::string(name), ip_endpoint::parse(document.at("peerListen").get<std::string>(), name).value(), document.at("weight"), document.at("startedAtMs") };
+        entry_record record { std::string(name), ip_endpoint::parse(document.at("peerListen").get<std::string>(), name).value(), document.at("weight"), document.at("startedAtMs"), document.value("failureDomain", "") };
         if (!(record.weight > 0))
             return error(error_kind::InvalidMessage, "The weight in an entry's record is not positive.", "Run the same release on all entries.", name);
         return record;
@@ -49,6 +49,7 @@
 void entry_directory::publishOwn()
 {
     m_put = platform::putKey(m_context.store, topic, m_own.name, m_own.encode(), [this](bool isAcknowledged) {
+        m_isPublished = isAcknowledged;
         if (!isAcknowledged)
             m_publishRetry.startOnce(publishRetryDelay, [this] { publishOwn(); });
     });
@@ -63,6 +64,7 @@
 void entry_directory::withdraw()
 {
     m_publishRetry.stop();
+    m_isWithdrawn = true;
     m_put = platform::putKey(m_context.store, topic, m_own.name, {}, [](bool isAcknowledged) {
         if (!isAcknowledged)
             logLine(log_level::Warning, logComponent, "This entry could not remove its record from the store; other entries detect the stop by lost connections.");
@@ -73,6 +75,9 @@
 {
     platform::follow_callbacks callbacks;
     callbacks.onSnapshot = [this](std::map<std::string, std::string> newest) {
+        // A store that returned from an older copy may lack the record.
+        if (m_isPublished && !m_isWithdrawn && !newest.contains(m_own.name))
+            publishOwn();
         m_others.clear();
         for (auto& [name, text] : newest)
             applyRecord({ name, std::move(text) });
--- a/src/gateway/entry_directory.hpp
+++ b/src/gateway/entry_directory.hpp
@@ -18,6 +18,8 @@
     /// Weight in the choice of pool owners.
     double weight = 1;
     int64_t startedAtMs = 0;
+    /// Empty if an older release wrote the record.
+    std::string failureDomain;
 
     bool operator==(const entry_record&) const = default;
 
@@ -39,6 +41,8 @@
     /// Removes this entry's record, for a planned stop.
     void withdraw();
 
+    [[nodiscard]] platform::topic_follower& follower() noexcept { return m_follower; }
+
     /// Schedules an early read, since another entry seems to have started. Several calls cause one read.
     void scheduleRead();
 
@@ -52,6 +56,8 @@
     std::function<void()> m_onChange;
     std::map<std::string, entry_record, std::less<>> m_others;
     platform::store_call m_put;
+    bool m_isPublished = false;
+    bool m_isWithdrawn = false;
     timer m_publishRetry;
     timer m_scheduledRead;
     platform::topic_follower m_follower;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -83,7 +83,7 @@
     m_configurationFollower.emplace(m_context.store, std::string(platform::operatorTopic), platform::follow_options { readPause(std::min(settings.bounds.configuration, settings.bounds.revocation)) }, configurationCallbacks());
     m_targetFollower.emplace(m_context.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), readPause(settings.bounds.leaving) }, targetCallbacks());
     const int64_t startedAtMs = wallNow().time_since_epoch().count();
-    m_directory.emplace(m_context, entry_record { settings.name, settings.peerListen, settings.processorShare, startedAtMs }, [this] {
+    m_directory.emplace(m_context, entry_record { settings.name, settings.peerListen, settings.processorShare, startedAtMs, settings.failureDomain }, [this] {
         m_context.entriesChangedAt = monotonicNow();
         m_pools->onMembersChanged();
     });
@@ -100,6 +100,12 @@
             [this](std::string_view entry) { m_pools->flush(entry); },
             [this] { return m_pools->originKeepers(); } });
     m_context.streams = &*m_streams;
+    m_relay.emplace(m_context.counters, settings.name,
+        topic_relay::callbacks { [this](std::string_view entry, wire::message message) { return m_pools->send(entry, std::move(message)); },
+            [this] { return m_pools->storeReaders(); } });
+    m_context.relay = &*m_relay;
+    for (auto* follower : { &*m_configurationFollower, &*m_targetFollower, &m_directory->follower(), &m_crashes->follower() })
+        m_relay->add(*follower);
     m_context.lastTickAt = monotonicNow();
     m_tick.startEvery(tickPeriod, [this] { tick(); });
     m_loop.onTerminate([this] { stop(); });
@@ -164,6 +170,12 @@
         m_hasTargets = true;
     };
     callbacks.onRecord = [this](const platform::keyed_record& record) { applyTarget(record); };
+    callbacks.isRepetition = [this](const platform::keyed_record& record) {
+        if (!record.value)
+            return false;
+        const auto target = platform::decodeTarget(record.key, *record.value);
+        return target && m_context.targets.isListed(target.value());
+    };
     callbacks.onReadSuccess = [this](time_point sentAt) {
         m_context.targets.onStoreReachable(monotonicNow());
         if (sentAt >= m_wokeAt)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include "gateway/crash_watch.hpp"
 #include "gateway/request_run.hpp"
 #include "gateway/stream_directory.hpp"
+#include "gateway/topic_relay.hpp"
 #include "loop/main_loop.hpp"
 #include "platform/topic_follower.hpp"
 #include "policy/idle_limit.hpp"
@@ -76,6 +77,7 @@
     std::optional<pool_router> m_pools;
     std::optional<crash_watch> m_crashes;
     std::optional<stream_directory> m_streams;
+    std::optional<topic_relay> m_relay;
     std::list<std::shared_ptr<request_run>> m_openRuns;
     std::vector<std::shared_ptr<request_run>> m_finishedRuns;
     std::optional<http1::server> m_callers;
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -51,6 +51,9 @@
     [[nodiscard]] uint64_t byteCount() const;
     /// @return The entries that keep the origins of streams.
     [[nodiscard]] std::span<const std::string> originKeepers();
+    /// @return The entries of the own failure domain in the order in which they should read the store for the others; empty
+    /// if there are too few of them for this to save reads.
+    [[nodiscard]] std::vector<std::string> storeReaders();
     /// @return This entry's rank for a key among all entries; 0 for the first.
     [[nodiscard]] size_t rankFor(std::string_view key);
 
@@ -121,6 +124,7 @@
     /// Cached results of `ownersOf`, until the members change.
     std::map<std::string, std::vector<std::string>, std::less<>> m_ownersByService;
     std::vector<std::string> m_spreadNames;
+    std::vector<std::string> m_storeReaders;
     delegated_jobs m_delegatedJobs;
     std::unordered_multimap<const stage_job*, uint64_t> m_delegatedNumbers;
     uint64_t m_nextJobNumber = 1;
--- a/src/gateway/pool_router_peers.cpp
+++ b/src/gateway/pool_router_peers.cpp
@@ -1,7 +1,9 @@
 /// The connections to other entries, and messages to all of them.
+#include "base/hash.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/detail/pool_router_peer.hpp"
 #include "gateway/stream_directory.hpp"
+#include "policy/ownership.hpp"
 #include "policy/spread.hpp"
 
 #include <algorithm>
@@ -14,6 +16,13 @@
     /// Entries that each entry stays connected to for a pool: its owner, and the next one in the ranking.
     constexpr size_t connectedOwnersPerPool = 2;
 
+    /// Key of the ranking of entries that read the store for their failure domain.
+    constexpr std::string_view storeReading = "store-readers";
+    /// A reader reads more often than it would for itself, which fewer entries do not make up for.
+    constexpr size_t minEntriesOfReader = 3;
+    /// Entries of the own failure domain that may be asked: the reader, and the one after it.
+    constexpr size_t connectedReaders = 2;
+
     /// Key of the ranking of entries that keep the origins of streams.
     constexpr std::string_view originKeeping = "stream-origins";
 
@@ -43,6 +52,27 @@
     return std::span(ranked).first(std::min(ranked.size(), policy::originKeeperCount(ranked.size())));
 }
 
+std::vector<std::string> pool_router::storeReaders()
+{
+    if (!m_storeReaders.empty())
+        return m_storeReaders;
+    std::vector<std::string> names { m_directory.own().name };
+    std::vector<policy::owner_candidate> candidates { { hashOf(m_directory.own().name), m_directory.own().weight } };
+    for (const auto& [name, record] : m_directory.others()) {
+        if (record.failureDomain.empty() || record.failureDomain != m_directory.own().failureDomain)
+            continue;
+        names.push_back(name);
+        candidates.push_back({ hashOf(name), record.weight });
+    }
+    if (names.size() < minEntriesOfReader)
+        return {};
+    for (const size_t index : policy::rankOwners(candidates, hashOf(storeReading)))
+        m_storeReaders.push_back(names[index]);
+    if (m_storeReaders.size() > connectedReaders)
+        m_storeReaders.resize(connectedReaders);
+    return m_storeReaders;
+}
+
 std::span<const std::string> pool_router::crashCollectors()
 {
     return originKeepers().first(std::min(originKeepers().size(), maxCrashCollectors));
@@ -103,6 +133,8 @@
     const auto keepers = originKeepers();
     required.insert(keepers.begin(), keepers.end());
     required.insert(m_spreadNames.begin(), m_spreadNames.end());
+    const auto readers = storeReaders();
+    required.insert(readers.begin(), readers.end());
     required.erase(m_directory.own().name);
     return required;
 }
@@ -116,6 +148,7 @@
         m_scheduler.applyProfiles(*m_context.configuration);
     m_context.entryCount = static_cast<unsigned>(std::max<size_t>(4, m_directory.others().size() + 1));
     m_spreadNames = spreadNames();
+    m_storeReaders.clear();
     const auto required = requiredPeers();
     for (auto& [name, other] : m_peers) {
         const auto record = m_directory.others().find(name);
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -193,6 +193,12 @@
     return position == m_byService.end() ? noTargets : position->second;
 }
 
+bool target_registry::isListed(const deployment::target& listed) const
+{
+    const auto position = m_targets.find(listed.id);
+    return position != m_targets.end() && position->second->listed == listed && !m_deferredRemovals.contains(listed.id);
+}
+
 target_ptr target_registry::holderOf(std::string_view handle) const
 {
     const auto endpoint = platform::holderOf(handle);
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -84,6 +84,8 @@
 
     /// @return The listed targets of a service, in a stable order.
     [[nodiscard]] const std::vector<target_ptr>& ofService(std::string_view service) const;
+    /// @return Whether a record says what is known already, and no removal of the target is deferred.
+    [[nodiscard]] bool isListed(const deployment::target& listed) const;
     /// @return The target that holds a result, or null if no target is listed at its address.
     [[nodiscard]] target_ptr holderOf(std::string_view handle) const;
     [[nodiscard]] size_t size() const noexcept { return m_targets.size(); }
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/store_client.hpp"
 
+#include <charconv>
 #include <glib.h>
 #include <nlohmann/json.hpp>
 
@@ -16,6 +17,18 @@
     /// Size of the length in front of each record.
     constexpr size_t lengthBytes = 4;
 
+    constexpr std::string_view eraHeader = "Store-Era";
+
+    uint64_t eraOf(const http1::response_head& head)
+    {
+        const auto text = http1::findHeader(head.headers, eraHeader);
+        uint64_t era = noEra;
+        if (!text)
+            return era;
+        const auto [end, problem] = std::from_chars(text->data(), text->data() + text->size(), era);
+        return problem == std::errc() && end == text->data() + text->size() ? era : noEra;
+    }
+
     std::string requestTargetOf(std::string_view call, std::string_view topic)
     {
         // "part" is the partition.
@@ -49,8 +62,8 @@
         const json document = json::parse(body, nullptr, false);
         // "first" is the oldest offset that the topic retains.
         if (!document.is_object() || !document.contains("first") || !document["first"].is_number_unsigned())
-            return { read_outcome::Malformed, 0, 0, {}, "The store's response does not contain the oldest offset." };
-        return { read_outcome::Expired, document["first"].get<uint64_t>(), 0, {}, "" };
+            return { read_outcome::Malformed, 0, 0, {}, "The store's response does not contain the oldest offset.", noEra };
+        return { read_outcome::Expired, document["first"].get<uint64_t>(), 0, {}, "", noEra };
     }
 }
 
@@ -82,10 +95,10 @@
 
     topic_read_result decodeReadResponse(std::string_view body)
     {
-        const topic_read_result malformed { read_outcome::Malformed, 0, 0, {}, "The store's response is truncated." };
+        const topic_read_result malformed { read_outcome::Malformed, 0, 0, {}, "The store's response is truncated.", noEra };
         if (body.size() < readHeadBytes)
             return malformed;
-        topic_read_result result { read_outcome::Ok, decodeBigEndian(body.substr(offsetBytes, offsetBytes)), decodeBigEndian(body.substr(0, offsetBytes)), {}, "" };
+        topic_read_result result { read_outcome::Ok, decodeBigEndian(body.substr(offsetBytes, offsetBytes)), decodeBigEndian(body.substr(0, offsetBytes)), {}, "", noEra };
         body.remove_prefix(readHeadBytes);
         while (!body.empty()) {
             if (body.size() < lengthBytes)
@@ -139,20 +152,24 @@
     struct response_data {
         unsigned status = 0;
         std::string body;
+        uint64_t era = noEra;
     };
     request.headers.push_back({ "Host", m_endpoint.toString() });
     const auto response = std::make_shared<response_data>();
     http1::client_call::callbacks callbacks;
-    callbacks.onHead = [response](const http1::response_head& head) { response->status = head.status; };
+    callbacks.onHead = [response](const http1::response_head& head) {
+        response->status = head.status;
+        response->era = eraOf(head);
+    };
     callbacks.onBody = [response](std::string_view bytes) { response->body.append(bytes); };
-    callbacks.onEnd = [response, done = std::move(done)](http1::call_outcome outcome) { done(outcome, response->status, response->body); };
+    callbacks.onEnd = [response, done = std::move(done)](http1::call_outcome outcome) { done(outcome, response->status, response->body, response->era); };
     return m_client.send(m_endpoint, request, { false, timeout, timeout, maxStoreResponseBytes }, std::move(callbacks));
 }
 
 store_call store_client::append(std::string_view topic, std::span<const std::string> records, on_append done)
 {
     return send({ "POST", requestTargetOf("log-append", topic), {}, detail::encodeRecords(records) }, storeTimeout,
-        [done = std::move(done)](http1::call_outcome outcome, unsigned status, const std::string& body) { done(decodeAppendResponse(outcome, status, body)); });
+        [done = std::move(done)](http1::call_outcome outcome, unsigned status, const std::string& body, uint64_t) { done(decodeAppendResponse(outcome, status, body)); });
 }
 
 store_call store_client::read(std::string_view topic, uint64_t from, read_timeouts timeouts, on_read done)
@@ -162,13 +179,16 @@
     if (timeouts.longPollWait.count() > 0)
         target.append("&wait_ms=").append(std::to_string(timeouts.longPollWait.count()));
     return send({ "GET", std::move(target), {}, "" }, timeouts.longPollWait + timeouts.timeout,
-        [done = std::move(done)](http1::call_outcome outcome, unsigned status, const std::string& body) {
+        [done = std::move(done)](http1::call_outcome outcome, unsigned status, const std::string& body, uint64_t era) {
+            topic_read_result result;
             if (http1::isReceived(outcome) && status == http1::statusOk)
-                done(detail::decodeReadResponse(body));
+                result = detail::decodeReadResponse(body);
             else if (http1::isReceived(outcome) && status == http1::statusGone)
-                done(decodeExpiredResponse(body));
+                result = decodeExpiredResponse(body);
             else
-                done({ read_outcome::Failed, 0, 0, {}, describe(outcome, status) });
+                result.detail = describe(outcome, status);
+            result.era = era;
+            done(std::move(result));
         });
 }
 
@@ -180,10 +200,14 @@
         target.append("&after=").append(escaped);
         g_free(escaped);
     }
-    return send({ "GET", std::move(target), {}, "" }, timeout, [done = std::move(done)](http1::call_outcome outcome, unsigned status, const std::string& body) {
-        newest_page failed;
-        failed.detail = describe(outcome, status);
-        done(http1::isReceived(outcome) && status == http1::statusOk ? detail::decodeNewestResponse(body) : failed);
+    return send({ "GET", std::move(target), {}, "" }, timeout, [done = std::move(done)](http1::call_outcome outcome, unsigned status, const std::string& body, uint64_t era) {
+        newest_page page;
+        if (http1::isReceived(outcome) && status == http1::statusOk)
+            page = detail::decodeNewestResponse(body);
+        else
+            page.detail = describe(outcome, status);
+        page.era = era;
+        done(std::move(page));
     });
 }
 }
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -21,6 +21,10 @@
 /// Size limit of one read, in KiB; a larger record is returned on its own.
 constexpr uint32_t maxReadKib = 1024;
 
+/// Era of a response that states none. The era rises when the store returns from an older copy: offsets are then given out
+/// again, and records that it had acknowledged may be missing.
+constexpr uint64_t noEra = 0;
+
 enum class append_outcome {
     Appended,
     /// The records were not appended and will not be.
@@ -56,6 +60,8 @@
     uint64_t nextOffset = 0;
     std::vector<std::string> records;
     std::string detail;
+    /// Era of the store that responded; see `noEra`.
+    uint64_t era = 0;
 };
 
 /// One page of the newest records of a keyed topic, ordered by key.
@@ -69,6 +75,8 @@
     /// Offset of the next record to be appended.
     uint64_t nextOffset = 0;
     std::string detail;
+    /// Era of the store that responded; see `noEra`.
+    uint64_t era = 0;
 };
 
 struct read_timeouts {
@@ -107,7 +115,7 @@
     [[nodiscard]] store_call newest(std::string_view topic, std::string_view after, milliseconds timeout, on_newest done);
 
 private:
-    using on_response = std::function<void(http1::call_outcome outcome, unsigned status, const std::string& body)>;
+    using on_response = std::function<void(http1::call_outcome outcome, unsigned status, const std::string& body, uint64_t era)>;
     [[nodiscard]] store_call send(http1::outgoing_request request, milliseconds timeout, on_response done);
 
     ip_endpoint m_endpoint;
--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -1,10 +1,14 @@
 #include "platform/topic_follower.hpp"
 
+#include "telemetry/log.hpp"
+
 #include <algorithm>
 
 namespace bilberryseam::platform {
 
 namespace {
+    constexpr std::string_view logComponent = "store";
+
     /// Pause after the first failure, and limit for the pause after further ones.
     constexpr milliseconds initialBackoff { 150 };
     constexpr milliseconds maxBackoff { 500 };
@@ -17,6 +21,22 @@
     /// The store may end a long poll early by up to this time.
     constexpr milliseconds longPollSlack { 50 };
 
+    /// Share of the time between two reads after which a process asks its peer, and a process that is asked reads the store.
+    /// Together they are one, so that what is relayed is no older than what is read.
+    constexpr double askShare = 0.4;
+    constexpr double relayedReadShare = 0.6;
+
+    /// A process that was not asked for this long reads the store as if it had no peers.
+    constexpr milliseconds askerTimeout { 8000 };
+    constexpr milliseconds peerTimeout { 600 };
+    /// Time by which a response may be older than the time between two reads of the peer.
+    constexpr milliseconds relayDelay { 700 };
+
+    constexpr size_t maxHistoryRecords = 2000;
+    constexpr size_t maxHistoryBytes = 1024 * 1024;
+    constexpr size_t maxExtractRecords = 500;
+    constexpr size_t maxExtractBytes = 256 * 1024;
+
     /// Number of consecutive failures after which the pause no longer grows.
     constexpr unsigned maxDoublings = 4;
 }
@@ -71,6 +91,8 @@
 void topic_follower::restartRead()
 {
     m_call.reset();
+    m_isAskingPeer = false;
+    m_mustReadStore = true;
     scheduleRead(milliseconds(0));
 }
 
@@ -78,16 +100,134 @@
 {
     m_timer.startOnce(delay, [this] {
         // Offsets are valid only for the store that issued them.
-        if (m_offset && m_offsetEndpoint == m_store.endpoint())
-            readChanges();
-        else
+        if (!m_offset || m_offsetEndpoint != m_store.endpoint())
             readSnapshotPage({});
+        else if (!askPeer())
+            readChanges();
     });
 }
 
+bool topic_follower::askPeer()
+{
+    // A store that is away is read by each process itself, so that each notices its return.
+    const bool mayAsk = m_peer.ask && m_consecutiveFailures == 0 && !std::exchange(m_mustReadStore, false);
+    if (!mayAsk || !m_peer.ask(m_era, *m_offset))
+        return false;
+    m_isAskingPeer = true;
+    m_sentAt = monotonicNow();
+    m_timer.startOnce(peerTimeout, [this] { onPeerFailure("no response"); });
+    return true;
+}
+
+void topic_follower::onPeerFailure(std::string_view reason)
+{
+    m_isAskingPeer = false;
+    m_timer.stop();
+    m_peer.onFailure(reason);
+    readChanges();
+}
+
+void topic_follower::handlePeer(const topic_extract& extract, uint64_t offset)
+{
+    if (!m_isAskingPeer || !m_offset || offset != *m_offset)
+        return;
+    if (extract.isUnavailable || extract.era != m_era) {
+        onPeerFailure("records not available");
+        return;
+    }
+    if (extract.age > m_options.longPollWait + m_options.pause + relayDelay) {
+        onPeerFailure("response too old");
+        return;
+    }
+    m_isAskingPeer = false;
+    m_offset = std::max(*m_offset, extract.nextOffset);
+    if (!extract.hasMore)
+        m_freshAsOf = std::max(m_freshAsOf, m_sentAt - extract.age);
+    m_callbacks.onReadSuccess(m_freshAsOf);
+    applyRecords(extract.records);
+    scheduleRead(extract.hasMore ? milliseconds(0) : shareOfPeriod(m_options.longPollWait + m_options.pause, askShare));
+}
+
+topic_extract topic_follower::extractFrom(uint64_t era, uint64_t offset, time_point now)
+{
+    m_askedAt = now;
+    topic_extract extract { m_era, offset, std::chrono::ceil<milliseconds>(now - m_freshAsOf), false, false, {} };
+    const bool isKnown = m_offset && era == m_era && offset >= m_historyFrom && m_consecutiveFailures == 0;
+    if (!isKnown) {
+        extract.isUnavailable = true;
+        return extract;
+    }
+    extract.nextOffset = std::max(offset, *m_offset);
+    size_t bytes = 0;
+    const auto first = std::lower_bound(m_history.begin(), m_history.end(), offset, [](const auto& record, uint64_t wanted) { return record.offset < wanted; });
+    for (auto record = first; record != m_history.end(); ++record) {
+        if (extract.records.size() >= maxExtractRecords || bytes >= maxExtractBytes) {
+            extract.hasMore = true;
+            extract.nextOffset = record->offset;
+            break;
+        }
+        bytes += record->bytes.size();
+        extract.records.push_back(*record);
+    }
+    return extract;
+}
+
+bool topic_follower::hasAskers() const noexcept
+{
+    return m_askedAt != time_point() && monotonicNow() - m_askedAt < askerTimeout;
+}
+
+milliseconds topic_follower::shareOfPeriod(milliseconds time, double share) const noexcept
+{
+    return milliseconds(static_cast<int64_t>(static_cast<double>(time.count()) * share));
+}
+
+void topic_follower::remember(const numbered_record& record)
+{
+    m_history.push_back(record);
+    m_historyBytes += record.bytes.size();
+    while (m_history.size() > maxHistoryRecords || m_historyBytes > maxHistoryBytes) {
+        m_historyFrom = m_history.front().offset + 1;
+        m_historyBytes -= m_history.front().bytes.size();
+        m_history.pop_front();
+    }
+}
+
+void topic_follower::forgetHistory(uint64_t nextOffset)
+{
+    m_history.clear();
+    m_historyBytes = 0;
+    m_historyFrom = nextOffset;
+}
+
+void topic_follower::applyRecords(std::span<const numbered_record> records)
+{
+    for (const auto& record : records) {
+        // Unreadable records are skipped; the offset includes them.
+        const keyed_record keyed = detail::decodeKeyedRecord(record.bytes);
+        if (keyed.key.empty())
+            continue;
+        if (!m_callbacks.isRepetition || !m_callbacks.isRepetition(keyed))
+            remember(record);
+        m_callbacks.onRecord(keyed);
+    }
+}
+
+bool topic_follower::checkEra(uint64_t era)
+{
+    if (era == m_era)
+        return false;
+    logLine(log_level::Warning, logComponent, "The store returned from an older copy; the topic is read anew.", { { "topic", m_topic }, { "era", std::to_string(era) }, { "before", std::to_string(m_era) } });
+    // Records may be missing until their writers have written them again.
+    m_callbacks.onReadFailure("older copy");
+    m_offset.reset();
+    return true;
+}
+
 void topic_follower::readSnapshotPage(const std::string& after)
 {
     if (after.empty()) {
+        m_snapshotEra = noEra;
         m_snapshot.clear();
         m_snapshotOffset.reset();
         m_offsetEndpoint = m_store.endpoint();
@@ -102,6 +242,11 @@
         handleFailure(page.detail);
         return;
     }
+    if (m_snapshotOffset && page.era != m_snapshotEra) {
+        readSnapshotPage({});
+        return;
+    }
+    m_snapshotEra = page.era;
     for (auto& [key, value] : page.values)
         m_snapshot[key] = std::move(value);
     // Later pages may be newer than the first one but never older, so changes are read from the offset of the first.
@@ -112,6 +257,8 @@
         return;
     }
     m_offset = m_snapshotOffset;
+    m_era = m_snapshotEra;
+    forgetHistory(*m_offset);
     m_consecutiveFailures = 0;
     m_freshAsOf = m_sentAt;
     m_callbacks.onReadSuccess(m_freshAsOf);
@@ -129,7 +276,7 @@
 read_timeouts topic_follower::nextReadTimeouts() const noexcept
 {
     if (m_consecutiveFailures == 0)
-        return { m_options.longPollWait, m_options.timeout };
+        return { hasAskers() ? shareOfPeriod(m_options.longPollWait, relayedReadShare) : m_options.longPollWait, m_options.timeout };
     return { milliseconds(0), m_consecutiveFailures % fullTimeoutProbeInterval == 0 ? m_options.timeout : std::min(probeTimeout, m_options.timeout) };
 }
 
@@ -147,19 +294,24 @@
         handleFailure(result.detail);
         return;
     }
+    if (checkEra(result.era)) {
+        scheduleRead(milliseconds(0));
+        return;
+    }
     m_consecutiveFailures = 0;
+    const uint64_t firstOffset = *m_offset;
     *m_offset += result.records.size();
     // A read may return only the first of the records up to the end of the topic.
     const bool hasAllRecords = *m_offset >= result.nextOffset;
     if (hasAllRecords)
         m_freshAsOf = detail::freshAsOf(m_sentAt, monotonicNow(), longPollWait, result.records.empty());
     m_callbacks.onReadSuccess(m_freshAsOf);
-    for (const std::string& record : result.records) {
-        // Unreadable records are skipped; the offset above includes them.
-        if (const keyed_record keyed = detail::decodeKeyedRecord(record); !keyed.key.empty())
-            m_callbacks.onRecord(keyed);
-    }
-    scheduleRead(hasAllRecords || result.records.empty() ? m_options.pause : milliseconds(0));
+    std::vector<numbered_record> records;
+    for (const std::string& record : result.records)
+        records.push_back({ firstOffset + records.size(), record });
+    applyRecords(records);
+    const milliseconds pause = hasAskers() ? shareOfPeriod(m_options.pause, relayedReadShare) : m_options.pause;
+    scheduleRead(hasAllRecords || records.empty() ? pause : milliseconds(0));
 }
 
 void topic_follower::handleFailure(std::string_view reason)
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -4,9 +4,11 @@
 #include "loop/timer.hpp"
 #include "platform/store_client.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -35,6 +37,38 @@
     std::function<void(time_point freshAsOf)> onReadSuccess;
     /// Called after a failed read.
     std::function<void(std::string_view reason)> onReadFailure;
+    /// @return True if a record changes nothing, such as a heartbeat, so that peers need not get it. May be empty.
+    std::function<bool(const keyed_record&)> isRepetition;
+};
+
+/// A record and its offset.
+struct numbered_record {
+    uint64_t offset = 0;
+    std::string bytes;
+};
+
+/// What a process that follows a topic tells a peer about it.
+struct topic_extract {
+    uint64_t era = noEra;
+    uint64_t nextOffset = 0;
+    /// Time since `freshAsOf` of the sender.
+    milliseconds age { 0 };
+    /// The sender does not have these records, or does not reach the store.
+    bool isUnavailable = false;
+    bool hasMore = false;
+    std::vector<numbered_record> records;
+};
+
+/// A peer that may be asked for records in place of the store.
+///
+/// Load pattern: hundreds of processes read the same topics every second or two, and each call is paid for. One process of
+/// a failure domain reads the store, the others ask it. Its responses state their age, so that no process trusts what is
+/// older than it would have read itself; if the peer is silent or late, the store is read.
+struct topic_peer {
+    /// Sends a query. Returns false if this process should read the store itself.
+    std::function<bool(uint64_t era, uint64_t offset)> ask;
+    /// The peer did not respond in time, or cannot answer.
+    std::function<void(std::string_view reason)> onFailure;
 };
 
 /// Follows a topic from its construction to its destruction.
@@ -48,7 +82,28 @@
     /// Reads at once, on a new call if one is in progress, whose connection may have gone silent.
     void restartRead();
 
+    [[nodiscard]] const std::string& topic() const noexcept { return m_topic; }
+
+    /// From now on changes are read from a peer, if there is one.
+    void setPeer(topic_peer peer) { m_peer = std::move(peer); }
+    /// Handles the response of the peer; ignored if it is late.
+    void handlePeer(const topic_extract& extract, uint64_t offset);
+    /// @return What this process knows of the records from an offset on.
+    [[nodiscard]] topic_extract extractFrom(uint64_t era, uint64_t offset, time_point now);
+
 private:
+    /// @return True if the peer was asked.
+    [[nodiscard]] bool askPeer();
+    void onPeerFailure(std::string_view reason);
+    void applyRecords(std::span<const numbered_record> records);
+    void remember(const numbered_record& record);
+    void forgetHistory(uint64_t nextOffset);
+    /// Discards what belongs to another era of the store.
+    /// @return True if the era has changed.
+    [[nodiscard]] bool checkEra(uint64_t era);
+    /// @return A part of the time between two reads.
+    [[nodiscard]] milliseconds shareOfPeriod(milliseconds time, double share) const noexcept;
+    [[nodiscard]] bool hasAskers() const noexcept;
     void readSnapshotPage(const std::string& after);
     void handleSnapshotPage(newest_page page);
     void readChanges();
@@ -65,6 +120,19 @@
     /// Offset of the next read of changes, valid for the store at `m_offsetEndpoint`. Without it, the newest records are read.
     std::optional<uint64_t> m_offset;
     ip_endpoint m_offsetEndpoint;
+    /// Era of the store in which the offset was read.
+    uint64_t m_era = noEra;
+    uint64_t m_snapshotEra = noEra;
+    topic_peer m_peer;
+    bool m_isAskingPeer = false;
+    /// The next read goes to the store.
+    bool m_mustReadStore = false;
+    /// Time at which a peer last asked.
+    time_point m_askedAt {};
+    /// The newest records that change something, and the offset from which on they are complete.
+    std::deque<numbered_record> m_history;
+    size_t m_historyBytes = 0;
+    uint64_t m_historyFrom = 0;
     std::map<std::string, std::string> m_snapshot;
     std::optional<uint64_t> m_snapshotOffset;
     time_point m_sentAt {};
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -357,10 +357,51 @@
     void visitFields(Visitor& visit) { visit(fingerprint, id); }
 };
 
+/// Between entries: what has a topic of the platform's store from this offset on?
+struct topic_query {
+    std::string topic;
+    /// Era of the store in which the offset was read.
+    uint64_t era = 0;
+    uint64_t offset = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(topic, era, offset); }
+};
+
+/// A record of a topic.
+struct topic_record {
+    uint64_t offset = 0;
+    std::string bytes;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(offset, bytes); }
+};
+
+/// Response to a query for a topic.
+struct topic_records {
+    std::string topic;
+    uint64_t era = 0;
+    /// Offset of the query.
+    uint64_t offset = 0;
+    /// Offset up to which all records are included, but those that change nothing.
+    uint64_t nextOffset = 0;
+    /// Time since which the sender's last complete read of the store is known to be complete.
+    uint32_t ageMs = 0;
+    /// The sender cannot answer: it does not have these records, or does not reach the store.
+    bool isUnavailable = false;
+    /// There are further records.
+    bool hasMore = false;
+    std::vector<topic_record> records;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(topic, era, offset, nextOffset, ageMs, isUnavailable, hasMore, records); }
+};
+
 /// Any message inside a frame. The index in this list is the type number on the wire.
 using message = std::variant<start_call, cancel_call, call_refused, call_started, call_output, call_finished, target_load,
     configuration_offset, configuration_records, crash_suspicion, start_tasks, task_finished, tasks_refused, cancel_tasks, release_results, crash_report,
-    segment_verdict, segment_survival, stream_begun, stream_query, stream_unknown, survival_query, crash_strike>;
+    segment_verdict, segment_survival, stream_begun, stream_query, stream_unknown, survival_query, crash_strike,
+    topic_query, topic_records>;
 
 /// @return The name of a message's type, used in metrics.
 [[nodiscard]] std::string_view nameOf(const message& item) noexcept;
--- a/tests/process/topic_follower_test.cpp
+++ b/tests/process/topic_follower_test.cpp
@@ -2,6 +2,7 @@
 /// counts as up to date although it has read only a part of the records. The first happens if reads are long polls while the
 /// store is unreachable: the store then delays the first response after its recovery.
 #include "fakes/platform_store.hpp"
+#include "loop/timer.hpp"
 #include "platform/topic_follower.hpp"
 #include "support/test_host.hpp"
 #include "support/wait.hpp"
@@ -79,3 +80,101 @@
     cr_assert_eq(topic.values["config"], "two");
     cr_assert_eq(topic.values["other"], "new", "the follower counts as up to date without the second record");
 }
+
+Test(topic_follower, offsets_of_an_older_copy_are_not_taken_for_known_records)
+{
+    const ip_endpoint storeEndpoint { tests::testHost(), 25982 };
+    fakes::platform_store store(storeEndpoint);
+    store.put("keyed.op", "config", "one");
+    store.put("keyed.op", "other", "lost");
+    follower_fixture topic(storeEndpoint, { milliseconds(0), milliseconds(50) });
+    runUntil([&] { return topic.readSuccesses > 1 && topic.values["other"] == "lost"; }, testTimeout, "a read of changes");
+    // The offset of the lost record now names another one, and the end of the topic is the same.
+    store.restoreOlderCopy("keyed.op", 1);
+    store.put("keyed.op", "config", "two");
+    runUntil([&] { return topic.values["config"] == "two"; }, testTimeout, "the record at an offset that was given out again");
+    cr_assert_eq(topic.values.count("other"), 0u);
+    cr_assert_gt(topic.readFailures, 0, "removals must be uncertain until lost records are written again");
+}
+
+namespace {
+constexpr milliseconds relayedPause { 300 };
+
+/// A follower that asks another one in place of the store. Messages between them are delayed.
+struct relay_fixture {
+    explicit relay_fixture(const ip_endpoint& store)
+        : reader(store, { milliseconds(0), relayedPause })
+        , asker(store, { milliseconds(0), relayedPause })
+    {
+        asker.follower.setPeer({ [this](uint64_t era, uint64_t offset) {
+            ++queries;
+            if (!isReaderResponsive)
+                return true;
+            delivery.startOnce(milliseconds(5), [this, era, offset] { asker.follower.handlePeer(reader.follower.extractFrom(era, offset, monotonicNow()), offset); });
+            return true; },
+            [this](std::string_view) { ++failures; } });
+    }
+
+    follower_fixture reader;
+    follower_fixture asker;
+    timer delivery;
+    bool isReaderResponsive = true;
+    int queries = 0;
+    int failures = 0;
+};
+}
+
+Test(topic_follower, a_follower_with_a_peer_learns_changes_and_does_not_read_the_store)
+{
+    const ip_endpoint storeEndpoint { tests::testHost(), 25983 };
+    fakes::platform_store store(storeEndpoint);
+    store.put("keyed.op", "config", "one");
+    relay_fixture relay(storeEndpoint);
+    runUntil([&] { return relay.queries > 2 && relay.asker.values["config"] == "one"; }, testTimeout, "queries to the peer");
+    const int askerReads = relay.asker.readSuccesses;
+    const int readerReads = relay.reader.readSuccesses;
+    const size_t storeReads = store.readCount();
+    store.put("keyed.op", "config", "two");
+    store.put("keyed.op", "other", "new");
+    const time_point storedAt = monotonicNow();
+    runUntil([&] { return relay.asker.freshAsOf >= storedAt; }, testTimeout, "the follower to be up to date");
+    cr_assert_eq(relay.asker.values["config"], "two");
+    cr_assert_eq(relay.asker.values["other"], "new");
+    cr_assert_geq(relay.reader.freshAsOf, storedAt, "the follower claims to be fresher than its peer");
+    runUntil([&] { return relay.asker.readSuccesses > askerReads + 10; }, testTimeout, "further reads");
+    cr_assert_eq(relay.failures, 0);
+    cr_assert_leq(store.readCount() - storeReads, static_cast<size_t>(relay.reader.readSuccesses - readerReads) + 1, "the follower with a peer has read the store");
+}
+
+Test(topic_follower, a_follower_whose_peer_is_silent_or_has_lost_the_store_reads_it)
+{
+    const ip_endpoint storeEndpoint { tests::testHost(), 25984 };
+    fakes::platform_store store(storeEndpoint);
+    store.put("keyed.op", "config", "one");
+    relay_fixture relay(storeEndpoint);
+    runUntil([&] { return relay.queries > 2; }, testTimeout, "queries to the peer");
+    relay.isReaderResponsive = false;
+    store.put("keyed.op", "config", "two");
+    runUntil([&] { return relay.asker.values["config"] == "two"; }, testTimeout, "the change, from the store");
+    cr_assert_gt(relay.failures, 0);
+    relay.isReaderResponsive = true;
+    // The peer does not reach the store any more, and says so.
+    relay.reader.client.setEndpoint({ tests::testHost(), 25999 });
+    runUntil([&] { return relay.reader.readFailures > 1; }, testTimeout, "failed reads of the peer");
+    const time_point lostAt = monotonicNow();
+    store.put("keyed.op", "config", "three");
+    runUntil([&] { return relay.asker.values["config"] == "three" && relay.asker.freshAsOf > lostAt; }, testTimeout, "the change, from the store");
+}
+
+Test(topic_follower, a_relayed_record_of_an_older_copy_is_not_taken_for_a_known_one)
+{
+    const ip_endpoint storeEndpoint { tests::testHost(), 25985 };
+    fakes::platform_store store(storeEndpoint);
+    store.put("keyed.op", "config", "one");
+    store.put("keyed.op", "other", "lost");
+    relay_fixture relay(storeEndpoint);
+    runUntil([&] { return relay.queries > 2 && relay.asker.values["other"] == "lost"; }, testTimeout, "queries to the peer");
+    store.restoreOlderCopy("keyed.op", 1);
+    store.put("keyed.op", "config", "two");
+    runUntil([&] { return relay.asker.values["config"] == "two" && relay.asker.values.count("other") == 0; }, testTimeout, "the records of the older copy");
+}
