--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -7,6 +7,7 @@
 #include "platform/store_client.hpp"
 #include "policy/budget.hpp"
 #include "policy/loop_delay.hpp"
+#include "policy/service_limit.hpp"
 #include "policy/suspicion.hpp"
 #include "settings/gateway_settings.hpp"
 #include "telemetry/telemetry.hpp"
@@ -63,6 +64,8 @@
     std::vector<target_ptr> limitedTargets;
     /// Targets that asked for a pause which was not yet reported as ended.
     std::vector<target_ptr> pausedTargets;
+    /// What services take, learned from targets that turned requests away.
+    std::map<std::string, policy::service_limit, std::less<>> serviceLimits;
     /// Requests that wait for a limited target, by service.
     std::map<std::string, size_t, std::less<>> waitingForLimits;
     /// Bytes of the request bodies of open requests.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_run.hpp"
 
 #include "gateway/crash_watch.hpp"
+#include "gateway/target_pauses.hpp"
 #include "policy/placement.hpp"
 
 #include <algorithm>
@@ -64,6 +65,11 @@
         if (const auto self = weak.lock())
             self->onCallerDisconnected();
     });
+    const time_point now = monotonicNow();
+    if (const auto wait = waitForService(m_context, m_request.service, now)) {
+        refusePaused(*wait, now);
+        return;
+    }
     if (isContinuation())
         findOrigin();
     else
--- a/src/gateway/target_pauses.cpp
+++ b/src/gateway/target_pauses.cpp
@@ -8,9 +8,26 @@
 namespace {
     constexpr std::string_view logComponent = "targets";
 
+    /// Callers of a service that takes no further request come back after this time if no target pauses.
+    constexpr milliseconds retryWhenServiceIsFull { 500 };
+
     /// Targets that one log line names.
     constexpr size_t maxNamedTargets = 8;
 
+    policy::service_state stateOf(const context& context, std::string_view service, time_point now)
+    {
+        policy::service_state state;
+        for (const auto& target : context.targets.ofService(service)) {
+            if (policy::isPaused(target->pause, now)) {
+                ++state.pausing;
+            } else if (target->isInService()) {
+                ++state.available;
+                state.unanswered += target->inFlight;
+            }
+        }
+        return state;
+    }
+
     void logPause(std::string_view message, const target_state& target, time_point now)
     {
         logLine(log_level::Info, logComponent, message, { { "target", target.listed.id }, { "service", target.listed.service }, { "pause_ms", std::to_string(asMilliseconds(target.pause.until - target.pause.since)) }, { "left_ms", std::to_string(asMilliseconds(target.pause.until - now)) }, { "listed", target.isRemoved ? "false" : "true" } });
@@ -74,9 +91,26 @@
         return;
     }
     context.pausedTargets.push_back(target);
+    policy::service_limit& limit = context.serviceLimits[target->listed.service];
+    policy::recordRefusal(limit, stateOf(context, target->listed.service, now), now);
+    if (limit.refusedAt == now)
+        logLine(log_level::Info, logComponent, "A service turns requests away; the requests that are sent to it are limited for some seconds.", { { "service", target->listed.service }, { "max_unanswered", std::to_string(limit.maxUnanswered) } });
     logPause("A target asks for a pause; it gets no requests meanwhile.", *target, now);
 }
 
+std::optional<milliseconds> waitForService(const context& context, std::string_view service, time_point now)
+{
+    const auto limit = context.serviceLimits.find(service);
+    if (limit == context.serviceLimits.end() || !policy::isFull(limit->second, stateOf(context, service, now).unanswered, now))
+        return std::nullopt;
+    std::optional<time_point> end;
+    for (const auto& target : context.targets.ofService(service)) {
+        if (policy::isPaused(target->pause, now))
+            end = std::min(end.value_or(target->pause.until), target->pause.until);
+    }
+    return end ? std::chrono::ceil<milliseconds>(*end - now) : retryWhenServiceIsFull;
+}
+
 void endPauses(context& context, time_point now)
 {
     std::erase_if(context.pausedTargets, [now](const target_ptr& target) {
