--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -32,6 +32,9 @@
     /// Time by which a response may be older than the time between two reads of the peer.
     constexpr milliseconds relayDelay { 700 };
 
+    /// While reads fail, one of so many goes to the store, the others to the peer.
+    constexpr unsigned ownProbeInterval = 6;
+
     constexpr size_t maxHistoryRecords = 2000;
     constexpr size_t maxHistoryBytes = 1024 * 1024;
     constexpr size_t maxExtractRecords = 500;
@@ -84,7 +87,7 @@
 
 void topic_follower::readNow()
 {
-    if (m_timer.isRunning())
+    if (m_timer.isRunning() && !m_isAskingPeer)
         scheduleRead(milliseconds(0));
 }
 
@@ -109,8 +112,9 @@
 
 bool topic_follower::askPeer()
 {
-    // A store that is away is read by each process itself, so that each notices its return.
-    const bool mayAsk = m_peer.ask && m_consecutiveFailures == 0 && !std::exchange(m_mustReadStore, false);
+    // While the store is away, its return is noticed by the peer; some reads of its own show whether only the peer lacks it.
+    const bool isOwnProbeDue = m_consecutiveFailures > 0 && m_consecutiveFailures % ownProbeInterval == 0;
+    const bool mayAsk = m_peer.ask && !isOwnProbeDue && !std::exchange(m_mustReadStore, false);
     if (!mayAsk || !m_peer.ask(m_era, *m_offset))
         return false;
     m_isAskingPeer = true;
@@ -124,7 +128,10 @@
     m_isAskingPeer = false;
     m_timer.stop();
     m_peer.onFailure(reason);
-    readChanges();
+    if (m_consecutiveFailures == 0)
+        readChanges();
+    else
+        handleFailure(reason);
 }
 
 void topic_follower::handlePeer(const topic_extract& extract, uint64_t offset)
@@ -132,7 +139,13 @@
     if (!m_isAskingPeer || !m_offset || offset != *m_offset)
         return;
     if (extract.isUnavailable || extract.era != m_era) {
-        onPeerFailure("records not available");
+        m_isAskingPeer = false;
+        m_timer.stop();
+        // The peer responds, and is asked again.
+        if (m_consecutiveFailures == 0)
+            readChanges();
+        else
+            handleFailure("peer without the store");
         return;
     }
     if (extract.age > m_options.longPollWait + m_options.pause + relayDelay) {
@@ -140,6 +153,7 @@
         return;
     }
     m_isAskingPeer = false;
+    m_consecutiveFailures = 0;
     m_offset = std::max(*m_offset, extract.nextOffset);
     if (!extract.hasMore)
         m_freshAsOf = std::max(m_freshAsOf, m_sentAt - extract.age);
--- a/tests/process/topic_follower_test.cpp
+++ b/tests/process/topic_follower_test.cpp
@@ -178,3 +178,22 @@
     store.put("keyed.op", "config", "two");
     runUntil([&] { return relay.asker.values["config"] == "two" && relay.asker.values.count("other") == 0; }, testTimeout, "the records of the older copy");
 }
+
+Test(topic_follower, a_follower_with_a_peer_seldom_reads_a_store_that_is_away_and_notices_its_return)
+{
+    const ip_endpoint storeEndpoint { tests::testHost(), 25986 };
+    fakes::platform_store store(storeEndpoint);
+    store.put("keyed.op", "config", "one");
+    relay_fixture relay(storeEndpoint);
+    runUntil([&] { return relay.queries > 2; }, testTimeout, "queries to the peer");
+    store.setFaults({ .status = 503 });
+    runUntil([&] { return relay.asker.readFailures >= 6; }, testTimeout, "failures");
+    // The first failure, and one of six after it, are own reads; the others are queries to the peer.
+    const int queries = relay.queries;
+    runUntil([&] { return relay.asker.readFailures >= 18; }, testTimeout, "further failures");
+    cr_assert_geq(relay.queries - queries, 9);
+    store.setFaults({});
+    store.put("keyed.op", "config", "two");
+    runUntil([&] { return relay.asker.values["config"] == "two"; }, testTimeout, "the change after the outage");
+    cr_assert_eq(relay.failures, 0, "a peer that responds counts as silent");
+}
