--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -73,6 +73,7 @@
     }
     if (!state)
         state = makeState(listed, previous.get());
+    state->isLeaving = state->isLeaving || (state->listed.isDraining && isStartKnown(listed) && isSameRun(state->listed, listed));
     state->listed = listed;
     state->listedAt = now;
     state->isRemoved = false;
@@ -91,6 +92,8 @@
         return false;
     const bool startsLeaving = listed.isDraining && !state.listed.isDraining;
     const bool isMoved = state.listed.endpoint != listed.endpoint || state.listed.service != listed.service;
+    // A run that leaves does not come back; an older record may be read again after the store returned from a copy.
+    state.isLeaving = state.isLeaving || (state.listed.isDraining && isStartKnown(listed));
     state.listed = listed;
     state.isReplaced = state.isReplaced && !isMoved;
     m_onChange(state, startsLeaving ? "leaving" : "changed");
--- a/tests/unit/target_return_test.cpp
+++ b/tests/unit/target_return_test.cpp
@@ -136,3 +136,31 @@
     cr_assert(policy::isPaused(target.listed()->pause, start + seconds(299)));
     cr_assert(target.listed()->isLeaving);
 }
+
+Test(target_return, a_target_that_was_listed_as_leaving_does_not_return_with_an_older_record)
+{
+    const auto draining = [](int64_t startedAtMs) {
+        deployment::target target = targetOf(startedAtMs);
+        target.isDraining = true;
+        return target;
+    };
+    target_registry registry = makeRegistry();
+    const auto isInService = [&registry] { return registry.ofService("pages")[0]->isInService(); };
+    registry.apply(targetOf(), start);
+    cr_assert(isInService());
+    registry.apply(draining(7), start + seconds(1));
+    // The store returned from a copy that is some seconds old.
+    registry.applyAll({ targetOf() }, start + seconds(2));
+    cr_assert_not(isInService(), "the older record puts the target into use again");
+    // The same after its record was removed.
+    registry.remove("t-1", start + seconds(3));
+    registry.applyAll({ targetOf() }, start + seconds(4));
+    cr_assert_not(isInService());
+    // A later start is another run.
+    registry.apply(targetOf(8), start + seconds(5));
+    cr_assert(isInService());
+    // Without a start, a restarted target cannot be told from one that leaves.
+    registry.apply(draining(0), start + seconds(6));
+    registry.apply(targetOf(0), start + seconds(7));
+    cr_assert(isInService());
+}
