--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -128,10 +128,7 @@
     m_isAskingPeer = false;
     m_timer.stop();
     m_peer.onFailure(reason);
-    if (m_consecutiveFailures == 0)
-        readChanges();
-    else
-        handleFailure(reason);
+    readChanges();
 }
 
 void topic_follower::handlePeer(const topic_extract& extract, uint64_t offset)
