--- a/src/gateway/topic_relay.cpp
+++ b/src/gateway/topic_relay.cpp
@@ -18,11 +18,11 @@
 void topic_relay::add(platform::topic_follower& follower)
 {
     m_followers[follower.topic()] = &follower;
-    follower.setPeer({ [this, topic = follower.topic()](uint64_t era, uint64_t offset) { return ask(topic, era, offset); },
+    follower.setPeer({ [this, topic = follower.topic()](uint64_t number, uint64_t era, uint64_t offset) { return ask({ topic, number, era, offset }); },
         [this, topic = follower.topic()](std::string_view reason) { onFailure(topic, reason); } });
 }
 
-bool topic_relay::ask(const std::string& topic, uint64_t era, uint64_t offset)
+bool topic_relay::ask(const wire::topic_query& query)
 {
     const time_point now = monotonicNow();
     for (const auto& name : m_callbacks.readers()) {
@@ -30,10 +30,10 @@
             return false;
         if (const auto silent = m_silentUntil.find(name); silent != m_silentUntil.end() && now < silent->second)
             continue;
-        if (!m_callbacks.send(name, wire::topic_query { topic, era, offset }))
+        if (!m_callbacks.send(name, query))
             continue;
-        m_askedEntries[topic] = name;
-        m_metrics.count("relayed_reads_total", { { "topic", topic } });
+        m_askedEntries[query.topic] = name;
+        m_metrics.count("relayed_reads_total", { { "topic", query.topic } });
         return true;
     }
     return false;
@@ -49,7 +49,7 @@
 
 wire::topic_records topic_relay::answer(const wire::topic_query& query, time_point now)
 {
-    wire::topic_records response { query.topic, query.era, query.offset, query.offset, 0, true, false, {} };
+    wire::topic_records response { query.topic, query.number, query.era, query.offset, 0, true, false, {} };
     const auto follower = m_followers.find(query.topic);
     if (follower == m_followers.end())
         return response;
@@ -79,7 +79,7 @@
     platform::topic_extract extract { response->era, response->nextOffset, milliseconds(response->ageMs), response->isUnavailable, response->hasMore, {} };
     for (const auto& record : response->records)
         extract.records.push_back({ record.offset, record.bytes });
-    follower->second->handlePeer(extract, response->offset);
+    follower->second->handlePeer(extract, response->number);
     return true;
 }
 }
--- a/src/gateway/topic_relay.hpp
+++ b/src/gateway/topic_relay.hpp
@@ -37,7 +37,7 @@
     [[nodiscard]] bool handle(const wire::message& message, const std::function<void(wire::message)>& reply, time_point now);
 
 private:
-    [[nodiscard]] bool ask(const std::string& topic, uint64_t era, uint64_t offset);
+    [[nodiscard]] bool ask(const wire::topic_query& query);
     void onFailure(const std::string& topic, std::string_view reason);
     [[nodiscard]] wire::topic_records answer(const wire::topic_query& query, time_point now);
 
--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -115,7 +115,7 @@
     // While the store is away, its return is noticed by the peer; some reads of its own show whether only the peer lacks it.
     const bool isOwnProbeDue = m_consecutiveFailures > 0 && m_consecutiveFailures % ownProbeInterval == 0;
     const bool mayAsk = m_peer.ask && !isOwnProbeDue && !std::exchange(m_mustReadStore, false);
-    if (!mayAsk || !m_peer.ask(m_era, *m_offset))
+    if (!mayAsk || !m_peer.ask(++m_queryNumber, m_era, *m_offset))
         return false;
     m_isAskingPeer = true;
     m_sentAt = monotonicNow();
@@ -131,9 +131,9 @@
     readChanges();
 }
 
-void topic_follower::handlePeer(const topic_extract& extract, uint64_t offset)
+void topic_follower::handlePeer(const topic_extract& extract, uint64_t number)
 {
-    if (!m_isAskingPeer || !m_offset || offset != *m_offset)
+    if (!m_isAskingPeer || number != m_queryNumber)
         return;
     if (extract.isUnavailable || extract.era != m_era) {
         m_isAskingPeer = false;
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -65,8 +65,8 @@
 /// a failure domain reads the store, the others ask it. Its responses state their age, so that no process trusts what is
 /// older than it would have read itself; if the peer is silent or late, the store is read.
 struct topic_peer {
-    /// Sends a query. Returns false if this process should read the store itself.
-    std::function<bool(uint64_t era, uint64_t offset)> ask;
+    /// Sends a query; its number goes back with the response. Returns false if this process should read the store itself.
+    std::function<bool(uint64_t number, uint64_t era, uint64_t offset)> ask;
     /// The peer did not respond in time, or cannot answer.
     std::function<void(std::string_view reason)> onFailure;
 };
@@ -86,8 +86,9 @@
 
     /// From now on changes are read from a peer, if there is one.
     void setPeer(topic_peer peer) { m_peer = std::move(peer); }
-    /// Handles the response of the peer; ignored if it is late.
-    void handlePeer(const topic_extract& extract, uint64_t offset);
+    /// Handles the response to a query. The response to an earlier one is ignored: its age would be counted from a query that
+    /// was sent after it.
+    void handlePeer(const topic_extract& extract, uint64_t number);
     /// @return What this process knows of the records from an offset on.
     [[nodiscard]] topic_extract extractFrom(uint64_t era, uint64_t offset, time_point now);
 
@@ -125,6 +126,7 @@
     uint64_t m_snapshotEra = noEra;
     topic_peer m_peer;
     bool m_isAskingPeer = false;
+    uint64_t m_queryNumber = 0;
     /// The next read goes to the store.
     bool m_mustReadStore = false;
     /// Time at which a peer last asked.
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -360,12 +360,14 @@
 /// Between entries: what has a topic of the platform's store from this offset on?
 struct topic_query {
     std::string topic;
+    /// Returned in the response, which may be late.
+    uint64_t number = 0;
     /// Era of the store in which the offset was read.
     uint64_t era = 0;
     uint64_t offset = 0;
 
     template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(topic, era, offset); }
+    void visitFields(Visitor& visit) { visit(topic, number, era, offset); }
 };
 
 /// A record of a topic.
@@ -380,9 +382,9 @@
 /// Response to a query for a topic.
 struct topic_records {
     std::string topic;
+    /// Number of the query.
+    uint64_t number = 0;
     uint64_t era = 0;
-    /// Offset of the query.
-    uint64_t offset = 0;
     /// Offset up to which all records are included, but those that change nothing.
     uint64_t nextOffset = 0;
     /// Time since which the sender's last complete read of the store is known to be complete.
@@ -394,7 +396,7 @@
     std::vector<topic_record> records;
 
     template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(topic, era, offset, nextOffset, ageMs, isUnavailable, hasMore, records); }
+    void visitFields(Visitor& visit) { visit(topic, number, era, nextOffset, ageMs, isUnavailable, hasMore, records); }
 };
 
 /// Any message inside a frame. The index in this list is the type number on the wire.
--- a/tests/process/topic_follower_test.cpp
+++ b/tests/process/topic_follower_test.cpp
@@ -106,11 +106,11 @@
         : reader(store, { milliseconds(0), relayedPause })
         , asker(store, { milliseconds(0), relayedPause })
     {
-        asker.follower.setPeer({ [this](uint64_t era, uint64_t offset) {
+        asker.follower.setPeer({ [this](uint64_t number, uint64_t era, uint64_t offset) {
             ++queries;
             if (!isReaderResponsive)
                 return true;
-            delivery.startOnce(milliseconds(5), [this, era, offset] { asker.follower.handlePeer(reader.follower.extractFrom(era, offset, monotonicNow()), offset); });
+            delivery.startOnce(milliseconds(5), [this, number, era, offset] { asker.follower.handlePeer(reader.follower.extractFrom(era, offset, monotonicNow()), number); });
             return true; },
             [this](std::string_view) { ++failures; } });
     }
@@ -197,3 +197,36 @@
     runUntil([&] { return relay.asker.values["config"] == "two"; }, testTimeout, "the change after the outage");
     cr_assert_eq(relay.failures, 0, "a peer that responds counts as silent");
 }
+
+Test(topic_follower, a_late_response_to_an_earlier_query_does_not_make_records_look_fresher)
+{
+    const ip_endpoint storeEndpoint { tests::testHost(), 25987 };
+    fakes::platform_store store(storeEndpoint);
+    store.put("keyed.op", "config", "one");
+    follower_fixture reader(storeEndpoint, { milliseconds(0), relayedPause / 6 });
+    follower_fixture asker(storeEndpoint, { milliseconds(0), relayedPause });
+    std::optional<platform::topic_extract> late;
+    uint64_t lateNumber = 0;
+    time_point freshBefore {};
+    time_point freshAfter {};
+    timer delivery;
+    asker.follower.setPeer({ [&](uint64_t number, uint64_t era, uint64_t offset) {
+        if (!late) {
+            // The response to this query is on its way until the next one has been sent; meanwhile the store is read.
+            const auto extract = reader.follower.extractFrom(era, offset, monotonicNow());
+            if (extract.isUnavailable)
+                return false;
+            late = extract;
+            lateNumber = number;
+            return true;
+        }
+        freshBefore = asker.freshAsOf;
+        delivery.startOnce(milliseconds(5), [&] {
+            asker.follower.handlePeer(*late, lateNumber);
+            freshAfter = asker.freshAsOf;
+        });
+        return true; },
+        [](std::string_view) {} });
+    runUntil([&] { return freshAfter != time_point(); }, testTimeout, "the late response");
+    cr_assert(freshAfter == freshBefore, "the late response counts as one to the newer query");
+}
