--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -87,8 +87,8 @@
         applyLeaving(context, *target, head);
         trial->onResponse(head);
         applyPause(context, target, head, monotonicNow());
-        if (const auto limit = context.serviceLimits.find(target->listed.service); limit != context.serviceLimits.end() && head.status != http1::statusUnavailable)
-            policy::recordServed(limit->second);
+        if (head.status != http1::statusUnavailable)
+            recordServed(context, target->listed.service, monotonicNow());
         if (onHead)
             onHead(head);
     };
--- a/src/gateway/target_pauses.cpp
+++ b/src/gateway/target_pauses.cpp
@@ -94,14 +94,25 @@
     policy::service_limit& limit = context.serviceLimits[target->listed.service];
     policy::recordRefusal(limit, stateOf(context, target->listed.service, now), now);
     if (limit.refusedAt == now)
-        logLine(log_level::Info, logComponent, "A service turns requests away; the requests that are sent to it are limited for some seconds.", { { "service", target->listed.service }, { "max_unanswered", std::to_string(limit.maxUnanswered) } });
+        logLine(log_level::Info, logComponent, "A service turns requests away; the requests that are sent to it are limited for some seconds.", { { "service", target->listed.service }, { "max_per_target", std::to_string(limit.maxPerTarget) } });
     logPause("A target asks for a pause; it gets no requests meanwhile.", *target, now);
 }
 
+void recordServed(context& context, std::string_view service, time_point now)
+{
+    const auto limit = context.serviceLimits.find(service);
+    if (limit == context.serviceLimits.end())
+        return;
+    if (now - limit->second.refusedAt > policy::serviceLimitLifetime)
+        context.serviceLimits.erase(limit);
+    else
+        policy::recordServed(limit->second, stateOf(context, service, now).available);
+}
+
 std::optional<milliseconds> waitForService(const context& context, std::string_view service, time_point now)
 {
     const auto limit = context.serviceLimits.find(service);
-    if (limit == context.serviceLimits.end() || !policy::isFull(limit->second, stateOf(context, service, now).unanswered, now))
+    if (limit == context.serviceLimits.end() || !policy::isFull(limit->second, stateOf(context, service, now), now))
         return std::nullopt;
     std::optional<time_point> end;
     for (const auto& target : context.targets.ofService(service)) {
--- a/src/gateway/target_pauses.hpp
+++ b/src/gateway/target_pauses.hpp
@@ -30,6 +30,9 @@
 /// Applies the pause that a response asks for, if any.
 void applyPause(context& context, const target_ptr& target, const http1::response_head& head, time_point now);
 
+/// Raises the limit of a service, if there is one, after a response of one of its targets.
+void recordServed(context& context, std::string_view service, time_point now);
+
 /// @return When a caller may come back to a service that takes no further request now; nothing if it takes one.
 [[nodiscard]] std::optional<milliseconds> waitForService(const context& context, std::string_view service, time_point now);
 
--- a/src/policy/service_limit.cpp
+++ b/src/policy/service_limit.cpp
@@ -6,23 +6,23 @@
 
 void recordRefusal(service_limit& limit, const service_state& state, time_point now) noexcept
 {
-    const bool isExpired = limit.maxUnanswered == 0 || now - limit.refusedAt > serviceLimitLifetime;
+    const bool isExpired = limit.maxPerTarget == 0 || now - limit.refusedAt > serviceLimitLifetime;
     const bool isOverloaded = state.pausing > overloadShare * (state.pausing + state.available);
-    if (!isOverloaded || (!isExpired && now - limit.refusedAt < sameOverload))
+    if (!isOverloaded || state.available == 0 || (!isExpired && now - limit.refusedAt < sameOverload))
         return;
-    const double present = isExpired ? state.unanswered : std::min<double>(limit.maxUnanswered, state.unanswered);
-    limit.maxUnanswered = std::max({ 1.0, static_cast<double>(state.available), present });
+    const double present = static_cast<double>(state.unanswered) / state.available;
+    limit.maxPerTarget = std::max(1.0, isExpired ? present : std::min(limit.maxPerTarget, present));
     limit.refusedAt = now;
 }
 
-void recordServed(service_limit& limit) noexcept
+void recordServed(service_limit& limit, uint32_t available) noexcept
 {
-    if (limit.maxUnanswered > 0)
-        limit.maxUnanswered += 1 / (limit.maxUnanswered * roundsPerStep);
+    if (limit.maxPerTarget > 0 && available > 0)
+        limit.maxPerTarget += 1 / (limit.maxPerTarget * available * roundsPerStep);
 }
 
-bool isFull(const service_limit& limit, double unanswered, time_point now) noexcept
+bool isFull(const service_limit& limit, const service_state& state, time_point now) noexcept
 {
-    return limit.maxUnanswered > 0 && now - limit.refusedAt <= serviceLimitLifetime && unanswered >= limit.maxUnanswered;
+    return limit.maxPerTarget > 0 && state.available > 0 && now - limit.refusedAt <= serviceLimitLifetime && state.unanswered >= limit.maxPerTarget * state.available;
 }
 }
