--- a/src/deployment/deployment.cpp
+++ b/src/deployment/deployment.cpp
@@ -20,6 +20,12 @@
     return it == configuration.services.end() || !it->second.pool ? nullptr : &*it->second.pool;
 }
 
+const engine_profile* engineOf(const configuration& configuration, std::string_view service) noexcept
+{
+    const auto position = configuration.services.find(service);
+    return position != configuration.services.end() && position->second.engine ? &*position->second.engine : nullptr;
+}
+
 const route* matchRoute(const configuration& configuration, std::string_view host, std::string_view path) noexcept
 {
     const auto it = configuration.routesByHost.find(host);
--- a/src/deployment/deployment.hpp
+++ b/src/deployment/deployment.hpp
@@ -89,10 +89,19 @@
     [[nodiscard]] milliseconds expectedCallTime(size_t tasks) const noexcept { return callOverhead + milliseconds(static_cast<int64_t>(taskMilliseconds * static_cast<double>(tasks))); }
 };
 
+/// How a service runs prompts. All values are for one target.
+struct engine_profile {
+    /// Memory for running requests and cached prompts, in tokens; zero if not given.
+    uint64_t memoryTokens = 0;
+    /// Tokens in one event of a stream.
+    uint32_t eventTokens = 1;
+};
+
 /// A service that is provided by targets.
 struct service {
     std::string name;
     std::optional<pool_profile> pool;
+    std::optional<engine_profile> engine;
 };
 
 /// A client that may send requests.
@@ -131,6 +140,9 @@
 /// @return The pool profile of a service; null if the service is unknown or has no pool.
 [[nodiscard]] const pool_profile* poolOf(const configuration& configuration, std::string_view service) noexcept;
 
+/// @return The engine profile of a service; null if the service is unknown or runs no prompts.
+[[nodiscard]] const engine_profile* engineOf(const configuration& configuration, std::string_view service) noexcept;
+
 /// @return The host's route with the longest prefix of the path, or null.
 [[nodiscard]] const route* matchRoute(const configuration& configuration, std::string_view host, std::string_view path) noexcept;
 
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -103,6 +103,16 @@
         return pool;
     }
 
+    deployment::engine_profile readEngine(const json& from)
+    {
+        constexpr uint32_t maxEventTokens = 1024;
+        deployment::engine_profile engine;
+        engine.memoryTokens = readOr<uint64_t>(from, "kv_capacity_tokens", engine.memoryTokens);
+        // "stride" is the number of tokens in one event of a stream.
+        engine.eventTokens = std::clamp<uint32_t>(readOr<uint32_t>(from, "stride", engine.eventTokens), 1, maxEventTokens);
+        return engine;
+    }
+
     deployment::service readService(const json& from)
     {
         deployment::service service;
@@ -110,6 +120,8 @@
         // "pieces" is the pool profile of a service that runs tasks of stages.
         if (const auto it = from.find("pieces"); it != from.end() && it->is_object())
             service.pool = readPool(*it);
+        if (const auto it = from.find("engine"); it != from.end() && it->is_object())
+            service.engine = readEngine(*it);
         return service;
     }
 
