--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -92,6 +92,9 @@
     /// Ends the request although it could go on: with a refusal if no target has run it, else with a failure.
     void expire(std::string_view reason);
 
+    /// @return The target that the request would be sent to now, or null if none is usable.
+    [[nodiscard]] target_ptr chooseTarget(time_point now) const;
+
     [[nodiscard]] bool isFinished() const noexcept { return m_isFinished; }
     /// @return Priority rank and deadline, by which waiting requests get the next place at a limited target.
     [[nodiscard]] std::pair<int, time_point> urgency() const noexcept { return { m_request.rank, m_deadline }; }
@@ -153,7 +156,6 @@
     void refuseContinuation(policy::continuation decision, bool isCertain);
 
     // Attempts.
-    [[nodiscard]] target_ptr chooseTarget(time_point now) const;
     [[nodiscard]] policy::placement_candidate candidateOf(const target_state& target, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const;
     void dispatch();
     /// Takes a place among the requests that wait for limited targets.
