target_registry: changed targets are moved in the indexes; they are not rebuilt for each record

Cause: the record of one restarted target rebuilt both indexes from all 3,000 records. Change: only the targets whose records changed are moved; addresses that several records name are decided again with each change, as before.

--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -6,7 +6,6 @@
 #include "policy/stream_origins.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace bilberryseam::gateway {
 
@@ -47,7 +46,7 @@
 
 void target_registry::apply(const deployment::target& listed, time_point now)
 {
-    rebuildIndexesIf(applyWithoutIndexes(listed, now));
+    updateIndexesIf(applyWithoutIndexes(listed, now));
 }
 
 bool target_registry::applyWithoutIndexes(const deployment::target& listed, time_point now)
@@ -81,6 +80,7 @@
     // Without a start, a restarted target cannot be told from one that leaves.
     state->isLeaving = state->isLeaving && isStartKnown(listed);
     m_targets[listed.id] = state;
+    m_changedIds.insert(listed.id);
     m_onChange(*state, isVersionChanged ? versionChange : isRestarted ? "restarted"
                                                                       : "listed");
     return true;
@@ -95,6 +95,8 @@
     // A run that leaves does not come back; an older record may be read again after the store returned from a copy.
     state.isLeaving = state.isLeaving || (state.listed.isDraining && isStartKnown(listed));
     state.listed = listed;
+    if (isMoved)
+        m_changedIds.insert(listed.id);
     state.isReplaced = state.isReplaced && !isMoved;
     m_onChange(state, startsLeaving ? "leaving" : "changed");
     return isMoved;
@@ -135,7 +137,7 @@
 
 void target_registry::remove(std::string_view id, time_point now)
 {
-    rebuildIndexesIf(removeOrDefer(id, now));
+    updateIndexesIf(removeOrDefer(id, now));
 }
 
 bool target_registry::removeOrDefer(std::string_view id, time_point now)
@@ -166,7 +168,7 @@
     }
     for (const auto& id : absentIds)
         isOutOfDate |= removeOrDefer(id, now);
-    rebuildIndexesIf(isOutOfDate);
+    updateIndexesIf(isOutOfDate);
 }
 
 void target_registry::onStoreReachable(time_point now)
@@ -186,7 +188,7 @@
     const auto removals = std::exchange(m_deferredRemovals, {});
     for (const auto& [id, since] : removals)
         isOutOfDate |= removeNow(id, "lapsed", now);
-    rebuildIndexesIf(isOutOfDate);
+    updateIndexesIf(isOutOfDate);
 }
 
 const std::vector<target_ptr>& target_registry::ofService(std::string_view service) const
@@ -215,6 +217,7 @@
     if (position == m_targets.end())
         return false;
     const target_ptr state = position->second;
+    m_changedIds.insert(position->first);
     m_targets.erase(position);
     state->isRemoved = true;
     addFormer(state, now);
@@ -222,17 +225,58 @@
     return true;
 }
 
-void target_registry::rebuildIndexesIf(bool isNeeded)
+void target_registry::updateIndexesIf(bool isNeeded)
 {
     if (!isNeeded)
         return;
-    m_byService.clear();
-    m_byEndpoint.clear();
-    for (const auto& [id, state] : m_targets) {
-        m_byService[state->listed.service].push_back(state);
-        target_ptr& indexedTarget = m_byEndpoint[state->listed.endpoint];
-        if (!indexedTarget || indexedTarget->listedAt < state->listedAt)
-            indexedTarget = state;
+    for (const auto& id : std::exchange(m_changedIds, {}))
+        reindex(id);
+    // Heartbeats change which of several records was updated last, and take effect with the next change of the indexes.
+    for (const auto& [endpoint, ids] : m_sharedEndpoints)
+        decideEndpoint(endpoint);
+}
+
+void target_registry::reindex(const std::string& id)
+{
+    const auto isBefore = [](const target_ptr& state, const std::string& wanted) { return state->listed.id < wanted; };
+    if (const auto former = m_indexed.find(id); former != m_indexed.end()) {
+        const auto service = m_byService.find(former->second.service);
+        service->second.erase(std::lower_bound(service->second.begin(), service->second.end(), id, isBefore));
+        if (service->second.empty())
+            m_byService.erase(service);
+        const ip_endpoint endpoint = former->second.endpoint;
+        m_indexed.erase(former);
+        if (const auto shared = m_sharedEndpoints.find(endpoint); shared != m_sharedEndpoints.end()) {
+            shared->second.erase(id);
+            decideEndpoint(endpoint);
+            if (shared->second.size() == 1)
+                m_sharedEndpoints.erase(shared);
+        } else
+            m_byEndpoint.erase(endpoint);
+    }
+    const auto position = m_targets.find(id);
+    if (position == m_targets.end())
+        return;
+    const target_ptr& state = position->second;
+    const ip_endpoint& endpoint = state->listed.endpoint;
+    m_indexed[id] = { state, state->listed.service, endpoint };
+    auto& targets = m_byService[state->listed.service];
+    targets.insert(std::lower_bound(targets.begin(), targets.end(), id, isBefore), state);
+    const auto [holder, isFree] = m_byEndpoint.try_emplace(endpoint, state);
+    if (isFree)
+        return;
+    m_sharedEndpoints[endpoint].insert({ holder->second->listed.id, id });
+    decideEndpoint(endpoint);
+}
+
+void target_registry::decideEndpoint(const ip_endpoint& endpoint)
+{
+    target_ptr newest;
+    for (const auto& id : m_sharedEndpoints.at(endpoint)) {
+        const auto& state = m_indexed.at(id).state;
+        if (!newest || newest->listedAt < state->listedAt)
+            newest = state;
     }
+    m_byEndpoint[endpoint] = newest;
 }
 }
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -96,13 +97,28 @@
     /// @return Whether the indexes are out of date.
     [[nodiscard]] bool removeOrDefer(std::string_view id, time_point now);
     [[nodiscard]] bool removeNow(const std::string& id, std::string_view reason, time_point now);
-    void rebuildIndexesIf(bool isNeeded);
+    void updateIndexesIf(bool isNeeded);
+    /// Moves a target to the place in the indexes that its record names, or removes it from them.
+    void reindex(const std::string& id);
+    /// Determines again which target an address belongs to.
+    void decideEndpoint(const ip_endpoint& endpoint);
 
     on_change m_onChange;
     std::map<std::string, target_ptr, std::less<>> m_targets;
     std::map<std::string, std::vector<target_ptr>, std::less<>> m_byService;
     /// If two records name the same address, the one that was updated last counts.
     std::map<ip_endpoint, target_ptr> m_byEndpoint;
+    /// A target as it is in the indexes.
+    struct indexed_target {
+        target_ptr state;
+        std::string service;
+        ip_endpoint endpoint;
+    };
+    std::map<std::string, indexed_target, std::less<>> m_indexed;
+    /// Identifiers of the targets at each address, for addresses that more than one record names.
+    std::map<ip_endpoint, std::set<std::string>> m_sharedEndpoints;
+    /// Targets whose place in the indexes may have changed.
+    std::set<std::string> m_changedIds;
     /// A target without a record, and when its record went.
     struct former_target {
         target_ptr state;
