Rankings of gateways are kept up to date, once for all records of a read of the directory

Cause: each record of the directory discarded all rankings and had the connections decided anew. 300 gateways that start together did this 300 times in each of them, and for limited targets the whole ranking of 300 names was kept for each of 1,667 targets to find one's own rank. Change: entry_rankings moves the changed gateways only; the own rank is counted, not sorted for; onMembersChanged runs once for the records of one read (follow_callbacks::onRecordsApplied).

--- a/src/gateway/entry_directory.cpp
+++ b/src/gateway/entry_directory.cpp
@@ -85,7 +85,12 @@
     };
     callbacks.onRecord = [this](const platform::keyed_record& record) {
         applyRecord(record);
-        m_onChange();
+        m_isChanged = true;
+    };
+    // Rankings and connections follow once from all records of a read: hundreds of entries may start at the same time.
+    callbacks.onRecordsApplied = [this] {
+        if (std::exchange(m_isChanged, false))
+            m_onChange();
     };
     callbacks.onReadSuccess = [](time_point) {};
     // The followers of the configuration and of the target list log an unreachable store.
--- a/src/gateway/entry_directory.hpp
+++ b/src/gateway/entry_directory.hpp
@@ -31,7 +31,7 @@
 /// Publishes this entry's record and follows the records of the others.
 class entry_directory {
 public:
-    /// @param onChange  Called after the set of entries changed.
+    /// @param onChange  Called after the set of entries changed, once for all records of a read.
     entry_directory(context& context, entry_record own, std::function<void()> onChange);
 
     /// @return The other entries by name. Some of them may have stopped without removing their records.
@@ -56,6 +56,8 @@
     std::function<void()> m_onChange;
     std::map<std::string, entry_record, std::less<>> m_others;
     platform::store_call m_put;
+    /// Records were applied since the last call of `m_onChange`.
+    bool m_isChanged = false;
     bool m_isPublished = false;
     bool m_isWithdrawn = false;
     timer m_publishRetry;
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -57,6 +57,7 @@
     : m_context(context)
     , m_scheduler(scheduler)
     , m_directory(directory)
+    , m_rankings(directory.own().name)
     , m_identifiers(identifier_generator::fromSystem())
     , m_server(directory.own().peerListen, directory.own().name, m_identifiers.next(), ownerServerLimits(),
           { [this](identifier session, wire::message& message) { handleRequesterMessage(session, message); },
@@ -73,24 +74,22 @@
                   logLine(log_level::Warning, logComponent, "A peer violated the protocol between entries.", { { "rule", std::string(rule) } });
               } })
 {
+    updateRankings();
 }
 
 pool_router::~pool_router() = default;
 
 const std::vector<std::string>& pool_router::ownersOf(std::string_view service)
 {
-    if (const auto position = m_ownersByService.find(service); position != m_ownersByService.end())
-        return position->second;
-    std::vector<std::string> names { m_directory.own().name };
-    std::vector<policy::owner_candidate> candidates { { hashOf(m_directory.own().name), m_directory.own().weight } };
-    for (const auto& [name, record] : m_directory.others()) {
-        names.push_back(name);
-        candidates.push_back({ hashOf(name), record.weight });
-    }
-    std::vector<std::string>& ranked = m_ownersByService[std::string(service)];
-    for (const size_t index : policy::rankOwners(candidates, hashOf(service)))
-        ranked.push_back(names[index]);
-    return ranked;
+    return m_rankings.namesFor(service);
+}
+
+void pool_router::updateRankings()
+{
+    std::vector<ranked_entry> entries { { m_directory.own().name, m_directory.own().weight } };
+    for (const auto& [name, record] : m_directory.others())
+        entries.push_back({ name, record.weight });
+    m_rankings.setEntries(std::move(entries));
 }
 
 pool_router::peer* pool_router::usableOwner(std::string_view service)
@@ -405,8 +404,7 @@
 
 size_t pool_router::rankFor(std::string_view key)
 {
-    const auto& ranked = ownersOf(key);
-    return static_cast<size_t>(std::find(ranked.begin(), ranked.end(), m_directory.own().name) - ranked.begin());
+    return m_rankings.ownRankFor(key);
 }
 
 void pool_router::reportStrike(uint64_t fingerprint, time_point now)
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -3,6 +3,7 @@
 
 #include "execution/crash_exchange.hpp"
 #include "gateway/entry_directory.hpp"
+#include "gateway/entry_rankings.hpp"
 #include "gateway/task_scheduler.hpp"
 #include "wire/server.hpp"
 #include "wire/session.hpp"
@@ -89,6 +90,8 @@
     void delegate(peer& owner, const job_ptr& job);
     /// @return Names of the entries to which this one passes on messages to all.
     [[nodiscard]] std::vector<std::string> spreadNames() const;
+    /// Applies the directory to the rankings.
+    void updateRankings();
     /// Sends all that is known about crashes to the peers that have missed some of it.
     void repeatMissedMessages();
     /// @return Names of the entries that this one must be connected to.
@@ -121,8 +124,7 @@
     task_scheduler& m_scheduler;
     entry_directory& m_directory;
     std::map<std::string, std::unique_ptr<peer>, std::less<>> m_peers;
-    /// Cached results of `ownersOf`, until the members change.
-    std::map<std::string, std::vector<std::string>, std::less<>> m_ownersByService;
+    entry_rankings m_rankings;
     std::vector<std::string> m_spreadNames;
     std::vector<std::string> m_storeReaders;
     delegated_jobs m_delegatedJobs;
--- a/src/gateway/pool_router_peers.cpp
+++ b/src/gateway/pool_router_peers.cpp
@@ -143,7 +143,7 @@
 {
     if (!std::exchange(m_hasMembers, true))
         m_membersSince = monotonicNow();
-    m_ownersByService.clear();
+    updateRankings();
     if (m_context.configuration)
         m_scheduler.applyProfiles(*m_context.configuration);
     m_context.entryCount = static_cast<unsigned>(std::max<size_t>(4, m_directory.others().size() + 1));
--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -222,6 +222,8 @@
             remember(record);
         m_callbacks.onRecord(keyed);
     }
+    if (!records.empty() && m_callbacks.onRecordsApplied)
+        m_callbacks.onRecordsApplied();
 }
 
 bool topic_follower::checkEra(uint64_t era)
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -33,6 +33,8 @@
     /// Called with the newest value of each key; all other keys were removed.
     std::function<void(std::map<std::string, std::string>)> onSnapshot;
     std::function<void(const keyed_record&)> onRecord;
+    /// Called after the records of one read, if there were any. May be empty.
+    std::function<void()> onRecordsApplied;
     /// Called after a successful read, before the callbacks for its records. Every record that the store had acknowledged at `freshAsOf` has been read.
     std::function<void(time_point freshAsOf)> onReadSuccess;
     /// Called after a failed read.
--- a/src/policy/ownership.cpp
+++ b/src/policy/ownership.cpp
@@ -10,7 +10,7 @@
 
 namespace {
     /// Weighted rendezvous hashing: the probability that a candidate ranks first is its share of all weights.
-    double scoreOf(const owner_candidate& candidate, uint64_t pool)
+    double scoreOf(const owner_candidate& candidate, uint64_t pool) noexcept
     {
         constexpr double range = 18446744073709551616.0;
         const double uniform = (static_cast<double>(hashOfPair(candidate.hash, pool)) + 0.5) / range;
@@ -24,6 +24,18 @@
     return latestStart <= lostAt ? last : std::min(last, latestStart);
 }
 
+owner_place placeOf(const owner_candidate& candidate, uint64_t pool, double largestWeight) noexcept
+{
+    return { candidate.weight < largestWeight * minOwnerShare, scoreOf(candidate, pool), candidate.hash };
+}
+
+bool ranksBefore(const owner_place& left, const owner_place& right) noexcept
+{
+    if (left.isSmall != right.isSmall)
+        return right.isSmall;
+    return left.score != right.score ? left.score > right.score : left.hash < right.hash;
+}
+
 std::vector<size_t> rankOwners(std::span<const owner_candidate> candidates, uint64_t pool)
 {
     std::vector<double> scores;
--- a/src/policy/ownership.hpp
+++ b/src/policy/ownership.hpp
@@ -37,6 +37,20 @@
 /// @param latestStart  When the job must start to be in time.
 [[nodiscard]] time_point secondRunAt(time_point lostAt, time_point latestStart) noexcept;
 
+/// Place of one candidate in the ranking for a pool.
+struct owner_place {
+    bool isSmall = false;
+    double score = 0;
+    uint64_t hash = 0;
+};
+
+/// @param largestWeight  Largest weight of all candidates.
+[[nodiscard]] owner_place placeOf(const owner_candidate& candidate, uint64_t pool, double largestWeight) noexcept;
+
+/// @return Whether the first candidate is preferred. A ranking by this order is the one of `rankOwners`, so that it can be kept
+/// up to date without computing the places of all candidates again.
+[[nodiscard]] bool ranksBefore(const owner_place& left, const owner_place& right) noexcept;
+
 /// @param pool  Stable hash of the pool's name.
 /// @return The indexes of the candidates, preferred owner first; equal in all processes with the same candidates.
 [[nodiscard]] std::vector<size_t> rankOwners(std::span<const owner_candidate> candidates, uint64_t pool);
