Placement reads the state only of targets that may be chosen

Cause: each placement copied all targets of the service into candidates, looked up the region of each, and counted software versions in a map. Change: policy::searchTarget evaluates the preferred target first and leaves out targets whose region and prompt prefix alone cost more than the best one. Versions are compared for evaluated targets only.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -2,7 +2,7 @@
 
 #include "gateway/crash_watch.hpp"
 #include "gateway/target_pauses.hpp"
-#include "policy/placement.hpp"
+#include "policy/placement_search.hpp"
 
 #include <algorithm>
 
@@ -25,16 +25,21 @@
 }
 
 namespace {
-    /// Marks the targets whose software version no other target in service has: a stream that begins there can hardly go on.
-    void preferSharedVersions(std::span<const target_ptr> targets, std::vector<policy::placement_candidate>& candidates)
+    /// @return Whether no other target in service has the version of this one, although other versions are in service: a stream
+    /// that begins there can hardly go on.
+    bool isOnlyOfVersion(std::span<const target_ptr> targets, const target_state& candidate)
     {
-        std::map<std::string_view, size_t> counts;
+        size_t sameVersion = 0;
+        bool hasOtherVersion = false;
         for (const auto& target : targets) {
-            if (target->isInService())
-                ++counts[target->listed.softwareVersion];
+            if (!target->isInService())
+                continue;
+            if (target->listed.softwareVersion != candidate.listed.softwareVersion)
+                hasOtherVersion = true;
+            else if (++sameVersion > 1)
+                return false;
         }
-        for (size_t i = 0; i < targets.size(); ++i)
-            candidates[i].isOnlyOfVersion = counts.size() > 1 && counts[targets[i]->listed.softwareVersion] == 1;
+        return hasOtherVersion && sameVersion == 1;
     }
 }
 
@@ -110,16 +115,44 @@
         placement.prefixHash = hashes.empty() ? 0 : hashes.back();
     }
     const auto inputBytes = resultBytesByDomain();
-    std::vector<policy::placement_candidate> candidates;
-    candidates.reserve(listed.size());
-    for (const auto& target : listed)
-        candidates.push_back(candidateOf(*target, hashes, inputBytes, now));
-    if (m_request.route->isResumable && !m_origin)
-        preferSharedVersions(listed, candidates);
-    const auto chosenIndex = policy::chooseTarget(candidates, placement, {});
+    const bool prefersSharedVersions = m_request.route->isResumable && !m_origin;
+    // What a target costs at least that has no calls of this process, with and without the prompt prefix.
+    const policy::placement_costs costs;
+    std::vector<double> leastCosts;
+    std::vector<double> leastCostsUncached;
+    for (const auto& domain : m_context.targets.failureDomains()) {
+        policy::placement_candidate idle;
+        locate(idle, domain, inputBytes);
+        leastCostsUncached.push_back(policy::costOf(idle, placement, costs));
+        idle.cachedTokens = placement.sharedTokens;
+        leastCosts.push_back(policy::costOf(idle, placement, costs));
+    }
+    const auto outlines = m_context.targets.outlinesOf(m_request.service);
+    policy::placement_search_steps steps;
+    const auto chosenIndex = policy::searchTarget(
+        outlines, leastCosts, placement, costs,
+        [&](size_t i) { return listed[i]->cachedPrefixes.empty() ? leastCostsUncached[outlines[i].domain] : leastCosts[outlines[i].domain]; },
+        [&](size_t i) {
+            auto candidate = candidateOf(*listed[i], hashes, inputBytes, now);
+            candidate.isOnlyOfVersion = prefersSharedVersions && candidate.isUsable && isOnlyOfVersion(listed, *listed[i]);
+            return candidate;
+        },
+        steps);
     return chosenIndex ? listed[*chosenIndex] : nullptr;
 }
 
+void request_run::locate(policy::placement_candidate& candidate, std::string_view domain, const bytes_by_domain& inputBytes) const
+{
+    const auto& settings = m_context.settings;
+    candidate.isInOwnDomain = domain == settings.failureDomain;
+    const auto region = settings.regions.find(domain);
+    candidate.isInOwnRegion = region != settings.regions.end() && region->second == settings.region;
+    for (const auto& [otherDomain, bytes] : inputBytes) {
+        if (otherDomain != domain)
+            candidate.remoteInputBytes += bytes;
+    }
+}
+
 policy::placement_candidate request_run::candidateOf(const target_state& target, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const
 {
     policy::placement_candidate candidate;
@@ -127,17 +160,11 @@
     const bool wasTried = std::find(m_triedTargets.begin(), m_triedTargets.end(), target.listed.id) != m_triedTargets.end();
     const bool isFree = !wasTried && (!m_mayHaveRun || m_attempts < m_request.route->maxAttempts);
     candidate.isUsable = target.mayGetWork(now) && (isFree || mayReturnTo(target)) && mayRunAt(target);
-    candidate.isInOwnDomain = target.listed.failureDomain == m_context.settings.failureDomain;
-    const auto region = m_context.settings.regions.find(target.listed.failureDomain);
-    candidate.isInOwnRegion = region != m_context.settings.regions.end() && region->second == m_context.settings.region;
+    locate(candidate, target.listed.failureDomain, inputBytes);
     candidate.inFlight = target.inFlight;
     candidate.slots = static_cast<uint32_t>(std::max(1, target.listed.slots));
     candidate.queuedPrefillTokens = target.queuedPrefillTokens;
     candidate.penalty = policy::penaltyOf(target.health);
-    for (const auto& [domain, bytes] : inputBytes) {
-        if (domain != target.listed.failureDomain)
-            candidate.remoteInputBytes += bytes;
-    }
     for (size_t i = 0; i < sharedHashes.size(); ++i) {
         const auto position = target.cachedPrefixes.find(sharedHashes[i]);
         if (position == target.cachedPrefixes.end() || now - position->second > cachedPrefixLifetime)
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -157,6 +157,8 @@
 
     // Attempts.
     [[nodiscard]] policy::placement_candidate candidateOf(const target_state& target, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const;
+    /// Sets what follows from the failure domain of the target.
+    void locate(policy::placement_candidate& candidate, std::string_view domain, const bytes_by_domain& inputBytes) const;
     void dispatch();
     /// Takes a place among the requests that wait for limited targets.
     /// @return The expected wait if it is too long; nothing if the request has a place or no target is limited.
