Cold targets: fixed shares of the cold rate by rank

A target that has just started gets at most cold_per_s x cold_overage + cold_slack requests a second from all gateways together. Cold times come from cold_left_ms in records and from X-Cold-Ms in responses.

--- a/src/deployment/deployment.cpp
+++ b/src/deployment/deployment.cpp
@@ -14,6 +14,19 @@
         std::stable_sort(indexes.begin(), indexes.end(), [this](size_t left, size_t right) { return routes[left].pathPrefix.size() > routes[right].pathPrefix.size(); });
 }
 
+double coldRateOf(const configuration& configuration, std::string_view service) noexcept
+{
+    const auto position = configuration.services.find(service);
+    return position == configuration.services.end() ? 0 : position->second.coldPerSecond;
+}
+
+bool target::isSameApartFromCold(const target& other) const
+{
+    target copy = other;
+    copy.cold = cold;
+    return *this == copy;
+}
+
 const pool_profile* poolOf(const configuration& configuration, std::string_view service) noexcept
 {
     const auto it = configuration.services.find(service);
--- a/src/deployment/deployment.hpp
+++ b/src/deployment/deployment.hpp
@@ -93,6 +93,10 @@
 struct service {
     std::string name;
     std::optional<pool_profile> pool;
+    /// Time for which a target is cold after its start; zero if not given.
+    milliseconds coldTime { 0 };
+    /// Requests a second that a cold target takes from all processes together; zero for no limit.
+    double coldPerSecond = 0;
 };
 
 /// A client that may send requests.
@@ -141,6 +145,23 @@
 /// @return The indexes of the stages whose results are no other stage's input.
 [[nodiscard]] std::vector<size_t> finalStages(const route& route);
 
+/// @return The requests a second that a cold target of a service takes; zero if there is no limit.
+[[nodiscard]] double coldRateOf(const configuration& configuration, std::string_view service) noexcept;
+
+/// What a target's record says of the time for which the target is cold.
+struct cold_statement {
+    /// Time left when the record was written.
+    milliseconds left { 0 };
+    /// Number of the record among those of its target; zero if not given.
+    uint64_t sequence = 0;
+    /// The record's value is no number, negative or too large.
+    bool isMalformed = false;
+
+    bool operator==(const cold_statement&) const = default;
+    /// @return Whether the record repeats the other one: the sequence alone counts only while the target is cold.
+    [[nodiscard]] bool isRepetitionOf(const cold_statement& other) const noexcept { return left == other.left && isMalformed == other.isMalformed && (left.count() == 0 || sequence == other.sequence); }
+};
+
 /// A target as the platform lists it: one server of a service.
 struct target {
     /// Identifies this incarnation of the target.
@@ -154,7 +175,10 @@
     int64_t startedAtMs = 0;
     /// Version of its software; empty if it is not known. Responses of different versions cannot be joined.
     std::string softwareVersion;
+    cold_statement cold;
 
     bool operator==(const target&) const = default;
+    /// @return Whether the record says the same, apart from the cold time.
+    [[nodiscard]] bool isSameApartFromCold(const target& other) const;
 };
 }
--- a/src/fakes/platform_target.cpp
+++ b/src/fakes/platform_target.cpp
@@ -1,5 +1,6 @@
 #include "fakes/platform_target.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace bilberryseam::fakes {
@@ -56,7 +57,10 @@
 http1::header_list platform_target::responseHeaders(const http1::exchange& exchange) const
 {
     const auto id = http1::findHeader(exchange.head().headers, "X-Attempt-Id");
-    return { { "X-Attempt-Id", std::string(id.value_or("")) }, { "X-Response-Seal", "seal-" + m_id } };
+    http1::header_list headers { { "X-Attempt-Id", std::string(id.value_or("")) }, { "X-Response-Seal", "seal-" + m_id } };
+    if (m_coldUntil)
+        headers.emplace_back("X-Cold-Ms", std::to_string(std::max<int64_t>(0, asMilliseconds(*m_coldUntil - monotonicNow()))));
+    return headers;
 }
 
 std::shared_ptr<http1::tcp_stream> platform_target::startUnframed(http1::exchange& exchange) const
--- a/src/fakes/platform_target.hpp
+++ b/src/fakes/platform_target.hpp
@@ -43,6 +43,9 @@
     /// Calls a function at once, or after the silence in the order of these calls; never if the target stops before.
     void runWhenAudible(std::function<void()> function);
 
+    /// Makes the target state in its responses for how much longer it is cold; zero makes it state that it is warm.
+    void setCold(milliseconds left) { m_coldUntil = monotonicNow() + left; }
+
     [[nodiscard]] const std::string& id() const noexcept { return m_id; }
     [[nodiscard]] const ip_endpoint& endpoint() const noexcept { return m_endpoint; }
     /// Sets the address that the target advertises, also in result handles, such as that of a fake link.
@@ -81,6 +84,8 @@
     std::vector<std::string> m_releasedResults;
     uint64_t m_nextResult = 1;
     time_point m_silentUntil {};
+    /// Not set if responses state no cold time.
+    std::optional<time_point> m_coldUntil;
     timer m_silenceEnd;
     std::list<std::function<void()>> m_held;
     ip_endpoint m_listen;
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -3,6 +3,9 @@
 #include "gateway/target_pauses.hpp"
 #include "platform/ingress.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace bilberryseam::gateway {
 
 namespace {
@@ -20,6 +23,24 @@
     /// Entries that may call the targets of a pool at the same time: its owner, and others while ownership moves.
     constexpr double poolOwners = 3;
 
+    constexpr std::string_view coldComponent = "cold";
+
+    double coldRateOf(const context& context, const target_state& target)
+    {
+        return context.configuration ? deployment::coldRateOf(*context.configuration, target.listed.service) : 0;
+    }
+
+    void applyColdShare(context& context, target_state& target, const policy::cold_share& share, time_point now)
+    {
+        const auto change = policy::updateCold(target.coldStart, share, now);
+        if (change == policy::cold_change::None)
+            return;
+        const bool isCold = change == policy::cold_change::TurnedCold;
+        const auto respondedAt = target.coldStart.respondedAt;
+        context.counters.count("cold_targets_total", { { "change", isCold ? "cold" : "warm" } });
+        logLine(log_level::Info, coldComponent, isCold ? "A target is cold; its requests are limited." : "A target is warm; its rate rises for some seconds.", { { "target", target.listed.id }, { "service", target.listed.service }, { "left_ms", std::to_string(std::max<int64_t>(0, asMilliseconds(target.coldStart.until - now))) }, { "per_second", std::to_string(share.perSecond) }, { "share", std::to_string(share.share) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target.listedAt)) }, { "responded_ms_ago", respondedAt ? std::to_string(asMilliseconds(now - *respondedAt)) : "" } });
+    }
+
     retry_budget& budgetOf(context& context, std::string_view service, time_point now)
     {
         const auto& bounds = context.settings.bounds;
@@ -55,6 +76,29 @@
         logLine(log_level::Info, limitComponent, stated.perSecond ? "A target states how many requests a second it takes." : "A target no longer states a limit; its rate rises for some seconds.", { { "target", target.listed.id }, { "per_second", std::to_string(*target.limit.perSecond) }, { "share", std::to_string(target.limit.share) } });
     }
 
+    void logColdProblem(context& context, target_state& target, std::string_view text)
+    {
+        context.counters.count("malformed_cold_times_total");
+        if (!std::exchange(target.isColdProblemLogged, true))
+            logLine(log_level::Warning, coldComponent, "The cold time that a target states is not taken as stated.", { { "target", target.listed.id }, { "value", std::string(text) } });
+    }
+
+    void applyCold(context& context, const target_ptr& target, const http1::response_head& head, time_point sentAt)
+    {
+        const auto stated = platform::decodeCold(head);
+        if (stated.text && (!stated.left || stated.isTooLong))
+            logColdProblem(context, *target, *stated.text);
+        if (!stated.left)
+            return;
+        const time_point now = monotonicNow();
+        policy::applyColdResponse(target->coldStart, *stated.left, sentAt, now);
+        if (policy::isActive(target->coldStart, now) && std::find(context.coldTargets.begin(), context.coldTargets.end(), target) == context.coldTargets.end())
+            context.coldTargets.push_back(target);
+        // No further request is sent before the share is known; a share is set with the next tick.
+        if (const double rate = coldRateOf(context, *target); rate > 0 && now < target->coldStart.until && !target->isColdNow())
+            applyColdShare(context, *target, { rate, 0, now }, now);
+    }
+
     void applyLeaving(context& context, target_state& target, const http1::response_head& head)
     {
         if (!platform::isLeaving(head) || std::exchange(target.isLeaving, true))
@@ -81,9 +125,11 @@
 {
     const time_point sentAt = monotonicNow();
     policy::recordSend(target->limit, sentAt);
+    policy::recordSend(target->coldStart, sentAt);
     const auto trial = std::make_shared<return_trial>(target);
     callbacks.onHead = [&context, target, sentAt, trial, onHead = std::move(callbacks.onHead)](const http1::response_head& head) {
         applyLimit(context, target, head, sentAt);
+        applyCold(context, target, head, sentAt);
         applyLeaving(context, *target, head);
         trial->onResponse(head);
         applyPause(context, target, head, monotonicNow());
@@ -111,6 +157,23 @@
     std::erase_if(context.limitedTargets, [](const auto& target) { return target->isForgotten || !target->limit.perSecond; });
 }
 
+void updateColdTargets(context& context, const std::function<policy::cold_membership(const target_state&)>& membershipOf, time_point now)
+{
+    for (const auto& target : context.targets.takeColdTargets()) {
+        if (target->listed.cold.isMalformed)
+            logColdProblem(context, *target, "in_its_record");
+        if (std::find(context.coldTargets.begin(), context.coldTargets.end(), target) == context.coldTargets.end())
+            context.coldTargets.push_back(target);
+    }
+    const policy::cold_bounds bounds { context.settings.bounds.coldOverage, context.settings.bounds.coldSlack };
+    for (const auto& target : context.coldTargets) {
+        const double rate = coldRateOf(context, *target);
+        const bool isLimited = rate > 0 && now < target->coldStart.until;
+        applyColdShare(context, *target, isLimited ? policy::coldShareOf(rate, bounds, membershipOf(*target), now) : policy::cold_share(), now);
+    }
+    std::erase_if(context.coldTargets, [now](const auto& target) { return target->isForgotten || !policy::isActive(target->coldStart, now); });
+}
+
 void earnRetries(context& context, std::string_view service, time_point now)
 {
     policy::earn(budgetOf(context, service, now).units, context.settings.bounds.retryRatio * ratioShare * percent);
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -62,6 +62,8 @@
     time_point entriesChangedAt {};
     /// Targets that state a limit, or did so until a moment ago.
     std::vector<target_ptr> limitedTargets;
+    /// Targets that are cold, or were so until a moment ago.
+    std::vector<target_ptr> coldTargets;
     /// Targets that asked for a pause which was not yet reported as ended.
     std::vector<target_ptr> pausedTargets;
     /// What services take, learned from targets that turned requests away.
@@ -93,6 +95,9 @@
 /// @param shareOf  Share of a target's limit that this process may use.
 void updateLimits(context& context, const std::function<double(const target_state&)>& shareOf, time_point now);
 
+/// Limits requests to the targets that are cold, and renews the shares of this process.
+void updateColdTargets(context& context, const std::function<policy::cold_membership(const target_state&)>& membershipOf, time_point now);
+
 /// Adds to the retry budget of a service for an accepted request.
 void earnRetries(context& context, std::string_view service, time_point now);
 
--- a/src/gateway/entry_directory.cpp
+++ b/src/gateway/entry_directory.cpp
@@ -1,5 +1,6 @@
 #include "gateway/entry_directory.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace bilberryseam::gateway {
@@ -48,8 +49,11 @@
 
 void entry_directory::publishOwn()
 {
+    m_listedAt.reset();
     m_put = platform::putKey(m_context.store, topic, m_own.name, m_own.encode(), [this](bool isAcknowledged) {
         m_isPublished = isAcknowledged;
+        if (isAcknowledged)
+            m_listedAt = monotonicNow();
         if (!isAcknowledged)
             m_publishRetry.startOnce(publishRetryDelay, [this] { publishOwn(); });
     });
@@ -65,6 +69,7 @@
 {
     m_publishRetry.stop();
     m_isWithdrawn = true;
+    m_listedAt.reset();
     m_put = platform::putKey(m_context.store, topic, m_own.name, {}, [](bool isAcknowledged) {
         if (!isAcknowledged)
             logLine(log_level::Warning, logComponent, "This entry could not remove its record from the store; other entries detect the stop by lost connections.");
@@ -87,7 +92,7 @@
         applyRecord(record);
         m_onChange();
     };
-    callbacks.onReadSuccess = [](time_point) {};
+    callbacks.onReadSuccess = [this](time_point freshAsOf) { m_readAt = std::max(m_readAt, freshAsOf); };
     // The followers of the configuration and of the target list log an unreachable store.
     callbacks.onReadFailure = [](std::string_view) {};
     return callbacks;
--- a/src/gateway/entry_directory.hpp
+++ b/src/gateway/entry_directory.hpp
@@ -38,6 +38,11 @@
     [[nodiscard]] const std::map<std::string, entry_record, std::less<>>& others() const noexcept { return m_others; }
     [[nodiscard]] const entry_record& own() const noexcept { return m_own; }
 
+    /// @return Time at which the store acknowledged this entry's record; nothing if the store may lack it.
+    [[nodiscard]] std::optional<time_point> listedAt() const noexcept { return m_listedAt; }
+    /// @return Time as of which the directory is known.
+    [[nodiscard]] time_point readAt() const noexcept { return m_readAt; }
+
     /// Removes this entry's record, for a planned stop.
     void withdraw();
 
@@ -57,6 +62,8 @@
     std::map<std::string, entry_record, std::less<>> m_others;
     platform::store_call m_put;
     bool m_isPublished = false;
+    std::optional<time_point> m_listedAt;
+    time_point m_readAt {};
     bool m_isWithdrawn = false;
     timer m_publishRetry;
     timer m_scheduledRead;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -167,6 +167,7 @@
                 logLine(log_level::Warning, "targets", "The record of a target could not be decoded; the target is treated as removed.", { { "target", id }, { "problem", target.error().what() } });
         }
         m_context.targets.applyAll(targets, monotonicNow());
+        limitColdTargets(monotonicNow());
         m_hasTargets = true;
     };
     callbacks.onRecord = [this](const platform::keyed_record& record) { applyTarget(record); };
@@ -206,6 +207,7 @@
     m_context.counters.set("configuration_version", {}, static_cast<double>(configuration.version));
     policy::changeIdleLimit(m_idleLimits, configuration.limits.idleTimeout, monotonicNow());
     m_pools->onMembersChanged();
+    limitColdTargets(monotonicNow());
     logLine(log_level::Info, logComponent, "A newer configuration came into force.", { { "version", std::to_string(configuration.version) }, { "before", previousVersion }, { "routes", std::to_string(configuration.routes.size()) }, { "keys", std::to_string(configuration.accountsByApiKey.size()) } });
 }
 
@@ -218,6 +220,7 @@
     }
     if (auto target = platform::decodeTarget(record.key, *record.value)) {
         m_context.targets.apply(target.value(), now);
+        limitColdTargets(now);
         return;
     } else {
         logLine(log_level::Warning, "targets", "The record of a target could not be decoded; the target is treated as removed.", { { "target", record.key }, { "problem", target.error().what() } });
@@ -453,6 +456,24 @@
     return policy::shareOf(rank, m_directory->others().size() + 1, isStable, isPool);
 }
 
+policy::cold_membership gateway::coldMembershipOf(const target_state& target, time_point now)
+{
+    policy::cold_membership membership;
+    membership.isPool = m_context.configuration && deployment::poolOf(*m_context.configuration, target.listed.service);
+    membership.rank = m_pools->rankFor(membership.isPool ? target.listed.service : target.listed.id);
+    membership.processes = m_directory->others().size() + 1;
+    membership.isStable = now - m_context.entriesChangedAt > stableEntriesTime;
+    membership.listedAt = m_directory->listedAt();
+    membership.directoryReadAt = m_directory->readAt();
+    return membership;
+}
+
+void gateway::limitColdTargets(time_point now)
+{
+    updateColdTargets(
+        m_context, [this, now](const target_state& target) { return coldMembershipOf(target, now); }, now);
+}
+
 void gateway::tick()
 {
     const time_point now = monotonicNow();
@@ -462,6 +483,7 @@
     m_context.targets.tick(now);
     updateLimits(
         m_context, [this, now](const target_state& target) { return limitShareOf(target, now); }, now);
+    limitColdTargets(now);
     endPauses(m_context, now);
     m_scheduler.tick(now);
     m_pools->tick(now);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -61,6 +61,10 @@
     void handleOperatorRequest(http1::exchange& exchange);
     /// @return Share of the limit of a target that this entry may use.
     [[nodiscard]] double limitShareOf(const target_state& target, time_point now);
+    /// @return The position of this entry among those that may send to a cold target.
+    [[nodiscard]] policy::cold_membership coldMembershipOf(const target_state& target, time_point now);
+    /// Limits requests to the targets that are cold by what is known now.
+    void limitColdTargets(time_point now);
     /// Has the target list read again if the process was frozen.
     void checkForFreeze(time_point now);
     void tick();
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -33,21 +33,28 @@
 {
     double rate = 0;
     bool isLimited = false;
+    bool isAnyCold = false;
     for (const auto& target : m_context.targets.ofService(m_request.service)) {
         if (!mayRunAt(*target))
             continue;
         // A target without a limit that is blocked for a moment, or was tried already, is soon usable again.
-        if (target->isInService() && !target->limit.perSecond)
+        if (target->isInService() && !target->ownRate(now))
             return std::nullopt;
         if (!target->isAvailable(now))
             continue;
         isLimited = true;
-        rate += policy::ownRate(target->limit, now).value_or(0);
+        rate += target->ownRate(now).value_or(0);
+        isAnyCold = isAnyCold || target->isColdNow();
     }
     if (!isLimited || m_mayHaveRun || m_limitPlace)
         return std::nullopt;
     size_t& waiting = m_context.waitingForLimits[m_request.service];
     const milliseconds expected = policy::expectedWait(waiting, rate);
+    if (isAnyCold) {
+        const bool isRefused = rate == 0 || expected >= detail::maxPlacementTime;
+        m_context.counters.count("cold_waits_total", { { "service", m_request.service }, { "outcome", isRefused ? "refused" : "waits" } });
+        logLine(log_level::Info, logComponent, "The targets that the request may use are cold or limited.", { { "request", m_request.callerRequest.id }, { "service", m_request.service }, { "own_per_second", std::to_string(rate) }, { "waiting", std::to_string(waiting) }, { "expected_ms", std::to_string(expected.count()) }, { "next", isRefused ? "refused" : "waits" } });
+    }
     // Without a share in the limits, this entry can only send the caller to another one.
     if (rate == 0)
         return retryElsewhereTime;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -133,6 +133,7 @@
     candidate.inFlight = target.inFlight;
     candidate.slots = static_cast<uint32_t>(std::max(1, target.listed.slots));
     candidate.queuedPrefillTokens = target.queuedPrefillTokens;
+    candidate.isCold = target.isColdNow();
     candidate.penalty = policy::penaltyOf(target.health);
     for (const auto& [domain, bytes] : inputBytes) {
         if (domain != target.listed.failureDomain)
--- a/src/gateway/target_pauses.cpp
+++ b/src/gateway/target_pauses.cpp
@@ -46,6 +46,8 @@
             return "blocked:" + std::to_string(asMilliseconds(now - target.health.changedAt)) + ":" + left(target.health.blockedUntil);
         if (!policy::mayReturn(target.pause, now))
             return "returning:" + std::to_string(asMilliseconds(now - target.pause.until)) + ":";
+        if (!policy::canSend(target.coldStart, now))
+            return "cold::" + left(target.coldStart.until);
         return target.mayGetWork(now) ? "" : "limited::";
     }
 }
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -35,6 +35,7 @@
         if (previous && listed.startedAtMs <= previous->listed.startedAtMs) {
             state->pause = previous->pause;
             state->isLeaving = previous->isLeaving && isStartKnown(listed);
+            state->coldStart = previous->coldStart;
         }
         return state;
     }
@@ -56,6 +57,8 @@
     const auto position = m_targets.find(listed.id);
     if (position != m_targets.end() && isSameRun(position->second->listed, listed)) {
         position->second->listedAt = now;
+        const auto previousCold = std::exchange(position->second->listed.cold, listed.cold);
+        applyCold(position->second, previousCold, false, now);
         return update(*position->second, listed);
     }
     const bool isRestarted = position != m_targets.end();
@@ -81,11 +84,23 @@
     // Without a start, a restarted target cannot be told from one that leaves.
     state->isLeaving = state->isLeaving && isStartKnown(listed);
     m_targets[listed.id] = state;
+    applyCold(state, {}, true, now);
     m_onChange(*state, isVersionChanged ? versionChange : isRestarted ? "restarted"
                                                                       : "listed");
     return true;
 }
 
+void target_registry::applyCold(const target_ptr& state, const deployment::cold_statement& previous, bool isFirst, time_point now)
+{
+    const deployment::cold_statement& stated = state->listed.cold;
+    if (!isFirst && stated.isRepetitionOf(previous))
+        return;
+    // A record that returns after its removal may be an old one.
+    policy::applyColdRecord(state->coldStart, stated.left, !isFirst && stated.sequence > previous.sequence, now);
+    if (stated.left.count() > 0 || stated.isMalformed || policy::isActive(state->coldStart, now))
+        m_coldTargets.push_back(state);
+}
+
 bool target_registry::update(target_state& state, const deployment::target& listed)
 {
     if (state.listed == listed)
@@ -189,6 +204,14 @@
     rebuildIndexesIf(isOutOfDate);
 }
 
+std::optional<double> target_state::ownRate(time_point now) const noexcept
+{
+    const auto stated = policy::ownRate(limit, now);
+    const auto cold = policy::ownRate(coldStart, now);
+    return stated && cold ? std::min(*stated, *cold) : stated ? stated
+                                                              : cold;
+}
+
 const std::vector<target_ptr>& target_registry::ofService(std::string_view service) const
 {
     static const std::vector<target_ptr> noTargets;
@@ -199,7 +222,7 @@
 bool target_registry::isListed(const deployment::target& listed) const
 {
     const auto position = m_targets.find(listed.id);
-    return position != m_targets.end() && position->second->listed == listed && !m_deferredRemovals.contains(listed.id);
+    return position != m_targets.end() && position->second->listed.isSameApartFromCold(listed) && listed.cold.isRepetitionOf(position->second->listed.cold) && !m_deferredRemovals.contains(listed.id);
 }
 
 target_ptr target_registry::holderOf(std::string_view handle) const
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "deployment/deployment.hpp"
+#include "policy/cold_start.hpp"
 #include "policy/pause.hpp"
 #include "policy/rate_limit.hpp"
 #include "policy/stream_origins.hpp"
@@ -13,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace bilberryseam::gateway {
@@ -38,6 +40,9 @@
     bool isReplaced = false;
     policy::target_health health;
     policy::rate_limit limit;
+    policy::cold_start coldStart;
+    /// A malformed statement of the cold time was logged.
+    bool isColdProblemLogged = false;
 
     /// Calls of this process in progress.
     uint32_t inFlight = 0;
@@ -56,7 +61,13 @@
     [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !isLeaving && !listed.isDraining; }
     /// @return Whether the target may get work as soon as its limit allows.
     [[nodiscard]] bool isAvailable(time_point now) const noexcept { return isInService() && policy::mayReturn(pause, now) && policy::isUsable(health, now); }
-    [[nodiscard]] bool mayGetWork(time_point now) const noexcept { return isAvailable(now) && policy::canSend(limit, now); }
+    /// @return Whether the limits of the target, stated or for its cold time, allow a request now.
+    [[nodiscard]] bool canSendNow(time_point now) const noexcept { return policy::canSend(limit, now) && policy::canSend(coldStart, now); }
+    /// @return Whether requests are limited because the target is cold.
+    [[nodiscard]] bool isColdNow() const noexcept { return policy::isCold(coldStart); }
+    /// @return Requests a second that this process may send; nothing if it is not limited.
+    [[nodiscard]] std::optional<double> ownRate(time_point now) const noexcept;
+    [[nodiscard]] bool mayGetWork(time_point now) const noexcept { return isAvailable(now) && canSendNow(now); }
 };
 
 using target_ptr = std::shared_ptr<target_state>;
@@ -82,6 +93,9 @@
     /// Carries out deferred removals.
     void tick(time_point now);
 
+    /// @return The targets whose records stated a cold time, or a malformed one, since the last call.
+    [[nodiscard]] std::vector<target_ptr> takeColdTargets() { return std::exchange(m_coldTargets, {}); }
+
     /// @return The listed targets of a service, in a stable order.
     [[nodiscard]] const std::vector<target_ptr>& ofService(std::string_view service) const;
     /// @return Whether a record says what is known already, and no removal of the target is deferred.
@@ -98,7 +112,10 @@
     [[nodiscard]] bool removeNow(const std::string& id, std::string_view reason, time_point now);
     void rebuildIndexesIf(bool isNeeded);
 
+    void applyCold(const target_ptr& state, const deployment::cold_statement& previous, bool isFirst, time_point now);
+
     on_change m_onChange;
+    std::vector<target_ptr> m_coldTargets;
     std::map<std::string, target_ptr, std::less<>> m_targets;
     std::map<std::string, std::vector<target_ptr>, std::less<>> m_byService;
     /// If two records name the same address, the one that was updated last counts.
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -414,7 +414,7 @@
     }
     for (const auto& [target, items] : byHolder) {
         // A limited or paused target is spared the call: its results expire by themselves.
-        if (!policy::canSend(target->limit, monotonicNow()) || !policy::mayReturn(target->pause, monotonicNow())) {
+        if (!target->canSendNow(monotonicNow()) || !policy::mayReturn(target->pause, monotonicNow())) {
             m_context.counters.count("releases_left_out_total");
             continue;
         }
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -1,5 +1,7 @@
 #include "platform/ingress.hpp"
 
+#include "platform/records.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -45,6 +47,9 @@
     /// "1" if the target leaves, as it also states in the target list.
     constexpr std::string_view leavingName = "Server-Leaving";
 
+    /// Milliseconds for which the target that responds is still cold, a decimal number.
+    constexpr std::string_view coldName = "X-Cold-Ms";
+
     constexpr size_t maxPromptSegments = 1000;
 
     /// Bytes of a field from outside that are logged.
@@ -264,6 +269,21 @@
     return { *value, isUnique ? parseDecimal(*value) : std::nullopt };
 }
 
+stated_cold decodeCold(const http1::response_head& head)
+{
+    const auto value = http1::findHeader(head.headers, coldName);
+    if (!value || head.status == http1::statusMisdirected)
+        return {};
+    stated_cold cold { std::string(value->substr(0, maxLoggedBytes)), std::nullopt };
+    const auto number = http1::countHeaders(head.headers, coldName) == 1 ? parseDecimal(*value) : std::nullopt;
+    if (!number)
+        return cold;
+    const auto longestMs = static_cast<double>(longestColdTime.count());
+    cold.isTooLong = *number > longestMs;
+    cold.left = milliseconds(static_cast<int64_t>(std::ceil(std::min(*number, longestMs))));
+    return cold;
+}
+
 bool isLeaving(const http1::response_head& head)
 {
     // A misdirected request was answered by another target at this address.
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -65,6 +65,19 @@
 
 [[nodiscard]] stated_limit decodeLimit(const http1::response_head& head);
 
+/// What a response says of the time for which its target is still cold.
+struct stated_cold {
+    /// The field's value, cut to a length that may be logged; not set if the response has none.
+    std::optional<std::string> text;
+    /// Not set if the response states none, or not exactly one number that is at least zero. At most `longestColdTime`.
+    std::optional<milliseconds> left;
+    /// The stated time is longer than `longestColdTime`.
+    bool isTooLong = false;
+};
+
+/// Reads the cold time from any response but a misdirected one, which another target answered.
+[[nodiscard]] stated_cold decodeCold(const http1::response_head& head);
+
 /// @return True if the target that responded states that it leaves and wants no new requests.
 [[nodiscard]] bool isLeaving(const http1::response_head& head);
 
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -1,5 +1,6 @@
 #include "platform/records.hpp"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace bilberryseam::platform {
@@ -28,6 +29,27 @@
         return it != from.end() && it->is_number() ? milliseconds(static_cast<int64_t>(it->get<double>())) : fallback;
     }
 
+    /// @return A number from zero to `max`; zero if the field is missing, negative, not finite or no number.
+    double readBounded(const json& from, const char* name, double max)
+    {
+        const auto it = from.find(name);
+        const double number = it != from.end() && it->is_number() ? it->get<double>() : 0;
+        return number > 0 && std::isfinite(number) ? std::min(number, max) : 0;
+    }
+
+    /// "cold_left_ms" is the time for which the target was still cold when it wrote the record.
+    deployment::cold_statement readCold(const json& from)
+    {
+        const auto maxMs = static_cast<double>(longestColdTime.count());
+        deployment::cold_statement cold;
+        cold.left = milliseconds(static_cast<int64_t>(readBounded(from, "cold_left_ms", maxMs)));
+        if (const auto it = from.find("cold_left_ms"); it != from.end())
+            cold.isMalformed = !it->is_number() || !(it->get<double>() >= 0 && it->get<double>() <= maxMs);
+        if (const auto it = from.find("seq"); it != from.end() && it->is_number_unsigned())
+            cold.sequence = it->get<uint64_t>();
+        return cold;
+    }
+
     template <typename Value>
     Value readOr(const json& from, const char* name, Value fallback)
     {
@@ -110,6 +132,9 @@
         // "pieces" is the pool profile of a service that runs tasks of stages.
         if (const auto it = from.find("pieces"); it != from.end() && it->is_object())
             service.pool = readPool(*it);
+        constexpr double maxColdPerSecond = 1e6;
+        service.coldTime = milliseconds(static_cast<int64_t>(1000 * readBounded(from, "cold_start_s", asSeconds(longestColdTime))));
+        service.coldPerSecond = readBounded(from, "cold_per_s", maxColdPerSecond);
         return service;
     }
 
@@ -164,6 +189,7 @@
         // "born" is the Unix time of the target's start in milliseconds.
         target.startedAtMs = readOr<int64_t>(from, "born", 0);
         target.softwareVersion = readSoftwareVersion(from);
+        target.cold = readCold(from);
         return target;
     }
 }
--- a/src/platform/records.hpp
+++ b/src/platform/records.hpp
@@ -14,6 +14,9 @@
 /// Key of the configuration in `operatorTopic`.
 constexpr std::string_view configurationKey = "config";
 
+/// Longest time for which a record or a response may state that its target is cold; longer ones are shortened.
+constexpr milliseconds longestColdTime { 60000 };
+
 /// @return The configuration, or `InvalidMessage` if any part of it is invalid.
 [[nodiscard]] result<deployment::configuration> decodeConfiguration(std::string_view text);
 
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -33,6 +33,8 @@
     cost = cost * candidate.penalty + (candidate.penalty - 1) * costs.penalty;
     cost += static_cast<double>(uncachedTokens) / tokensPerUnit * costs.thousandUncachedTokens;
     cost += candidate.remoteInputBytes / bytesPerMegabyte * costs.remoteInputMegabyte;
+    if (candidate.isCold)
+        cost += costs.cold;
     if (candidate.isOnlyOfVersion)
         cost += costs.onlyOfVersion;
     if (!candidate.isInOwnDomain)
@@ -50,7 +52,8 @@
             continue;
         placement_candidate candidate = candidates[i];
         // Assumes that the prefix is cached at the preferred target: another entry may have sent it there, or will soon.
-        if (preferredIndex == i)
+        // A cold target has just started.
+        if (preferredIndex == i && !candidate.isCold)
             candidate.cachedTokens = std::max(candidate.cachedTokens, request.sharedTokens);
         const double cost = costOf(candidate, request, costs);
         if (!best || cost < bestCost) {
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -32,6 +32,8 @@
     double remoteInputBytes = 0;
     /// No other target has its software version, so a stream that begins there can hardly be continued.
     bool isOnlyOfVersion = false;
+    /// The target is cold: it works more slowly for some seconds, and has no prefix cached.
+    bool isCold = false;
     /// Factor of at least 1 by which the target appears worse than a healthy one.
     double penalty = 1;
 };
@@ -56,6 +58,9 @@
     double remoteInputMegabyte = 39;
     /// A stream at a target whose software version no other target has.
     double onlyOfVersion = 60;
+    /// A cold target. It exceeds the cost of a warm one in another region at which calls of this process occupy all slots but
+    /// one (150 + 63 x 4), so that warm targets are preferred until they are full.
+    double cold = 450;
     /// Each other call in flight.
     double inFlight = 4;
     /// Each other call in flight if calls of this process alone occupy all slots.
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -5,6 +5,7 @@
 #include "policy/budget.hpp"
 #include "policy/call_queue.hpp"
 #include "policy/claims.hpp"
+#include "policy/cold_start.hpp"
 #include "policy/crash_evidence.hpp"
 #include "policy/fairness.hpp"
 #include "policy/hedging.hpp"
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -32,7 +32,9 @@
             "stopSeconds": { "type": "number", "minimum": 1, "maximum": 3600 },
             "retryRatio": { "type": "number", "minimum": 0, "maximum": 1 },
             "retrySlack": { "type": "number", "minimum": 0, "maximum": 1000000 },
-            "retryWindowSeconds": { "type": "number", "minimum": 1, "maximum": 3600 }
+            "retryWindowSeconds": { "type": "number", "minimum": 1, "maximum": 3600 },
+            "coldOverage": { "type": "number", "minimum": 0, "maximum": 1000 },
+            "coldSlack": { "type": "number", "minimum": 0, "maximum": 1000000 }
           }
         },
         "limits": {
@@ -61,6 +63,8 @@
         bounds.retryRatio = document.value("retryRatio", bounds.retryRatio);
         bounds.retrySlack = document.value("retrySlack", bounds.retrySlack);
         bounds.retryWindow = readSeconds(document, "retryWindowSeconds", bounds.retryWindow);
+        bounds.coldOverage = document.value("coldOverage", bounds.coldOverage);
+        bounds.coldSlack = document.value("coldSlack", bounds.coldSlack);
         return bounds;
     }
 
@@ -95,7 +99,7 @@
 {
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "operatorListen", operatorListen.toString() },
         { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions },
-        { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) } } },
+        { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) }, { "coldOverage", bounds.coldOverage }, { "coldSlack", bounds.coldSlack } } },
         { "limits", { { "maxHeldBytes", limits.maxHeldBytes }, { "maxConnections", limits.maxConnections } } } };
 }
 }
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -27,6 +27,9 @@
     /// Retries to a service allowed per `retryWindow` in addition to those, over all entries.
     double retrySlack = 54;
     milliseconds retryWindow { 10000 };
+    /// A cold target gets at most its cold rate times `coldOverage`, plus `coldSlack`, requests in any second.
+    double coldOverage = 1.5;
+    double coldSlack = 5;
 };
 
 /// Limits of one process.
