--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -164,6 +164,7 @@
     candidate.inFlight = target.inFlight;
     candidate.slots = static_cast<uint32_t>(std::max(1, target.listed.slots));
     candidate.queuedPrefillTokens = target.queuedPrefillTokens;
+    candidate.isCold = target.isColdNow();
     candidate.penalty = policy::penaltyOf(target.health);
     for (size_t i = 0; i < sharedHashes.size(); ++i) {
         const auto position = target.cachedPrefixes.find(sharedHashes[i]);
