--- a/src/deployment/deployment.cpp
+++ b/src/deployment/deployment.cpp
@@ -1,10 +1,56 @@
 #include "deployment/deployment.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace bilberryseam::deployment {
 
+namespace {
+    using regions_by_name = std::map<std::string, permitted_regions, std::less<>>;
+
+    void addRegions(regions_by_name& index, const std::string& name, const permitted_regions& regions)
+    {
+        if (!regions.isRestricted())
+            return;
+        permitted_regions& indexed = index[name];
+        indexed = intersectionOf(indexed, regions);
+    }
+}
+
+bool permitted_regions::permits(std::string_view region) const noexcept
+{
+    return !names || (!region.empty() && std::binary_search(names->begin(), names->end(), region));
+}
+
+permitted_regions intersectionOf(const permitted_regions& left, const permitted_regions& right)
+{
+    if (!left.isRestricted() || !right.isRestricted())
+        return left.isRestricted() ? left : right;
+    permitted_regions common { std::vector<std::string>() };
+    std::set_intersection(left.names->begin(), left.names->end(), right.names->begin(), right.names->end(), std::back_inserter(*common.names));
+    return common;
+}
+
+void configuration::indexRegions()
+{
+    regionsByRoute.clear();
+    regionsByAccount.clear();
+    for (const auto& route : routes)
+        addRegions(regionsByRoute, route.name, route.allowedRegions);
+    for (const auto& [key, account] : accountsByApiKey)
+        addRegions(regionsByAccount, account.name, account.allowedRegions);
+}
+
+permitted_regions regionsOf(const configuration& configuration, std::string_view route, std::string_view account)
+{
+    const auto find = [](const regions_by_name& index, std::string_view name) {
+        const auto position = index.find(name);
+        return position == index.end() ? permitted_regions() : position->second;
+    };
+    return intersectionOf(find(configuration.regionsByRoute, route), find(configuration.regionsByAccount, account));
+}
+
 void configuration::indexRoutes()
 {
     routesByHost.clear();
--- a/src/deployment/deployment.hpp
+++ b/src/deployment/deployment.hpp
@@ -24,6 +24,20 @@
     Streaming,
 };
 
+/// The regions whose targets may get a request.
+struct permitted_regions {
+    /// Sorted, without duplicates; not set if all regions are permitted.
+    std::optional<std::vector<std::string>> names;
+
+    [[nodiscard]] bool isRestricted() const noexcept { return names.has_value(); }
+    /// @param region  Empty if the region is not known; it is permitted only without a restriction.
+    [[nodiscard]] bool permits(std::string_view region) const noexcept;
+    bool operator==(const permitted_regions&) const = default;
+};
+
+/// @return The regions that both permit.
+[[nodiscard]] permitted_regions intersectionOf(const permitted_regions& left, const permitted_regions& right);
+
 /// A processing step that must finish before the request itself can run.
 struct stage {
     std::string service;
@@ -63,6 +77,7 @@
     /// The requests carry a prompt whose prefix may be cached at a target.
     bool hasPrompt = false;
     bool isResumable = false;
+    permitted_regions allowedRegions;
 
     /// @return True if a request may safely run twice.
     [[nodiscard]] bool isRetryable() const noexcept { return kind == call_kind::Idempotent || (kind == call_kind::Streaming && isResumable); }
@@ -100,6 +115,7 @@
     std::string name;
     /// Priority rank of its requests; overrides that of their routes.
     std::optional<int> priority;
+    permitted_regions allowedRegions;
 };
 
 /// Limits on requests and connections of clients.
@@ -121,9 +137,14 @@
     client_limits limits;
     /// Indexes of each host's routes, longest path prefix first.
     std::map<std::string, std::vector<size_t>, std::less<>> routesByHost;
+    /// Restrictions by the names of routes and accounts, without those that have none.
+    std::map<std::string, permitted_regions, std::less<>> regionsByRoute;
+    std::map<std::string, permitted_regions, std::less<>> regionsByAccount;
 
     /// Builds `routesByHost`.
     void indexRoutes();
+    /// Builds `regionsByRoute` and `regionsByAccount`.
+    void indexRegions();
 };
 
 using configuration_ptr = std::shared_ptr<const configuration>;
@@ -131,6 +152,9 @@
 /// @return The pool profile of a service; null if the service is unknown or has no pool.
 [[nodiscard]] const pool_profile* poolOf(const configuration& configuration, std::string_view service) noexcept;
 
+/// @return The regions that the configuration permits for requests of a route and an account; one that it lacks restricts nothing.
+[[nodiscard]] permitted_regions regionsOf(const configuration& configuration, std::string_view route, std::string_view account);
+
 /// @return The host's route with the longest prefix of the path, or null.
 [[nodiscard]] const route* matchRoute(const configuration& configuration, std::string_view host, std::string_view path) noexcept;
 
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -74,7 +74,7 @@
 
 bool isTargetListUncertain(const context& context, time_point now) noexcept
 {
-    return now < context.targetsUncertainUntil || now - context.lastTickAt > freezeTime;
+    return now < std::max(context.targetsUncertainUntil, context.evacuationsUncertainUntil) || now - context.lastTickAt > freezeTime;
 }
 
 std::shared_ptr<http1::client_call> sendToTarget(context& context, const target_ptr& target, const http1::outgoing_request& request, const http1::call_options& options, http1::client_call::callbacks callbacks)
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -6,6 +6,7 @@
 #include "http1/client.hpp"
 #include "platform/store_client.hpp"
 #include "policy/budget.hpp"
+#include "policy/evacuation.hpp"
 #include "policy/loop_delay.hpp"
 #include "policy/service_limit.hpp"
 #include "policy/suspicion.hpp"
@@ -58,6 +59,11 @@
     policy::loop_delays loopDelays;
     /// After a freeze, requests wait until this time for the target list to be read again.
     time_point targetsUncertainUntil {};
+    /// After a freeze, nothing is sent to targets until this time, in which the operator's topic is read again.
+    time_point evacuationsUncertainUntil {};
+    policy::evacuation_table evacuations;
+    /// Rises with each change of the configuration or of an evacuation, after which waiting requests are checked again.
+    uint64_t placementRules = 0;
     /// Last change of the set of entries.
     time_point entriesChangedAt {};
     /// Targets that state a limit, or did so until a moment ago.
@@ -82,7 +88,8 @@
 /// Counts and logs late runs of the periodic timer of the main loop.
 void recordLoopDelay(context& context, milliseconds period, time_point now);
 
-/// @return True if the process has just woken from a freeze in which targets may have left.
+/// @return True if the process has just woken from a freeze in which targets may have left or failure domains may have been
+/// evacuated.
 [[nodiscard]] bool isTargetListUncertain(const context& context, time_point now) noexcept;
 
 /// Sends a request to a target. All requests go through here: each counts against the limit that the target states, and each
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "base/hash.hpp"
+#include "gateway/target_eligibility.hpp"
 #include "gateway/target_pauses.hpp"
 #include "platform/records.hpp"
 #include "policy/stop_schedule.hpp"
@@ -80,7 +81,7 @@
     m_callers->setOnUnfinished([this](const http1::unfinished_connection& connection) { recordUnfinished(connection); });
     m_operators.emplace(
         settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleOperatorRequest(*exchange); });
-    m_configurationFollower.emplace(m_context.store, std::string(platform::operatorTopic), platform::follow_options { readPause(std::min(settings.bounds.configuration, settings.bounds.revocation)) }, configurationCallbacks());
+    m_configurationFollower.emplace(m_context.store, std::string(platform::operatorTopic), platform::follow_options { readPause(std::min({ settings.bounds.configuration, settings.bounds.revocation, settings.bounds.evacuation })) }, configurationCallbacks());
     m_targetFollower.emplace(m_context.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), readPause(settings.bounds.leaving) }, targetCallbacks());
     const int64_t startedAtMs = wallNow().time_since_epoch().count();
     m_directory.emplace(m_context, entry_record { settings.name, settings.peerListen, settings.processorShare, startedAtMs, settings.failureDomain }, [this] {
@@ -136,20 +137,33 @@
 {
     platform::follow_callbacks callbacks;
     callbacks.onSnapshot = [this](std::map<std::string, std::string> newest) {
+        // Before the configuration, with which the gateway may begin to serve.
+        std::map<std::string, std::string, std::less<>> evacuations;
+        for (const auto& [key, value] : newest) {
+            if (const auto domain = platform::evacuatedDomainOf(key))
+                evacuations.emplace(*domain, value);
+        }
+        applyEvacuations(m_context, evacuations, m_configurationFollower->era(), monotonicNow());
         if (const auto position = newest.find(std::string(platform::configurationKey)); position != newest.end())
             applyConfiguration(position->second);
     };
     callbacks.onRecord = [this](const platform::keyed_record& record) {
         if (record.key == platform::configurationKey && record.value)
             applyConfiguration(*record.value);
+        else if (const auto domain = platform::evacuatedDomainOf(record.key))
+            applyEvacuation(m_context, *domain, record.value, monotonicNow());
     };
     callbacks.onReadSuccess = [this](time_point sentAt) {
         m_context.configurationCheckedAt = sentAt;
+        if (sentAt >= m_wokeAt)
+            m_context.evacuationsUncertainUntil = {};
         recordRead(platform::operatorTopic, m_isConfigurationUnreachable, sentAt);
     };
     callbacks.onReadFailure = [this](std::string_view reason) {
         // The target list is read less often; records that expire until its next read expire in the same outage.
         m_context.targets.onStoreUnreachable();
+        // While the store is away, the last known evacuations stay in force.
+        m_context.evacuationsUncertainUntil = std::min(m_context.evacuationsUncertainUntil, m_wokeAt + rereadTime);
         recordFailedRead(platform::operatorTopic, m_isConfigurationUnreachable, reason);
     };
     return callbacks;
@@ -202,6 +216,8 @@
     const std::string previousVersion = m_context.configuration ? std::to_string(m_context.configuration->version) : "none";
     m_context.configuration = std::make_shared<const deployment::configuration>(std::move(decoded.value()));
     const auto& configuration = *m_context.configuration;
+    ++m_context.placementRules;
+    logUnknownRegions(m_context, configuration);
     m_context.counters.count("configurations_total", { { "outcome", "in_force" } });
     m_context.counters.set("configuration_version", {}, static_cast<double>(configuration.version));
     policy::changeIdleLimit(m_idleLimits, configuration.limits.idleTimeout, monotonicNow());
@@ -352,6 +368,7 @@
         return false;
     }
     request.rank = request.route->priority;
+    request.permittedRegions = request.route->allowedRegions;
     return true;
 }
 
@@ -370,6 +387,7 @@
         return false;
     }
     request.account = position->second.name;
+    request.permittedRegions = deployment::intersectionOf(request.permittedRegions, position->second.allowedRegions);
     request.rank = position->second.priority.value_or(request.rank);
     return true;
 }
@@ -441,8 +459,10 @@
         return;
     m_wokeAt = now;
     m_context.targetsUncertainUntil = now + rereadTime;
+    m_context.evacuationsUncertainUntil = now + failedReadTime;
     m_targetFollower->restartRead();
-    logLine(log_level::Warning, logComponent, "The process was frozen; requests wait until the target list is read again.", { { "frozen_ms", std::to_string(asMilliseconds(gap)) } });
+    m_configurationFollower->restartRead();
+    logLine(log_level::Warning, logComponent, "The process was frozen; requests wait until the target list and the operator's topic are read again.", { { "frozen_ms", std::to_string(asMilliseconds(gap)) } });
 }
 
 double gateway::limitShareOf(const target_state& target, time_point now)
@@ -460,6 +480,7 @@
     checkForFreeze(now);
     m_finishedRuns.clear();
     m_context.targets.tick(now);
+    dropLostEvacuations(m_context, now);
     updateLimits(
         m_context, [this, now](const target_state& target) { return limitShareOf(target, now); }, now);
     endPauses(m_context, now);
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -4,6 +4,7 @@
 #include "gateway/crash_watch.hpp"
 #include "gateway/detail/pool_router_peer.hpp"
 #include "gateway/stream_directory.hpp"
+#include "gateway/target_eligibility.hpp"
 #include "gateway/topic_relay.hpp"
 #include "policy/ownership.hpp"
 
@@ -148,6 +149,12 @@
     message.requiredDomain = job->requiredDomain;
     message.preferredDomain = job->preferredDomain;
     message.tokens = job->weightedTokens;
+    if (const auto& regions = regionsNow(m_context, *job); regions.isRestricted()) {
+        message.isRestricted = true;
+        message.regions = toItems(knownRegionsOf(m_context, regions));
+    }
+    message.route = job->route;
+    message.account = job->account;
     owner.session->post(std::move(message));
     m_context.counters.count("jobs_sent_total", { { "service", job->service } });
 }
@@ -362,6 +369,12 @@
     job->requiredDomain = std::move(message.requiredDomain);
     job->preferredDomain = std::move(message.preferredDomain);
     job->weightedTokens = message.tokens;
+    if (message.isRestricted) {
+        job->permittedRegions.names = toTexts(message.regions);
+        std::sort(job->permittedRegions.names->begin(), job->permittedRegions.names->end());
+    }
+    job->route = std::move(message.route);
+    job->account = std::move(message.account);
     const std::pair key { session, message.jobNumber };
     job->onTaskFinished = [this, key](uint32_t task, const task_outcome& outcome) {
         m_server.post(key.first, wire::task_finished { key.second, task, outcome.handle, static_cast<uint32_t>(outcome.failure) });
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -301,7 +301,7 @@
 
 bool request_run::mayReturn() const noexcept
 {
-    return std::any_of(m_endedRuns.begin(), m_endedRuns.end(), [](const target_ptr& ended) { return ended->isInService(); });
+    return std::any_of(m_endedRuns.begin(), m_endedRuns.end(), [this](const target_ptr& ended) { return ended->isInService() && isSuitable(*ended); });
 }
 
 void request_run::onAttemptFailed(std::string_view reason, bool mayHaveRun)
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -1,6 +1,7 @@
 #include "base/hash.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/request_run.hpp"
+#include "gateway/target_eligibility.hpp"
 #include "gateway/target_pauses.hpp"
 #include "policy/suspicion.hpp"
 
@@ -34,12 +35,12 @@
     double rate = 0;
     bool isLimited = false;
     for (const auto& target : m_context.targets.ofService(m_request.service)) {
-        if (!mayRunAt(*target))
+        if (!mayRunAt(*target) || !isSuitable(*target))
             continue;
         // A target without a limit that is blocked for a moment, or was tried already, is soon usable again.
         if (target->isInService() && !target->limit.perSecond)
             return std::nullopt;
-        if (!target->isAvailable(now))
+        if (!isAvailable(m_context, *target, regionsNow(), now))
             continue;
         isLimited = true;
         rate += policy::ownRate(target->limit, now).value_or(0);
@@ -62,7 +63,7 @@
     std::optional<time_point> end;
     bool isAnyPaused = false;
     for (const auto& target : m_context.targets.ofService(m_request.service)) {
-        if (!target->isInService() || !mayRunAt(*target))
+        if (!target->isInService() || !mayRunAt(*target) || !isSuitable(*target))
             continue;
         isAnyPaused = isAnyPaused || policy::isPaused(target->pause, now);
         const time_point availableAt = std::max(target->pause.until, target->health.blockedUntil);
@@ -93,7 +94,7 @@
     const bool isAnyPaused = std::any_of(targets.begin(), targets.end(), [now](const auto& target) { return policy::isPaused(target->pause, now); });
     if (!isAnyPaused || std::exchange(m_arePausesReported, true))
         return;
-    logLine(log_level::Info, logComponent, "No target is available for the request while targets pause.", { { "request", m_request.callerRequest.id }, { "service", m_request.service }, { "next", std::string(next) }, { "unavailable", textOfUnavailable(targets, now) } });
+    logLine(log_level::Info, logComponent, "No target is available for the request while targets pause.", { { "request", m_request.callerRequest.id }, { "service", m_request.service }, { "next", std::string(next) }, { "unavailable", textOfUnavailable(m_context, targets, regionsNow(), now) } });
 }
 
 void request_run::refuseLimited(milliseconds expectedWait)
@@ -109,7 +110,8 @@
     if (suspicion.crashCount >= policy::crashesToQuarantine)
         suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, true, now);
     logCrash(attempt, suspicion, now);
-    m_mayHaveCrashed = !m_request.segments.empty();
+    // Nothing connects to an evacuated failure domain, where broken responses may have other causes than a crash.
+    m_mayHaveCrashed = !m_request.segments.empty() && !isEvacuated(m_context, *attempt.target);
     if (m_mayHaveCrashed)
         m_context.crashes->onBrokenRequest(*attempt.target, { m_request.segments, attempt.sentAt }, now);
     if (suspicion.isQuarantined)
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_run.hpp"
 
 #include "gateway/crash_watch.hpp"
+#include "gateway/target_eligibility.hpp"
 #include "gateway/target_pauses.hpp"
 #include "policy/placement.hpp"
 
@@ -66,6 +67,9 @@
             self->onCallerDisconnected();
     });
     const time_point now = monotonicNow();
+    m_checkedRules = m_context.placementRules;
+    if (refuseUnplaceable(now))
+        return;
     if (const auto wait = waitForService(m_context, m_request.service, now)) {
         refusePaused(*wait, now);
         return;
@@ -84,6 +88,9 @@
         expire("deadline");
         return;
     }
+    checkPlacementRules(now);
+    if (m_isFinished)
+        return;
     if (m_isWaitingForTarget && now >= m_retryAt) {
         dispatch();
         return;
@@ -126,7 +133,10 @@
     candidate.hash = target.hash;
     const bool wasTried = std::find(m_triedTargets.begin(), m_triedTargets.end(), target.listed.id) != m_triedTargets.end();
     const bool isFree = !wasTried && (!m_mayHaveRun || m_attempts < m_request.route->maxAttempts);
-    candidate.isUsable = target.mayGetWork(now) && (isFree || mayReturnTo(target)) && mayRunAt(target);
+    policy::target_conditions conditions = conditionsOf(m_context, target, regionsNow());
+    conditions.isOtherVersion = !mayRunAt(target);
+    conditions.isTried = !isFree && !mayReturnTo(target);
+    candidate.isUsable = policy::reasonAgainst(conditions, now) == policy::ineligibility::None;
     candidate.isInOwnDomain = target.listed.failureDomain == m_context.settings.failureDomain;
     const auto region = m_context.settings.regions.find(target.listed.failureDomain);
     candidate.isInOwnRegion = region != m_context.settings.regions.end() && region->second == m_context.settings.region;
@@ -155,6 +165,8 @@
         refuseSegment(*segment, now);
         return;
     }
+    if (refuseUnplaceable(now))
+        return;
     if (m_isRetryUnpaid && !trySpendRetry(m_context, m_request.service, now)) {
         waitForTarget(now);
         return;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -44,6 +44,8 @@
     const deployment::route* route = nullptr;
     std::string service;
     std::string account;
+    /// Regions that the route and the account permit.
+    deployment::permitted_regions permittedRegions;
     /// Priority; 0 is the most urgent.
     int rank = 0;
     /// Hash of the request's path, body and API key, the same for each attempt.
@@ -186,6 +188,18 @@
     /// @return True if a run at this target was ended for another one, so that the request may go back there.
     [[nodiscard]] bool mayReturnTo(const target_state& target) const noexcept;
     [[nodiscard]] bool mayReturn() const noexcept;
+
+    // Permitted regions and evacuations; in request_regions.cpp.
+    /// @return The regions that the request may use now, also by the newest configuration.
+    [[nodiscard]] const deployment::permitted_regions& regionsNow() const;
+    /// @return Whether the request may use the target as soon as its state allows.
+    [[nodiscard]] bool isSuitable(const target_state& target) const;
+    /// Refuses the request if regions or evacuations leave no target for it or for its unfinished stages.
+    /// @return True if the request has ended.
+    bool refuseUnplaceable(time_point now);
+    /// Checks a request that waits once more after each change of the configuration or of an evacuation.
+    void checkPlacementRules(time_point now);
+
     void waitForTarget(time_point now);
     /// Takes back the attempt at a target that did not run the request.
     void uncount(const target_attempt& attempt);
@@ -282,6 +296,11 @@
     bool m_mayHaveCrashed = false;
     bool m_isFinished = false;
     std::vector<std::string> m_triedTargets;
+    /// Cached by `regionsNow`.
+    mutable deployment::configuration_ptr m_regionsConfiguration;
+    mutable deployment::permitted_regions m_regionsNow;
+    /// Value of `context::placementRules` at the last check.
+    uint64_t m_checkedRules = 0;
     /// Those of the tried targets that were full; they may be asked again at `m_nextFullTargetAt`.
     std::vector<std::string> m_fullTargets;
     time_point m_nextFullTargetAt {};
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -201,6 +201,9 @@
     if (const auto& prompt = m_request.callerRequest.generation)
         job->weightedTokens = prompt->promptTokens + outputTokenPrice * prompt->maxOutputTokens;
     job->rank = static_cast<uint32_t>(std::clamp(m_request.rank, 0, 9));
+    job->permittedRegions = m_request.permittedRegions;
+    job->route = m_request.route->name;
+    job->account = m_request.account;
     if (stage.resultBytes >= largeResultBytes)
         job->requiredDomain = m_requiredDomain;
     // Each task fetches all inputs.
--- a/src/gateway/stage_job.hpp
+++ b/src/gateway/stage_job.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "deployment/deployment.hpp"
 #include "platform/batch_call.hpp"
 
 #include <functional>
@@ -36,6 +37,15 @@
     std::string requiredDomain;
     /// Failure domain in which the results should be produced; empty if any will do.
     std::string preferredDomain;
+    /// Regions that were permitted when the request was accepted; for a job of another entry, those that the entry permitted when it
+    /// sent the job.
+    deployment::permitted_regions permittedRegions;
+    /// Names of the route and the client account, whose regions in the newest configuration apply as well; may be empty.
+    std::string route;
+    std::string account;
+    /// Cached by `regionsNow`: the permitted regions under this configuration.
+    deployment::configuration_ptr regionsConfiguration;
+    deployment::permitted_regions regionsNow;
     /// Called once for each task, never from inside the call that adds the job, and not after the job was cancelled.
     std::function<void(uint32_t task, const task_outcome&)> onTaskFinished;
 
--- a/src/gateway/target_pauses.cpp
+++ b/src/gateway/target_pauses.cpp
@@ -1,6 +1,7 @@
 #include "gateway/target_pauses.hpp"
 
 #include "base/hash.hpp"
+#include "gateway/target_eligibility.hpp"
 #include "platform/ingress.hpp"
 
 namespace bilberryseam::gateway {
@@ -20,7 +21,7 @@
         for (const auto& target : context.targets.ofService(service)) {
             if (policy::isPaused(target->pause, now)) {
                 ++state.pausing;
-            } else if (target->isInService()) {
+            } else if (target->isInService() && !isEvacuated(context, *target)) {
                 ++state.available;
                 state.unanswered += target->inFlight;
             }
@@ -33,20 +34,22 @@
         logLine(log_level::Info, logComponent, message, { { "target", target.listed.id }, { "service", target.listed.service }, { "pause_ms", std::to_string(asMilliseconds(target.pause.until - target.pause.since)) }, { "left_ms", std::to_string(asMilliseconds(target.pause.until - now)) }, { "listed", target.isRemoved ? "false" : "true" } });
     }
 
-    std::string unavailabilityOf(const target_state& target, time_point now)
+    std::string unavailabilityOf(const context& context, const target_state& target, const deployment::permitted_regions& regions, time_point now)
     {
-        const auto left = [now](time_point end) { return std::to_string(asMilliseconds(end - now)); };
-        if (target.isReplaced)
-            return "replaced::";
-        if (target.isLeaving || target.listed.isDraining)
-            return "leaving::";
-        if (policy::isPaused(target.pause, now))
-            return "paused:" + std::to_string(asMilliseconds(now - target.pause.since)) + ":" + left(target.pause.until);
-        if (!policy::isUsable(target.health, now))
-            return "blocked:" + std::to_string(asMilliseconds(now - target.health.changedAt)) + ":" + left(target.health.blockedUntil);
-        if (!policy::mayReturn(target.pause, now))
-            return "returning:" + std::to_string(asMilliseconds(now - target.pause.until)) + ":";
-        return target.mayGetWork(now) ? "" : "limited::";
+        const auto reason = policy::reasonAgainst(conditionsOf(context, target, regions), now);
+        if (reason == policy::ineligibility::None)
+            return {};
+        const auto ago = [now](time_point since) { return std::to_string(asMilliseconds(now - since)); };
+        std::string times = ":";
+        if (reason == policy::ineligibility::Evacuated)
+            times = ago(context.evacuations.domains.find(target.listed.failureDomain)->second.since) + ":";
+        if (reason == policy::ineligibility::Paused)
+            times = ago(target.pause.since) + ":" + std::to_string(asMilliseconds(target.pause.until - now));
+        if (reason == policy::ineligibility::Blocked)
+            times = ago(target.health.changedAt) + ":" + std::to_string(asMilliseconds(target.health.blockedUntil - now));
+        if (reason == policy::ineligibility::Returning)
+            times = ago(target.pause.until) + ":";
+        return std::string(nameOf(reason)) + ":" + times;
     }
 }
 
@@ -137,12 +140,12 @@
     logLine(log_level::Info, logComponent, "The record of a target in the target list changed.", { { "target", target.listed.id }, { "change", std::string(change) }, { "service", target.listed.service }, { "address", target.listed.endpoint.toString() }, { "failure_domain", target.listed.failureDomain }, { "software_version", target.listed.softwareVersion }, { "pause_left_ms", std::to_string(std::max<int64_t>(0, asMilliseconds(target.pause.until - now))) }, { "says_it_leaves", target.isLeaving ? "true" : "false" } });
 }
 
-std::string textOfUnavailable(std::span<const target_ptr> targets, time_point now)
+std::string textOfUnavailable(const context& context, std::span<const target_ptr> targets, const deployment::permitted_regions& regions, time_point now)
 {
     std::string text;
     size_t count = 0;
     for (const auto& target : targets) {
-        const std::string reason = unavailabilityOf(*target, now);
+        const std::string reason = unavailabilityOf(context, *target, regions, now);
         if (!reason.empty() && ++count <= maxNamedTargets)
             text.append(text.empty() ? "" : ",").append(target->listed.id).append(":").append(reason);
     }
--- a/src/gateway/target_pauses.hpp
+++ b/src/gateway/target_pauses.hpp
@@ -44,5 +44,6 @@
 
 /// @return The targets that get no requests now, as `ID:REASON:SINCE_MS_AGO:LEFT_MS`; times are empty if unknown. Names at most
 /// eight and counts the others.
-[[nodiscard]] std::string textOfUnavailable(std::span<const target_ptr> targets, time_point now);
+/// @param regions  The regions that the request may use.
+[[nodiscard]] std::string textOfUnavailable(const context& context, std::span<const target_ptr> targets, const deployment::permitted_regions& regions, time_point now);
 }
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -54,9 +54,6 @@
     /// @return Whether the record may be older than a restart of the target.
     [[nodiscard]] bool mayHaveRestarted(time_point now) const noexcept { return lastBrokenAt != time_point() && now - lastBrokenAt < policy::targetRecordLag; }
     [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !isLeaving && !listed.isDraining; }
-    /// @return Whether the target may get work as soon as its limit allows.
-    [[nodiscard]] bool isAvailable(time_point now) const noexcept { return isInService() && policy::mayReturn(pause, now) && policy::isUsable(health, now); }
-    [[nodiscard]] bool mayGetWork(time_point now) const noexcept { return isAvailable(now) && policy::canSend(limit, now); }
 };
 
 using target_ptr = std::shared_ptr<target_state>;
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "gateway/task_scheduler.hpp"
 
 #include "base/hash.hpp"
+#include "gateway/target_eligibility.hpp"
 #include "platform/ingress.hpp"
 
 #include <algorithm>
@@ -237,11 +238,13 @@
         && now + callLeadTime >= target.busyUntil && now < target.busyUntil + callLeadTime;
     policy::pool_target view;
     view.failureDomain = target.listed.failureDomain;
-    view.isIdle = target.mayGetWork(now) && now >= target.noMemoryUntil && (target.inFlight < slots || isNearlyIdle);
+    view.region = regionOf(m_context, target.listed.failureDomain);
+    const bool mayGetWork = policy::reasonAgainst(conditionsOf(m_context, target), now) == policy::ineligibility::None;
+    view.isIdle = mayGetWork && now >= target.noMemoryUntil && (target.inFlight < slots || isNearlyIdle);
     view.totalBytes = profile.resultMemoryBytes > 0 ? profile.resultMemoryBytes * usableMemoryShare : std::numeric_limits<double>::max();
     view.freeBytes = view.totalBytes - target.heldBytes;
     // Tasks must not wait for a target that gets no work.
-    view.penalty = target.mayGetWork(now) ? policy::penaltyOf(target.health) : unusablePenalty;
+    view.penalty = mayGetWork ? policy::penaltyOf(target.health) : unusablePenalty;
     return view;
 }
 
@@ -250,7 +253,8 @@
     const auto* profile = profileOf(service);
     // An overdue call may have delivered the result of a queued task in the meantime.
     pool.queue.remove_if([](const auto& task) { return !task->job->isNeeded(task->index); });
-    if (pool.queue.empty() || !profile)
+    // After a freeze of this process, targets may have left and failure domains may have been evacuated.
+    if (pool.queue.empty() || !profile || isTargetListUncertain(m_context, now))
         return;
     const std::vector<target_ptr> listedTargets = m_context.targets.ofService(service);
     std::vector<policy::pool_target> targets;
@@ -264,8 +268,9 @@
     std::vector<policy::queued_task> tasks;
     tasks.reserve(readyTasks.size());
     for (const auto& task : readyTasks) {
-        const stage_job& job = *task->job;
-        tasks.push_back({ task->jobId, job.isStarted, job.latestStart, task->queuedAt, job.resultBytes, job.rank, task->boost, job.requiredDomain, job.preferredDomain });
+        stage_job& job = *task->job;
+        const auto& regions = regionsNow(m_context, job);
+        tasks.push_back({ task->jobId, job.isStarted, job.latestStart, task->queuedAt, job.resultBytes, job.rank, task->boost, job.requiredDomain, job.preferredDomain, regions.names ? &*regions.names : nullptr });
     }
     const policy::batching_rules rules { static_cast<size_t>(profile->batchSize) };
     for (const auto& batch : policy::planBatches(tasks, targets, rules, now)) {
@@ -413,8 +418,9 @@
             eraseResult(position);
     }
     for (const auto& [target, items] : byHolder) {
-        // A limited or paused target is spared the call: its results expire by themselves.
-        if (!policy::canSend(target->limit, monotonicNow()) || !policy::mayReturn(target->pause, monotonicNow())) {
+        // A limited or paused target is spared the call, and an evacuated failure domain gets none: the results expire by themselves.
+        const time_point now = monotonicNow();
+        if (!policy::canSend(target->limit, now) || !policy::mayReturn(target->pause, now) || isEvacuated(m_context, *target) || isTargetListUncertain(m_context, now)) {
             m_context.counters.count("releases_left_out_total");
             continue;
         }
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -1,5 +1,6 @@
 #include "platform/records.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace bilberryseam::platform {
@@ -61,6 +62,18 @@
         return services;
     }
 
+    /// @return The regions in a list; all regions if it is missing or empty.
+    /// @throws json::exception for a value of the wrong type.
+    deployment::permitted_regions readRegions(const json& from)
+    {
+        auto names = readOr(from, "allowed_regions", std::vector<std::string>());
+        if (names.empty())
+            return {};
+        std::sort(names.begin(), names.end());
+        names.erase(std::unique(names.begin(), names.end()), names.end());
+        return { std::move(names) };
+    }
+
     deployment::route readRoute(const json& from)
     {
         deployment::route route;
@@ -81,6 +94,7 @@
         // "sticky" marks routes whose requests carry a prompt; it does not ask for session affinity.
         route.hasPrompt = readOr(from, "sticky", false);
         route.isResumable = readOr(from, "resumable", false);
+        route.allowedRegions = readRegions(from);
         return route;
     }
 
@@ -131,7 +145,7 @@
             return;
         configuration.hasAccounts = true;
         for (const json& item : *it) {
-            deployment::client_account account { item.at("name"), std::nullopt };
+            deployment::client_account account { item.at("name"), std::nullopt, readRegions(item) };
             if (const auto priority = item.find("priority"); priority != item.end() && priority->is_number_integer())
                 account.priority = priority->get<int>();
             for (const json& key : readOr(item, "api_keys", json::array()))
@@ -182,6 +196,7 @@
         }
         configuration.limits = readLimits(readOr(document, "limits", json::object()));
         readAccounts(document, configuration);
+        configuration.indexRegions();
         configuration.indexRoutes();
         return configuration;
     } catch (const json::exception& problem) {
@@ -191,6 +206,13 @@
     }
 }
 
+std::optional<std::string_view> evacuatedDomainOf(std::string_view key) noexcept
+{
+    if (!key.starts_with(evacuationPrefix))
+        return std::nullopt;
+    return key.substr(evacuationPrefix.size());
+}
+
 result<deployment::target> decodeTarget(std::string_view id, std::string_view text)
 {
     try {
--- a/src/platform/records.hpp
+++ b/src/platform/records.hpp
@@ -3,6 +3,7 @@
 
 #include "deployment/deployment.hpp"
 
+#include <optional>
 #include <string_view>
 
 namespace bilberryseam::platform {
@@ -13,6 +14,11 @@
 constexpr std::string_view targetTopic = "keyed.servers";
 /// Key of the configuration in `operatorTopic`.
 constexpr std::string_view configurationKey = "config";
+/// Prefix of the keys in `operatorTopic` that name an evacuated failure domain.
+constexpr std::string_view evacuationPrefix = "evacuate/";
+
+/// @return The failure domain that a key of `operatorTopic` evacuates; nothing for other keys. The domain may be empty.
+[[nodiscard]] std::optional<std::string_view> evacuatedDomainOf(std::string_view key) noexcept;
 
 /// @return The configuration, or `InvalidMessage` if any part of it is invalid.
 [[nodiscard]] result<deployment::configuration> decodeConfiguration(std::string_view text);
--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -96,6 +96,7 @@
     m_call.reset();
     m_isAskingPeer = false;
     m_mustReadStore = true;
+    m_mustReadAtOnce = true;
     scheduleRead(milliseconds(0));
 }
 
@@ -280,7 +281,9 @@
 void topic_follower::readChanges()
 {
     m_sentAt = monotonicNow();
-    const read_timeouts timeouts = nextReadTimeouts();
+    read_timeouts timeouts = nextReadTimeouts();
+    if (std::exchange(m_mustReadAtOnce, false))
+        timeouts.longPollWait = milliseconds(0);
     m_call = m_store.read(m_topic, *m_offset, timeouts, [this, timeouts](const topic_read_result& result) { handleChanges(result, timeouts.longPollWait); });
 }
 
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -79,10 +79,13 @@
     /// Ends the current pause between reads; has no effect during a read.
     void readNow();
 
-    /// Reads at once, on a new call if one is in progress, whose connection may have gone silent.
+    /// Reads at once, on a new call if one is in progress, whose connection may have gone silent. The store is asked not to
+    /// hold the response until there is a record.
     void restartRead();
 
     [[nodiscard]] const std::string& topic() const noexcept { return m_topic; }
+    /// @return Era of the store in which the newest records were read.
+    [[nodiscard]] uint64_t era() const noexcept { return m_era; }
 
     /// From now on changes are read from a peer, if there is one.
     void setPeer(topic_peer peer) { m_peer = std::move(peer); }
@@ -129,6 +132,8 @@
     uint64_t m_queryNumber = 0;
     /// The next read goes to the store.
     bool m_mustReadStore = false;
+    /// The next read of changes uses no long poll.
+    bool m_mustReadAtOnce = false;
     /// Time at which a peer last asked.
     time_point m_askedAt {};
     /// The newest records that change something, and the offset from which on they are complete.
--- a/src/policy/batching.cpp
+++ b/src/policy/batching.cpp
@@ -38,37 +38,87 @@
         return order;
     }
 
-    /// Leaves out the tasks of jobs for which there is memory for only some of the results.
-    std::vector<size_t> filterByMemory(const std::vector<size_t>& order, std::span<const queued_task> tasks, std::span<const pool_target> targets)
-    {
+    /// The targets that tasks with the same permitted regions may use.
+    struct region_group {
+        const std::vector<std::string>* regions = nullptr;
+        std::vector<bool> isPermitted;
+        bool hasHealthy = false;
         double freeBytes = 0;
         double totalBytes = 0;
-        const bool hasHealthy = std::any_of(targets.begin(), targets.end(), isHealthy);
+        /// A job of the group waits until its results fit; free memory is reserved for it.
+        bool isMemoryShort = false;
+    };
+
+    region_group groupOf(const std::vector<std::string>* regions, std::span<const pool_target> targets)
+    {
+        region_group group { regions, {}, false, 0, 0, false };
         for (const auto& target : targets) {
+            const bool isPermitted = !regions || (!target.region.empty() && std::binary_search(regions->begin(), regions->end(), target.region));
+            group.isPermitted.push_back(isPermitted);
+            group.hasHealthy = group.hasHealthy || (isPermitted && isHealthy(target));
+        }
+        for (size_t i = 0; i < targets.size(); ++i) {
             // Memory of unhealthy targets counts only if no target is healthy: then they run the tasks.
-            if (hasHealthy && !isHealthy(target))
+            if (!group.isPermitted[i] || (group.hasHealthy && !isHealthy(targets[i])))
                 continue;
-            freeBytes += std::max(0.0, target.freeBytes);
-            totalBytes += target.totalBytes;
+            group.freeBytes += std::max(0.0, targets[i].freeBytes);
+            group.totalBytes += targets[i].totalBytes;
+        }
+        return group;
+    }
+
+    bool haveCommonTarget(const region_group& left, const region_group& right)
+    {
+        for (size_t i = 0; i < left.isPermitted.size(); ++i) {
+            if (left.isPermitted[i] && right.isPermitted[i])
+                return true;
+        }
+        return false;
+    }
+
+    /// Groups of tasks by their permitted regions, and the group of each task. Deployments have few combinations of regions.
+    struct task_groups {
+        std::vector<region_group> groups;
+        std::vector<size_t> ofTask;
+
+        task_groups(std::span<const queued_task> tasks, std::span<const pool_target> targets)
+        {
+            ofTask.reserve(tasks.size());
+            for (const auto& task : tasks) {
+                const auto isSame = [&task](const region_group& group) {
+                    return group.regions == task.permittedRegions || (group.regions && task.permittedRegions && *group.regions == *task.permittedRegions);
+                };
+                const auto known = std::find_if(groups.begin(), groups.end(), isSame);
+                ofTask.push_back(static_cast<size_t>(known - groups.begin()));
+                if (known == groups.end())
+                    groups.push_back(groupOf(task.permittedRegions, targets));
+            }
         }
+    };
+
+    /// Leaves out the tasks of jobs for which there is memory for only some of the results.
+    std::vector<size_t> filterByMemory(const std::vector<size_t>& order, std::span<const queued_task> tasks, task_groups& groups)
+    {
         std::unordered_map<uint64_t, double> jobBytes;
         for (const auto& task : tasks)
             jobBytes[task.jobId] += task.resultBytes;
         std::unordered_set<uint64_t> admittedJobs;
-        bool isMemoryShort = false;
         std::vector<size_t> keptTasks;
         for (const size_t index : order) {
             const queued_task& task = tasks[index];
+            region_group& group = groups.groups[groups.ofTask[index]];
             if (!task.isJobStarted && !admittedJobs.contains(task.jobId)) {
                 // Reserves free memory for the first job that does not fit.
-                const double neededBytes = std::min(jobBytes[task.jobId], totalBytes * maxJobMemoryShare);
-                const bool isSmall = neededBytes < totalBytes * smallJobMemoryShare && neededBytes <= freeBytes;
-                isMemoryShort = isMemoryShort || neededBytes > freeBytes;
-                if (isMemoryShort && !isSmall)
+                const double neededBytes = std::min(jobBytes[task.jobId], group.totalBytes * maxJobMemoryShare);
+                const bool isSmall = neededBytes < group.totalBytes * smallJobMemoryShare && neededBytes <= group.freeBytes;
+                group.isMemoryShort = group.isMemoryShort || neededBytes > group.freeBytes;
+                if (group.isMemoryShort && !isSmall)
                     continue;
             }
-            if (admittedJobs.insert(task.jobId).second)
-                freeBytes -= jobBytes[task.jobId];
+            if (admittedJobs.insert(task.jobId).second) {
+                for (auto& other : groups.groups)
+                    other.freeBytes -= haveCommonTarget(group, other) ? jobBytes[task.jobId] : 0;
+            }
             keptTasks.push_back(index);
         }
         return keptTasks;
@@ -90,31 +140,41 @@
         std::span<const pool_target> targets;
         const batching_rules& rules;
         time_point now;
-        bool hasHealthy = false;
+        const task_groups& groups;
 
-        bool hasHealthyIn(std::string_view domain) const
+        static bool hasHealthyIn(std::span<const pool_target> targets, const region_group& group, std::string_view domain)
         {
-            return std::any_of(targets.begin(), targets.end(), [domain](const auto& item) { return item.failureDomain == domain && isHealthy(item); });
+            for (size_t i = 0; i < targets.size(); ++i) {
+                if (group.isPermitted[i] && targets[i].failureDomain == domain && isHealthy(targets[i]))
+                    return true;
+            }
+            return false;
         }
 
-        bool mayRunAt(const queued_task& task, const pool_target& target) const
+        bool mayRunAt(size_t taskIndex, size_t targetIndex) const
         {
+            const queued_task& task = tasks[taskIndex];
+            const pool_target& target = targets[targetIndex];
+            const region_group& group = groups.groups[groups.ofTask[taskIndex]];
+            if (!group.isPermitted[targetIndex])
+                return false;
             const auto waitTime = now - task.queuedAt;
-            if (!isHealthy(target) && hasHealthy && waitTime < rules.requiredDomainWait)
+            if (!isHealthy(target) && group.hasHealthy && waitTime < rules.requiredDomainWait)
                 return false;
             if (!task.requiredDomain.empty())
-                return target.failureDomain == task.requiredDomain || waitTime >= rules.requiredDomainWait || !hasHealthyIn(task.requiredDomain);
-            return task.preferredDomain.empty() || target.failureDomain == task.preferredDomain || waitTime >= rules.preferredDomainWait || !hasHealthyIn(task.preferredDomain);
+                return target.failureDomain == task.requiredDomain || waitTime >= rules.requiredDomainWait || !hasHealthyIn(targets, group, task.requiredDomain);
+            return task.preferredDomain.empty() || target.failureDomain == task.preferredDomain || waitTime >= rules.preferredDomainWait || !hasHealthyIn(targets, group, task.preferredDomain);
         }
 
         /// @return The idle target for a call that starts with this task: a healthy one in the task's failure domain, else the
         /// one with the lowest penalty.
-        std::optional<size_t> targetFor(const queued_task& task, std::span<const size_t> idle) const
+        std::optional<size_t> targetFor(size_t taskIndex, std::span<const size_t> idle) const
         {
+            const queued_task& task = tasks[taskIndex];
             std::optional<size_t> best;
             for (const size_t index : idle) {
                 const pool_target& target = targets[index];
-                if (task.resultBytes > target.freeBytes || !mayRunAt(task, target))
+                if (task.resultBytes > target.freeBytes || !mayRunAt(taskIndex, index))
                     continue;
                 const bool isInDomain = target.failureDomain == (task.requiredDomain.empty() ? task.preferredDomain : task.requiredDomain);
                 if (isInDomain && isHealthy(target))
@@ -127,10 +187,10 @@
 
         /// Fills a call with tasks in order up to the fair share. Tasks of the call's last job may exceed the share, up to the
         /// batch size.
-        std::vector<size_t> fillBatch(const pool_target& target, const std::vector<size_t>& order, size_t fairShare) const
+        std::vector<size_t> fillBatch(size_t target, const std::vector<size_t>& order, size_t fairShare) const
         {
             std::vector<size_t> batchTasks;
-            double freeBytes = target.freeBytes;
+            double freeBytes = targets[target].freeBytes;
             for (const size_t index : order) {
                 if (batchTasks.size() >= rules.batchSize)
                     break;
@@ -138,7 +198,7 @@
                 const bool isSameJob = !batchTasks.empty() && tasks[batchTasks.back()].jobId == task.jobId;
                 if (batchTasks.size() >= fairShare && !isSameJob)
                     break;
-                if (task.resultBytes > freeBytes || !mayRunAt(task, target))
+                if (task.resultBytes > freeBytes || !mayRunAt(index, target))
                     continue;
                 freeBytes -= task.resultBytes;
                 batchTasks.push_back(index);
@@ -150,13 +210,13 @@
 
 std::vector<task_batch> planBatches(std::span<const queued_task> tasks, std::span<const pool_target> targets, const batching_rules& rules, time_point now)
 {
-    planner plan { tasks, targets, rules, now };
-    plan.hasHealthy = std::any_of(targets.begin(), targets.end(), isHealthy);
-    std::vector<size_t> order = filterByMemory(orderTasks(tasks, rules, now), tasks, targets);
+    task_groups groups(tasks, targets);
+    const planner plan { tasks, targets, rules, now, groups };
+    std::vector<size_t> order = filterByMemory(orderTasks(tasks, rules, now), tasks, groups);
     std::vector<size_t> idle = idleTargets(targets);
     std::vector<task_batch> batches;
     for (size_t head = 0; head < order.size() && !idle.empty();) {
-        const auto target = plan.targetFor(tasks[order[head]], idle);
+        const auto target = plan.targetFor(order[head], idle);
         if (!target) {
             ++head;
             continue;
@@ -164,7 +224,7 @@
         // Splits the queue evenly over the idle targets, so that each call is short.
         const size_t fairShare = (order.size() + idle.size() - 1) / idle.size();
         const std::vector<size_t> remaining(order.begin() + static_cast<std::ptrdiff_t>(head), order.end());
-        task_batch batch { *target, plan.fillBatch(targets[*target], remaining, fairShare) };
+        task_batch batch { *target, plan.fillBatch(*target, remaining, fairShare) };
         std::erase(idle, *target);
         std::erase_if(order, [&](size_t task) { return std::find(batch.tasks.begin(), batch.tasks.end(), task) != batch.tasks.end(); });
         batches.push_back(std::move(batch));
--- a/src/policy/batching.hpp
+++ b/src/policy/batching.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -37,6 +38,8 @@
     std::string_view requiredDomain;
     /// Failure domain that holds most of the inputs; may be empty.
     std::string_view preferredDomain;
+    /// The regions in which the task may run, sorted; null if it may run anywhere. The lists must outlive the planning.
+    const std::vector<std::string>* permittedRegions = nullptr;
 };
 
 /// A target of the pool, as the planner sees it.
@@ -48,6 +51,8 @@
     double totalBytes = 0;
     /// Factor of at least 1 by which the target appears worse than a healthy one.
     double penalty = 1;
+    /// Empty if it is not known.
+    std::string_view region;
 };
 
 /// Tasks that go to a target in one call.
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -28,6 +28,7 @@
           "properties": {
             "revocationMs": { "type": "integer", "minimum": 500, "maximum": 3600000 },
             "configurationMs": { "type": "integer", "minimum": 100, "maximum": 3600000 },
+            "evacuationMs": { "type": "integer", "minimum": 100, "maximum": 3600000 },
             "leavingMs": { "type": "integer", "minimum": 100, "maximum": 3600000 },
             "stopSeconds": { "type": "number", "minimum": 1, "maximum": 3600 },
             "retryRatio": { "type": "number", "minimum": 0, "maximum": 1 },
@@ -56,6 +57,7 @@
         gateway_bounds bounds;
         bounds.revocation = milliseconds(document.value("revocationMs", bounds.revocation.count()));
         bounds.configuration = milliseconds(document.value("configurationMs", bounds.configuration.count()));
+        bounds.evacuation = milliseconds(document.value("evacuationMs", bounds.evacuation.count()));
         bounds.leaving = milliseconds(document.value("leavingMs", bounds.leaving.count()));
         bounds.stop = readSeconds(document, "stopSeconds", bounds.stop);
         bounds.retryRatio = document.value("retryRatio", bounds.retryRatio);
@@ -95,7 +97,7 @@
 {
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "operatorListen", operatorListen.toString() },
         { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions },
-        { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) } } },
+        { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "evacuationMs", bounds.evacuation.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) } } },
         { "limits", { { "maxHeldBytes", limits.maxHeldBytes }, { "maxConnections", limits.maxConnections } } } };
 }
 }
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -18,6 +18,8 @@
     milliseconds revocation { 5000 };
     /// Time within which a new configuration comes into force.
     milliseconds configuration { 2500 };
+    /// Time after which an evacuated failure domain is sent no requests and no tasks.
+    milliseconds evacuation { 5000 };
     /// Time after which a leaving target is sent no new work.
     milliseconds leaving { 2500 };
     /// Time for a planned shutdown before the process is killed.
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -12,7 +12,7 @@
 namespace bilberryseam::wire {
 
 /// Version of the protocol between daemons. The handshake refuses a peer with another version.
-constexpr uint32_t protocolVersion = 4;
+constexpr uint32_t protocolVersion = 5;
 
 /// Why a side refused a call before it started. The call did not run.
 enum class refusal : uint8_t {
@@ -226,9 +226,15 @@
     std::string preferredDomain;
     /// Prompt tokens plus tokens to generate; the latter are weighted by their price.
     uint64_t tokens = 0;
+    /// The tasks may run only at targets in `regions`, which may be empty.
+    bool isRestricted = false;
+    std::vector<text_item> regions;
+    /// Names of the request's route and account, by which the owner applies the regions of its own configuration.
+    std::string route;
+    std::string account;
 
     template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(jobNumber, request, service, stage, taskCount, taskKey, inputs, resultBytes, latestStartMs, remainingMs, rank, requiredDomain, preferredDomain, tokens); }
+    void visitFields(Visitor& visit) { visit(jobNumber, request, service, stage, taskCount, taskKey, inputs, resultBytes, latestStartMs, remainingMs, rank, requiredDomain, preferredDomain, tokens, isRestricted, regions, route, account); }
 };
 
 /// Owner to entry: one task has its result, or has finally failed.
--- /dev/null
+++ b/tests/unit/eligibility_test.cpp
@@ -0,0 +1,265 @@
+/// Which targets a request may use: the order of the reasons, evacuations, permitted regions and their decoding.
+#include "deployment/deployment.hpp"
+#include "platform/records.hpp"
+#include "policy/batching.hpp"
+#include "policy/eligibility.hpp"
+#include "policy/evacuation.hpp"
+
+#include <criterion/criterion.h>
+#include <functional>
+#include <random>
+
+using namespace bilberryseam;
+using namespace bilberryseam::policy;
+
+namespace {
+const time_point start { seconds(1000) };
+
+/// State of a target to which nothing speaks against.
+struct known_target {
+    target_pause pause;
+    target_health health;
+    rate_limit limit;
+    target_conditions conditions;
+
+    known_target()
+    {
+        conditions.pause = &pause;
+        conditions.health = &health;
+        conditions.limit = &limit;
+    }
+    known_target(const known_target&) = delete;
+    known_target& operator=(const known_target&) = delete;
+};
+
+struct reason_case {
+    ineligibility reason;
+    std::string_view name;
+    std::function<void(known_target&)> apply;
+};
+
+const std::vector<reason_case> reasonCases {
+    { ineligibility::OutsideRegions, "outside_regions", [](known_target& target) { target.conditions.isInPermittedRegion = false; } },
+    { ineligibility::Evacuated, "evacuated", [](known_target& target) { target.conditions.isEvacuated = true; } },
+    { ineligibility::Replaced, "replaced", [](known_target& target) { target.conditions.isReplaced = true; } },
+    { ineligibility::Leaving, "leaving", [](known_target& target) { target.conditions.isLeaving = true; } },
+    { ineligibility::Paused, "paused", [](known_target& target) { target.pause.until = start + seconds(1); } },
+    { ineligibility::Blocked, "blocked", [](known_target& target) { target.health.blockedUntil = start + seconds(1); } },
+    { ineligibility::Returning, "returning", [](known_target& target) {
+         // A pause that has ended; one request may be unanswered, and is.
+         target.pause = { start - seconds(3), std::max(target.pause.until, start - microseconds(1)), 1, 1, start };
+     } },
+    { ineligibility::Limited, "limited", [](known_target& target) {
+         target.limit.perSecond = 1;
+         target.limit.refilledAt = start;
+     } },
+    { ineligibility::Cold, "cold", [](known_target& target) { target.conditions.isCold = true; } },
+    { ineligibility::OtherVersion, "other_version", [](known_target& target) { target.conditions.isOtherVersion = true; } },
+    { ineligibility::Tried, "tried", [](known_target& target) { target.conditions.isTried = true; } },
+};
+
+std::string configurationOf(const std::string& routeRegions, const std::string& accountRegions = "")
+{
+    return R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"idempotent","service":"s")" + routeRegions + R"(}],"services":[],"tenants":[{"name":"a","api_keys":["k"])" + accountRegions + "}]}";
+}
+
+evacuation_table tableWith(std::string_view domain, uint64_t era = 1)
+{
+    evacuation_table table;
+    static_cast<void>(applySnapshot(table, { std::string(domain) }, era, start));
+    return table;
+}
+
+const std::vector<std::string> onlyNorth { "north" };
+const std::vector<std::string> noRegion {};
+
+queued_task taskOf(uint64_t jobId, const std::vector<std::string>* regions, double bytes = 0)
+{
+    queued_task task;
+    task.jobId = jobId;
+    task.latestStart = start + seconds(1);
+    task.queuedAt = start;
+    task.resultBytes = bytes;
+    task.permittedRegions = regions;
+    return task;
+}
+}
+
+Test(eligibility, each_condition_gives_its_reason_and_the_earlier_one_wins)
+{
+    cr_assert_eq(reasonAgainst(known_target().conditions, start), ineligibility::None);
+    cr_assert_eq(reasonAgainst({}, start), ineligibility::None, "nothing is known about the target");
+    for (size_t i = 0; i < reasonCases.size(); ++i) {
+        known_target target;
+        reasonCases[i].apply(target);
+        cr_assert_eq(reasonAgainst(target.conditions, start), reasonCases[i].reason, "%s", reasonCases[i].name.data());
+        cr_assert_eq(nameOf(reasonCases[i].reason), reasonCases[i].name);
+        for (size_t later = i + 1; later < reasonCases.size(); ++later) {
+            known_target both;
+            reasonCases[i].apply(both);
+            reasonCases[later].apply(both);
+            cr_assert_eq(reasonAgainst(both.conditions, start), reasonCases[i].reason, "%s before %s", reasonCases[i].name.data(), reasonCases[later].name.data());
+        }
+    }
+}
+
+Test(eligibility, only_an_evacuation_without_its_withdrawal_is_in_force)
+{
+    evacuation_table table;
+    cr_assert_eq(evacuate(table, "north-1", start), evacuation_change::Begun);
+    cr_assert_eq(evacuate(table, "north-1", start), evacuation_change::None, "a repeated record");
+    cr_assert(isEvacuated(table, "north-1"));
+    cr_assert(!isEvacuated(table, "north-10") && !isEvacuated(table, "north"));
+    cr_assert_eq(withdraw(table, "north-1"), evacuation_change::Withdrawn);
+    cr_assert_eq(withdraw(table, "north-1"), evacuation_change::None);
+    cr_assert(!isEvacuated(table, "north-1"));
+    cr_assert_eq(evacuate(table, "north-1", start), evacuation_change::Begun);
+    cr_assert(isEvacuated(table, "north-1"), "evacuate, withdraw, evacuate");
+}
+
+Test(eligibility, a_snapshot_of_the_same_era_withdraws_what_it_lacks)
+{
+    evacuation_table table = tableWith("north-1");
+    const auto changes = applySnapshot(table, { "south-1" }, 1, start);
+    cr_assert_eq(changes.size(), 2u);
+    cr_assert(!isEvacuated(table, "north-1"));
+    cr_assert(isEvacuated(table, "south-1"));
+}
+
+Test(eligibility, an_evacuation_that_the_store_lost_stays_for_five_seconds_of_reads)
+{
+    evacuation_table table = tableWith("north-1");
+    static_cast<void>(applySnapshot(table, {}, 2, start));
+    cr_assert(isEvacuated(table, "north-1"));
+    static_cast<void>(applySnapshot(table, {}, 2, start + seconds(1)));
+    cr_assert(isEvacuated(table, "north-1"), "a further snapshot of the new era");
+    cr_assert(dropLost(table, start + milliseconds(4999)).empty());
+    cr_assert(isEvacuated(table, "north-1"));
+    cr_assert_eq(dropLost(table, start + milliseconds(5000)).size(), 1u);
+    cr_assert(!isEvacuated(table, "north-1"));
+}
+
+Test(eligibility, an_evacuation_that_is_written_again_or_withdrawn_after_a_new_era_counts_as_written)
+{
+    evacuation_table table = tableWith("north-1");
+    static_cast<void>(applySnapshot(table, {}, 2, start));
+    cr_assert_eq(evacuate(table, "north-1", start + seconds(2)), evacuation_change::Confirmed);
+    cr_assert(dropLost(table, start + seconds(60)).empty());
+    cr_assert(isEvacuated(table, "north-1"));
+    static_cast<void>(applySnapshot(table, {}, 3, start + seconds(61)));
+    cr_assert_eq(withdraw(table, "north-1"), evacuation_change::Withdrawn);
+    cr_assert(!isEvacuated(table, "north-1"));
+}
+
+Test(eligibility, the_number_of_evacuated_domains_is_bounded)
+{
+    evacuation_table table;
+    for (size_t i = 0; i < maxEvacuatedDomains; ++i)
+        cr_assert_eq(evacuate(table, std::to_string(i), start), evacuation_change::Begun);
+    cr_assert_eq(evacuate(table, "one more", start), evacuation_change::Rejected);
+    cr_assert_eq(table.domains.size(), maxEvacuatedDomains);
+}
+
+Test(eligibility, allowed_regions_are_decoded_or_make_the_configuration_invalid)
+{
+    struct decoding_case {
+        std::string text;
+        bool isValid;
+        std::optional<std::vector<std::string>> names;
+    };
+    const std::vector<decoding_case> cases {
+        { "", true, std::nullopt },
+        { R"(,"allowed_regions":null)", true, std::nullopt },
+        { R"(,"allowed_regions":[])", true, std::nullopt },
+        { R"(,"allowed_regions":["south","north","south"])", true, std::vector<std::string> { "north", "south" } },
+        { R"(,"allowed_regions":[""])", true, std::vector<std::string> { "" } },
+        { R"(,"allowed_regions":"north")", false, std::nullopt },
+        { R"(,"allowed_regions":["north",1])", false, std::nullopt },
+        { R"(,"allowed_regions":[["north"]])", false, std::nullopt },
+        { R"(,"allowed_regions":{"north":true})", false, std::nullopt },
+        { R"(,"allowed_regions":true)", false, std::nullopt },
+        { R"(,"allowed_regions":7)", false, std::nullopt },
+    };
+    for (const auto& item : cases) {
+        const auto ofRoute = platform::decodeConfiguration(configurationOf(item.text));
+        const auto ofAccount = platform::decodeConfiguration(configurationOf("", item.text));
+        cr_assert_eq(ofRoute.has_value(), item.isValid, "%s", item.text.c_str());
+        cr_assert_eq(ofAccount.has_value(), item.isValid, "%s", item.text.c_str());
+        if (!item.isValid)
+            continue;
+        cr_assert(ofRoute.value().routes.front().allowedRegions.names == item.names);
+        cr_assert(ofAccount.value().accountsByApiKey.at("k").allowedRegions.names == item.names);
+    }
+}
+
+Test(eligibility, both_lists_apply_and_an_unknown_region_permits_nothing)
+{
+    const auto configuration = platform::decodeConfiguration(configurationOf(R"(,"allowed_regions":["north","south"])", R"(,"allowed_regions":["south","west"])")).value();
+    const auto both = deployment::regionsOf(configuration, "r", "a");
+    cr_assert(both.permits("south"));
+    cr_assert(!both.permits("north") && !both.permits("west") && !both.permits(""));
+    cr_assert(deployment::regionsOf(configuration, "r", "").permits("north"));
+    cr_assert(deployment::regionsOf(configuration, "other", "other").permits(""), "no list applies");
+    const deployment::permitted_regions north { std::vector<std::string> { "north" } };
+    const deployment::permitted_regions south { std::vector<std::string> { "south" } };
+    const auto none = deployment::intersectionOf(north, south);
+    cr_assert(none.isRestricted());
+    cr_assert(!none.permits("north") && !none.permits("south"));
+    cr_assert(deployment::permitted_regions { std::vector<std::string> { "" } }.permits("") == false, "an empty name does not permit unknown regions");
+}
+
+Test(eligibility, keys_of_the_operators_topic_name_evacuated_domains)
+{
+    cr_assert_eq(platform::evacuatedDomainOf("evacuate/north-1").value(), "north-1");
+    cr_assert_eq(platform::evacuatedDomainOf("evacuate/").value(), "");
+    cr_assert_eq(platform::evacuatedDomainOf("evacuate/a/b").value(), "a/b");
+    cr_assert(!platform::evacuatedDomainOf("config"));
+    cr_assert(!platform::evacuatedDomainOf("evacuated/north-1"));
+    cr_assert(!platform::evacuatedDomainOf(""));
+}
+
+Test(eligibility, no_batch_has_a_task_at_a_target_outside_its_permitted_regions)
+{
+    std::mt19937_64 random(7);
+    const std::vector<std::string> regionNames { "north", "south", "west", "" };
+    const std::vector<std::vector<std::string>> lists { {}, { "north" }, { "north", "south" }, { "" }, { "elsewhere" } };
+    for (int round = 0; round < 2000; ++round) {
+        std::vector<pool_target> targets;
+        for (size_t i = 0; i < 1 + random() % 8; ++i) {
+            const double bytes = random() % 3 == 0 ? 100 : 1e9;
+            targets.push_back({ random() % 2 == 0 ? "a" : "b", random() % 4 != 0, bytes, bytes, random() % 5 == 0 ? 1000.0 : 1.0, regionNames[random() % regionNames.size()] });
+        }
+        std::vector<queued_task> tasks;
+        for (size_t i = 0; i < random() % 40; ++i) {
+            tasks.push_back(taskOf(i / 3, (i / 3) % 3 == 0 ? nullptr : &lists[(i / 3) % lists.size()], random() % 2 == 0 ? 0 : 60));
+            tasks.back().requiredDomain = random() % 3 == 0 ? "b" : "";
+        }
+        for (const auto& batch : planBatches(tasks, targets, { 8 }, start + milliseconds(random() % 800))) {
+            for (const size_t index : batch.tasks) {
+                const auto* regions = tasks[index].permittedRegions;
+                const auto& region = targets[batch.target].region;
+                cr_assert(!regions || (!region.empty() && std::find(regions->begin(), regions->end(), region) != regions->end()), "round %d", round);
+            }
+        }
+    }
+}
+
+Test(eligibility, a_restricted_task_does_not_wait_for_a_required_domain_that_is_not_permitted)
+{
+    const std::vector<pool_target> targets { { "a", true, 1e9, 1e9, 1, "north" }, { "b", true, 1e9, 1e9, 1, "south" } };
+    std::vector<queued_task> tasks { taskOf(1, &onlyNorth) };
+    tasks[0].requiredDomain = "b";
+    const auto batches = planBatches(tasks, targets, { 8 }, start);
+    cr_assert_eq(batches.size(), 1u);
+    cr_assert_eq(batches[0].target, 0u);
+}
+
+Test(eligibility, a_restricted_job_that_waits_for_memory_holds_up_no_job_of_other_regions)
+{
+    const std::vector<pool_target> targets { { "a", true, 100, 1000, 1, "north" }, { "b", true, 1e6, 1e6, 1, "south" } };
+    const std::vector<queued_task> tasks { taskOf(1, &onlyNorth, 150), taskOf(1, &onlyNorth, 150), taskOf(2, nullptr, 1000), taskOf(3, &noRegion, 10) };
+    const auto batches = planBatches(tasks, targets, { 8 }, start);
+    cr_assert_eq(batches.size(), 1u);
+    cr_assert_eq(batches[0].target, 1u);
+    cr_assert_eq(batches[0].tasks, (std::vector<size_t> { 2 }));
+}
--- a/tests/unit/target_return_test.cpp
+++ b/tests/unit/target_return_test.cpp
@@ -1,5 +1,6 @@
 /// What the gateway knows of a target while its record goes and returns.
 #include "gateway/target_registry.hpp"
+#include "support/target_work.hpp"
 
 #include <criterion/criterion.h>
 
@@ -107,7 +108,7 @@
     target.registry.remove("t-1", start + seconds(1));
     target.registry.apply(targetOf(8), start + seconds(2));
     cr_assert(target.listed() != target.state);
-    cr_assert(target.listed()->mayGetWork(start + seconds(2)));
+    cr_assert(tests::mayGetWork(*target.listed(), start + seconds(2)));
 }
 
 Test(target_return, another_target_at_the_address_begins_anew)
@@ -115,7 +116,7 @@
     one_target target;
     target.registry.remove("t-1", start + seconds(1));
     target.registry.apply(targetOf(7, "10.0.0.1", "t-2"), start + seconds(2));
-    cr_assert(target.listed()->mayGetWork(start + seconds(2)));
+    cr_assert(tests::mayGetWork(*target.listed(), start + seconds(2)));
 }
 
 Test(target_return, a_record_that_is_older_than_the_known_start_keeps_pause_and_leaving)
--- a/tests/unit/target_test.cpp
+++ b/tests/unit/target_test.cpp
@@ -1,6 +1,7 @@
 /// The known state of targets: their health and the target list.
 #include "gateway/target_registry.hpp"
 #include "policy/target_health.hpp"
+#include "support/target_work.hpp"
 
 #include <criterion/criterion.h>
 
@@ -154,11 +155,11 @@
 {
     auto registry = makeRegistry();
     registry.apply(targetOf("t-1"), start);
-    cr_assert(registry.ofService("pages")[0]->mayGetWork(start));
+    cr_assert(tests::mayGetWork(*registry.ofService("pages")[0], start));
     auto leavingTarget = targetOf("t-1");
     leavingTarget.isDraining = true;
     registry.apply(leavingTarget, start);
-    cr_assert(!registry.ofService("pages")[0]->mayGetWork(start));
+    cr_assert(!tests::mayGetWork(*registry.ofService("pages")[0], start));
 }
 
 Test(target_registry, a_target_that_returns_with_another_version_makes_its_last_runs_doubtful)
