--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -64,15 +64,12 @@
     /// @return Whether the record may be older than a restart of the target.
     [[nodiscard]] bool mayHaveRestarted(time_point now) const noexcept { return lastBrokenAt != time_point() && now - lastBrokenAt < policy::targetRecordLag; }
     [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !isLeaving && !listed.isDraining; }
-    /// @return Whether the target may get work as soon as its limit allows.
-    [[nodiscard]] bool isAvailable(time_point now) const noexcept { return isInService() && policy::mayReturn(pause, now) && policy::isUsable(health, now); }
     /// @return Whether the limits of the target, stated or for its cold time, allow a request now.
     [[nodiscard]] bool canSendNow(time_point now) const noexcept { return policy::canSend(limit, now) && policy::canSend(coldStart, now); }
     /// @return Whether requests are limited because the target is cold.
     [[nodiscard]] bool isColdNow() const noexcept { return policy::isCold(coldStart); }
     /// @return Requests a second that this process may send; nothing if it is not limited.
     [[nodiscard]] std::optional<double> ownRate(time_point now) const noexcept;
-    [[nodiscard]] bool mayGetWork(time_point now) const noexcept { return isAvailable(now) && canSendNow(now); }
 };
 
 using target_ptr = std::shared_ptr<target_state>;
