gateway: tasks without a permitted target fail at once; what runs in an evacuated domain finishes

Cause: a request whose tasks were running in an evacuated domain was refused, and tasks that waited at the owner of a pool waited until their deadline. Change: the gateway that queues a task fails it as unplaceable, and the request is refused with the reason; stages that have started no longer count.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -126,6 +126,7 @@
     m_context.settings.bounds = settings.bounds;
     m_context.settings.limits = settings.limits;
     m_context.settings.regions = settings.regions;
+    ++m_context.placementRules;
     m_context.settings.store = settings.store;
     m_context.store.setEndpoint(settings.store);
     logLine(log_level::Info, logComponent, isAddressChanged ? "The settings were reloaded; the changed listening addresses need a restart." : "The settings were reloaded.", { { "store", settings.store.toString() } });
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -49,7 +49,7 @@
 
     platform::task_failure failureOf(uint32_t number)
     {
-        const bool isKnown = number <= static_cast<uint32_t>(platform::task_failure::Failed);
+        const bool isKnown = number <= static_cast<uint32_t>(platform::task_failure::Unplaceable);
         return isKnown ? static_cast<platform::task_failure>(number) : platform::task_failure::Failed;
     }
 }
--- a/src/gateway/request_regions.cpp
+++ b/src/gateway/request_regions.cpp
@@ -29,7 +29,7 @@
     return !isEvacuated(m_context, target) && (!regions.isRestricted() || regions.permits(regionOf(m_context, target.listed.failureDomain)));
 }
 
-bool request_run::refuseUnplaceable(time_point now)
+bool request_run::refuseUnplaceable(time_point now, std::optional<size_t> failedStage)
 {
     // After a freeze, what is known may be outdated; the request waits until it was read again.
     if (isTargetListUncertain(m_context, now))
@@ -40,8 +40,8 @@
     auto obstacle = placementObstacle(m_context, service, regions, isOfVersion);
     const auto& stages = m_request.route->stages;
     for (size_t i = 0; i < stages.size() && !obstacle; ++i) {
-        const bool isFinished = taskCountOf(i) == 0 || (!m_areInputsReleased && i < m_stages.size() && m_stages[i].isDone());
-        if (isFinished)
+        const bool isStarted = !m_areInputsReleased && i < m_stages.size() && m_stages[i].isStarted && failedStage != i;
+        if (taskCountOf(i) == 0 || isStarted)
             continue;
         service = stages[i].service;
         obstacle = placementObstacle(m_context, service, regions);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -27,11 +27,12 @@
 
 namespace {
     /// Marks the targets whose software version no other target in service has: a stream that begins there can hardly go on.
-    void preferSharedVersions(std::span<const target_ptr> targets, std::vector<policy::placement_candidate>& candidates)
+    /// @param isSuitable  Whether a later request that continues the stream could use a target.
+    void preferSharedVersions(std::span<const target_ptr> targets, std::vector<policy::placement_candidate>& candidates, const std::function<bool(const target_state&)>& isSuitable)
     {
         std::map<std::string_view, size_t> counts;
         for (const auto& target : targets) {
-            if (target->isInService())
+            if (target->isInService() && isSuitable(*target))
                 ++counts[target->listed.softwareVersion];
         }
         for (size_t i = 0; i < targets.size(); ++i)
@@ -122,7 +123,7 @@
     for (const auto& target : listed)
         candidates.push_back(candidateOf(*target, hashes, inputBytes, now));
     if (m_request.route->isResumable && !m_origin)
-        preferSharedVersions(listed, candidates);
+        preferSharedVersions(listed, candidates, [this](const target_state& target) { return isSuitable(target); });
     const auto chosenIndex = policy::chooseTarget(candidates, placement, {});
     return chosenIndex ? listed[*chosenIndex] : nullptr;
 }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -194,9 +194,11 @@
     [[nodiscard]] const deployment::permitted_regions& regionsNow() const;
     /// @return Whether the request may use the target as soon as its state allows.
     [[nodiscard]] bool isSuitable(const target_state& target) const;
-    /// Refuses the request if regions or evacuations leave no target for it or for its unfinished stages.
+    /// Refuses the request if regions or evacuations leave no target for it or for a stage that has not started. Tasks of a
+    /// started stage may run already, and finish.
+    /// @param failedStage  A started stage of which a task could not be sent.
     /// @return True if the request has ended.
-    bool refuseUnplaceable(time_point now);
+    bool refuseUnplaceable(time_point now, std::optional<size_t> failedStage = {});
     /// Checks a request that waits once more after each change of the configuration or of an evacuation.
     void checkPlacementRules(time_point now);
 
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -268,7 +268,11 @@
             cancelAndReleaseStages();
         else if (outcome.failure == platform::task_failure::Expired)
             finishWithoutResponse("stage_late");
-        else
+        else if (outcome.failure == platform::task_failure::Unplaceable) {
+            // The owner of the pool may know of a change before this entry does.
+            if (!refuseUnplaceable(monotonicNow(), stage))
+                finishWithoutResponse(platform::nameOf(outcome.failure), false);
+        } else
             restartStages(platform::nameOf(outcome.failure));
         return;
     }
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -152,12 +152,39 @@
             m_context.counters.count("pieces_late_total", { { "service", service } });
             task->job->finishTask(task->index, { "", platform::task_failure::Expired });
         }
+        failUnplaceable(service, pool, now);
         checkSilentCalls(service, pool, now);
         requeueOverdueCalls(service, pool, now);
         startBatchCalls(service, pool, now);
     }
 }
 
+void task_scheduler::failUnplaceable(const std::string& service, pool& pool, time_point now)
+{
+    if (pool.queue.empty() || isTargetListUncertain(m_context, now))
+        return;
+    // Most jobs have the same regions, so that few combinations are checked.
+    std::vector<std::pair<deployment::permitted_regions, bool>> checkedRegions;
+    std::vector<task_ptr> failedTasks;
+    std::erase_if(pool.queue, [&](const auto& task) {
+        const auto& regions = regionsNow(m_context, *task->job);
+        if (!regions.isRestricted() && m_context.evacuations.domains.empty())
+            return false;
+        auto checked = std::find_if(checkedRegions.begin(), checkedRegions.end(), [&regions](const auto& item) { return item.first == regions; });
+        if (checked == checkedRegions.end())
+            checked = checkedRegions.insert(checkedRegions.end(), { regions, placementObstacle(m_context, service, regions).has_value() });
+        if (checked->second)
+            failedTasks.push_back(task);
+        return checked->second;
+    });
+    for (const auto& task : failedTasks) {
+        if (!isAbandoned(pool, *task))
+            continue;
+        m_context.counters.count("unplaceable_pieces_total", { { "service", service } });
+        task->job->finishTask(task->index, { "", platform::task_failure::Unplaceable });
+    }
+}
+
 bool task_scheduler::isAbandoned(const pool& pool, const queued_task& task)
 {
     if (!task.job->isNeeded(task.index))
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -70,6 +70,8 @@
 
     /// @return A target's state as input for the planning of batches.
     [[nodiscard]] policy::pool_target planningTarget(const target_state& target, const pool& pool, const deployment::pool_profile& profile, time_point now) const;
+    /// Fails the queued tasks for which permitted regions or evacuations leave no target.
+    void failUnplaceable(const std::string& service, pool& pool, time_point now);
     void startBatchCalls(const std::string& service, pool& pool, time_point now);
     void requeueOverdueCalls(const std::string& service, pool& pool, time_point now);
     /// Queues copies of an overdue call's tasks, as far as the retry budget and the limit of sends allow.
--- a/src/platform/batch_call.cpp
+++ b/src/platform/batch_call.cpp
@@ -48,6 +48,8 @@
         return "late";
     case task_failure::InputMissing:
         return "input_gone";
+    case task_failure::Unplaceable:
+        return "unplaceable";
     case task_failure::NoMemory:
         return "no_memory";
     case task_failure::Failed:
--- a/src/platform/batch_call.hpp
+++ b/src/platform/batch_call.hpp
@@ -42,6 +42,8 @@
     NoMemory,
     /// The task failed.
     Failed,
+    /// Permitted regions or evacuations leave no target for the task; it was not sent.
+    Unplaceable,
 };
 
 [[nodiscard]] std::string_view nameOf(task_failure failure) noexcept;
--- a/tests/process/gateway_regions_test.cpp
+++ b/tests/process/gateway_regions_test.cpp
@@ -220,6 +220,7 @@
     cr_assert_lt(monotonicNow() - evacuatedAt, evacuationBound);
     const size_t modelRequestsBefore = model.requests().size();
     deployment.waitUntil([&] { return std::all_of(waiting.begin(), waiting.end(), [](const auto& item) { return item->isFinished; }); }, "the refusals of the waiting requests");
+    cr_assert_lt(monotonicNow() - evacuatedAt, evacuationBound);
     for (const auto& caller : waiting) {
         cr_assert_eq(caller->head.status, 503);
         cr_assert(!caller->header("Retry-After").empty());
@@ -233,6 +234,8 @@
     north.setBatchCallHandler({});
     for (const auto& exchange : heldCalls)
         north.respondToBatchCall(*exchange);
+    deployment.waitUntil([&] { return occupying->isFinished; }, "the response to the request whose tasks were running");
+    cr_assert_eq(occupying->head.status, 200, "what runs in the domain finishes");
     deployment.runLoopFor(milliseconds(300));
     cr_assert_eq(north.batchCalls().size(), callsBefore);
     cr_assert_eq(north.releasedResults().size(), 0u, "results in an evacuated domain expire by themselves");
@@ -242,7 +245,6 @@
         waitUntilKnown(deployment, gateway, "withdrawn");
         cr_assert_eq(deployment.sendAndWait("POST", "/m/5", stageHeaders, "", gateway)->head.status, 200);
     }
-    static_cast<void>(occupying);
 }
 
 // Guards against a gateway that wakes with an outdated list of evacuations and sends what it holds.
