tests: decisions without regions and evacuations are as before

Change: random target states against the former rule, and plans of tasks whose list names all regions against plans without a list.

--- a/tests/unit/eligibility_test.cpp
+++ b/tests/unit/eligibility_test.cpp
@@ -263,3 +263,59 @@
     cr_assert_eq(batches[0].target, 1u);
     cr_assert_eq(batches[0].tasks, (std::vector<size_t> { 2 }));
 }
+
+// Guards against a change of decisions where no list and no evacuation is set.
+Test(eligibility, without_regions_and_evacuations_targets_are_usable_as_before)
+{
+    std::mt19937_64 random(11);
+    const auto soon = [&random] { return start + milliseconds(static_cast<int64_t>(random() % 4) * 500 - 1000); };
+    int usable = 0;
+    for (int round = 0; round < 5000; ++round) {
+        known_target target;
+        target.pause = { start - seconds(5), soon(), static_cast<uint32_t>(random() % 3), static_cast<uint32_t>(random() % 3), soon() };
+        target.health.blockedUntil = soon();
+        if (random() % 2 == 0)
+            target.limit.perSecond = 2;
+        target.limit.share = 1;
+        target.limit.tokens = static_cast<double>(random() % 2);
+        target.limit.refilledAt = start;
+        target.conditions.isReplaced = random() % 4 == 0;
+        target.conditions.isLeaving = random() % 4 == 0;
+        target.conditions.isOtherVersion = random() % 4 == 0;
+        target.conditions.isTried = random() % 4 == 0;
+        const bool isInService = !target.conditions.isReplaced && !target.conditions.isLeaving;
+        const bool wasUsable = isInService && mayReturn(target.pause, start) && isUsable(target.health, start) && canSend(target.limit, start) && !target.conditions.isOtherVersion && !target.conditions.isTried;
+        cr_assert_eq(reasonAgainst(target.conditions, start) == ineligibility::None, wasUsable, "round %d", round);
+        usable += wasUsable ? 1 : 0;
+    }
+    cr_assert_gt(usable, 50, "both outcomes occur");
+}
+
+// Guards against a list that permits everything and still changes the planning.
+Test(eligibility, a_list_of_all_regions_plans_as_no_list)
+{
+    std::mt19937_64 random(13);
+    const std::vector<std::string> all { "north", "south" };
+    for (int round = 0; round < 1000; ++round) {
+        std::vector<pool_target> targets;
+        for (size_t i = 0; i < 1 + random() % 6; ++i) {
+            const double bytes = random() % 3 == 0 ? 200 : 1e6;
+            targets.push_back({ random() % 2 == 0 ? "a" : "b", random() % 4 != 0, bytes, bytes, random() % 4 == 0 ? 5.0 : 1.0, all[random() % 2] });
+        }
+        std::vector<queued_task> tasks;
+        for (size_t i = 0; i < random() % 30; ++i) {
+            tasks.push_back(taskOf(i / 4, nullptr, static_cast<double>(random() % 120)));
+            tasks.back().preferredDomain = random() % 2 == 0 ? "a" : "";
+        }
+        const time_point now = start + milliseconds(random() % 600);
+        const auto unrestricted = planBatches(tasks, targets, { 8 }, now);
+        for (auto& task : tasks)
+            task.permittedRegions = &all;
+        const auto restricted = planBatches(tasks, targets, { 8 }, now);
+        cr_assert_eq(restricted.size(), unrestricted.size(), "round %d", round);
+        for (size_t i = 0; i < restricted.size(); ++i) {
+            cr_assert_eq(restricted[i].target, unrestricted[i].target, "round %d", round);
+            cr_assert(restricted[i].tasks == unrestricted[i].tasks, "round %d", round);
+        }
+    }
+}
