tests: second runs and malformed lists (regions and evacuation)

Change: a second run beside a silent target stays in the permitted regions and out of evacuated domains; a malformed list leaves the previous configuration in force.

--- a/tests/process/gateway_regions_test.cpp
+++ b/tests/process/gateway_regions_test.cpp
@@ -395,3 +395,44 @@
     deployment.waitUntil([&] { return deployment.sendAndWait("GET", "/p/1")->head.status == 200; }, "the end of the lost evacuation");
     cr_assert_lt(monotonicNow() - lostAt, lostLifetime + longestRead + maxRefusalTime);
 }
+
+// Guards against a second run beside a silent target that leaves the permitted regions or enters an evacuated domain.
+Test(gateway_regions, a_second_run_beside_a_silent_target_stays_where_the_request_may_run)
+{
+    deployment_fixture deployment(391);
+    auto& north = deployment.addTarget("t-north", "pages", "north-1");
+    auto& south = deployment.addTarget("t-south", "pages", "south-1");
+    const json silentSoon { { "target_latency_ms", 200 } };
+    json bound = routeWith(silentSoon);
+    bound["allowed_regions"] = { "south" };
+    deployment.configure(3, { bound, deployment_fixture::route("/any/", "idempotent", "pages", silentSoon) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    south.fallSilent(milliseconds(1500));
+    cr_assert_eq(deployment.sendAndWait("GET", "/p/1")->body, "t-south");
+    cr_assert_eq(north.requests().size(), 0u, "outside the permitted regions");
+    evacuate(deployment, "north-1");
+    waitUntilKnown(deployment, 0, "begun");
+    south.fallSilent(milliseconds(1500));
+    cr_assert_eq(deployment.sendAndWait("GET", "/any/1")->body, "t-south");
+    cr_assert_eq(north.requests().size(), 0u, "evacuated");
+    cr_assert(hasLogged(deployment, 0, "The target of a request is silent."), "a second run was wanted");
+}
+
+// Guards against a malformed list that permits everything, and against one that discards the configuration in force.
+Test(gateway_regions, a_configuration_with_a_malformed_list_leaves_the_previous_one_in_force)
+{
+    deployment_fixture deployment(392);
+    auto& north = deployment.addTarget("t-north", "pages", "north-1");
+    deployment.addTarget("t-south", "pages", "south-1");
+    deployment.configure(3, { routeWith(onlyRegion("south")) });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    deployment.configure(4, { routeWith({ { "allowed_regions", "north" } }) });
+    deployment.waitUntil([&] { return hasLogged(deployment, 0, "A configuration could not be decoded; the previous one stays in force."); }, "the rejected configuration");
+    for (int i = 0; i < sentRequests; ++i)
+        cr_assert_eq(deployment.sendAndWait("GET", "/p/1")->body, "t-south");
+    cr_assert_eq(north.requests().size(), 0u);
+    deployment.configure(5, { routeWith({ { "allowed_regions", json::array() } }) });
+    deployment.waitUntil([&] { return deployment.sendAndWait("GET", "/p/1")->body == "t-north"; }, "the configuration without a restriction");
+}
