--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -28,12 +28,13 @@
 namespace {
     /// @return Whether no other target in service has the version of this one, although other versions are in service: a stream
     /// that begins there can hardly go on.
-    bool isOnlyOfVersion(std::span<const target_ptr> targets, const target_state& candidate)
+    /// @param isSuitable  Whether a later request that continues the stream could use a target.
+    bool isOnlyOfVersion(std::span<const target_ptr> targets, const target_state& candidate, const std::function<bool(const target_state&)>& isSuitable)
     {
         size_t sameVersion = 0;
         bool hasOtherVersion = false;
         for (const auto& target : targets) {
-            if (!target->isInService())
+            if (!target->isInService() || !isSuitable(*target))
                 continue;
             if (target->listed.softwareVersion != candidate.listed.softwareVersion)
                 hasOtherVersion = true;
@@ -141,7 +142,7 @@
         [&](size_t i) { return listed[i]->cachedPrefixes.empty() ? leastCostsUncached[outlines[i].domain] : leastCosts[outlines[i].domain]; },
         [&](size_t i) {
             auto candidate = candidateOf(*listed[i], hashes, inputBytes, now);
-            candidate.isOnlyOfVersion = prefersSharedVersions && candidate.isUsable && isOnlyOfVersion(listed, *listed[i]);
+            candidate.isOnlyOfVersion = prefersSharedVersions && candidate.isUsable && isOnlyOfVersion(listed, *listed[i], [this](const target_state& target) { return isSuitable(target); });
             return candidate;
         },
         steps);
