--- a/tests/support/deployment_fixture.cpp
+++ b/tests/support/deployment_fixture.cpp
@@ -65,6 +65,14 @@
     m_store->put("keyed.servers", target.id(), record.dump());
 }
 
+void deployment_fixture::changeRecord(const std::string& id, const json& changes)
+{
+    json record = json::parse(m_store->newest("keyed.servers", id));
+    record["seq"] = record.at("seq").get<uint64_t>() + 1;
+    record.update(changes);
+    m_store->put("keyed.servers", id, record.dump());
+}
+
 void deployment_fixture::restartEngine(fakes::platform_engine& engine, const std::string& service, const std::string& version, milliseconds recordDelay)
 {
     engine.restartAs(version, [this, &target = engine.target(), service, version, recordDelay] {
--- a/tests/support/deployment_fixture.hpp
+++ b/tests/support/deployment_fixture.hpp
@@ -52,6 +52,8 @@
     /// Restarts an engine under its identifier and address with another software version.
     /// @param recordDelay  Time from its start until its record in the store names the start and the version.
     void restartEngine(fakes::platform_engine& engine, const std::string& service, const std::string& version, milliseconds recordDelay);
+    /// Writes the record of a listed target again, with other or further fields.
+    void changeRecord(const std::string& id, const nlohmann::json& changes);
     void unlistTarget(const std::string& id) { m_store->put("keyed.servers", id, ""); }
 
     /// @return A route for the configuration; `changes` override or add fields.
