hash: fixed-size hashes are computed inline

Cause: a placement with a prompt prefix computes a hash of 16 bytes for each target through a library call.

--- a/src/base/hash.hpp
+++ b/src/base/hash.hpp
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <string>
 #include <string_view>
+// Hashes of a fixed size, of which placement computes one for each target, are much faster inline.
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace bilberryseam {
