--- a/src/gateway/entry_rankings.cpp
+++ b/src/gateway/entry_rankings.cpp
@@ -18,9 +18,8 @@
     return policy::placeOf({ entry.hash, entry.weight }, key, m_largestWeight);
 }
 
-void entry_rankings::setEntries(std::vector<ranked_entry> entries)
+void entry_rankings::setEntries(std::span<const ranked_entry> entries)
 {
-    std::sort(entries.begin(), entries.end(), [](const auto& left, const auto& right) { return left.name < right.name; });
     double largest = 0;
     for (const auto& entry : entries)
         largest = std::max(largest, entry.weight);
@@ -32,8 +31,8 @@
         m_ownRanks.clear();
         m_members.clear();
         m_largestWeight = largest;
-        for (auto& entry : entries)
-            m_members.emplace(entry.name, member { hashOf(entry.name), entry.weight });
+        for (const auto& entry : entries)
+            m_members.emplace(std::string(entry.name), member { hashOf(entry.name), entry.weight });
         return;
     }
     auto known = m_members.begin();
@@ -51,7 +50,7 @@
             remove(known->first, known->second);
             known = m_members.erase(known);
         }
-        const auto added = m_members.emplace_hint(known, entry.name, member { hashOf(entry.name), entry.weight });
+        const auto added = m_members.emplace_hint(known, std::string(entry.name), member { hashOf(entry.name), entry.weight });
         add(added->first, added->second);
     }
     while (known != m_members.end()) {
--- a/src/gateway/entry_rankings.hpp
+++ b/src/gateway/entry_rankings.hpp
@@ -17,7 +17,7 @@
 
 /// An entry and its weight in rankings.
 struct ranked_entry {
-    std::string name;
+    std::string_view name;
     double weight = 1;
 
     bool operator==(const ranked_entry&) const = default;
@@ -31,8 +31,8 @@
     }
 
     /// Replaces the set of entries.
-    /// @param entries  All entries, including the own one, each name once.
-    void setEntries(std::vector<ranked_entry> entries);
+    /// @param entries  All entries, including the own one, by name, each once.
+    void setEntries(std::span<const ranked_entry> entries);
 
     /// @return The names in the order of `policy::rankOwners`. Valid until the entries change or another ranking is asked for.
     [[nodiscard]] const std::vector<std::string>& namesFor(std::string_view key);
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -86,10 +86,14 @@
 
 void pool_router::updateRankings()
 {
-    std::vector<ranked_entry> entries { { m_directory.own().name, m_directory.own().weight } };
+    const entry_record& own = m_directory.own();
+    std::vector<ranked_entry> entries;
+    entries.reserve(m_directory.others().size() + 1);
     for (const auto& [name, record] : m_directory.others())
         entries.push_back({ name, record.weight });
-    m_rankings.setEntries(std::move(entries));
+    const auto position = std::upper_bound(entries.begin(), entries.end(), own.name, [](std::string_view name, const ranked_entry& entry) { return name < entry.name; });
+    entries.insert(position, { own.name, own.weight });
+    m_rankings.setEntries(entries);
 }
 
 pool_router::peer* pool_router::usableOwner(std::string_view service)
--- a/src/gateway/pool_router_peers.cpp
+++ b/src/gateway/pool_router_peers.cpp
@@ -105,14 +105,16 @@
 
 std::vector<std::string> pool_router::spreadNames() const
 {
-    std::vector<std::string> all { m_directory.own().name };
+    std::vector<std::string_view> all;
+    all.reserve(m_directory.others().size() + 1);
     for (const auto& [name, record] : m_directory.others())
         all.push_back(name);
-    std::sort(all.begin(), all.end());
-    const auto own = static_cast<size_t>(std::find(all.begin(), all.end(), m_directory.own().name) - all.begin());
+    const std::string& ownName = m_directory.own().name;
+    const auto own = std::lower_bound(all.begin(), all.end(), ownName) - all.begin();
+    all.insert(all.begin() + own, ownName);
     std::vector<std::string> names;
-    for (const size_t position : policy::spreadPeers(own, all.size()))
-        names.push_back(all[position]);
+    for (const size_t position : policy::spreadPeers(static_cast<size_t>(own), all.size()))
+        names.emplace_back(all[position]);
     return names;
 }
 
