--- a/src/fakes/platform_store.cpp
+++ b/src/fakes/platform_store.cpp
@@ -10,6 +10,8 @@
 namespace {
     constexpr milliseconds waitCheckPeriod { 20 };
     constexpr std::string_view keyedPrefix = "keyed.";
+    /// Most keys in one page of the newest records.
+    constexpr size_t maxPageItems = 500;
     constexpr size_t maxRecordBytes = 1024 * 1024;
     constexpr size_t lengthBytes = 4;
     constexpr size_t offsetBytes = 8;
@@ -204,10 +206,14 @@
 void platform_store::respondWithNewest(std::shared_ptr<http1::exchange> exchange, const topic& topic)
 {
     ++m_reads;
+    const std::string escaped = queryParameter(*exchange, "after");
+    char* after = g_uri_unescape_string(escaped.c_str(), nullptr);
     json items = json::array();
-    for (const auto& [key, value] : topic.newest)
-        items.push_back({ { "key", key }, { "value", toBase64(value) }, { "offset", 0 } });
-    respond(std::move(exchange), 200, json { { "items", items }, { "has_more", false }, { "end", topic.endOffset() } }.dump());
+    auto item = topic.newest.upper_bound(after ? after : "");
+    g_free(after);
+    for (; item != topic.newest.end() && items.size() < maxPageItems; ++item)
+        items.push_back({ { "key", item->first }, { "value", toBase64(item->second) }, { "offset", 0 } });
+    respond(std::move(exchange), 200, json { { "items", items }, { "has_more", item != topic.newest.end() }, { "end", topic.endOffset() } }.dump());
 }
 
 void platform_store::read(std::shared_ptr<http1::exchange> exchange, const std::string& name)
--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -35,6 +35,10 @@
     /// While reads fail, one of so many goes to the store, the others to the peer.
     constexpr unsigned ownProbeInterval = 6;
 
+    /// A snapshot is continued after a failed or abandoned call for this long after its first page, and then read anew: its
+    /// records would be older than the time by which the record of a restarted target may lag.
+    constexpr milliseconds maxSnapshotTime { 10000 };
+
     constexpr size_t maxHistoryRecords = 2000;
     constexpr size_t maxHistoryBytes = 1024 * 1024;
     constexpr size_t maxExtractRecords = 500;
@@ -104,7 +108,7 @@
     m_timer.startOnce(delay, [this] {
         // Offsets are valid only for the store that issued them.
         if (!m_offset || m_offsetEndpoint != m_store.endpoint())
-            readSnapshotPage({});
+            continueSnapshot();
         else if (!askPeer())
             readChanges();
     });
@@ -237,9 +241,19 @@
     return true;
 }
 
+void topic_follower::continueSnapshot()
+{
+    const bool isInProgress = m_snapshotOffset && m_offsetEndpoint == m_store.endpoint() && monotonicNow() - m_sentAt < maxSnapshotTime;
+    m_isSnapshotResumed = isInProgress;
+    if (isInProgress)
+        logLine(log_level::Info, logComponent, "The read of a topic was interrupted and is continued.", { { "topic", m_topic }, { "keys", std::to_string(m_snapshot.size()) } });
+    readSnapshotPage(isInProgress ? m_snapshotLastKey : std::string());
+}
+
 void topic_follower::readSnapshotPage(const std::string& after)
 {
     if (after.empty()) {
+        m_isSnapshotResumed = false;
         m_snapshotEra = noEra;
         m_snapshot.clear();
         m_snapshotOffset.reset();
@@ -266,17 +280,19 @@
     if (!m_snapshotOffset)
         m_snapshotOffset = page.nextOffset;
     if (page.hasMore) {
+        m_snapshotLastKey = page.lastKey;
         readSnapshotPage(page.lastKey);
         return;
     }
-    m_offset = m_snapshotOffset;
+    m_offset = std::exchange(m_snapshotOffset, std::nullopt);
     m_era = m_snapshotEra;
     forgetHistory(*m_offset);
     m_consecutiveFailures = 0;
     m_freshAsOf = m_sentAt;
     m_callbacks.onReadSuccess(m_freshAsOf);
     m_callbacks.onSnapshot(std::exchange(m_snapshot, {}));
-    scheduleRead(m_options.pause);
+    // What changed while the snapshot was interrupted is read at once.
+    scheduleRead(m_isSnapshotResumed ? milliseconds(0) : m_options.pause);
 }
 
 void topic_follower::readChanges()
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -107,6 +107,8 @@
     /// @return A part of the time between two reads.
     [[nodiscard]] milliseconds shareOfPeriod(milliseconds time, double share) const noexcept;
     [[nodiscard]] bool hasAskers() const noexcept;
+    /// Reads the first page of a snapshot, or the next one of a snapshot in progress.
+    void continueSnapshot();
     void readSnapshotPage(const std::string& after);
     void handleSnapshotPage(newest_page page);
     void readChanges();
@@ -137,8 +139,12 @@
     std::deque<numbered_record> m_history;
     size_t m_historyBytes = 0;
     uint64_t m_historyFrom = 0;
+    /// The pages that were read of a snapshot in progress, the offset of the first one, and the last key of the last one.
     std::map<std::string, std::string> m_snapshot;
     std::optional<uint64_t> m_snapshotOffset;
+    std::string m_snapshotLastKey;
+    /// A call failed or was given up since the first page.
+    bool m_isSnapshotResumed = false;
     time_point m_sentAt {};
     time_point m_freshAsOf {};
     unsigned m_consecutiveFailures = 0;
