gateway: a tick orders open requests in a vector

Measured (gateway-scale): copy and order of 500 open requests 49 to 56 us before, 21 to 22 us now. The order of equal requests stays, as std::stable_sort keeps it like std::list::sort.

--- a/bench/gateway_scale.cpp
+++ b/bench/gateway_scale.cpp
@@ -9,6 +9,7 @@
 #include "platform/records.hpp"
 #include "policy/ownership.hpp"
 
+#include <algorithm>
 #include <cstdio>
 #include <ctime>
 #include <list>
@@ -257,8 +258,8 @@
             check += run->chooseTarget(now) ? 1 : 0;
     }) / static_cast<double>(runs.size()));
     print("tick, copy and order of 500 requests", 0, microsecondsEach(200, [&](size_t) {
-        auto copy = runs;
-        copy.sort([](const auto& left, const auto& right) { return left->urgency() < right->urgency(); });
+        std::vector<std::shared_ptr<request_run>> copy(runs.begin(), runs.end());
+        std::stable_sort(copy.begin(), copy.end(), [](const auto& left, const auto& right) { return left->urgency() < right->urgency(); });
         check += copy.size();
     }));
     if (check == 0)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -472,10 +472,10 @@
     m_pools->tick(now);
     m_crashes->tick(now);
     m_streams->tick(now);
-    auto runs = m_openRuns;
+    std::vector<std::shared_ptr<request_run>> runs(m_openRuns.begin(), m_openRuns.end());
     const bool isAnyLimited = std::any_of(m_context.waitingForLimits.begin(), m_context.waitingForLimits.end(), [](const auto& item) { return item.second > 0; });
     if (isAnyLimited)
-        runs.sort([](const auto& left, const auto& right) { return left->urgency() < right->urgency(); });
+        std::stable_sort(runs.begin(), runs.end(), [](const auto& left, const auto& right) { return left->urgency() < right->urgency(); });
     for (const auto& run : runs)
         run->tick(now);
     if (m_isStopping)
