gateway: targets are chosen by the load of all gateways (setting loadSharing)

Each gateway counted only its own requests, of which it has zero or one at most targets. Gateways now report their requests, uncached prompt tokens and pace to a collector of their region every 250 ms and get the sums back. Placement uses the sums to compare the expected delays, keeps a shared prefix on the first targets of its ranking, and spreads near ties. Off by default; without a sum of the last two seconds, the previous cost function decides.

--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -27,6 +27,7 @@
 };
 
 class crash_watch;
+class load_exchange;
 class stream_directory;
 class topic_relay;
 
@@ -46,6 +47,8 @@
     stream_directory* streams = nullptr;
     /// Set while the gateway runs.
     topic_relay* relay = nullptr;
+    /// Set while the gateway runs, if the settings enable the exchange of load.
+    load_exchange* loads = nullptr;
     std::map<std::string, retry_budget, std::less<>> retryBudgets;
     /// Services of which a target missed a released stage result: until this time, results are released only at the
     /// first event of the response.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -104,6 +104,13 @@
         topic_relay::callbacks { [this](std::string_view entry, wire::message message) { return m_pools->send(entry, std::move(message)); },
             [this] { return m_pools->storeReaders(); } });
     m_context.relay = &*m_relay;
+    if (settings.loadSharing) {
+        m_loads.emplace(m_context.counters, m_context.targets, settings.name,
+            load_exchange::callbacks { [this](std::string_view entry, wire::message message) { return m_pools->send(entry, std::move(message)); },
+                [this] { return m_pools->loadCollectors(m_context.settings.region); },
+                [this] { return m_pools->otherLoadCollectors(); } });
+        m_context.loads = &*m_loads;
+    }
     for (auto* follower : { &*m_configurationFollower, &*m_targetFollower, &m_directory->follower(), &m_crashes->follower() })
         m_relay->add(*follower);
     m_context.lastTickAt = monotonicNow();
@@ -467,6 +474,8 @@
     m_pools->tick(now);
     m_crashes->tick(now);
     m_streams->tick(now);
+    if (m_loads)
+        m_loads->tick(now);
     auto runs = m_openRuns;
     const bool isAnyLimited = std::any_of(m_context.waitingForLimits.begin(), m_context.waitingForLimits.end(), [](const auto& item) { return item.second > 0; });
     if (isAnyLimited)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/crash_watch.hpp"
+#include "gateway/load_exchange.hpp"
 #include "gateway/request_run.hpp"
 #include "gateway/stream_directory.hpp"
 #include "gateway/topic_relay.hpp"
@@ -78,6 +79,7 @@
     std::optional<crash_watch> m_crashes;
     std::optional<stream_directory> m_streams;
     std::optional<topic_relay> m_relay;
+    std::optional<load_exchange> m_loads;
     std::list<std::shared_ptr<request_run>> m_openRuns;
     std::vector<std::shared_ptr<request_run>> m_finishedRuns;
     std::optional<http1::server> m_callers;
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/detail/pool_router_peer.hpp"
+#include "gateway/load_exchange.hpp"
 #include "gateway/stream_directory.hpp"
 #include "gateway/topic_relay.hpp"
 #include "policy/ownership.hpp"
@@ -259,7 +260,7 @@
 {
     countMessages("received", message, 1);
     const auto reply = [this, &name](wire::message response) { static_cast<void>(send(name, std::move(response))); };
-    if (m_context.crashes->handle(message, name, monotonicNow()) || m_context.streams->handle(message, name, reply, monotonicNow()) || m_context.relay->handle(message, reply, monotonicNow()))
+    if (m_context.crashes->handle(message, name, monotonicNow()) || m_context.streams->handle(message, name, reply, monotonicNow()) || m_context.relay->handle(message, reply, monotonicNow()) || (m_context.loads && m_context.loads->handle(message, name, reply, monotonicNow())))
         return;
     if (const auto* suspicion = std::get_if<wire::crash_suspicion>(&message)) {
         handleSuspicion(*suspicion);
@@ -322,7 +323,7 @@
 {
     countMessages("received", message, 1);
     const auto reply = [this, session](wire::message response) { m_server.post(session, std::move(response)); };
-    if (m_context.crashes->handle(message, "connected_entry", monotonicNow()) || m_context.streams->handle(message, "connected_entry", reply, monotonicNow()) || m_context.relay->handle(message, reply, monotonicNow()))
+    if (m_context.crashes->handle(message, "connected_entry", monotonicNow()) || m_context.streams->handle(message, "connected_entry", reply, monotonicNow()) || m_context.relay->handle(message, reply, monotonicNow()) || (m_context.loads && m_context.loads->handle(message, "connected_entry", reply, monotonicNow())))
         return;
     if (auto* jobRequest = std::get_if<wire::start_tasks>(&message)) {
         hostJob(session, *jobRequest);
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -57,6 +57,11 @@
     /// @return This entry's rank for a key among all entries; 0 for the first.
     [[nodiscard]] size_t rankFor(std::string_view key);
 
+    /// @return The entries of a region that collect the load of targets, preferred one first.
+    [[nodiscard]] const std::vector<std::string>& loadCollectors(const std::string& region);
+    /// @return The collectors of load in all regions but this entry; empty if this entry is not one of them.
+    [[nodiscard]] std::vector<std::string> otherLoadCollectors();
+
     void tick(time_point now);
     /// Updates the connections after a change of the directory or the configuration.
     void onMembersChanged();
@@ -123,6 +128,8 @@
     std::map<std::string, std::unique_ptr<peer>, std::less<>> m_peers;
     /// Cached results of `ownersOf`, until the members change.
     std::map<std::string, std::vector<std::string>, std::less<>> m_ownersByService;
+    /// Cached results of `loadCollectors`, until the members change.
+    std::map<std::string, std::vector<std::string>, std::less<>> m_loadCollectors;
     std::vector<std::string> m_spreadNames;
     std::vector<std::string> m_storeReaders;
     delegated_jobs m_delegatedJobs;
--- a/src/gateway/pool_router_peers.cpp
+++ b/src/gateway/pool_router_peers.cpp
@@ -32,6 +32,11 @@
     /// A peer that has not acknowledged this much gets no messages about crashes, so that results of jobs are not delayed.
     constexpr size_t maxQueuedBytes = 256 * 1024;
 
+    /// Key of the ranking of entries of a region that collect the load of targets.
+    constexpr std::string_view loadCollection = "load-collectors:";
+    /// The second collects if the first is not connected.
+    constexpr size_t loadCollectorsPerRegion = 2;
+
     /// Heartbeat period of a connection to an owner that runs jobs of this entry.
     constexpr milliseconds ownerHeartbeat { 200 };
     /// An owner that sends nothing for this long while it runs jobs of this entry counts as unreachable.
@@ -73,6 +78,48 @@
     return m_storeReaders;
 }
 
+const std::vector<std::string>& pool_router::loadCollectors(const std::string& region)
+{
+    if (const auto position = m_loadCollectors.find(region); position != m_loadCollectors.end())
+        return position->second;
+    const auto& regions = m_context.settings.regions;
+    std::vector<std::string> names;
+    std::vector<policy::owner_candidate> candidates;
+    const auto add = [&](const std::string& name, const entry_record& record) {
+        const auto position = regions.find(record.failureDomain);
+        if (position == regions.end() || position->second != region)
+            return;
+        names.push_back(name);
+        candidates.push_back({ hashOf(name), record.weight });
+    };
+    add(m_directory.own().name, m_directory.own());
+    for (const auto& [name, record] : m_directory.others())
+        add(name, record);
+    std::vector<std::string>& collectors = m_loadCollectors[region];
+    for (const size_t index : policy::rankOwners(candidates, hashOf(std::string(loadCollection) + region))) {
+        if (collectors.size() < loadCollectorsPerRegion)
+            collectors.push_back(names[index]);
+    }
+    return collectors;
+}
+
+std::vector<std::string> pool_router::otherLoadCollectors()
+{
+    const std::string& ownName = m_directory.own().name;
+    const auto& ownRegion = loadCollectors(m_context.settings.region);
+    if (std::find(ownRegion.begin(), ownRegion.end(), ownName) == ownRegion.end())
+        return {};
+    std::set<std::string> regions { m_context.settings.region };
+    for (const auto& [domain, region] : m_context.settings.regions)
+        regions.insert(region);
+    std::vector<std::string> others;
+    for (const auto& region : regions) {
+        const auto& collectors = loadCollectors(region);
+        std::copy_if(collectors.begin(), collectors.end(), std::back_inserter(others), [&](const auto& name) { return name != ownName; });
+    }
+    return others;
+}
+
 std::span<const std::string> pool_router::crashCollectors()
 {
     return originKeepers().first(std::min(originKeepers().size(), maxCrashCollectors));
@@ -135,6 +182,12 @@
     required.insert(m_spreadNames.begin(), m_spreadNames.end());
     const auto readers = storeReaders();
     required.insert(readers.begin(), readers.end());
+    if (m_context.settings.loadSharing) {
+        const auto& collectors = loadCollectors(m_context.settings.region);
+        required.insert(collectors.begin(), collectors.end());
+        const auto others = otherLoadCollectors();
+        required.insert(others.begin(), others.end());
+    }
     required.erase(m_directory.own().name);
     return required;
 }
@@ -144,6 +197,7 @@
     if (!std::exchange(m_hasMembers, true))
         m_membersSince = monotonicNow();
     m_ownersByService.clear();
+    m_loadCollectors.clear();
     if (m_context.configuration)
         m_scheduler.applyProfiles(*m_context.configuration);
     m_context.entryCount = static_cast<unsigned>(std::max<size_t>(4, m_directory.others().size() + 1));
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -48,6 +48,8 @@
 {
     const auto keepAlive = shared_from_this();
     const time_point now = monotonicNow();
+    if (attempt.hasFirstByte && isStream() && attempt.resumedAt < attempt.lastByteAt)
+        policy::recordGap(attempt.target->pace, now - attempt.lastByteAt, now);
     attempt.lastByteAt = now;
     attempt.isSilenceRecorded = false;
     if (!std::exchange(attempt.hasFirstByte, true))
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_run.hpp"
 
 #include "gateway/crash_watch.hpp"
+#include "gateway/load_exchange.hpp"
 #include "gateway/target_pauses.hpp"
 #include "policy/placement.hpp"
 
@@ -116,10 +117,24 @@
         candidates.push_back(candidateOf(*target, hashes, inputBytes, now));
     if (m_request.route->isResumable && !m_origin)
         preferSharedVersions(listed, candidates);
-    const auto chosenIndex = policy::chooseTarget(candidates, placement, {});
+    m_loadChoice.reset();
+    const bool isLoadKnown = m_context.loads && m_context.loads->isUsable(now);
+    const auto chosenIndex = isLoadKnown ? chooseByLoad(candidates, listed, placement, now) : policy::chooseTarget(candidates, placement, {});
     return chosenIndex ? listed[*chosenIndex] : nullptr;
 }
 
+std::optional<size_t> request_run::chooseByLoad(std::vector<policy::placement_candidate>& candidates, const std::vector<target_ptr>& targets, const policy::placement_request& placement, time_point now) const
+{
+    for (size_t i = 0; i < candidates.size(); ++i)
+        candidates[i].load = m_context.loads->loadOf(*targets[i], now);
+    policy::load_placement_request load;
+    load.promptTokens = m_request.callerRequest.generation ? m_request.callerRequest.generation->promptTokens : 0;
+    load.tieHash = hashOfPair(m_context.loads->ownHash(), hashOf(m_request.callerRequest.id));
+    load.unseenSends = m_context.loads->unseenSends(m_request.service, now);
+    m_loadChoice = policy::chooseByLoad(candidates, placement, load, {});
+    return m_loadChoice ? std::optional(m_loadChoice->index) : std::nullopt;
+}
+
 policy::placement_candidate request_run::candidateOf(const target_state& target, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const
 {
     policy::placement_candidate candidate;
@@ -231,7 +246,7 @@
 
     const uint64_t promptTokens = m_request.callerRequest.generation ? m_request.callerRequest.generation->promptTokens : 0;
     target_attempt_ptr& place = m_current ? m_backup : m_current;
-    place = std::make_unique<target_attempt>(target, promptTokens, now);
+    place = std::make_unique<target_attempt>(target, promptTokens, m_loadChoice ? m_loadChoice->cachedTokens : 0, now);
     target_attempt& attempt = *place;
     attempt.inputsFetchedAt = inputsFetchedAt(*target, now);
     attempt.events.setLastId(m_lastEventId);
@@ -249,6 +264,8 @@
     const bool needsNewConnection = !m_request.route->isRetryable();
     attempt.call = sendToTarget(m_context, target, request, { needsNewConnection }, std::move(callbacks));
     m_context.counters.count("sends_total", { { "service", m_request.service } });
+    if (m_context.loads && m_loadChoice)
+        m_context.loads->recordSend(m_request.service, m_request.callerRequest.id, *target, *m_loadChoice, now);
     logLine(log_level::Info, logComponent, "The request was sent to a target.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "send", std::to_string(m_sends) }, { "left_ms", std::to_string(call.timeLeft.count()) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target->listedAt)) }, { "software_version", target->listed.softwareVersion }, { "after_event", m_lastEventId.substr(0, maxLoggedBytes) }, { "in_flight", std::to_string(target->inFlight) }, { "beside_a_silent_target", m_backup ? "true" : "false" } });
 }
 
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -154,6 +154,8 @@
 
     // Attempts.
     [[nodiscard]] target_ptr chooseTarget(time_point now) const;
+    /// Chooses among the candidates by the load of all gateways, if it is shared.
+    [[nodiscard]] std::optional<size_t> chooseByLoad(std::vector<policy::placement_candidate>& candidates, const std::vector<target_ptr>& targets, const policy::placement_request& placement, time_point now) const;
     [[nodiscard]] policy::placement_candidate candidateOf(const target_state& target, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const;
     void dispatch();
     /// Takes a place among the requests that wait for limited targets.
@@ -262,6 +264,8 @@
     target_attempt_ptr m_backup;
     time_point m_nextBackupSearchAt {};
     time_point m_lastSentAt {};
+    /// Inputs of the last choice of a target by load, for the log and for the count of queued tokens.
+    mutable std::optional<policy::load_choice> m_loadChoice;
 
     /// Identifier of the last event that the caller has.
     std::string m_lastEventId;
--- a/src/gateway/target_attempt.cpp
+++ b/src/gateway/target_attempt.cpp
@@ -2,24 +2,30 @@
 
 namespace bilberryseam::gateway {
 
-target_attempt::target_attempt(target_ptr newTarget, uint64_t promptTokens, time_point now)
+target_attempt::target_attempt(target_ptr newTarget, uint64_t promptTokens, uint64_t cachedTokens, time_point now)
     : target(std::move(newTarget))
     , sentAt(now)
     , softwareVersion(target->listed.softwareVersion)
     , queuedTokens(promptTokens)
+    , uncachedTokens(promptTokens - std::min(promptTokens, cachedTokens))
 {
     ++target->inFlight;
     target->queuedPrefillTokens += queuedTokens;
+    target->uncachedPrefillTokens += uncachedTokens;
 }
 
 target_attempt::~target_attempt()
 {
     endPrefill();
+    target->contextTokens -= contextTokens;
     --target->inFlight;
 }
 
 void target_attempt::endPrefill() noexcept
 {
+    target->uncachedPrefillTokens -= std::exchange(uncachedTokens, 0);
+    contextTokens += queuedTokens;
+    target->contextTokens += queuedTokens;
     target->queuedPrefillTokens -= std::exchange(queuedTokens, 0);
 }
 
--- a/src/gateway/target_attempt.hpp
+++ b/src/gateway/target_attempt.hpp
@@ -16,7 +16,8 @@
 /// Destroying the attempt closes its connection, at which most targets drop the request.
 struct target_attempt {
     /// Counts the attempt among the calls in flight at the target.
-    target_attempt(target_ptr newTarget, uint64_t promptTokens, time_point now);
+    /// @param cachedTokens  Prompt tokens that are presumably cached at the target.
+    target_attempt(target_ptr newTarget, uint64_t promptTokens, uint64_t cachedTokens, time_point now);
     target_attempt(const target_attempt&) = delete;
     target_attempt& operator=(const target_attempt&) = delete;
     ~target_attempt();
@@ -55,6 +56,10 @@
     bool isReturn = false;
     /// Tokens of the prompt that the target has not read yet.
     uint64_t queuedTokens = 0;
+    /// Those of them that are presumably not cached.
+    uint64_t uncachedTokens = 0;
+    /// Tokens of the prompt that the target has read.
+    uint64_t contextTokens = 0;
     /// Received bytes of the body that were not passed on.
     std::string buffer;
     event_stream events;
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -31,6 +31,7 @@
         const auto state = std::make_shared<target_state>();
         state->listed = listed;
         state->hash = hashOf(listed.id);
+        state->incarnation = hashOfPair(state->hash, static_cast<uint64_t>(listed.startedAtMs));
         // Only a later start is a restart. An older record may be read again after an outage of the store.
         if (previous && listed.startedAtMs <= previous->listed.startedAtMs) {
             state->pause = previous->pause;
@@ -202,6 +203,12 @@
     return position != m_targets.end() && position->second->listed == listed && !m_deferredRemovals.contains(listed.id);
 }
 
+void target_registry::forEach(const std::function<void(const target_state&)>& visit) const
+{
+    for (const auto& [id, state] : m_targets)
+        visit(*state);
+}
+
 target_ptr target_registry::holderOf(std::string_view handle) const
 {
     const auto endpoint = platform::holderOf(handle);
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -6,6 +6,7 @@
 #include "policy/rate_limit.hpp"
 #include "policy/stream_origins.hpp"
 #include "policy/target_health.hpp"
+#include "policy/target_load.hpp"
 
 #include <deque>
 #include <functional>
@@ -22,6 +23,8 @@
     deployment::target listed;
     time_point listedAt {};
     uint64_t hash = 0;
+    /// Hash of the identifier and the start.
+    uint64_t incarnation = 0;
     /// The record was removed or replaced by that of a restarted target.
     bool isRemoved = false;
     /// The registry no longer holds the state: the target gets a new one if its record returns.
@@ -42,6 +45,12 @@
     /// Calls of this process in progress.
     uint32_t inFlight = 0;
     uint64_t queuedPrefillTokens = 0;
+    /// Those of the queued prompt tokens that are presumably not cached at the target.
+    uint64_t uncachedPrefillTokens = 0;
+    /// Prompt tokens of the calls whose response has begun.
+    uint64_t contextTokens = 0;
+    /// Time between the events of the streams of this process.
+    policy::event_pace pace;
     /// Time at which the running batch call is expected to end.
     time_point busyUntil {};
     /// The target had no memory for a result; it gets no tasks before this time.
@@ -89,6 +98,8 @@
     /// @return The target that holds a result, or null if no target is listed at its address.
     [[nodiscard]] target_ptr holderOf(std::string_view handle) const;
     [[nodiscard]] size_t size() const noexcept { return m_targets.size(); }
+    /// Calls a function with each listed target.
+    void forEach(const std::function<void(const target_state&)>& visit) const;
 
 private:
     /// @return Whether the indexes are out of date.
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -3,6 +3,8 @@
 #include "base/hash.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <vector>
 
 namespace bilberryseam::policy {
 
@@ -60,4 +62,176 @@
     }
     return best;
 }
+
+namespace {
+    /// The pace of a target counts half if it has this many samples; with few of them it is chance.
+    constexpr double doubtfulPaceSamples = 10;
+    /// A measured pace outside these bounds is a fault; no target is excluded for it.
+    constexpr double minSlowness = 0.5;
+    constexpr double maxSlowness = 3;
+    /// Bisections of the level to which unseen sends fill the targets; the error is below a thousandth of the range.
+    constexpr int levelSteps = 12;
+
+    /// A usable candidate.
+    struct loaded_target {
+        size_t index = 0;
+        double slowness = 1;
+        /// Delay by what all gateways have there.
+        double delay = 0;
+        /// Delay that one further request adds.
+        double delayPerSend = 0;
+    };
+
+    /// @return A number from 0 to less than 1.
+    double fractionOf(uint64_t hash) noexcept { return static_cast<double>(hash >> 11) * 0x1p-53; }
+
+    double meanPaceOf(std::span<const placement_candidate> candidates) noexcept
+    {
+        double total = 0;
+        double samples = 0;
+        for (const auto& candidate : candidates) {
+            if (!candidate.isUsable || candidate.load.paceSamples <= 0)
+                continue;
+            // Each target counts about equally, so that the many samples of fast ones do not make all others slow.
+            const double weight = candidate.load.paceSamples / (candidate.load.paceSamples + doubtfulPaceSamples);
+            total += candidate.load.paceUs * weight;
+            samples += weight;
+        }
+        return samples > 0 ? total / samples : 0;
+    }
+
+    double slownessOf(const target_load& load, double meanPace) noexcept
+    {
+        if (meanPace <= 0 || load.paceSamples <= 0)
+            return 1;
+        const double trust = load.paceSamples / (load.paceSamples + doubtfulPaceSamples);
+        return std::clamp(1 + trust * (load.paceUs / meanPace - 1), minSlowness, maxSlowness);
+    }
+
+    std::vector<loaded_target> loadedTargets(std::span<const placement_candidate> candidates, const load_costs& costs)
+    {
+        const double meanPace = meanPaceOf(candidates);
+        std::vector<loaded_target> targets;
+        targets.reserve(candidates.size());
+        for (size_t i = 0; i < candidates.size(); ++i) {
+            const placement_candidate& candidate = candidates[i];
+            if (!candidate.isUsable)
+                continue;
+            const double slowness = slownessOf(candidate.load, meanPace);
+            const double waiting = std::max(0.0, candidate.load.requests + 1 - candidate.slots);
+            double delay = candidate.load.prefillTokens / prefillTokensPerMillisecond + candidate.load.requests * costs.otherRequest + waiting * costs.waitingRequest;
+            delay = delay * slowness * candidate.penalty + (candidate.penalty - 1) * costs.penalty;
+            const double perSend = (costs.otherRequest + costs.typicalUncachedTokens / prefillTokensPerMillisecond) * slowness;
+            targets.push_back({ i, slowness, delay, perSend });
+        }
+        return targets;
+    }
+
+    /// @return The delay up to which the least loaded targets are filled if each of the unseen sends goes to the target that is
+    /// then the least loaded.
+    double filledLevel(std::span<const loaded_target> targets, double unseenSends)
+    {
+        double low = targets.front().delay;
+        double largestPerSend = 0;
+        for (const loaded_target& target : targets) {
+            low = std::min(low, target.delay);
+            largestPerSend = std::max(largestPerSend, target.delayPerSend);
+        }
+        if (unseenSends <= 0)
+            return low;
+        double high = low + unseenSends * largestPerSend;
+        for (int step = 0; step < levelSteps; ++step) {
+            const double middle = (low + high) / 2;
+            double sends = 0;
+            for (const loaded_target& target : targets)
+                sends += std::max(0.0, middle - target.delay) / target.delayPerSend;
+            (sends < unseenSends ? low : high) = middle;
+        }
+        return high;
+    }
+
+    double distanceOf(const placement_candidate& candidate, const load_costs& costs) noexcept
+    {
+        double cost = candidate.remoteInputBytes / bytesPerMegabyte * costs.remoteInputMegabyte;
+        if (candidate.isOnlyOfVersion)
+            cost += costs.onlyOfVersion;
+        if (!candidate.isInOwnDomain)
+            cost += candidate.isInOwnRegion ? costs.otherDomain : costs.otherRegion;
+        return cost;
+    }
+
+    /// @return The first target in the ranking for the prefix whose load allows it; null if there is none.
+    const loaded_target* targetForPrefix(std::span<const loaded_target> targets, std::span<const placement_candidate> candidates, const placement_request& request, uint64_t tieHash, double meanDelay, double prefixMilliseconds, const load_costs& costs)
+    {
+        const auto preferred = preferredTarget(candidates, request.prefixHash);
+        const loaded_target* best = nullptr;
+        uint64_t bestScore = 0;
+        for (const loaded_target& target : targets) {
+            const placement_candidate& candidate = candidates[target.index];
+            const bool isCached = target.index == preferred || candidate.cachedTokens >= request.sharedTokens;
+            // Bounds differ between requests. With one bound for all, gateways with the same old figures would move a prefix
+            // from one target to the next and back together.
+            const double draw = fractionOf(hashOfPair(tieHash, candidate.hash));
+            const double saved = isCached ? prefixMilliseconds * (0.5 + draw) : target.delayPerSend * (draw - 0.5);
+            if (target.delay + distanceOf(candidate, costs) > meanDelay + saved)
+                continue;
+            if (const uint64_t score = hashOfPair(candidate.hash, request.prefixHash); !best || score > bestScore) {
+                best = &target;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    /// @return The target with the lowest cost. Among near ties, a target is chosen with a probability that is proportional to what
+    /// is missing there to the level.
+    const loaded_target& leastLoaded(std::span<const loaded_target> targets, std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, const load_costs& costs)
+    {
+        const double level = filledLevel(targets, load.unseenSends);
+        const auto costAt = [&](const loaded_target& target) {
+            const placement_candidate& candidate = candidates[target.index];
+            const uint64_t uncachedTokens = request.sharedTokens - std::min(request.sharedTokens, candidate.cachedTokens);
+            return std::max(target.delay, level) + (static_cast<double>(uncachedTokens) / prefillTokensPerMillisecond + costs.otherRequest) * target.slowness + distanceOf(candidate, costs);
+        };
+        double lowest = costAt(targets.front());
+        for (const loaded_target& target : targets)
+            lowest = std::min(lowest, costAt(target));
+        const loaded_target* best = nullptr;
+        double bestDraw = 0;
+        for (const loaded_target& target : targets) {
+            const double margin = lowest + costs.nearTie - costAt(target);
+            if (margin < 0)
+                continue;
+            const double room = (std::max(0.0, level - target.delay) + margin) / target.delayPerSend;
+            // The smallest of exponential draws belongs to each target with a probability proportional to its room.
+            const double draw = -std::log1p(-fractionOf(hashOfPair(load.tieHash, candidates[target.index].hash))) / std::max(room, 1e-9);
+            if (!best || draw < bestDraw) {
+                best = &target;
+                bestDraw = draw;
+            }
+        }
+        return *best;
+    }
+}
+
+std::optional<load_choice> chooseByLoad(std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, const load_costs& costs)
+{
+    const auto targets = loadedTargets(candidates, costs);
+    if (targets.empty())
+        return std::nullopt;
+    double meanDelay = 0;
+    for (const loaded_target& target : targets)
+        meanDelay += target.delay / static_cast<double>(targets.size());
+    const double prefixMilliseconds = static_cast<double>(request.sharedTokens) / prefillTokensPerMillisecond;
+    const loaded_target* chosen = nullptr;
+    if (request.prefixHash != 0 && prefixMilliseconds >= costs.minPrefixMilliseconds)
+        chosen = targetForPrefix(targets, candidates, request, load.tieHash, meanDelay, prefixMilliseconds, costs);
+    const bool isForPrefix = chosen != nullptr;
+    if (!chosen)
+        chosen = &leastLoaded(targets, candidates, request, load, costs);
+    uint64_t cachedTokens = candidates[chosen->index].cachedTokens;
+    if (isForPrefix && preferredTarget(candidates, request.prefixHash) == chosen->index)
+        cachedTokens = std::max(cachedTokens, request.sharedTokens);
+    return load_choice { chosen->index, cachedTokens, chosen->delay, meanDelay, isForPrefix };
+}
 }
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "policy/target_load.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -34,6 +35,8 @@
     bool isOnlyOfVersion = false;
     /// Factor of at least 1 by which the target appears worse than a healthy one.
     double penalty = 1;
+    /// Requests and tokens of all gateways; only `chooseByLoad` uses it.
+    target_load load;
 };
 
 /// Properties of the request that affect its placement.
@@ -72,4 +75,53 @@
 
 /// @return The usable candidate with the highest rendezvous hash for the prefix; equal in all processes.
 [[nodiscard]] std::optional<size_t> preferredTarget(std::span<const placement_candidate> candidates, uint64_t prefixHash);
+
+/// Properties of a request and of the figures by which `chooseByLoad` decides.
+struct load_placement_request {
+    uint64_t promptTokens = 0;
+    /// Hash of the gateway's name and the request. It breaks near ties, so that many gateways that decide by the same figures
+    /// do not all choose the same target.
+    uint64_t tieHash = 0;
+    /// Estimate of the requests that the other gateways have sent to the service since the figures were taken.
+    double unseenSends = 0;
+};
+
+/// Costs in milliseconds of delay.
+struct load_costs {
+    /// Delay by each other request at a target that runs all of them at once: its share of the steps, and of the chunks of
+    /// its prefill between them.
+    double otherRequest = 30;
+    /// Delay by each request that waits for a slot; a target completes about 2.5 requests a second.
+    double waitingRequest = 400;
+    /// Prompt tokens that a sent request has to have read on the average; for sends that no figure contains yet.
+    double typicalUncachedTokens = 3000;
+    double otherDomain = 3;
+    /// Two crossings of 8 ms, and the price of the bytes.
+    double otherRegion = 30;
+    double remoteInputMegabyte = 39;
+    double onlyOfVersion = 60;
+    /// A target that appears twice as bad as a healthy one.
+    double penalty = 200;
+    /// A prefix whose prefill takes less than this is not kept on few targets.
+    double minPrefixMilliseconds = 40;
+    /// Costs that differ by less than this are near ties.
+    double nearTie = 20;
+};
+
+/// A target chosen by the load of all gateways.
+struct load_choice {
+    size_t index = 0;
+    /// Tokens of the prompt that are presumably cached there.
+    uint64_t cachedTokens = 0;
+    /// Expected delay by the load there, and of the mean target of the service.
+    double loadMilliseconds = 0;
+    double meanMilliseconds = 0;
+    /// The target is the first, or a further one, in the ranking for the request's prefix.
+    bool isForPrefix = false;
+};
+
+/// Chooses by the expected finish time. A shared prefix goes to the first target of its ranking whose load is not later than
+/// that of the mean target by more than the prefill of the prefix; other requests go to the targets with the least load.
+/// @return Empty if no candidate is usable.
+[[nodiscard]] std::optional<load_choice> chooseByLoad(std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, const load_costs& costs);
 }
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -21,6 +21,7 @@
         "peerListen": { "type": "string" },
         "store": { "type": "string" },
         "processorShare": { "type": "number", "exclusiveMinimum": 0 },
+        "loadSharing": { "type": "boolean" },
         "regions": { "type": "object", "additionalProperties": { "type": "string" } },
         "bounds": {
           "type": "object",
@@ -78,6 +79,7 @@
         const json regions = document.value("regions", json::object());
         for (const auto& [domain, region] : regions.items())
             settings.regions.emplace(domain, region.get<std::string>());
+        settings.loadSharing = document.value("loadSharing", settings.loadSharing);
         settings.bounds = readBounds(document.value("bounds", json::object()));
         const json limits = document.value("limits", json::object());
         settings.limits.maxHeldBytes = limits.value("maxHeldBytes", settings.limits.maxHeldBytes);
@@ -95,6 +97,7 @@
 {
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "operatorListen", operatorListen.toString() },
         { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions },
+        { "loadSharing", loadSharing },
         { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) } } },
         { "limits", { { "maxHeldBytes", limits.maxHeldBytes }, { "maxConnections", limits.maxConnections } } } };
 }
--- a/src/wire/message.cpp
+++ b/src/wire/message.cpp
@@ -9,7 +9,7 @@
     constexpr std::array<std::string_view, std::variant_size_v<message>> messageNames { "start_call", "cancel_call", "call_refused", "call_started", "call_output", "call_finished", "target_load",
         "configuration_offset", "configuration_records", "crash_suspicion", "start_tasks", "task_finished", "tasks_refused", "cancel_tasks", "release_results", "crash_report",
         "segment_verdict", "segment_survival", "stream_begun", "stream_query", "stream_unknown", "survival_query", "crash_strike",
-        "topic_query", "topic_records" };
+        "topic_query", "topic_records", "load_report", "load_summary" };
 }
 
 std::string_view nameOf(const message& item) noexcept
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -399,11 +399,55 @@
     void visitFields(Visitor& visit) { visit(topic, number, era, nextOffset, ageMs, isUnavailable, hasMore, records); }
 };
 
+/// Load at one target: that of one gateway, or the sum of several.
+struct load_item {
+    /// Hash of the target's identifier and start.
+    uint64_t target = 0;
+    uint32_t requests = 0;
+    uint64_t prefillTokens = 0;
+    uint64_t contextTokens = 0;
+    /// Mean time between two events of a stream, in microseconds.
+    uint32_t paceUs = 0;
+    uint32_t paceSamples = 0;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(target, requests, prefillTokens, contextTokens, paceUs, paceSamples); }
+};
+
+/// Entry to a collector of its region: the load that the entry has at each target. It replaces the previous report.
+struct load_report {
+    /// Hash of the entry's name.
+    uint64_t sender = 0;
+    /// Grows with each report, also across restarts.
+    uint64_t sequence = 0;
+    std::vector<load_item> items;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(sender, sequence, items); }
+};
+
+/// Collector to entry: the load of all entries. Between collectors: the sum of the reports that the sender has received.
+struct load_summary {
+    /// Hash of the collector's name.
+    uint64_t collector = 0;
+    /// The sum contains only reports that the sender has received itself.
+    bool isPartial = false;
+    /// Sequence of the receiver's last report that the sum contains; zero between collectors.
+    uint64_t sequence = 0;
+    uint32_t ageMs = 0;
+    /// Entries whose reports the sum contains.
+    uint32_t gateways = 0;
+    std::vector<load_item> items;
+
+    template <typename Visitor>
+    void visitFields(Visitor& visit) { visit(collector, isPartial, sequence, ageMs, gateways, items); }
+};
+
 /// Any message inside a frame. The index in this list is the type number on the wire.
 using message = std::variant<start_call, cancel_call, call_refused, call_started, call_output, call_finished, target_load,
     configuration_offset, configuration_records, crash_suspicion, start_tasks, task_finished, tasks_refused, cancel_tasks, release_results, crash_report,
     segment_verdict, segment_survival, stream_begun, stream_query, stream_unknown, survival_query, crash_strike,
-    topic_query, topic_records>;
+    topic_query, topic_records, load_report, load_summary>;
 
 /// @return The name of a message's type, used in metrics.
 [[nodiscard]] std::string_view nameOf(const message& item) noexcept;
--- /dev/null
+++ b/tests/process/gateway_load_sharing_test.cpp
@@ -0,0 +1,96 @@
+/// Gateways that exchange the load of targets.
+#include "base/hash.hpp"
+#include "fakes/platform_engine.hpp"
+#include "policy/ownership.hpp"
+#include "support/deployment_fixture.hpp"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <csignal>
+#include <list>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+using nlohmann::json;
+
+namespace {
+constexpr size_t gatewayCount = 3;
+
+/// Three gateways of one region in front of engines that take long for each request.
+class sharing_fleet {
+public:
+    sharing_fleet(int slot, size_t engineCount)
+        : deployment(slot)
+    {
+        fakes::engine_behaviour behaviour;
+        behaviour.eventCount = 4000;
+        behaviour.eventPeriod = milliseconds(20);
+        for (size_t i = 0; i < engineCount; ++i)
+            engines.emplace_back(deployment.addTarget("m-" + std::to_string(i), "model"), behaviour);
+        deployment.configure(3, { deployment_fixture::route("/m/", "streaming", "model", { { "timeout_ms", 20000 } }) });
+        for (size_t i = 0; i < gatewayCount; ++i)
+            deployment.startGateway(json::object(), { { "loadSharing", true } });
+        for (size_t i = 0; i < gatewayCount; ++i)
+            deployment.waitUntilReady(i);
+        deployment.waitUntil([this] {
+            for (size_t i = 0; i < gatewayCount; ++i) {
+                if (countedAt(i) != gatewayCount)
+                    return false;
+            }
+            return true;
+        },
+            "the load of all gateways at each gateway");
+    }
+
+    /// @return Number of gateways whose load a gateway knows.
+    [[nodiscard]] size_t countedAt(size_t gateway)
+    {
+        const std::string text = deployment.metricsOf(gateway);
+        const std::string name = "\nbilberryseam_load_entries_counted ";
+        const size_t position = text.find(name);
+        return position == std::string::npos ? 0 : static_cast<size_t>(std::stod(text.substr(position + name.size())));
+    }
+
+    caller_ptr send(size_t gateway)
+    {
+        ++m_sent;
+        return deployment.send("POST", "/m/" + std::to_string(m_sent), { { "X-Model", "m" }, { "X-Token-Counts", "400,400" }, { "X-Prompt-Prefix", "own" + std::to_string(m_sent) + ":400" } }, "question", gateway);
+    }
+
+    /// @return Gateways in the order in which they should collect.
+    [[nodiscard]] static std::vector<size_t> collectors()
+    {
+        std::vector<policy::owner_candidate> candidates;
+        for (size_t i = 0; i < gatewayCount; ++i)
+            candidates.push_back({ hashOf("gateway-" + std::to_string(i)), 1 });
+        return policy::rankOwners(candidates, hashOf("load-collectors:north"));
+    }
+
+    [[nodiscard]] size_t busiest() const
+    {
+        size_t most = 0;
+        for (const auto& engine : engines)
+            most = std::max(most, engine.arrivals().size());
+        return most;
+    }
+
+    deployment_fixture deployment;
+    std::list<fakes::platform_engine> engines;
+
+private:
+    size_t m_sent = 0;
+};
+}
+
+// Guards against gateways that count only their own requests: each would send its first request to any engine.
+Test(gateway_load_sharing, requests_of_all_gateways_are_spread_over_the_engines)
+{
+    sharing_fleet fleet(270, 6);
+    std::vector<caller_ptr> callers;
+    for (size_t i = 0; i < 12; ++i) {
+        callers.push_back(fleet.send(i % gatewayCount));
+        fleet.deployment.runLoopFor(milliseconds(500));
+    }
+    // The mean is two; 1.4 times the mean is below three.
+    cr_assert_leq(fleet.busiest(), 2u);
+}
--- a/tests/support/deployment_fixture.hpp
+++ b/tests/support/deployment_fixture.hpp
@@ -62,7 +62,8 @@
 
     /// Starts a gateway.
     /// @return Its index.
-    size_t startGateway(const nlohmann::json& bounds = nlohmann::json::object());
+    /// @param changes  Merged into its settings.
+    size_t startGateway(const nlohmann::json& bounds = nlohmann::json::object(), const nlohmann::json& changes = nlohmann::json::object());
     /// Starts a gateway that has exited again, with the same addresses and settings file.
     void restartGateway(size_t gateway);
     void waitUntilReady(size_t gateway = 0);
