--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -119,9 +119,11 @@
                 continue;
             const double slowness = slownessOf(candidate.load, meanPace);
             const double waiting = std::max(0.0, candidate.load.requests + 1 - candidate.slots);
-            double delay = candidate.load.prefillTokens / prefillTokensPerMillisecond + candidate.load.requests * costs.otherRequest + waiting * costs.waitingRequest;
-            delay = delay * slowness * candidate.penalty + (candidate.penalty - 1) * costs.penalty;
-            const double perSend = (costs.otherRequest + costs.typicalUncachedTokens / prefillTokensPerMillisecond) * slowness;
+            // Requests stay longer at a slow target. With the same number of requests in progress, a target that needs twice as
+            // long gets half as many; weighted by the slowness too, it would get a quarter.
+            double delay = candidate.load.prefillTokens / prefillTokensPerMillisecond * slowness + candidate.load.requests * costs.otherRequest + waiting * costs.waitingRequest * slowness;
+            delay = delay * candidate.penalty + (candidate.penalty - 1) * costs.penalty;
+            const double perSend = costs.otherRequest + costs.typicalUncachedTokens / prefillTokensPerMillisecond * slowness;
             targets.push_back({ i, slowness, delay, perSend });
         }
         return targets;
@@ -191,7 +193,7 @@
         const auto costAt = [&](const loaded_target& target) {
             const placement_candidate& candidate = candidates[target.index];
             const uint64_t uncachedTokens = request.sharedTokens - std::min(request.sharedTokens, candidate.cachedTokens);
-            return std::max(target.delay, level) + (static_cast<double>(uncachedTokens) / prefillTokensPerMillisecond + costs.otherRequest) * target.slowness + distanceOf(candidate, costs);
+            return std::max(target.delay, level) + static_cast<double>(uncachedTokens) / prefillTokensPerMillisecond * target.slowness + distanceOf(candidate, costs);
         };
         double lowest = costAt(targets.front());
         for (const loaded_target& target : targets)
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -90,7 +90,7 @@
 struct load_costs {
     /// Delay by each other request at a target that runs all of them at once: its share of the steps, and of the chunks of
     /// its prefill between them.
-    double otherRequest = 30;
+    double otherRequest = 60;
     /// Delay by each request that waits for a slot; a target completes about 2.5 requests a second.
     double waitingRequest = 400;
     /// Prompt tokens that a sent request has to have read on the average; for sends that no figure contains yet.
--- a/tests/process/gateway_load_sharing_test.cpp
+++ b/tests/process/gateway_load_sharing_test.cpp
@@ -54,7 +54,7 @@
     caller_ptr send(size_t gateway)
     {
         ++m_sent;
-        return deployment.send("POST", "/m/" + std::to_string(m_sent), { { "X-Model", "m" }, { "X-Token-Counts", "400,400" }, { "X-Prompt-Prefix", "own" + std::to_string(m_sent) + ":400" } }, "question", gateway);
+        return deployment.send("POST", "/m/" + std::to_string(m_sent), { { "X-Model", "m" }, { "X-Token-Counts", "400,400" }, { "X-Prompt-Prefix", "own" + std::to_string(m_sent) + ":400" }, { "X-Deadline-Ms", "15000" } }, "question", gateway);
     }
 
     /// @return Gateways in the order in which they should collect.
