--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_run.hpp"
 
 #include "gateway/crash_watch.hpp"
+#include "gateway/load_exchange.hpp"
 #include "gateway/target_eligibility.hpp"
 #include "gateway/target_pauses.hpp"
 #include "policy/placement_search.hpp"
@@ -123,6 +124,9 @@
         placement.prefixHash = hashes.empty() ? 0 : hashes.back();
     }
     const auto inputBytes = resultBytesByDomain();
+    m_loadChoice.reset();
+    if (m_context.loads && m_context.loads->isUsable(now))
+        return chooseByLoad(placement, hashes, inputBytes, now);
     const bool prefersSharedVersions = m_request.route->isResumable && !m_origin;
     // What a target costs at least that has no calls of this process, with and without the prompt prefix.
     const policy::placement_costs costs;
@@ -149,6 +153,25 @@
     return chosenIndex ? listed[*chosenIndex] : nullptr;
 }
 
+target_ptr request_run::chooseByLoad(const policy::placement_request& placement, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const
+{
+    const auto& listed = m_context.targets.ofService(m_request.service);
+    const bool prefersSharedVersions = m_request.route->isResumable && !m_origin;
+    std::vector<policy::placement_candidate> candidates;
+    candidates.reserve(listed.size());
+    for (const auto& target : listed) {
+        auto& candidate = candidates.emplace_back(candidateOf(*target, sharedHashes, inputBytes, now));
+        candidate.isOnlyOfVersion = prefersSharedVersions && candidate.isUsable && isOnlyOfVersion(listed, *target, [this](const target_state& other) { return isSuitable(other); });
+        candidate.load = m_context.loads->loadOf(*target, now);
+    }
+    policy::load_placement_request load;
+    load.promptTokens = m_request.callerRequest.generation ? m_request.callerRequest.generation->promptTokens : 0;
+    load.tieHash = hashOfPair(m_context.loads->ownHash(), hashOf(m_request.callerRequest.id));
+    load.unseenSends = m_context.loads->unseenSends(m_request.service, now);
+    m_loadChoice = policy::chooseByLoad(candidates, placement, load, {});
+    return m_loadChoice ? listed[m_loadChoice->index] : nullptr;
+}
+
 void request_run::locate(policy::placement_candidate& candidate, std::string_view domain, const bytes_by_domain& inputBytes) const
 {
     const auto& settings = m_context.settings;
@@ -272,7 +295,7 @@
 
     const uint64_t promptTokens = m_request.callerRequest.generation ? m_request.callerRequest.generation->promptTokens : 0;
     target_attempt_ptr& place = m_current ? m_backup : m_current;
-    place = std::make_unique<target_attempt>(target, promptTokens, now);
+    place = std::make_unique<target_attempt>(target, promptTokens, m_loadChoice ? m_loadChoice->cachedTokens : 0, now);
     target_attempt& attempt = *place;
     attempt.inputsFetchedAt = inputsFetchedAt(*target, now);
     attempt.events.setLastId(m_lastEventId);
@@ -290,6 +313,8 @@
     const bool needsNewConnection = !m_request.route->isRetryable();
     attempt.call = sendToTarget(m_context, target, request, { needsNewConnection }, std::move(callbacks));
     m_context.counters.count("sends_total", { { "service", m_request.service } });
+    if (m_context.loads && m_loadChoice)
+        m_context.loads->recordSend(m_request.service, m_request.callerRequest.id, *target, *m_loadChoice, now);
     logLine(log_level::Info, logComponent, "The request was sent to a target.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "send", std::to_string(m_sends) }, { "left_ms", std::to_string(call.timeLeft.count()) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target->listedAt)) }, { "software_version", target->listed.softwareVersion }, { "after_event", m_lastEventId.substr(0, maxLoggedBytes) }, { "in_flight", std::to_string(target->inFlight) }, { "beside_a_silent_target", m_backup ? "true" : "false" } });
 }
 
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -158,6 +158,8 @@
     void refuseContinuation(policy::continuation decision, bool isCertain);
 
     // Attempts.
+    /// Chooses by the load of all gateways.
+    [[nodiscard]] target_ptr chooseByLoad(const policy::placement_request& placement, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const;
     [[nodiscard]] policy::placement_candidate candidateOf(const target_state& target, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const;
     /// Sets what follows from the failure domain of the target.
     void locate(policy::placement_candidate& candidate, std::string_view domain, const bytes_by_domain& inputBytes) const;
@@ -282,6 +284,8 @@
     target_attempt_ptr m_backup;
     time_point m_nextBackupSearchAt {};
     time_point m_lastSentAt {};
+    /// Inputs of the last choice of a target by load, for the log and for the count of queued tokens.
+    mutable std::optional<policy::load_choice> m_loadChoice;
 
     /// Identifier of the last event that the caller has.
     std::string m_lastEventId;
