--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -2,10 +2,12 @@
 
 #include "base/hash.hpp"
 #include "telemetry/log.hpp"
+#include "wire/codec.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <numbers>
+#include <span>
 
 namespace bilberryseam::gateway {
 
@@ -28,8 +30,9 @@
     std::vector<wire::load_item> toWire(const std::vector<policy::load_figures>& items)
     {
         std::vector<wire::load_item> result;
-        result.reserve(items.size());
-        for (const auto& item : items)
+        const size_t count = std::min(items.size(), wire::maxListItems);
+        result.reserve(count);
+        for (const auto& item : std::span(items).first(count))
             result.push_back({ item.target, item.requests, item.prefillTokens, item.contextTokens, item.paceUs, item.paceSamples });
         return result;
     }
--- a/src/gateway/load_exchange.hpp
+++ b/src/gateway/load_exchange.hpp
@@ -38,6 +38,7 @@
     [[nodiscard]] bool isUsable(time_point now) const noexcept { return policy::isUsable(m_view, now); }
     /// @return The load of a target by all entries, as far as it is known.
     [[nodiscard]] policy::target_load loadOf(const target_state& target, time_point now) const noexcept;
+    [[nodiscard]] microseconds figureAge(time_point now) const noexcept { return now - m_view.takenAt; }
     /// @return Estimate of the requests that other entries have sent to a service since the figures were taken.
     [[nodiscard]] double unseenSends(std::string_view service, time_point now) const noexcept;
     /// Counts and logs a request that is sent to a target chosen by its load.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -128,9 +128,9 @@
     for (size_t i = 0; i < candidates.size(); ++i)
         candidates[i].load = m_context.loads->loadOf(*targets[i], now);
     policy::load_placement_request load;
-    load.promptTokens = m_request.callerRequest.generation ? m_request.callerRequest.generation->promptTokens : 0;
     load.tieHash = hashOfPair(m_context.loads->ownHash(), hashOf(m_request.callerRequest.id));
     load.unseenSends = m_context.loads->unseenSends(m_request.service, now);
+    load.figureAge = m_context.loads->figureAge(now);
     m_loadChoice = policy::chooseByLoad(candidates, placement, load, {});
     return m_loadChoice ? std::optional(m_loadChoice->index) : std::nullopt;
 }
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -77,6 +77,10 @@
     /// a tenth more tokens were read again in the replay.
     constexpr double secondTargetShare = 0.75;
 
+    /// Older figures say less and less about the load now: a request needs about two seconds.
+    constexpr milliseconds trustedLoadAge { 500 };
+    constexpr double leastTrust = 0.2;
+
     /// A usable candidate.
     struct loaded_target {
         size_t index = 0;
@@ -113,7 +117,22 @@
         return std::clamp(1 + trust * (load.paceUs / meanPace - 1), minSlowness, maxSlowness);
     }
 
-    std::vector<loaded_target> loadedTargets(std::span<const placement_candidate> candidates, const load_costs& costs)
+    double meanDelayOf(std::span<const loaded_target> targets) noexcept
+    {
+        double sum = 0;
+        for (const loaded_target& target : targets)
+            sum += target.delay;
+        return targets.empty() ? 0 : sum / static_cast<double>(targets.size());
+    }
+
+    /// @return How much of a difference from the mean target still holds, from 1 to `leastTrust`.
+    double trustAt(microseconds age) noexcept
+    {
+        const double share = asSeconds(age - trustedLoadAge) / asSeconds(maxLoadAge - trustedLoadAge);
+        return 1 - std::clamp(share, 0.0, 1.0) * (1 - leastTrust);
+    }
+
+    std::vector<loaded_target> loadedTargets(std::span<const placement_candidate> candidates, microseconds figureAge, const load_costs& costs)
     {
         const double meanPace = meanPaceOf(candidates);
         std::vector<loaded_target> targets;
@@ -126,11 +145,16 @@
             const double waiting = std::max(0.0, candidate.load.requests + 1 - candidate.slots);
             // Requests stay longer at a slow target. With the same number of requests in progress, a target that needs twice as
             // long gets half as many; weighted by the slowness too, it would get a quarter.
-            double delay = candidate.load.prefillTokens / prefillTokensPerMillisecond * slowness + candidate.load.requests * costs.otherRequest + waiting * costs.waitingRequest * slowness;
-            delay = delay * candidate.penalty + (candidate.penalty - 1) * costs.penalty;
+            const double delay = candidate.load.prefillTokens / prefillTokensPerMillisecond * slowness + candidate.load.requests * costs.otherRequest + waiting * costs.waitingRequest * slowness;
             const double perSend = costs.otherRequest + costs.typicalUncachedTokens / prefillTokensPerMillisecond * slowness;
             targets.push_back({ i, slowness, delay, perSend });
         }
+        const double meanDelay = meanDelayOf(targets);
+        const double trust = trustAt(figureAge);
+        for (loaded_target& target : targets) {
+            const double penalty = candidates[target.index].penalty;
+            target.delay = (meanDelay + (target.delay - meanDelay) * trust) * penalty + (penalty - 1) * costs.penalty;
+        }
         return targets;
     }
 
@@ -193,7 +217,8 @@
             // Bounds differ between requests. With one bound for all, gateways with the same old figures would move a prefix
             // from one target to the next and back together.
             const double draw = fractionOf(hashOfPair(tieHash, candidate.hash));
-            const double share = isCached ? 0.5 + draw : &target == second ? secondTargetShare * (0.5 + draw) : 0;
+            const double share = isCached ? 0.5 + draw : &target == second ? secondTargetShare * (0.5 + draw)
+                                                                           : 0;
             const double saved = share > 0 ? prefixMilliseconds * share : target.delayPerSend * (draw - 0.5);
             if (target.delay + distanceOf(candidate, costs) > meanDelay + saved)
                 continue;
@@ -212,6 +237,7 @@
         const double level = filledLevel(targets, load.unseenSends);
         const auto costAt = [&](const loaded_target& target) {
             const placement_candidate& candidate = candidates[target.index];
+            // Tokens that no target has cached are left out: by them, slow targets would get nothing as long as fast ones are idle.
             const uint64_t uncachedTokens = request.sharedTokens - std::min(request.sharedTokens, candidate.cachedTokens);
             return std::max(target.delay, level) + static_cast<double>(uncachedTokens) / prefillTokensPerMillisecond * target.slowness + distanceOf(candidate, costs);
         };
@@ -238,12 +264,10 @@
 
 std::optional<load_choice> chooseByLoad(std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, const load_costs& costs)
 {
-    const auto targets = loadedTargets(candidates, costs);
+    const auto targets = loadedTargets(candidates, load.figureAge, costs);
     if (targets.empty())
         return std::nullopt;
-    double meanDelay = 0;
-    for (const loaded_target& target : targets)
-        meanDelay += target.delay / static_cast<double>(targets.size());
+    const double meanDelay = meanDelayOf(targets);
     const double prefixMilliseconds = static_cast<double>(request.sharedTokens) / prefillTokensPerMillisecond;
     const loaded_target* chosen = nullptr;
     if (request.prefixHash != 0 && prefixMilliseconds >= costs.minPrefixMilliseconds)
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -78,12 +78,13 @@
 
 /// Properties of a request and of the figures by which `chooseByLoad` decides.
 struct load_placement_request {
-    uint64_t promptTokens = 0;
     /// Hash of the gateway's name and the request. It breaks near ties, so that many gateways that decide by the same figures
     /// do not all choose the same target.
     uint64_t tieHash = 0;
     /// Estimate of the requests that the other gateways have sent to the service since the figures were taken.
     double unseenSends = 0;
+    /// Age of the figures.
+    microseconds figureAge { 0 };
 };
 
 /// Costs in milliseconds of delay.
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -16,7 +16,7 @@
 constexpr size_t maxTextBytes = 4 * 1024 * 1024;
 
 /// Maximum length of one list inside a message: configuration records, task inputs, result handles.
-constexpr size_t maxListItems = 1024;
+constexpr size_t maxListItems = 4096;
 
 /// @return The frame as CBOR.
 [[nodiscard]] std::string encodeFrame(const frame& value);
