--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -165,9 +165,9 @@
         candidate.load = m_context.loads->loadOf(*target, now);
     }
     policy::load_placement_request load;
-    load.promptTokens = m_request.callerRequest.generation ? m_request.callerRequest.generation->promptTokens : 0;
     load.tieHash = hashOfPair(m_context.loads->ownHash(), hashOf(m_request.callerRequest.id));
     load.unseenSends = m_context.loads->unseenSends(m_request.service, now);
+    load.figureAge = m_context.loads->figureAge(now);
     m_loadChoice = policy::chooseByLoad(candidates, placement, load, {});
     return m_loadChoice ? listed[m_loadChoice->index] : nullptr;
 }
