Pools admit jobs by predicted start, and order tasks by rank and account (setting poolAdmission)

In a saturated pool, a job that could not start before its deadline waited until then, and one account could make all others late. The owner of a pool now predicts the start of a job from its queue and refuses it at once with the predicted wait; the order respects ranks and fair shares of accounts. Disabled by default; the wire protocol has version 5, since start_tasks names the account and task_finished the wait.

--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -48,7 +48,7 @@
 
     platform::task_failure failureOf(uint32_t number)
     {
-        const bool isKnown = number <= static_cast<uint32_t>(platform::task_failure::Failed);
+        const bool isKnown = number <= static_cast<uint32_t>(platform::task_failure::Overloaded);
         return isKnown ? static_cast<platform::task_failure>(number) : platform::task_failure::Failed;
     }
 }
@@ -148,6 +148,8 @@
     message.requiredDomain = job->requiredDomain;
     message.preferredDomain = job->preferredDomain;
     message.tokens = job->weightedTokens;
+    message.account = job->account;
+    message.objectiveMs = static_cast<uint32_t>(job->objective.count());
     owner.session->post(std::move(message));
     m_context.counters.count("jobs_sent_total", { { "service", job->service } });
 }
@@ -202,6 +204,7 @@
     m_context.counters.count("jobs_taken_back_total", { { "reason", std::string(reason) } }, static_cast<double>(lostJobs.size()));
     logLine(log_level::Warning, logComponent, "The connection to a pool owner was lost; the jobs delegated to it are run elsewhere.", { { "entry", name }, { "reason", std::string(reason) }, { "jobs", std::to_string(lostJobs.size()) }, { "first_request", lostJobs.front()->requestId } });
     for (const auto& job : lostJobs) {
+        job->mayRunElsewhere = true;
         if (!job->isCancelled)
             run(job);
     }
@@ -296,12 +299,18 @@
     }
     if (position->second.isTakenBack)
         logLine(log_level::Info, logComponent, "A pool owner delivered a result after its connection had been lost; the result is used.", { { "entry", name }, { "request", job->requestId }, { "stage", std::to_string(job->stage) }, { "piece", std::to_string(message.task) } });
+    const task_outcome outcome { message.handle, failureOf(message.failure), milliseconds(message.waitMs) };
+    if (outcome.failure == platform::task_failure::Overloaded && m_delegatedNumbers.count(job.get()) > 1) {
+        // A previous owner may still deliver.
+        eraseDelegated(position);
+        return;
+    }
     const bool isLast = std::count(job->finishedTasks.begin(), job->finishedTasks.end(), false) <= 1;
     if (isLast) {
         eraseDelegated(position);
         cancelDelegated(*job);
     }
-    static_cast<void>(job->finishTask(message.task, { message.handle, failureOf(message.failure) }));
+    static_cast<void>(job->finishTask(message.task, outcome));
 }
 
 void pool_router::handleRefusedTasks(const std::string& name, uint64_t number)
@@ -362,9 +371,11 @@
     job->requiredDomain = std::move(message.requiredDomain);
     job->preferredDomain = std::move(message.preferredDomain);
     job->weightedTokens = message.tokens;
+    job->account = std::move(message.account);
+    job->objective = milliseconds(message.objectiveMs);
     const std::pair key { session, message.jobNumber };
     job->onTaskFinished = [this, key](uint32_t task, const task_outcome& outcome) {
-        m_server.post(key.first, wire::task_finished { key.second, task, outcome.handle, static_cast<uint32_t>(outcome.failure) });
+        m_server.post(key.first, wire::task_finished { key.second, task, outcome.handle, static_cast<uint32_t>(outcome.failure), static_cast<uint32_t>(outcome.wait.count()) });
         const auto hostedJob = m_hostedJobs.find(key);
         if (hostedJob != m_hostedJobs.end() && --hostedJob->second.unfinishedTasks == 0)
             m_hostedJobs.erase(hostedJob);
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -27,6 +27,9 @@
 
     /// Longest time that a caller is asked to stay away because all targets are limited.
     constexpr milliseconds longestRetryAfter { 10000 };
+
+    /// Shortest time over which callers that a pool refused come back, so that they do not return in one burst.
+    constexpr milliseconds shortestOverloadSpread { 1000 };
 }
 
 std::optional<milliseconds> request_run::waitForLimits(time_point now)
@@ -103,6 +106,17 @@
     refuse("rate_limited", std::max(detail::retryAfterTransientFailure, retryAfter));
 }
 
+void request_run::refuseOverloaded(milliseconds wait)
+{
+    constexpr std::string_view reason = "pool_overloaded";
+    if (m_mayHaveRun || m_request.exchange->isStarted()) {
+        finishWithoutResponse(reason);
+        return;
+    }
+    const milliseconds shortest = std::min(longestRetryAfter, wait);
+    refuse(reason, std::max(detail::retryAfterTransientFailure, shortest + spreadOver(std::max(shortestOverloadSpread, shortest))));
+}
+
 void request_run::recordCrash(const target_attempt& attempt, time_point now)
 {
     policy::suspicion suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, false, now);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -161,6 +161,9 @@
     [[nodiscard]] std::optional<milliseconds> waitForLimits(time_point now);
     void refuseLimited(milliseconds expectedWait);
     void refusePaused(milliseconds pauseLeft, time_point now);
+    /// Ends the request because a pool cannot start its tasks in time.
+    /// @param wait  Predicted time until the pool has room.
+    void refuseOverloaded(milliseconds wait);
     /// @return A part of the time that differs between requests.
     [[nodiscard]] milliseconds spreadOver(milliseconds time) const;
     /// @return Time until the first target is available, if targets pause and none is available before the request's wait or
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -201,6 +201,8 @@
     if (const auto& prompt = m_request.callerRequest.generation)
         job->weightedTokens = prompt->promptTokens + outputTokenPrice * prompt->maxOutputTokens;
     job->rank = static_cast<uint32_t>(std::clamp(m_request.rank, 0, 9));
+    job->account = m_request.account;
+    job->objective = m_request.route->objective;
     if (stage.resultBytes >= largeResultBytes)
         job->requiredDomain = m_requiredDomain;
     // Each task fetches all inputs.
@@ -265,6 +267,8 @@
             cancelAndReleaseStages();
         else if (outcome.failure == platform::task_failure::Expired)
             finishWithoutResponse("stage_late");
+        else if (outcome.failure == platform::task_failure::Overloaded)
+            refuseOverloaded(outcome.wait);
         else
             restartStages(platform::nameOf(outcome.failure));
         return;
--- a/src/gateway/stage_job.hpp
+++ b/src/gateway/stage_job.hpp
@@ -16,6 +16,8 @@
     /// Handle of the result; empty if there is none.
     std::string handle;
     platform::task_failure failure = platform::task_failure::None;
+    /// Predicted time until the pool has room for the job, if it refused it as overloaded.
+    milliseconds wait { 0 };
 };
 
 /// All tasks of one stage of a request, which a pool runs.
@@ -30,6 +32,10 @@
     time_point latestStart {};
     time_point deadline {};
     uint32_t rank = 0;
+    /// Client account of the request; empty if it has none.
+    std::string account;
+    /// Latency objective of the request; zero if not given.
+    milliseconds objective { 0 };
     /// Prompt tokens, plus the output tokens weighted by their price.
     uint64_t weightedTokens = 0;
     /// Failure domain in which the results must be produced; empty if any will do.
@@ -41,6 +47,8 @@
 
     /// At least one task was sent to a target.
     bool isStarted = false;
+    /// Another entry may still run the job, so it is not refused here.
+    bool mayRunElsewhere = false;
     /// The results are no longer needed.
     bool isCancelled = false;
     /// Tasks that have finished, so that none is reported twice.
--- /dev/null
+++ b/src/gateway/task_admission.cpp
@@ -0,0 +1,131 @@
+/// Admission of jobs to pools, and what the order of their tasks depends on.
+#include "gateway/task_scheduler.hpp"
+
+#include <algorithm>
+
+namespace bilberryseam::gateway {
+
+namespace {
+    constexpr std::string_view logComponent = "pieces";
+
+    /// A task that was overtaken for longer than its request's objective divided by this is not overtaken any more.
+    constexpr int overtakeDivisor = 2;
+
+    bool isFarAbove(const policy::standing_table& standings, const policy::account_rank& user)
+    {
+        const auto position = standings.find(user);
+        return position != standings.end() && position->second == policy::share_standing::FarAboveShare;
+    }
+}
+
+policy::queued_task task_scheduler::planningTask(const queued_task& task, const policy::standing_table& standings, time_point now)
+{
+    const stage_job& job = *task.job;
+    policy::queued_task view { task.jobId, job.isStarted, job.latestStart, task.queuedAt, job.resultBytes, job.rank, task.boost, job.requiredDomain, job.preferredDomain, job.deadline };
+    if (const auto standing = standings.find({ job.account, job.rank }); standing != standings.end())
+        view.standing = standing->second;
+    view.isOvertakenTooLong = task.overtakenAt && job.objective.count() > 0 && now - *task.overtakenAt > job.objective / overtakeDivisor;
+    return view;
+}
+
+policy::pool_capacity task_scheduler::capacityOf(const std::string& service, const deployment::pool_profile& profile, time_point now) const
+{
+    policy::pool_capacity capacity { {}, static_cast<size_t>(std::max(1, profile.batchSize)), profile.callOverhead, profile.taskMilliseconds };
+    for (const auto& target : m_context.targets.ofService(service)) {
+        if (!target->isInService())
+            continue;
+        const time_point usableAt = std::max({ now, target->pause.until, target->health.blockedUntil });
+        for (uint32_t slot = 0; slot < static_cast<uint32_t>(std::max(1, profile.slots)); ++slot)
+            capacity.freeAt.push_back(slot < target->inFlight ? std::max(usableAt, target->busyUntil) : usableAt);
+    }
+    return capacity;
+}
+
+policy::batching_rules task_scheduler::rulesOf(const pool& pool, const deployment::pool_profile& profile) const
+{
+    policy::batching_rules rules { static_cast<size_t>(profile.batchSize) };
+    rules.isOrderedByRankAndAccount = m_context.settings.poolAdmission;
+    rules.isOvertakenJobDue = policy::isReserveDue(pool.reserve);
+    return rules;
+}
+
+policy::standing_table task_scheduler::currentStandings(const std::string& service, const pool& pool, time_point now) const
+{
+    if (!m_context.settings.poolAdmission || !pool.profile)
+        return {};
+    const auto& targets = m_context.targets.ofService(service);
+    const auto usable = static_cast<size_t>(std::count_if(targets.begin(), targets.end(), [now](const auto& target) { return target->mayGetWork(now); }));
+    const bool isOverloaded = pool.queue.size() > usable * static_cast<size_t>(std::max(1, pool.profile->batchSize * pool.profile->slots));
+    if (!isOverloaded)
+        return {};
+    std::vector<policy::account_rank> waiting;
+    for (const auto& task : pool.queue) {
+        const policy::account_rank user { task->job->account, task->job->rank };
+        // The tasks of a job follow one another.
+        if (waiting.empty() || waiting.back() != user)
+            waiting.push_back(user);
+    }
+    return policy::standingsOf(pool.usage, waiting, now);
+}
+
+void task_scheduler::updateStandings(const std::string& service, pool& pool, policy::standing_table standings)
+{
+    const auto logChanges = [&](const policy::standing_table& from, const policy::standing_table& to, std::string_view state) {
+        for (const auto& [user, standing] : to) {
+            if (isFarAbove(to, user) && !isFarAbove(from, user))
+                logLine(log_level::Info, logComponent, "The order of an account's tasks in an overloaded pool changed.", { { "service", service }, { "account", user.first }, { "rank", std::to_string(user.second) }, { "share", std::string(state) }, { "waiting", std::to_string(pool.queue.size()) } });
+        }
+    };
+    logChanges(pool.standings, standings, "far_above");
+    logChanges(standings, pool.standings, "within");
+    pool.standings = std::move(standings);
+}
+
+std::optional<milliseconds> task_scheduler::refusalOf(const stage_job& job, const std::vector<task_ptr>& ownTasks, const pool& pool, time_point now) const
+{
+    const bool isNew = !job.mayRunElsewhere && !job.isStarted && ownTasks.size() == job.taskCount;
+    if (!m_context.settings.poolAdmission || !pool.profile || !isNew)
+        return std::nullopt;
+    const auto capacity = capacityOf(job.service, *pool.profile, now);
+    if (capacity.freeAt.empty() || policy::hasRoomInAnyOrder(pool.queue.size(), ownTasks.size(), capacity, job.deadline, now))
+        return std::nullopt;
+    const auto standings = currentStandings(job.service, pool, now);
+    std::vector<policy::queued_task> tasks;
+    tasks.reserve(pool.queue.size() + ownTasks.size());
+    for (const auto& task : pool.queue) {
+        if (task->job->isNeeded(task->index))
+            tasks.push_back(planningTask(*task, standings, now));
+    }
+    const size_t firstOwn = tasks.size();
+    for (const auto& task : ownTasks)
+        tasks.push_back(planningTask(*task, standings, now));
+    const auto admission = policy::admitJob(tasks, firstOwn, capacity, rulesOf(pool, *pool.profile), now);
+    if (admission.isAccepted)
+        return std::nullopt;
+    m_context.counters.count("jobs_refused_total", { { "service", job.service } });
+    logLine(log_level::Info, logComponent, "A pool refused the tasks of a request because they cannot start before their deadline.", { { "request", job.requestId }, { "service", job.service }, { "account", job.account }, { "rank", std::to_string(job.rank) }, { "pieces", std::to_string(ownTasks.size()) }, { "waiting", std::to_string(firstOwn) }, { "slots", std::to_string(capacity.freeAt.size()) }, { "starts_in_ms", std::to_string(asMilliseconds(admission.startsAt - now)) }, { "deadline_in_ms", std::to_string(asMilliseconds(job.deadline - now)) }, { "wait_ms", std::to_string(admission.wait.count()) } });
+    return admission.wait;
+}
+
+void task_scheduler::reportRefusedJobs(pool& pool)
+{
+    for (const auto& [job, wait] : std::exchange(pool.refusedJobs, {})) {
+        for (uint32_t task = 0; task < job->taskCount; ++task)
+            job->finishTask(task, { "", platform::task_failure::Overloaded, wait });
+    }
+}
+
+void task_scheduler::recordPlan(pool& pool, const deployment::pool_profile& profile, std::span<const task_ptr> tasks, std::span<const policy::queued_task> plannedTasks, std::span<const policy::task_batch> batches, time_point now)
+{
+    for (const auto& batch : batches) {
+        const double timeOfTask = asSeconds(profile.expectedCallTime(batch.tasks.size())) * 1000 / static_cast<double>(batch.tasks.size());
+        for (const size_t index : batch.tasks)
+            policy::recordUse(pool.usage, { tasks[index]->job->account, tasks[index]->job->rank }, timeOfTask, now);
+    }
+    for (const size_t index : policy::overtakenTasks(plannedTasks, batches)) {
+        if (!tasks[index]->overtakenAt)
+            tasks[index]->overtakenAt = now;
+    }
+    policy::recordBatches(pool.reserve, plannedTasks, batches, now);
+}
+}
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -101,10 +101,15 @@
     earnRetries(m_context, job->service, now);
     pool& pool = m_pools[job->service];
     const milliseconds boost = policy::recordValue(pool.values, static_cast<double>(job->weightedTokens), job->taskCount);
+    std::vector<task_ptr> tasks;
     for (uint32_t task = 0; task < job->taskCount; ++task) {
         if (!job->finishedTasks[task])
-            pool.queue.push_back(std::make_shared<queued_task>(queued_task { job, task, jobId, now, boost, 0, {} }));
+            tasks.push_back(std::make_shared<queued_task>(queued_task { job, task, jobId, now, boost, 0, {}, {} }));
     }
+    if (const auto wait = refusalOf(*job, tasks, pool, now))
+        pool.refusedJobs.emplace_back(job, *wait);
+    else
+        pool.queue.insert(pool.queue.end(), tasks.begin(), tasks.end());
     scheduleTick();
 }
 
@@ -138,6 +143,7 @@
     for (auto result = m_results.begin(); result != m_results.end();)
         result = result->second.expiresAt <= now ? eraseResult(result) : std::next(result);
     for (auto& [service, pool] : m_pools) {
+        reportRefusedJobs(pool);
         std::vector<task_ptr> infeasible;
         std::erase_if(pool.queue, [&](const auto& task) {
             if (now + minUsefulTime < task->job->deadline)
@@ -263,12 +269,13 @@
     std::copy_if(pool.queue.begin(), pool.queue.end(), std::back_inserter(readyTasks), [now](const auto& task) { return now >= task->notBefore; });
     std::vector<policy::queued_task> tasks;
     tasks.reserve(readyTasks.size());
-    for (const auto& task : readyTasks) {
-        const stage_job& job = *task->job;
-        tasks.push_back({ task->jobId, job.isStarted, job.latestStart, task->queuedAt, job.resultBytes, job.rank, task->boost, job.requiredDomain, job.preferredDomain });
-    }
-    const policy::batching_rules rules { static_cast<size_t>(profile->batchSize) };
-    for (const auto& batch : policy::planBatches(tasks, targets, rules, now)) {
+    updateStandings(service, pool, currentStandings(service, pool, now));
+    for (const auto& task : readyTasks)
+        tasks.push_back(planningTask(*task, pool.standings, now));
+    const auto batches = policy::planBatches(tasks, targets, rulesOf(pool, *profile), now);
+    if (m_context.settings.poolAdmission)
+        recordPlan(pool, *profile, readyTasks, tasks, batches, now);
+    for (const auto& batch : batches) {
         std::vector<task_ptr> batchTasks;
         for (const size_t index : batch.tasks)
             batchTasks.push_back(readyTasks[index]);
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -3,7 +3,9 @@
 
 #include "gateway/context.hpp"
 #include "gateway/stage_job.hpp"
+#include "policy/account_share.hpp"
 #include "policy/batching.hpp"
+#include "policy/pool_admission.hpp"
 #include "policy/work_value.hpp"
 
 #include <functional>
@@ -26,7 +28,7 @@
     /// @return Whether the configuration or an earlier one has a pool of this name.
     [[nodiscard]] bool hasPool(std::string_view service) const { return profileOf(service); }
 
-    /// Queues the unfinished tasks of a job.
+    /// Queues the unfinished tasks of a job. With `poolAdmission`, refuses the job if it cannot start before its deadline.
     void add(const job_ptr& job);
 
     /// Cancels a job and removes its tasks from the queue. Results of tasks that are running are released when they arrive.
@@ -50,6 +52,8 @@
         unsigned attempts = 0;
         /// The task is not sent before this time.
         time_point notBefore {};
+        /// Time from which later tasks of the same rank have been sent before this one.
+        std::optional<time_point> overtakenAt;
     };
     using task_ptr = std::shared_ptr<queued_task>;
 
@@ -66,11 +70,35 @@
         policy::value_average values;
         std::list<std::shared_ptr<batch_call>> calls;
         std::optional<deployment::pool_profile> profile;
+        policy::account_usage usage;
+        /// Standings of the accounts when calls were last planned, to log changes.
+        policy::standing_table standings;
+        policy::overtaken_reserve reserve;
+        /// Jobs that were refused; reported at the next tick.
+        std::vector<std::pair<job_ptr, milliseconds>> refusedJobs;
     };
 
     /// @return A target's state as input for the planning of batches.
     [[nodiscard]] policy::pool_target planningTarget(const target_state& target, const pool& pool, const deployment::pool_profile& profile, time_point now) const;
     void startBatchCalls(const std::string& service, pool& pool, time_point now);
+
+    // Admission and order; in task_admission.cpp.
+    /// @return A waiting task as input for planning.
+    [[nodiscard]] static policy::queued_task planningTask(const queued_task& task, const policy::standing_table& standings, time_point now);
+    [[nodiscard]] policy::pool_capacity capacityOf(const std::string& service, const deployment::pool_profile& profile, time_point now) const;
+    /// @return The standings of the accounts with work in the pool; empty unless `poolAdmission` is set and more tasks wait than
+    /// one call at each target takes.
+    [[nodiscard]] policy::standing_table currentStandings(const std::string& service, const pool& pool, time_point now) const;
+    /// Logs accounts that have come to be far above their share, or are so no longer.
+    static void updateStandings(const std::string& service, pool& pool, policy::standing_table standings);
+    [[nodiscard]] policy::batching_rules rulesOf(const pool& pool, const deployment::pool_profile& profile) const;
+    /// Decides on a job that is not queued yet.
+    /// @return The predicted wait if the job is refused.
+    [[nodiscard]] std::optional<milliseconds> refusalOf(const stage_job& job, const std::vector<task_ptr>& ownTasks, const pool& pool, time_point now) const;
+    static void reportRefusedJobs(pool& pool);
+    /// Records the use of the pool and which tasks were overtaken.
+    static void recordPlan(pool& pool, const deployment::pool_profile& profile, std::span<const task_ptr> tasks, std::span<const policy::queued_task> plannedTasks, std::span<const policy::task_batch> batches, time_point now);
+
     void requeueOverdueCalls(const std::string& service, pool& pool, time_point now);
     /// Queues copies of an overdue call's tasks, as far as the retry budget and the limit of sends allow.
     void requeueTasks(const std::string& service, pool& pool, batch_call& call, time_point now);
--- a/src/platform/batch_call.cpp
+++ b/src/platform/batch_call.cpp
@@ -52,6 +52,8 @@
         return "no_memory";
     case task_failure::Failed:
         return "failed";
+    case task_failure::Overloaded:
+        return "overloaded";
     }
     return "failed";
 }
--- a/src/platform/batch_call.hpp
+++ b/src/platform/batch_call.hpp
@@ -42,6 +42,8 @@
     NoMemory,
     /// The task failed.
     Failed,
+    /// The pool refused the whole job: it could not start before its deadline. Not sent by targets.
+    Overloaded,
 };
 
 [[nodiscard]] std::string_view nameOf(task_failure failure) noexcept;
--- /dev/null
+++ b/src/policy/account_share.cpp
@@ -0,0 +1,66 @@
+#include "policy/account_share.hpp"
+
+#include <algorithm>
+
+namespace bilberryseam::policy {
+
+namespace {
+    /// Use is summed over periods of this length, which bounds the size of the record.
+    constexpr milliseconds periodLength { 500 };
+
+    /// Fluctuation between accounts of equal load must not change the order of ranks, so an account loses the precedence of
+    /// its rank only if it uses this many times what the others of the rank use.
+    constexpr double farAboveFactor = 2;
+
+    struct rank_use {
+        double milliseconds = 0;
+        size_t accounts = 0;
+    };
+}
+
+void recordUse(account_usage& usage, const account_rank& user, double milliseconds, time_point now)
+{
+    if (!(milliseconds > 0))
+        return;
+    while (!usage.periods.empty() && now - usage.periods.front().startsAt >= usageWindow)
+        usage.periods.pop_front();
+    if (usage.periods.empty() || now - usage.periods.back().startsAt >= periodLength)
+        usage.periods.push_back({ now, {} });
+    usage.periods.back().milliseconds[user] += milliseconds;
+}
+
+standing_table standingsOf(const account_usage& usage, std::span<const account_rank> waiting, time_point now)
+{
+    std::map<account_rank, double> uses;
+    for (const auto& period : usage.periods) {
+        if (now - period.startsAt >= usageWindow)
+            continue;
+        for (const auto& [user, milliseconds] : period.milliseconds)
+            uses[user] += milliseconds;
+    }
+    for (const auto& user : waiting)
+        uses.try_emplace(user, 0);
+    std::map<std::string, double> usesByAccount;
+    std::map<uint32_t, rank_use> usesByRank;
+    double total = 0;
+    for (const auto& [user, milliseconds] : uses) {
+        usesByAccount[user.first] += milliseconds;
+        usesByRank[user.second].milliseconds += milliseconds;
+        ++usesByRank[user.second].accounts;
+        total += milliseconds;
+    }
+    const double fairShare = total / static_cast<double>(std::max<size_t>(1, usesByAccount.size()));
+    standing_table standings;
+    for (const auto& [user, milliseconds] : uses) {
+        share_standing& standing = standings[user];
+        if (usesByAccount[user.first] <= fairShare)
+            continue;
+        standing = share_standing::AboveShare;
+        const rank_use& rank = usesByRank[user.second];
+        const double ofOthers = rank.milliseconds - milliseconds;
+        if (rank.accounts > 1 && milliseconds * static_cast<double>(rank.accounts - 1) > ofOthers * farAboveFactor)
+            standing = share_standing::FarAboveShare;
+    }
+    return standings;
+}
+}
--- a/src/policy/batching.hpp
+++ b/src/policy/batching.hpp
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "policy/account_share.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -37,6 +38,12 @@
     std::string_view requiredDomain;
     /// Failure domain that holds most of the inputs; may be empty.
     std::string_view preferredDomain;
+    /// The task is not sent from this time on.
+    time_point deadline = time_point::max();
+    /// Standing of the request's account; `WithinShare` while the pool is not overloaded.
+    share_standing standing = share_standing::WithinShare;
+    /// Later tasks of its rank have been sent before it for more than half of its request's objective.
+    bool isOvertakenTooLong = false;
 };
 
 /// A target of the pool, as the planner sees it.
@@ -65,8 +72,42 @@
     milliseconds requiredDomainWait { 400 };
     /// Delay of a task for each step of its priority rank.
     milliseconds delayPerRank { 100 };
+    /// Orders tasks by rank, account and boost, in this order of precedence, as `orderTasks` describes.
+    bool isOrderedByRankAndAccount = false;
+    /// A job that was overtaken for too long and is late, or whose account is far above its share, goes before the others.
+    bool isOvertakenJobDue = false;
 };
 
+/// Share of a pool's tasks that is kept for jobs that would otherwise starve: those that were overtaken for too long and
+/// are late, or whose account is far above its share.
+struct overtaken_reserve {
+    /// Tasks that such jobs may still send.
+    double credit = 0;
+};
+
+/// Records calls that are sent. Credit is collected only while jobs wait that need it.
+void recordBatches(overtaken_reserve& reserve, std::span<const queued_task> tasks, std::span<const task_batch> batches, time_point now);
+
+/// @return True if a job that was overtaken for too long should be started.
+[[nodiscard]] bool isReserveDue(const overtaken_reserve& reserve) noexcept;
+
+/// @return True if only the reserve, or an idle target, can start the task.
+[[nodiscard]] bool needsReserve(const queued_task& task, time_point now) noexcept;
+
+/// Orders tasks by start. Tasks of started jobs go first, so that their results do not occupy memory for long.
+///
+/// By default, tasks that can still meet their objective follow by latest start, with a delay for each rank and the boost.
+///
+/// With `isOrderedByRankAndAccount`, tasks that can still meet their objective go before late ones, and in each of these
+/// groups, those of accounts far above their share go last. In the resulting groups:
+/// - A task of a more urgent rank is never after one of a less urgent rank whose latest start is the same or later.
+/// - Within a rank, tasks that were overtaken for too long go first, in order of arrival. Then tasks of accounts within
+///   their share go before those above it, then by latest start less the boost.
+[[nodiscard]] std::vector<size_t> orderTasks(std::span<const queued_task> tasks, const batching_rules& rules, time_point now);
+
+/// @return The waiting tasks before which a task of the same rank was sent that had been queued later.
+[[nodiscard]] std::vector<size_t> overtakenTasks(std::span<const queued_task> tasks, std::span<const task_batch> batches);
+
 /// @return The calls to send now; no target and no task occurs in two of them.
 [[nodiscard]] std::vector<task_batch> planBatches(std::span<const queued_task> tasks, std::span<const pool_target> targets, const batching_rules& rules, time_point now);
 }
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -1,6 +1,7 @@
 /// Umbrella header of the `policy` package: decisions as free functions on plain structs, without I/O or clocks.
 #pragma once
 
+#include "policy/account_share.hpp"
 #include "policy/batching.hpp"
 #include "policy/budget.hpp"
 #include "policy/call_queue.hpp"
@@ -13,6 +14,7 @@
 #include "policy/ownership.hpp"
 #include "policy/placement.hpp"
 #include "policy/planned_stop.hpp"
+#include "policy/pool_admission.hpp"
 #include "policy/rate_limit.hpp"
 #include "policy/routing.hpp"
 #include "policy/spread.hpp"
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -22,6 +22,7 @@
         "store": { "type": "string" },
         "processorShare": { "type": "number", "exclusiveMinimum": 0 },
         "regions": { "type": "object", "additionalProperties": { "type": "string" } },
+        "poolAdmission": { "type": "boolean" },
         "bounds": {
           "type": "object",
           "additionalProperties": false,
@@ -75,6 +76,7 @@
         settings.peerListen = detail::readEndpoint(document, "peerListen", path);
         settings.store = detail::readEndpoint(document, "store", path);
         settings.processorShare = document.value("processorShare", settings.processorShare);
+        settings.poolAdmission = document.value("poolAdmission", settings.poolAdmission);
         const json regions = document.value("regions", json::object());
         for (const auto& [domain, region] : regions.items())
             settings.regions.emplace(domain, region.get<std::string>());
@@ -94,7 +96,7 @@
 json gateway_settings::toJson() const
 {
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "operatorListen", operatorListen.toString() },
-        { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions },
+        { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions }, { "poolAdmission", poolAdmission },
         { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) } } },
         { "limits", { { "maxHeldBytes", limits.maxHeldBytes }, { "maxConnections", limits.maxConnections } } } };
 }
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -53,6 +53,8 @@
     std::map<std::string, std::string, std::less<>> regions;
     gateway_bounds bounds;
     gateway_limits limits;
+    /// Pools refuse jobs that cannot start in time, and order tasks by rank and account.
+    bool poolAdmission = false;
 
     /// @return The settings in a JSON file, or `InvalidSettings` with location and remedy.
     [[nodiscard]] static result<gateway_settings> fromFile(const std::string& path);
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -12,7 +12,7 @@
 namespace bilberryseam::wire {
 
 /// Version of the protocol between daemons. The handshake refuses a peer with another version.
-constexpr uint32_t protocolVersion = 4;
+constexpr uint32_t protocolVersion = 5;
 
 /// Why a side refused a call before it started. The call did not run.
 enum class refusal : uint8_t {
@@ -226,9 +226,13 @@
     std::string preferredDomain;
     /// Prompt tokens plus tokens to generate; the latter are weighted by their price.
     uint64_t tokens = 0;
+    /// Client account of the request; may be empty.
+    std::string account;
+    /// Latency objective of the request; zero if not given.
+    uint32_t objectiveMs = 0;
 
     template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(jobNumber, request, service, stage, taskCount, taskKey, inputs, resultBytes, latestStartMs, remainingMs, rank, requiredDomain, preferredDomain, tokens); }
+    void visitFields(Visitor& visit) { visit(jobNumber, request, service, stage, taskCount, taskKey, inputs, resultBytes, latestStartMs, remainingMs, rank, requiredDomain, preferredDomain, tokens, account, objectiveMs); }
 };
 
 /// Owner to entry: one task has its result, or has finally failed.
@@ -237,9 +241,11 @@
     uint32_t task = 0;
     std::string handle;
     uint32_t failure = 0;
+    /// Predicted time until the pool has room for the job, if it refused it as overloaded.
+    uint32_t waitMs = 0;
 
     template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(jobNumber, task, handle, failure); }
+    void visitFields(Visitor& visit) { visit(jobNumber, task, handle, failure, waitMs); }
 };
 
 /// Owner to entry: it does not serve the pool now; no task was started.
