Order of tasks in pools: value across ranks, accounts far above their share last, protection from further tasks

The order now keeps the boost by value across ranks, with 400 ms for each rank, and puts ranks first only among equal latest starts. An account loses precedence if it uses 1.25 times what others at its ranks use.

--- a/src/gateway/task_admission.cpp
+++ b/src/gateway/task_admission.cpp
@@ -8,7 +8,7 @@
 namespace {
     constexpr std::string_view logComponent = "pieces";
 
-    /// A task that was overtaken for longer than its request's objective divided by this is not overtaken any more.
+    /// A task that was overtaken for its request's objective divided by this is protected from further tasks.
     constexpr int overtakeDivisor = 2;
 
     bool isFarAbove(const policy::standing_table& standings, const policy::account_rank& user)
@@ -18,13 +18,14 @@
     }
 }
 
-policy::queued_task task_scheduler::planningTask(const queued_task& task, const policy::standing_table& standings, time_point now)
+policy::queued_task task_scheduler::planningTask(const queued_task& task, const policy::standing_table& standings)
 {
     const stage_job& job = *task.job;
     policy::queued_task view { task.jobId, job.isStarted, job.latestStart, task.queuedAt, job.resultBytes, job.rank, task.boost, job.requiredDomain, job.preferredDomain, job.deadline };
     if (const auto standing = standings.find({ job.account, job.rank }); standing != standings.end())
         view.standing = standing->second;
-    view.isOvertakenTooLong = task.overtakenAt && job.objective.count() > 0 && now - *task.overtakenAt > job.objective / overtakeDivisor;
+    if (task.overtakenAt && job.objective.count() > 0)
+        view.protectedFrom = *task.overtakenAt + job.objective / overtakeDivisor;
     return view;
 }
 
@@ -41,11 +42,13 @@
     return capacity;
 }
 
-policy::batching_rules task_scheduler::rulesOf(const pool& pool, const deployment::pool_profile& profile) const
+policy::batching_rules task_scheduler::rulesOf(const deployment::pool_profile& profile) const
 {
     policy::batching_rules rules { static_cast<size_t>(profile.batchSize) };
-    rules.isOrderedByRankAndAccount = m_context.settings.poolAdmission;
-    rules.isOvertakenJobDue = policy::isReserveDue(pool.reserve);
+    if (m_context.settings.poolAdmission) {
+        rules.isOrderedByRankAndAccount = true;
+        rules.delayPerRank = policy::orderedDelayPerRank;
+    }
     return rules;
 }
 
@@ -94,12 +97,12 @@
     tasks.reserve(pool.queue.size() + ownTasks.size());
     for (const auto& task : pool.queue) {
         if (task->job->isNeeded(task->index))
-            tasks.push_back(planningTask(*task, standings, now));
+            tasks.push_back(planningTask(*task, standings));
     }
     const size_t firstOwn = tasks.size();
     for (const auto& task : ownTasks)
-        tasks.push_back(planningTask(*task, standings, now));
-    const auto admission = policy::admitJob(tasks, firstOwn, capacity, rulesOf(pool, *pool.profile), now);
+        tasks.push_back(planningTask(*task, standings));
+    const auto admission = policy::admitJob(tasks, firstOwn, capacity, rulesOf(*pool.profile), now);
     if (admission.isAccepted)
         return std::nullopt;
     m_context.counters.count("jobs_refused_total", { { "service", job.service } });
@@ -126,6 +129,5 @@
         if (!tasks[index]->overtakenAt)
             tasks[index]->overtakenAt = now;
     }
-    policy::recordBatches(pool.reserve, plannedTasks, batches, now);
 }
 }
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -271,8 +271,8 @@
     tasks.reserve(readyTasks.size());
     updateStandings(service, pool, currentStandings(service, pool, now));
     for (const auto& task : readyTasks)
-        tasks.push_back(planningTask(*task, pool.standings, now));
-    const auto batches = policy::planBatches(tasks, targets, rulesOf(pool, *profile), now);
+        tasks.push_back(planningTask(*task, pool.standings));
+    const auto batches = policy::planBatches(tasks, targets, rulesOf(*profile), now);
     if (m_context.settings.poolAdmission)
         recordPlan(pool, *profile, readyTasks, tasks, batches, now);
     for (const auto& batch : batches) {
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -73,7 +73,6 @@
         policy::account_usage usage;
         /// Standings of the accounts when calls were last planned, to log changes.
         policy::standing_table standings;
-        policy::overtaken_reserve reserve;
         /// Jobs that were refused; reported at the next tick.
         std::vector<std::pair<job_ptr, milliseconds>> refusedJobs;
     };
@@ -84,14 +83,14 @@
 
     // Admission and order; in task_admission.cpp.
     /// @return A waiting task as input for planning.
-    [[nodiscard]] static policy::queued_task planningTask(const queued_task& task, const policy::standing_table& standings, time_point now);
+    [[nodiscard]] static policy::queued_task planningTask(const queued_task& task, const policy::standing_table& standings);
     [[nodiscard]] policy::pool_capacity capacityOf(const std::string& service, const deployment::pool_profile& profile, time_point now) const;
     /// @return The standings of the accounts with work in the pool; empty unless `poolAdmission` is set and more tasks wait than
     /// one call at each target takes.
     [[nodiscard]] policy::standing_table currentStandings(const std::string& service, const pool& pool, time_point now) const;
     /// Logs accounts that have come to be far above their share, or are so no longer.
     static void updateStandings(const std::string& service, pool& pool, policy::standing_table standings);
-    [[nodiscard]] policy::batching_rules rulesOf(const pool& pool, const deployment::pool_profile& profile) const;
+    [[nodiscard]] policy::batching_rules rulesOf(const deployment::pool_profile& profile) const;
     /// Decides on a job that is not queued yet.
     /// @return The predicted wait if the job is refused.
     [[nodiscard]] std::optional<milliseconds> refusalOf(const stage_job& job, const std::vector<task_ptr>& ownTasks, const pool& pool, time_point now) const;
--- a/src/policy/account_share.cpp
+++ b/src/policy/account_share.cpp
@@ -8,9 +8,10 @@
     /// Use is summed over periods of this length, which bounds the size of the record.
     constexpr milliseconds periodLength { 500 };
 
-    /// Fluctuation between accounts of equal load must not change the order of ranks, so an account loses the precedence of
-    /// its rank only if it uses this many times what the others of the rank use.
-    constexpr double farAboveFactor = 2;
+    /// An account loses the precedence of its rank only if it uses this many times what others use. An account that may use f
+    /// times the mean of nine others takes (f - 1) / (9 + f) of their use; 0.05 is the bound, and half of it is left for
+    /// fluctuations, which must not change the order of ranks either.
+    constexpr double farAboveFactor = 1.25;
 
     struct rank_use {
         double milliseconds = 0;
@@ -49,17 +50,19 @@
         ++usesByRank[user.second].accounts;
         total += milliseconds;
     }
+    // What an account would use if it used at each of its ranks as much as the others there. Without others, its own use counts.
+    std::map<std::string, double> usesOfOthers;
+    for (const auto& [user, milliseconds] : uses) {
+        const rank_use& rank = usesByRank[user.second];
+        usesOfOthers[user.first] += rank.accounts > 1 ? (rank.milliseconds - milliseconds) / static_cast<double>(rank.accounts - 1) : milliseconds;
+    }
     const double fairShare = total / static_cast<double>(std::max<size_t>(1, usesByAccount.size()));
     standing_table standings;
     for (const auto& [user, milliseconds] : uses) {
+        const double ofAccount = usesByAccount[user.first];
         share_standing& standing = standings[user];
-        if (usesByAccount[user.first] <= fairShare)
-            continue;
-        standing = share_standing::AboveShare;
-        const rank_use& rank = usesByRank[user.second];
-        const double ofOthers = rank.milliseconds - milliseconds;
-        if (rank.accounts > 1 && milliseconds * static_cast<double>(rank.accounts - 1) > ofOthers * farAboveFactor)
-            standing = share_standing::FarAboveShare;
+        if (ofAccount > fairShare)
+            standing = ofAccount > usesOfOthers[user.first] * farAboveFactor ? share_standing::FarAboveShare : share_standing::AboveShare;
     }
     return standings;
 }
--- a/src/policy/account_share.hpp
+++ b/src/policy/account_share.hpp
@@ -40,7 +40,7 @@
     WithinShare,
     /// The account used more than its fair share of the pool.
     AboveShare,
-    /// It also used more than twice the mean of the other accounts at this rank.
+    /// It also used clearly more than the other accounts at the same ranks, so its use is not explained by urgent ranks.
     FarAboveShare,
 };
 
--- a/src/policy/batching.cpp
+++ b/src/policy/batching.cpp
@@ -22,14 +22,6 @@
 
     bool isHealthy(const pool_target& target) noexcept { return target.penalty < unhealthyPenalty; }
 
-    /// Share of the tasks for jobs that were overtaken for too long. At two and a half times a pool's capacity, two fifths of
-    /// the tasks are served. A rank, account or size whose tasks are all late still gets a quarter of that if about half of the
-    /// reserve goes to it.
-    constexpr double overtakenShare = 1.0 / 6;
-
-    /// Tasks that the reserve may allow at once after a time in which none of its jobs could be started.
-    constexpr double maxOvertakenCredit = 8;
-
     bool isLate(const queued_task& task, time_point now) noexcept { return task.latestStart < now; }
 
     /// Orders by latest start, with the delay for each rank and the boost.
@@ -47,122 +39,50 @@
         });
     }
 
-    bool precedesInRank(const queued_task& left, const queued_task& right)
+    /// Gives tasks with the same latest start the places of these tasks in order of their ranks.
+    void sortEqualStartsByRank(std::span<size_t> order, std::span<const queued_task> tasks)
     {
-        if (left.isOvertakenTooLong != right.isOvertakenTooLong)
-            return left.isOvertakenTooLong;
-        if (left.isOvertakenTooLong && left.queuedAt != right.queuedAt)
-            return left.queuedAt < right.queuedAt;
-        if (left.standing != right.standing)
-            return left.standing < right.standing;
-        if (left.latestStart - left.boost != right.latestStart - right.boost)
-            return left.latestStart - left.boost < right.latestStart - right.boost;
-        return left.jobId < right.jobId;
-    }
-
-    /// Waiting tasks of one rank.
-    struct rank_queue {
-        uint32_t rank = 0;
-        /// In the order within the rank.
-        std::vector<size_t> tasks;
-        /// Latest starts of `tasks` in ascending order.
-        std::vector<time_point> latestStarts;
-    };
-
-    /// Takes tasks from the queues of all ranks. A less urgent rank comes first only with a task whose latest start is before
-    /// those of all more urgent tasks, by the delay for each rank.
-    class rank_merge {
-    public:
-        rank_merge(const std::vector<size_t>& group, std::span<const queued_task> tasks, milliseconds delayPerRank)
-            : m_tasks(tasks)
-            , m_delayPerRank(delayPerRank)
-            , m_remaining(group.size())
-        {
-            std::map<uint32_t, std::vector<size_t>> byRank;
-            for (const size_t index : group)
-                byRank[tasks[index].rank].push_back(index);
-            for (auto& [rank, items] : byRank) {
-                std::stable_sort(items.begin(), items.end(), [&tasks](size_t left, size_t right) { return precedesInRank(tasks[left], tasks[right]); });
-                rank_queue queue { rank, std::move(items), {} };
-                for (const size_t index : queue.tasks)
-                    queue.latestStarts.push_back(tasks[index].latestStart);
-                std::sort(queue.latestStarts.begin(), queue.latestStarts.end());
-                m_queues.push_back(std::move(queue));
-            }
+        std::map<time_point, std::vector<size_t>> places;
+        for (size_t place = 0; place < order.size(); ++place)
+            places[tasks[order[place]].latestStart].push_back(place);
+        for (const auto& [latestStart, equal] : places) {
+            std::vector<size_t> items;
+            for (const size_t place : equal)
+                items.push_back(order[place]);
+            std::stable_sort(items.begin(), items.end(), [&tasks](size_t left, size_t right) { return tasks[left].rank < tasks[right].rank; });
+            for (size_t i = 0; i < equal.size(); ++i)
+                order[equal[i]] = items[i];
         }
+    }
 
-        void appendTo(std::vector<size_t>& order)
-        {
-            for (; m_remaining > 0; --m_remaining)
-                order.push_back(takeNext());
-        }
-
-    private:
-        size_t takeNext()
-        {
-            rank_queue* best = nullptr;
-            size_t bestPosition = 0;
-            time_point limit = time_point::max();
-            uint32_t previousRank = 0;
-            for (auto& queue : m_queues) {
-                if (queue.tasks.empty())
-                    continue;
-                if (best)
-                    limit -= m_delayPerRank * (queue.rank - previousRank);
-                const auto isBeforeLimit = [&](size_t index) { return !best || m_tasks[index].latestStart < limit; };
-                const auto position = std::find_if(queue.tasks.begin(), queue.tasks.end(), isBeforeLimit);
-                if (position != queue.tasks.end()) {
-                    best = &queue;
-                    bestPosition = static_cast<size_t>(position - queue.tasks.begin());
-                }
-                limit = std::min(limit, queue.latestStarts.front());
-                previousRank = queue.rank;
-            }
-            const size_t index = best->tasks[bestPosition];
-            best->tasks.erase(best->tasks.begin() + static_cast<std::ptrdiff_t>(bestPosition));
-            best->latestStarts.erase(std::lower_bound(best->latestStarts.begin(), best->latestStarts.end(), m_tasks[index].latestStart));
-            return index;
-        }
-
-        std::span<const queued_task> m_tasks;
-        milliseconds m_delayPerRank;
-        std::vector<rank_queue> m_queues;
-        size_t m_remaining;
-    };
-
-    /// @return The job that the reserve starts next: of those that need it, the one with the earliest latest start, and of
-    /// these the most urgent.
-    std::optional<uint64_t> overtakenJob(std::span<const queued_task> tasks, time_point now)
+    /// Orders the tasks of a group by latest start, with the delays for rank and account and the boost.
+    void sortByRankAndAccount(std::span<size_t> order, std::span<const queued_task> tasks, const batching_rules& rules, time_point now)
     {
-        const queued_task* first = nullptr;
-        for (const auto& task : tasks) {
-            if (!needsReserve(task, now))
-                continue;
-            if (!first || std::pair(task.latestStart, task.rank) < std::pair(first->latestStart, first->rank))
-                first = &task;
-        }
-        return first ? std::optional(first->jobId) : std::nullopt;
+        const auto dueTime = [&](size_t i) {
+            const queued_task& task = tasks[i];
+            const time_point ofRank = task.latestStart + rules.delayPerRank * task.rank;
+            if (task.protectedFrom <= now)
+                return ofRank - std::max(std::chrono::duration_cast<time_point::duration>(task.boost), rules.maxBoost - (task.protectedFrom - task.queuedAt));
+            return ofRank - task.boost + (task.standing == share_standing::WithinShare ? milliseconds(0) : rules.delayAboveShare);
+        };
+        std::stable_sort(order.begin(), order.end(), [&](size_t left, size_t right) { return std::pair(dueTime(left), tasks[left].jobId) < std::pair(dueTime(right), tasks[right].jobId); });
+        sortEqualStartsByRank(order, tasks);
     }
 
     std::vector<size_t> orderByRankAndAccount(std::span<const queued_task> tasks, const batching_rules& rules, time_point now)
     {
         std::vector<size_t> order;
         std::array<std::vector<size_t>, 4> groups;
-        const auto reserved = rules.isOvertakenJobDue ? overtakenJob(tasks, now) : std::nullopt;
         for (size_t i = 0; i < tasks.size(); ++i) {
             const queued_task& task = tasks[i];
             const size_t group = (isLate(task, now) ? 2U : 0U) + (task.standing == share_standing::FarAboveShare ? 1U : 0U);
             (task.isJobStarted ? order : groups[group]).push_back(i);
         }
         sortByDueTime(order, tasks, rules, now);
-        if (reserved) {
-            for (auto& group : groups) {
-                std::copy_if(group.begin(), group.end(), std::back_inserter(order), [&](size_t i) { return tasks[i].jobId == *reserved; });
-                std::erase_if(group, [&](size_t i) { return tasks[i].jobId == *reserved; });
-            }
+        for (auto& group : groups) {
+            sortByRankAndAccount(group, tasks, rules, now);
+            order.insert(order.end(), group.begin(), group.end());
         }
-        for (const auto& group : groups)
-            rank_merge(group, tasks, rules.delayPerRank).appendTo(order);
         return order;
     }
 
@@ -276,32 +196,6 @@
     };
 }
 
-void recordBatches(overtaken_reserve& reserve, std::span<const queued_task> tasks, std::span<const task_batch> batches, time_point now)
-{
-    size_t sent = 0;
-    std::unordered_set<uint64_t> startedJobs;
-    for (const auto& batch : batches) {
-        sent += batch.tasks.size();
-        for (const size_t index : batch.tasks) {
-            if (needsReserve(tasks[index], now))
-                startedJobs.insert(tasks[index].jobId);
-        }
-    }
-    const auto isStarted = [&](const queued_task& task) { return startedJobs.contains(task.jobId); };
-    const bool areWaiting = std::any_of(tasks.begin(), tasks.end(), [&](const auto& task) { return needsReserve(task, now) && !isStarted(task); });
-    // A started job runs all its tasks.
-    reserve.credit -= static_cast<double>(std::count_if(tasks.begin(), tasks.end(), isStarted));
-    const double limit = areWaiting ? maxOvertakenCredit : 0;
-    reserve.credit = std::clamp(reserve.credit + overtakenShare * static_cast<double>(sent), -maxOvertakenCredit, limit);
-}
-
-bool isReserveDue(const overtaken_reserve& reserve) noexcept { return reserve.credit > 0; }
-
-bool needsReserve(const queued_task& task, time_point now) noexcept
-{
-    return task.isOvertakenTooLong && !task.isJobStarted && (isLate(task, now) || task.standing == share_standing::FarAboveShare);
-}
-
 std::vector<size_t> orderTasks(std::span<const queued_task> tasks, const batching_rules& rules, time_point now)
 {
     if (rules.isOrderedByRankAndAccount)
--- a/src/policy/batching.hpp
+++ b/src/policy/batching.hpp
@@ -11,6 +11,7 @@
 
 #include "base/time.hpp"
 #include "policy/account_share.hpp"
+#include "policy/work_value.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -42,8 +43,9 @@
     time_point deadline = time_point::max();
     /// Standing of the request's account; `WithinShare` while the pool is not overloaded.
     share_standing standing = share_standing::WithinShare;
-    /// Later tasks of its rank have been sent before it for more than half of its request's objective.
-    bool isOvertakenTooLong = false;
+    /// Tasks of the same rank that are queued from this time on do not go before it: by then, later tasks of its rank had been
+    /// sent before it for half of its request's objective.
+    time_point protectedFrom = time_point::max();
 };
 
 /// A target of the pool, as the planner sees it.
@@ -63,6 +65,10 @@
     std::vector<size_t> tasks;
 };
 
+/// Delay for each rank in the order by rank and account. The boost by value reaches 2,400 ms; with 100 ms for each rank, a
+/// replay of two bursts served a less urgent rank earlier than a more urgent one.
+constexpr milliseconds orderedDelayPerRank { 400 };
+
 struct batching_rules {
     /// Most tasks in one call.
     size_t batchSize = 1;
@@ -72,37 +78,25 @@
     milliseconds requiredDomainWait { 400 };
     /// Delay of a task for each step of its priority rank.
     milliseconds delayPerRank { 100 };
-    /// Orders tasks by rank, account and boost, in this order of precedence, as `orderTasks` describes.
+    /// Delay of a task whose account is above its share.
+    milliseconds delayAboveShare { 400 };
+    /// Largest boost by the value of a request.
+    milliseconds maxBoost { value_rules().maxBoost };
+    /// Orders tasks also by account, as `orderTasks` describes.
     bool isOrderedByRankAndAccount = false;
-    /// A job that was overtaken for too long and is late, or whose account is far above its share, goes before the others.
-    bool isOvertakenJobDue = false;
-};
-
-/// Share of a pool's tasks that is kept for jobs that would otherwise starve: those that were overtaken for too long and
-/// are late, or whose account is far above its share.
-struct overtaken_reserve {
-    /// Tasks that such jobs may still send.
-    double credit = 0;
 };
 
-/// Records calls that are sent. Credit is collected only while jobs wait that need it.
-void recordBatches(overtaken_reserve& reserve, std::span<const queued_task> tasks, std::span<const task_batch> batches, time_point now);
-
-/// @return True if a job that was overtaken for too long should be started.
-[[nodiscard]] bool isReserveDue(const overtaken_reserve& reserve) noexcept;
-
-/// @return True if only the reserve, or an idle target, can start the task.
-[[nodiscard]] bool needsReserve(const queued_task& task, time_point now) noexcept;
-
 /// Orders tasks by start. Tasks of started jobs go first, so that their results do not occupy memory for long.
 ///
 /// By default, tasks that can still meet their objective follow by latest start, with a delay for each rank and the boost.
 ///
 /// With `isOrderedByRankAndAccount`, tasks that can still meet their objective go before late ones, and in each of these
-/// groups, those of accounts far above their share go last. In the resulting groups:
-/// - A task of a more urgent rank is never after one of a less urgent rank whose latest start is the same or later.
-/// - Within a rank, tasks that were overtaken for too long go first, in order of arrival. Then tasks of accounts within
-///   their share go before those above it, then by latest start less the boost.
+/// groups, those of accounts far above their share go last. In the resulting groups, tasks are ordered by latest start with
+/// a delay for each rank and the boost:
+/// - Of tasks with the same latest start, those of a more urgent rank go first.
+/// - Of tasks of equal value, those of accounts above their share go later.
+/// - A protected task has at least the boost with which it stays ahead of tasks of its rank and objective that are queued
+///   after its protection begins.
 [[nodiscard]] std::vector<size_t> orderTasks(std::span<const queued_task> tasks, const batching_rules& rules, time_point now);
 
 /// @return The waiting tasks before which a task of the same rank was sent that had been queued later.
