--- a/tests/unit/pool_load_test.cpp
+++ b/tests/unit/pool_load_test.cpp
@@ -329,15 +329,18 @@
 {
     const double least = minPartOfAll * shareOf(requests, isAny, isServed);
     for (uint32_t rank = 0; rank < 3; ++rank) {
-        const double served = shareOf(requests, [&](const request& item) { return item.rank == rank; }, isServed);
+        const double served = shareOf(
+            requests, [&](const request& item) { return item.rank == rank; }, isServed);
         cr_expect_geq(served, least, "seed %u: rank %u starves: %f", seed, rank, served);
     }
     for (unsigned account = 0; account < accountCount; ++account) {
-        const double served = shareOf(requests, [&](const request& item) { return item.account == account; }, isServed);
+        const double served = shareOf(
+            requests, [&](const request& item) { return item.account == account; }, isServed);
         cr_expect_geq(served, least, "seed %u: account %u starves: %f", seed, account, served);
     }
     for (size_t tasks = 1; tasks <= maxTasks; ++tasks) {
-        const double served = shareOf(requests, [&](const request& item) { return item.tasks == tasks; }, isServed);
+        const double served = shareOf(
+            requests, [&](const request& item) { return item.tasks == tasks; }, isServed);
         cr_expect_geq(served, least, "seed %u: requests with %zu tasks starve: %f", seed, tasks, served);
     }
 }
