--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -204,6 +204,7 @@
     job->permittedRegions = m_request.permittedRegions;
     job->route = m_request.route->name;
     job->account = m_request.account;
+    job->objective = m_request.route->objective;
     if (stage.resultBytes >= largeResultBytes)
         job->requiredDomain = m_requiredDomain;
     // Each task fetches all inputs.
@@ -272,7 +273,9 @@
             // The owner of the pool may know of a change before this entry does.
             if (!refuseUnplaceable(monotonicNow(), stage))
                 finishWithoutResponse(platform::nameOf(outcome.failure), false);
-        } else
+        } else if (outcome.failure == platform::task_failure::Overloaded)
+            refuseOverloaded(outcome.wait);
+        else
             restartStages(platform::nameOf(outcome.failure));
         return;
     }
--- a/src/platform/batch_call.hpp
+++ b/src/platform/batch_call.hpp
@@ -44,6 +44,8 @@
     Failed,
     /// Permitted regions or evacuations leave no target for the task; it was not sent.
     Unplaceable,
+    /// The pool refused the whole job: it could not start before its deadline. Not sent by targets.
+    Overloaded,
 };
 
 [[nodiscard]] std::string_view nameOf(task_failure failure) noexcept;
--- a/src/policy/batching.cpp
+++ b/src/policy/batching.cpp
@@ -1,6 +1,9 @@
 #include "policy/batching.hpp"
 
 #include <algorithm>
+#include <array>
+#include <iterator>
+#include <map>
 #include <numeric>
 #include <unordered_map>
 #include <unordered_set>
@@ -19,22 +22,67 @@
 
     bool isHealthy(const pool_target& target) noexcept { return target.penalty < unhealthyPenalty; }
 
-    /// Orders tasks by start: those of started jobs first, then those that can still meet their objective.
-    std::vector<size_t> orderTasks(std::span<const queued_task> tasks, const batching_rules& rules, time_point now)
+    bool isLate(const queued_task& task, time_point now) noexcept { return task.latestStart < now; }
+
+    /// Orders by latest start, with the delay for each rank and the boost.
+    void sortByDueTime(std::vector<size_t>& order, std::span<const queued_task> tasks, const batching_rules& rules, time_point now)
     {
-        std::vector<size_t> order(tasks.size());
-        std::iota(order.begin(), order.end(), size_t { 0 });
-        const auto isLate = [&](size_t i) { return tasks[i].latestStart < now; };
         const auto dueTime = [&](size_t i) { return tasks[i].latestStart + rules.delayPerRank * tasks[i].rank - tasks[i].boost; };
         std::stable_sort(order.begin(), order.end(), [&](size_t left, size_t right) {
             if (tasks[left].isJobStarted != tasks[right].isJobStarted)
                 return tasks[left].isJobStarted;
-            if (isLate(left) != isLate(right))
-                return isLate(right);
+            if (isLate(tasks[left], now) != isLate(tasks[right], now))
+                return isLate(tasks[right], now);
             if (dueTime(left) != dueTime(right))
                 return dueTime(left) < dueTime(right);
             return tasks[left].jobId < tasks[right].jobId;
         });
+    }
+
+    /// Gives tasks with the same latest start the places of these tasks in order of their ranks.
+    void sortEqualStartsByRank(std::span<size_t> order, std::span<const queued_task> tasks)
+    {
+        std::map<time_point, std::vector<size_t>> places;
+        for (size_t place = 0; place < order.size(); ++place)
+            places[tasks[order[place]].latestStart].push_back(place);
+        for (const auto& [latestStart, equal] : places) {
+            std::vector<size_t> items;
+            for (const size_t place : equal)
+                items.push_back(order[place]);
+            std::stable_sort(items.begin(), items.end(), [&tasks](size_t left, size_t right) { return tasks[left].rank < tasks[right].rank; });
+            for (size_t i = 0; i < equal.size(); ++i)
+                order[equal[i]] = items[i];
+        }
+    }
+
+    /// Orders the tasks of a group by latest start, with the delays for rank and account and the boost.
+    void sortByRankAndAccount(std::span<size_t> order, std::span<const queued_task> tasks, const batching_rules& rules, time_point now)
+    {
+        const auto dueTime = [&](size_t i) {
+            const queued_task& task = tasks[i];
+            const time_point ofRank = task.latestStart + rules.delayPerRank * task.rank;
+            if (task.protectedFrom <= now)
+                return ofRank - std::max(std::chrono::duration_cast<time_point::duration>(task.boost), rules.maxBoost - (task.protectedFrom - task.queuedAt));
+            return ofRank - task.boost + (task.standing == share_standing::WithinShare ? milliseconds(0) : rules.delayAboveShare);
+        };
+        std::stable_sort(order.begin(), order.end(), [&](size_t left, size_t right) { return std::pair(dueTime(left), tasks[left].jobId) < std::pair(dueTime(right), tasks[right].jobId); });
+        sortEqualStartsByRank(order, tasks);
+    }
+
+    std::vector<size_t> orderByRankAndAccount(std::span<const queued_task> tasks, const batching_rules& rules, time_point now)
+    {
+        std::vector<size_t> order;
+        std::array<std::vector<size_t>, 4> groups;
+        for (size_t i = 0; i < tasks.size(); ++i) {
+            const queued_task& task = tasks[i];
+            const size_t group = (isLate(task, now) ? 2U : 0U) + (task.standing == share_standing::FarAboveShare ? 1U : 0U);
+            (task.isJobStarted ? order : groups[group]).push_back(i);
+        }
+        sortByDueTime(order, tasks, rules, now);
+        for (auto& group : groups) {
+            sortByRankAndAccount(group, tasks, rules, now);
+            order.insert(order.end(), group.begin(), group.end());
+        }
         return order;
     }
 
@@ -208,6 +256,36 @@
     };
 }
 
+std::vector<size_t> orderTasks(std::span<const queued_task> tasks, const batching_rules& rules, time_point now)
+{
+    if (rules.isOrderedByRankAndAccount)
+        return orderByRankAndAccount(tasks, rules, now);
+    std::vector<size_t> order(tasks.size());
+    std::iota(order.begin(), order.end(), size_t { 0 });
+    sortByDueTime(order, tasks, rules, now);
+    return order;
+}
+
+std::vector<size_t> overtakenTasks(std::span<const queued_task> tasks, std::span<const task_batch> batches)
+{
+    std::map<uint32_t, time_point> newestSent;
+    std::vector<bool> isSent(tasks.size(), false);
+    for (const auto& batch : batches) {
+        for (const size_t index : batch.tasks) {
+            time_point& newest = newestSent[tasks[index].rank];
+            newest = std::max(newest, tasks[index].queuedAt);
+            isSent[index] = true;
+        }
+    }
+    std::vector<size_t> overtaken;
+    for (size_t i = 0; i < tasks.size(); ++i) {
+        const auto position = newestSent.find(tasks[i].rank);
+        if (!isSent[i] && position != newestSent.end() && tasks[i].queuedAt < position->second)
+            overtaken.push_back(i);
+    }
+    return overtaken;
+}
+
 std::vector<task_batch> planBatches(std::span<const queued_task> tasks, std::span<const pool_target> targets, const batching_rules& rules, time_point now)
 {
     task_groups groups(tasks, targets);
--- a/src/policy/batching.hpp
+++ b/src/policy/batching.hpp
@@ -10,6 +10,8 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "policy/account_share.hpp"
+#include "policy/work_value.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -40,6 +42,13 @@
     std::string_view preferredDomain;
     /// The regions in which the task may run, sorted; null if it may run anywhere. The lists must outlive the planning.
     const std::vector<std::string>* permittedRegions = nullptr;
+    /// The task is not sent from this time on.
+    time_point deadline = time_point::max();
+    /// Standing of the request's account; `WithinShare` while the pool is not overloaded.
+    share_standing standing = share_standing::WithinShare;
+    /// Tasks of the same rank that are queued from this time on do not go before it: by then, later tasks of its rank had been
+    /// sent before it for half of its request's objective.
+    time_point protectedFrom = time_point::max();
 };
 
 /// A target of the pool, as the planner sees it.
@@ -61,6 +70,10 @@
     std::vector<size_t> tasks;
 };
 
+/// Delay for each rank in the order by rank and account. The boost by value reaches 2,400 ms; with 100 ms for each rank, a
+/// replay of two bursts served a less urgent rank earlier than a more urgent one.
+constexpr milliseconds orderedDelayPerRank { 400 };
+
 struct batching_rules {
     /// Most tasks in one call.
     size_t batchSize = 1;
@@ -70,8 +83,30 @@
     milliseconds requiredDomainWait { 400 };
     /// Delay of a task for each step of its priority rank.
     milliseconds delayPerRank { 100 };
+    /// Delay of a task whose account is above its share.
+    milliseconds delayAboveShare { 400 };
+    /// Largest boost by the value of a request.
+    milliseconds maxBoost { value_rules().maxBoost };
+    /// Orders tasks also by account, as `orderTasks` describes.
+    bool isOrderedByRankAndAccount = false;
 };
 
+/// Orders tasks by start. Tasks of started jobs go first, so that their results do not occupy memory for long.
+///
+/// By default, tasks that can still meet their objective follow by latest start, with a delay for each rank and the boost.
+///
+/// With `isOrderedByRankAndAccount`, tasks that can still meet their objective go before late ones, and in each of these
+/// groups, those of accounts far above their share go last. In the resulting groups, tasks are ordered by latest start with
+/// a delay for each rank and the boost:
+/// - Of tasks with the same latest start, those of a more urgent rank go first.
+/// - Of tasks of equal value, those of accounts above their share go later.
+/// - A protected task has at least the boost with which it stays ahead of tasks of its rank and objective that are queued
+///   after its protection begins.
+[[nodiscard]] std::vector<size_t> orderTasks(std::span<const queued_task> tasks, const batching_rules& rules, time_point now);
+
+/// @return The waiting tasks before which a task of the same rank was sent that had been queued later.
+[[nodiscard]] std::vector<size_t> overtakenTasks(std::span<const queued_task> tasks, std::span<const task_batch> batches);
+
 /// @return The calls to send now; no target and no task occurs in two of them.
 [[nodiscard]] std::vector<task_batch> planBatches(std::span<const queued_task> tasks, std::span<const pool_target> targets, const batching_rules& rules, time_point now);
 }
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -23,6 +23,7 @@
         "processorShare": { "type": "number", "exclusiveMinimum": 0 },
         "loadSharing": { "type": "boolean" },
         "regions": { "type": "object", "additionalProperties": { "type": "string" } },
+        "poolAdmission": { "type": "boolean" },
         "bounds": {
           "type": "object",
           "additionalProperties": false,
@@ -82,6 +83,7 @@
         settings.peerListen = detail::readEndpoint(document, "peerListen", path);
         settings.store = detail::readEndpoint(document, "store", path);
         settings.processorShare = document.value("processorShare", settings.processorShare);
+        settings.poolAdmission = document.value("poolAdmission", settings.poolAdmission);
         const json regions = document.value("regions", json::object());
         for (const auto& [domain, region] : regions.items())
             settings.regions.emplace(domain, region.get<std::string>());
@@ -103,7 +105,7 @@
 {
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "operatorListen", operatorListen.toString() },
         { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions },
-        { "loadSharing", loadSharing },
+        { "loadSharing", loadSharing }, { "poolAdmission", poolAdmission },
         { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "evacuationMs", bounds.evacuation.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) }, { "coldOverage", bounds.coldOverage }, { "coldSlack", bounds.coldSlack } } },
         { "limits", { { "maxHeldBytes", limits.maxHeldBytes }, { "maxConnections", limits.maxConnections } } } };
 }
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -60,6 +60,8 @@
     gateway_limits limits;
     /// Targets are chosen by the load of all entries, which exchange it.
     bool loadSharing = false;
+    /// Pools refuse jobs that cannot start in time, and order tasks by rank and account.
+    bool poolAdmission = false;
 
     /// @return The settings in a JSON file, or `InvalidSettings` with location and remedy.
     [[nodiscard]] static result<gateway_settings> fromFile(const std::string& path);
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -232,9 +232,11 @@
     /// Names of the request's route and account, by which the owner applies the regions of its own configuration.
     std::string route;
     std::string account;
+    /// Latency objective of the request; zero if not given.
+    uint32_t objectiveMs = 0;
 
     template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(jobNumber, request, service, stage, taskCount, taskKey, inputs, resultBytes, latestStartMs, remainingMs, rank, requiredDomain, preferredDomain, tokens, isRestricted, regions, route, account); }
+    void visitFields(Visitor& visit) { visit(jobNumber, request, service, stage, taskCount, taskKey, inputs, resultBytes, latestStartMs, remainingMs, rank, requiredDomain, preferredDomain, tokens, isRestricted, regions, route, account, objectiveMs); }
 };
 
 /// Owner to entry: one task has its result, or has finally failed.
@@ -243,9 +245,11 @@
     uint32_t task = 0;
     std::string handle;
     uint32_t failure = 0;
+    /// Predicted time until the pool has room for the job, if it refused it as overloaded.
+    uint32_t waitMs = 0;
 
     template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(jobNumber, task, handle, failure); }
+    void visitFields(Visitor& visit) { visit(jobNumber, task, handle, failure, waitMs); }
 };
 
 /// Owner to entry: it does not serve the pool now; no task was started.
