--- a/tests/unit/load_replay_test.cpp
+++ b/tests/unit/load_replay_test.cpp
@@ -62,6 +62,19 @@
     }
 }
 
+// The same with few requests, of which more have the most popular prefixes: their first targets are filled up to the bound.
+Test(load_replay, busiest_engine_gets_at_most_1_4_times_the_mean_with_steep_popularity)
+{
+    for (unsigned seed = 1; seed <= 3; ++seed) {
+        replay_options options = standardOptions();
+        options.seed = seed;
+        options.requestsPerSecond = 115;
+        options.popularitySkew = 0.7;
+        const double ratio = replay(options).busiestToMean();
+        cr_expect_leq(ratio, maxBusiestToMean, "seed %u: %.2f", seed, ratio);
+    }
+}
+
 // Guards against a herd where no prefix keeps gateways apart.
 Test(load_replay, short_prompts_without_prefixes_are_spread)
 {
