--- a/src/gateway/task_admission.cpp
+++ b/src/gateway/task_admission.cpp
@@ -47,7 +47,7 @@
 
 policy::batching_rules task_scheduler::rulesOf(const deployment::pool_profile& profile) const
 {
-    policy::batching_rules rules { static_cast<size_t>(profile.batchSize) };
+    policy::batching_rules rules { static_cast<size_t>(profile.batchSize), m_context.settings.preferredDomainWait };
     if (m_context.settings.poolAdmission) {
         rules.isOrderedByRankAndAccount = true;
         rules.delayPerRank = policy::orderedDelayPerRank;
