--- a/src/fakes/platform_target.cpp
+++ b/src/fakes/platform_target.cpp
@@ -85,10 +85,12 @@
     const std::string_view path = http1::pathOf(head.target);
     if (path == "/v1/stage-run") {
         m_batchCalls.push_back(exchange->body());
+        recordTasks(m_batchCalls.back());
         runWhenAudible([this, exchange = std::move(exchange)] { handleBatchCall(exchange); });
         return;
     }
     if (path == "/v1/stage-free") {
+        m_arrivals.push_back({ arrival_kind::Release, {}, monotonicNow() });
         const json request = json::parse(exchange->body());
         for (const json& handle : request.at("handles"))
             m_releasedResults.push_back(handle);
@@ -96,11 +98,21 @@
         return;
     }
     m_requests.push_back({ std::string(http1::findHeader(head.headers, "X-Attempt-Id").value_or("")), head, exchange->body() });
+    m_arrivals.push_back({ arrival_kind::Request, m_requests.back().id, monotonicNow() });
     if (m_onArrival)
         m_onArrival(m_requests.back());
     runWhenAudible([this, exchange = std::move(exchange)] { handleRequest(exchange); });
 }
 
+void platform_target::recordTasks(std::string_view body)
+{
+    const json call = json::parse(body, nullptr, false);
+    if (!call.is_object() || !call.contains("items"))
+        return;
+    for (const json& item : call["items"])
+        m_arrivals.push_back({ arrival_kind::Task, item.value("id", ""), monotonicNow() });
+}
+
 void platform_target::handleRequest(std::shared_ptr<http1::exchange> exchange)
 {
     if (m_requestHandler)
--- a/src/fakes/platform_target.hpp
+++ b/src/fakes/platform_target.hpp
@@ -20,6 +20,21 @@
     std::string body;
 };
 
+enum class arrival_kind {
+    Request,
+    Task,
+    /// A call that releases stage results.
+    Release,
+};
+
+/// What reached a target, apart from requests for another target.
+struct target_arrival {
+    arrival_kind kind = arrival_kind::Request;
+    /// Identifier of the request; empty for a release.
+    std::string requestId;
+    time_point at {};
+};
+
 /// A target that listens on one port and serves one service.
 class platform_target {
 public:
@@ -55,6 +70,8 @@
     /// @return The bodies of all received batch calls, in order.
     [[nodiscard]] const std::vector<std::string>& batchCalls() const noexcept { return m_batchCalls; }
     [[nodiscard]] const std::vector<std::string>& releasedResults() const noexcept { return m_releasedResults; }
+    /// @return All requests, tasks and releases in the order of their arrival, also those received while the target was silent.
+    [[nodiscard]] const std::vector<target_arrival>& arrivals() const noexcept { return m_arrivals; }
 
     /// @return The header fields of a healthy target's response to a request.
     [[nodiscard]] http1::header_list responseHeaders(const http1::exchange& exchange) const;
@@ -72,6 +89,7 @@
     void handleExchange(std::shared_ptr<http1::exchange> exchange);
     void handleRequest(std::shared_ptr<http1::exchange> exchange);
     void handleBatchCall(std::shared_ptr<http1::exchange> exchange);
+    void recordTasks(std::string_view body);
     void endSilence();
 
     std::string m_id;
@@ -82,6 +100,7 @@
     std::vector<received_request> m_requests;
     std::vector<std::string> m_batchCalls;
     std::vector<std::string> m_releasedResults;
+    std::vector<target_arrival> m_arrivals;
     uint64_t m_nextResult = 1;
     time_point m_silentUntil {};
     /// Not set if responses state no cold time.
--- a/tests/soak/soak_configuration.hpp
+++ b/tests/soak/soak_configuration.hpp
@@ -17,6 +17,11 @@
     milliseconds idleTimeout { 3000 };
     /// Routes besides the common ones.
     nlohmann::json furtherRoutes = nlohmann::json::array();
+    /// Permitted regions of the routes of pages and streams, and of the account with the revocable key; empty for all regions.
+    nlohmann::json routeRegions = nlohmann::json::array();
+    nlohmann::json accountRegions = nlohmann::json::array();
+    /// Requests a second that cold targets of models and pages take; zero for no limit.
+    double coldPerSecond = 0;
 };
 
 [[nodiscard]] inline nlohmann::json soakRoute(const soak_configuration& configuration, const char* prefix, const char* kind, const std::string& service, const nlohmann::json& changes = nlohmann::json::object())
@@ -32,17 +37,23 @@
     using nlohmann::json;
     const json stages { { { "service", "encode" }, { "after", json::array() }, { "bytes", 1000 } } };
     const json halves { { { "service", "pages" }, { "weight", 50 } }, { { "service", "other-pages" }, { "weight", 50 } } };
-    const json pages = configuration.isSplit ? json { { "traffic_split", halves } } : json::object();
-    const json streams { { "stages", stages }, { "sticky", true }, { "gap_aim_ms", 200 } };
+    const json bookings = configuration.isSplit ? json { { "traffic_split", halves } } : json::object();
+    json pages = bookings;
+    pages["allowed_regions"] = configuration.routeRegions;
+    const json streams { { "stages", stages }, { "sticky", true }, { "gap_aim_ms", 200 }, { "allowed_regions", configuration.routeRegions } };
     json resumable = streams;
     resumable["resumable"] = true;
-    const json pool { { "name", "encode" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 8 }, { "call_ms", 5 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 4 } } } };
+    json services = json::array();
+    const std::vector<const char*> coldServices = configuration.coldPerSecond > 0 ? std::vector { "model", "pages", "other-pages" } : std::vector<const char*>();
+    for (const char* name : coldServices)
+        services.push_back({ { "name", name }, { "cold_per_s", configuration.coldPerSecond } });
+    services.push_back({ { "name", "encode" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 8 }, { "call_ms", 5 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 4 } } } });
     const json revocableKeys = configuration.isKeyRemoved ? json::array() : json::array({ "revocable" });
-    const json tenants = json::array({ { { "name", "acme" }, { "api_keys", json::array({ "lasting" }) } }, { { "name", "beta" }, { "api_keys", revocableKeys } } });
+    const json tenants = json::array({ { { "name", "acme" }, { "api_keys", json::array({ "lasting" }) } }, { { "name", "beta" }, { "api_keys", revocableKeys }, { "allowed_regions", configuration.accountRegions } } });
     const char* service = configuration.isServiceMoved ? "other-pages" : "pages";
-    json routes { soakRoute(configuration, "/book/", "non_idempotent", service, pages), soakRoute(configuration, "/page/", "idempotent", service, pages), soakRoute(configuration, "/stream/", "streaming", "model", streams), soakRoute(configuration, "/resume/", "streaming", "model", resumable) };
+    json routes { soakRoute(configuration, "/book/", "non_idempotent", service, bookings), soakRoute(configuration, "/page/", "idempotent", service, pages), soakRoute(configuration, "/stream/", "streaming", "model", streams), soakRoute(configuration, "/resume/", "streaming", "model", resumable) };
     routes.insert(routes.end(), configuration.furtherRoutes.begin(), configuration.furtherRoutes.end());
-    deployment.configure(static_cast<int>(version), std::move(routes), { pool }, tenants, { { "idle_timeout_ms", configuration.idleTimeout.count() } });
+    deployment.configure(static_cast<int>(version), std::move(routes), services, tenants, { { "idle_timeout_ms", configuration.idleTimeout.count() } });
 }
 
 /// @return Whether each gateway serves requests of each kind.
