platform: knowledge of a topic stays as young as the time between two reads

A read that ends with a record proves only what was known when it was sent, and a peer's response is as old as one read. The follower then let the store hold the next read for the whole wait again, so a gateway that reached the store counted its configuration as up to 1.7 s old, and refused unknown routes and keys as possibly new (503, configuration_old, from 1.5 s on).

The age now shortens the wait of the next read.

--- a/src/platform/topic_follower.cpp
+++ b/src/platform/topic_follower.cpp
@@ -21,6 +21,10 @@
     /// The store may end a long poll early by up to this time.
     constexpr milliseconds longPollSlack { 50 };
 
+    /// Share of a long poll's wait from which on the age of what is known shortens it. Below, the wait would be shortened after
+    /// each long poll that ended without a record, which proves nothing about its last milliseconds.
+    constexpr double shorteningShare = 0.25;
+
     /// Share of the time between two reads after which a process asks its peer, and a process that is asked reads the store.
     /// Together they are one, so that what is relayed is no older than what is read.
     constexpr double askShare = 0.4;
@@ -307,8 +311,13 @@
 
 read_timeouts topic_follower::nextReadTimeouts() const noexcept
 {
-    if (m_consecutiveFailures == 0)
-        return { hasAskers() ? shareOfPeriod(m_options.longPollWait, relayedReadShare) : m_options.longPollWait, m_options.timeout };
+    if (m_consecutiveFailures == 0) {
+        // What a read with records or a peer proved is older than the read. The store then holds the next read for less long,
+        // so that the age stays near the time between two reads.
+        const milliseconds wait = hasAskers() ? shareOfPeriod(m_options.longPollWait, relayedReadShare) : m_options.longPollWait;
+        const auto age = std::chrono::ceil<milliseconds>(monotonicNow() - m_freshAsOf);
+        return { age > shareOfPeriod(wait, shorteningShare) ? std::max(milliseconds(0), wait - age) : wait, m_options.timeout };
+    }
     return { milliseconds(0), m_consecutiveFailures % fullTimeoutProbeInterval == 0 ? m_options.timeout : std::min(probeTimeout, m_options.timeout) };
 }
 
--- a/tests/process/topic_follower_test.cpp
+++ b/tests/process/topic_follower_test.cpp
@@ -230,3 +230,59 @@
     runUntil([&] { return freshAfter != time_point(); }, testTimeout, "the late response");
     cr_assert(freshAfter == freshBefore, "the late response counts as one to the newer query");
 }
+
+namespace {
+/// The wait with which a gateway reads a topic whose changes must be in force within 2,500 ms.
+constexpr platform::follow_options longPoll { milliseconds(900) };
+/// From 0.6 of that time on, a gateway refuses unknown routes and keys with 503, because they may be new.
+constexpr milliseconds oldestKnowledge { 1500 };
+constexpr milliseconds watchTime { 6000 };
+
+/// @return The largest age of what a follower knows while the loop runs.
+milliseconds largestAge(const follower_fixture& topic)
+{
+    milliseconds largest { 0 };
+    timer watch;
+    watch.startEvery(milliseconds(10), [&] { largest = std::max(largest, std::chrono::ceil<milliseconds>(monotonicNow() - topic.freshAsOf)); });
+    runFor(watchTime);
+    return largest;
+}
+}
+
+// Guards against a gateway that reaches the store and yet counts its configuration as old: a read that ends with a record
+// proves only what was known when it was sent, and the next one was held for the whole wait again.
+Test(topic_follower, records_that_end_long_polls_late_leave_no_old_knowledge)
+{
+    const ip_endpoint storeEndpoint { tests::testHost(), 25988 };
+    fakes::platform_store store(storeEndpoint);
+    store.put("keyed.op", "config", "0");
+    follower_fixture topic(storeEndpoint, longPoll);
+    runUntil([&] { return topic.readSuccesses > 0; }, testTimeout, "the first read");
+    int value = 0;
+    timer writer;
+    writer.startEvery(milliseconds(850), [&] { store.put("keyed.op", "config", std::to_string(++value)); });
+    const milliseconds largest = largestAge(topic);
+    cr_assert_lt(largest, oldestKnowledge, "%lld ms", static_cast<long long>(largest.count()));
+}
+
+// Guards against the same after a peer has gone: its last response is as old as one read, and the store held the next one.
+Test(topic_follower, a_follower_whose_peer_has_gone_reads_the_store_before_its_knowledge_is_old)
+{
+    const ip_endpoint storeEndpoint { tests::testHost(), 25989 };
+    fakes::platform_store store(storeEndpoint);
+    store.put("keyed.op", "config", "0");
+    follower_fixture reader(storeEndpoint, longPoll);
+    follower_fixture asker(storeEndpoint, longPoll);
+    timer delivery;
+    int queries = 0;
+    asker.follower.setPeer({ [&](uint64_t number, uint64_t era, uint64_t offset) {
+        // The peer is there for two queries of three.
+        if (++queries % 3 == 0)
+            return false;
+        delivery.startOnce(milliseconds(5), [&, number, era, offset] { asker.follower.handlePeer(reader.follower.extractFrom(era, offset, monotonicNow()), number); });
+        return true; },
+        [](std::string_view) {} });
+    runUntil([&] { return queries > 2; }, testTimeout, "queries to the peer");
+    const milliseconds largest = largestAge(asker);
+    cr_assert_lt(largest, oldestKnowledge, "%lld ms", static_cast<long long>(largest.count()));
+}
