--- a/tests/soak/placement_rules_soak_test.cpp
+++ b/tests/soak/placement_rules_soak_test.cpp
@@ -71,6 +71,8 @@
         m_undo.clear();
         for (const auto& [domain, region] : regionOfDomain)
             withdraw(domain);
+        for (auto& engine : m_engines)
+            engine.behaviour().silences.percent = 0;
         configure(false);
         m_faults.restoreAll();
         load.stop();
