gateway: a target that may have restarted unnoticed continues no stream

If the first read after a start, a freeze or an outage of the store lists a target that started less than 10 s ago (the lag of records), the target continues no stream for 10 s, and streams that begin there have a doubtful origin. A connection that broke after the start that a new record names still counts against the new run.

Not covered: a stale record of a run that started long ago, read by a gateway that has just started.

--- a/src/gateway/request_continuation.cpp
+++ b/src/gateway/request_continuation.cpp
@@ -102,7 +102,7 @@
     if (m_origin)
         return;
     m_originTarget = attempt.target;
-    m_origin = { attempt.target->isVersionChanged ? std::string() : attempt.softwareVersion, attempt.target->hash, monotonicNow() };
+    m_origin = { attempt.target->isVersionDoubtful(monotonicNow()) ? std::string() : attempt.softwareVersion, attempt.target->hash, monotonicNow() };
     m_context.streams->record(streamKey(), *m_origin);
 }
 
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -88,8 +88,10 @@
         previous->isRemoved = true;
         addFormer(previous, now);
     }
-    if (!state)
+    if (!state) {
         state = makeState(listed, previous.get());
+        applyDoubt(*state, previous.get(), now);
+    }
     state->isLeaving = state->isLeaving || (state->listed.isDraining && isStartKnown(listed) && isSameRun(state->listed, listed));
     state->listed = listed;
     state->recordText.clear();
@@ -106,6 +108,21 @@
     return true;
 }
 
+void target_registry::applyDoubt(target_state& state, const target_state* previous, time_point now) const
+{
+    // Starts are not bounded when they are decoded; before 1970 they are meaningless.
+    if (state.listed.startedAtMs <= 0)
+        return;
+    const milliseconds sinceStart = wallNow().time_since_epoch() - milliseconds(state.listed.startedAtMs);
+    // A connection that broke after the start which the record names is a sign of a later restart.
+    if (previous && previous->lastBrokenAt != time_point() && std::chrono::ceil<milliseconds>(now - previous->lastBrokenAt) < sinceStart)
+        state.lastBrokenAt = previous->lastBrokenAt;
+    if (!m_isCatchingUp || sinceStart >= policy::targetRecordLag)
+        return;
+    state.mayHaveMissedRestart = true;
+    state.lastBrokenAt = now;
+}
+
 void target_registry::applyCold(const target_ptr& state, const deployment::cold_statement& previous, bool isFirst, time_point now)
 {
     const deployment::cold_statement& stated = state->listed.cold;
@@ -207,6 +224,7 @@
 
 void target_registry::onStoreReachable(time_point now)
 {
+    m_isCatchingUp = std::exchange(m_mayHaveMissedRestarts, false);
     if (!std::exchange(m_isStoreUnreachable, false))
         return;
     m_hasStoreReturned = true;
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -44,6 +44,9 @@
     /// Time at which a connection to the target last failed or broke off. It may have restarted since, with another version
     /// than the one in its record.
     time_point lastBrokenAt {};
+    /// The record was first read after a time in which this process could not notice restarts, and the target had started
+    /// shortly before: it may have started once more, with another version.
+    bool mayHaveMissedRestart = false;
     /// The address responded as another target; stays set until the record names another address or service.
     bool isReplaced = false;
     policy::target_health health;
@@ -72,6 +75,8 @@
 
     /// @return Whether the record may be older than a restart of the target.
     [[nodiscard]] bool mayHaveRestarted(time_point now) const noexcept { return lastBrokenAt != time_point() && now - lastBrokenAt < policy::targetRecordLag; }
+    /// @return Whether it is doubtful which version the events of a stream have that begins now.
+    [[nodiscard]] bool isVersionDoubtful(time_point now) const noexcept { return isVersionChanged || (mayHaveMissedRestart && mayHaveRestarted(now)); }
     [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !isLeaving && !listed.isDraining; }
     /// @return Whether the limits of the target, stated or for its cold time, allow a request now.
     [[nodiscard]] bool canSendNow(time_point now) const noexcept { return policy::canSend(limit, now) && policy::canSend(coldStart, now); }
@@ -103,8 +108,11 @@
     void applyAll(const std::vector<deployment::target>& listed, time_point now);
 
     /// The list could not be read. Records that expire from now until shortly after the store returns may be renewed soon.
-    void onStoreUnreachable() noexcept { m_isStoreUnreachable = true; }
+    void onStoreUnreachable() noexcept { m_isStoreUnreachable = m_mayHaveMissedRestarts = true; }
+    /// Called after a successful read, before its records are applied.
     void onStoreReachable(time_point now);
+    /// The process was frozen: it has not noticed which targets restarted meanwhile.
+    void onFrozen() noexcept { m_mayHaveMissedRestarts = true; }
     /// Carries out deferred removals.
     void tick(time_point now);
 
@@ -142,6 +150,9 @@
     /// Determines again which target an address belongs to.
     void decideEndpoint(const ip_endpoint& endpoint);
 
+    /// Determines what an unlisted or restarted target's state knows about a restart that its record does not name yet.
+    void applyDoubt(target_state& state, const target_state* previous, time_point now) const;
+
     void applyCold(const target_ptr& state, const deployment::cold_statement& previous, bool isFirst, time_point now);
 
     on_change m_onChange;
@@ -188,5 +199,9 @@
     bool m_isStoreUnreachable = false;
     time_point m_storeReachableSince {};
     bool m_hasStoreReturned = false;
+    /// From the start of the process, a freeze or an outage of the store until the next successful read.
+    bool m_mayHaveMissedRestarts = true;
+    /// The records of that read are being applied.
+    bool m_isCatchingUp = false;
 };
 }
--- a/tests/process/gateway_software_version_test.cpp
+++ b/tests/process/gateway_software_version_test.cpp
@@ -249,6 +249,70 @@
     }
 }
 
+namespace {
+/// A stream of v1 began at `t-1`, which then leaves; `t-2` restarts as v1, is listed so at once, and restarts as v2 without
+/// a record that says so, all while the last gateway is blind. The only target in service by its list is then `t-2` as v1.
+/// @param startsBlind, endsBlind  Begin and end a time in which the last gateway does not notice restarts.
+void restartTwiceWhileBlind(versioned_fleet& fleet, size_t gatewayCount, const std::function<void()>& startsBlind, const std::function<void()>& endsBlind)
+{
+    auto& first = fleet.add("t-1", "v1");
+    fleet.waitUntilReady();
+    fleet.begin("a-1")->call.reset();
+    auto& second = fleet.add("t-2", "v2");
+    second.behaviour().restartDelay = milliseconds(200);
+    // The target list is read every 1.25 s at the default bounds.
+    fleet.deployment.runLoopFor(milliseconds(1500));
+    startsBlind();
+    fleet.deployment.listTarget(first.target(), "model", "draining", "north-1", "v1");
+    fleet.deployment.restartEngine(second, "model", "v1", milliseconds(0));
+    fleet.deployment.waitUntil([&] { return second.isUp(); }, "the first restart");
+    fleet.deployment.runLoopFor(milliseconds(50));
+    constexpr milliseconds recordDelay { 20000 };
+    fleet.deployment.restartEngine(second, "model", "v2", recordDelay);
+    fleet.deployment.waitUntil([&] { return second.isUp(); }, "the second restart");
+    endsBlind();
+    const auto resumed = fleet.resume("a-1", gatewayCount - 1);
+    cr_assert(!versionsIn(resumed->body).contains("v2"), "the gateway joined v1 and v2: %s", resumed->body.c_str());
+    cr_assert_eq(resumed->head.status, 503, "status %u: %s", resumed->head.status, resumed->body.c_str());
+    // A stream that begins there now is one of v2, and must not be continued as one of v1.
+    fleet.begin("a-2", gatewayCount - 1)->call.reset();
+    fleet.add("t-3", "v1");
+    fleet.deployment.runLoopFor(milliseconds(1500));
+    const auto joined = fleet.resume("a-2", gatewayCount - 1);
+    cr_assert(!versionsIn(joined->body).contains("v1"), "the gateway joined v2 and v1: %s", joined->body.c_str());
+}
+}
+
+// Guards against streams of two versions after a freeze: the gateway reads the record of a restart, but has not noticed the
+// next one (silence_soak, seed 208).
+Test(gateway_software_version, a_gateway_that_was_frozen_while_a_target_restarted_twice_joins_no_versions)
+{
+    versioned_fleet fleet(274);
+    const auto freeze = [&] { fleet.deployment.signal(0, SIGSTOP); };
+    const auto wake = [&] {
+        // Long enough that the gateway takes it for a freeze.
+        fleet.deployment.runLoopFor(milliseconds(1500));
+        fleet.deployment.signal(0, SIGCONT);
+    };
+    restartTwiceWhileBlind(fleet, 1, freeze, wake);
+}
+
+// Guards against the same at a gateway that has just started.
+Test(gateway_software_version, a_gateway_that_started_while_a_target_restarted_twice_joins_no_versions)
+{
+    versioned_fleet fleet(275, 2);
+    const auto stop = [&] {
+        fleet.deployment.signal(1, SIGKILL);
+        fleet.deployment.waitUntil([&] { return fleet.deployment.hasExited(1); }, "the end of a gateway");
+    };
+    const auto start = [&] {
+        fleet.deployment.restartGateway(1);
+        fleet.deployment.waitUntilReady(1);
+        fleet.deployment.runLoopFor(milliseconds(500));
+    };
+    restartTwiceWhileBlind(fleet, 2, stop, start);
+}
+
 Test(gateway_software_version, records_without_a_readable_version_name_usable_targets)
 {
     deployment_fixture deployment(219);
