gateway: targets that may have restarted unnoticed matter only while several versions serve

The rule now applies while several versions are in service, and is kept apart from broken connections.

--- a/src/gateway/request_continuation.cpp
+++ b/src/gateway/request_continuation.cpp
@@ -60,10 +60,12 @@
         return;
     m_origin = found.origin;
     const auto* origin = m_origin ? &*m_origin : nullptr;
-    const auto decision = policy::decideContinuation(origin, versionsInService());
+    const auto versions = versionsInService();
+    m_hasSeveralVersions = versions.size() > 1;
+    const auto decision = policy::decideContinuation(origin, versions);
     const time_point now = monotonicNow();
     m_context.counters.count("continued_streams_total", { { "decision", std::string(nameOf(decision)) } });
-    logLine(log_level::Info, logComponent, "A caller continues a stream.", { { "request", m_request.callerRequest.id }, { "began_at_version", origin ? origin->softwareVersion : "" }, { "began_at_target", origin ? textOfHash(origin->target) : "" }, { "began_ms_ago", origin ? std::to_string(asMilliseconds(now - origin->beganAt)) : "" }, { "decision", std::string(nameOf(decision)) }, { "known_by", found.knownBy }, { "certain", found.isCertain ? "true" : "false" }, { "versions_in_service", std::to_string(versionsInService().size()) }, { "searched_ms", std::to_string(asMilliseconds(now - m_arrivedAt)) } });
+    logLine(log_level::Info, logComponent, "A caller continues a stream.", { { "request", m_request.callerRequest.id }, { "began_at_version", origin ? origin->softwareVersion : "" }, { "began_at_target", origin ? textOfHash(origin->target) : "" }, { "began_ms_ago", origin ? std::to_string(asMilliseconds(now - origin->beganAt)) : "" }, { "decision", std::string(nameOf(decision)) }, { "known_by", found.knownBy }, { "certain", found.isCertain ? "true" : "false" }, { "versions_in_service", std::to_string(versions.size()) }, { "searched_ms", std::to_string(asMilliseconds(now - m_arrivedAt)) } });
     if (decision == policy::continuation::VersionGone || decision == policy::continuation::OriginUnknown)
         refuseContinuation(decision, found.isCertain);
     else
@@ -94,7 +96,8 @@
 {
     if (!m_origin || m_origin->softwareVersion.empty())
         return true;
-    return target.listed.softwareVersion == m_origin->softwareVersion && !target.mayHaveRestarted(monotonicNow());
+    const time_point now = monotonicNow();
+    return target.listed.softwareVersion == m_origin->softwareVersion && !target.mayHaveRestarted(now) && !(m_hasSeveralVersions && target.mayHaveMissedRestart(now));
 }
 
 void request_run::recordOrigin(const target_attempt& attempt)
@@ -102,7 +105,10 @@
     if (m_origin)
         return;
     m_originTarget = attempt.target;
-    m_origin = { attempt.target->isVersionDoubtful(monotonicNow()) ? std::string() : attempt.softwareVersion, attempt.target->hash, monotonicNow() };
+    const time_point now = monotonicNow();
+    m_hasSeveralVersions = versionsInService().size() > 1;
+    const bool isDoubtful = attempt.target->isVersionChanged || (m_hasSeveralVersions && attempt.target->mayHaveMissedRestart(now));
+    m_origin = { isDoubtful ? std::string() : attempt.softwareVersion, attempt.target->hash, now };
     m_context.streams->record(streamKey(), *m_origin);
 }
 
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -296,6 +296,8 @@
     std::optional<policy::stream_origin> m_origin;
     /// The target that began the stream for this request.
     target_ptr m_originTarget;
+    /// When the origin became known, targets in service had several versions.
+    bool m_hasSeveralVersions = false;
     int m_attempts = 0;
     int m_sends = 0;
     /// Targets at which a run was ended because another one delivered. They may get the request once more, which makes
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -114,13 +114,14 @@
     if (state.listed.startedAtMs <= 0)
         return;
     const milliseconds sinceStart = wallNow().time_since_epoch() - milliseconds(state.listed.startedAtMs);
+    const auto isAfterStart = [&](time_point at) { return at != time_point() && std::chrono::ceil<milliseconds>(now - at) < sinceStart; };
     // A connection that broke after the start which the record names is a sign of a later restart.
-    if (previous && previous->lastBrokenAt != time_point() && std::chrono::ceil<milliseconds>(now - previous->lastBrokenAt) < sinceStart)
+    if (previous && isAfterStart(previous->lastBrokenAt))
         state.lastBrokenAt = previous->lastBrokenAt;
-    if (!m_isCatchingUp || sinceStart >= policy::targetRecordLag)
-        return;
-    state.mayHaveMissedRestart = true;
-    state.lastBrokenAt = now;
+    if (m_isCatchingUp && sinceStart < policy::targetRecordLag)
+        state.restartMissedUntil = now + policy::targetRecordLag;
+    else if (previous && previous->mayHaveMissedRestart(now) && isAfterStart(previous->restartMissedUntil - policy::targetRecordLag))
+        state.restartMissedUntil = previous->restartMissedUntil;
 }
 
 void target_registry::applyCold(const target_ptr& state, const deployment::cold_statement& previous, bool isFirst, time_point now)
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -44,9 +44,9 @@
     /// Time at which a connection to the target last failed or broke off. It may have restarted since, with another version
     /// than the one in its record.
     time_point lastBrokenAt {};
-    /// The record was first read after a time in which this process could not notice restarts, and the target had started
-    /// shortly before: it may have started once more, with another version.
-    bool mayHaveMissedRestart = false;
+    /// Until then, the target may have restarted once more than its record says: the record was first read after a time in
+    /// which this process could not notice restarts, and the target had started shortly before.
+    time_point restartMissedUntil {};
     /// The address responded as another target; stays set until the record names another address or service.
     bool isReplaced = false;
     policy::target_health health;
@@ -75,8 +75,8 @@
 
     /// @return Whether the record may be older than a restart of the target.
     [[nodiscard]] bool mayHaveRestarted(time_point now) const noexcept { return lastBrokenAt != time_point() && now - lastBrokenAt < policy::targetRecordLag; }
-    /// @return Whether it is doubtful which version the events of a stream have that begins now.
-    [[nodiscard]] bool isVersionDoubtful(time_point now) const noexcept { return isVersionChanged || (mayHaveMissedRestart && mayHaveRestarted(now)); }
+    /// @return Whether this process may have missed a restart of the target.
+    [[nodiscard]] bool mayHaveMissedRestart(time_point now) const noexcept { return now < restartMissedUntil; }
     [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !isLeaving && !listed.isDraining; }
     /// @return Whether the limits of the target, stated or for its cold time, allow a request now.
     [[nodiscard]] bool canSendNow(time_point now) const noexcept { return policy::canSend(limit, now) && policy::canSend(coldStart, now); }
