--- a/src/fakes/platform_target.cpp
+++ b/src/fakes/platform_target.cpp
@@ -95,6 +95,16 @@
         runWhenAudible([exchange = std::move(exchange)] { exchange->respond(200, {}, "{}"); });
         return;
     }
+    if (path == "/v1/report") {
+        ++m_reportCount;
+        runWhenAudible([this, exchange = std::move(exchange)] {
+            if (m_report)
+                exchange->respond(200, { { "Content-Type", "application/json" } }, *m_report);
+            else
+                exchange->respond(404, {}, {});
+        });
+        return;
+    }
     m_requests.push_back({ std::string(http1::findHeader(head.headers, "X-Attempt-Id").value_or("")), head, exchange->body() });
     if (m_onArrival)
         m_onArrival(m_requests.back());
--- a/src/fakes/platform_target.hpp
+++ b/src/fakes/platform_target.hpp
@@ -43,6 +43,11 @@
     /// Calls a function at once, or after the silence in the order of these calls; never if the target stops before.
     void runWhenAudible(std::function<void()> function);
 
+    /// Sets the body of the target's report of its load; without one, the target responds to queries with status 404.
+    void setReport(std::string body) { m_report = std::move(body); }
+    /// @return How often the report was queried.
+    [[nodiscard]] size_t reportCount() const noexcept { return m_reportCount; }
+
     /// Makes the target state in its responses for how much longer it is cold; zero makes it state that it is warm.
     void setCold(milliseconds left) { m_coldUntil = monotonicNow() + left; }
 
@@ -83,6 +88,8 @@
     std::vector<std::string> m_batchCalls;
     std::vector<std::string> m_releasedResults;
     uint64_t m_nextResult = 1;
+    std::optional<std::string> m_report;
+    size_t m_reportCount = 0;
     time_point m_silentUntil {};
     /// Not set if responses state no cold time.
     std::optional<time_point> m_coldUntil;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -132,6 +132,7 @@
     const bool isAddressChanged = settings.listen != m_context.settings.listen || settings.operatorListen != m_context.settings.operatorListen;
     m_context.settings.bounds = settings.bounds;
     m_context.settings.poolAdmission = settings.poolAdmission;
+    m_context.settings.poolReports = settings.poolReports;
     m_context.settings.preferredDomainWait = settings.preferredDomainWait;
     m_context.settings.limits = settings.limits;
     m_context.settings.regions = settings.regions;
--- a/src/gateway/pool_router_peers.cpp
+++ b/src/gateway/pool_router_peers.cpp
@@ -42,9 +42,14 @@
     /// An owner that sends nothing for this long while it runs jobs of this entry counts as unreachable.
     constexpr milliseconds ownerInactivityTimeout { 600 };
 
+    /// A connection that is not established by then is tried again. Entries that start together lose the first packet to one
+    /// that has no power yet, which the kernel repeats only after a second; meanwhile a pool would have several owners.
+    constexpr milliseconds ownerConnectTimeout { 300 };
+
     wire::link_timing ownerLinkTiming()
     {
         wire::link_timing timing;
+        timing.connectTimeout = ownerConnectTimeout;
         timing.busyHeartbeatPeriod = ownerHeartbeat;
         timing.busyInactivityTimeout = ownerInactivityTimeout;
         return timing;
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -5,6 +5,7 @@
 #include "policy/cold_start.hpp"
 #include "policy/pause.hpp"
 #include "policy/placement_search.hpp"
+#include "policy/pool_memory.hpp"
 #include "policy/rate_limit.hpp"
 #include "policy/stream_origins.hpp"
 #include "policy/target_health.hpp"
@@ -67,6 +68,8 @@
     time_point noMemoryUntil {};
     /// Memory that the results of this process's batch calls occupy at the target, in bytes.
     double heldBytes = 0;
+    /// Queries of what other entries have at the target, which is in a pool.
+    policy::report_state poolReport;
     /// Time at which the target last processed a prompt prefix for this process, by the hash of the prompt segments in it.
     std::unordered_map<uint64_t, time_point> cachedPrefixes;
 
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -78,6 +78,7 @@
 
 task_scheduler::task_scheduler(context& context)
     : m_context(context)
+    , m_reports(context)
 {
 }
 
@@ -273,9 +274,10 @@
     view.failureDomain = target.listed.failureDomain;
     view.region = regionOf(m_context, target.listed.failureDomain);
     const bool mayGetWork = policy::reasonAgainst(conditionsOf(m_context, target), now) == policy::ineligibility::None;
-    view.isIdle = mayGetWork && now >= target.noMemoryUntil && (target.inFlight < slots || isNearlyIdle);
+    const bool isFree = !policy::awaitsReport(target.poolReport, now) && now >= target.poolReport.foreign.busyUntil;
+    view.isIdle = mayGetWork && isFree && now >= target.noMemoryUntil && (target.inFlight < slots || isNearlyIdle);
     view.totalBytes = profile.resultMemoryBytes > 0 ? profile.resultMemoryBytes * usableMemoryShare : std::numeric_limits<double>::max();
-    view.freeBytes = view.totalBytes - target.heldBytes;
+    view.freeBytes = view.totalBytes - target.heldBytes - policy::foreignBytesAt(target.poolReport.foreign, now);
     // Tasks must not wait for a target that gets no work.
     view.penalty = mayGetWork ? policy::penaltyOf(target.health) : unusablePenalty;
     return view;
@@ -290,6 +292,8 @@
     if (pool.queue.empty() || !profile || isTargetListUncertain(m_context, now))
         return;
     const std::vector<target_ptr> listedTargets = m_context.targets.ofService(service);
+    if (m_context.settings.poolReports)
+        updateReports(service, pool, *profile, now);
     std::vector<policy::pool_target> targets;
     targets.reserve(listedTargets.size());
     for (const auto& target : listedTargets)
@@ -314,6 +318,32 @@
     }
 }
 
+void task_scheduler::updateReports(const std::string& service, pool& pool, const deployment::pool_profile& profile, time_point now)
+{
+    const policy::pool_limits limits { profile.resultMemoryBytes, static_cast<uint32_t>(std::max(1, profile.slots)), profile.resultLifetime, profile.expectedCallTime(static_cast<size_t>(std::max(1, profile.batchSize))) };
+    const auto& targets = m_context.targets.ofService(service);
+    if (policy::mayHaveOtherResults(pool.lastUseAt, limits, now)) {
+        pool.lastUseAt = now;
+        m_reports.onTakeover(service, targets);
+    }
+    m_reports.sendDueQueries(
+        service, targets, limits, [this, service](const target_state& target) { return ownUseOf(service, target); }, now);
+}
+
+policy::own_use task_scheduler::ownUseOf(std::string_view service, const target_state& target) const
+{
+    policy::own_use use { target.heldBytes, target.inFlight };
+    const auto position = m_pools.find(service);
+    if (position == m_pools.end())
+        return use;
+    const time_point now = monotonicNow();
+    for (const auto& call : position->second.calls) {
+        if (call->target.get() == &target && call->startsAt > now)
+            use.bytes -= call->resultBytes;
+    }
+    return use;
+}
+
 void task_scheduler::send(const std::string& service, pool& pool, const target_ptr& target, std::vector<task_ptr> tasks, time_point now)
 {
     const auto* profile = profileOf(service);
@@ -336,6 +366,7 @@
     call->startsAt = target->inFlight > 1 ? std::max(now, target->busyUntil) : now;
     target->busyUntil = call->startsAt + call->expectedTime;
     pool.calls.push_back(call);
+    pool.lastUseAt = now;
 
     http1::outgoing_request request { "POST", std::string(platform::runTasksPath), platform::encodeInternalCallHeaders(target->listed), platform::encodeBatchCall(items) };
     http1::client_call::callbacks callbacks;
@@ -371,6 +402,8 @@
     }
     target.heldBytes -= call->resultBytes;
     const bool isFull = http1::isReceived(outcome) && call->status == http1::statusUnavailable && call->isNotRun;
+    if (isFull)
+        m_reports.onLackOfRoom(target);
     if (http1::isReceived(outcome) && call->status == http1::statusMisdirected)
         target.isReplaced = true;
     const auto failure = isFull ? policy::call_failure::Full : outcome == http1::call_outcome::NotSent ? policy::call_failure::Unreachable
@@ -414,6 +447,7 @@
             if (now >= call->target->noMemoryUntil)
                 logLine(log_level::Warning, logComponent, "A target had no memory for the result of a task; it gets no tasks for a short time.", { { "target", call->target->listed.id }, { "service", job.service }, { "request", job.requestId }, { "held_bytes", std::to_string(static_cast<int64_t>(call->target->heldBytes)) } });
             call->target->noMemoryUntil = now + noMemoryPause;
+            m_reports.onLackOfRoom(*call->target);
             // Results that another entry had produced there occupy the memory, so the task has to wait.
             const bool isWithinBudget = trySpendRetry(m_context, job.service, now);
             task->notBefore = now + (isWithinBudget ? noMemoryPause : overBudgetPause);
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/context.hpp"
+#include "gateway/pool_reports.hpp"
 #include "gateway/stage_job.hpp"
 #include "policy/account_share.hpp"
 #include "policy/batching.hpp"
@@ -73,6 +74,8 @@
         policy::account_usage usage;
         /// Standings of the accounts when calls were last planned, to log changes.
         policy::standing_table standings;
+        /// Time of the last call to a target, or since which its targets are queried after a takeover.
+        time_point lastUseAt {};
         /// Jobs that were refused; reported at the next tick.
         std::vector<std::pair<job_ptr, milliseconds>> refusedJobs;
     };
@@ -82,6 +85,10 @@
     /// Fails the queued tasks for which permitted regions or evacuations leave no target.
     void failUnplaceable(const std::string& service, pool& pool, time_point now);
     void startBatchCalls(const std::string& service, pool& pool, time_point now);
+    /// Queries the targets, as far as what other entries have there may have changed.
+    void updateReports(const std::string& service, pool& pool, const deployment::pool_profile& profile, time_point now);
+    /// @return What this entry has at a target: results, and calls that have started.
+    [[nodiscard]] policy::own_use ownUseOf(std::string_view service, const target_state& target) const;
 
     // Admission and order; in task_admission.cpp.
     /// @return A waiting task as input for planning.
@@ -121,6 +128,7 @@
     std::map<std::string, pool, std::less<>> m_pools;
     result_table m_results;
     std::list<std::shared_ptr<http1::client_call>> m_releaseCalls;
+    pool_reports m_reports;
     timer m_scheduledTick;
 };
 }
--- a/src/platform/batch_call.cpp
+++ b/src/platform/batch_call.cpp
@@ -1,5 +1,6 @@
 #include "platform/batch_call.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace bilberryseam::platform {
@@ -7,6 +8,10 @@
 using nlohmann::json;
 
 namespace {
+    constexpr double bytesPerMegabyte = 1e6;
+    /// A target that reports more calls is at fault.
+    constexpr double maxReportedCalls = 10000;
+
     json encodeTask(const task_request& task)
     {
         // "id" is the identifier of the request, not of the task.
@@ -98,4 +103,29 @@
 {
     return json { { "handles", std::vector<std::string>(handles.begin(), handles.end()) } }.dump();
 }
+
+result<pool_report> decodePoolReport(std::string_view text)
+{
+    const json document = json::parse(text, nullptr, false);
+    if (!document.is_object())
+        return invalidResponse("The report of a target is not a JSON object.");
+    const auto figure = [&document](const char* name) -> std::optional<double> {
+        const auto position = document.find(name);
+        if (position == document.end())
+            return std::nullopt;
+        // "busy" is a flag at targets that run one call at a time.
+        if (position->is_boolean())
+            return position->get<bool>() ? 1 : 0;
+        if (!position->is_number() || !(position->get<double>() >= 0))
+            return std::nullopt;
+        return position->get<double>();
+    };
+    const auto running = figure("busy");
+    const auto waiting = figure("waiting");
+    const auto freeMegabytes = figure("free_mb");
+    if (!running || !waiting || !freeMegabytes)
+        return invalidResponse("The report of a target lacks a figure, or it is negative or not a number.");
+    const auto toCount = [](double value) { return static_cast<uint32_t>(std::min(value, maxReportedCalls)); };
+    return pool_report { toCount(*running), toCount(*waiting), *freeMegabytes * bytesPerMegabyte };
+}
 }
--- a/src/platform/batch_call.hpp
+++ b/src/platform/batch_call.hpp
@@ -17,6 +17,8 @@
 constexpr std::string_view runTasksPath = "/v1/stage-run";
 /// Path of a call that releases results.
 constexpr std::string_view releaseResultsPath = "/v1/stage-free";
+/// Path of a query of what a target has at work.
+constexpr std::string_view reportPath = "/v1/report";
 
 /// One task of a batch call.
 struct task_request {
@@ -67,4 +69,17 @@
 [[nodiscard]] std::optional<ip_endpoint> holderOf(std::string_view handle);
 
 [[nodiscard]] std::string encodeReleaseCall(std::span<const std::string> handles);
+
+/// What a target of a pool has at work.
+struct pool_report {
+    /// Calls that run.
+    uint32_t running = 0;
+    /// Calls that wait.
+    uint32_t waiting = 0;
+    /// Memory for results.
+    double freeBytes = 0;
+};
+
+/// @return What a target of a pool reports, or `InvalidMessage` if a figure is missing, negative or not a number.
+[[nodiscard]] result<pool_report> decodePoolReport(std::string_view text);
 }
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -24,6 +24,7 @@
         "loadSharing": { "type": "boolean" },
         "regions": { "type": "object", "additionalProperties": { "type": "string" } },
         "poolAdmission": { "type": "boolean" },
+        "poolReports": { "type": "boolean" },
         "preferredDomainWaitMs": { "type": "integer", "minimum": 0, "maximum": 10000 },
         "bounds": {
           "type": "object",
@@ -85,6 +86,7 @@
         settings.store = detail::readEndpoint(document, "store", path);
         settings.processorShare = document.value("processorShare", settings.processorShare);
         settings.poolAdmission = document.value("poolAdmission", settings.poolAdmission);
+        settings.poolReports = document.value("poolReports", settings.poolReports);
         settings.preferredDomainWait = milliseconds(document.value("preferredDomainWaitMs", settings.preferredDomainWait.count()));
         const json regions = document.value("regions", json::object());
         for (const auto& [domain, region] : regions.items())
@@ -107,7 +109,7 @@
 {
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "operatorListen", operatorListen.toString() },
         { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions },
-        { "loadSharing", loadSharing }, { "poolAdmission", poolAdmission }, { "preferredDomainWaitMs", preferredDomainWait.count() },
+        { "loadSharing", loadSharing }, { "poolAdmission", poolAdmission }, { "poolReports", poolReports }, { "preferredDomainWaitMs", preferredDomainWait.count() },
         { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "evacuationMs", bounds.evacuation.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) }, { "coldOverage", bounds.coldOverage }, { "coldSlack", bounds.coldSlack } } },
         { "limits", { { "maxHeldBytes", limits.maxHeldBytes }, { "maxConnections", limits.maxConnections } } } };
 }
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -62,6 +62,8 @@
     bool loadSharing = false;
     /// How long a task waits for a target in the failure domain that holds most of its inputs.
     milliseconds preferredDomainWait { 60 };
+    /// Owners of pools query their targets after a takeover, and after calls that found less room than expected.
+    bool poolReports = false;
     /// Pools refuse jobs that cannot start in time, and order tasks by rank and account.
     bool poolAdmission = false;
 
