--- a/src/platform/batch_call.cpp
+++ b/src/platform/batch_call.cpp
@@ -1,6 +1,7 @@
 #include "platform/batch_call.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace bilberryseam::platform {
@@ -126,6 +127,8 @@
     if (!running || !waiting || !freeMegabytes)
         return invalidResponse("The report of a target lacks a figure, or it is negative or not a number.");
     const auto toCount = [](double value) { return static_cast<uint32_t>(std::min(value, maxReportedCalls)); };
-    return pool_report { toCount(*running), toCount(*waiting), *freeMegabytes * bytesPerMegabyte };
+    // Whole megabytes are rounded down: up to one more is free, which is all the memory of some pools.
+    const bool isRounded = *freeMegabytes == std::floor(*freeMegabytes);
+    return pool_report { toCount(*running), toCount(*waiting), (*freeMegabytes + (isRounded ? 1 : 0)) * bytesPerMegabyte };
 }
 }
--- a/src/platform/batch_call.hpp
+++ b/src/platform/batch_call.hpp
@@ -76,7 +76,7 @@
     uint32_t running = 0;
     /// Calls that wait.
     uint32_t waiting = 0;
-    /// Memory for results.
+    /// Memory that is at most free for results.
     double freeBytes = 0;
 };
 
--- a/tests/unit/pool_memory_test.cpp
+++ b/tests/unit/pool_memory_test.cpp
@@ -97,6 +97,8 @@
     cr_assert_eq(report.value().waiting, 2u);
     cr_assert_float_eq(report.value().freeBytes, 1.5e6, 1);
     cr_assert_eq(platform::decodePoolReport(R"({"waiting":0,"busy":true,"free_mb":0})").value().running, 1u);
+    // Guards against a pool of 0.6 MB for each target that never gets a call, because its targets report 0 MB.
+    cr_assert_float_eq(platform::decodePoolReport(R"({"waiting":0,"busy":0,"free_mb":0})").value().freeBytes, 1e6, 1);
     cr_assert_eq(platform::decodePoolReport(R"({"waiting":1e300,"busy":0,"free_mb":1})").value().waiting, 10000u);
 }
 
