--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -110,6 +110,8 @@
         size_t unfinishedTasks = 0;
         bool isStarted = false;
         time_point startedAt {};
+        /// Time at which the first result arrived; it expires first.
+        std::optional<time_point> firstResultAt;
         [[nodiscard]] bool isDone() const noexcept { return isStarted && unfinishedTasks == 0; }
     };
 
@@ -137,6 +139,8 @@
     [[nodiscard]] milliseconds chainTime(size_t fromStage, const std::function<milliseconds(const deployment::pool_profile&)>& timeIn) const;
     /// @return Expected time from the start of a stage to the first event of the response.
     [[nodiscard]] milliseconds remainingTime(size_t fromStage) const;
+    /// @return Time from which on a result that the stage takes may have expired; nothing if it takes none.
+    [[nodiscard]] std::optional<time_point> inputsExpireAt(size_t index) const;
     [[nodiscard]] std::string domainOfLargeResults() const;
     [[nodiscard]] std::string domainOfInputs(const std::vector<std::string>& inputs, double inputBytes) const;
     /// @return Bytes of the results of the final stages in each failure domain.
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -32,6 +32,9 @@
     /// work.
     constexpr milliseconds fetchStartDelay { 35 };
 
+    /// A task that is reported as late in the last moments before its inputs expire was not sent because of them.
+    constexpr milliseconds expiredInputsMargin { 200 };
+
     /// Factor for the transfer time, since results share the network links of their holders with other transfers.
     constexpr double fetchSlowdown = 2;
 }
@@ -198,6 +201,9 @@
     job->latestStart = m_arrivedAt + m_request.route->objective - remainingTime(index);
     // Tasks of a request that can no longer finish in time fail at once and take no slot.
     job->deadline = m_deadline - chainTime(index, [](const auto& pool) { return pool.callOverhead; });
+    // Tasks that would not find their inputs any more would take a slot for nothing.
+    if (const auto expiry = inputsExpireAt(index))
+        job->deadline = std::min(job->deadline, *expiry);
     if (const auto& prompt = m_request.callerRequest.generation)
         job->weightedTokens = prompt->promptTokens + outputTokenPrice * prompt->maxOutputTokens;
     job->rank = static_cast<uint32_t>(std::clamp(m_request.rank, 0, 9));
@@ -218,6 +224,20 @@
     m_pools.run(job);
 }
 
+std::optional<time_point> request_run::inputsExpireAt(size_t index) const
+{
+    std::optional<time_point> expiry;
+    for (const size_t previous : m_request.route->stages[index].inputStages) {
+        const auto& results = m_stages[previous];
+        const auto* pool = deployment::poolOf(*m_request.configuration, m_request.route->stages[previous].service);
+        if (!results.firstResultAt || !pool || pool->resultLifetime.count() <= 0)
+            continue;
+        const time_point ofStage = *results.firstResultAt + pool->resultLifetime - fetchStartDelay;
+        expiry = std::min(expiry.value_or(ofStage), ofStage);
+    }
+    return expiry;
+}
+
 std::string request_run::domainOfInputs(const std::vector<std::string>& inputs, double inputBytes) const
 {
     if (inputs.empty() || inputBytes < movableInputBytes)
@@ -267,6 +287,8 @@
         logLine(log_level::Info, logComponent, "A task of the request ended without a result.", { { "request", m_request.callerRequest.id }, { "stage", std::to_string(stage) }, { "piece", std::to_string(task) }, { "reason", std::string(platform::nameOf(outcome.failure)) } });
         if (m_current)
             cancelAndReleaseStages();
+        else if (const auto expiry = inputsExpireAt(stage); outcome.failure == platform::task_failure::Expired && expiry && monotonicNow() + expiredInputsMargin >= *expiry)
+            restartStages("input_expired");
         else if (outcome.failure == platform::task_failure::Expired)
             finishWithoutResponse("stage_late");
         else if (outcome.failure == platform::task_failure::Unplaceable) {
@@ -281,6 +303,7 @@
     }
     stage_progress& progress = m_stages[stage];
     progress.handles[task] = outcome.handle;
+    progress.firstResultAt = progress.firstResultAt.value_or(monotonicNow());
     if (--progress.unfinishedTasks > 0)
         return;
     logLine(log_level::Info, logComponent, "A stage of the request finished.", { { "request", m_request.callerRequest.id }, { "stage", std::to_string(stage) }, { "service", m_request.route->stages[stage].service }, { "pieces", std::to_string(progress.handles.size()) }, { "took_ms", std::to_string(asMilliseconds(monotonicNow() - progress.startedAt)) } });
--- a/tests/process/gateway_stage_test.cpp
+++ b/tests/process/gateway_stage_test.cpp
@@ -123,6 +123,42 @@
     cr_assert_eq(taskItemsOf(encoder).size(), 2u);
 }
 
+// Guards against tasks that wait until their inputs have expired and then take a slot to find this out.
+Test(gateway_stage, a_task_whose_inputs_have_expired_is_not_sent)
+{
+    deployment_fixture deployment(299);
+    auto& encoder = deployment.addTarget("e-1", "encode");
+    auto& ranker = deployment.addTarget("k-1", "rank");
+    deployment.addTarget("t-1", "model");
+    json route = stagedRoute();
+    route["target_latency_ms"] = 6000;
+    json encode = poolService("encode");
+    encode["pieces"]["handle_s"] = 1;
+    json rank = poolService("rank");
+    rank["pieces"]["queue"] = 0;
+    deployment.configure(3, { route }, { encode, rank });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+
+    std::vector<std::shared_ptr<http1::exchange>> held;
+    ranker.setBatchCallHandler([&held](std::shared_ptr<http1::exchange> exchange) { held.push_back(std::move(exchange)); });
+    const auto first = deployment.send("POST", "/m/1", stageHeaders("1,1"));
+    deployment.waitUntil([&] { return held.size() == 1; }, "the call that occupies the pool");
+    const auto second = deployment.send("POST", "/m/2", stageHeaders("1,1"));
+    deployment.waitUntil([&] { return encoder.batchCalls().size() == 2; }, "the inputs of the second request");
+    const std::string expiredHandle = encoder.endpoint().toString() + "/2";
+    // Longer than results live, and shorter than the time after which the call counts as overdue and its tasks as lost.
+    deployment.runLoopFor(milliseconds(1300));
+    ranker.setBatchCallHandler({});
+    ranker.respondToBatchCall(*held.front());
+    deployment.waitUntil([&] { return first->isFinished && second->isFinished; }, "the responses");
+    cr_assert_eq(second->head.status, 200);
+    for (const auto& item : taskItemsOf(ranker)) {
+        for (const json& input : item.at("inputs"))
+            cr_assert_neq(input.get<std::string>(), expiredHandle, "a task was sent with an expired result");
+    }
+}
+
 Test(gateway_stage, a_request_whose_stages_cannot_finish_in_time_is_refused_at_once)
 {
     deployment_fixture deployment(154);
