side: calls to targets use http1::client, which reports a missing last chunk

A side accepted whole JSON whose chunked framing had ended early, because libsoup does not report the last chunk. libsoup also sent a retryable call again when an idle connection turned out to be closed, which can crash a target twice for one recorded crash.

Each call and probe now has a connection of its own and is sent once. On a reused connection, one that an idle target closed could not be told from a crash, for which the request would be suspected. The cost is a connection per call, and a port of the side for each of them until it can be used again. Connecting may take 1.5 s instead of any time. A stream with its end marker stays complete without its last chunk, so that no engine runs it again.

--- a/src/side/call_dispatcher.cpp
+++ b/src/side/call_dispatcher.cpp
@@ -390,16 +390,21 @@
 
 void call_dispatcher::probe(target_runtime& runtime)
 {
-    http_request request { "GET", urlOf(runtime.target.address, "/health"), "", {}, true, probePeriod };
-    runtime.probeExchange = m_http.send(request, [this, &runtime](http_response reply) {
+    http1::call_options options;
+    options.isOnNewConnection = true;
+    options.timeout = probePeriod;
+    http1::client_call::callbacks callbacks;
+    callbacks.onEnd = [this, &runtime](http1::call_outcome outcome) {
         // A response with any status shows that the target accepts connections.
-        if (reply.outcome != exchange_outcome::Complete)
+        if (!http1::isReceived(outcome))
             return;
         runtime.probeTimer.stop();
         runtime.callQueue.isDown = false;
         logLine(log_level::Info, logComponent, "A target accepts connections again.", { { "target", runtime.target.name } });
         broadcastLoad(runtime);
-    });
+    };
+    const http1::outgoing_request request { "GET", "/health", { { "Host", runtime.target.address.toString() } }, "" };
+    runtime.probeExchange = m_http.send(runtime.target.address, request, options, std::move(callbacks));
 }
 
 wire::target_load call_dispatcher::loadOf(const target_runtime& runtime) const
--- a/src/side/call_dispatcher.hpp
+++ b/src/side/call_dispatcher.hpp
@@ -113,7 +113,7 @@
     metrics& m_metrics;
     execution::suspicion_exchange& m_suspicions;
     callbacks m_callbacks;
-    http_client m_http;
+    http1::client m_http;
     std::map<std::string, std::unique_ptr<target_runtime>, std::less<>> m_targets;
     std::unordered_map<identifier, std::unique_ptr<active_call>> m_calls;
     platform::log_client m_log;
--- a/src/side/detail/call_dispatcher_state.hpp
+++ b/src/side/detail/call_dispatcher_state.hpp
@@ -16,7 +16,7 @@
     timer probeTimer;
     /// Runs during the pause that the target asked for, and while calls return.
     timer pauseTimer;
-    std::shared_ptr<void> probeExchange;
+    std::shared_ptr<http1::client_call> probeExchange;
 };
 
 /// An accepted call that has not finished.
--- a/src/side/target_call.cpp
+++ b/src/side/target_call.cpp
@@ -8,33 +8,54 @@
     constexpr std::string_view dataPrefix = "data:";
     constexpr std::string_view endMarker = "[DONE]";
 
-    http_request requestFor(const configuration::service& service, const configuration::target& target, const wire::start_call& call)
+    /// Allows for one retransmission of the first segment, which Linux sends after 1 s.
+    constexpr milliseconds connectTimeout { 1500 };
+    constexpr uint64_t maxResponseBytes = 16ull * 1024 * 1024;
+
+    http1::outgoing_request requestFor(const configuration::service& service, const configuration::target& target, const wire::start_call& call)
     {
-        http_request request;
-        request.method = "POST";
-        request.url = urlOf(target.address, service.path);
-        request.body = call.body;
+        http1::outgoing_request request { "POST", service.path, { { "Host", target.address.toString() } }, call.body };
+        request.headers.emplace_back("Content-Type", "application/json");
         request.headers.emplace_back("X-Request-Id", call.request.toString());
         request.headers.emplace_back("X-Priority", std::to_string(call.priority));
         if (!call.idempotencyKey.empty())
             request.headers.emplace_back("Idempotency-Key", call.idempotencyKey);
-        request.isOnNewConnection = !service.isRetryable;
         return request;
     }
+
+    std::string retryAfterOf(const http1::header_list& headers)
+    {
+        std::string values;
+        for (const auto& [name, value] : headers) {
+            if (http1::isSameName(name, "Retry-After"))
+                values += values.empty() ? value : ", " + value;
+        }
+        return values;
+    }
 }
 
-target_call::target_call(http_client& http, const configuration::service& service, const configuration::target& target, const wire::start_call& call, milliseconds inactivityTimeout, callbacks callbacks)
+target_call::target_call(http1::client& http, const configuration::service& service, const configuration::target& target, const wire::start_call& call, milliseconds inactivityTimeout, callbacks callbacks)
     : m_callbacks(std::move(callbacks))
     , m_isEngine(service.kind == configuration::service_kind::Engine)
     , m_isRetryable(service.isRetryable)
     , m_inactivityTimeout(inactivityTimeout)
 {
-    http_client::on_chunk onChunk;
-    if (m_isEngine)
-        onChunk = [this](std::string_view bytes) { handleBytes(bytes); };
+    http1::client_call::callbacks exchangeCallbacks;
+    exchangeCallbacks.onHead = [this](const http1::response_head& head) { m_head = head; };
+    exchangeCallbacks.onBody = [this](std::string_view bytes) {
+        if (m_isEngine && isSuccess())
+            handleBytes(bytes);
+        else
+            m_body.append(bytes);
+    };
+    exchangeCallbacks.onEnd = [this](http1::call_outcome outcome) { finish(outcome); };
+    // On a reused connection, a connection that an idle target closed would look like a crash, for which the request is suspected.
+    http1::call_options options;
+    options.isOnNewConnection = true;
+    options.connectTimeout = connectTimeout;
+    options.maxResponseBytes = maxResponseBytes;
     watchInactivity();
-    m_exchange = http.send(
-        requestFor(service, target, call), [this](http_response reply) { finish(reply); }, std::move(onChunk));
+    m_exchange = http.send(target.address, requestFor(service, target, call), options, std::move(exchangeCallbacks));
 }
 
 void target_call::watchInactivity()
@@ -77,30 +98,32 @@
     return true;
 }
 
-void target_call::finish(const http_response& reply)
+void target_call::finish(http1::call_outcome outcome)
 {
     m_inactivityTimer.stop();
-    end(resultOf(reply));
+    end(resultOf(outcome));
 }
 
-call_result target_call::resultOf(const http_response& reply) const
+call_result target_call::resultOf(http1::call_outcome outcome) const
 {
-    if (reply.outcome == exchange_outcome::NotSent)
-        return { true, wire::call_end::Unknown, "", reply.detail };
-    if (reply.outcome != exchange_outcome::Complete)
-        return interruptedResult(reply.detail);
-    if (!reply.isOk()) {
+    if (outcome == http1::call_outcome::NotSent)
+        return { true, wire::call_end::Unknown, "", "The target refused the connection." };
+    // A stream with its end marker is complete, even if the last chunk is missing.
+    const bool isOnlyLastChunkMissing = outcome == http1::call_outcome::Truncated && m_isStreamComplete && m_exchange->trace().framing == http1::body_framing::Chunks;
+    if (!http1::isReceived(outcome) && !isOnlyLastChunkMissing)
+        return interruptedResult("The exchange ended without a complete response: " + std::string(nameOf(outcome)) + ".");
+    if (!isSuccess()) {
         // A service that is not retryable may have executed the call before it failed with a 5xx; with a 4xx it refused
         // the call.
-        const bool isOutcomeUnknown = !m_isRetryable && reply.status >= 500;
-        return { false, isOutcomeUnknown ? wire::call_end::Unknown : wire::call_end::Rejected, reply.body, "The target answered with status " + std::to_string(reply.status) + ".", reply.status, reply.retryAfter };
+        const bool isOutcomeUnknown = !m_isRetryable && m_head.status >= 500;
+        return { false, isOutcomeUnknown ? wire::call_end::Unknown : wire::call_end::Rejected, m_body, "The target answered with status " + std::to_string(m_head.status) + ".", m_head.status, retryAfterOf(m_head.headers) };
     }
     // A stream without its end marker is incomplete, even if the connection was closed cleanly.
     if (m_isEngine && !m_isStreamComplete)
         return { false, wire::call_end::TargetCrashed, "", "The stream ended early." };
-    if (!m_isEngine && !reply.hasStatedLength && !json::accept(reply.body))
+    if (!m_isEngine && outcome == http1::call_outcome::Unframed && !json::accept(m_body))
         return interruptedResult("The response states no length and is not whole JSON.");
-    return { false, wire::call_end::Answered, m_isEngine ? m_usage : reply.body, "" };
+    return { false, wire::call_end::Answered, m_isEngine ? m_usage : m_body, "" };
 }
 
 call_result target_call::interruptedResult(std::string detail) const
--- a/src/side/target_call.hpp
+++ b/src/side/target_call.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "configuration/objects.hpp"
-#include "loop/http.hpp"
+#include "http1/client.hpp"
 #include "loop/timer.hpp"
 #include "side/line_splitter.hpp"
 #include "wire/message.hpp"
@@ -34,19 +34,20 @@
         std::function<void(call_result)> onEnd;
     };
 
-    /// @param http               Client that provides the connections.
+    /// @param http               Client that sends the request.
     /// @param service            Service of the target: its kind, path and whether it is retryable.
     /// @param target             The target.
     /// @param call               The call to run.
     /// @param inactivityTimeout  Time without data from the target after which it is reported as silent.
     /// @param callbacks          Receive output and result; `onEnd` may destroy the call.
-    target_call(http_client& http, const configuration::service& service, const configuration::target& target, const wire::start_call& call, milliseconds inactivityTimeout, callbacks callbacks);
+    target_call(http1::client& http, const configuration::service& service, const configuration::target& target, const wire::start_call& call, milliseconds inactivityTimeout, callbacks callbacks);
 
 private:
     void handleBytes(std::string_view bytes);
     bool handleLine(std::string_view line);
-    void finish(const http_response& reply);
-    call_result resultOf(const http_response& reply) const;
+    void finish(http1::call_outcome outcome);
+    call_result resultOf(http1::call_outcome outcome) const;
+    [[nodiscard]] bool isSuccess() const noexcept { return m_head.status >= 200 && m_head.status < 300; }
     call_result interruptedResult(std::string detail) const;
     void watchInactivity();
     void end(call_result result);
@@ -56,10 +57,13 @@
     bool m_isRetryable;
     milliseconds m_inactivityTimeout;
     line_splitter m_lines;
+    http1::response_head m_head;
+    /// Received body, except that of a stream.
+    std::string m_body;
     bool m_isStreamComplete = false;
     std::string m_usage;
     time_point m_lastByteAt = monotonicNow();
     timer m_inactivityTimer;
-    std::shared_ptr<void> m_exchange;
+    std::shared_ptr<http1::client_call> m_exchange;
 };
 }
