--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,23 +26,12 @@
     /// New targets and routes should take effect within this time, also if the bounds are longer.
     constexpr milliseconds longestReadPause { 2400 };
 
-    /// All keys are refused this long before a missed removal of a key would have to be in force.
-    constexpr milliseconds revocationMargin { 400 };
-
-    /// If the store has been unreachable for this share of the time within which a configuration must be in force, an unknown
-    /// route or key may be new.
-    constexpr double possiblyNewShare = 0.6;
-
     /// After a freeze, requests wait for so long for the target list; if the store is away, they are then sent by the known one.
     constexpr milliseconds rereadTime { 400 };
 
     /// All entries know of a new one within this time.
     constexpr milliseconds stableEntriesTime { 5000 };
 
-    constexpr milliseconds retryWhenNotReady { 500 };
-    constexpr milliseconds retryElsewhere { 50 };
-    constexpr milliseconds retryWhenFull { 1000 };
-
     milliseconds shareOf(milliseconds bound, double share)
     {
         return milliseconds(static_cast<int64_t>(static_cast<double>(bound.count()) * share));
@@ -54,11 +43,6 @@
         const milliseconds pause = std::max(shareOf(bound, shortestPauseShare), std::min(shareOf(bound, longestPauseShare), bound - failedReadTime));
         return std::min(pause, longestReadPause);
     }
-
-    uint64_t fingerprintOf(const http1::exchange& exchange, std::string_view key)
-    {
-        return hashOf(exchange.body(), hashOf(exchange.head().target, hashOf(key)));
-    }
 }
 
 gateway::gateway(const settings::gateway_settings& settings)
@@ -77,10 +61,10 @@
         m_context.counters.count("unread_requests_total", { { "status", std::to_string(status) } });
         logLine(log_level::Warning, logComponent, reason, { { "status", std::to_string(status) } });
     });
-    m_callers->setOverLimitHeaders({ platform::retryAfterHeader(retryWhenFull) });
+    m_callers->setOverLimitHeaders({ platform::retryAfterHeader(detail::retryWhenFull) });
     m_callers->setOnUnfinished([this](const http1::unfinished_connection& connection) { recordUnfinished(connection); });
     m_operators.emplace(
-        settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleOperatorRequest(*exchange); });
+        settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleOperatorRequest(exchange); });
     m_configurationFollower.emplace(m_context.store, std::string(platform::operatorTopic), platform::follow_options { readPause(std::min({ settings.bounds.configuration, settings.bounds.revocation, settings.bounds.evacuation })) }, configurationCallbacks());
     m_targetFollower.emplace(m_context.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), readPause(settings.bounds.leaving) }, targetCallbacks());
     const int64_t startedAtMs = wallNow().time_since_epoch().count();
@@ -289,11 +273,6 @@
     return limits;
 }
 
-bool gateway::areKeysFresh(time_point now) const
-{
-    return now - m_context.configurationCheckedAt < m_context.settings.bounds.revocation - revocationMargin;
-}
-
 bool gateway::isReady(time_point now) const
 {
     return !m_isStopping && m_context.configuration && m_hasTargets && m_pools->isReady(now) && m_crashes->isReady() && areKeysFresh(now);
@@ -318,50 +297,6 @@
         start(std::move(request), now);
 }
 
-bool gateway::accept(accepted_request& request, time_point now)
-{
-    http1::exchange& exchange = *request.exchange;
-    const std::string& id = request.callerRequest.id;
-    if (m_isStopping)
-        exchange.closeAfterResponse();
-    if (m_isStopping && now - m_stopRequestedAt > policy::stopScheduleFor(m_context.settings.bounds.stop).accepting) {
-        refuse(exchange, id, http1::statusUnavailable, "stopping", retryElsewhere);
-        return false;
-    }
-    if (!request.configuration) {
-        refuse(exchange, id, http1::statusUnavailable, "no_configuration", retryWhenNotReady);
-        return false;
-    }
-    if (!findRoute(request, now) || !identifyAccount(request, now))
-        return false;
-    if (m_context.heldBodyBytes > m_context.settings.limits.maxHeldBytes) {
-        refuse(exchange, id, http1::statusUnavailable, "memory", retryWhenFull);
-        return false;
-    }
-    return checkCrashes(request, now);
-}
-
-bool gateway::checkCrashes(accepted_request& request, time_point now)
-{
-    http1::exchange& exchange = *request.exchange;
-    const std::string& id = request.callerRequest.id;
-    request.fingerprint = fingerprintOf(exchange, request.callerRequest.apiKey);
-    if (request.callerRequest.generation)
-        request.segments = deployment::sharedSegmentHashes(*request.callerRequest.generation);
-    if (policy::executionModeOf(m_context.suspicions, request.fingerprint, now) == policy::execution_mode::Refused) {
-        refuse(exchange, id, http1::statusUnavailable, "crashes_targets");
-        return false;
-    }
-    const auto segment = m_crashes->refusedSegment(request.segments, now);
-    if (!segment)
-        return true;
-    request.isTrial = m_crashes->tryStartTrial(request.segments, now);
-    logLine(log_level::Info, logComponent, request.isTrial ? "The request runs as the trial of a refused prompt segment." : "The request contains a prompt segment on which targets crashed.", { { "request", id }, { "segment", textOfHash(*segment) } });
-    if (!request.isTrial)
-        refuse(exchange, id, http1::statusUnavailable, "crashes_targets", m_crashes->retryAfter(*segment, now));
-    return request.isTrial;
-}
-
 void gateway::onVerdict(time_point firstCrashAt)
 {
     // The requests that ran beside the crashing ones are not suspected any more.
@@ -371,53 +306,9 @@
         run->onVerdict(monotonicNow());
 }
 
-void gateway::refuseUnknown(const accepted_request& request, unsigned status, std::string_view reason, time_point now)
-{
-    const auto age = asSeconds(now - m_context.configurationCheckedAt);
-    const bool mayBeNew = age > asSeconds(m_context.settings.bounds.configuration) * possiblyNewShare;
-    if (mayBeNew)
-        refuse(*request.exchange, request.callerRequest.id, http1::statusUnavailable, "configuration_old", retryElsewhere);
-    else
-        refuse(*request.exchange, request.callerRequest.id, status, reason);
-}
-
-bool gateway::findRoute(accepted_request& request, time_point now)
-{
-    request.route = deployment::matchRoute(*request.configuration, request.callerRequest.host, http1::pathOf(request.exchange->head().target));
-    if (!request.route) {
-        refuseUnknown(request, http1::statusNotFound, "no_route", now);
-        return false;
-    }
-    request.rank = request.route->priority;
-    request.permittedRegions = request.route->allowedRegions;
-    return true;
-}
-
-bool gateway::identifyAccount(accepted_request& request, time_point now)
-{
-    const deployment::configuration& configuration = *request.configuration;
-    if (!configuration.hasAccounts || request.route->isPublic)
-        return true;
-    if (!areKeysFresh(now)) {
-        refuse(*request.exchange, request.callerRequest.id, http1::statusUnavailable, "keys_old", retryElsewhere);
-        return false;
-    }
-    const auto position = configuration.accountsByApiKey.find(request.callerRequest.apiKey);
-    if (position == configuration.accountsByApiKey.end()) {
-        refuseUnknown(request, http1::statusUnauthorized, "unknown_key", now);
-        return false;
-    }
-    request.account = position->second.name;
-    request.permittedRegions = deployment::intersectionOf(request.permittedRegions, position->second.allowedRegions);
-    request.rank = position->second.priority.value_or(request.rank);
-    return true;
-}
-
 void gateway::start(accepted_request request, time_point now)
 {
-    // A stream goes on at the service that began it, as long as the split of the route stays.
-    const std::string& continued = request.callerRequest.continuedRequest;
-    request.service = std::string(deployment::pickService(*request.route, hashOf(continued.empty() ? request.callerRequest.id : continued)));
+    request.service = serviceOf(request);
     earnRetries(m_context, request.service, now);
     logLine(log_level::Info, logComponent, "The request was accepted.", { { "request", request.callerRequest.id }, { "route", request.route->name }, { "service", request.service }, { "account", request.account }, { "continues", request.callerRequest.continuedRequest.substr(0, maxLoggedBytes) }, { "version", std::to_string(request.configuration->version) }, { "checked_ms_ago", std::to_string(asMilliseconds(now - m_context.configurationCheckedAt)) }, { "open", std::to_string(m_openRuns.size()) } });
     const auto run = std::make_shared<request_run>(m_context, *m_pools, std::move(request), [this](request_run* finishedRun) {
@@ -453,23 +344,27 @@
     logLine(log_level::Warning, logComponent, "A connection ended before its requests had complete responses.", { { "request", id }, { "reason", std::string(connection.reason) }, { "unanswered_bytes", std::to_string(connection.unansweredBytes) }, { "unsent_bytes", std::to_string(connection.unsentBytes) } });
 }
 
-void gateway::handleOperatorRequest(http1::exchange& exchange)
+void gateway::handleOperatorRequest(const std::shared_ptr<http1::exchange>& exchange)
 {
-    const std::string_view path = http1::pathOf(exchange.head().target);
+    const std::string_view path = http1::pathOf(exchange->head().target);
     if (path == "/metrics") {
         m_context.counters.set("log_lines_left_out", {}, static_cast<double>(droppedLogLines()));
         m_context.counters.set("stream_origins", {}, static_cast<double>(m_streams->size()));
         m_context.counters.set("entry_connection_bytes", {}, static_cast<double>(m_pools->byteCount()));
         m_context.counters.set("open_requests", {}, static_cast<double>(m_openRuns.size()));
         m_context.counters.set("connections_opened", {}, static_cast<double>(m_context.client.openedConnections()));
-        exchange.respond(http1::statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.counters.serialize());
+        exchange->respond(http1::statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.counters.serialize());
         return;
     }
     if (path == platform::readyPath) {
-        exchange.respond(isReady(monotonicNow()) ? http1::statusOk : http1::statusUnavailable, {}, {});
+        exchange->respond(isReady(monotonicNow()) ? http1::statusOk : http1::statusUnavailable, {}, {});
+        return;
+    }
+    if (path == explainPath) {
+        explain(exchange);
         return;
     }
-    exchange.respond(http1::statusNotFound, {}, {});
+    exchange->respond(http1::statusNotFound, {}, {});
 }
 
 void gateway::checkForFreeze(time_point now)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -10,12 +10,27 @@
 #include "platform/topic_follower.hpp"
 #include "policy/idle_limit.hpp"
 
+#include <deque>
 #include <list>
 #include <memory>
 #include <optional>
 
 namespace bilberryseam::gateway {
 
+namespace detail {
+    /// Delay after which callers may retry if the gateway holds too many connections or bytes.
+    constexpr milliseconds retryWhenFull { 1000 };
+}
+
+/// Why a request is refused before any part of it runs.
+struct acceptance_refusal {
+    unsigned status = 0;
+    std::string_view reason;
+    std::optional<milliseconds> retryAfter;
+    /// The prompt segment on which targets crashed, if that is the reason; the request may run as its trial.
+    std::optional<uint64_t> segment;
+};
+
 /// Owns and connects all components of the process.
 class gateway {
 public:
@@ -45,21 +60,33 @@
 
     // Requests.
     void handleRequest(std::shared_ptr<http1::exchange> exchange);
+    void start(accepted_request request, time_point now);
+
+    // Acceptance; in request_acceptance.cpp.
     /// Completes the request from the configuration, or refuses it.
     /// @return False if it was refused.
     [[nodiscard]] bool accept(accepted_request& request, time_point now);
-    [[nodiscard]] bool findRoute(accepted_request& request, time_point now);
-    [[nodiscard]] bool identifyAccount(accepted_request& request, time_point now);
-    /// Refuses a request whose route or key is not in the configuration in force. If a newer configuration may contain it,
-    /// the caller is asked to retry.
-    void refuseUnknown(const accepted_request& request, unsigned status, std::string_view reason, time_point now);
-    void start(accepted_request request, time_point now);
-    /// @return False if the request was refused because targets crashed on it.
-    [[nodiscard]] bool checkCrashes(accepted_request& request, time_point now);
+    /// Completes the request from the configuration; changes nothing else.
+    /// @param target  Request target, as the caller sends it.
+    /// @return Why the request is refused before any part of it runs; nothing if it may run.
+    [[nodiscard]] std::optional<acceptance_refusal> refusalOf(accepted_request& request, std::string_view target, time_point now) const;
+    [[nodiscard]] std::optional<acceptance_refusal> findRoute(accepted_request& request, std::string_view target, time_point now) const;
+    [[nodiscard]] std::optional<acceptance_refusal> identifyAccount(accepted_request& request, time_point now) const;
+    /// @return The refusal of a request whose route or key is not in the configuration in force. If a newer configuration may
+    /// contain it, the caller is asked to retry.
+    [[nodiscard]] acceptance_refusal refusalOfUnknown(unsigned status, std::string_view reason, time_point now) const;
+    /// @return The refusal if targets crashed on the request.
+    [[nodiscard]] std::optional<acceptance_refusal> refusalByCrashes(accepted_request& request, std::string_view target, time_point now) const;
+    /// @return The service that runs the request.
+    [[nodiscard]] static std::string serviceOf(const accepted_request& request);
+
+    /// Responds to an operator's query where a request would be sent now; in gateway_explanation.cpp.
+    void explain(const std::shared_ptr<http1::exchange>& exchange);
+
     void onVerdict(time_point firstCrashAt);
     void refuse(http1::exchange& exchange, std::string_view id, unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter = {});
     void recordUnfinished(const http1::unfinished_connection& connection);
-    void handleOperatorRequest(http1::exchange& exchange);
+    void handleOperatorRequest(const std::shared_ptr<http1::exchange>& exchange);
     /// @return Share of the limit of a target that this entry may use.
     [[nodiscard]] double limitShareOf(const target_state& target, time_point now);
     /// @return The position of this entry among those that may send to a cold target.
@@ -99,5 +126,7 @@
     bool m_isStopping = false;
     time_point m_stopRequestedAt {};
     bool m_hasStoppedListening = false;
+    /// Times of the explanations in the last second.
+    std::deque<time_point> m_explainedAt;
 };
 }
--- /dev/null
+++ b/src/gateway/placement_explanation.cpp
@@ -0,0 +1,177 @@
+#include "gateway/placement_explanation.hpp"
+
+#include "gateway/load_exchange.hpp"
+#include "gateway/request_run.hpp"
+#include "gateway/target_eligibility.hpp"
+#include "gateway/target_pauses.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace bilberryseam::gateway {
+
+using nlohmann::json;
+
+namespace {
+    json toJson(const policy::cost_terms& cost)
+    {
+        return { { "load", cost.load }, { "uncachedPrefix", cost.uncachedPrefix }, { "remoteInputs", cost.remoteInputs }, { "cold", cost.cold }, { "onlyOfVersion", cost.onlyOfVersion }, { "distance", cost.distance } };
+    }
+
+    json toJson(const explained_target& target)
+    {
+        json object { { "id", target.id }, { "failureDomain", target.failureDomain }, { "isChosen", target.isChosen }, { "verdict", std::string(nameOf(target.verdict)) }, { "requests", target.requests }, { "slots", target.slots }, { "listedMsAgo", asMilliseconds(target.listedFor) } };
+        if (target.verdict == policy::ineligibility::None) {
+            object["costMs"] = target.cost.sum();
+            object["costTermsMs"] = toJson(target.cost);
+        }
+        return object;
+    }
+
+    json toJson(const explained_stage& stage)
+    {
+        return { { "stage", stage.index }, { "service", stage.service }, { "tasks", stage.tasks }, { "owner", stage.owner }, { "isOwnedHere", stage.isOwnedHere }, { "waitingTasks", stage.waitingTasks ? json(*stage.waitingTasks) : json() }, { "expectedWaitMs", stage.expectedWait ? json(stage.expectedWait->count()) : json() } };
+    }
+
+    template <typename Items>
+    json toJsonList(const Items& items)
+    {
+        json list = json::array();
+        for (const auto& item : items)
+            list.push_back(toJson(item));
+        return list;
+    }
+}
+
+json toJson(const std::optional<explained_refusal>& refusal)
+{
+    if (!refusal)
+        return nullptr;
+    return { { "status", refusal->status }, { "reason", refusal->reason }, { "retryAfterMs", refusal->retryAfter ? json(refusal->retryAfter->count()) : json() } };
+}
+
+json toJson(const placement_explanation& explanation)
+{
+    json object;
+    object["stages"] = toJsonList(explanation.stages);
+    object["basis"] = explanation.isByLoad ? "load_of_all_gateways" : "own_calls";
+    object["figuresMsAgo"] = asMilliseconds(explanation.figureAge);
+    object["targetCount"] = explanation.targetCount;
+    object["targets"] = toJsonList(explanation.targets);
+    object["choice"] = explanation.choice.empty() ? json() : json(explanation.choice);
+    object["refusal"] = toJson(explanation.refusal);
+    object["waits"] = explanation.waitReason.empty() ? json() : json { { "reason", explanation.waitReason }, { "longestMs", explanation.longestWait.count() } };
+    return object;
+}
+
+std::optional<milliseconds> takeExplanation(std::deque<time_point>& given, time_point now)
+{
+    constexpr milliseconds period { 1000 };
+    while (!given.empty() && now - given.front() >= period)
+        given.pop_front();
+    if (given.size() >= maxExplanationsPerSecond)
+        return std::chrono::ceil<milliseconds>(given.front() + period - now);
+    given.push_back(now);
+    return std::nullopt;
+}
+
+void orderTargets(std::vector<explained_target>& targets)
+{
+    const auto keyOf = [](const explained_target& target) {
+        return std::tuple(!target.isChosen, target.verdict != policy::ineligibility::None, target.cost.sum(), std::string_view(target.id));
+    };
+    const size_t count = std::min(targets.size(), maxExplainedTargets);
+    const auto end = targets.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(targets.begin(), end, targets.end(), [&keyOf](const auto& left, const auto& right) { return keyOf(left) < keyOf(right); });
+    targets.erase(end, targets.end());
+}
+
+std::vector<explained_target> request_run::explainTargets(const target_ptr& chosen, time_point now) const
+{
+    const auto& listed = m_context.targets.ofService(m_request.service);
+    const placement_inputs inputs = placementInputs();
+    const bool isByLoad = m_context.loads && m_context.loads->isUsable(now);
+    auto all = candidates(inputs, isByLoad, now);
+    std::vector<policy::cost_terms> costs;
+    if (isByLoad)
+        costs = policy::loadTermsOf(all, inputs.request, loadRequest(now), {});
+    else {
+        // As in the search for the target, the prefix counts as cached at the target that all entries prefer for it.
+        const auto preferred = inputs.request.prefixHash != 0 ? policy::preferredTarget(all, inputs.request.prefixHash) : std::nullopt;
+        if (preferred)
+            all[*preferred].cachedTokens = std::max(all[*preferred].cachedTokens, inputs.request.sharedTokens);
+        for (const auto& candidate : all)
+            costs.push_back(candidate.isUsable ? policy::costTermsOf(candidate, inputs.request, {}) : policy::cost_terms());
+    }
+    std::vector<explained_target> targets;
+    targets.reserve(listed.size());
+    for (size_t i = 0; i < listed.size(); ++i) {
+        const target_state& target = *listed[i];
+        targets.push_back({ target.listed.id, target.listed.failureDomain, listed[i] == chosen, verdictOn(target, now), costs[i], isByLoad ? all[i].load.requests : target.inFlight, target.listed.slots, now - target.listedAt });
+    }
+    return targets;
+}
+
+std::optional<milliseconds> request_run::explainStages(std::vector<explained_stage>& stages, time_point now)
+{
+    std::optional<milliseconds> refusalWait;
+    m_stages.assign(m_request.route->stages.size(), {});
+    if (hasTasks())
+        m_requiredDomain = domainOfLargeResults();
+    for (size_t i = 0; i < m_stages.size(); ++i) {
+        if (taskCountOf(i) == 0)
+            continue;
+        const std::string& service = m_request.route->stages[i].service;
+        auto& stage = stages.emplace_back(explained_stage { i, service, taskCountOf(i), m_pools.ownerOf(service), false, {}, {} });
+        stage.isOwnedHere = stage.owner == m_context.settings.name;
+        if (!stage.isOwnedHere)
+            continue;
+        const pool_outlook outlook = m_pools.outlookOf(jobOf(i), now);
+        stage.waitingTasks = outlook.waitingTasks;
+        stage.expectedWait = outlook.startsIn;
+        if (!refusalWait)
+            refusalWait = outlook.refusalWait;
+    }
+    return refusalWait;
+}
+
+placement_explanation request_run::explain(time_point now)
+{
+    placement_explanation explanation;
+    explanation.isByLoad = m_context.loads && m_context.loads->isUsable(now);
+    if (explanation.isByLoad)
+        explanation.figureAge = m_context.loads->figureAge(now);
+    const std::optional<milliseconds> poolWait = explainStages(explanation.stages, now);
+    const target_ptr chosen = chooseTarget(now);
+    explanation.targets = explainTargets(chosen, now);
+    explanation.targetCount = explanation.targets.size();
+    orderTargets(explanation.targets);
+
+    // In the order in which a request meets these checks.
+    const auto refuse = [&explanation](std::string_view reason, milliseconds retryAfter) { explanation.refusal = { http1::statusUnavailable, std::string(reason), retryAfter }; };
+    if (const auto refusal = findPlacementRefusal(now))
+        refuse(refusal->reason, refusal->retryAfter);
+    else if (const auto wait = waitForService(m_context, m_request.service, now))
+        refuse("targets_paused", retryAfterPause(*wait));
+    else if (poolWait)
+        refuse("pool_overloaded", retryAfterOverload(*poolWait));
+    else if (isTargetListUncertain(m_context, now)) {
+        explanation.waitReason = "target_list_uncertain";
+        explanation.longestWait = detail::maxPlacementTime;
+    } else if (chosen)
+        explanation.choice = chosen->listed.id;
+    else if (const auto pause = pauseOfAllTargets(now))
+        refuse("targets_paused", retryAfterPause(*pause));
+    else if (const auto forecast = forecastLimits(now); forecast && forecast->refusal)
+        refuse("rate_limited", retryAfterLimit(*forecast->refusal));
+    else if (explanation.targetCount == 0)
+        refuse("no_target", detail::retryWithoutTargets);
+    else {
+        explanation.waitReason = forecast ? "rate_limited" : "no_target";
+        explanation.longestWait = detail::maxPlacementTime;
+    }
+    for (auto& target : explanation.targets)
+        target.isChosen = target.isChosen && !explanation.choice.empty();
+    return explanation;
+}
+}
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -115,6 +115,12 @@
     return nullptr;
 }
 
+std::string pool_router::ownerOf(std::string_view service)
+{
+    const peer* owner = usableOwner(service);
+    return owner ? owner->record.name : m_directory.own().name;
+}
+
 bool pool_router::isReady(time_point now) const
 {
     if (!m_hasMembers)
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -28,6 +28,10 @@
 
     /// Has the tasks of a job executed, here or at the owner of its pool.
     void run(const job_ptr& job);
+    /// @return Name of the entry that would run a job of the service's pool now.
+    [[nodiscard]] std::string ownerOf(std::string_view service);
+    /// @return What a job could expect of its pool here.
+    [[nodiscard]] pool_outlook outlookOf(const job_ptr& job, time_point now) const { return m_scheduler.outlookOf(job, now); }
     /// Cancels a job whose results are no longer needed.
     void cancel(const job_ptr& job);
     /// Releases results that the service's pool produced.
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -33,11 +33,10 @@
     constexpr milliseconds shortestOverloadSpread { 1000 };
 }
 
-std::optional<milliseconds> request_run::waitForLimits(time_point now)
+std::optional<request_run::limit_forecast> request_run::forecastLimits(time_point now) const
 {
-    double rate = 0;
+    limit_forecast forecast;
     bool isLimited = false;
-    bool isAnyCold = false;
     for (const auto& target : m_context.targets.ofService(m_request.service)) {
         if (!mayRunAt(*target) || !isSuitable(*target))
             continue;
@@ -47,25 +46,34 @@
         if (!isAvailable(m_context, *target, regionsNow(), now))
             continue;
         isLimited = true;
-        rate += target->ownRate(now).value_or(0);
-        isAnyCold = isAnyCold || target->isColdNow();
+        forecast.rate += target->ownRate(now).value_or(0);
+        forecast.isAnyCold = forecast.isAnyCold || target->isColdNow();
     }
     if (!isLimited || m_mayHaveRun || m_limitPlace)
         return std::nullopt;
-    size_t& waiting = m_context.waitingForLimits[m_request.service];
-    const milliseconds expected = policy::expectedWait(waiting, rate);
-    if (isAnyCold) {
-        const bool isRefused = rate == 0 || expected >= detail::maxPlacementTime;
-        m_context.counters.count("cold_waits_total", { { "service", m_request.service }, { "outcome", isRefused ? "refused" : "waits" } });
-        logLine(log_level::Info, logComponent, "The targets that the request may use are cold or limited.", { { "request", m_request.callerRequest.id }, { "service", m_request.service }, { "own_per_second", std::to_string(rate) }, { "waiting", std::to_string(waiting) }, { "expected_ms", std::to_string(expected.count()) }, { "next", isRefused ? "refused" : "waits" } });
-    }
+    const auto waiting = m_context.waitingForLimits.find(m_request.service);
+    forecast.waiting = waiting == m_context.waitingForLimits.end() ? 0 : waiting->second;
+    forecast.expected = policy::expectedWait(forecast.waiting, forecast.rate);
     // Without a share in the limits, this entry can only send the caller to another one.
-    if (rate == 0)
-        return retryElsewhereTime;
-    if (expected >= detail::maxPlacementTime)
-        return expected;
-    m_limitPlace.emplace(waiting);
-    return std::nullopt;
+    if (forecast.rate == 0)
+        forecast.refusal = retryElsewhereTime;
+    else if (forecast.expected >= detail::maxPlacementTime)
+        forecast.refusal = forecast.expected;
+    return forecast;
+}
+
+std::optional<milliseconds> request_run::waitForLimits(time_point now)
+{
+    const auto forecast = forecastLimits(now);
+    if (!forecast)
+        return std::nullopt;
+    if (forecast->isAnyCold) {
+        m_context.counters.count("cold_waits_total", { { "service", m_request.service }, { "outcome", forecast->refusal ? "refused" : "waits" } });
+        logLine(log_level::Info, logComponent, "The targets that the request may use are cold or limited.", { { "request", m_request.callerRequest.id }, { "service", m_request.service }, { "own_per_second", std::to_string(forecast->rate) }, { "waiting", std::to_string(forecast->waiting) }, { "expected_ms", std::to_string(forecast->expected.count()) }, { "next", forecast->refusal ? "refused" : "waits" } });
+    }
+    if (!forecast->refusal)
+        m_limitPlace.emplace(m_context.waitingForLimits[m_request.service]);
+    return forecast->refusal;
 }
 
 std::optional<milliseconds> request_run::pauseOfAllTargets(time_point now) const
@@ -90,12 +98,17 @@
     return milliseconds(static_cast<int64_t>(asSeconds(time) * 1000 * position));
 }
 
-void request_run::refusePaused(milliseconds pauseLeft, time_point now)
+milliseconds request_run::retryAfterPause(milliseconds pauseLeft) const
 {
-    logPauses("refused", now);
     // Other targets may be listed before a long pause ends.
     const milliseconds shortest = std::min(longestPauseOfCallers, pauseLeft);
-    refuse("targets_paused", shortest + spreadOver(shortest / pauseSpreadDivisor));
+    return shortest + spreadOver(shortest / pauseSpreadDivisor);
+}
+
+void request_run::refusePaused(milliseconds pauseLeft, time_point now)
+{
+    logPauses("refused", now);
+    refuse("targets_paused", retryAfterPause(pauseLeft));
 }
 
 void request_run::logPauses(std::string_view next, time_point now)
@@ -107,22 +120,31 @@
     logLine(log_level::Info, logComponent, "No target is available for the request while targets pause.", { { "request", m_request.callerRequest.id }, { "service", m_request.service }, { "next", std::string(next) }, { "unavailable", textOfUnavailable(m_context, targets, regionsNow(), now) } });
 }
 
-void request_run::refuseLimited(milliseconds expectedWait)
+milliseconds request_run::retryAfterLimit(milliseconds expectedWait) const
 {
     // Callers that are refused at the same moment come back spread over as long again.
     const auto retryAfter = std::min(longestRetryAfter, expectedWait + spreadOver(expectedWait));
-    refuse("rate_limited", std::max(detail::retryAfterTransientFailure, retryAfter));
+    return std::max(detail::retryAfterTransientFailure, retryAfter);
+}
+
+void request_run::refuseLimited(milliseconds expectedWait)
+{
+    refuse("rate_limited", retryAfterLimit(expectedWait));
+}
+
+milliseconds request_run::retryAfterOverload(milliseconds wait) const
+{
+    const milliseconds shortest = std::min(longestRetryAfter, wait);
+    return std::max(detail::retryAfterTransientFailure, shortest + spreadOver(std::max(shortestOverloadSpread, shortest)));
 }
 
 void request_run::refuseOverloaded(milliseconds wait)
 {
     constexpr std::string_view reason = "pool_overloaded";
-    if (m_mayHaveRun || m_request.exchange->isStarted()) {
+    if (m_mayHaveRun || m_request.exchange->isStarted())
         finishWithoutResponse(reason);
-        return;
-    }
-    const milliseconds shortest = std::min(longestRetryAfter, wait);
-    refuse(reason, std::max(detail::retryAfterTransientFailure, shortest + spreadOver(std::max(shortestOverloadSpread, shortest))));
+    else
+        refuse(reason, retryAfterOverload(wait));
 }
 
 void request_run::recordCrash(const target_attempt& attempt, time_point now)
--- a/src/gateway/request_regions.cpp
+++ b/src/gateway/request_regions.cpp
@@ -29,11 +29,11 @@
     return !isEvacuated(m_context, target) && (!regions.isRestricted() || regions.permits(regionOf(m_context, target.listed.failureDomain)));
 }
 
-bool request_run::refuseUnplaceable(time_point now, std::optional<size_t> failedStage)
+std::optional<request_run::placement_refusal> request_run::findPlacementRefusal(time_point now, std::optional<size_t> failedStage) const
 {
     // After a freeze, what is known may be outdated; the request waits until it was read again.
     if (isTargetListUncertain(m_context, now))
-        return false;
+        return std::nullopt;
     const auto& regions = regionsNow();
     std::string_view service = m_request.service;
     const auto isOfVersion = [this](const target_state& target) { return !m_origin || m_origin->softwareVersion.empty() || target.listed.softwareVersion == m_origin->softwareVersion; };
@@ -47,13 +47,23 @@
         obstacle = placementObstacle(m_context, service, regions);
     }
     if (!obstacle)
+        return std::nullopt;
+    return placement_refusal { *obstacle, service, retryUnplaceable + spreadOver(retryUnplaceable) };
+}
+
+bool request_run::refuseUnplaceable(time_point now, std::optional<size_t> failedStage)
+{
+    const auto refusal = findPlacementRefusal(now, failedStage);
+    if (!refusal)
         return false;
-    m_context.counters.count("unplaceable_requests_total", { { "reason", std::string(*obstacle) }, { "service", std::string(service) } });
-    logLine(log_level::Info, logComponent, "Permitted regions or evacuations leave no target for the request.", { { "request", m_request.callerRequest.id }, { "service", std::string(service) }, { "reason", std::string(*obstacle) }, { "permitted_regions", textOf(regions) }, { "evacuated", textOfEvacuations(m_context, now) }, { "version", std::to_string(m_request.configuration->version) }, { "newest_version", std::to_string(m_context.configuration->version) }, { "checked_ms_ago", std::to_string(asMilliseconds(now - m_context.configurationCheckedAt)) }, { "unavailable", textOfUnavailable(m_context, m_context.targets.ofService(service), regions, now) } });
+    const auto& [reason, service, retryAfter] = *refusal;
+    const auto& regions = regionsNow();
+    m_context.counters.count("unplaceable_requests_total", { { "reason", std::string(reason) }, { "service", std::string(service) } });
+    logLine(log_level::Info, logComponent, "Permitted regions or evacuations leave no target for the request.", { { "request", m_request.callerRequest.id }, { "service", std::string(service) }, { "reason", std::string(reason) }, { "permitted_regions", textOf(regions) }, { "evacuated", textOfEvacuations(m_context, now) }, { "version", std::to_string(m_request.configuration->version) }, { "newest_version", std::to_string(m_context.configuration->version) }, { "checked_ms_ago", std::to_string(asMilliseconds(now - m_context.configurationCheckedAt)) }, { "unavailable", textOfUnavailable(m_context, m_context.targets.ofService(service), regions, now) } });
     if (m_request.exchange->isStarted() || m_mayHaveRun)
-        finishWithoutResponse(*obstacle);
+        finishWithoutResponse(reason);
     else
-        refuse(*obstacle, retryUnplaceable + spreadOver(retryUnplaceable));
+        refuse(reason, retryAfter);
     return true;
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -21,9 +21,6 @@
 
     /// Pause before another search for a target when none is usable.
     constexpr milliseconds placementRetryDelay { 40 };
-
-    /// Delay after which callers may retry if no target is usable.
-    constexpr milliseconds retryWithoutTargets { 1000 };
 }
 
 namespace {
@@ -110,23 +107,30 @@
 
 // Attempts.
 
-target_ptr request_run::chooseTarget(time_point now) const
+request_run::placement_inputs request_run::placementInputs() const
 {
-    const auto& listed = m_context.targets.ofService(m_request.service);
-    policy::placement_request placement;
-    std::vector<uint64_t> hashes;
+    placement_inputs inputs;
     if (m_request.callerRequest.generation) {
-        hashes = deployment::prefixHashes(*m_request.callerRequest.generation);
+        inputs.prefixHashes = deployment::prefixHashes(*m_request.callerRequest.generation);
         // The last segment belongs to this request alone.
-        if (!hashes.empty())
-            hashes.pop_back();
-        placement.sharedTokens = m_request.callerRequest.generation->sharedTokens();
-        placement.prefixHash = hashes.empty() ? 0 : hashes.back();
+        if (!inputs.prefixHashes.empty())
+            inputs.prefixHashes.pop_back();
+        inputs.request.sharedTokens = m_request.callerRequest.generation->sharedTokens();
+        inputs.request.prefixHash = inputs.prefixHashes.empty() ? 0 : inputs.prefixHashes.back();
     }
-    const auto inputBytes = resultBytesByDomain();
+    inputs.inputBytes = resultBytesByDomain();
+    return inputs;
+}
+
+target_ptr request_run::chooseTarget(time_point now) const
+{
+    const auto& listed = m_context.targets.ofService(m_request.service);
+    const placement_inputs inputs = placementInputs();
+    const auto& placement = inputs.request;
+    const auto& inputBytes = inputs.inputBytes;
     m_loadChoice.reset();
     if (m_context.loads && m_context.loads->isUsable(now))
-        return chooseByLoad(placement, hashes, inputBytes, now);
+        return chooseByLoad(inputs, now);
     const bool prefersSharedVersions = m_request.route->isResumable && !m_origin;
     // What a target costs at least that has no calls of this process, with and without the prompt prefix.
     const policy::placement_costs costs;
@@ -145,7 +149,7 @@
         outlines, leastCosts, placement, costs,
         [&](size_t i) { return listed[i]->cachedPrefixes.empty() ? leastCostsUncached[outlines[i].domain] : leastCosts[outlines[i].domain]; },
         [&](size_t i) {
-            auto candidate = candidateOf(*listed[i], hashes, inputBytes, now);
+            auto candidate = candidateOf(*listed[i], inputs.prefixHashes, inputBytes, now);
             candidate.isOnlyOfVersion = prefersSharedVersions && candidate.isUsable && isOnlyOfVersion(listed, *listed[i], [this](const target_state& target) { return isSuitable(target); });
             return candidate;
         },
@@ -153,23 +157,34 @@
     return chosenIndex ? listed[*chosenIndex] : nullptr;
 }
 
-target_ptr request_run::chooseByLoad(const policy::placement_request& placement, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const
+std::vector<policy::placement_candidate> request_run::candidates(const placement_inputs& inputs, bool isByLoad, time_point now) const
 {
     const auto& listed = m_context.targets.ofService(m_request.service);
     const bool prefersSharedVersions = m_request.route->isResumable && !m_origin;
     std::vector<policy::placement_candidate> candidates;
     candidates.reserve(listed.size());
     for (const auto& target : listed) {
-        auto& candidate = candidates.emplace_back(candidateOf(*target, sharedHashes, inputBytes, now));
+        auto& candidate = candidates.emplace_back(candidateOf(*target, inputs.prefixHashes, inputs.inputBytes, now));
         candidate.isOnlyOfVersion = prefersSharedVersions && candidate.isUsable && isOnlyOfVersion(listed, *target, [this](const target_state& other) { return isSuitable(other); });
-        candidate.load = m_context.loads->loadOf(*target, now);
+        if (isByLoad)
+            candidate.load = m_context.loads->loadOf(*target, now);
     }
+    return candidates;
+}
+
+policy::load_placement_request request_run::loadRequest(time_point now) const
+{
     policy::load_placement_request load;
     load.tieHash = hashOfPair(m_context.loads->ownHash(), hashOf(m_request.callerRequest.id));
     load.unseenSends = m_context.loads->unseenSends(m_request.service, now);
     load.figureAge = m_context.loads->figureAge(now);
-    m_loadChoice = policy::chooseByLoad(candidates, placement, load, {});
-    return m_loadChoice ? listed[m_loadChoice->index] : nullptr;
+    return load;
+}
+
+target_ptr request_run::chooseByLoad(const placement_inputs& inputs, time_point now) const
+{
+    m_loadChoice = policy::chooseByLoad(candidates(inputs, true, now), inputs.request, loadRequest(now), {});
+    return m_loadChoice ? m_context.targets.ofService(m_request.service)[m_loadChoice->index] : nullptr;
 }
 
 void request_run::locate(policy::placement_candidate& candidate, std::string_view domain, const bytes_by_domain& inputBytes) const
@@ -184,16 +199,21 @@
     }
 }
 
-policy::placement_candidate request_run::candidateOf(const target_state& target, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const
+policy::ineligibility request_run::verdictOn(const target_state& target, time_point now) const
 {
-    policy::placement_candidate candidate;
-    candidate.hash = target.hash;
     const bool wasTried = std::find(m_triedTargets.begin(), m_triedTargets.end(), target.listed.id) != m_triedTargets.end();
     const bool isFree = !wasTried && (!m_mayHaveRun || m_attempts < m_request.route->maxAttempts);
     policy::target_conditions conditions = conditionsOf(m_context, target, regionsNow());
     conditions.isOtherVersion = !mayRunAt(target);
     conditions.isTried = !isFree && !mayReturnTo(target);
-    candidate.isUsable = policy::reasonAgainst(conditions, now) == policy::ineligibility::None;
+    return policy::reasonAgainst(conditions, now);
+}
+
+policy::placement_candidate request_run::candidateOf(const target_state& target, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const
+{
+    policy::placement_candidate candidate;
+    candidate.hash = target.hash;
+    candidate.isUsable = verdictOn(target, now) == policy::ineligibility::None;
     locate(candidate, target.listed.failureDomain, inputBytes);
     candidate.inFlight = target.inFlight;
     candidate.slots = static_cast<uint32_t>(std::max(1, target.listed.slots));
@@ -328,7 +348,7 @@
     } else if (m_mayHaveRun)
         fail(http1::statusBadGateway, reason);
     else
-        refuse(reason, hasUsableTarget ? detail::retryAfterTransientFailure : retryWithoutTargets);
+        refuse(reason, hasUsableTarget ? detail::retryAfterTransientFailure : detail::retryWithoutTargets);
 }
 
 void request_run::refuse(std::string_view reason, milliseconds retryAfter)
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -3,6 +3,7 @@
 
 #include "deployment/caller_request.hpp"
 #include "gateway/context.hpp"
+#include "gateway/placement_explanation.hpp"
 #include "gateway/pool_router.hpp"
 #include "gateway/stream_directory.hpp"
 #include "gateway/target_attempt.hpp"
@@ -34,6 +35,9 @@
 
     /// Limit of how often one request is sent, including the sends that targets refused.
     constexpr int maxSends = 5;
+
+    /// Delay after which callers may retry if no target is usable.
+    constexpr milliseconds retryWithoutTargets { 1000 };
 }
 
 /// An accepted request with everything that is needed to run it.
@@ -97,6 +101,10 @@
     /// @return The target that the request would be sent to now, or null if none is usable.
     [[nodiscard]] target_ptr chooseTarget(time_point now) const;
 
+    /// Explains where the request would be sent now; sends, counts and logs nothing. Only for a run that is never started; in
+    /// placement_explanation.cpp.
+    [[nodiscard]] placement_explanation explain(time_point now);
+
     [[nodiscard]] bool isFinished() const noexcept { return m_isFinished; }
     /// @return Priority rank and deadline, by which waiting requests get the next place at a limited target.
     [[nodiscard]] std::pair<int, time_point> urgency() const noexcept { return { m_request.rank, m_deadline }; }
@@ -127,6 +135,8 @@
     void startReadyStages();
     [[nodiscard]] bool mustWait(size_t index) const;
     void startStage(size_t index);
+    /// @return The job of a stage, as it would start now.
+    [[nodiscard]] job_ptr jobOf(size_t index) const;
     void onTaskFinished(size_t stage, uint32_t task, const task_outcome& outcome);
     void releaseStage(size_t index);
     void cancelAndReleaseStages();
@@ -158,16 +168,49 @@
     void refuseContinuation(policy::continuation decision, bool isCertain);
 
     // Attempts.
+    /// What the placement of the request depends on, apart from the targets.
+    struct placement_inputs {
+        policy::placement_request request;
+        /// Hashes of the prompt prefixes that other requests may share.
+        std::vector<uint64_t> prefixHashes;
+        bytes_by_domain inputBytes;
+    };
+    [[nodiscard]] placement_inputs placementInputs() const;
+    /// @return Why the request may not use the target now, or `None`.
+    [[nodiscard]] policy::ineligibility verdictOn(const target_state& target, time_point now) const;
+    /// @return What `chooseByLoad` knows of the request and of the figures.
+    [[nodiscard]] policy::load_placement_request loadRequest(time_point now) const;
+    /// @return The targets of the service as candidates, in their order.
+    [[nodiscard]] std::vector<policy::placement_candidate> candidates(const placement_inputs& inputs, bool isByLoad, time_point now) const;
+    [[nodiscard]] std::vector<explained_target> explainTargets(const target_ptr& chosen, time_point now) const;
+    /// @param stages  Receives the stages that have tasks.
+    /// @return The expected wait for a pool of this entry that would refuse the request.
+    [[nodiscard]] std::optional<milliseconds> explainStages(std::vector<explained_stage>& stages, time_point now);
     /// Chooses by the load of all gateways.
-    [[nodiscard]] target_ptr chooseByLoad(const policy::placement_request& placement, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const;
+    [[nodiscard]] target_ptr chooseByLoad(const placement_inputs& inputs, time_point now) const;
     [[nodiscard]] policy::placement_candidate candidateOf(const target_state& target, std::span<const uint64_t> sharedHashes, const bytes_by_domain& inputBytes, time_point now) const;
     /// Sets what follows from the failure domain of the target.
     void locate(policy::placement_candidate& candidate, std::string_view domain, const bytes_by_domain& inputBytes) const;
     void dispatch();
+    /// What the request can expect if all targets that it may use are limited.
+    struct limit_forecast {
+        /// Requests a second that this entry may send to them.
+        double rate = 0;
+        size_t waiting = 0;
+        milliseconds expected { 0 };
+        bool isAnyCold = false;
+        /// The expected wait if it is too long.
+        std::optional<milliseconds> refusal;
+    };
+    /// @return Nothing if a target is not limited, or the request has a place already.
+    [[nodiscard]] std::optional<limit_forecast> forecastLimits(time_point now) const;
     /// Takes a place among the requests that wait for limited targets.
     /// @return The expected wait if it is too long; nothing if the request has a place or no target is limited.
     [[nodiscard]] std::optional<milliseconds> waitForLimits(time_point now);
     void refuseLimited(milliseconds expectedWait);
+    [[nodiscard]] milliseconds retryAfterPause(milliseconds pauseLeft) const;
+    [[nodiscard]] milliseconds retryAfterLimit(milliseconds expectedWait) const;
+    [[nodiscard]] milliseconds retryAfterOverload(milliseconds wait) const;
     void refusePaused(milliseconds pauseLeft, time_point now);
     /// Ends the request because a pool cannot start its tasks in time.
     /// @param wait  Predicted time until the pool has room.
@@ -203,9 +246,17 @@
     [[nodiscard]] const deployment::permitted_regions& regionsNow() const;
     /// @return Whether the request may use the target as soon as its state allows.
     [[nodiscard]] bool isSuitable(const target_state& target) const;
-    /// Refuses the request if regions or evacuations leave no target for it or for a stage that has not started. Tasks of a
+    /// A refusal because regions or evacuations leave no target.
+    struct placement_refusal {
+        std::string_view reason;
+        std::string_view service;
+        milliseconds retryAfter { 0 };
+    };
+    /// @return Set if regions or evacuations leave no target for the request or for a stage that has not started. Tasks of a
     /// started stage may run already, and finish.
     /// @param failedStage  A started stage of which a task could not be sent.
+    [[nodiscard]] std::optional<placement_refusal> findPlacementRefusal(time_point now, std::optional<size_t> failedStage = {}) const;
+    /// Refuses the request if `findPlacementRefusal` says so.
     /// @return True if the request has ended.
     bool refuseUnplaceable(time_point now, std::optional<size_t> failedStage = {});
     /// Checks a request that waits once more after each change of the configuration or of an evacuation.
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -170,17 +170,10 @@
     return false;
 }
 
-void request_run::startStage(size_t index)
+job_ptr request_run::jobOf(size_t index) const
 {
     const deployment::stage& stage = m_request.route->stages[index];
-    stage_progress& progress = m_stages[index];
     const uint32_t count = taskCountOf(index);
-    progress.isStarted = true;
-    progress.startedAt = monotonicNow();
-    progress.unfinishedTasks = count;
-    progress.handles.resize(count);
-    if (count == 0)
-        return;
     const auto job = std::make_shared<stage_job>();
     double inputBytes = 0;
     for (const size_t previous : stage.inputStages) {
@@ -209,6 +202,20 @@
         job->requiredDomain = m_requiredDomain;
     // Each task fetches all inputs.
     job->preferredDomain = domainOfInputs(job->inputs, inputBytes * count);
+    return job;
+}
+
+void request_run::startStage(size_t index)
+{
+    stage_progress& progress = m_stages[index];
+    const uint32_t count = taskCountOf(index);
+    progress.isStarted = true;
+    progress.startedAt = monotonicNow();
+    progress.unfinishedTasks = count;
+    progress.handles.resize(count);
+    if (count == 0)
+        return;
+    const auto job = jobOf(index);
     const std::weak_ptr<request_run> weak = weak_from_this();
     job->onTaskFinished = [weak, index](uint32_t task, const task_outcome& outcome) {
         if (const auto self = weak.lock())
--- a/src/gateway/task_admission.cpp
+++ b/src/gateway/task_admission.cpp
@@ -1,6 +1,7 @@
 /// Admission of jobs to pools, and what the order of their tasks depends on.
 #include "gateway/task_scheduler.hpp"
 
+#include "base/hash.hpp"
 #include "gateway/target_eligibility.hpp"
 
 #include <algorithm>
@@ -87,13 +88,23 @@
     pool.standings = std::move(standings);
 }
 
-std::optional<milliseconds> task_scheduler::refusalOf(const stage_job& job, const std::vector<task_ptr>& ownTasks, const pool& pool, time_point now) const
+std::vector<task_scheduler::task_ptr> task_scheduler::tasksOf(const job_ptr& job, milliseconds boost, time_point now)
 {
-    const bool isNew = !job.mayRunElsewhere && !job.isStarted && ownTasks.size() == job.taskCount;
-    if (!m_context.settings.poolAdmission || !pool.profile || !isNew)
+    const uint64_t jobId = hashOf(job->requestId, job->stage);
+    std::vector<task_ptr> tasks;
+    for (uint32_t task = 0; task < job->taskCount; ++task) {
+        if (!job->finishedTasks[task])
+            tasks.push_back(std::make_shared<queued_task>(queued_task { job, task, jobId, now, boost, 0, {}, {} }));
+    }
+    return tasks;
+}
+
+std::optional<task_scheduler::job_prediction> task_scheduler::predict(const stage_job& job, const std::vector<task_ptr>& ownTasks, const pool& pool, time_point now) const
+{
+    if (!pool.profile)
         return std::nullopt;
     const auto capacity = capacityOf(job.service, *pool.profile, now);
-    if (capacity.freeAt.empty() || policy::hasRoomInAnyOrder(pool.queue.size(), ownTasks.size(), capacity, job.deadline, now))
+    if (capacity.freeAt.empty())
         return std::nullopt;
     const auto standings = currentStandings(job.service, pool, now);
     std::vector<policy::queued_task> tasks;
@@ -105,14 +116,49 @@
     const size_t firstOwn = tasks.size();
     for (const auto& task : ownTasks)
         tasks.push_back(planningTask(*task, standings));
-    const auto admission = policy::admitJob(tasks, firstOwn, capacity, rulesOf(*pool.profile), now);
-    if (admission.isAccepted)
+    return job_prediction { policy::admitJob(tasks, firstOwn, capacity, rulesOf(*pool.profile), now), firstOwn, capacity.freeAt.size() };
+}
+
+std::optional<task_scheduler::job_prediction> task_scheduler::findRefusal(const stage_job& job, const std::vector<task_ptr>& ownTasks, const pool& pool, time_point now) const
+{
+    const bool isNew = !job.mayRunElsewhere && !job.isStarted && ownTasks.size() == job.taskCount;
+    if (!m_context.settings.poolAdmission || !pool.profile || !isNew)
         return std::nullopt;
+    const auto capacity = capacityOf(job.service, *pool.profile, now);
+    if (capacity.freeAt.empty() || policy::hasRoomInAnyOrder(pool.queue.size(), ownTasks.size(), capacity, job.deadline, now))
+        return std::nullopt;
+    auto prediction = predict(job, ownTasks, pool, now);
+    if (prediction && prediction->admission.isAccepted)
+        return std::nullopt;
+    return prediction;
+}
+
+std::optional<milliseconds> task_scheduler::refusalOf(const stage_job& job, const std::vector<task_ptr>& ownTasks, const pool& pool, time_point now) const
+{
+    const auto refusal = findRefusal(job, ownTasks, pool, now);
+    if (!refusal)
+        return std::nullopt;
+    const auto& admission = refusal->admission;
     m_context.counters.count("jobs_refused_total", { { "service", job.service } });
-    logLine(log_level::Info, logComponent, "A pool refused the tasks of a request because they cannot start before their deadline.", { { "request", job.requestId }, { "service", job.service }, { "account", job.account }, { "rank", std::to_string(job.rank) }, { "pieces", std::to_string(ownTasks.size()) }, { "waiting", std::to_string(firstOwn) }, { "slots", std::to_string(capacity.freeAt.size()) }, { "starts_in_ms", std::to_string(asMilliseconds(admission.startsAt - now)) }, { "deadline_in_ms", std::to_string(asMilliseconds(job.deadline - now)) }, { "wait_ms", std::to_string(admission.wait.count()) } });
+    logLine(log_level::Info, logComponent, "A pool refused the tasks of a request because they cannot start before their deadline.", { { "request", job.requestId }, { "service", job.service }, { "account", job.account }, { "rank", std::to_string(job.rank) }, { "pieces", std::to_string(ownTasks.size()) }, { "waiting", std::to_string(refusal->waitingTasks) }, { "slots", std::to_string(refusal->slots) }, { "starts_in_ms", std::to_string(asMilliseconds(admission.startsAt - now)) }, { "deadline_in_ms", std::to_string(asMilliseconds(job.deadline - now)) }, { "wait_ms", std::to_string(admission.wait.count()) } });
     return admission.wait;
 }
 
+pool_outlook task_scheduler::outlookOf(const job_ptr& job, time_point now) const
+{
+    const auto position = m_pools.find(job->service);
+    const pool none;
+    const pool& pool = position == m_pools.end() ? none : position->second;
+    auto values = pool.values;
+    const auto tasks = tasksOf(job, policy::recordValue(values, static_cast<double>(job->weightedTokens), job->taskCount), now);
+    pool_outlook outlook { pool.queue.size(), {}, {} };
+    if (const auto prediction = predict(*job, tasks, pool, now))
+        outlook.startsIn = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(prediction->admission.startsAt - now));
+    if (const auto refusal = findRefusal(*job, tasks, pool, now))
+        outlook.refusalWait = refusal->admission.wait;
+    return outlook;
+}
+
 void task_scheduler::reportRefusedJobs(pool& pool)
 {
     for (const auto& [job, wait] : std::exchange(pool.refusedJobs, {})) {
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -98,15 +98,10 @@
 void task_scheduler::add(const job_ptr& job)
 {
     const time_point now = monotonicNow();
-    const uint64_t jobId = hashOf(job->requestId, job->stage);
     earnRetries(m_context, job->service, now);
     pool& pool = m_pools[job->service];
     const milliseconds boost = policy::recordValue(pool.values, static_cast<double>(job->weightedTokens), job->taskCount);
-    std::vector<task_ptr> tasks;
-    for (uint32_t task = 0; task < job->taskCount; ++task) {
-        if (!job->finishedTasks[task])
-            tasks.push_back(std::make_shared<queued_task>(queued_task { job, task, jobId, now, boost, 0, {}, {} }));
-    }
+    const std::vector<task_ptr> tasks = tasksOf(job, boost, now);
     if (const auto wait = refusalOf(*job, tasks, pool, now))
         pool.refusedJobs.emplace_back(job, *wait);
     else
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -17,6 +17,15 @@
 
 namespace bilberryseam::gateway {
 
+/// What a job can expect of a pool.
+struct pool_outlook {
+    size_t waitingTasks = 0;
+    /// Predicted time until its last task starts; not set if the pool has no profile or no target.
+    std::optional<milliseconds> startsIn;
+    /// Predicted time until the pool has room, if it would refuse the job.
+    std::optional<milliseconds> refusalWait;
+};
+
 /// Holds the task queues of all pools and starts their batch calls.
 class task_scheduler {
 public:
@@ -31,6 +40,9 @@
     /// Queues the unfinished tasks of a job. With `poolAdmission`, refuses the job if it cannot start before its deadline.
     void add(const job_ptr& job);
 
+    /// @return What the job could expect if it were added now; changes nothing.
+    [[nodiscard]] pool_outlook outlookOf(const job_ptr& job, time_point now) const;
+
     /// Cancels a job and removes its tasks from the queue. Results of tasks that are running are released when they arrive.
     void cancel(stage_job& job);
 
@@ -56,6 +68,8 @@
         std::optional<time_point> overtakenAt;
     };
     using task_ptr = std::shared_ptr<queued_task>;
+    /// @return The unfinished tasks of a job, as `add` queues them.
+    [[nodiscard]] static std::vector<task_ptr> tasksOf(const job_ptr& job, milliseconds boost, time_point now);
 
     /// A result that occupies memory at the target that holds it.
     struct held_result {
@@ -93,6 +107,16 @@
     /// Logs accounts that have come to be far above their share, or are so no longer.
     static void updateStandings(const std::string& service, pool& pool, policy::standing_table standings);
     [[nodiscard]] policy::batching_rules rulesOf(const deployment::pool_profile& profile) const;
+    /// A prediction for a job that is not queued yet.
+    struct job_prediction {
+        policy::job_admission admission;
+        size_t waitingTasks = 0;
+        size_t slots = 0;
+    };
+    /// @return Nothing if the pool has no profile or no target.
+    [[nodiscard]] std::optional<job_prediction> predict(const stage_job& job, const std::vector<task_ptr>& ownTasks, const pool& pool, time_point now) const;
+    /// @return The prediction by which a job that is not queued yet is refused; nothing if it is accepted.
+    [[nodiscard]] std::optional<job_prediction> findRefusal(const stage_job& job, const std::vector<task_ptr>& ownTasks, const pool& pool, time_point now) const;
     /// Decides on a job that is not queued yet.
     /// @return The predicted wait if the job is refused.
     [[nodiscard]] std::optional<milliseconds> refusalOf(const stage_job& job, const std::vector<task_ptr>& ownTasks, const pool& pool, time_point now) const;
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -207,6 +207,23 @@
     }
 }
 
+http1::request_head encodeRequest(const request_description& description)
+{
+    http1::request_head head { "POST", description.path, {} };
+    const auto add = [&head](std::string_view name, const std::string& value) {
+        if (!value.empty())
+            head.headers.emplace_back(name, value);
+    };
+    add("Host", description.host);
+    add(requestIdName, description.id);
+    add(apiKeyName, description.apiKey);
+    add(modelName, description.model);
+    add(tokenCountsName, description.tokenCounts);
+    add(promptSegmentsName, description.promptSegments);
+    add(taskCountsName, description.taskCounts);
+    return head;
+}
+
 http1::header_list encodeTargetHeaders(const http1::request_head& head, const target_request_fields& fields)
 {
     http1::header_list headers;
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -12,6 +12,24 @@
 /// @return The request, or `InvalidRequest` if it lacks a required header field or has a malformed or duplicate one.
 [[nodiscard]] result<deployment::caller_request> decodeRequest(const http1::request_head& head);
 
+/// A request as an operator describes it. Empty values are not given.
+struct request_description {
+    std::string id;
+    std::string host;
+    std::string path;
+    std::string apiKey;
+    std::string model;
+    /// Number of prompt tokens, then the largest number of output tokens.
+    std::string tokenCounts;
+    /// Segments of the prompt as `ID:TOKENS`, separated by commas.
+    std::string promptSegments;
+    /// Number of tasks of each stage, separated by commas.
+    std::string taskCounts;
+};
+
+/// @return The head with which a caller would send the request.
+[[nodiscard]] http1::request_head encodeRequest(const request_description& description);
+
 /// Values that the gateway adds to a request for one target.
 struct target_request_fields {
     /// Time until the request's deadline.
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -28,21 +28,27 @@
     return best;
 }
 
-double costOf(const placement_candidate& candidate, const placement_request& request, const placement_costs& costs) noexcept
+cost_terms costTermsOf(const placement_candidate& candidate, const placement_request& request, const placement_costs& costs) noexcept
 {
     const uint64_t uncachedTokens = request.sharedTokens - std::min(request.sharedTokens, candidate.cachedTokens);
-    double cost = static_cast<double>(candidate.queuedPrefillTokens) / tokensPerUnit * costs.thousandQueuedTokens;
-    cost += candidate.inFlight * (candidate.inFlight >= candidate.slots ? costs.inFlightWhenFull : costs.inFlight);
-    cost = cost * candidate.penalty + (candidate.penalty - 1) * costs.penalty;
-    cost += static_cast<double>(uncachedTokens) / tokensPerUnit * costs.thousandUncachedTokens;
-    cost += candidate.remoteInputBytes / bytesPerMegabyte * costs.remoteInputMegabyte;
+    cost_terms terms;
+    terms.load = static_cast<double>(candidate.queuedPrefillTokens) / tokensPerUnit * costs.thousandQueuedTokens;
+    terms.load += candidate.inFlight * (candidate.inFlight >= candidate.slots ? costs.inFlightWhenFull : costs.inFlight);
+    terms.load = terms.load * candidate.penalty + (candidate.penalty - 1) * costs.penalty;
+    terms.uncachedPrefix = static_cast<double>(uncachedTokens) / tokensPerUnit * costs.thousandUncachedTokens;
+    terms.remoteInputs = candidate.remoteInputBytes / bytesPerMegabyte * costs.remoteInputMegabyte;
     if (candidate.isCold)
-        cost += costs.cold;
+        terms.cold = costs.cold;
     if (candidate.isOnlyOfVersion)
-        cost += costs.onlyOfVersion;
+        terms.onlyOfVersion = costs.onlyOfVersion;
     if (!candidate.isInOwnDomain)
-        cost += candidate.isInOwnRegion ? costs.otherDomain : costs.otherRegion;
-    return cost;
+        terms.distance = candidate.isInOwnRegion ? costs.otherDomain : costs.otherRegion;
+    return terms;
+}
+
+double costOf(const placement_candidate& candidate, const placement_request& request, const placement_costs& costs) noexcept
+{
+    return costTermsOf(candidate, request, costs).sum();
 }
 
 std::optional<size_t> chooseTarget(std::span<const placement_candidate> candidates, const placement_request& request, const placement_costs& costs)
@@ -235,6 +241,13 @@
         return best;
     }
 
+    /// @return Delay by the shared prompt tokens that the target has to read.
+    double uncachedDelay(const loaded_target& target, const placement_candidate& candidate, const placement_request& request) noexcept
+    {
+        const uint64_t uncachedTokens = request.sharedTokens - std::min(request.sharedTokens, candidate.cachedTokens);
+        return static_cast<double>(uncachedTokens) / prefillTokensPerMillisecond * target.slowness;
+    }
+
     /// @return The target with the lowest cost. Among near ties, a target is chosen with a probability that is proportional to what
     /// is missing there to the level.
     const loaded_target& leastLoaded(std::span<const loaded_target> targets, std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, const load_costs& costs)
@@ -243,8 +256,7 @@
         const auto costAt = [&](const loaded_target& target) {
             const placement_candidate& candidate = candidates[target.index];
             // Tokens that no target has cached are left out: by them, slow targets would get nothing as long as fast ones are idle.
-            const uint64_t uncachedTokens = request.sharedTokens - std::min(request.sharedTokens, candidate.cachedTokens);
-            return std::max(target.delay, level) + static_cast<double>(uncachedTokens) / prefillTokensPerMillisecond * target.slowness + distanceOf(candidate, costs);
+            return std::max(target.delay, level) + uncachedDelay(target, candidate, request) + distanceOf(candidate, costs);
         };
         double lowest = costAt(targets.front());
         for (const loaded_target& target : targets)
@@ -285,4 +297,24 @@
         cachedTokens = std::max(cachedTokens, request.sharedTokens);
     return load_choice { chosen->index, cachedTokens, chosen->delay, meanDelay, isForPrefix };
 }
+
+std::vector<cost_terms> loadTermsOf(std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, const load_costs& costs)
+{
+    std::vector<cost_terms> terms(candidates.size());
+    const auto targets = loadedTargets(candidates, load.figureAge, costs);
+    if (targets.empty())
+        return terms;
+    const double level = filledLevel(targets, load.unseenSends);
+    for (const loaded_target& target : targets) {
+        const placement_candidate& candidate = candidates[target.index];
+        cost_terms& parts = terms[target.index];
+        parts.load = std::max(target.delay, level);
+        parts.uncachedPrefix = uncachedDelay(target, candidate, request);
+        parts.remoteInputs = candidate.remoteInputBytes / bytesPerMegabyte * costs.remoteInputMegabyte;
+        parts.cold = candidate.isCold ? costs.cold : 0;
+        parts.onlyOfVersion = candidate.isOnlyOfVersion ? costs.onlyOfVersion : 0;
+        parts.distance = distanceOf(candidate, costs) - parts.remoteInputs - parts.cold - parts.onlyOfVersion;
+    }
+    return terms;
+}
 }
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace bilberryseam::policy {
 
@@ -78,6 +79,23 @@
 /// @return The expected delay at a candidate, in milliseconds.
 [[nodiscard]] double costOf(const placement_candidate& candidate, const placement_request& request, const placement_costs& costs) noexcept;
 
+/// The parts of the expected delay at a candidate, in milliseconds.
+struct cost_terms {
+    /// Calls and prompt tokens there, with the penalty for failures.
+    double load = 0;
+    /// Shared prompt tokens that are not cached there.
+    double uncachedPrefix = 0;
+    double remoteInputs = 0;
+    double cold = 0;
+    double onlyOfVersion = 0;
+    double distance = 0;
+
+    [[nodiscard]] double sum() const noexcept { return load + uncachedPrefix + remoteInputs + cold + onlyOfVersion + distance; }
+};
+
+/// @return The parts whose sum is `costOf`.
+[[nodiscard]] cost_terms costTermsOf(const placement_candidate& candidate, const placement_request& request, const placement_costs& costs) noexcept;
+
 /// @return The usable candidate with the highest rendezvous hash for the prefix; equal in all processes.
 [[nodiscard]] std::optional<size_t> preferredTarget(std::span<const placement_candidate> candidates, uint64_t prefixHash);
 
@@ -132,4 +150,8 @@
 /// that of the mean target by more than the prefill of the prefix; other requests go to the targets with the least load.
 /// @return Empty if no candidate is usable.
 [[nodiscard]] std::optional<load_choice> chooseByLoad(std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, const load_costs& costs);
+
+/// The parts of the expected delay of the usable candidates by which `chooseByLoad` decides, for display.
+/// @return For each candidate; all zero for one that is not usable.
+[[nodiscard]] std::vector<cost_terms> loadTermsOf(std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, const load_costs& costs);
 }
--- a/src/programs/operator.cpp
+++ b/src/programs/operator.cpp
@@ -1,6 +1,7 @@
 /// bilberryseam: command-line tool for operators.
 #include "configuration/configuration.hpp"
 #include "loop/http.hpp"
+#include "placement_report.hpp"
 #include "settings/command_line.hpp"
 
 #include <boost/program_options.hpp>
@@ -19,6 +20,12 @@
 
     constexpr milliseconds verdictPollPeriod { 50 };
 
+    /// A frozen gateway accepts connections and does not respond; the others are queried nevertheless.
+    constexpr guint explainTimeoutSeconds = 5;
+
+    /// Header field of `/explain` that carries an API key, so that the key is in no URL.
+    constexpr const char* explainKeyName = "X-Explain-Key";
+
     /// Parsed command line.
     struct operator_options {
         std::string command;
@@ -26,6 +33,15 @@
         std::vector<std::string> daemons;
         uint32_t waitMs = 15000;
         bool isJson = false;
+        /// The request whose placement is explained.
+        std::string host;
+        std::string path;
+        std::string apiKey;
+        std::string model;
+        std::string prompt;
+        std::string tokens;
+        std::string tasks;
+        std::string requestId;
     };
 
     error usageError(std::string_view message)
@@ -39,8 +55,16 @@
         auto add = description.add_options();
         add("help,h", "print this text");
         add("version", "print the version");
-        add("daemon,d", options::value(&arguments.daemons)->value_name("IP:PORT")->composing(), "operator port of an entry (or of any daemon, for status and drain); may be repeated");
+        add("daemon,d", options::value(&arguments.daemons)->value_name("IP:PORT")->composing(), "operator port of an entry (or of any daemon, for status and drain; of a gateway, for explain-placement); may be repeated");
         add("wait-ms", options::value(&arguments.waitMs)->default_value(arguments.waitMs)->value_name("MS"), "maximum time that publish waits for the verdict");
+        add("host", options::value(&arguments.host)->value_name("HOST"), "explain-placement: host of the request");
+        add("path", options::value(&arguments.path)->value_name("PATH"), "explain-placement: path of the request");
+        add("key", options::value(&arguments.apiKey)->value_name("API_KEY"), "explain-placement: API key of the request");
+        add("model", options::value(&arguments.model)->value_name("M"), "explain-placement: model");
+        add("prompt", options::value(&arguments.prompt)->value_name("ID:TOKENS,.."), "explain-placement: segments of the prompt; the last one is not shared");
+        add("tokens", options::value(&arguments.tokens)->value_name("IN,OUT"), "explain-placement: prompt tokens and largest number of output tokens");
+        add("tasks", options::value(&arguments.tasks)->value_name("N,N,.."), "explain-placement: number of tasks of each stage");
+        add("request-id", options::value(&arguments.requestId)->value_name("ID"), "explain-placement: identifier of the request, by which one of several services and near ties are decided");
         add("json", options::bool_switch(&arguments.isJson), "print JSON instead of text");
         return description;
     }
@@ -53,22 +77,33 @@
                      "  bilberryseam publish NOTE.json -d IP:PORT       publish a note and wait for its verdict\n"
                      "  bilberryseam status -d IP:PORT [-d ...]         show daemons, offsets and alarms\n"
                      "  bilberryseam explain LIST/NAME -d IP:PORT       show which note gave an object its value\n"
+                     "  bilberryseam explain-placement --host HOST --path PATH -d IP:PORT [-d ...]\n"
+                     "                                                  show where gateways would send a request now, and why\n"
                      "  bilberryseam drain [TARGET] -d IP:PORT          stop new calls at a side or at one of its targets\n"
                      "  bilberryseam undrain [TARGET] -d IP:PORT        allow new calls again\n\n"
                   << description;
     }
 
+    struct daemon_response {
+        unsigned status = 0;
+        json body;
+    };
+
     /// Sends an HTTP request to a daemon and waits for the response.
-    /// @return The JSON body. Throws if the daemon is unreachable or the body is not JSON.
-    json sendRequest(const ip_endpoint& daemon, const char* method, std::string_view path, const std::string& body = {})
+    /// @param headers         Further header fields.
+    /// @param timeoutSeconds  Longest time without data; zero for no limit.
+    /// @return The response. Throws if the daemon is unreachable or the body is not JSON.
+    daemon_response exchangeWith(const ip_endpoint& daemon, const char* method, std::string_view path, const std::string& body = {}, const std::vector<std::pair<std::string, std::string>>& headers = {}, guint timeoutSeconds = 0)
     {
-        SoupSession* session = soup_session_new();
+        SoupSession* session = soup_session_new_with_options("timeout", timeoutSeconds, nullptr);
         SoupMessage* message = soup_message_new(method, urlOf(daemon, path).c_str());
         if (!body.empty()) {
             GBytes* bytes = g_bytes_new(body.data(), body.size());
             soup_message_set_request_body_from_bytes(message, "application/json", bytes);
             g_bytes_unref(bytes);
         }
+        for (const auto& [name, value] : headers)
+            soup_message_headers_replace(soup_message_get_request_headers(message), name.c_str(), value.c_str());
         GError* requestError = nullptr;
         GBytes* response = soup_session_send_and_read(session, message, nullptr, &requestError);
         const std::string problem = requestError ? requestError->message : "";
@@ -80,6 +115,7 @@
             g_bytes_unref(response);
         }
         g_clear_error(&requestError);
+        const unsigned status = soup_message_get_status(message);
         g_object_unref(message);
         g_object_unref(session);
         if (!problem.empty())
@@ -87,7 +123,12 @@
         json parsed = json::parse(text, nullptr, false);
         if (parsed.is_discarded())
             throw error(error_kind::Unavailable, "The daemon at " + daemon.toString() + " returned a response that is not JSON.", "Use the daemon's operatorListen address.");
-        return parsed;
+        return { status, std::move(parsed) };
+    }
+
+    json sendRequest(const ip_endpoint& daemon, const char* method, std::string_view path, const std::string& body = {})
+    {
+        return exchangeWith(daemon, method, path, body).body;
     }
 
     ip_endpoint firstDaemonAddress(const operator_options& arguments)
@@ -243,6 +284,71 @@
         return isFound ? 0 : 1;
     }
 
+    std::string explainTarget(const operator_options& arguments)
+    {
+        std::string target = "/explain";
+        const auto add = [&target](const char* name, const std::string& value) {
+            if (value.empty())
+                return;
+            char* escaped = g_uri_escape_string(value.c_str(), nullptr, FALSE);
+            target.append(target.find('?') == std::string::npos ? "?" : "&").append(name).append("=").append(escaped);
+            g_free(escaped);
+        };
+        add("host", arguments.host);
+        add("path", arguments.path);
+        add("model", arguments.model);
+        add("prompt", arguments.prompt);
+        add("tokens", arguments.tokens);
+        add("tasks", arguments.tasks);
+        add("id", arguments.requestId);
+        return target;
+    }
+
+    json fetchPlacement(const operator_options& arguments, const ip_endpoint& gateway)
+    {
+        std::vector<std::pair<std::string, std::string>> headers;
+        if (!arguments.apiKey.empty())
+            headers.emplace_back(explainKeyName, arguments.apiKey);
+        daemon_response response = exchangeWith(gateway, "GET", explainTarget(arguments), {}, headers, explainTimeoutSeconds);
+        if (response.status == 429)
+            throw error(error_kind::Unavailable, "The gateway at " + gateway.toString() + " has answered as many queries as it answers in a second.", "Try again in a second.");
+        if (response.status != 200 || !response.body.contains("gateway"))
+            throw error(error_kind::Unavailable, "The daemon at " + gateway.toString() + " does not explain placements.", "Use a gateway's operatorListen address.");
+        return std::move(response.body);
+    }
+
+    int explainPlacement(const operator_options& arguments)
+    {
+        if (arguments.daemons.empty())
+            throw usageError("A daemon address is required.");
+        if (arguments.host.empty() || arguments.path.empty())
+            throw usageError("--host and --path are required.");
+        if (!arguments.path.starts_with('/'))
+            throw usageError("--path must begin with a slash.");
+        if (arguments.tokens.empty() && !arguments.prompt.empty())
+            throw usageError("--prompt needs --tokens.");
+        std::vector<ip_endpoint> gateways;
+        for (const std::string& daemon : arguments.daemons)
+            gateways.push_back(ip_endpoint::parse(daemon, "--daemon").value());
+        int code = 0;
+        std::vector<json> explanations;
+        for (const ip_endpoint& gateway : gateways) {
+            try {
+                explanations.push_back(fetchPlacement(arguments, gateway));
+                if (arguments.isJson)
+                    std::cout << explanations.back().dump() << "\n";
+                else
+                    printPlacement(std::cout, explanations.back());
+            } catch (const error& problem) {
+                std::cerr << problem.what() << "\n";
+                code = static_cast<int>(settings::exit_code::Failure);
+            }
+        }
+        if (!arguments.isJson)
+            printDifferences(std::cout, explanations);
+        return code;
+    }
+
     int drain(const operator_options& arguments, const char* path)
     {
         const json response = sendRequest(firstDaemonAddress(arguments), "POST", path, json { { "target", arguments.argument } }.dump());
@@ -262,6 +368,8 @@
             return status(arguments);
         if (arguments.command == "explain")
             return explain(arguments);
+        if (arguments.command == "explain-placement")
+            return explainPlacement(arguments);
         if (arguments.command == "drain")
             return drain(arguments, "/drain");
         if (arguments.command == "undrain")
--- a/tests/support/deployment_fixture.cpp
+++ b/tests/support/deployment_fixture.cpp
@@ -185,13 +185,23 @@
     return text.str();
 }
 
-std::string deployment_fixture::metricsOf(size_t gateway)
+caller_ptr deployment_fixture::sendToOperator(const std::string& target, size_t gateway)
 {
     const auto exchange = std::make_shared<caller_exchange>();
     http1::client_call::callbacks callbacks;
+    callbacks.onHead = [exchange](const http1::response_head& head) { exchange->head = head; };
     callbacks.onBody = [exchange](std::string_view bytes) { exchange->body.append(bytes); };
-    callbacks.onEnd = [exchange](http1::call_outcome) { exchange->isFinished = true; };
-    exchange->call = m_client.send(m_gateways[gateway].operatorListen, { "GET", "/metrics", { { "Host", "gateway" } }, "" }, { true }, std::move(callbacks));
+    callbacks.onEnd = [exchange](http1::call_outcome callOutcome) {
+        exchange->outcome = callOutcome;
+        exchange->isFinished = true;
+    };
+    exchange->call = m_client.send(m_gateways[gateway].operatorListen, { "GET", target, { { "Host", "gateway" } }, "" }, { true }, std::move(callbacks));
+    return exchange;
+}
+
+std::string deployment_fixture::metricsOf(size_t gateway)
+{
+    const caller_ptr exchange = sendToOperator("/metrics", gateway);
     waitUntil([&] { return exchange->isFinished; }, "a metrics response");
     return exchange->body;
 }
--- a/tests/support/deployment_fixture.hpp
+++ b/tests/support/deployment_fixture.hpp
@@ -82,6 +82,10 @@
     [[nodiscard]] std::string metricsOf(size_t gateway);
     [[nodiscard]] const ip_endpoint& listenAddress(size_t gateway) const { return m_gateways[gateway].listen; }
 
+    [[nodiscard]] const ip_endpoint& operatorAddress(size_t gateway) const { return m_gateways[gateway].operatorListen; }
+    /// Sends a GET request to the operator port of a gateway.
+    caller_ptr sendToOperator(const std::string& target, size_t gateway = 0);
+
     /// Sends a request to a gateway.
     caller_ptr send(const std::string& method, const std::string& target, http1::header_list headers = {}, const std::string& body = "", size_t gateway = 0);
     /// Sends a request and waits for its end.
