--- a/src/gateway/placement_explanation.cpp
+++ b/src/gateway/placement_explanation.cpp
@@ -7,20 +7,39 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 namespace bilberryseam::gateway {
 
 using nlohmann::json;
 
 namespace {
+    /// Terms of zero are left out: most of the cost of a query is the text of its targets.
     json toJson(const policy::cost_terms& cost)
     {
-        return { { "load", cost.load }, { "uncachedPrefix", cost.uncachedPrefix }, { "remoteInputs", cost.remoteInputs }, { "cold", cost.cold }, { "onlyOfVersion", cost.onlyOfVersion }, { "distance", cost.distance } };
+        json object = json::object();
+        const auto add = [&object](const char* name, double term) {
+            if (term != 0)
+                object[name] = term;
+        };
+        add("load", cost.load);
+        add("uncachedPrefix", cost.uncachedPrefix);
+        add("remoteInputs", cost.remoteInputs);
+        add("cold", cost.cold);
+        add("onlyOfVersion", cost.onlyOfVersion);
+        add("distance", cost.distance);
+        return object;
     }
 
     json toJson(const explained_target& target)
     {
-        json object { { "id", target.id }, { "failureDomain", target.failureDomain }, { "isChosen", target.isChosen }, { "verdict", std::string(nameOf(target.verdict)) }, { "requests", target.requests }, { "slots", target.slots }, { "listedMsAgo", asMilliseconds(target.listedFor) } };
+        json object;
+        object["id"] = target.id;
+        object["failureDomain"] = target.failureDomain;
+        object["verdict"] = nameOf(target.verdict);
+        object["requests"] = target.requests;
+        object["slots"] = target.slots;
+        object["listedMsAgo"] = asMilliseconds(target.listedFor);
         if (target.verdict == policy::ineligibility::None) {
             object["costMs"] = target.cost.sum();
             object["costTermsMs"] = toJson(target.cost);
@@ -75,15 +94,18 @@
     return std::nullopt;
 }
 
-void orderTargets(std::vector<explained_target>& targets)
+std::vector<size_t> listedOrder(std::span<const target_rank> ranks)
 {
-    const auto keyOf = [](const explained_target& target) {
-        return std::tuple(!target.isChosen, target.verdict != policy::ineligibility::None, target.cost.sum(), std::string_view(target.id));
+    std::vector<size_t> order(ranks.size());
+    std::iota(order.begin(), order.end(), size_t { 0 });
+    const auto keyOf = [&ranks](size_t index) {
+        const target_rank& rank = ranks[index];
+        return std::tuple(!rank.isChosen, !rank.isUsable, rank.isUsable ? rank.cost : 0.0, rank.id);
     };
-    const size_t count = std::min(targets.size(), maxExplainedTargets);
-    const auto end = targets.begin() + static_cast<std::ptrdiff_t>(count);
-    std::partial_sort(targets.begin(), end, targets.end(), [&keyOf](const auto& left, const auto& right) { return keyOf(left) < keyOf(right); });
-    targets.erase(end, targets.end());
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(order.size(), maxExplainedTargets));
+    std::partial_sort(order.begin(), end, order.end(), [&keyOf](size_t left, size_t right) { return keyOf(left) < keyOf(right); });
+    order.erase(end, order.end());
+    return order;
 }
 
 std::vector<explained_target> request_run::explainTargets(const target_ptr& chosen, time_point now) const
@@ -103,11 +125,14 @@
         for (const auto& candidate : all)
             costs.push_back(candidate.isUsable ? policy::costTermsOf(candidate, inputs.request, {}) : policy::cost_terms());
     }
+    std::vector<target_rank> ranks;
+    ranks.reserve(listed.size());
+    for (size_t i = 0; i < listed.size(); ++i)
+        ranks.push_back({ listed[i] == chosen, all[i].isUsable, costs[i].sum(), listed[i]->listed.id });
     std::vector<explained_target> targets;
-    targets.reserve(listed.size());
-    for (size_t i = 0; i < listed.size(); ++i) {
+    for (const size_t i : listedOrder(ranks)) {
         const target_state& target = *listed[i];
-        targets.push_back({ target.listed.id, target.listed.failureDomain, listed[i] == chosen, verdictOn(target, now), costs[i], isByLoad ? all[i].load.requests : target.inFlight, target.listed.slots, now - target.listedAt });
+        targets.push_back({ target.listed.id, target.listed.failureDomain, verdictOn(target, now), costs[i], isByLoad ? all[i].load.requests : target.inFlight, target.listed.slots, now - target.listedAt });
     }
     return targets;
 }
@@ -144,8 +169,7 @@
     const std::optional<milliseconds> poolWait = explainStages(explanation.stages, now);
     const target_ptr chosen = chooseTarget(now);
     explanation.targets = explainTargets(chosen, now);
-    explanation.targetCount = explanation.targets.size();
-    orderTargets(explanation.targets);
+    explanation.targetCount = m_context.targets.ofService(m_request.service).size();
 
     // In the order in which a request meets these checks.
     const auto refuse = [&explanation](std::string_view reason, milliseconds retryAfter) { explanation.refusal = { http1::statusUnavailable, std::string(reason), retryAfter }; };
@@ -170,8 +194,6 @@
         explanation.waitReason = forecast ? "rate_limited" : "no_target";
         explanation.longestWait = detail::maxPlacementTime;
     }
-    for (auto& target : explanation.targets)
-        target.isChosen = target.isChosen && !explanation.choice.empty();
     return explanation;
 }
 }
--- a/src/gateway/placement_explanation.hpp
+++ b/src/gateway/placement_explanation.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,7 +37,6 @@
 struct explained_target {
     std::string id;
     std::string failureDomain;
-    bool isChosen = false;
     policy::ineligibility verdict = policy::ineligibility::None;
     /// Expected delay there; all zero if the target may not be used.
     policy::cost_terms cost;
@@ -47,9 +47,17 @@
     microseconds listedFor { 0 };
 };
 
-/// Puts the chosen target first, then the usable ones with the least cost, then the others by their identifiers, and drops
-/// those beyond `maxExplainedTargets`.
-void orderTargets(std::vector<explained_target>& targets);
+/// What the order of targets in an explanation depends on.
+struct target_rank {
+    bool isChosen = false;
+    bool isUsable = false;
+    double cost = 0;
+    std::string_view id;
+};
+
+/// @return The indexes of at most `maxExplainedTargets` targets: the chosen one, the usable ones by their cost, then the others by
+/// their identifiers.
+[[nodiscard]] std::vector<size_t> listedOrder(std::span<const target_rank> ranks);
 
 /// A stage of the request that has tasks.
 struct explained_stage {
@@ -79,6 +87,7 @@
     /// Age of the figures by which a target is chosen; zero for those of this process.
     microseconds figureAge { 0 };
     size_t targetCount = 0;
+    /// The chosen target first.
     std::vector<explained_target> targets;
     /// Identifier of the target that the request would be sent to; empty if there is none.
     std::string choice;
--- a/tests/process/gateway_explain_test.cpp
+++ b/tests/process/gateway_explain_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <csignal>
+#include <fstream>
 #include <list>
 #include <random>
 #include <sstream>
@@ -194,7 +195,7 @@
 {
     explained_fleet fleet(295, json::object());
     for (int i = 0; i < 300; ++i)
-        fleet.deployment.store().put("keyed.servers", "n-" + std::to_string(i), json { { "service", "model" }, { "address", "127.0.0.1:" + std::to_string(20000 + i) }, { "zone", "south-1" }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "seq", 1 }, { "version", "v1" } }.dump());
+        fleet.deployment.store().put("keyed.servers", "n-" + std::to_string(i), json { { "service", "model" }, { "address", "127.0.0.1:" + std::to_string(10000 + i) }, { "zone", "south-1" }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "seq", 1 }, { "version", "v1" } }.dump());
     json explanation;
     fleet.deployment.waitUntil([&] {
         fleet.deployment.runLoopFor(queryPause);
@@ -239,3 +240,50 @@
     cr_assert_eq(stage["expectedWaitMs"], 0);
     cr_assert_eq(json::parse(result.output)["choice"], "m-1");
 }
+
+namespace {
+/// @return Processor time that a gateway has used so far.
+microseconds processorTimeOf(const deployment_fixture& deployment)
+{
+    std::ifstream file("/proc/" + deployment.processId(0) + "/schedstat");
+    int64_t nanoseconds = 0;
+    file >> nanoseconds;
+    return microseconds(nanoseconds / 1000);
+}
+}
+
+// Guards against queries that cost more than a request. The design must work with 3,000 targets; a response has 200 tokens, four
+// in each event.
+Test(gateway_explain, a_query_costs_no_more_than_a_request)
+{
+    explained_fleet fleet(298, json::object());
+    for (auto& engine : fleet.engines) {
+        engine.behaviour().eventCount = 50;
+        engine.behaviour().eventPeriod = milliseconds(2);
+    }
+    for (int i = 0; i < 2992; ++i)
+        fleet.deployment.store().put("keyed.servers", "n-" + std::to_string(i), json { { "service", "model" }, { "address", "127.0.0.1:" + std::to_string(10000 + i) }, { "zone", "south-1" }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "seq", 1 }, { "version", "v1" } }.dump());
+    fleet.deployment.waitUntil([&] {
+        fleet.deployment.runLoopFor(queryPause);
+        const auto query = fleet.deployment.sendToOperator("/explain?host=shop.example&path=/m/1");
+        fleet.deployment.waitUntil([&] { return query->isFinished; }, "a response");
+        return query->head.status == 200 && json::parse(query->body)["targetCount"] == 3000;
+    },
+        "all targets");
+    constexpr int count = 12;
+    const auto start = processorTimeOf(fleet.deployment);
+    for (int i = 0; i < count; ++i) {
+        fleet.deployment.runLoopFor(queryPause);
+        const auto query = fleet.deployment.sendToOperator("/explain?host=shop.example&path=/m/1&model=m&tokens=1000,200&prompt=a:600,b:400");
+        fleet.deployment.waitUntil([&] { return query->isFinished; }, "a response");
+        cr_assert_eq(query->head.status, 200);
+    }
+    const auto middle = processorTimeOf(fleet.deployment);
+    for (int i = 0; i < count; ++i) {
+        fleet.deployment.runLoopFor(queryPause);
+        const auto request = fleet.deployment.sendAndWait("POST", "/m/1", { { "X-Model", "m" }, { "X-Token-Counts", "1000,200" }, { "X-Prompt-Prefix", "a:600,b:400" } }, "question");
+        cr_assert_eq(request->head.status, 200);
+    }
+    const auto end = processorTimeOf(fleet.deployment);
+    cr_assert_leq((middle - start).count(), (end - middle).count(), "us for %d queries, and for as many requests", count);
+}
--- a/tests/unit/placement_explanation_test.cpp
+++ b/tests/unit/placement_explanation_test.cpp
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <criterion/criterion.h>
 #include <random>
+#include <string>
+#include <tuple>
 
 using namespace bilberryseam;
 using namespace bilberryseam::policy;
@@ -97,23 +99,20 @@
 
 Test(placement_explanation, chosen_target_comes_first_and_unusable_ones_last)
 {
-    using namespace bilberryseam::gateway;
-    std::vector<explained_target> targets;
-    for (size_t i = 0; i < 2 * maxExplainedTargets; ++i) {
-        explained_target target;
-        target.id = "t-" + std::to_string(i);
-        target.cost.load = static_cast<double>((i * 37) % 401);
-        target.verdict = i % 3 == 0 ? ineligibility::Paused : ineligibility::None;
-        target.isChosen = i == 50;
-        targets.push_back(target);
-    }
-    orderTargets(targets);
-    cr_assert_eq(targets.size(), maxExplainedTargets);
-    cr_assert(targets.front().isChosen);
-    for (size_t i = 2; i < targets.size(); ++i) {
-        const bool isAfter = std::pair(targets[i - 1].verdict != ineligibility::None, targets[i - 1].cost.sum()) <= std::pair(targets[i].verdict != ineligibility::None, targets[i].cost.sum());
-        cr_assert(isAfter, "%s is behind %s", targets[i].id.c_str(), targets[i - 1].id.c_str());
-    }
+    constexpr size_t count = 2 * gateway::maxExplainedTargets;
+    std::vector<std::string> ids;
+    for (size_t i = 0; i < count; ++i)
+        ids.push_back("t-" + std::to_string(i));
+    std::vector<gateway::target_rank> ranks;
+    for (size_t i = 0; i < count; ++i)
+        ranks.push_back({ i == 50, i % 3 == 1, static_cast<double>((i * 37) % 401), ids[i] });
+    const auto order = gateway::listedOrder(ranks);
+    cr_assert_eq(order.size(), gateway::maxExplainedTargets);
+    cr_assert_eq(order.front(), 50u);
+    const auto keyOf = [&ranks](size_t i) { return std::tuple(!ranks[i].isUsable, ranks[i].isUsable ? ranks[i].cost : 0.0, ranks[i].id); };
+    for (size_t i = 2; i < order.size(); ++i)
+        cr_assert(keyOf(order[i - 1]) < keyOf(order[i]), "%s is behind %s", ids[order[i]].c_str(), ids[order[i - 1]].c_str());
+    cr_assert_not(ranks[order.back()].isUsable);
 }
 
 Test(placement_explanation, four_explanations_a_second)
