--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -187,6 +187,7 @@
     const auto own = std::find_if(m_sentReports.begin(), m_sentReports.end(), [sequence](const auto& report) { return report.sequence == sequence; });
     const bool isContained = own != m_sentReports.end();
     policy::applySummary(m_view, sum, isContained ? std::span<const policy::load_figures>(own->items) : std::span<const policy::load_figures>());
+    updateTrends(sum, now);
     m_counters.count("load_sums_total", { { "collector", collector == m_name ? "own" : "other" } });
     m_counters.set("load_entries_counted", {}, sum.gateways);
     m_counters.set("load_age_seconds", {}, asSeconds(now - sum.takenAt));
@@ -241,28 +242,76 @@
         takeSummary(from, summary.sequence, sum, now);
 }
 
-policy::target_load load_exchange::loadOf(const target_state& target, time_point now) const noexcept
+bool load_exchange::isUsable(std::string_view service, time_point now) const noexcept
 {
-    return policy::loadNow(m_view, figuresOf(target, now), now);
+    const auto position = m_services.find(service);
+    return position != m_services.end() && policy::isUsable(m_view, now) && policy::isConsistent(position->second.trend);
+}
+
+std::vector<policy::target_load> load_exchange::loadsOf(std::string_view service, std::span<const target_ptr> targets, time_point now) const
+{
+    const auto state = m_services.find(service);
+    std::vector<policy::target_load> loads;
+    loads.reserve(targets.size());
+    for (const auto& target : targets) {
+        auto& load = loads.emplace_back(policy::loadNow(m_view, figuresOf(*target, now), now));
+        if (state != m_services.end())
+            load.usualRequests = policy::usualRequestsOf(state->second.trend, target->incarnation);
+    }
+    return loads;
+}
+
+double load_exchange::prefixShare(std::string_view service, uint64_t prefixHash, time_point now) const noexcept
+{
+    const auto position = m_services.find(service);
+    return position == m_services.end() ? 0 : policy::prefixShareOf(position->second.sends, prefixHash, now);
+}
+
+double load_exchange::rateOf(const send_rate& rate, time_point now) noexcept
+{
+    return rate.weight * weightAfter(now - rate.updatedAt) * std::numbers::ln2 / sendHalfLife;
 }
 
 double load_exchange::unseenSends(std::string_view service, time_point now) const noexcept
 {
-    const auto position = m_sendRates.find(service);
-    if (position == m_sendRates.end() || !policy::isUsable(m_view, now))
+    const auto position = m_services.find(service);
+    if (position == m_services.end() || !policy::isUsable(m_view, now))
         return 0;
-    const double ownRate = position->second.weight * weightAfter(now - position->second.updatedAt) * std::numbers::ln2 / sendHalfLife;
-    return ownRate * m_view.gateways * asSeconds(now - m_view.takenAt);
+    return rateOf(position->second.rate, now) * m_view.gateways * asSeconds(now - m_view.takenAt);
+}
+
+void load_exchange::recordSend(const std::string& service, uint64_t prefixHash, const std::string& request, const target_state& target, const std::optional<policy::load_choice>& choice, time_point now)
+{
+    service_state& state = m_services[service];
+    state.rate.weight = state.rate.weight * weightAfter(now - state.rate.updatedAt) + 1;
+    state.rate.updatedAt = now;
+    policy::recordSend(state.sends, prefixHash, now);
+    if (!choice) {
+        m_counters.count("load_placements_total", { { "view", "own" }, { "kind", "own_costs" } });
+        return;
+    }
+    m_counters.count("load_placements_total", { { "view", "shared" }, { "kind", choice->isForPrefix ? "prefix" : "least_loaded" } });
+    logLine(log_level::Info, logComponent, "The target was chosen by its load.", { { "request", request }, { "target", target.listed.id }, { "kind", choice->isForPrefix ? "prefix" : "least_loaded" }, { "load_ms", std::to_string(std::lround(choice->loadMilliseconds)) }, { "mean_ms", std::to_string(std::lround(choice->meanMilliseconds)) }, { "cached_tokens", std::to_string(choice->cachedTokens) }, { "age_ms", std::to_string(asMilliseconds(now - m_view.takenAt)) } });
 }
 
-void load_exchange::recordSend(const std::string& service, const std::string& request, const target_state& target, const policy::load_choice& choice, time_point now)
+void load_exchange::updateTrends(const policy::received_load& sum, time_point now)
 {
-    send_rate& rate = m_sendRates[service];
-    rate.weight = rate.weight * weightAfter(now - rate.updatedAt) + 1;
-    rate.updatedAt = now;
-    const bool isShared = policy::isUsable(m_view, now);
-    m_counters.count("load_placements_total", { { "view", isShared ? "shared" : "own" }, { "kind", choice.isForPrefix ? "prefix" : "least_loaded" } });
-    logLine(log_level::Info, logComponent, "The target was chosen by its load.", { { "request", request }, { "target", target.listed.id }, { "kind", choice.isForPrefix ? "prefix" : "least_loaded" }, { "load_ms", std::to_string(std::lround(choice.loadMilliseconds)) }, { "mean_ms", std::to_string(std::lround(choice.meanMilliseconds)) }, { "cached_tokens", std::to_string(choice.cachedTokens) }, { "age_ms", isShared ? std::to_string(asMilliseconds(now - m_view.takenAt)) : "own_view" } });
+    m_targets.forEachService([&](const std::string& service, std::span<const target_ptr> targets) {
+        std::vector<uint64_t> incarnations;
+        incarnations.reserve(targets.size());
+        std::transform(targets.begin(), targets.end(), std::back_inserter(incarnations), [](const auto& target) { return target->incarnation; });
+        service_state& state = m_services[service];
+        const double sends = rateOf(state.rate, now) * sum.gateways;
+        policy::recordSum(state.trend, sum.items, sum.gateways, incarnations, sends, now);
+        const bool isConsistent = policy::isConsistent(state.trend);
+        if (isConsistent == std::exchange(state.isConsistent, isConsistent))
+            return;
+        m_counters.set("load_consistent", { { "service", service } }, isConsistent ? 1 : 0);
+        if (!isConsistent)
+            logLine(log_level::Warning, logComponent, "The sums of the load of a service change faster than requests can arrive and end; its targets are chosen by the own view.", { { "service", service }, { "risen", std::to_string(std::lround(state.trend.risen)) }, { "fallen", std::to_string(std::lround(state.trend.fallen)) }, { "possible", std::to_string(std::lround(state.trend.possible)) }, { "collector", m_collector } });
+        else if (std::exchange(state.isReported, true))
+            logLine(log_level::Info, logComponent, "The sums of the load of a service are consistent again.", { { "service", service } });
+    });
 }
 
 void load_exchange::checkAge(time_point now)
--- a/src/gateway/load_exchange.hpp
+++ b/src/gateway/load_exchange.hpp
@@ -10,6 +10,8 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -34,15 +36,18 @@
     /// @return False if the message is not about load.
     bool handle(const wire::message& message, std::string_view from, const std::function<void(wire::message)>& reply, time_point now);
 
-    /// @return Whether the load of all entries is known; if not, targets are chosen by the own calls.
-    [[nodiscard]] bool isUsable(time_point now) const noexcept { return policy::isUsable(m_view, now); }
-    /// @return The load of a target by all entries, as far as it is known.
-    [[nodiscard]] policy::target_load loadOf(const target_state& target, time_point now) const noexcept;
+    /// @return Whether the load of all entries at a service is known and consistent; if not, targets are chosen by the own calls.
+    [[nodiscard]] bool isUsable(std::string_view service, time_point now) const noexcept;
+    /// @return The loads of targets of one service by all entries, as far as they are known.
+    [[nodiscard]] std::vector<policy::target_load> loadsOf(std::string_view service, std::span<const target_ptr> targets, time_point now) const;
+    /// @return The share of the own sends to a service that have a prefix.
+    [[nodiscard]] double prefixShare(std::string_view service, uint64_t prefixHash, time_point now) const noexcept;
     [[nodiscard]] microseconds figureAge(time_point now) const noexcept { return now - m_view.takenAt; }
     /// @return Estimate of the requests that other entries have sent to a service since the figures were taken.
     [[nodiscard]] double unseenSends(std::string_view service, time_point now) const noexcept;
-    /// Counts and logs a request that is sent to a target chosen by its load.
-    void recordSend(const std::string& service, const std::string& request, const target_state& target, const policy::load_choice& choice, time_point now);
+    /// Counts a request that is sent, and logs it if the target was chosen by its load.
+    /// @param prefixHash  Hash of the shared segments; zero if there are none.
+    void recordSend(const std::string& service, uint64_t prefixHash, const std::string& request, const target_state& target, const std::optional<policy::load_choice>& choice, time_point now);
     [[nodiscard]] uint64_t ownHash() const noexcept { return m_ownHash; }
 
 private:
@@ -70,6 +75,15 @@
         double weight = 0;
         time_point updatedAt {};
     };
+    /// What is known of a service beyond the last sum.
+    struct service_state {
+        send_rate rate;
+        policy::recent_sends sends;
+        policy::load_trend trend;
+        /// The sums of the service were found consistent.
+        bool isConsistent = false;
+        bool isReported = false;
+    };
 
     [[nodiscard]] std::vector<policy::load_figures> ownFigures(time_point now) const;
     [[nodiscard]] policy::load_figures figuresOf(const target_state& target, time_point now) const noexcept;
@@ -87,6 +101,10 @@
     [[nodiscard]] std::vector<policy::load_figures> fromWire(const std::vector<wire::load_item>& items, uint64_t sender);
     void setCollector(const std::string& collector);
     void checkAge(time_point now);
+    /// Records a sum for each service, and reports services whose sums became consistent or inconsistent.
+    void updateTrends(const policy::received_load& sum, time_point now);
+    /// @return Own sends to the service in a second.
+    [[nodiscard]] static double rateOf(const send_rate& rate, time_point now) noexcept;
 
     metrics& m_counters;
     const target_registry& m_targets;
@@ -104,7 +122,7 @@
     policy::collected_load m_collected;
     std::map<uint64_t, reporter> m_reporters;
     policy::load_view m_view;
-    std::map<std::string, send_rate, std::less<>> m_sendRates;
+    std::map<std::string, service_state, std::less<>> m_services;
     bool m_wasUsable = false;
     bool m_areBoundsReported = false;
 };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -125,7 +125,8 @@
     }
     const auto inputBytes = resultBytesByDomain();
     m_loadChoice.reset();
-    if (m_context.loads && m_context.loads->isUsable(now))
+    m_prefixHash = placement.prefixHash;
+    if (m_context.loads && m_context.loads->isUsable(m_request.service, now))
         return chooseByLoad(placement, hashes, inputBytes, now);
     const bool prefersSharedVersions = m_request.route->isResumable && !m_origin;
     // What a target costs at least that has no calls of this process, with and without the prompt prefix.
@@ -159,15 +160,17 @@
     const bool prefersSharedVersions = m_request.route->isResumable && !m_origin;
     std::vector<policy::placement_candidate> candidates;
     candidates.reserve(listed.size());
-    for (const auto& target : listed) {
-        auto& candidate = candidates.emplace_back(candidateOf(*target, sharedHashes, inputBytes, now));
-        candidate.isOnlyOfVersion = prefersSharedVersions && candidate.isUsable && isOnlyOfVersion(listed, *target, [this](const target_state& other) { return isSuitable(other); });
-        candidate.load = m_context.loads->loadOf(*target, now);
+    const auto loads = m_context.loads->loadsOf(m_request.service, listed, now);
+    for (size_t i = 0; i < listed.size(); ++i) {
+        auto& candidate = candidates.emplace_back(candidateOf(*listed[i], sharedHashes, inputBytes, now));
+        candidate.isOnlyOfVersion = prefersSharedVersions && candidate.isUsable && isOnlyOfVersion(listed, *listed[i], [this](const target_state& other) { return isSuitable(other); });
+        candidate.load = loads[i];
     }
     policy::load_placement_request load;
     load.tieHash = hashOfPair(m_context.loads->ownHash(), hashOf(m_request.callerRequest.id));
     load.unseenSends = m_context.loads->unseenSends(m_request.service, now);
     load.figureAge = m_context.loads->figureAge(now);
+    load.prefixShare = m_context.loads->prefixShare(m_request.service, placement.prefixHash, now);
     m_loadChoice = policy::chooseByLoad(candidates, placement, load, {});
     return m_loadChoice ? listed[m_loadChoice->index] : nullptr;
 }
@@ -313,8 +316,8 @@
     const bool needsNewConnection = !m_request.route->isRetryable();
     attempt.call = sendToTarget(m_context, target, request, { needsNewConnection }, std::move(callbacks));
     m_context.counters.count("sends_total", { { "service", m_request.service } });
-    if (m_context.loads && m_loadChoice)
-        m_context.loads->recordSend(m_request.service, m_request.callerRequest.id, *target, *m_loadChoice, now);
+    if (m_context.loads)
+        m_context.loads->recordSend(m_request.service, m_prefixHash, m_request.callerRequest.id, *target, m_loadChoice, now);
     logLine(log_level::Info, logComponent, "The request was sent to a target.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "send", std::to_string(m_sends) }, { "left_ms", std::to_string(call.timeLeft.count()) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target->listedAt)) }, { "software_version", target->listed.softwareVersion }, { "after_event", m_lastEventId.substr(0, maxLoggedBytes) }, { "in_flight", std::to_string(target->inFlight) }, { "beside_a_silent_target", m_backup ? "true" : "false" } });
 }
 
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -289,6 +289,8 @@
     time_point m_lastSentAt {};
     /// Inputs of the last choice of a target by load, for the log and for the count of queued tokens.
     mutable std::optional<policy::load_choice> m_loadChoice;
+    /// Hash of the shared segments of the prompt; zero if there are none.
+    mutable uint64_t m_prefixHash = 0;
 
     /// Identifier of the last event that the caller has.
     std::string m_lastEventId;
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -258,6 +258,12 @@
     return position != m_targets.end() && !recordText.empty() && position->second->recordText == recordText && !m_deferredRemovals.contains(id);
 }
 
+void target_registry::forEachService(const std::function<void(const std::string&, std::span<const target_ptr>)>& visit) const
+{
+    for (const auto& [service, targets] : m_byService)
+        visit(service, targets);
+}
+
 void target_registry::forEach(const std::function<void(const target_state&)>& visit) const
 {
     for (const auto& [id, state] : m_targets)
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -126,6 +126,8 @@
     [[nodiscard]] size_t size() const noexcept { return m_targets.size(); }
     /// Calls a function with each listed target.
     void forEach(const std::function<void(const target_state&)>& visit) const;
+    /// Calls a function with each service that has listed targets.
+    void forEachService(const std::function<void(const std::string& service, std::span<const target_ptr> targets)>& visit) const;
 
 private:
     /// @return Whether the indexes are out of date.
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -73,13 +73,12 @@
     /// A measured pace outside these bounds is a fault; no target is excluded for it.
     constexpr double minSlowness = 0.5;
     constexpr double maxSlowness = 3;
+    /// Paces of targets of the same speed differ by this much, because of their load. Without it, prefixes moved by chance: a
+    /// tenth more shared tokens were read in the replay.
+    constexpr double ordinarySlowness = 0.3;
     /// Bisections of the level to which unseen sends fill the targets; the error is below a thousandth of the range.
     constexpr int levelSteps = 12;
 
-    /// How far the second target of the ranking for a prefix may be behind, as a share of what the first one may be. With zero,
-    /// a tenth more tokens were read again in the replay.
-    constexpr double secondTargetShare = 0.75;
-
     /// Older figures say less and less about the load now: a request needs about two seconds.
     constexpr milliseconds trustedLoadAge { 500 };
     constexpr double leastTrust = 0.2;
@@ -196,55 +195,64 @@
         return cost;
     }
 
-    /// @return The first target in the ranking for the prefix whose load allows it; null if there is none.
-    const loaded_target* targetForPrefix(std::span<const loaded_target> targets, std::span<const placement_candidate> candidates, const placement_request& request, uint64_t tieHash, double meanDelay, double prefixMilliseconds, const load_costs& costs)
+    double usualMeanOf(std::span<const loaded_target> targets, std::span<const placement_candidate> candidates) noexcept
     {
-        // The two first targets of the ranking: the second one has the prefix too if the first is often behind.
-        const loaded_target* first = nullptr;
-        const loaded_target* second = nullptr;
-        uint64_t firstScore = 0;
-        uint64_t secondScore = 0;
-        for (const loaded_target& target : targets) {
-            const uint64_t score = hashOfPair(candidates[target.index].hash, request.prefixHash);
-            if (!first || score > firstScore) {
-                second = std::exchange(first, &target);
-                secondScore = std::exchange(firstScore, score);
-            } else if (!second || score > secondScore) {
-                second = &target;
-                secondScore = score;
-            }
-        }
-        const loaded_target* best = nullptr;
-        uint64_t bestScore = 0;
+        double sum = 0;
+        for (const loaded_target& target : targets)
+            sum += candidates[target.index].load.usualRequests;
+        return sum / static_cast<double>(targets.size());
+    }
+
+    /// @return The first targets in the ranking for the prefix whose load allows it, as many as the load of the prefix needs.
+    std::vector<loaded_target> targetsForPrefix(std::span<const loaded_target> targets, std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, double prefixMilliseconds, const load_costs& costs)
+    {
+        const double meanDelay = meanDelayOf(targets);
+        const double usualMean = usualMeanOf(targets, candidates);
+        // The load of the prefix, relative to the mean target.
+        const double prefixLoad = load.prefixShare * static_cast<double>(targets.size());
+        const double coldness = std::max(0.0, 1 - prefixLoad / costs.popularLoad);
+        const bool isShort = prefixMilliseconds < costs.minPrefixMilliseconds;
+        std::vector<std::pair<uint64_t, const loaded_target*>> allowed;
         for (const loaded_target& target : targets) {
             const placement_candidate& candidate = candidates[target.index];
-            const bool isCached = &target == first || candidate.cachedTokens >= request.sharedTokens;
-            // Bounds differ between requests. With one bound for all, gateways with the same old figures would move a prefix
-            // from one target to the next and back together.
-            const double draw = fractionOf(hashOfPair(tieHash, candidate.hash));
-            const double share = isCached ? 0.5 + draw : &target == second ? secondTargetShare * (0.5 + draw)
-                                                                           : 0;
-            const double saved = share > 0 ? prefixMilliseconds * share : target.delayPerSend * (draw - 0.5);
-            if (target.delay + distanceOf(candidate, costs) > meanDelay + saved)
+            const double distance = distanceOf(candidate, costs);
+            // The way there, or the cold time, costs more than the prefix.
+            if (distance > std::max(prefixMilliseconds, costs.otherDomain))
                 continue;
-            if (const uint64_t score = hashOfPair(candidate.hash, request.prefixHash); !best || score > bestScore) {
-                best = &target;
-                bestScore = score;
-            }
+            const uint64_t score = hashOfPair(candidate.hash, request.prefixHash);
+            // Bounds differ between prefixes, and are lower for popular ones: a busy target loses few prefixes, always the same
+            // ones, and each of them helps.
+            const double bound = isShort ? costs.shortUsualBound : costs.usualBound + costs.usualRange * coldness * fractionOf(hashOfPair(score, request.prefixHash));
+            const double slowness = isShort ? 1 : std::max(1.0, target.slowness - ordinarySlowness);
+            if (candidate.load.usualRequests * slowness > usualMean * bound)
+                continue;
+            // Bounds of the delay differ between requests. With one bound for all, gateways with the same old figures would move
+            // a prefix from one target to the next and back together.
+            const double draw = fractionOf(hashOfPair(load.tieHash, candidate.hash));
+            if (target.delay + distance <= meanDelay + costs.longestDelay * (0.8 + 0.4 * draw))
+                allowed.emplace_back(score, &target);
         }
-        return best;
+        const size_t count = std::min(allowed.size(), 1 + static_cast<size_t>(prefixLoad * costs.targetsPerLoad));
+        std::partial_sort(allowed.begin(), allowed.begin() + static_cast<ptrdiff_t>(count), allowed.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
+        std::vector<loaded_target> chosen;
+        for (const auto& [score, target] : std::span(allowed).first(count))
+            chosen.push_back(*target);
+        return chosen;
     }
 
     /// @return The target with the lowest cost. Among near ties, a target is chosen with a probability that is proportional to what
     /// is missing there to the level.
-    const loaded_target& leastLoaded(std::span<const loaded_target> targets, std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, const load_costs& costs)
+    /// @param level      The delay up to which unseen sends fill the targets.
+    /// @param usualMean  Mean number of requests at a target of the service.
+    const loaded_target& leastLoaded(std::span<const loaded_target> targets, std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, double level, double usualMean, const load_costs& costs)
     {
-        const double level = filledLevel(targets, load.unseenSends);
         const auto costAt = [&](const loaded_target& target) {
             const placement_candidate& candidate = candidates[target.index];
             // Tokens that no target has cached are left out: by them, slow targets would get nothing as long as fast ones are idle.
             const uint64_t uncachedTokens = request.sharedTokens - std::min(request.sharedTokens, candidate.cachedTokens);
-            return std::max(target.delay, level) + static_cast<double>(uncachedTokens) / prefillTokensPerMillisecond * target.slowness + distanceOf(candidate, costs);
+            // A target that usually has more requests than others gets none that may run anywhere while it is idle for a moment.
+            const double usualDelay = std::max(0.0, candidate.load.usualRequests - usualMean * costs.shortUsualBound) * costs.otherRequest;
+            return std::max(target.delay, level) + usualDelay + static_cast<double>(uncachedTokens) / prefillTokensPerMillisecond * target.slowness + distanceOf(candidate, costs);
         };
         double lowest = costAt(targets.front());
         for (const loaded_target& target : targets)
@@ -272,17 +280,18 @@
     const auto targets = loadedTargets(candidates, load.figureAge, costs);
     if (targets.empty())
         return std::nullopt;
-    const double meanDelay = meanDelayOf(targets);
     const double prefixMilliseconds = static_cast<double>(request.sharedTokens) / prefillTokensPerMillisecond;
-    const loaded_target* chosen = nullptr;
-    if (request.prefixHash != 0 && prefixMilliseconds >= costs.minPrefixMilliseconds)
-        chosen = targetForPrefix(targets, candidates, request, load.tieHash, meanDelay, prefixMilliseconds, costs);
-    const bool isForPrefix = chosen != nullptr;
-    if (!chosen)
-        chosen = &leastLoaded(targets, candidates, request, load, costs);
+    std::vector<loaded_target> forPrefix;
+    if (request.prefixHash != 0 && request.sharedTokens > 0)
+        forPrefix = targetsForPrefix(targets, candidates, request, load, prefixMilliseconds, costs);
+    const bool isForPrefix = !forPrefix.empty();
+    const auto& allowed = isForPrefix ? forPrefix : targets;
+    const loaded_target* chosen = allowed.data();
+    if (allowed.size() > 1)
+        chosen = &leastLoaded(allowed, candidates, request, load, filledLevel(targets, load.unseenSends), usualMeanOf(targets, candidates), costs);
     uint64_t cachedTokens = candidates[chosen->index].cachedTokens;
     if (isForPrefix && preferredTarget(candidates, request.prefixHash) == chosen->index)
         cachedTokens = std::max(cachedTokens, request.sharedTokens);
-    return load_choice { chosen->index, cachedTokens, chosen->delay, meanDelay, isForPrefix };
+    return load_choice { chosen->index, cachedTokens, chosen->delay, meanDelayOf(targets), isForPrefix };
 }
 }
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -90,6 +90,8 @@
     double unseenSends = 0;
     /// Age of the figures.
     microseconds figureAge { 0 };
+    /// Share of the sends to the service that have the prefix of the request, from 0 to 1.
+    double prefixShare = 0;
 };
 
 /// Costs in milliseconds of delay.
@@ -110,10 +112,22 @@
     double cold = 450;
     /// A target that appears twice as bad as a healthy one.
     double penalty = 200;
-    /// A prefix whose prefill takes less than this is not kept on few targets.
+    /// A prefix whose prefill takes less than this moves first from a busy target.
     double minPrefixMilliseconds = 40;
     /// Costs that differ by less than this are near ties.
     double nearTie = 20;
+    /// Mean requests of the last seconds, relative to the mean target, from which a target gets no prefix of which requests are
+    /// a large part of a target's load. For other prefixes, the bound is higher by up to the range.
+    double usualBound = 1.25;
+    double usualRange = 0.8;
+    /// The same for prefixes whose prefill takes less than `minPrefixMilliseconds`: they move first.
+    double shortUsualBound = 1.05;
+    /// Load of a prefix, relative to the mean target, from which the bound is the lowest.
+    double popularLoad = 0.55;
+    /// Further targets of a prefix for each unit of its load.
+    double targetsPerLoad = 1;
+    /// Delay behind the mean target for which a target keeps a prefix; 0.8 to 1.2 times of it, by request.
+    double longestDelay = 950;
 };
 
 /// A target chosen by the load of all gateways.
@@ -128,8 +142,8 @@
     bool isForPrefix = false;
 };
 
-/// Chooses by the expected finish time. A shared prefix goes to the first target of its ranking whose load is not later than
-/// that of the mean target by more than the prefill of the prefix; other requests go to the targets with the least load.
+/// A shared prefix goes to the first targets of its ranking, as many as its own load needs, that are not busier than the mean
+/// target by more than a bound; other requests go to the targets with the least load.
 /// @return Empty if no candidate is usable.
 [[nodiscard]] std::optional<load_choice> chooseByLoad(std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, const load_costs& costs);
 }
--- a/src/policy/target_load.cpp
+++ b/src/policy/target_load.cpp
@@ -12,6 +12,23 @@
     /// A longer time between two events shows that a stream stood still, and not how fast the target is.
     constexpr microseconds longestGap { 2'000'000 };
 
+    /// Half-life of the mean number of requests, in seconds: many times the 2 s of a request, so that prefixes do not move because
+    /// of the requests that are at a target by chance.
+    constexpr double usualHalfLife = 30;
+    /// Observation after which the mean of a target counts half, in seconds. With 4 s, prefixes moved by chance after a start.
+    constexpr double doubtfulSeconds = 12;
+
+    /// Half-life of the changes by which sums are judged, in seconds.
+    constexpr double changeHalfLife = 2;
+    /// Share of the requests in progress that can end within a second beyond the estimated sends.
+    constexpr double endedPerSecond = 0.5;
+    /// Estimates of the sends of all gateways by those of one are this uncertain.
+    constexpr double changeTolerance = 1.5;
+    /// Changes of so few requests say nothing.
+    constexpr double minSuspiciousChanges = 8;
+    /// Sums are not trusted before they were observed for this long, in seconds: two periods of reports.
+    constexpr double minObservedSeconds = 0.5;
+
     double weightAfter(microseconds age) noexcept
     {
         return std::exp2(-static_cast<double>(std::max<int64_t>(0, age.count())) / paceHalfLifeUs);
@@ -153,6 +170,105 @@
     view.gateways = summary.gateways > 0 ? summary.gateways - 1 : 0;
 }
 
+void recordSum(load_trend& trend, std::span<const load_figures> sum, uint32_t gateways, std::span<const uint64_t> targets, double sendsPerSecond, time_point now)
+{
+    const bool isFirst = trend.updatedAt == time_point();
+    const double elapsed = isFirst ? 0 : std::clamp(asSeconds(now - trend.updatedAt), 0.0, asSeconds(maxLoadAge));
+    // A gateway that joins or leaves the sum brings or takes its requests at once.
+    const bool isSameGateways = !isFirst && gateways == trend.gateways;
+    const double usualDecay = std::exp2(-elapsed / usualHalfLife);
+    const double changeDecay = std::exp2(-elapsed / changeHalfLife);
+    trend.updatedAt = now;
+    trend.gateways = gateways;
+    trend.observedSeconds += elapsed;
+    trend.weight = trend.weight * usualDecay + elapsed;
+    trend.risen *= changeDecay;
+    trend.fallen *= changeDecay;
+
+    std::unordered_map<uint64_t, double> requests;
+    requests.reserve(sum.size());
+    for (const load_figures& item : sum)
+        requests[item.target] = std::min(item.requests, maxLoadRequests);
+    for (auto& [target, state] : trend.targets)
+        state.isListed = false;
+    double total = 0;
+    for (const uint64_t target : targets) {
+        const auto position = requests.find(target);
+        const double requestsNow = position != requests.end() ? position->second : 0;
+        const auto [entry, isNew] = trend.targets.try_emplace(target);
+        auto& state = entry->second;
+        if (isSameGateways && !isNew)
+            (requestsNow > state.requests ? trend.risen : trend.fallen) += std::abs(requestsNow - state.requests);
+        state.requests = requestsNow;
+        state.weightedRequests = state.weightedRequests * usualDecay + requestsNow * elapsed;
+        state.isListed = true;
+        total += requestsNow;
+    }
+    std::erase_if(trend.targets, [](const auto& item) { return !item.second.isListed; });
+    trend.weightedTotal = trend.weightedTotal * usualDecay + total * elapsed;
+    trend.possible = trend.possible * changeDecay + (sendsPerSecond + total * endedPerSecond) * elapsed;
+}
+
+bool isConsistent(const load_trend& trend) noexcept
+{
+    // A burst only raises the sums, and its end only lowers them. What is counted here rose and fell within seconds.
+    const double changes = std::min(trend.risen, trend.fallen);
+    return trend.observedSeconds >= minObservedSeconds && changes <= trend.possible * changeTolerance + minSuspiciousChanges;
+}
+
+double usualRequestsOf(const load_trend& trend, uint64_t target) noexcept
+{
+    const auto position = trend.targets.find(target);
+    if (position == trend.targets.end() || trend.weight <= 0)
+        return 0;
+    const double mean = trend.weightedTotal / trend.weight / static_cast<double>(trend.targets.size());
+    const double trust = trend.observedSeconds / (trend.observedSeconds + doubtfulSeconds);
+    return mean + (position->second.weightedRequests / trend.weight - mean) * trust;
+}
+
+namespace {
+    /// Half-life of the count of sends, in seconds. A gateway with a twenty-fifth of the sends to 46 targets sees a prefix that is
+    /// half the load of a target about three times in this time.
+    constexpr double sendHalfLife = 60;
+    constexpr size_t maxCountedPrefixes = 4096;
+    /// A prefix with a lower weight says nothing.
+    constexpr double minPrefixWeight = 0.25;
+    /// Sends that are added to the count of all, so that the first ones of a gateway do not look popular.
+    constexpr double doubtfulSends = 50;
+
+    double weightOf(const recent_sends::count& count, time_point now) noexcept
+    {
+        return count.weight * std::exp2(-std::max(0.0, asSeconds(now - count.updatedAt)) / sendHalfLife);
+    }
+
+    void add(recent_sends::count& count, time_point now) noexcept
+    {
+        count.weight = weightOf(count, now) + 1;
+        count.updatedAt = now;
+    }
+}
+
+void recordSend(recent_sends& sends, uint64_t prefixHash, time_point now)
+{
+    add(sends.all, now);
+    if (prefixHash == 0)
+        return;
+    if (sends.byPrefix.size() >= maxCountedPrefixes)
+        std::erase_if(sends.byPrefix, [now](const auto& item) { return weightOf(item.second, now) < minPrefixWeight; });
+    if (sends.byPrefix.size() < maxCountedPrefixes || sends.byPrefix.contains(prefixHash))
+        add(sends.byPrefix[prefixHash], now);
+}
+
+double prefixShareOf(const recent_sends& sends, uint64_t prefixHash, time_point now) noexcept
+{
+    const auto position = sends.byPrefix.find(prefixHash);
+    if (position == sends.byPrefix.end())
+        return 0;
+    // One standard deviation below the count.
+    const double weight = weightOf(position->second, now);
+    return std::max(0.0, weight - std::sqrt(weight)) / (weightOf(sends.all, now) + doubtfulSends);
+}
+
 bool isUsable(const load_view& view, time_point now) noexcept
 {
     return view.takenAt != time_point() && now - view.takenAt <= maxLoadAge;
--- a/src/policy/target_load.hpp
+++ b/src/policy/target_load.hpp
@@ -108,6 +108,60 @@
 /// @return Whether the view is new enough to be used.
 [[nodiscard]] bool isUsable(const load_view& view, time_point now) noexcept;
 
+/// What consecutive sums show about the targets of one service.
+struct load_trend {
+    struct target_trend {
+        double requests = 0;
+        /// Sum of the requests, weighted by the time for which they were stated; older ones count less.
+        double weightedRequests = 0;
+        bool isListed = true;
+    };
+    std::unordered_map<uint64_t, target_trend> targets;
+    time_point updatedAt {};
+    /// Gateways in the last sum.
+    uint32_t gateways = 0;
+    /// Seconds of observation; older ones count less.
+    double weight = 0;
+    /// Sum of the requests at all targets, weighted as those of each target.
+    double weightedTotal = 0;
+    /// Requests by which the sums rose and fell, and by how many they can have changed both ways, in the last seconds.
+    double risen = 0;
+    double fallen = 0;
+    double possible = 0;
+    /// Seconds since the first sum.
+    double observedSeconds = 0;
+};
+
+/// Records a sum of all gateways.
+/// @param targets          The targets of the service.
+/// @param sendsPerSecond   Estimate of what all gateways send to the service.
+void recordSum(load_trend& trend, std::span<const load_figures> sum, uint32_t gateways, std::span<const uint64_t> targets, double sendsPerSecond, time_point now);
+
+/// @return Whether the sums changed no faster than requests can arrive and end, over at least half a second.
+[[nodiscard]] bool isConsistent(const load_trend& trend) noexcept;
+
+/// @return Mean number of requests of all gateways at a target over the last seconds, drawn towards the mean of the service
+/// after a short observation; zero if nothing is known.
+[[nodiscard]] double usualRequestsOf(const load_trend& trend, uint64_t target) noexcept;
+
+/// What one gateway sent to a service lately.
+struct recent_sends {
+    struct count {
+        double weight = 0;
+        time_point updatedAt {};
+    };
+    count all;
+    /// By the hash of the shared prefix.
+    std::unordered_map<uint64_t, count> byPrefix;
+};
+
+/// Records a send.
+/// @param prefixHash  Zero if the request shares no prefix.
+void recordSend(recent_sends& sends, uint64_t prefixHash, time_point now);
+
+/// @return The share of the sends to a service with a prefix, from 0 to 1: a cautious estimate, zero after a single send.
+[[nodiscard]] double prefixShareOf(const recent_sends& sends, uint64_t prefixHash, time_point now) noexcept;
+
 /// Load of a target by all gateways, as of now.
 struct target_load {
     double requests = 0;
@@ -116,6 +170,8 @@
     /// Mean time between two events in microseconds; zero if it is not known.
     double paceUs = 0;
     double paceSamples = 0;
+    /// `usualRequestsOf` the target; zero if it is not known.
+    double usualRequests = 0;
 };
 
 /// Adds the own current figures to those of the other gateways. Prompt tokens of the others are reduced by what the target has
--- a/tests/support/load_replay.hpp
+++ b/tests/support/load_replay.hpp
@@ -118,6 +118,8 @@
     constexpr double tick = 0.005;
     constexpr double believedCacheSeconds = 60;
     std::mt19937 random(options.seed);
+    // Random figures must not change the requests of the replay.
+    std::mt19937 randomFigures(options.seed + 1000);
     std::uniform_real_distribution<double> uniform(0, 1);
     std::vector<replayed_engine> engines(options.engines);
     std::vector<policy::placement_candidate> candidates(options.engines);
@@ -142,12 +144,18 @@
     std::deque<std::pair<double, figures>> history;
     // When a gateway last had an engine read a prefix.
     std::vector<std::vector<std::map<uint64_t, double>>> readAt(options.gateways, std::vector<std::map<uint64_t, double>>(options.engines));
+    std::vector<policy::recent_sends> sends(options.gateways);
     const double age = asSeconds(options.figureAge);
     const auto timeAt = [](double seconds) { return time_point(microseconds(static_cast<int64_t>((seconds + 1000) * 1e6))); };
 
     replay_result result;
     result.requests.resize(options.engines);
     double nextArrival = 0;
+    double nextSum = 0;
+    policy::load_trend trend;
+    std::vector<uint64_t> targets;
+    for (const auto& candidate : candidates)
+        targets.push_back(candidate.hash);
     uint64_t number = 0;
     for (double now = 0; now < options.seconds; now += tick) {
         for (size_t e = 0; e < engines.size(); ++e) {
@@ -218,10 +226,14 @@
         sum = policy::sumOfReports(collected, sum.takenAt);
         if (options.figures == replay_figures::Contradictory) {
             for (auto& item : sum.items) {
-                item.requests = static_cast<uint32_t>(random() % 40);
-                item.prefillTokens = random() % 40000;
+                item.requests = static_cast<uint32_t>(randomFigures() % 40);
+                item.prefillTokens = randomFigures() % 40000;
             }
         }
+        if (now >= nextSum) {
+            nextSum = now + asSeconds(policy::loadReportPeriod);
+            policy::recordSum(trend, sum.items, sum.gateways, targets, options.requestsPerSecond, timeAt(now));
+        }
         while (nextArrival <= now) {
             replayed_request request;
             request.gateway = random() % options.gateways;
@@ -239,7 +251,7 @@
                 const auto read = readAt[request.gateway][i].find(request.prefix);
                 candidates[i].cachedTokens = read != readAt[request.gateway][i].end() && now - read->second < believedCacheSeconds ? request.sharedTokens : 0;
             }
-            if (options.figures == replay_figures::OwnCosts) {
+            if (options.figures == replay_figures::OwnCosts || !policy::isConsistent(trend)) {
                 for (size_t i = 0; i < engines.size(); ++i) {
                     candidates[i].inFlight = own[i].requests;
                     candidates[i].queuedPrefillTokens = own[i].prefillTokens;
@@ -254,15 +266,17 @@
                     own[i].paceUs = policy::meanOf(paces[request.gateway][i]);
                     own[i].paceSamples = policy::samplesOf(paces[request.gateway][i], timeAt(now));
                     candidates[i].load = policy::loadNow(view, own[i], timeAt(now));
+                    candidates[i].load.usualRequests = policy::usualRequestsOf(trend, candidates[i].hash);
                     candidates[i].isInOwnDomain = candidates[i].isInOwnRegion = true;
                 }
                 const double unseen = options.requestsPerSecond * age;
-                const auto choice = policy::chooseByLoad(candidates, placement, { hashOfPair(request.gateway, number), unseen, options.figureAge }, options.costs);
+                const auto choice = policy::chooseByLoad(candidates, placement, { hashOfPair(request.gateway, number), unseen, options.figureAge, policy::prefixShareOf(sends[request.gateway], placement.prefixHash, timeAt(now)) }, options.costs);
                 chosen = choice->index;
                 cachedTokens = choice->cachedTokens;
             }
             ++number;
             readAt[request.gateway][chosen][request.prefix] = now;
+            policy::recordSend(sends[request.gateway], placement.prefixHash, timeAt(now));
             request.believedTokens = request.sharedTokens + request.ownTokens - std::min(cachedTokens, request.sharedTokens);
             ++own[chosen].requests;
             own[chosen].prefillTokens += request.believedTokens;
--- a/tests/unit/load_replay_test.cpp
+++ b/tests/unit/load_replay_test.cpp
@@ -75,6 +75,32 @@
     }
 }
 
+// Guards against prefixes that are copied to more engines than their load needs.
+Test(load_replay, no_more_shared_tokens_are_read_again_than_with_the_own_view)
+{
+    for (unsigned seed = 1; seed <= 3; ++seed) {
+        for (const auto& [requestsPerSecond, popularitySkew] : { std::pair(130.0, 0.5), std::pair(115.0, 0.7) }) {
+            replay_options options = standardOptions();
+            options.seed = seed;
+            options.requestsPerSecond = requestsPerSecond;
+            options.popularitySkew = popularitySkew;
+            const double shared = replay(options).recomputedTokens;
+            options.figures = replay_figures::OwnCosts;
+            const double own = replay(options).recomputedTokens;
+            cr_expect_leq(shared, own, "seed %u, %.0f requests a second: %.2f million tokens, own view %.2f million", seed, requestsPerSecond, shared / 1e6, own / 1e6);
+        }
+    }
+}
+
+// Guards against a prefix that all requests share: it would make its first target the only one.
+Test(load_replay, prefix_of_all_requests_is_on_all_engines)
+{
+    replay_options options = standardOptions();
+    options.prefixes = 1;
+    const double ratio = replay(options).busiestToMean();
+    cr_expect_leq(ratio, maxBusiestToMean, "%.2f", ratio);
+}
+
 // Guards against a herd where no prefix keeps gateways apart.
 Test(load_replay, short_prompts_without_prefixes_are_spread)
 {
--- a/tests/unit/target_load_test.cpp
+++ b/tests/unit/target_load_test.cpp
@@ -1,4 +1,5 @@
 /// Merging of load reports, and placement by the load of all gateways.
+#include "base/hash.hpp"
 #include "policy/placement.hpp"
 #include "policy/target_load.hpp"
 
@@ -137,3 +138,84 @@
     recordGap(pace, seconds(100), start);
     cr_assert_leq(meanOf(pace), 300000u, "a stream that stood still must not make its target slow");
 }
+
+namespace {
+constexpr size_t trendTargets = 40;
+
+/// Records sums with a period of 250 ms, starting with the given one.
+/// @param requestsAt  Called with the number of the sum and of the target.
+template <typename RequestsAt>
+void recordSums(load_trend& trend, size_t first, size_t count, double sendsPerSecond, RequestsAt requestsAt)
+{
+    std::vector<uint64_t> targets;
+    for (size_t i = 0; i < trendTargets; ++i)
+        targets.push_back(i + 1);
+    for (size_t k = first; k < first + count; ++k) {
+        std::vector<load_figures> sum;
+        for (size_t i = 0; i < trendTargets; ++i)
+            sum.push_back({ targets[i], static_cast<uint32_t>(requestsAt(k, i)) });
+        recordSum(trend, sum, 25, targets, sendsPerSecond, start + k * loadReportPeriod);
+    }
+}
+}
+
+// Guards against sums that one faulty gateway or collector states, and against sums that are not used again afterwards.
+Test(target_load, sums_that_change_faster_than_requests_can_are_not_consistent)
+{
+    const auto steady = [](size_t sum, size_t target) { return 5 + (sum + target) % 2; };
+    const auto random = [](size_t sum, size_t target) { return hashOfPair(sum + 1, target + 1) % 40; };
+    load_trend trend;
+    recordSums(trend, 0, 1, 100, steady);
+    cr_assert(!isConsistent(trend), "a single sum shows nothing");
+    recordSums(trend, 1, 39, 100, steady);
+    cr_assert(isConsistent(trend));
+    recordSums(trend, 40, 12, 100, random);
+    cr_assert(!isConsistent(trend));
+    recordSums(trend, 52, 80, 100, steady);
+    cr_assert(isConsistent(trend));
+    load_trend randomOnly;
+    for (size_t i = 0; i < 40; ++i) {
+        recordSums(randomOnly, i, 1, 100, random);
+        cr_assert(!isConsistent(randomOnly) || i < 3, "sum %zu", i);
+    }
+}
+
+// Guards against sums that are not trusted when callers start or stop at once, or when half of the targets are lost.
+Test(target_load, bursts_and_losses_are_consistent)
+{
+    load_trend trend;
+    recordSums(trend, 0, 200, 10, [](size_t sum, size_t target) {
+        if (sum >= 120 && target % 2 == 0)
+            return size_t(0);
+        return sum < 20 ? size_t(0) : sum < 60 ? size_t(20)
+            : sum < 100                        ? size_t(2)
+                                               : size_t(6);
+    });
+    cr_assert(isConsistent(trend));
+}
+
+// Guards against a missing gateway count, huge numbers of requests and targets that are gone.
+Test(target_load, usual_requests_are_bounded_and_follow_the_list)
+{
+    load_trend trend;
+    cr_assert_eq(usualRequestsOf(trend, 1), 0);
+    recordSums(trend, 0, 400, 100, [](size_t, size_t target) { return target == 0 ? std::numeric_limits<uint32_t>::max() : target; });
+    cr_assert_leq(usualRequestsOf(trend, 1), maxLoadRequests);
+    cr_assert(usualRequestsOf(trend, 40) > usualRequestsOf(trend, 2));
+    recordSum(trend, {}, 25, std::vector<uint64_t> { 7 }, 100, start + seconds(200));
+    cr_assert_eq(usualRequestsOf(trend, 1), 0);
+    cr_assert_eq(trend.targets.size(), 1u);
+}
+
+// Guards against a prefix that looks popular after a single request.
+Test(target_load, share_of_a_prefix_is_a_cautious_estimate)
+{
+    recent_sends sends;
+    cr_assert_eq(prefixShareOf(sends, 3, start), 0);
+    recordSend(sends, 3, start);
+    cr_assert_eq(prefixShareOf(sends, 3, start), 0);
+    for (int i = 0; i < 1000; ++i)
+        recordSend(sends, i % 2 == 0 ? 3 : 100 + i, start);
+    const double share = prefixShareOf(sends, 3, start);
+    cr_assert(share > 0.4 && share < 0.5, "%.2f", share);
+}
