--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/load_exchange.hpp"
 
 #include "base/hash.hpp"
+#include "policy/eligibility.hpp"
 #include "telemetry/log.hpp"
 #include "wire/codec.hpp"
 
@@ -261,6 +262,20 @@
     return loads;
 }
 
+uint64_t load_exchange::heldTokensOf(const target_state& target, uint64_t memoryTokens, time_point now)
+{
+    if (!isUsable(target.listed.service, now))
+        return target.contextTokens;
+    const auto ofAll = static_cast<uint64_t>(policy::loadNow(m_view, figuresOf(target, now), now).contextTokens);
+    const uint64_t held = policy::plausibleHeldTokens(ofAll, target.contextTokens, memoryTokens);
+    if (held < ofAll) {
+        m_counters.count("load_memory_ignored_total");
+        if (!std::exchange(m_isMemoryReported, true))
+            logLine(log_level::Warning, logComponent, "All entries together state more tokens at a target than it can hold; the own ones are counted there.", { { "target", target.listed.id }, { "tokens", std::to_string(ofAll) }, { "own", std::to_string(target.contextTokens) }, { "memory", std::to_string(memoryTokens) }, { "age_ms", std::to_string(asMilliseconds(now - m_view.takenAt)) } });
+    }
+    return held;
+}
+
 double load_exchange::prefixShare(std::string_view service, uint64_t prefixHash, time_point now) const noexcept
 {
     const auto position = m_services.find(service);
--- a/src/gateway/load_exchange.hpp
+++ b/src/gateway/load_exchange.hpp
@@ -40,6 +40,8 @@
     [[nodiscard]] bool isUsable(std::string_view service, time_point now) const noexcept;
     /// @return The loads of targets of one service by all entries, as far as they are known.
     [[nodiscard]] std::vector<policy::target_load> loadsOf(std::string_view service, std::span<const target_ptr> targets, time_point now) const;
+    /// @return Tokens of the requests that a target holds: those of all entries, or the own ones if the others are not known.
+    [[nodiscard]] uint64_t heldTokensOf(const target_state& target, uint64_t memoryTokens, time_point now);
     /// @return The share of the own sends to a service that have a prefix.
     [[nodiscard]] double prefixShare(std::string_view service, uint64_t prefixHash, time_point now) const noexcept;
     [[nodiscard]] microseconds figureAge(time_point now) const noexcept { return now - m_view.takenAt; }
@@ -125,5 +127,6 @@
     std::map<std::string, service_state, std::less<>> m_services;
     bool m_wasUsable = false;
     bool m_areBoundsReported = false;
+    bool m_isMemoryReported = false;
 };
 }
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -1,11 +1,13 @@
 #include "base/hash.hpp"
 #include "gateway/crash_watch.hpp"
+#include "gateway/load_exchange.hpp"
 #include "gateway/request_run.hpp"
 #include "gateway/target_eligibility.hpp"
 #include "gateway/target_pauses.hpp"
 #include "policy/suspicion.hpp"
 
 #include <algorithm>
+#include <limits>
 
 // Requests that crash targets, and requests beyond the limits that targets state.
 
@@ -125,6 +127,30 @@
     refuse(reason, std::max(detail::retryAfterTransientFailure, shortest + spreadOver(std::max(shortestOverloadSpread, shortest))));
 }
 
+bool request_run::refuseTooLarge()
+{
+    if (policy::fitsMemory(m_memoryTokens, 0, m_neededTokens))
+        return false;
+    m_context.counters.count("prompts_too_large_total", { { "service", m_request.service } });
+    logLine(log_level::Info, logComponent, "The request is larger than the memory of every target of its service.", { { "request", m_request.callerRequest.id }, { "service", m_request.service }, { "needed_tokens", std::to_string(m_neededTokens) }, { "memory_tokens", std::to_string(m_memoryTokens) }, { "version", std::to_string(m_request.configuration->version) } });
+    // Only another configuration can help.
+    refuse("prompt_too_large", longestRetryAfter);
+    return true;
+}
+
+void request_run::refuseForMemory()
+{
+    const time_point now = monotonicNow();
+    uint64_t least = std::numeric_limits<uint64_t>::max();
+    for (const auto& target : m_context.targets.ofService(m_request.service)) {
+        if (target->isInService() && isSuitable(*target))
+            least = std::min(least, m_context.loads->heldTokensOf(*target, m_memoryTokens, now));
+    }
+    m_context.counters.count("memory_refusals_total", { { "service", m_request.service } });
+    logLine(log_level::Info, logComponent, "No target has memory for the request.", { { "request", m_request.callerRequest.id }, { "service", m_request.service }, { "needed_tokens", std::to_string(m_neededTokens) }, { "memory_tokens", std::to_string(m_memoryTokens) }, { "least_held_tokens", std::to_string(least) }, { "age_ms", m_context.loads->isUsable(m_request.service, now) ? std::to_string(asMilliseconds(m_context.loads->figureAge(now))) : "own_view" } });
+    refuse("no_memory", shortestOverloadSpread + spreadOver(shortestOverloadSpread));
+}
+
 void request_run::recordCrash(const target_attempt& attempt, time_point now)
 {
     policy::suspicion suspicion = policy::recordCrash(m_context.suspicions, m_request.fingerprint, false, now);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -56,6 +56,11 @@
 {
     if (m_request.callerRequest.deadline.count() > 0)
         m_deadline = std::min(m_deadline, m_arrivedAt + m_request.callerRequest.deadline);
+    const auto service = m_request.configuration->services.find(m_request.service);
+    if (m_context.loads && m_request.callerRequest.generation && service != m_request.configuration->services.end() && service->second.engine) {
+        m_memoryTokens = service->second.engine->memoryTokens;
+        m_neededTokens = m_request.callerRequest.generation->promptTokens + m_request.callerRequest.generation->maxOutputTokens;
+    }
     m_context.heldBodyBytes += m_request.exchange->body().size();
     if (const auto last = http1::findHeader(m_request.exchange->head().headers, "Last-Event-Id"))
         m_lastEventId = *last;
@@ -75,7 +80,7 @@
     });
     const time_point now = monotonicNow();
     m_checkedRules = m_context.placementRules;
-    if (refuseUnplaceable(now))
+    if (refuseUnplaceable(now) || refuseTooLarge())
         return;
     if (const auto wait = waitForService(m_context, m_request.service, now)) {
         refusePaused(*wait, now);
@@ -126,6 +131,7 @@
     const auto inputBytes = resultBytesByDomain();
     m_loadChoice.reset();
     m_prefixHash = placement.prefixHash;
+    m_lacksMemory = false;
     if (m_context.loads && m_context.loads->isUsable(m_request.service, now))
         return chooseByLoad(placement, hashes, inputBytes, now);
     const bool prefersSharedVersions = m_request.route->isResumable && !m_origin;
@@ -196,7 +202,14 @@
     policy::target_conditions conditions = conditionsOf(m_context, target, regionsNow());
     conditions.isOtherVersion = !mayRunAt(target);
     conditions.isTried = !isFree && !mayReturnTo(target);
-    candidate.isUsable = policy::reasonAgainst(conditions, now) == policy::ineligibility::None;
+    if (m_memoryTokens > 0) {
+        conditions.memoryTokens = m_memoryTokens;
+        conditions.heldTokens = m_context.loads->heldTokensOf(target, m_memoryTokens, now);
+        conditions.neededTokens = m_neededTokens;
+    }
+    const auto reason = policy::reasonAgainst(conditions, now);
+    candidate.isUsable = reason == policy::ineligibility::None;
+    m_lacksMemory = m_lacksMemory || reason == policy::ineligibility::Memory;
     locate(candidate, target.listed.failureDomain, inputBytes);
     candidate.inFlight = target.inFlight;
     candidate.slots = static_cast<uint32_t>(std::max(1, target.listed.slots));
@@ -264,6 +277,10 @@
         refuseLimited(detail::maxPlacementTime);
         return;
     }
+    if (!mayWait && m_lacksMemory && !m_mayHaveRun && !m_request.exchange->isStarted()) {
+        refuseForMemory();
+        return;
+    }
     if (!mayWait) {
         logPauses("ends", now);
         onAttemptFailed("no_target", false);
@@ -298,7 +315,7 @@
 
     const uint64_t promptTokens = m_request.callerRequest.generation ? m_request.callerRequest.generation->promptTokens : 0;
     target_attempt_ptr& place = m_current ? m_backup : m_current;
-    place = std::make_unique<target_attempt>(target, promptTokens, m_loadChoice ? m_loadChoice->cachedTokens : 0, now);
+    place = std::make_unique<target_attempt>(target, promptTokens, m_loadChoice ? m_loadChoice->cachedTokens : 0, m_request.callerRequest.generation ? m_request.callerRequest.generation->maxOutputTokens : 0, now);
     target_attempt& attempt = *place;
     attempt.inputsFetchedAt = inputsFetchedAt(*target, now);
     attempt.events.setLastId(m_lastEventId);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -261,6 +261,11 @@
     void finishWithoutResponse(std::string_view reason, bool hasUsableTarget = true);
     void refuse(std::string_view reason, milliseconds retryAfter);
     void refuseSegment(uint64_t segment, time_point now);
+    /// Refuses a request that is larger than the memory of a target.
+    /// @return True if the request has ended.
+    bool refuseTooLarge();
+    /// Refuses a request for which no target has had memory for too long.
+    void refuseForMemory();
     void fail(unsigned status, std::string_view reason);
     void onCallerDisconnected();
     void finish(std::string_view outcome, std::string_view reason, unsigned status);
@@ -280,6 +285,11 @@
     bool m_isWaitingForTarget = false;
     time_point m_retryAt {};
     std::optional<limit_place> m_limitPlace;
+    /// Tokens that a target of the service can hold, and that the request may need; zero if they are not known.
+    uint64_t m_memoryTokens = 0;
+    uint64_t m_neededTokens = 0;
+    /// In the last search, a target was unusable only because it has no memory for the request.
+    mutable bool m_lacksMemory = false;
 
     /// The attempt whose response is passed on.
     target_attempt_ptr m_current;
--- a/src/gateway/target_attempt.cpp
+++ b/src/gateway/target_attempt.cpp
@@ -2,16 +2,18 @@
 
 namespace bilberryseam::gateway {
 
-target_attempt::target_attempt(target_ptr newTarget, uint64_t promptTokens, uint64_t cachedTokens, time_point now)
+target_attempt::target_attempt(target_ptr newTarget, uint64_t promptTokens, uint64_t cachedTokens, uint64_t maxOutputTokens, time_point now)
     : target(std::move(newTarget))
     , sentAt(now)
     , softwareVersion(target->listed.softwareVersion)
     , queuedTokens(promptTokens)
     , uncachedTokens(promptTokens - std::min(promptTokens, cachedTokens))
+    , contextTokens(promptTokens + maxOutputTokens)
 {
     ++target->inFlight;
     target->queuedPrefillTokens += queuedTokens;
     target->uncachedPrefillTokens += uncachedTokens;
+    target->contextTokens += contextTokens;
 }
 
 target_attempt::~target_attempt()
@@ -24,8 +26,6 @@
 void target_attempt::endPrefill() noexcept
 {
     target->uncachedPrefillTokens -= std::exchange(uncachedTokens, 0);
-    contextTokens += queuedTokens;
-    target->contextTokens += queuedTokens;
     target->queuedPrefillTokens -= std::exchange(queuedTokens, 0);
 }
 
--- a/src/gateway/target_attempt.hpp
+++ b/src/gateway/target_attempt.hpp
@@ -17,7 +17,7 @@
 struct target_attempt {
     /// Counts the attempt among the calls in flight at the target.
     /// @param cachedTokens  Prompt tokens that are presumably cached at the target.
-    target_attempt(target_ptr newTarget, uint64_t promptTokens, uint64_t cachedTokens, time_point now);
+    target_attempt(target_ptr newTarget, uint64_t promptTokens, uint64_t cachedTokens, uint64_t maxOutputTokens, time_point now);
     target_attempt(const target_attempt&) = delete;
     target_attempt& operator=(const target_attempt&) = delete;
     ~target_attempt();
@@ -58,7 +58,7 @@
     uint64_t queuedTokens = 0;
     /// Those of them that are presumably not cached.
     uint64_t uncachedTokens = 0;
-    /// Tokens of the prompt that the target has read.
+    /// Tokens that the target may hold for the request: the prompt and the most output.
     uint64_t contextTokens = 0;
     /// Received bytes of the body that were not passed on.
     std::string buffer;
--- a/src/gateway/target_eligibility.cpp
+++ b/src/gateway/target_eligibility.cpp
@@ -90,7 +90,7 @@
 bool isAvailable(const context& context, const target_state& target, const deployment::permitted_regions& regions, time_point now) noexcept
 {
     const auto reason = policy::reasonAgainst(conditionsOf(context, target, regions), now);
-    return reason == policy::ineligibility::None || reason == policy::ineligibility::Limited || reason == policy::ineligibility::Cold;
+    return reason == policy::ineligibility::None || reason == policy::ineligibility::Limited || reason == policy::ineligibility::Cold || reason == policy::ineligibility::Memory;
 }
 
 deployment::permitted_regions regionsNow(const context& context, const deployment::permitted_regions& accepted, std::string_view route, std::string_view account)
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -57,7 +57,7 @@
     uint64_t queuedPrefillTokens = 0;
     /// Those of the queued prompt tokens that are presumably not cached at the target.
     uint64_t uncachedPrefillTokens = 0;
-    /// Prompt tokens of the calls whose response has begun.
+    /// Prompt tokens, and the most output tokens, of the calls in progress.
     uint64_t contextTokens = 0;
     /// Time between the events of the streams of this process.
     policy::event_pace pace;
--- a/src/policy/eligibility.cpp
+++ b/src/policy/eligibility.cpp
@@ -1,7 +1,21 @@
 #include "policy/eligibility.hpp"
 
+#include <algorithm>
+
 namespace bilberryseam::policy {
 
+uint64_t plausibleHeldTokens(uint64_t ofAll, uint64_t ofThisProcess, uint64_t memoryTokens) noexcept
+{
+    return ofAll / 2 > memoryTokens ? ofThisProcess : std::max(ofAll, ofThisProcess);
+}
+
+bool fitsMemory(uint64_t memoryTokens, uint64_t heldTokens, uint64_t neededTokens) noexcept
+{
+    if (memoryTokens == 0 || neededTokens == 0)
+        return true;
+    return neededTokens <= memoryTokens && heldTokens <= memoryTokens - neededTokens;
+}
+
 ineligibility reasonAgainst(const target_conditions& conditions, time_point now) noexcept
 {
     if (!conditions.isInPermittedRegion)
@@ -22,6 +36,8 @@
         return ineligibility::Limited;
     if (conditions.coldStart && !canSend(*conditions.coldStart, now))
         return ineligibility::Cold;
+    if (!fitsMemory(conditions.memoryTokens, conditions.heldTokens, conditions.neededTokens))
+        return ineligibility::Memory;
     if (conditions.isOtherVersion)
         return ineligibility::OtherVersion;
     return conditions.isTried ? ineligibility::Tried : ineligibility::None;
@@ -50,6 +66,8 @@
         return "limited";
     case ineligibility::Cold:
         return "cold";
+    case ineligibility::Memory:
+        return "memory";
     case ineligibility::OtherVersion:
         return "other_version";
     case ineligibility::Tried:
--- a/src/policy/eligibility.hpp
+++ b/src/policy/eligibility.hpp
@@ -9,6 +9,7 @@
 #include "policy/rate_limit.hpp"
 #include "policy/target_health.hpp"
 
+#include <cstdint>
 #include <string_view>
 
 namespace bilberryseam::policy {
@@ -31,6 +32,8 @@
     /// The target's stated limit is used up for now.
     Limited,
     Cold,
+    /// The request does not fit into the memory of the target beside those that it holds.
+    Memory,
     /// Another software version began the stream.
     OtherVersion,
     /// The request was sent to the target before.
@@ -48,10 +51,23 @@
     const target_health* health = nullptr;
     const rate_limit* limit = nullptr;
     const cold_start* coldStart = nullptr;
+    /// Tokens that the target can hold; zero if that is not known.
+    uint64_t memoryTokens = 0;
+    /// Tokens of the requests that it holds, waiting ones included.
+    uint64_t heldTokens = 0;
+    /// Tokens that the request may need.
+    uint64_t neededTokens = 0;
     bool isOtherVersion = false;
     bool isTried = false;
 };
 
+/// @return The tokens that a target holds: the count of all gateways, or that of this process alone if the former is more than
+/// twice the memory, which no target holds. A faulty count must not silence a target.
+[[nodiscard]] uint64_t plausibleHeldTokens(uint64_t ofAll, uint64_t ofThisProcess, uint64_t memoryTokens) noexcept;
+
+/// @return Whether a request fits into the memory; true if the memory or the need is not known.
+[[nodiscard]] bool fitsMemory(uint64_t memoryTokens, uint64_t heldTokens, uint64_t neededTokens) noexcept;
+
 /// @return The first reason for which a request may not use the target now, or `None`.
 [[nodiscard]] ineligibility reasonAgainst(const target_conditions& conditions, time_point now) noexcept;
 
--- a/src/policy/target_load.cpp
+++ b/src/policy/target_load.cpp
@@ -26,6 +26,9 @@
     constexpr double changeTolerance = 1.5;
     /// Changes of so few requests say nothing.
     constexpr double minSuspiciousChanges = 8;
+    /// A sum with another number of gateways is not judged, because their requests come or go at once. It changes a
+    /// few times when gateways start or change their collector; a number that changes in each sum is a fault.
+    constexpr double maxGatewayChanges = 8;
     /// Sums are not trusted before they were observed for this long, in seconds: two periods of reports.
     constexpr double minObservedSeconds = 0.5;
 
@@ -184,6 +187,7 @@
     trend.weight = trend.weight * usualDecay + elapsed;
     trend.risen *= changeDecay;
     trend.fallen *= changeDecay;
+    trend.gatewayChanges = trend.gatewayChanges * changeDecay + (isFirst || isSameGateways ? 0 : 1);
 
     std::unordered_map<uint64_t, double> requests;
     requests.reserve(sum.size());
@@ -213,7 +217,7 @@
 {
     // A burst only raises the sums, and its end only lowers them. What is counted here rose and fell within seconds.
     const double changes = std::min(trend.risen, trend.fallen);
-    return trend.observedSeconds >= minObservedSeconds && changes <= trend.possible * changeTolerance + minSuspiciousChanges;
+    return trend.observedSeconds >= minObservedSeconds && trend.gatewayChanges <= maxGatewayChanges && changes <= trend.possible * changeTolerance + minSuspiciousChanges;
 }
 
 double usualRequestsOf(const load_trend& trend, uint64_t target) noexcept
--- a/src/policy/target_load.hpp
+++ b/src/policy/target_load.hpp
@@ -38,7 +38,7 @@
     uint32_t requests = 0;
     /// Prompt tokens that wait for their prefill.
     uint64_t prefillTokens = 0;
-    /// Prompt tokens of the requests whose response has begun.
+    /// Prompt tokens, and the most output tokens, of the requests in progress.
     uint64_t contextTokens = 0;
     /// Mean time between two events of a stream, in microseconds; zero if there are no samples.
     uint32_t paceUs = 0;
@@ -128,6 +128,8 @@
     double risen = 0;
     double fallen = 0;
     double possible = 0;
+    /// How often the number of gateways changed in the last seconds.
+    double gatewayChanges = 0;
     /// Seconds since the first sum.
     double observedSeconds = 0;
 };
--- a/tests/process/gateway_load_sharing_test.cpp
+++ b/tests/process/gateway_load_sharing_test.cpp
@@ -19,7 +19,7 @@
 /// Three gateways of one region in front of engines that take long for each request.
 class sharing_fleet {
 public:
-    sharing_fleet(int slot, size_t engineCount)
+    sharing_fleet(int slot, size_t engineCount, const json& services = json::array())
         : deployment(slot)
     {
         fakes::engine_behaviour behaviour;
@@ -27,7 +27,7 @@
         behaviour.eventPeriod = milliseconds(20);
         for (size_t i = 0; i < engineCount; ++i)
             engines.emplace_back(deployment.addTarget("m-" + std::to_string(i), "model"), behaviour);
-        deployment.configure(3, { deployment_fixture::route("/m/", "streaming", "model", { { "timeout_ms", 20000 } }) });
+        deployment.configure(3, { deployment_fixture::route("/m/", "streaming", "model", { { "timeout_ms", 20000 } }) }, services);
         for (size_t i = 0; i < gatewayCount; ++i)
             deployment.startGateway(json::object(), { { "loadSharing", true } });
         for (size_t i = 0; i < gatewayCount; ++i)
@@ -51,10 +51,10 @@
         return position == std::string::npos ? 0 : static_cast<size_t>(std::stod(text.substr(position + name.size())));
     }
 
-    caller_ptr send(size_t gateway)
+    caller_ptr send(size_t gateway, const std::string& promptTokens = "400")
     {
         ++m_sent;
-        return deployment.send("POST", "/m/" + std::to_string(m_sent), { { "X-Model", "m" }, { "X-Token-Counts", "400,400" }, { "X-Prompt-Prefix", "own" + std::to_string(m_sent) + ":400" }, { "X-Deadline-Ms", "15000" } }, "question", gateway);
+        return deployment.send("POST", "/m/" + std::to_string(m_sent), { { "X-Model", "m" }, { "X-Token-Counts", promptTokens + ",400" }, { "X-Prompt-Prefix", "own" + std::to_string(m_sent) + ":" + promptTokens }, { "X-Deadline-Ms", "15000" } }, "question", gateway);
     }
 
     /// @return Gateways in the order in which they should collect.
@@ -123,6 +123,27 @@
     fleet.deployment.waitUntil([&] { return fleet.countedAt(collectors[2]) == gatewayCount; }, "the load of the gateway that runs again");
 }
 
+// Guards against engines that crash because the requests of all gateways together exceed their memory.
+Test(gateway_load_sharing, requests_of_all_gateways_do_not_exceed_the_memory_of_the_engines)
+{
+    // Each request may need 800 tokens, so that an engine holds two.
+    sharing_fleet fleet(274, 2, { { { "name", "model" }, { "engine", { { "slots", 64 }, { "kv_capacity_tokens", 2000 } } } } });
+    std::vector<caller_ptr> callers;
+    for (size_t i = 0; i < 5; ++i) {
+        callers.push_back(fleet.send(i % gatewayCount));
+        fleet.deployment.runLoopFor(milliseconds(700));
+    }
+    fleet.deployment.runLoopFor(milliseconds(2000));
+    cr_assert_eq(fleet.busiest(), 2u);
+    cr_assert(callers[4]->isFinished);
+    cr_assert_eq(callers[4]->head.status, 503);
+    const auto tooLarge = fleet.send(0, "1601");
+    fleet.deployment.runLoopFor(milliseconds(500));
+    cr_assert(tooLarge->isFinished, "a request that fits nowhere must be refused at once");
+    cr_assert_eq(tooLarge->head.status, 503);
+    cr_assert_neq(fleet.deployment.metricsOf(0).find("reason=\"prompt_too_large\""), std::string::npos);
+}
+
 // Guards against an exchange that is not asked for.
 Test(gateway_load_sharing, gateways_exchange_nothing_unless_the_setting_enables_it)
 {
--- a/tests/unit/eligibility_test.cpp
+++ b/tests/unit/eligibility_test.cpp
@@ -7,6 +7,7 @@
 
 #include <criterion/criterion.h>
 #include <functional>
+#include <limits>
 #include <random>
 
 using namespace bilberryseam;
@@ -60,6 +61,11 @@
          target.coldStart.until = start + seconds(3);
          updateCold(target.coldStart, { 5.9, 0, start + seconds(3) }, start);
      } },
+    { ineligibility::Memory, "memory", [](known_target& target) {
+         target.conditions.memoryTokens = 1000;
+         target.conditions.heldTokens = 900;
+         target.conditions.neededTokens = 101;
+     } },
     { ineligibility::OtherVersion, "other_version", [](known_target& target) { target.conditions.isOtherVersion = true; } },
     { ineligibility::Tried, "tried", [](known_target& target) { target.conditions.isTried = true; } },
 };
@@ -91,6 +97,22 @@
 }
 }
 
+// Guards against engines that crash because they hold more than their memory, and against counts that silence a target.
+Test(eligibility, request_must_fit_beside_those_that_the_target_holds)
+{
+    constexpr uint64_t huge = std::numeric_limits<uint64_t>::max();
+    cr_assert(fitsMemory(1000, 900, 100));
+    cr_assert(!fitsMemory(1000, 901, 100));
+    cr_assert(!fitsMemory(1000, 0, 1001));
+    cr_assert(!fitsMemory(1000, huge, 1));
+    cr_assert(!fitsMemory(1000, 1, huge));
+    cr_assert(fitsMemory(0, huge, huge), "the memory is not known");
+    cr_assert(fitsMemory(1000, huge, 0), "the need is not known");
+    cr_assert_eq(plausibleHeldTokens(900, 100, 1000), 900u);
+    cr_assert_eq(plausibleHeldTokens(50, 100, 1000), 100u, "the own requests are there in any case");
+    cr_assert_eq(plausibleHeldTokens(huge, 100, 1000), 100u);
+}
+
 Test(eligibility, each_condition_gives_its_reason_and_the_earlier_one_wins)
 {
     cr_assert_eq(reasonAgainst(known_target().conditions, start), ineligibility::None);
--- a/tests/unit/target_load_test.cpp
+++ b/tests/unit/target_load_test.cpp
@@ -180,6 +180,16 @@
     }
 }
 
+// Guards against a number of gateways that changes in each sum, which would hide that the sums are random.
+Test(target_load, sums_of_ever_other_gateways_are_not_consistent)
+{
+    const std::vector<uint64_t> targets { 1, 2 };
+    load_trend trend;
+    for (uint32_t i = 0; i < 40; ++i)
+        recordSum(trend, std::vector<load_figures> { { 1, (i % 2) * 30 }, { 2, (1 - i % 2) * 30 } }, 10 + i % 3, targets, 1, start + i * loadReportPeriod);
+    cr_assert(!isConsistent(trend));
+}
+
 // Guards against sums that are not trusted when callers start or stop at once, or when half of the targets are lost.
 Test(target_load, bursts_and_losses_are_consistent)
 {
