--- a/src/gateway/placement_explanation.cpp
+++ b/src/gateway/placement_explanation.cpp
@@ -112,11 +112,11 @@
 {
     const auto& listed = m_context.targets.ofService(m_request.service);
     const placement_inputs inputs = placementInputs();
-    const bool isByLoad = m_context.loads && m_context.loads->isUsable(now);
+    const bool isByLoad = m_context.loads && m_context.loads->isUsable(m_request.service, now);
     auto all = candidates(inputs, isByLoad, now);
     std::vector<policy::cost_terms> costs;
     if (isByLoad)
-        costs = policy::loadTermsOf(all, inputs.request, loadRequest(now), {});
+        costs = policy::loadTermsOf(all, inputs.request, loadRequest(inputs.request.prefixHash, now), {});
     else {
         // As in the search for the target, the prefix counts as cached at the target that all entries prefer for it.
         const auto preferred = inputs.request.prefixHash != 0 ? policy::preferredTarget(all, inputs.request.prefixHash) : std::nullopt;
@@ -163,7 +163,7 @@
 placement_explanation request_run::explain(time_point now)
 {
     placement_explanation explanation;
-    explanation.isByLoad = m_context.loads && m_context.loads->isUsable(now);
+    explanation.isByLoad = m_context.loads && m_context.loads->isUsable(m_request.service, now);
     if (explanation.isByLoad)
         explanation.figureAge = m_context.loads->figureAge(now);
     const std::optional<milliseconds> poolWait = explainStages(explanation.stages, now);
@@ -175,6 +175,8 @@
     const auto refuse = [&explanation](std::string_view reason, milliseconds retryAfter) { explanation.refusal = { http1::statusUnavailable, std::string(reason), retryAfter }; };
     if (const auto refusal = findPlacementRefusal(now))
         refuse(refusal->reason, refusal->retryAfter);
+    else if (const auto retryAfter = retryAfterTooLarge())
+        refuse("prompt_too_large", *retryAfter);
     else if (const auto wait = waitForService(m_context, m_request.service, now))
         refuse("targets_paused", retryAfterPause(*wait));
     else if (poolWait)
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -53,6 +53,11 @@
 {
     if (m_request.callerRequest.deadline.count() > 0)
         m_deadline = std::min(m_deadline, m_arrivedAt + m_request.callerRequest.deadline);
+    const auto service = m_request.configuration->services.find(m_request.service);
+    if (m_context.loads && m_request.callerRequest.generation && service != m_request.configuration->services.end() && service->second.engine) {
+        m_memoryTokens = service->second.engine->memoryTokens;
+        m_neededTokens = m_request.callerRequest.generation->promptTokens + m_request.callerRequest.generation->maxOutputTokens;
+    }
     m_context.heldBodyBytes += m_request.exchange->body().size();
     if (const auto last = http1::findHeader(m_request.exchange->head().headers, "Last-Event-Id"))
         m_lastEventId = *last;
@@ -72,7 +77,7 @@
     });
     const time_point now = monotonicNow();
     m_checkedRules = m_context.placementRules;
-    if (refuseUnplaceable(now))
+    if (refuseUnplaceable(now) || refuseTooLarge())
         return;
     if (const auto wait = waitForService(m_context, m_request.service, now)) {
         refusePaused(*wait, now);
@@ -129,7 +134,9 @@
     const auto& placement = inputs.request;
     const auto& inputBytes = inputs.inputBytes;
     m_loadChoice.reset();
-    if (m_context.loads && m_context.loads->isUsable(now))
+    m_prefixHash = placement.prefixHash;
+    m_lacksMemory = false;
+    if (m_context.loads && m_context.loads->isUsable(m_request.service, now))
         return chooseByLoad(inputs, now);
     const bool prefersSharedVersions = m_request.route->isResumable && !m_origin;
     // What a target costs at least that has no calls of this process, with and without the prompt prefix.
@@ -163,27 +170,29 @@
     const bool prefersSharedVersions = m_request.route->isResumable && !m_origin;
     std::vector<policy::placement_candidate> candidates;
     candidates.reserve(listed.size());
-    for (const auto& target : listed) {
-        auto& candidate = candidates.emplace_back(candidateOf(*target, inputs.prefixHashes, inputs.inputBytes, now));
-        candidate.isOnlyOfVersion = prefersSharedVersions && candidate.isUsable && isOnlyOfVersion(listed, *target, [this](const target_state& other) { return isSuitable(other); });
+    const auto loads = isByLoad ? m_context.loads->loadsOf(m_request.service, listed, now) : std::vector<policy::target_load>();
+    for (size_t i = 0; i < listed.size(); ++i) {
+        auto& candidate = candidates.emplace_back(candidateOf(*listed[i], inputs.prefixHashes, inputs.inputBytes, now));
+        candidate.isOnlyOfVersion = prefersSharedVersions && candidate.isUsable && isOnlyOfVersion(listed, *listed[i], [this](const target_state& other) { return isSuitable(other); });
         if (isByLoad)
-            candidate.load = m_context.loads->loadOf(*target, now);
+            candidate.load = loads[i];
     }
     return candidates;
 }
 
-policy::load_placement_request request_run::loadRequest(time_point now) const
+policy::load_placement_request request_run::loadRequest(uint64_t prefixHash, time_point now) const
 {
     policy::load_placement_request load;
     load.tieHash = hashOfPair(m_context.loads->ownHash(), hashOf(m_request.callerRequest.id));
     load.unseenSends = m_context.loads->unseenSends(m_request.service, now);
     load.figureAge = m_context.loads->figureAge(now);
+    load.prefixShare = m_context.loads->prefixShare(m_request.service, prefixHash, now);
     return load;
 }
 
 target_ptr request_run::chooseByLoad(const placement_inputs& inputs, time_point now) const
 {
-    m_loadChoice = policy::chooseByLoad(candidates(inputs, true, now), inputs.request, loadRequest(now), {});
+    m_loadChoice = policy::chooseByLoad(candidates(inputs, true, now), inputs.request, loadRequest(inputs.request.prefixHash, now), {});
     return m_loadChoice ? m_context.targets.ofService(m_request.service)[m_loadChoice->index] : nullptr;
 }
 
@@ -206,6 +215,11 @@
     policy::target_conditions conditions = conditionsOf(m_context, target, regionsNow());
     conditions.isOtherVersion = !mayRunAt(target);
     conditions.isTried = !isFree && !mayReturnTo(target);
+    if (m_memoryTokens > 0) {
+        conditions.memoryTokens = m_memoryTokens;
+        conditions.heldTokens = m_context.loads->heldTokensOf(target, m_memoryTokens, now);
+        conditions.neededTokens = m_neededTokens;
+    }
     return policy::reasonAgainst(conditions, now);
 }
 
@@ -213,7 +227,9 @@
 {
     policy::placement_candidate candidate;
     candidate.hash = target.hash;
-    candidate.isUsable = verdictOn(target, now) == policy::ineligibility::None;
+    const auto reason = verdictOn(target, now);
+    candidate.isUsable = reason == policy::ineligibility::None;
+    m_lacksMemory = m_lacksMemory || reason == policy::ineligibility::Memory;
     locate(candidate, target.listed.failureDomain, inputBytes);
     candidate.inFlight = target.inFlight;
     candidate.slots = static_cast<uint32_t>(std::max(1, target.listed.slots));
@@ -281,6 +297,10 @@
         refuseLimited(detail::maxPlacementTime);
         return;
     }
+    if (!mayWait && m_lacksMemory && !m_mayHaveRun && !m_request.exchange->isStarted()) {
+        refuseForMemory();
+        return;
+    }
     if (!mayWait) {
         logPauses("ends", now);
         onAttemptFailed("no_target", false);
@@ -315,7 +335,7 @@
 
     const uint64_t promptTokens = m_request.callerRequest.generation ? m_request.callerRequest.generation->promptTokens : 0;
     target_attempt_ptr& place = m_current ? m_backup : m_current;
-    place = std::make_unique<target_attempt>(target, promptTokens, m_loadChoice ? m_loadChoice->cachedTokens : 0, now);
+    place = std::make_unique<target_attempt>(target, promptTokens, m_loadChoice ? m_loadChoice->cachedTokens : 0, m_request.callerRequest.generation ? m_request.callerRequest.generation->maxOutputTokens : 0, now);
     target_attempt& attempt = *place;
     attempt.inputsFetchedAt = inputsFetchedAt(*target, now);
     attempt.events.setLastId(m_lastEventId);
@@ -333,8 +353,8 @@
     const bool needsNewConnection = !m_request.route->isRetryable();
     attempt.call = sendToTarget(m_context, target, request, { needsNewConnection }, std::move(callbacks));
     m_context.counters.count("sends_total", { { "service", m_request.service } });
-    if (m_context.loads && m_loadChoice)
-        m_context.loads->recordSend(m_request.service, m_request.callerRequest.id, *target, *m_loadChoice, now);
+    if (m_context.loads)
+        m_context.loads->recordSend(m_request.service, m_prefixHash, m_request.callerRequest.id, *target, m_loadChoice, now);
     logLine(log_level::Info, logComponent, "The request was sent to a target.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "send", std::to_string(m_sends) }, { "left_ms", std::to_string(call.timeLeft.count()) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target->listedAt)) }, { "software_version", target->listed.softwareVersion }, { "after_event", m_lastEventId.substr(0, maxLoggedBytes) }, { "in_flight", std::to_string(target->inFlight) }, { "beside_a_silent_target", m_backup ? "true" : "false" } });
 }
 
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -183,7 +183,7 @@
     /// @return Why the request may not use the target now, or `None`.
     [[nodiscard]] policy::ineligibility verdictOn(const target_state& target, time_point now) const;
     /// @return What `chooseByLoad` knows of the request and of the figures.
-    [[nodiscard]] policy::load_placement_request loadRequest(time_point now) const;
+    [[nodiscard]] policy::load_placement_request loadRequest(uint64_t prefixHash, time_point now) const;
     /// @return The targets of the service as candidates, in their order.
     [[nodiscard]] std::vector<policy::placement_candidate> candidates(const placement_inputs& inputs, bool isByLoad, time_point now) const;
     [[nodiscard]] std::vector<explained_target> explainTargets(const target_ptr& chosen, time_point now) const;
@@ -316,6 +316,13 @@
     void finishWithoutResponse(std::string_view reason, bool hasUsableTarget = true);
     void refuse(std::string_view reason, milliseconds retryAfter);
     void refuseSegment(uint64_t segment, time_point now);
+    /// @return When the caller may retry, if the request is larger than the memory of every target.
+    [[nodiscard]] std::optional<milliseconds> retryAfterTooLarge() const;
+    /// Refuses a request that is larger than the memory of a target.
+    /// @return True if the request has ended.
+    bool refuseTooLarge();
+    /// Refuses a request for which no target has had memory for too long.
+    void refuseForMemory();
     void fail(unsigned status, std::string_view reason);
     void onCallerDisconnected();
     void finish(std::string_view outcome, std::string_view reason, unsigned status);
@@ -335,6 +342,11 @@
     bool m_isWaitingForTarget = false;
     time_point m_retryAt {};
     std::optional<limit_place> m_limitPlace;
+    /// Tokens that a target of the service can hold, and that the request may need; zero if they are not known.
+    uint64_t m_memoryTokens = 0;
+    uint64_t m_neededTokens = 0;
+    /// In the last search, a target was unusable only because it has no memory for the request.
+    mutable bool m_lacksMemory = false;
 
     /// The attempt whose response is passed on.
     target_attempt_ptr m_current;
@@ -344,6 +356,8 @@
     time_point m_lastSentAt {};
     /// Inputs of the last choice of a target by load, for the log and for the count of queued tokens.
     mutable std::optional<policy::load_choice> m_loadChoice;
+    /// Hash of the shared segments of the prompt; zero if there are none.
+    mutable uint64_t m_prefixHash = 0;
 
     /// Identifier of the last event that the caller has.
     std::string m_lastEventId;
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -61,7 +61,7 @@
     uint64_t queuedPrefillTokens = 0;
     /// Those of the queued prompt tokens that are presumably not cached at the target.
     uint64_t uncachedPrefillTokens = 0;
-    /// Prompt tokens of the calls whose response has begun.
+    /// Prompt tokens, and the most output tokens, of the calls in progress.
     uint64_t contextTokens = 0;
     /// Time between the events of the streams of this process.
     policy::event_pace pace;
@@ -137,6 +137,8 @@
     [[nodiscard]] size_t size() const noexcept { return m_targets.size(); }
     /// Calls a function with each listed target.
     void forEach(const std::function<void(const target_state&)>& visit) const;
+    /// Calls a function with each service that has listed targets.
+    void forEachService(const std::function<void(const std::string& service, std::span<const target_ptr> targets)>& visit) const;
 
 private:
     /// @return Whether the indexes are out of date.
