gateway_explain: seeded states with evacuated failure domains

The comparison now also covers refusals: status and Retry-After of the explanation are those of the request that follows. Where no target is usable for the moment, the explanation says that the request would wait, and the request is refused after its wait. The states must lead to more than two targets, and to a refusal.

--- a/tests/process/gateway_explain_test.cpp
+++ b/tests/process/gateway_explain_test.cpp
@@ -2,11 +2,12 @@
 #include "support/deployment_fixture.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <criterion/criterion.h>
-#include <csignal>
 #include <fstream>
 #include <list>
 #include <random>
+#include <set>
 #include <sstream>
 
 using namespace bilberryseam;
@@ -78,13 +79,29 @@
     std::list<fakes::platform_engine> engines;
 };
 
+/// Results that the random states of a test have led to.
+struct covered_results {
+    std::set<std::string> receivers;
+    size_t refusedCount = 0;
+};
+
 /// Explains and then sends requests in random states, and compares.
-void compareWithNextSends(explained_fleet& fleet, unsigned seed, const std::string& basis)
+void compareWithNextSends(explained_fleet& fleet, unsigned seed, const std::string& basis, covered_results& covered)
 {
+    auto& [receivers, refusedCount] = covered;
     std::mt19937 random(seed);
     std::vector<caller_ptr> open;
     constexpr size_t steps = 12;
+    std::set<std::string> evacuated;
     for (size_t i = 0; i < steps; ++i) {
+        if (random() % 3 == 0) {
+            const std::string domain = random() % 2 == 0 ? "north-1" : "south-1";
+            const bool isWithdrawn = evacuated.erase(domain) > 0;
+            if (!isWithdrawn)
+                evacuated.insert(domain);
+            fleet.deployment.store().put("keyed.op", "evacuate/" + domain, isWithdrawn ? "" : "{}");
+            fleet.deployment.waitUntil([&] { return fleet.deployment.metricsOf(0).find("\nbilberryseam_evacuated_domains " + std::to_string(evacuated.size())) != std::string::npos; }, "the evacuations to be known");
+        }
         const std::string name = "m-" + std::to_string(random() % 8);
         const auto engine = std::find_if(fleet.engines.begin(), fleet.engines.end(), [&name](auto& item) { return item.target().id() == name; });
         fleet.deployment.listTarget(engine->target(), "model", random() % 3 == 0 ? "draining" : "ready", (name.back() - '0') % 3 == 2 ? "south-1" : "north-1");
@@ -97,15 +114,35 @@
         const tool_result result = explainPlacement({ "-d", fleet.operatorAddress(), "--host", "shop.example", "--path", "/m/1", "--model", "m", "--prompt", prompt, "--tokens", tokens, "--request-id", id, "--json" });
         cr_assert_eq(result.exitCode, 0, "%s", result.errors.c_str());
         const json explanation = json::parse(result.output);
-        cr_assert(explanation["choice"].is_string(), "%s", result.output.c_str());
         cr_assert_eq(explanation["basis"], basis, "%s", result.output.c_str());
-        cr_assert_eq(explanation["targets"][0]["id"], explanation["choice"]);
         cr_assert_eq(fleet.receiverOf(id), "", "an explained request was sent");
         open.push_back(fleet.deployment.send("POST", "/m/1", { { "X-Attempt-Id", id }, { "X-Deadline-Ms", "55000" }, { "X-Model", "m" }, { "X-Token-Counts", tokens }, { "X-Prompt-Prefix", prompt } }, "question"));
-        fleet.deployment.waitUntil([&] { return !fleet.receiverOf(id).empty(); }, "the request to reach an engine");
+        fleet.deployment.waitUntil([&] { return !fleet.receiverOf(id).empty() || open.back()->isFinished; }, "the request to reach an engine or to be refused");
         const std::string receiver = fleet.receiverOf(id);
+        if (receiver.empty() && explanation["waits"].is_object()) {
+            // All targets leave: the request has waited in vain.
+            cr_assert_eq(explanation["waits"]["reason"], "no_target");
+            cr_assert_eq(open.back()->head.status, 503);
+            continue;
+        }
+        if (receiver.empty()) {
+            const json& refusal = explanation["refusal"];
+            cr_assert(refusal.is_object(), "seed %u, step %zu: refused with %u; explained: %s", seed, i, open.back()->head.status, result.output.c_str());
+            cr_assert_eq(open.back()->head.status, refusal["status"].get<unsigned>());
+            // The field has two decimals.
+            const double shownMs = 1000 * std::stod(open.back()->header("Retry-After"));
+            cr_assert_lt(std::abs(shownMs - refusal["retryAfterMs"].get<double>()), 10, "seed %u, step %zu: %s", seed, i, result.output.c_str());
+            ++refusedCount;
+            continue;
+        }
+        cr_assert(explanation["choice"].is_string(), "seed %u, step %zu: sent to %s; explained: %s", seed, i, receiver.c_str(), result.output.c_str());
+        cr_assert_eq(explanation["targets"][0]["id"], explanation["choice"]);
+        receivers.insert(receiver);
         cr_assert_eq(receiver, explanation["choice"].get<std::string>(), "seed %u, step %zu: sent to %s; explained: %s", seed, i, receiver.c_str(), result.output.c_str());
     }
+    for (const auto& domain : evacuated)
+        fleet.deployment.store().put("keyed.op", "evacuate/" + domain, "");
+    fleet.deployment.waitUntil([&] { return fleet.deployment.metricsOf(0).find("\nbilberryseam_evacuated_domains 1") == std::string::npos && fleet.deployment.metricsOf(0).find("\nbilberryseam_evacuated_domains 2") == std::string::npos; }, "the evacuations to end");
 }
 }
 
@@ -113,8 +150,12 @@
 Test(gateway_explain, choice_is_the_target_of_the_next_send)
 {
     explained_fleet fleet(290, json::object());
+    covered_results covered;
     for (const unsigned seed : { 1u, 2u, 3u })
-        compareWithNextSends(fleet, seed, "own_calls");
+        compareWithNextSends(fleet, seed, "own_calls", covered);
+    // Otherwise the states are too much alike for the comparison to show anything.
+    cr_assert_gt(covered.receivers.size(), 2u);
+    cr_assert_gt(covered.refusedCount, 0u);
 }
 
 // The same by the load of all gateways.
@@ -122,8 +163,10 @@
 {
     explained_fleet fleet(291, { { "loadSharing", true } });
     fleet.deployment.waitUntil([&] { return fleet.deployment.metricsOf(0).find("\nbilberryseam_load_entries_counted 1") != std::string::npos; }, "the load to be known");
+    covered_results covered;
     for (const unsigned seed : { 1u, 2u })
-        compareWithNextSends(fleet, seed, "load_of_all_gateways");
+        compareWithNextSends(fleet, seed, "load_of_all_gateways", covered);
+    cr_assert_gt(covered.receivers.size(), 2u);
 }
 
 // Guards against a query that changes what it explains, and against keys in logs and output.
