gateway: after a freeze no target continues a stream until a later record shows its run

An outage of the store no longer counts as a time in which restarts go unnoticed: connections that break show them.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -481,7 +481,7 @@
     m_wokeAt = now;
     m_context.targetsUncertainUntil = now + rereadTime;
     m_context.evacuationsUncertainUntil = now + failedReadTime;
-    m_context.targets.onFrozen();
+    m_context.targets.onFrozen(now);
     m_targetFollower->restartRead();
     m_configurationFollower->restartRead();
     logLine(log_level::Warning, logComponent, "The process was frozen; requests wait until the target list and the operator's topic are read again.", { { "frozen_ms", std::to_string(asMilliseconds(gap)) } });
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -59,10 +59,18 @@
         return false;
     if (const auto deferred = m_deferredRemovals.find(id); deferred != m_deferredRemovals.end())
         m_deferredRemovals.erase(deferred);
-    position->second->listedAt = now;
+    renewRun(*position->second, now);
     return true;
 }
 
+void target_registry::renewRun(target_state& state, time_point now) const
+{
+    state.listedAt = now;
+    // The record was written after the time in which restarts went unnoticed, so the target still was in this run.
+    if (!m_isCatchingUp && !m_mayHaveMissedRestarts)
+        state.restartMissedUntil = {};
+}
+
 bool target_registry::applyWithoutIndexes(const deployment::target& listed, time_point now)
 {
     m_deferredRemovals.erase(listed.id);
@@ -70,7 +78,7 @@
     if (position != m_targets.end())
         position->second->recordText.clear();
     if (position != m_targets.end() && isSameRun(position->second->listed, listed)) {
-        position->second->listedAt = now;
+        renewRun(*position->second, now);
         const auto previousCold = std::exchange(position->second->listed.cold, listed.cold);
         applyCold(position->second, previousCold, false, now);
         return update(*position->second, listed);
@@ -223,6 +231,13 @@
     updateIndexesIf(isOutOfDate);
 }
 
+void target_registry::onFrozen(time_point now)
+{
+    m_mayHaveMissedRestarts = true;
+    for (const auto& [id, state] : m_targets)
+        state->restartMissedUntil = now + policy::targetRecordLag;
+}
+
 void target_registry::onStoreReachable(time_point now)
 {
     m_isCatchingUp = std::exchange(m_mayHaveMissedRestarts, false);
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -44,8 +44,8 @@
     /// Time at which a connection to the target last failed or broke off. It may have restarted since, with another version
     /// than the one in its record.
     time_point lastBrokenAt {};
-    /// Until then, the target may have restarted once more than its record says: the record was first read after a time in
-    /// which this process could not notice restarts, and the target had started shortly before.
+    /// Until then, the target may have restarted once more than its record says: this process could not notice a restart for a
+    /// time, and the target was listed then or had started shortly before it was. A later record of the same run ends this.
     time_point restartMissedUntil {};
     /// The address responded as another target; stays set until the record names another address or service.
     bool isReplaced = false;
@@ -108,11 +108,11 @@
     void applyAll(const std::vector<deployment::target>& listed, time_point now);
 
     /// The list could not be read. Records that expire from now until shortly after the store returns may be renewed soon.
-    void onStoreUnreachable() noexcept { m_isStoreUnreachable = m_mayHaveMissedRestarts = true; }
+    void onStoreUnreachable() noexcept { m_isStoreUnreachable = true; }
     /// Called after a successful read, before its records are applied.
     void onStoreReachable(time_point now);
     /// The process was frozen: it has not noticed which targets restarted meanwhile.
-    void onFrozen() noexcept { m_mayHaveMissedRestarts = true; }
+    void onFrozen(time_point now);
     /// Carries out deferred removals.
     void tick(time_point now);
 
@@ -150,6 +150,8 @@
     /// Determines again which target an address belongs to.
     void decideEndpoint(const ip_endpoint& endpoint);
 
+    /// Applies that a record states the same run again.
+    void renewRun(target_state& state, time_point now) const;
     /// Determines what an unlisted or restarted target's state knows about a restart that its record does not name yet.
     void applyDoubt(target_state& state, const target_state* previous, time_point now) const;
 
@@ -199,7 +201,8 @@
     bool m_isStoreUnreachable = false;
     time_point m_storeReachableSince {};
     bool m_hasStoreReturned = false;
-    /// From the start of the process, a freeze or an outage of the store until the next successful read.
+    /// From the start of the process or a freeze until the next successful read. During an outage of the store alone, broken
+    /// connections show restarts.
     bool m_mayHaveMissedRestarts = true;
     /// The records of that read are being applied.
     bool m_isCatchingUp = false;
--- a/tests/process/gateway_software_version_test.cpp
+++ b/tests/process/gateway_software_version_test.cpp
@@ -250,28 +250,29 @@
 }
 
 namespace {
-/// A stream of v1 began at `t-1`, which then leaves; `t-2` restarts as v1, is listed so at once, and restarts as v2 without
-/// a record that says so, all while the last gateway is blind. By its list, `t-2` is then the only target of v1 in service,
+/// A stream of v1 began at `t-1`, which then leaves; `t-2` restarts at the further versions, of which its record names all but
+/// the last, v2, all while the last gateway is blind. By its list, `t-2` is then the only target of v1 in service,
 /// beside one of v2.
+/// @param versions  Version of `t-2` at first, and of each restart.
 /// @param startsBlind, endsBlind  Begin and end a time in which the last gateway does not notice restarts.
-void restartTwiceWhileBlind(versioned_fleet& fleet, size_t gatewayCount, const std::function<void()>& startsBlind, const std::function<void()>& endsBlind)
+void restartWhileBlind(versioned_fleet& fleet, size_t gatewayCount, const std::vector<std::string>& versions, const std::function<void()>& startsBlind, const std::function<void()>& endsBlind)
 {
     auto& first = fleet.add("t-1", "v1");
     fleet.waitUntilReady();
     fleet.begin("a-1")->call.reset();
-    auto& second = fleet.add("t-2", "v2");
+    auto& second = fleet.add("t-2", versions.front());
     second.behaviour().restartDelay = milliseconds(200);
     fleet.add("t-3", "v2");
     // The target list is read every 1.25 s at the default bounds.
     fleet.deployment.runLoopFor(milliseconds(1500));
     startsBlind();
     fleet.deployment.listTarget(first.target(), "model", "draining", "north-1", "v1");
-    fleet.deployment.restartEngine(second, "model", "v1", milliseconds(0));
-    fleet.deployment.waitUntil([&] { return second.isUp(); }, "the first restart");
-    fleet.deployment.runLoopFor(milliseconds(50));
-    constexpr milliseconds recordDelay { 20000 };
-    fleet.deployment.restartEngine(second, "model", "v2", recordDelay);
-    fleet.deployment.waitUntil([&] { return second.isUp(); }, "the second restart");
+    constexpr milliseconds lateRecord { 20000 };
+    for (size_t i = 1; i < versions.size(); ++i) {
+        fleet.deployment.restartEngine(second, "model", versions[i], i + 1 < versions.size() ? milliseconds(0) : lateRecord);
+        fleet.deployment.waitUntil([&] { return second.isUp(); }, "a restart");
+        fleet.deployment.runLoopFor(milliseconds(50));
+    }
     endsBlind();
     const auto resumed = fleet.resume("a-1", gatewayCount - 1);
     cr_assert(!versionsIn(resumed->body).contains("v2"), "the gateway joined v1 and v2: %s", resumed->body.c_str());
@@ -291,18 +292,31 @@
 }
 }
 
-// Guards against streams of two versions after a freeze: the gateway reads the record of a restart, but has not noticed the
-// next one (silence_soak, seed 208).
-Test(gateway_software_version, a_gateway_that_was_frozen_while_a_target_restarted_twice_joins_no_versions)
+namespace {
+void restartDuringFreeze(int slot, const std::vector<std::string>& versions)
 {
-    versioned_fleet fleet(274);
+    versioned_fleet fleet(slot);
     const auto freeze = [&] { fleet.deployment.signal(0, SIGSTOP); };
     const auto wake = [&] {
         // Long enough that the gateway takes it for a freeze.
         fleet.deployment.runLoopFor(milliseconds(1500));
         fleet.deployment.signal(0, SIGCONT);
     };
-    restartTwiceWhileBlind(fleet, 1, freeze, wake);
+    restartWhileBlind(fleet, 1, versions, freeze, wake);
+}
+}
+
+// Guards against streams of two versions after a freeze: the gateway reads the record of a restart, but has not noticed the
+// next one (silence_soak, seed 208).
+Test(gateway_software_version, a_gateway_that_was_frozen_while_a_target_restarted_twice_joins_no_versions)
+{
+    restartDuringFreeze(274, { "v2", "v1", "v2" });
+}
+
+// Guards against the same after one restart whose record is late (silence_soak, seed 206).
+Test(gateway_software_version, a_gateway_that_was_frozen_while_a_target_restarted_joins_no_versions)
+{
+    restartDuringFreeze(276, { "v1", "v2" });
 }
 
 // Guards against the same at a gateway that has just started.
@@ -318,7 +332,7 @@
         fleet.deployment.waitUntilReady(1);
         fleet.deployment.runLoopFor(milliseconds(500));
     };
-    restartTwiceWhileBlind(fleet, 2, stop, start);
+    restartWhileBlind(fleet, 2, { "v2", "v1", "v2" }, stop, start);
 }
 
 Test(gateway_software_version, records_without_a_readable_version_name_usable_targets)
--- a/tests/unit/missed_restart_test.cpp
+++ b/tests/unit/missed_restart_test.cpp
@@ -65,7 +65,7 @@
     registry_fixture fixture;
     fixture.read(runOf("v1", unixMilliseconds(seconds(60))));
     cr_assert(!fixture.read(runOf("v2", unixMilliseconds(seconds(3)))).mayHaveMissedRestart(fixture.now));
-    fixture.registry.onFrozen();
+    fixture.registry.onFrozen(fixture.now);
     cr_assert(fixture.read(runOf("v1", unixMilliseconds(seconds(2)))).mayHaveMissedRestart(fixture.now));
     const auto& blind = fixture.read(runOf("v2", unixMilliseconds(seconds(1))));
     cr_assert(blind.mayHaveMissedRestart(fixture.now), "this run began during the freeze as well");
@@ -73,6 +73,19 @@
     cr_assert(!fixture.read(runOf("v3", unixMilliseconds(milliseconds(500)))).mayHaveMissedRestart(fixture.now), "this run began after the freeze");
 }
 
+Test(missed_restart, a_listed_target_is_doubtful_after_a_freeze_until_a_later_read_renews_its_record)
+{
+    registry_fixture fixture;
+    const auto listed = runOf("v1", unixMilliseconds(seconds(60)));
+    fixture.read(listed);
+    fixture.registry.onFrozen(fixture.now);
+    const auto& state = fixture.read(listed);
+    cr_assert(state.mayHaveMissedRestart(fixture.now), "the record may have been written during the freeze");
+    cr_assert(!state.mayHaveMissedRestart(fixture.now + policy::targetRecordLag));
+    fixture.read(listed);
+    cr_assert(!state.mayHaveMissedRestart(fixture.now));
+}
+
 Test(missed_restart, a_connection_that_broke_after_the_start_in_a_new_record_counts_against_the_new_run)
 {
     registry_fixture fixture;
