gateway: a stream that begins at a target whose connections broke has a doubtful origin

The gateway let the target continue no stream, but recorded streams that began there with the version in the record; callers who came back got the other one.

--- a/src/gateway/request_continuation.cpp
+++ b/src/gateway/request_continuation.cpp
@@ -107,7 +107,9 @@
     m_originTarget = attempt.target;
     const time_point now = monotonicNow();
     m_hasSeveralVersions = versionsInService().size() > 1;
-    const bool isDoubtful = attempt.target->isVersionChanged || (m_hasSeveralVersions && attempt.target->mayHaveMissedRestart(now));
+    // A target that is not trusted to continue a stream is not trusted to have begun one at the version in its record either.
+    const bool mayBeOtherVersion = attempt.target->mayHaveRestarted(now) || attempt.target->mayHaveMissedRestart(now);
+    const bool isDoubtful = attempt.target->isVersionChanged || (m_hasSeveralVersions && mayBeOtherVersion);
     m_origin = { isDoubtful ? std::string() : attempt.softwareVersion, attempt.target->hash, now };
     m_context.streams->record(streamKey(), *m_origin);
 }
--- a/tests/process/gateway_software_version_test.cpp
+++ b/tests/process/gateway_software_version_test.cpp
@@ -335,6 +335,42 @@
     restartWhileBlind(fleet, 2, { "v2", "v1", "v2" }, stop, start);
 }
 
+// Guards against streams of two versions after a restart whose record is late: the gateway's connections to the target have
+// broken, yet streams that begin there were recorded with the version in its record (silence_soak, seed 211).
+Test(gateway_software_version, streams_that_begin_at_a_target_whose_connections_broke_are_not_joined_to_the_version_in_its_record)
+{
+    versioned_fleet fleet(277);
+    auto& restarted = fleet.add("t-1", "v1");
+    fleet.add("t-2", "v2");
+    fleet.deployment.changeRecord("t-2", { { "slots", 1 } });
+    fleet.waitUntilReady();
+    std::vector<caller_ptr> open;
+    // Few, since a target is avoided for longer after many failures.
+    for (int i = 0; i < 3; ++i)
+        open.push_back(fleet.deployment.send("POST", "/m/a" + std::to_string(i)));
+    fleet.deployment.waitUntil([&] { return restarted.runningCount() > 0; }, "a stream at the target");
+    restarted.behaviour().restartDelay = milliseconds(200);
+    fleet.deployment.restartEngine(restarted, "model", "v2", milliseconds(20000));
+    // A target is avoided for a time after its connections broke.
+    fleet.deployment.runLoopFor(milliseconds(2000));
+    const size_t arrivalsBefore = restarted.arrivals().size();
+    constexpr int streamCount = 12;
+    // All at once, so that the other target has no place for each.
+    std::vector<caller_ptr> begun;
+    for (int i = 0; i < streamCount; ++i)
+        begun.push_back(fleet.deployment.send("POST", "/m/b" + std::to_string(i), { { "X-Attempt-Id", "b-" + std::to_string(i) } }));
+    fleet.deployment.waitUntil([&] { return std::none_of(begun.begin(), begun.end(), [](const auto& item) { return item->body.empty(); }); }, "the first events");
+    for (const auto& stream : begun)
+        stream->call.reset();
+    cr_assert_gt(restarted.arrivals().size(), arrivalsBefore);
+    fleet.add("t-3", "v1");
+    fleet.deployment.runLoopFor(milliseconds(1500));
+    for (int i = 0; i < streamCount; ++i) {
+        const auto continued = fleet.resume("b-" + std::to_string(i), 0);
+        cr_assert_leq(versionsIn(begun[static_cast<size_t>(i)]->body + continued->body).size(), 1u, "the gateway joined versions: %s%s", begun[static_cast<size_t>(i)]->body.c_str(), continued->body.c_str());
+    }
+}
+
 Test(gateway_software_version, records_without_a_readable_version_name_usable_targets)
 {
     deployment_fixture deployment(219);
