Select which requests of a burst are late, and predict waiting jobs of a pool again

With the setting poolAdmission, the order by boost made requests with a low boost late although others could have waited. predictLateJobs now selects the requests that cannot be in time; the others go by latest start. An account with three times the waiting jobs of the others is far above its share as soon as it uses more than they do. Waiting jobs are predicted again when the order has changed, at most once in 100 ms, and refused if they can no longer start. The wait of a refusal is spread over the time that the queue needs.

--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -3,6 +3,7 @@
 #include "gateway/request_run.hpp"
 #include "gateway/target_eligibility.hpp"
 #include "gateway/target_pauses.hpp"
+#include "policy/pool_admission.hpp"
 #include "policy/suspicion.hpp"
 
 #include <algorithm>
@@ -121,8 +122,9 @@
         finishWithoutResponse(reason);
         return;
     }
-    const milliseconds shortest = std::min(longestRetryAfter, wait);
-    refuse(reason, std::max(detail::retryAfterTransientFailure, shortest + spreadOver(std::max(shortestOverloadSpread, shortest))));
+    // The owner spread the wait over the time that its queue needs.
+    const milliseconds spreadWait = std::min(policy::maxReturnTime * 2, wait);
+    refuse(reason, std::max(detail::retryAfterTransientFailure, spreadWait + spreadOver(shortestOverloadSpread)));
 }
 
 void request_run::recordCrash(const target_attempt& attempt, time_point now)
--- a/src/gateway/task_admission.cpp
+++ b/src/gateway/task_admission.cpp
@@ -1,9 +1,12 @@
 /// Admission of jobs to pools, and what the order of their tasks depends on.
 #include "gateway/task_scheduler.hpp"
 
+#include "base/hash.hpp"
 #include "gateway/target_eligibility.hpp"
 
 #include <algorithm>
+#include <unordered_map>
+#include <utility>
 
 namespace bilberryseam::gateway {
 
@@ -18,6 +21,9 @@
         const auto position = standings.find(user);
         return position != standings.end() && position->second == policy::share_standing::FarAboveShare;
     }
+
+    /// @return Position of a request, from 0 to 1, among those that are refused at the same time.
+    double spreadPosition(const stage_job& job) { return static_cast<double>(hashOf(job.requestId) % 1000) / 1000; }
 }
 
 policy::queued_task task_scheduler::planningTask(const queued_task& task, const policy::standing_table& standings) const
@@ -65,11 +71,11 @@
     if (!isOverloaded)
         return {};
     std::vector<policy::account_rank> waiting;
+    const stage_job* previous = nullptr;
     for (const auto& task : pool.queue) {
-        const policy::account_rank user { task->job->account, task->job->rank };
         // The tasks of a job follow one another.
-        if (waiting.empty() || waiting.back() != user)
-            waiting.push_back(user);
+        if (std::exchange(previous, task->job.get()) != task->job.get())
+            waiting.emplace_back(task->job->account, task->job->rank);
     }
     return policy::standingsOf(pool.usage, waiting, now);
 }
@@ -105,12 +111,49 @@
     const size_t firstOwn = tasks.size();
     for (const auto& task : ownTasks)
         tasks.push_back(planningTask(*task, standings));
-    const auto admission = policy::admitJob(tasks, firstOwn, capacity, rulesOf(*pool.profile), now);
+    const auto rules = rulesOf(*pool.profile);
+    policy::predictLateJobs(tasks, capacity, rules, now);
+    const auto admission = policy::admitJob(tasks, firstOwn, capacity, rules, now);
     if (admission.isAccepted)
         return std::nullopt;
+    const milliseconds wait = policy::returnTimeOf(admission, spreadPosition(job));
     m_context.counters.count("jobs_refused_total", { { "service", job.service } });
-    logLine(log_level::Info, logComponent, "A pool refused the tasks of a request because they cannot start before their deadline.", { { "request", job.requestId }, { "service", job.service }, { "account", job.account }, { "rank", std::to_string(job.rank) }, { "pieces", std::to_string(ownTasks.size()) }, { "waiting", std::to_string(firstOwn) }, { "slots", std::to_string(capacity.freeAt.size()) }, { "starts_in_ms", std::to_string(asMilliseconds(admission.startsAt - now)) }, { "deadline_in_ms", std::to_string(asMilliseconds(job.deadline - now)) }, { "wait_ms", std::to_string(admission.wait.count()) } });
-    return admission.wait;
+    logLine(log_level::Info, logComponent, "A pool refused the tasks of a request because they cannot start before their deadline.", { { "request", job.requestId }, { "service", job.service }, { "account", job.account }, { "rank", std::to_string(job.rank) }, { "pieces", std::to_string(ownTasks.size()) }, { "waiting", std::to_string(firstOwn) }, { "slots", std::to_string(capacity.freeAt.size()) }, { "starts_in_ms", std::to_string(asMilliseconds(admission.startsAt - now)) }, { "deadline_in_ms", std::to_string(asMilliseconds(job.deadline - now)) }, { "queue_ms", std::to_string(admission.queueTime.count()) }, { "wait_ms", std::to_string(wait.count()) } });
+    return wait;
+}
+
+void task_scheduler::refuseLateJobs(const std::string& service, pool& pool, time_point now)
+{
+    if (!m_context.settings.poolAdmission || !pool.profile || !pool.isOrderChanged || now < pool.nextPredictionAt || isTargetListUncertain(m_context, now))
+        return;
+    pool.isOrderChanged = false;
+    pool.nextPredictionAt = now + policy::repredictionInterval;
+    const auto capacity = capacityOf(service, *pool.profile, now);
+    const auto earliest = std::min_element(pool.queue.begin(), pool.queue.end(), [](const auto& left, const auto& right) { return left->job->deadline < right->job->deadline; });
+    if (capacity.freeAt.empty() || earliest == pool.queue.end() || policy::hasRoomInAnyOrder(pool.queue.size(), 0, capacity, (*earliest)->job->deadline, now))
+        return;
+    const auto standings = currentStandings(service, pool, now);
+    std::vector<policy::queued_task> tasks;
+    std::unordered_map<uint64_t, job_ptr> waitingJobs;
+    for (const auto& task : pool.queue) {
+        if (!task->job->isNeeded(task->index))
+            continue;
+        tasks.push_back(planningTask(*task, standings));
+        waitingJobs.emplace(task->jobId, task->job);
+    }
+    const auto rules = rulesOf(*pool.profile);
+    policy::predictLateJobs(tasks, capacity, rules, now);
+    for (const auto& late : policy::jobsWithoutStart(tasks, capacity, rules, now)) {
+        const job_ptr& job = waitingJobs.at(late.jobId);
+        const bool hasFinishedTask = std::find(job->finishedTasks.begin(), job->finishedTasks.end(), true) != job->finishedTasks.end();
+        if (job->mayRunElsewhere || job->isStarted || hasFinishedTask)
+            continue;
+        const milliseconds wait = policy::returnTimeOf(late.admission, spreadPosition(*job));
+        pool.queue.remove_if([&job](const auto& task) { return task->job == job; });
+        pool.refusedJobs.emplace_back(job, wait);
+        m_context.counters.count("jobs_refused_total", { { "service", service } });
+        logLine(log_level::Info, logComponent, "A pool refused a waiting request because its tasks can no longer start before their deadline.", { { "request", job->requestId }, { "service", service }, { "account", job->account }, { "rank", std::to_string(job->rank) }, { "pieces", std::to_string(job->taskCount) }, { "waiting", std::to_string(tasks.size()) }, { "slots", std::to_string(capacity.freeAt.size()) }, { "starts_in_ms", std::to_string(asMilliseconds(late.admission.startsAt - now)) }, { "deadline_in_ms", std::to_string(asMilliseconds(job->deadline - now)) }, { "queue_ms", std::to_string(late.admission.queueTime.count()) }, { "wait_ms", std::to_string(wait.count()) } });
+    }
 }
 
 void task_scheduler::reportRefusedJobs(pool& pool)
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -109,8 +109,10 @@
     }
     if (const auto wait = refusalOf(*job, tasks, pool, now))
         pool.refusedJobs.emplace_back(job, *wait);
-    else
+    else {
         pool.queue.insert(pool.queue.end(), tasks.begin(), tasks.end());
+        pool.isOrderChanged = true;
+    }
     scheduleTick();
 }
 
@@ -144,6 +146,7 @@
     for (auto result = m_results.begin(); result != m_results.end();)
         result = result->second.expiresAt <= now ? eraseResult(result) : std::next(result);
     for (auto& [service, pool] : m_pools) {
+        refuseLateJobs(service, pool, now);
         reportRefusedJobs(pool);
         std::vector<task_ptr> infeasible;
         std::erase_if(pool.queue, [&](const auto& task) {
@@ -227,6 +230,7 @@
     m_context.counters.count("piece_retries_total", { { "service", service }, { "reason", "overdue" } });
     logLine(log_level::Info, logComponent, "The tasks of an overdue batch call may also run at another target.", { { "target", call.target->listed.id }, { "service", service }, { "pieces", std::to_string(copies.size()) }, { "first_request", copies.front()->job->requestId } });
     pool.queue.insert(pool.queue.end(), copies.begin(), copies.end());
+    pool.isOrderChanged = true;
 }
 
 void task_scheduler::checkSilentCalls(const std::string& service, pool& pool, time_point now)
@@ -303,7 +307,10 @@
     updateStandings(service, pool, currentStandings(service, pool, now));
     for (const auto& task : readyTasks)
         tasks.push_back(planningTask(*task, pool.standings));
-    const auto batches = policy::planBatches(tasks, targets, rulesOf(*profile), now);
+    const auto rules = rulesOf(*profile);
+    if (rules.isOrderedByRankAndAccount)
+        policy::predictLateJobs(tasks, capacityOf(service, *profile, now), rules, now);
+    const auto batches = policy::planBatches(tasks, targets, rules, now);
     if (m_context.settings.poolAdmission)
         recordPlan(pool, *profile, readyTasks, tasks, batches, now);
     for (const auto& batch : batches) {
@@ -437,7 +444,9 @@
         task->job->finishTask(task->index, { "", failure });
         return;
     }
-    m_pools[service].queue.push_back(task);
+    pool& pool = m_pools[service];
+    pool.queue.push_back(task);
+    pool.isOrderChanged = true;
     scheduleTick();
 }
 
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -75,6 +75,10 @@
         policy::standing_table standings;
         /// Jobs that were refused; reported at the next tick.
         std::vector<std::pair<job_ptr, milliseconds>> refusedJobs;
+        /// Tasks were queued since the waiting jobs were last predicted, so that the order before others may have changed.
+        bool isOrderChanged = false;
+        /// The waiting jobs are not predicted again before this time.
+        time_point nextPredictionAt {};
     };
 
     /// @return A target's state as input for the planning of batches.
@@ -96,6 +100,9 @@
     /// Decides on a job that is not queued yet.
     /// @return The predicted wait if the job is refused.
     [[nodiscard]] std::optional<milliseconds> refusalOf(const stage_job& job, const std::vector<task_ptr>& ownTasks, const pool& pool, time_point now) const;
+    /// Predicts the waiting jobs again if the order has changed, at most once in `policy::repredictionInterval`, and refuses those
+    /// that have not begun and can no longer start before their deadline.
+    void refuseLateJobs(const std::string& service, pool& pool, time_point now);
     static void reportRefusedJobs(pool& pool);
     /// Records the use of the pool and which tasks were overtaken.
     static void recordPlan(pool& pool, const deployment::pool_profile& profile, std::span<const task_ptr> tasks, std::span<const policy::queued_task> plannedTasks, std::span<const policy::task_batch> batches, time_point now);
--- a/src/policy/account_share.hpp
+++ b/src/policy/account_share.hpp
@@ -40,13 +40,14 @@
     WithinShare,
     /// The account used more than its fair share of the pool.
     AboveShare,
-    /// It also used clearly more than the other accounts at the same ranks, so its use is not explained by urgent ranks.
+    /// It also used clearly more than the other accounts at the same ranks, so its use is not explained by urgent ranks; or it used
+    /// more than they did and has several times their waiting jobs.
     FarAboveShare,
 };
 
 using standing_table = std::map<account_rank, share_standing>;
 
-/// @param waiting  Accounts with tasks in the queue, with the rank of the tasks; may contain duplicates.
+/// @param waiting  The account and rank of each job with tasks in the queue.
 /// @return The standing of each account with work in the pool. The fair share is the time used by all, divided by the
 /// number of accounts with work in the pool within the window.
 [[nodiscard]] standing_table standingsOf(const account_usage& usage, std::span<const account_rank> waiting, time_point now);
--- a/src/policy/batching.cpp
+++ b/src/policy/batching.cpp
@@ -24,6 +24,8 @@
 
     bool isLate(const queued_task& task, time_point now) noexcept { return task.latestStart < now; }
 
+    bool isInTime(const queued_task& task, time_point now) noexcept { return task.prediction == start_prediction::InTime && !isLate(task, now); }
+
     /// Orders by latest start, with the delay for each rank and the boost.
     void sortByDueTime(std::vector<size_t>& order, std::span<const queued_task> tasks, const batching_rules& rules, time_point now)
     {
@@ -60,6 +62,8 @@
     {
         const auto dueTime = [&](size_t i) {
             const queued_task& task = tasks[i];
+            if (isInTime(task, now))
+                return task.latestStart;
             const time_point ofRank = task.latestStart + rules.delayPerRank * task.rank;
             if (task.protectedFrom <= now)
                 return ofRank - std::max(std::chrono::duration_cast<time_point::duration>(task.boost), rules.maxBoost - (task.protectedFrom - task.queuedAt));
@@ -75,7 +79,7 @@
         std::array<std::vector<size_t>, 4> groups;
         for (size_t i = 0; i < tasks.size(); ++i) {
             const queued_task& task = tasks[i];
-            const size_t group = (isLate(task, now) ? 2U : 0U) + (task.standing == share_standing::FarAboveShare ? 1U : 0U);
+            const size_t group = (task.prediction == start_prediction::Late || isLate(task, now) ? 2U : 0U) + (task.standing == share_standing::FarAboveShare ? 1U : 0U);
             (task.isJobStarted ? order : groups[group]).push_back(i);
         }
         sortByDueTime(order, tasks, rules, now);
--- a/src/policy/batching.hpp
+++ b/src/policy/batching.hpp
@@ -22,6 +22,13 @@
 
 namespace bilberryseam::policy {
 
+/// Whether a task can start early enough for the objective of its request, given the tasks that wait with it.
+enum class start_prediction {
+    Unknown,
+    InTime,
+    Late,
+};
+
 /// A task that waits for a target.
 struct queued_task {
     /// Identifies the stage job that the task belongs to; tasks of one job are kept together if possible.
@@ -49,6 +56,8 @@
     /// Tasks of the same rank that are queued from this time on do not go before it: by then, later tasks of its rank had been
     /// sent before it for half of its request's objective.
     time_point protectedFrom = time_point::max();
+    /// Set by `predictLateJobs`; used only with `batching_rules::isOrderedByRankAndAccount`.
+    start_prediction prediction = start_prediction::Unknown;
 };
 
 /// A target of the pool, as the planner sees it.
@@ -96,8 +105,9 @@
 /// By default, tasks that can still meet their objective follow by latest start, with a delay for each rank and the boost.
 ///
 /// With `isOrderedByRankAndAccount`, tasks that can still meet their objective go before late ones, and in each of these
-/// groups, those of accounts far above their share go last. In the resulting groups, tasks are ordered by latest start with
-/// a delay for each rank and the boost:
+/// groups, those of accounts far above their share go last. Tasks that are predicted to be late count as late; those that are
+/// predicted to be in time go by latest start, since another order could make some of them late. Without a prediction and
+/// among late tasks, the order is by latest start with a delay for each rank and the boost:
 /// - Of tasks with the same latest start, those of a more urgent rank go first.
 /// - Of tasks of equal value, those of accounts above their share go later.
 /// - A protected task has at least the boost with which it stays ahead of tasks of its rank and objective that are queued
--- a/tests/unit/pool_load_test.cpp
+++ b/tests/unit/pool_load_test.cpp
@@ -114,8 +114,10 @@
         if (!options.hasAdmission || queue.size() <= targets * batchSize)
             return;
         std::vector<account_rank> waiting;
-        for (const auto& task : queue)
-            waiting.push_back(userOf(task.request));
+        for (size_t i = 0; i < queue.size(); ++i) {
+            if (i == 0 || queue[i].request != queue[i - 1].request)
+                waiting.push_back(userOf(queue[i].request));
+        }
         standings = standingsOf(usage, waiting, now);
     }
 
@@ -127,6 +129,14 @@
         return result;
     }
 
+    pool_capacity capacityAt(time_point now) const
+    {
+        pool_capacity capacity { std::vector<time_point>(targets, now), batchSize, callOverhead, taskMilliseconds };
+        for (const auto& call : calls)
+            capacity.freeAt[call.target] = call.end;
+        return capacity;
+    }
+
     void arrive(size_t index, time_point now)
     {
         request& item = requests[index];
@@ -134,12 +144,12 @@
         std::vector<waiting_task> tasks = queue;
         tasks.insert(tasks.end(), item.tasks, { index, now, boost, {} });
         if (options.hasAdmission) {
-            pool_capacity capacity { std::vector<time_point>(targets, now), batchSize, callOverhead, taskMilliseconds };
-            for (const auto& call : calls)
-                capacity.freeAt[call.target] = call.end;
+            const pool_capacity capacity = capacityAt(now);
             if (!hasRoomInAnyOrder(queue.size(), item.tasks, capacity, now + deadline - callOverhead, now)) {
                 updateStandings(now);
-                if (!admitJob(views(tasks), queue.size(), capacity, rules(), now).isAccepted) {
+                auto waiting = views(tasks);
+                predictLateJobs(waiting, capacity, rules(), now);
+                if (!admitJob(waiting, queue.size(), capacity, rules(), now).isAccepted) {
                     ++item.refusals;
                     if (options.retriesAtOnce)
                         arrivals.emplace(now + retryDelay, index);
@@ -185,7 +195,8 @@
         if (queue.empty() || calls.size() == targets)
             return;
         updateStandings(now);
-        const auto tasks = views(queue);
+        auto tasks = views(queue);
+        predictLateJobs(tasks, capacityAt(now), rules(), now);
         const auto batches = planBatches(tasks, states, rules(), now);
         if (options.hasAdmission) {
             for (const size_t index : overtakenTasks(tasks, batches))
