--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -4,6 +4,7 @@
 #include "gateway/request_run.hpp"
 #include "gateway/target_eligibility.hpp"
 #include "gateway/target_pauses.hpp"
+#include "policy/pool_admission.hpp"
 #include "policy/suspicion.hpp"
 
 #include <algorithm>
@@ -136,8 +137,9 @@
 
 milliseconds request_run::retryAfterOverload(milliseconds wait) const
 {
-    const milliseconds shortest = std::min(longestRetryAfter, wait);
-    return std::max(detail::retryAfterTransientFailure, shortest + spreadOver(std::max(shortestOverloadSpread, shortest)));
+    // The owner spread the wait over the time that its queue needs.
+    const milliseconds spreadWait = std::min(policy::maxReturnTime * 2, wait);
+    return std::max(detail::retryAfterTransientFailure, spreadWait + spreadOver(shortestOverloadSpread));
 }
 
 void request_run::refuseOverloaded(milliseconds wait)
