policy: cost of long prompts for the streams of a target

While an engine reads a prompt of 17,000 tokens, an event of its streams waits for four chunks; at an engine that needs 1.6 times the usual time, this exceeds the pause that callers accept.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -186,7 +186,7 @@
 
     double distanceOf(const placement_candidate& candidate, const load_costs& costs) noexcept
     {
-        double cost = candidate.remoteInputBytes / bytesPerMegabyte * costs.remoteInputMegabyte;
+        double cost = candidate.remoteInputBytes / bytesPerMegabyte * costs.remoteInputMegabyte + candidate.promptMilliseconds;
         if (candidate.isOnlyOfVersion)
             cost += costs.onlyOfVersion;
         if (candidate.isCold)
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -37,6 +37,8 @@
     bool isCold = false;
     /// Factor of at least 1 by which the target appears worse than a healthy one.
     double penalty = 1;
+    /// What the request's prompt costs there, in milliseconds of delay (policy/long_prompts.hpp); only `chooseByLoad` uses it.
+    double promptMilliseconds = 0;
     /// Requests and tokens of all gateways; only `chooseByLoad` uses it.
     target_load load;
 };
--- a/src/policy/target_load.cpp
+++ b/src/policy/target_load.cpp
@@ -9,8 +9,11 @@
     /// Time in which the weight of a sample of the pace falls to half: long enough for some dozens of samples at a target of
     /// a small gateway, short enough to follow a target that becomes slower.
     constexpr double paceHalfLifeUs = 4e6;
-    /// A longer time between two events shows that a stream stood still, and not how fast the target is.
-    constexpr microseconds longestGap { 2'000'000 };
+
+    /// Limit of a gap beside prompts, relative to the mean. A mean that follows from a few gaps may be wrong and limits none. With
+    /// every tenth gap prolonged, the mean is 6 % too long.
+    constexpr double longestGapBesidePrompts = 1.5;
+    constexpr double minSamplesOfLimit = 5;
 
     double weightAfter(microseconds age) noexcept
     {
@@ -22,6 +25,7 @@
         sum.requests += item.requests;
         sum.prefillTokens += item.prefillTokens;
         sum.contextTokens += item.contextTokens;
+        sum.runningStreams += item.runningStreams;
         if (const uint64_t samples = uint64_t(sum.paceSamples) + item.paceSamples; samples > 0) {
             const uint64_t total = uint64_t(sum.paceUs) * sum.paceSamples + uint64_t(item.paceUs) * item.paceSamples;
             sum.paceUs = static_cast<uint32_t>(total / samples);
@@ -72,6 +76,8 @@
     result.requests = std::min(result.requests, maxLoadRequests);
     result.prefillTokens = std::min(result.prefillTokens, maxLoadTokens);
     result.contextTokens = std::min(result.contextTokens, maxLoadTokens);
+    // Each stream is a request in progress.
+    result.runningStreams = std::min(result.runningStreams, result.requests);
     result.paceUs = std::min(result.paceUs, maxLoadPaceUs);
     result.paceSamples = result.paceUs == 0 ? 0 : std::min(result.paceSamples, maxLoadSamples);
     return result;
@@ -121,6 +127,15 @@
     pace.updatedAt = now;
 }
 
+void recordGapBesidePrompts(event_pace& pace, microseconds gap, time_point now) noexcept
+{
+    if (pace.samples * weightAfter(now - pace.updatedAt) >= minSamplesOfLimit) {
+        const double limitUs = pace.totalUs / pace.samples * longestGapBesidePrompts;
+        gap = microseconds(static_cast<int64_t>(std::min(static_cast<double>(gap.count()), limitUs)));
+    }
+    recordGap(pace, gap, now);
+}
+
 uint32_t meanOf(const event_pace& pace) noexcept
 {
     return pace.samples > 0 ? static_cast<uint32_t>(pace.totalUs / pace.samples) : 0;
@@ -144,6 +159,7 @@
         other.requests -= std::min(other.requests, item.requests);
         other.prefillTokens -= std::min(other.prefillTokens, item.prefillTokens);
         other.contextTokens -= std::min(other.contextTokens, item.contextTokens);
+        other.runningStreams -= std::min(other.runningStreams, item.runningStreams);
         const double total = double(other.paceUs) * other.paceSamples - double(item.paceUs) * item.paceSamples;
         other.paceSamples -= std::min(other.paceSamples, item.paceSamples);
         other.paceUs = other.paceSamples > 0 && total > 0 ? static_cast<uint32_t>(total / other.paceSamples) : 0;
@@ -160,7 +176,7 @@
 
 target_load loadNow(const load_view& view, const load_figures& own, time_point now) noexcept
 {
-    target_load load { double(own.requests), double(own.prefillTokens), double(own.contextTokens), double(own.paceUs), double(own.paceSamples) };
+    target_load load { double(own.requests), double(own.prefillTokens), double(own.contextTokens), double(own.paceUs), double(own.paceSamples), double(own.runningStreams) };
     const auto position = view.others.find(own.target);
     if (position == view.others.end() || !isUsable(view, now))
         return load;
@@ -169,6 +185,7 @@
     load.requests += others.requests;
     load.prefillTokens += std::max(0.0, static_cast<double>(others.prefillTokens) - readTokens);
     load.contextTokens += static_cast<double>(others.contextTokens);
+    load.runningStreams += others.runningStreams;
     if (const double samples = load.paceSamples + others.paceSamples; samples > 0) {
         load.paceUs = (load.paceUs * load.paceSamples + double(others.paceUs) * others.paceSamples) / samples;
         load.paceSamples = samples;
--- a/src/policy/target_load.hpp
+++ b/src/policy/target_load.hpp
@@ -43,6 +43,8 @@
     /// Mean time between two events of a stream, in microseconds; zero if there are no samples.
     uint32_t paceUs = 0;
     uint32_t paceSamples = 0;
+    /// Streams that have begun and not ended.
+    uint32_t runningStreams = 0;
 
     bool operator==(const load_figures&) const = default;
 };
@@ -79,6 +81,9 @@
 /// @return The sum of the reports and of the sums of the other collectors.
 [[nodiscard]] received_load sumOfAll(const collected_load& load, const received_load& reports, time_point now);
 
+/// A longer time between two events shows that a stream stood still, and not how fast the target is. No pace is longer.
+constexpr microseconds longestGap { 2'000'000 };
+
 /// Time between the events of the streams at one target, over the last seconds.
 struct event_pace {
     double totalUs = 0;
@@ -88,6 +93,10 @@
 
 /// Records the time between two events.
 void recordGap(event_pace& pace, microseconds gap, time_point now) noexcept;
+/// Records the time between two events at a target that reads prompts between the events. A time that is much longer than the
+/// mean shows that a prompt was read, and counts little: otherwise the pace would say how many prompts a target gets and not how
+/// fast it is.
+void recordGapBesidePrompts(event_pace& pace, microseconds gap, time_point now) noexcept;
 /// @return Mean time between two events in microseconds; zero if there are no samples.
 [[nodiscard]] uint32_t meanOf(const event_pace& pace) noexcept;
 /// @return Number of samples, which old ones count towards less and less.
@@ -116,6 +125,8 @@
     /// Mean time between two events in microseconds; zero if it is not known.
     double paceUs = 0;
     double paceSamples = 0;
+    /// Streams that have begun and not ended.
+    double runningStreams = 0;
 };
 
 /// Adds the own current figures to those of the other gateways. Prompt tokens of the others are reduced by what the target has
