gateway: placement of long prompts beside running streams (longPromptPlacement)

A gateway did not know how many streams run at a target, nor what a prompt does to them. Load reports and sums now carry the running streams (protocol version 6). With the setting, `request_run::chooseByLoad` adds the predicted loss of the streams and of the request to the cost of each target, the pace leaves out gaps in which a target reads prompts, and the prediction is logged and compared with the first event. Without the setting, which is the default, or without usable figures, the choice is as before.

--- a/src/deployment/deployment.cpp
+++ b/src/deployment/deployment.cpp
@@ -85,6 +85,17 @@
     return position != configuration.services.end() && position->second.engine ? &*position->second.engine : nullptr;
 }
 
+milliseconds gapObjectiveOf(const configuration& configuration, std::string_view service) noexcept
+{
+    milliseconds shortest { 0 };
+    for (const auto& route : configuration.routes) {
+        const bool isToService = std::any_of(route.services.begin(), route.services.end(), [service](const auto& item) { return item.service == service; });
+        if (isToService && route.gapObjective.count() > 0 && (shortest.count() == 0 || route.gapObjective < shortest))
+            shortest = route.gapObjective;
+    }
+    return shortest;
+}
+
 const route* matchRoute(const configuration& configuration, std::string_view host, std::string_view path) noexcept
 {
     const auto it = configuration.routesByHost.find(host);
--- a/src/deployment/deployment.hpp
+++ b/src/deployment/deployment.hpp
@@ -64,6 +64,8 @@
     milliseconds timeout { 0 };
     /// Latency objective of the response; for streams, of the first event.
     milliseconds objective { 0 };
+    /// `objective` is stated, and not only the timeout.
+    bool hasObjective = false;
     /// Objective for the longest gap between events; zero if not given.
     milliseconds gapObjective { 0 };
     /// Priority rank; 0 is the most urgent.
@@ -165,6 +167,9 @@
 /// @return The pool profile of a service; null if the service is unknown or has no pool.
 [[nodiscard]] const pool_profile* poolOf(const configuration& configuration, std::string_view service) noexcept;
 
+/// @return The shortest gap objective of the routes to a service; zero if none of them states one.
+[[nodiscard]] milliseconds gapObjectiveOf(const configuration& configuration, std::string_view service) noexcept;
+
 /// @return The engine profile of a service; null if the service is unknown or runs no prompts.
 [[nodiscard]] const engine_profile* engineOf(const configuration& configuration, std::string_view service) noexcept;
 
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -33,7 +33,7 @@
         const size_t count = std::min(items.size(), wire::maxListItems);
         result.reserve(count);
         for (const auto& item : std::span(items).first(count))
-            result.push_back({ item.target, item.requests, item.prefillTokens, item.contextTokens, item.paceUs, item.paceSamples });
+            result.push_back({ item.target, item.requests, item.prefillTokens, item.contextTokens, item.paceUs, item.paceSamples, item.runningStreams });
         return result;
     }
 
@@ -64,7 +64,7 @@
 
 policy::load_figures load_exchange::figuresOf(const target_state& target, time_point now) const noexcept
 {
-    return { target.incarnation, target.inFlight, target.uncachedPrefillTokens, target.contextTokens, policy::meanOf(target.pace), policy::samplesOf(target.pace, now) };
+    return { target.incarnation, target.inFlight, target.uncachedPrefillTokens, target.contextTokens, policy::meanOf(target.pace), policy::samplesOf(target.pace, now), target.runningStreams };
 }
 
 std::vector<policy::load_figures> load_exchange::ownFigures(time_point now) const
@@ -208,7 +208,7 @@
     std::vector<policy::load_figures> result;
     result.reserve(items.size());
     for (const auto& item : items) {
-        const policy::load_figures stated { item.target, item.requests, item.prefillTokens, item.contextTokens, item.paceUs, item.paceSamples };
+        const policy::load_figures stated { item.target, item.requests, item.prefillTokens, item.contextTokens, item.paceUs, item.paceSamples, item.runningStreams };
         result.push_back(policy::bounded(stated));
         if (result.back() == stated)
             continue;
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -49,7 +49,7 @@
     const auto keepAlive = shared_from_this();
     const time_point now = monotonicNow();
     if (attempt.hasFirstByte && isStream() && attempt.resumedAt < attempt.lastByteAt)
-        policy::recordGap(attempt.target->pace, now - attempt.lastByteAt, now);
+        recordPause(attempt, now - attempt.lastByteAt, now);
     attempt.lastByteAt = now;
     attempt.isSilenceRecorded = false;
     if (!std::exchange(attempt.hasFirstByte, true))
@@ -76,6 +76,10 @@
 {
     attempt.firstByteAt = attempt.lastByteAt;
     attempt.endPrefill();
+    if (attempt.response.status == http1::statusOk && isStream()) {
+        attempt.beginStream();
+        recordFirstEvent(attempt);
+    }
     if (!m_request.callerRequest.generation || attempt.response.status != http1::statusOk)
         return;
     for (const uint64_t hash : deployment::prefixHashes(*m_request.callerRequest.generation))
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -125,6 +125,7 @@
     }
     const auto inputBytes = resultBytesByDomain();
     m_loadChoice.reset();
+    m_promptChoice.reset();
     if (m_context.loads && m_context.loads->isUsable(now))
         return chooseByLoad(placement, hashes, inputBytes, now);
     const bool prefersSharedVersions = m_request.route->isResumable && !m_origin;
@@ -168,7 +169,8 @@
     load.tieHash = hashOfPair(m_context.loads->ownHash(), hashOf(m_request.callerRequest.id));
     load.unseenSends = m_context.loads->unseenSends(m_request.service, now);
     load.figureAge = m_context.loads->figureAge(now);
-    m_loadChoice = policy::chooseByLoad(candidates, placement, load, {});
+    const auto prompt = promptRequest(now);
+    m_loadChoice = prompt ? chooseByPrompt(candidates, placement, load, *prompt) : policy::chooseByLoad(candidates, placement, load, {});
     return m_loadChoice ? listed[m_loadChoice->index] : nullptr;
 }
 
@@ -315,6 +317,7 @@
     m_context.counters.count("sends_total", { { "service", m_request.service } });
     if (m_context.loads && m_loadChoice)
         m_context.loads->recordSend(m_request.service, m_request.callerRequest.id, *target, *m_loadChoice, now);
+    recordPrompt(attempt, now);
     logLine(log_level::Info, logComponent, "The request was sent to a target.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "send", std::to_string(m_sends) }, { "left_ms", std::to_string(call.timeLeft.count()) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target->listedAt)) }, { "software_version", target->listed.softwareVersion }, { "after_event", m_lastEventId.substr(0, maxLoggedBytes) }, { "in_flight", std::to_string(target->inFlight) }, { "beside_a_silent_target", m_backup ? "true" : "false" } });
 }
 
@@ -370,6 +373,8 @@
     m_limitPlace.reset();
     cancelAndReleaseStages();
     const auto duration = monotonicNow() - m_arrivedAt;
+    if (m_context.loads && m_longestPause.count() > 0)
+        m_context.counters.observeSeconds("longest_pause_seconds", { { "route", m_request.route->name } }, asSeconds(m_longestPause));
     m_context.counters.count("requests_total", { { "outcome", std::string(outcome) }, { "reason", std::string(reason) } });
     m_context.counters.observeSeconds("request_seconds", { { "outcome", std::string(outcome) } }, asSeconds(duration));
     logLine(log_level::Info, logComponent, "The request finished.", { { "request", m_request.callerRequest.id }, { "outcome", std::string(outcome) }, { "reason", std::string(reason) }, { "status", std::to_string(status) }, { "sends", std::to_string(m_sends) }, { "took_ms", std::to_string(asMilliseconds(duration)) } });
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -8,6 +8,7 @@
 #include "gateway/target_attempt.hpp"
 #include "http1/server.hpp"
 #include "platform/ingress.hpp"
+#include "policy/long_prompts.hpp"
 #include "policy/placement.hpp"
 #include "policy/stream_origins.hpp"
 
@@ -56,6 +57,16 @@
     bool isTrial = false;
 };
 
+/// What is predicted for a request at the chosen target.
+struct prompt_choice {
+    policy::prompt_forecast forecast;
+    policy::target_load load;
+    /// Identifier of the target that the load alone would have chosen; empty if it is the same.
+    std::string insteadOf;
+    /// Why the request was not sent there.
+    std::string_view reason;
+};
+
 /// Counts a request among those that wait for the limited targets of a service, while it exists.
 class limit_place {
 public:
@@ -198,6 +209,18 @@
     [[nodiscard]] bool mayReturnTo(const target_state& target) const noexcept;
     [[nodiscard]] bool mayReturn() const noexcept;
 
+    // Cost of prompts; in request_prompts.cpp.
+    /// @return What the cost of the prompt depends on; empty if the settings do not enable it or the request has no prompt.
+    [[nodiscard]] std::optional<policy::prompt_request> promptRequest(time_point now) const;
+    /// Chooses by the load of all gateways and the cost of the prompt.
+    [[nodiscard]] std::optional<policy::load_choice> chooseByPrompt(std::span<policy::placement_candidate> candidates, const policy::placement_request& placement, const policy::load_placement_request& load, const policy::prompt_request& prompt) const;
+    /// Counts and logs what was predicted for a send.
+    void recordPrompt(target_attempt& attempt, time_point now);
+    /// Counts and logs how far the prediction of the first event was off.
+    void recordFirstEvent(const target_attempt& attempt);
+    /// Records the time between two events of a stream.
+    void recordPause(target_attempt& attempt, microseconds pause, time_point now);
+
     // Permitted regions and evacuations; in request_regions.cpp.
     /// @return The regions that the request may use now, also by the newest configuration.
     [[nodiscard]] const deployment::permitted_regions& regionsNow() const;
@@ -289,6 +312,10 @@
     time_point m_lastSentAt {};
     /// Inputs of the last choice of a target by load, for the log and for the count of queued tokens.
     mutable std::optional<policy::load_choice> m_loadChoice;
+    /// What was predicted at the last choice, if the cost of the prompt was part of it.
+    mutable std::optional<prompt_choice> m_promptChoice;
+    /// Longest time between two events that a target sent.
+    microseconds m_longestPause { 0 };
 
     /// Identifier of the last event that the caller has.
     std::string m_lastEventId;
--- a/src/gateway/target_attempt.cpp
+++ b/src/gateway/target_attempt.cpp
@@ -18,6 +18,7 @@
 {
     endPrefill();
     target->contextTokens -= contextTokens;
+    target->runningStreams -= isRunningStream ? 1 : 0;
     --target->inFlight;
 }
 
@@ -29,6 +30,12 @@
     target->queuedPrefillTokens -= std::exchange(queuedTokens, 0);
 }
 
+void target_attempt::beginStream() noexcept
+{
+    if (!std::exchange(isRunningStream, true))
+        ++target->runningStreams;
+}
+
 void target_attempt::setReading(bool mayRead, time_point now)
 {
     if (mayRead && !isReading)
--- a/src/gateway/target_attempt.hpp
+++ b/src/gateway/target_attempt.hpp
@@ -24,6 +24,8 @@
 
     /// Records that the target has read the prompt.
     void endPrefill() noexcept;
+    /// Counts the response among the streams that run at the target.
+    void beginStream() noexcept;
     /// @return True for a response that may be passed on as it arrives: it is the target's own, and a success.
     [[nodiscard]] bool isRelayable() const noexcept;
     /// @return True if the head states a response of the target to this request.
@@ -48,6 +50,9 @@
     platform::target_response response;
     bool hasHead = false;
     bool hasFirstByte = false;
+    bool isRunningStream = false;
+    /// Predicted time from the send to the first event, in milliseconds; empty if the prompt was not weighed.
+    std::optional<double> predictedFirstEvent;
     /// The response went on for so long that the request cannot have crashed its target.
     bool hasSurvived = false;
     /// The target's present silence was recorded.
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -59,6 +59,8 @@
     uint64_t uncachedPrefillTokens = 0;
     /// Prompt tokens of the calls whose response has begun.
     uint64_t contextTokens = 0;
+    /// Streams of this process that have begun and not ended.
+    uint32_t runningStreams = 0;
     /// Time between the events of the streams of this process.
     policy::event_pace pace;
     /// Time at which the running batch call is expected to end.
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -106,6 +106,7 @@
         route.timeout = readMilliseconds(from, "timeout_ms", route.timeout);
         // The latency objective of the route; "target" does not mean a server here.
         route.objective = readMilliseconds(from, "target_latency_ms", route.timeout);
+        route.hasObjective = readMilliseconds(from, "target_latency_ms", milliseconds(0)).count() > 0;
         // The objective for the pause between two events of a stream.
         route.gapObjective = readMilliseconds(from, "gap_aim_ms", route.gapObjective);
         route.priority = readOr(from, "priority", 0);
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -11,6 +11,7 @@
 #include "policy/fairness.hpp"
 #include "policy/hedging.hpp"
 #include "policy/idle_limit.hpp"
+#include "policy/long_prompts.hpp"
 #include "policy/orders.hpp"
 #include "policy/ownership.hpp"
 #include "policy/placement.hpp"
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -22,6 +22,7 @@
         "store": { "type": "string" },
         "processorShare": { "type": "number", "exclusiveMinimum": 0 },
         "loadSharing": { "type": "boolean" },
+        "longPromptPlacement": { "type": "boolean" },
         "regions": { "type": "object", "additionalProperties": { "type": "string" } },
         "poolAdmission": { "type": "boolean" },
         "preferredDomainWaitMs": { "type": "integer", "minimum": 0, "maximum": 10000 },
@@ -90,6 +91,7 @@
         for (const auto& [domain, region] : regions.items())
             settings.regions.emplace(domain, region.get<std::string>());
         settings.loadSharing = document.value("loadSharing", settings.loadSharing);
+        settings.longPromptPlacement = document.value("longPromptPlacement", settings.longPromptPlacement);
         settings.bounds = readBounds(document.value("bounds", json::object()));
         const json limits = document.value("limits", json::object());
         settings.limits.maxHeldBytes = limits.value("maxHeldBytes", settings.limits.maxHeldBytes);
@@ -107,7 +109,7 @@
 {
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "operatorListen", operatorListen.toString() },
         { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions },
-        { "loadSharing", loadSharing }, { "poolAdmission", poolAdmission }, { "preferredDomainWaitMs", preferredDomainWait.count() },
+        { "loadSharing", loadSharing }, { "longPromptPlacement", longPromptPlacement }, { "poolAdmission", poolAdmission }, { "preferredDomainWaitMs", preferredDomainWait.count() },
         { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "evacuationMs", bounds.evacuation.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) }, { "coldOverage", bounds.coldOverage }, { "coldSlack", bounds.coldSlack } } },
         { "limits", { { "maxHeldBytes", limits.maxHeldBytes }, { "maxConnections", limits.maxConnections } } } };
 }
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -60,6 +60,8 @@
     gateway_limits limits;
     /// Targets are chosen by the load of all entries, which exchange it.
     bool loadSharing = false;
+    /// The choice by load also counts what a prompt costs the streams of a target; needs `loadSharing`.
+    bool longPromptPlacement = false;
     /// How long a task waits for a target in the failure domain that holds most of its inputs.
     milliseconds preferredDomainWait { 60 };
     /// Pools refuse jobs that cannot start in time, and order tasks by rank and account.
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -12,7 +12,7 @@
 namespace bilberryseam::wire {
 
 /// Version of the protocol between daemons. The handshake refuses a peer with another version.
-constexpr uint32_t protocolVersion = 5;
+constexpr uint32_t protocolVersion = 6;
 
 /// Why a side refused a call before it started. The call did not run.
 enum class refusal : uint8_t {
@@ -419,9 +419,11 @@
     /// Mean time between two events of a stream, in microseconds.
     uint32_t paceUs = 0;
     uint32_t paceSamples = 0;
+    /// Streams that have begun and not ended.
+    uint32_t runningStreams = 0;
 
     template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(target, requests, prefillTokens, contextTokens, paceUs, paceSamples); }
+    void visitFields(Visitor& visit) { visit(target, requests, prefillTokens, contextTokens, paceUs, paceSamples, runningStreams); }
 };
 
 /// Entry to a collector of its region: the load that the entry has at each target. It replaces the previous report.
