tests: replay of long prompts by figures 1.5 s old

The patterns of the replay had figures 300 ms old only; those of a frozen collector are used up to 2 s.

--- a/tests/unit/long_prompt_replay_test.cpp
+++ b/tests/unit/long_prompt_replay_test.cpp
@@ -135,6 +135,16 @@
     expectBothKindsAreServed(options);
 }
 
+// Guards against costs by figures that are about to be too old, as those of a collector that froze.
+Test(long_prompt_replay, old_figures_keep_the_bounds)
+{
+    prompt_replay_options options;
+    options.rates = [](double) { return kind_rates { 60, 30, 50 }; };
+    options.prefixes[Long] = rarePrefixes;
+    options.figureAge = milliseconds(1500);
+    expectBothKindsAreServed(options);
+}
+
 // Guards against speeds that are not known, or wrong: neither kind may lose more than the bounds allow.
 Test(long_prompt_replay, missing_and_wrong_speeds_keep_the_bounds)
 {
