--- a/src/gateway/placement_explanation.cpp
+++ b/src/gateway/placement_explanation.cpp
@@ -27,6 +27,7 @@
         add("remoteInputs", cost.remoteInputs);
         add("cold", cost.cold);
         add("onlyOfVersion", cost.onlyOfVersion);
+        add("prompt", cost.prompt);
         add("distance", cost.distance);
         return object;
     }
@@ -115,6 +116,8 @@
     const bool isByLoad = m_context.loads && m_context.loads->isUsable(m_request.service, now);
     auto all = candidates(inputs, isByLoad, now);
     std::vector<policy::cost_terms> costs;
+    if (const auto prompt = promptRequest(now); isByLoad && prompt)
+        policy::setPromptCosts(all, policy::forecastPrompt(all, inputs.request, *prompt, {}));
     if (isByLoad)
         costs = policy::loadTermsOf(all, inputs.request, loadRequest(inputs.request.prefixHash, now), {});
     else {
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -134,6 +134,7 @@
     const auto& placement = inputs.request;
     const auto& inputBytes = inputs.inputBytes;
     m_loadChoice.reset();
+    m_promptChoice.reset();
     m_prefixHash = placement.prefixHash;
     m_lacksMemory = false;
     if (m_context.loads && m_context.loads->isUsable(m_request.service, now))
@@ -192,7 +193,10 @@
 
 target_ptr request_run::chooseByLoad(const placement_inputs& inputs, time_point now) const
 {
-    m_loadChoice = policy::chooseByLoad(candidates(inputs, true, now), inputs.request, loadRequest(inputs.request.prefixHash, now), {});
+    auto all = candidates(inputs, true, now);
+    const auto load = loadRequest(inputs.request.prefixHash, now);
+    const auto prompt = promptRequest(now);
+    m_loadChoice = prompt ? chooseByPrompt(all, inputs.request, load, *prompt) : policy::chooseByLoad(all, inputs.request, load, {});
     return m_loadChoice ? m_context.targets.ofService(m_request.service)[m_loadChoice->index] : nullptr;
 }
 
@@ -355,6 +359,7 @@
     m_context.counters.count("sends_total", { { "service", m_request.service } });
     if (m_context.loads)
         m_context.loads->recordSend(m_request.service, m_prefixHash, m_request.callerRequest.id, *target, m_loadChoice, now);
+    recordPrompt(attempt, now);
     logLine(log_level::Info, logComponent, "The request was sent to a target.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "send", std::to_string(m_sends) }, { "left_ms", std::to_string(call.timeLeft.count()) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target->listedAt)) }, { "software_version", target->listed.softwareVersion }, { "after_event", m_lastEventId.substr(0, maxLoggedBytes) }, { "in_flight", std::to_string(target->inFlight) }, { "beside_a_silent_target", m_backup ? "true" : "false" } });
 }
 
@@ -410,6 +415,8 @@
     m_limitPlace.reset();
     cancelAndReleaseStages();
     const auto duration = monotonicNow() - m_arrivedAt;
+    if (m_context.loads && m_longestPause.count() > 0)
+        m_context.counters.observeSeconds("longest_pause_seconds", { { "route", m_request.route->name } }, asSeconds(m_longestPause));
     m_context.counters.count("requests_total", { { "outcome", std::string(outcome) }, { "reason", std::string(reason) } });
     m_context.counters.observeSeconds("request_seconds", { { "outcome", std::string(outcome) } }, asSeconds(duration));
     logLine(log_level::Info, logComponent, "The request finished.", { { "request", m_request.callerRequest.id }, { "outcome", std::string(outcome) }, { "reason", std::string(reason) }, { "status", std::to_string(status) }, { "sends", std::to_string(m_sends) }, { "took_ms", std::to_string(asMilliseconds(duration)) } });
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -191,7 +191,7 @@
 
     double distanceOf(const placement_candidate& candidate, const load_costs& costs) noexcept
     {
-        double cost = candidate.remoteInputBytes / bytesPerMegabyte * costs.remoteInputMegabyte;
+        double cost = candidate.remoteInputBytes / bytesPerMegabyte * costs.remoteInputMegabyte + candidate.promptMilliseconds;
         if (candidate.isOnlyOfVersion)
             cost += costs.onlyOfVersion;
         if (candidate.isCold)
@@ -328,7 +328,8 @@
         parts.remoteInputs = candidate.remoteInputBytes / bytesPerMegabyte * costs.remoteInputMegabyte;
         parts.cold = candidate.isCold ? costs.cold : 0;
         parts.onlyOfVersion = candidate.isOnlyOfVersion ? costs.onlyOfVersion : 0;
-        parts.distance = distanceOf(candidate, costs) - parts.remoteInputs - parts.cold - parts.onlyOfVersion;
+        parts.prompt = candidate.promptMilliseconds;
+        parts.distance = distanceOf(candidate, costs) - parts.remoteInputs - parts.cold - parts.onlyOfVersion - parts.prompt;
     }
     return terms;
 }
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -38,6 +38,8 @@
     bool isCold = false;
     /// Factor of at least 1 by which the target appears worse than a healthy one.
     double penalty = 1;
+    /// What the request's prompt costs there, in milliseconds of delay (policy/long_prompts.hpp); only `chooseByLoad` uses it.
+    double promptMilliseconds = 0;
     /// Requests and tokens of all gateways; only `chooseByLoad` uses it.
     target_load load;
 };
@@ -88,9 +90,11 @@
     double remoteInputs = 0;
     double cold = 0;
     double onlyOfVersion = 0;
+    /// What the prompt costs the streams there and the request itself.
+    double prompt = 0;
     double distance = 0;
 
-    [[nodiscard]] double sum() const noexcept { return load + uncachedPrefix + remoteInputs + cold + onlyOfVersion + distance; }
+    [[nodiscard]] double sum() const noexcept { return load + uncachedPrefix + remoteInputs + cold + onlyOfVersion + prompt + distance; }
 };
 
 /// @return The parts whose sum is `costOf`.
