--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -99,6 +99,21 @@
             applyColdShare(context, *target, { rate, 0, now }, now);
     }
 
+    /// The statement orders targets with the setting `loadSharing` only.
+    void applyLoad(context& context, target_state& target, const http1::response_head& head)
+    {
+        if (!context.loads)
+            return;
+        const auto stated = platform::decodeLoad(head);
+        if (!stated.text)
+            return;
+        context.counters.count("stated_loads_total", { { "valid", stated.isValid ? "true" : "false" } });
+        if (stated.isValid)
+            target.statedLoad = { stated.running, stated.waiting, stated.slots, stated.workPercent, monotonicNow() };
+        else if (!std::exchange(target.isLoadProblemLogged, true))
+            logLine(log_level::Warning, "load", "The load that a target states cannot be read and is ignored; further ones of it are only counted.", { { "target", target.listed.id }, { "value", *stated.text } });
+    }
+
     void applyLeaving(context& context, target_state& target, const http1::response_head& head)
     {
         if (!platform::isLeaving(head) || std::exchange(target.isLeaving, true))
@@ -130,6 +145,7 @@
     callbacks.onHead = [&context, target, sentAt, trial, onHead = std::move(callbacks.onHead)](const http1::response_head& head) {
         applyLimit(context, target, head, sentAt);
         applyCold(context, target, head, sentAt);
+        applyLoad(context, *target, head);
         applyLeaving(context, *target, head);
         trial->onResponse(head);
         applyPause(context, target, head, monotonicNow());
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -171,6 +171,7 @@
         auto& candidate = candidates.emplace_back(candidateOf(*listed[i], sharedHashes, inputBytes, now));
         candidate.isOnlyOfVersion = prefersSharedVersions && candidate.isUsable && isOnlyOfVersion(listed, *listed[i], [this](const target_state& other) { return isSuitable(other); });
         candidate.load = loads[i];
+        candidate.load.requests = std::max(candidate.load.requests, static_cast<double>(candidate.inFlight));
     }
     policy::load_placement_request load;
     load.tieHash = hashOfPair(m_context.loads->ownHash(), hashOf(m_request.callerRequest.id));
@@ -211,11 +212,11 @@
     candidate.isUsable = reason == policy::ineligibility::None;
     m_lacksMemory = m_lacksMemory || reason == policy::ineligibility::Memory;
     locate(candidate, target.listed.failureDomain, inputBytes);
-    candidate.inFlight = target.inFlight;
+    candidate.inFlight = policy::callsAt(target.statedLoad, target.inFlight, now);
     candidate.slots = static_cast<uint32_t>(std::max(1, target.listed.slots));
     candidate.queuedPrefillTokens = target.queuedPrefillTokens;
     candidate.isCold = target.isColdNow();
-    candidate.penalty = policy::penaltyOf(target.health);
+    candidate.penalty = policy::penaltyOf(target.health) * policy::workFactor(target.statedLoad, now);
     for (size_t i = 0; i < sharedHashes.size(); ++i) {
         const auto position = target.cachedPrefixes.find(sharedHashes[i]);
         if (position == target.cachedPrefixes.end() || now - position->second > cachedPrefixLifetime)
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -6,6 +6,7 @@
 #include "policy/pause.hpp"
 #include "policy/placement_search.hpp"
 #include "policy/rate_limit.hpp"
+#include "policy/stated_load.hpp"
 #include "policy/stream_origins.hpp"
 #include "policy/target_health.hpp"
 #include "policy/target_load.hpp"
@@ -51,6 +52,9 @@
     policy::cold_start coldStart;
     /// A malformed statement of the cold time was logged.
     bool isColdProblemLogged = false;
+    policy::stated_load statedLoad;
+    /// A malformed statement of the load was logged.
+    bool isLoadProblemLogged = false;
 
     /// Calls of this process in progress.
     uint32_t inFlight = 0;
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -277,7 +277,7 @@
     view.totalBytes = profile.resultMemoryBytes > 0 ? profile.resultMemoryBytes * usableMemoryShare : std::numeric_limits<double>::max();
     view.freeBytes = view.totalBytes - target.heldBytes;
     // Tasks must not wait for a target that gets no work.
-    view.penalty = mayGetWork ? policy::penaltyOf(target.health) : unusablePenalty;
+    view.penalty = mayGetWork ? policy::penaltyOf(target.health) * policy::busyFactor(target.statedLoad, now) : unusablePenalty;
     return view;
 }
 
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -49,6 +49,8 @@
 
     /// Milliseconds for which the target that responds is still cold, a decimal number.
     constexpr std::string_view coldName = "X-Cold-Ms";
+    /// Running calls, waiting calls and slots, separated by commas, and possibly how long work takes in percent of the usual time.
+    constexpr std::string_view loadName = "X-Replica-Load";
 
     constexpr size_t maxPromptSegments = 1000;
 
@@ -284,6 +286,35 @@
     return cold;
 }
 
+replica_load decodeLoad(const http1::response_head& head)
+{
+    const auto value = http1::findHeader(head.headers, loadName);
+    if (!value || head.status == http1::statusMisdirected)
+        return {};
+    replica_load load;
+    load.text = value->substr(0, maxLoggedBytes);
+    uint32_t* const figures[] { &load.running, &load.waiting, &load.slots, &load.workPercent };
+    size_t count = 0;
+    std::string_view rest = *value;
+    for (bool isLast = false; !isLast; ++count) {
+        const size_t comma = rest.find(',');
+        isLast = comma == std::string_view::npos;
+        std::string_view part = rest.substr(0, comma);
+        rest = isLast ? std::string_view() : rest.substr(comma + 1);
+        while (part.starts_with(' '))
+            part.remove_prefix(1);
+        while (part.ends_with(' '))
+            part.remove_suffix(1);
+        uint32_t number = 0;
+        const auto [end, error] = std::from_chars(part.data(), part.data() + part.size(), number);
+        if (count >= std::size(figures) || part.empty() || error != std::errc() || end != part.data() + part.size() || number > maxReplicaFigure)
+            return load;
+        *figures[count] = number;
+    }
+    load.isValid = count >= 3 && load.slots > 0 && load.workPercent > 0 && http1::countHeaders(head.headers, loadName) == 1;
+    return load;
+}
+
 bool isLeaving(const http1::response_head& head)
 {
     // A misdirected request was answered by another target at this address.
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -78,6 +78,26 @@
 /// Reads the cold time from any response but a misdirected one, which another target answered.
 [[nodiscard]] stated_cold decodeCold(const http1::response_head& head);
 
+/// Largest value of a figure of `replica_load` that is plausible.
+constexpr uint32_t maxReplicaFigure = 10000;
+
+/// What a response says of the load of its target.
+struct replica_load {
+    /// The field's value, cut to a length that may be logged; not set if the response has none.
+    std::optional<std::string> text;
+    /// False if the field is missing, occurs more than once, or is not three or four whole numbers of at most `maxReplicaFigure`
+    /// of which the third and the fourth are positive.
+    bool isValid = false;
+    uint32_t running = 0;
+    uint32_t waiting = 0;
+    uint32_t slots = 0;
+    /// How long work takes there now; 100 is usual.
+    uint32_t workPercent = 100;
+};
+
+/// Reads the load from any response but a misdirected one, which another target answered.
+[[nodiscard]] replica_load decodeLoad(const http1::response_head& head);
+
 /// @return True if the target that responded states that it leaves and wants no new requests.
 [[nodiscard]] bool isLeaving(const http1::response_head& head);
 
