--- a/src/policy/target_load.hpp
+++ b/src/policy/target_load.hpp
@@ -181,10 +181,10 @@
     /// Mean time between two events in microseconds; zero if it is not known.
     double paceUs = 0;
     double paceSamples = 0;
-    /// `usualRequestsOf` the target; zero if it is not known.
-    double usualRequests = 0;
     /// Streams that have begun and not ended.
     double runningStreams = 0;
+    /// `usualRequestsOf` the target; zero if it is not known.
+    double usualRequests = 0;
 };
 
 /// Adds the own current figures to those of the other gateways. Prompt tokens of the others are reduced by what the target has
--- a/tests/unit/prompt_inputs_test.cpp
+++ b/tests/unit/prompt_inputs_test.cpp
@@ -11,8 +11,8 @@
 {
     const auto target = std::make_shared<gateway::target_state>();
     {
-        gateway::target_attempt first(target, 100, 0, {});
-        gateway::target_attempt second(target, 100, 0, {});
+        gateway::target_attempt first(target, 100, 0, 0, {});
+        gateway::target_attempt second(target, 100, 0, 0, {});
         cr_assert_eq(target->runningStreams, 0u);
         first.beginStream();
         first.beginStream();
@@ -22,7 +22,7 @@
     }
     cr_assert_eq(target->runningStreams, 0u);
     // An attempt that ends before its first byte was no stream.
-    static_cast<void>(gateway::target_attempt(target, 100, 0, {}));
+    static_cast<void>(gateway::target_attempt(target, 100, 0, 0, {}));
     cr_assert_eq(target->runningStreams, 0u);
 }
 
