Placement by trends is a setting of its own (loadTrends); stated load orders targets of pools only

Prefixes moved by the mean load of half a minute, and X-Replica-Load made targets of pools that had just ended a call look unhealthy, so that tasks waited for others. Change: without loadTrends the choice by load is the former one; a stated load orders idle targets of a pool and does not count as bad health.

--- a/bench/gateway_scale.cpp
+++ b/bench/gateway_scale.cpp
@@ -247,7 +247,7 @@
 template <typename Runs>
 void measureLoadChoice(context& gatewayContext, const Runs& runs)
 {
-    load_exchange loads(gatewayContext.counters, gatewayContext.targets, gatewayName(0), { [](std::string_view, const wire::message&) { return true; }, [] { return std::vector<std::string> { gatewayName(0) }; }, [] { return std::vector<std::string>(); } });
+    load_exchange loads(gatewayContext.counters, gatewayContext.targets, gatewayName(0), false, { [](std::string_view, const wire::message&) { return true; }, [] { return std::vector<std::string> { gatewayName(0) }; }, [] { return std::vector<std::string>(); } });
     wire::load_report report { hashOf(gatewayName(1)), 1, {} };
     gatewayContext.targets.forEach([&report](const target_state& target) { report.items.push_back({ target.incarnation, static_cast<uint32_t>(3 + target.hash % 5), target.hash % 20000, 60000, 20000, 20 }); });
     const time_point begun = monotonicNow();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,7 +90,7 @@
             [this] { return m_pools->storeReaders(); } });
     m_context.relay = &*m_relay;
     if (settings.loadSharing) {
-        m_loads.emplace(m_context.counters, m_context.targets, settings.name,
+        m_loads.emplace(m_context.counters, m_context.targets, settings.name, settings.loadTrends,
             load_exchange::callbacks { [this](std::string_view entry, wire::message message) { return m_pools->send(entry, std::move(message)); },
                 [this] { return m_pools->loadCollectors(m_context.settings.region); },
                 [this] { return m_pools->otherLoadCollectors(); } });
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -53,11 +53,12 @@
     }
 }
 
-load_exchange::load_exchange(metrics& counters, const target_registry& targets, std::string name, callbacks callbacks)
+load_exchange::load_exchange(metrics& counters, const target_registry& targets, std::string name, bool usesTrends, callbacks callbacks)
     : m_counters(counters)
     , m_targets(targets)
     , m_name(std::move(name))
     , m_ownHash(hashOf(m_name))
+    , m_usesTrends(usesTrends)
     , m_callbacks(std::move(callbacks))
     , m_nextSequence(static_cast<uint64_t>(wallNow().time_since_epoch().count()))
 {
@@ -245,8 +246,10 @@
 
 bool load_exchange::isUsable(std::string_view service, time_point now) const noexcept
 {
+    if (!policy::isUsable(m_view, now) || !m_usesTrends)
+        return policy::isUsable(m_view, now);
     const auto position = m_services.find(service);
-    return position != m_services.end() && policy::isUsable(m_view, now) && policy::isConsistent(position->second.trend);
+    return position != m_services.end() && policy::isConsistent(position->second.trend);
 }
 
 std::vector<policy::target_load> load_exchange::loadsOf(std::string_view service, std::span<const target_ptr> targets, time_point now) const
@@ -257,7 +260,7 @@
     for (const auto& target : targets) {
         auto& load = loads.emplace_back(policy::loadNow(m_view, figuresOf(*target, now), now));
         if (state != m_services.end())
-            load.usualRequests = policy::usualRequestsOf(state->second.trend, target->incarnation);
+            load.usualRequests = !m_usesTrends ? 0 : policy::usualRequestsOf(state->second.trend, target->incarnation);
     }
     return loads;
 }
--- a/src/gateway/load_exchange.hpp
+++ b/src/gateway/load_exchange.hpp
@@ -29,7 +29,8 @@
         std::function<std::vector<std::string>()> otherCollectors;
     };
 
-    load_exchange(metrics& counters, const target_registry& targets, std::string name, callbacks callbacks);
+    /// @param usesTrends  Sums are not used while they change faster than requests can arrive and end.
+    load_exchange(metrics& counters, const target_registry& targets, std::string name, bool usesTrends, callbacks callbacks);
 
     void tick(time_point now);
     /// @param from  Name of the entry to which this one is connected, if the message came from there.
@@ -112,6 +113,7 @@
     const target_registry& m_targets;
     std::string m_name;
     uint64_t m_ownHash;
+    bool m_usesTrends;
     callbacks m_callbacks;
     /// The last reports, newest last: a sum names the one that it contains.
     std::deque<sent_report> m_sentReports;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -189,6 +189,7 @@
     load.tieHash = hashOfPair(m_context.loads->ownHash(), hashOf(m_request.callerRequest.id));
     load.unseenSends = m_context.loads->unseenSends(m_request.service, now);
     load.figureAge = m_context.loads->figureAge(now);
+    load.isByTrend = m_context.settings.loadTrends;
     load.prefixShare = m_context.loads->prefixShare(m_request.service, prefixHash, now);
     return load;
 }
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -278,7 +278,8 @@
     view.totalBytes = profile.resultMemoryBytes > 0 ? profile.resultMemoryBytes * usableMemoryShare : std::numeric_limits<double>::max();
     view.freeBytes = view.totalBytes - target.heldBytes - policy::foreignBytesAt(target.poolReport.foreign, now);
     // Tasks must not wait for a target that gets no work.
-    view.penalty = mayGetWork ? policy::penaltyOf(target.health) * policy::busyFactor(target.statedLoad, now) : unusablePenalty;
+    view.penalty = mayGetWork ? policy::penaltyOf(target.health) : unusablePenalty;
+    view.busyFactor = policy::busyFactor(target.statedLoad, now);
     return view;
 }
 
--- a/src/policy/batching.cpp
+++ b/src/policy/batching.cpp
@@ -183,7 +183,7 @@
             if (targets[i].isIdle)
                 order.push_back(i);
         }
-        std::stable_sort(order.begin(), order.end(), [&](size_t left, size_t right) { return targets[left].penalty < targets[right].penalty; });
+        std::stable_sort(order.begin(), order.end(), [&](size_t left, size_t right) { return targets[left].penalty * targets[left].busyFactor < targets[right].penalty * targets[right].busyFactor; });
         return order;
     }
 
--- a/src/policy/batching.hpp
+++ b/src/policy/batching.hpp
@@ -71,6 +71,9 @@
     double penalty = 1;
     /// Empty if it is not known.
     std::string_view region;
+    /// Factor of at least 1 by which a call ends later than at an idle target. It orders idle targets, and does not make them
+    /// unhealthy: a target that has just ended a call still states it.
+    double busyFactor = 1;
 };
 
 /// Tasks that go to a target in one call.
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -85,6 +85,10 @@
     /// Bisections of the level to which unseen sends fill the targets; the error is below a thousandth of the range.
     constexpr int levelSteps = 12;
 
+    /// How far the second target of the ranking for a prefix may be behind, as a share of what the first one may be. With zero,
+    /// a tenth more tokens were read again in the replay.
+    constexpr double secondTargetShare = 0.75;
+
     /// Older figures say less and less about the load now: a request needs about two seconds.
     constexpr milliseconds trustedLoadAge { 500 };
     constexpr double leastTrust = 0.2;
@@ -201,6 +205,45 @@
         return cost;
     }
 
+    /// @return The first target in the ranking for the prefix whose load allows it; null if there is none.
+    const loaded_target* targetForPrefix(std::span<const loaded_target> targets, std::span<const placement_candidate> candidates, const placement_request& request, uint64_t tieHash, double meanDelay, double prefixMilliseconds, const load_costs& costs)
+    {
+        // The two first targets of the ranking: the second one has the prefix too if the first is often behind.
+        const loaded_target* first = nullptr;
+        const loaded_target* second = nullptr;
+        uint64_t firstScore = 0;
+        uint64_t secondScore = 0;
+        for (const loaded_target& target : targets) {
+            const uint64_t score = hashOfPair(candidates[target.index].hash, request.prefixHash);
+            if (!first || score > firstScore) {
+                second = std::exchange(first, &target);
+                secondScore = std::exchange(firstScore, score);
+            } else if (!second || score > secondScore) {
+                second = &target;
+                secondScore = score;
+            }
+        }
+        const loaded_target* best = nullptr;
+        uint64_t bestScore = 0;
+        for (const loaded_target& target : targets) {
+            const placement_candidate& candidate = candidates[target.index];
+            const bool isCached = &target == first || candidate.cachedTokens >= request.sharedTokens;
+            // Bounds differ between requests. With one bound for all, gateways with the same old figures would move a prefix
+            // from one target to the next and back together.
+            const double draw = fractionOf(hashOfPair(tieHash, candidate.hash));
+            const double share = isCached ? 0.5 + draw : &target == second ? secondTargetShare * (0.5 + draw)
+                                                                           : 0;
+            const double saved = share > 0 ? prefixMilliseconds * share : target.delayPerSend * (draw - 0.5);
+            if (target.delay + distanceOf(candidate, costs) > meanDelay + saved)
+                continue;
+            if (const uint64_t score = hashOfPair(candidate.hash, request.prefixHash); !best || score > bestScore) {
+                best = &target;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
     double usualMeanOf(std::span<const loaded_target> targets, std::span<const placement_candidate> candidates) noexcept
     {
         double sum = 0;
@@ -297,19 +340,23 @@
     const auto targets = loadedTargets(candidates, load.figureAge, costs);
     if (targets.empty())
         return std::nullopt;
+    const double meanDelay = meanDelayOf(targets);
     const double prefixMilliseconds = static_cast<double>(request.sharedTokens) / prefillTokensPerMillisecond;
     std::vector<loaded_target> forPrefix;
-    if (request.prefixHash != 0 && request.sharedTokens > 0)
+    const loaded_target* chosen = nullptr;
+    if (load.isByTrend && request.prefixHash != 0 && request.sharedTokens > 0) {
         forPrefix = targetsForPrefix(targets, candidates, request, load, prefixMilliseconds, costs);
-    const bool isForPrefix = !forPrefix.empty();
-    const auto& allowed = isForPrefix ? forPrefix : targets;
-    const loaded_target* chosen = allowed.data();
-    if (allowed.size() > 1)
-        chosen = &leastLoaded(allowed, candidates, request, load, filledLevel(targets, load.unseenSends), usualMeanOf(targets, candidates), costs);
+        if (forPrefix.size() == 1)
+            chosen = forPrefix.data();
+    } else if (request.prefixHash != 0 && prefixMilliseconds >= costs.minPrefixMilliseconds)
+        chosen = targetForPrefix(targets, candidates, request, load.tieHash, meanDelay, prefixMilliseconds, costs);
+    const bool isForPrefix = chosen || !forPrefix.empty();
+    if (!chosen)
+        chosen = &leastLoaded(forPrefix.empty() ? targets : forPrefix, candidates, request, load, filledLevel(targets, load.unseenSends), usualMeanOf(targets, candidates), costs);
     uint64_t cachedTokens = candidates[chosen->index].cachedTokens;
     if (isForPrefix && preferredTarget(candidates, request.prefixHash) == chosen->index)
         cachedTokens = std::max(cachedTokens, request.sharedTokens);
-    return load_choice { chosen->index, cachedTokens, chosen->delay, meanDelayOf(targets), isForPrefix };
+    return load_choice { chosen->index, cachedTokens, chosen->delay, meanDelay, isForPrefix };
 }
 
 std::vector<cost_terms> loadTermsOf(std::span<const placement_candidate> candidates, const placement_request& request, const load_placement_request& load, const load_costs& costs)
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -114,6 +114,8 @@
     microseconds figureAge { 0 };
     /// Share of the sends to the service that have the prefix of the request, from 0 to 1.
     double prefixShare = 0;
+    /// Prefixes move by the mean load of half a minute (`target_load::usualRequests`), not by the load now.
+    bool isByTrend = false;
 };
 
 /// Costs in milliseconds of delay.
@@ -134,7 +136,7 @@
     double cold = 450;
     /// A target that appears twice as bad as a healthy one.
     double penalty = 200;
-    /// A prefix whose prefill takes less than this moves first from a busy target.
+    /// A prefix whose prefill takes less than this is not kept on few targets; by trend, it moves first from a busy target.
     double minPrefixMilliseconds = 40;
     /// Costs that differ by less than this are near ties.
     double nearTie = 20;
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -22,6 +22,7 @@
         "store": { "type": "string" },
         "processorShare": { "type": "number", "exclusiveMinimum": 0 },
         "loadSharing": { "type": "boolean" },
+        "loadTrends": { "type": "boolean" },
         "longPromptPlacement": { "type": "boolean" },
         "regions": { "type": "object", "additionalProperties": { "type": "string" } },
         "poolAdmission": { "type": "boolean" },
@@ -93,6 +94,7 @@
         for (const auto& [domain, region] : regions.items())
             settings.regions.emplace(domain, region.get<std::string>());
         settings.loadSharing = document.value("loadSharing", settings.loadSharing);
+        settings.loadTrends = document.value("loadTrends", settings.loadTrends);
         settings.longPromptPlacement = document.value("longPromptPlacement", settings.longPromptPlacement);
         settings.bounds = readBounds(document.value("bounds", json::object()));
         const json limits = document.value("limits", json::object());
@@ -111,7 +113,7 @@
 {
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "operatorListen", operatorListen.toString() },
         { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions },
-        { "loadSharing", loadSharing }, { "longPromptPlacement", longPromptPlacement }, { "poolAdmission", poolAdmission }, { "poolReports", poolReports }, { "preferredDomainWaitMs", preferredDomainWait.count() },
+        { "loadSharing", loadSharing }, { "loadTrends", loadTrends }, { "longPromptPlacement", longPromptPlacement }, { "poolAdmission", poolAdmission }, { "poolReports", poolReports }, { "preferredDomainWaitMs", preferredDomainWait.count() },
         { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "evacuationMs", bounds.evacuation.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) }, { "coldOverage", bounds.coldOverage }, { "coldSlack", bounds.coldSlack } } },
         { "limits", { { "maxHeldBytes", limits.maxHeldBytes }, { "maxConnections", limits.maxConnections } } } };
 }
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -60,6 +60,8 @@
     gateway_limits limits;
     /// Targets are chosen by the load of all entries, which exchange it.
     bool loadSharing = false;
+    /// With `loadSharing`: prefixes move by the mean load of half a minute, and sums that change too fast are not used.
+    bool loadTrends = false;
     /// The choice by load also counts what a prompt costs the streams of a target; needs `loadSharing`.
     bool longPromptPlacement = false;
     /// How long a task waits for a target in the failure domain that holds most of its inputs.
--- a/tests/support/load_replay.hpp
+++ b/tests/support/load_replay.hpp
@@ -270,7 +270,7 @@
                     candidates[i].isInOwnDomain = candidates[i].isInOwnRegion = true;
                 }
                 const double unseen = options.requestsPerSecond * age;
-                const auto choice = policy::chooseByLoad(candidates, placement, { hashOfPair(request.gateway, number), unseen, options.figureAge, policy::prefixShareOf(sends[request.gateway], placement.prefixHash, timeAt(now)) }, options.costs);
+                const auto choice = policy::chooseByLoad(candidates, placement, { hashOfPair(request.gateway, number), unseen, options.figureAge, policy::prefixShareOf(sends[request.gateway], placement.prefixHash, timeAt(now)), true }, options.costs);
                 chosen = choice->index;
                 cachedTokens = choice->cachedTokens;
             }
