--- a/review/common/platform_stub.py
+++ b/review/common/platform_stub.py
@@ -49,7 +49,7 @@
 def free_port():
     """A port below those that the system gives to outgoing connections, so that none takes it before the process listens."""
     while True:
-        port = random.randrange(12000, 32000)
+        port = random.randrange(3000, 9900)
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
             try:
                 probe.bind((LOOPBACK, port))
