--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -8,6 +8,7 @@
 namespace bilberryseam::http1 {
 
 namespace {
+    /// Largest size of a head, of the line in front of a chunk, and of a trailer.
     constexpr size_t maxResponseHeaderBytes = 64 * 1024;
     constexpr unsigned maxInterimResponses = 8;
     constexpr milliseconds cleanupPeriod { 500 };
@@ -204,8 +205,12 @@
     if (m_isFinished)
         return;
     deliverBody();
-    if (!m_isFinished && state.parser.is_done())
+    if (m_isFinished)
+        return;
+    if (state.parser.is_done())
         handleResponseEnd(!state.readBuffer.empty());
+    else if (state.readBuffer.size() > maxResponseHeaderBytes)
+        finish(call_outcome::Malformed);
 }
 
 void client_call::deliverBody()
--- a/src/http1/detail/server_connection.hpp
+++ b/src/http1/detail/server_connection.hpp
@@ -73,8 +73,10 @@
     bool m_isLastRequest = false;
     bool m_isCloseAnnounced = false;
     bool m_isHeaderDone = false;
-    /// Limit of the request that is being read, as it was when the request began.
+    /// Limits of the request that is being read, as they were when the request began.
     milliseconds m_headerTimeout {};
+    /// Longest line in front of a chunk, and largest trailer. The parser consumes neither before its end.
+    size_t m_maxUnparsedBytes = 0;
     time_point m_lastProgressAt {};
     /// Written bytes that the client had not acknowledged when a timeout was last about to expire.
     size_t m_unacknowledgedBytes = 0;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -84,6 +84,7 @@
         const server_limits limits = m_server->m_limits();
         m_headerTimeout = limits.headerTimeout;
         m_parser.emplace();
+        m_maxUnparsedBytes = limits.maxHeaderBytes;
         m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         m_parser->body_limit(limits.maxBodyBytes);
         m_parser->eager(true);
@@ -114,8 +115,12 @@
         }
         if (m_parser->is_header_done() && !m_isHeaderDone)
             onHeaderComplete();
-        if (m_phase == phase::Reading && m_parser->is_done())
+        if (m_phase != phase::Reading)
+            return;
+        if (m_parser->is_done())
             onRequestComplete();
+        else if (m_readBuffer.size() > m_maxUnparsedBytes)
+            refuse(statusBadRequest, "The line in front of a chunk, or the trailer, exceeds the size limit.");
     }
 
     void server_connection::onHeaderComplete()
--- a/tests/process/gateway_endless_response_test.cpp
+++ b/tests/process/gateway_endless_response_test.cpp
@@ -80,6 +80,36 @@
     test.deployment.waitUntil([&] { return test.senders.front().isClosed(); }, "the end of the connection to the target");
 }
 
+// Guards against a stream without an end of a chunk's line, which took the gateway over its memory.
+Test(gateway_endless_response, a_stream_with_a_chunk_line_without_end_is_a_failure)
+{
+    endless_test test(393, "streaming", "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", { { "resumable", true }, { "max_attempts", 1 } });
+    const auto response = test.deployment.sendAndWait("POST", "/m/1", { { "X-Deadline-Ms", "3000" } });
+    cr_assert_eq(response->head.status, 502);
+    cr_assert_leq(test.peakResidentKib(), maxResidentKib, "%zu KiB", test.peakResidentKib());
+    test.deployment.waitUntil([&] { return test.senders.front().isClosed(); }, "the end of the connection to the target");
+}
+
+Test(gateway_endless_response, a_batch_call_with_a_chunk_line_without_end_is_a_failure)
+{
+    deployment_fixture deployment(394);
+    auto& endless = deployment.addTarget("e-1", "encode");
+    deployment.addTarget("m-1", "model");
+    std::list<endless_sender> senders;
+    endless.setBatchCallHandler([&](std::shared_ptr<http1::exchange> exchange) {
+        senders.emplace_back(exchange->releaseConnection(), "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n", blockOfText);
+    });
+    const nlohmann::json stages { { { "service", "encode" }, { "after", nlohmann::json::array() }, { "bytes", 1000 } } };
+    const nlohmann::json pool { { "name", "encode" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 4 }, { "call_ms", 5 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 4 } } } };
+    deployment.configure(3, { deployment_fixture::route("/m/", "idempotent", "model", { { "stages", stages } }) }, { pool });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    const auto response = deployment.sendAndWait("GET", "/m/1", { { "X-Deadline-Ms", "3000" }, { "X-Pieces", "1" }, { "X-Piece-Key", "k" } });
+    cr_assert_neq(response->head.status, 200);
+    deployment.waitUntil([&] { return !senders.empty() && senders.front().isClosed(); }, "the end of the connection to the target");
+    cr_assert_lt(senders.front().sentBytes(), 24u * 1024 * 1024, "%zu bytes were read", senders.front().sentBytes());
+}
+
 Test(gateway_endless_response, a_body_that_is_relayed_without_end_ends_at_the_deadline)
 {
     endless_test test(137, "non_idempotent", "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: s\r\n\r\n");
--- a/tests/unit/http1_test.cpp
+++ b/tests/unit/http1_test.cpp
@@ -150,6 +150,23 @@
     expectRefusal(5, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + std::string(101, 'x') + "\r\n0\r\n\r\n", "413");
 }
 
+// Guards against a request that is buffered without limit because its framing never ends.
+Test(http1_server, chunk_lines_and_trailers_over_the_limit_are_refused)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string endless(100000, 'a');
+    expectRefusal(52, head + endless, "400");
+    expectRefusal(52, head + "1\r\na\r\n1;name=" + endless, "400");
+    expectRefusal(52, head + "1\r\na\r\n0\r\nX-Field: " + endless, "400");
+}
+
+Test(http1_server, chunk_lines_and_trailers_within_the_limit_are_read)
+{
+    const std::string bytes = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n1;name=" + std::string(900, 'a') + "\r\na\r\n0\r\nX-Field: " + std::string(900, 'a') + "\r\n\r\n";
+    const raw_exchange_result result = exchangeRawBytes(53, bytes);
+    cr_assert_eq(result.handledRequests, 1u, "response: %s", result.response.c_str());
+}
+
 Test(http1_server, incomplete_header_times_out)
 {
     expectRefusal(6, "GET / HTTP/1.1\r\nHost:", "408");
