--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,6 +32,14 @@
     /// All entries know of a new one within this time.
     constexpr milliseconds stableEntriesTime { 5000 };
 
+    version_history::version_set versionsOf(std::span<const target_ptr> targets)
+    {
+        version_history::version_set versions;
+        for (const auto& target : targets)
+            versions.insert(target->listed.softwareVersion);
+        return versions;
+    }
+
     milliseconds shareOf(milliseconds bound, double share)
     {
         return milliseconds(static_cast<int64_t>(static_cast<double>(bound.count()) * share));
@@ -49,7 +57,7 @@
     : m_context(settings, [this](const target_state& target, std::string_view change) {
         logRecordChange(target, change, monotonicNow());
         if (change == target_registry::versionChange)
-            m_streams->onVersionChanged(target.hash, monotonicNow());
+            m_streams->onVersionChanged(target.hash, target.listed.service, monotonicNow());
         if (target.isRemoved)
             m_context.client.closeIdleConnections(target.listed.endpoint);
     })
@@ -80,10 +88,12 @@
             [this](time_point firstCrashAt) { onVerdict(firstCrashAt); },
             [this](uint64_t segment) { return m_pools->rankFor(textOfHash(segment)); } });
     m_context.crashes = &*m_crashes;
-    m_streams.emplace(m_context.counters, settings.name,
+    m_streams.emplace(m_context.counters, m_context.store, settings.name,
         stream_directory::callbacks { [this](std::string_view entry, wire::message message) { return m_pools->send(entry, std::move(message)); },
             [this](std::string_view entry) { m_pools->flush(entry); },
-            [this] { return m_pools->originKeepers(); } });
+            [this] { return m_pools->originKeepers(); },
+            [this] { return m_directory->others().size() + 1; },
+            [this](std::string_view service) { return versionsOf(m_context.targets.ofService(service)); } });
     m_context.streams = &*m_streams;
     m_relay.emplace(m_context.counters, settings.name,
         topic_relay::callbacks { [this](std::string_view entry, wire::message message) { return m_pools->send(entry, std::move(message)); },
--- a/src/gateway/request_continuation.cpp
+++ b/src/gateway/request_continuation.cpp
@@ -44,11 +44,7 @@
 
 void request_run::findOrigin()
 {
-    if (m_request.callerRequest.continuedRequest.empty()) {
-        onOrigin({ {}, true, {} });
-        return;
-    }
-    m_context.streams->find(streamKey(), monotonicNow(), [weak = weak_from_this()](const stream_directory::found_origin& found) {
+    m_context.streams->find(streamKey(), m_request.service, monotonicNow(), [weak = weak_from_this()](const stream_directory::found_origin& found) {
         if (const auto self = weak.lock())
             self->onOrigin(found);
     });
@@ -62,7 +58,7 @@
     const auto* origin = m_origin ? &*m_origin : nullptr;
     const auto versions = versionsInService();
     m_hasSeveralVersions = versions.size() > 1;
-    const auto decision = policy::decideContinuation(origin, versions);
+    const auto decision = policy::decideContinuation(origin, versions, found.mayHaveHadOtherVersions);
     const time_point now = monotonicNow();
     m_context.counters.count("continued_streams_total", { { "decision", std::string(nameOf(decision)) } });
     logLine(log_level::Info, logComponent, "A caller continues a stream.", { { "request", m_request.callerRequest.id }, { "began_at_version", origin ? origin->softwareVersion : "" }, { "began_at_target", origin ? textOfHash(origin->target) : "" }, { "began_ms_ago", origin ? std::to_string(asMilliseconds(now - origin->beganAt)) : "" }, { "decision", std::string(nameOf(decision)) }, { "known_by", found.knownBy }, { "certain", found.isCertain ? "true" : "false" }, { "versions_in_service", std::to_string(versions.size()) }, { "searched_ms", std::to_string(asMilliseconds(now - m_arrivedAt)) } });
@@ -84,8 +80,10 @@
 
 policy::continuation request_run::continuationNow() const
 {
-    if (!m_origin)
-        return policy::continuation::Unrestricted;
+    if (!m_origin) {
+        const bool mayHaveBegun = isContinuation() && m_context.streams->mayHaveHadOtherVersions(m_request.service, monotonicNow());
+        return mayHaveBegun ? policy::decideContinuation(nullptr, versionsInService(), true) : policy::continuation::Unrestricted;
+    }
     policy::stream_origin origin = *m_origin;
     if (m_originTarget && m_originTarget->isVersionChanged)
         origin.softwareVersion.clear();
@@ -111,7 +109,7 @@
     const bool mayBeOtherVersion = attempt.target->mayHaveRestarted(now) || attempt.target->mayHaveMissedRestart(now);
     const bool isDoubtful = attempt.target->isVersionChanged || (m_hasSeveralVersions && mayBeOtherVersion);
     m_origin = { isDoubtful ? std::string() : attempt.softwareVersion, attempt.target->hash, now };
-    m_context.streams->record(streamKey(), *m_origin);
+    m_context.streams->record(streamKey(), m_request.service, *m_origin);
 }
 
 void request_run::refuseContinuation(policy::continuation decision, bool isCertain)
--- a/src/gateway/stream_directory.cpp
+++ b/src/gateway/stream_directory.cpp
@@ -36,10 +36,16 @@
     }
 }
 
-stream_directory::stream_directory(metrics& metrics, std::string ownName, callbacks callbacks)
+stream_directory::stream_directory(metrics& metrics, platform::store_client& store, std::string ownName, callbacks callbacks)
     : m_metrics(metrics)
     , m_ownName(std::move(ownName))
     , m_callbacks(std::move(callbacks))
+    , m_versions(store, m_callbacks.listedVersions)
+    , m_archive(metrics, store,
+          origin_archive::callbacks { [this](const std::string& service, time_point now) { return m_versions.hadSeveral(service, now); },
+              [this](uint64_t stream, time_point now) { return policy::findOrigin(m_origins, stream, now); },
+              [this](uint64_t stream, policy::stream_origin origin) { policy::addOrigin(m_origins, stream, origin); },
+              m_callbacks.entryCount })
 {
 }
 
@@ -61,27 +67,31 @@
     }
 }
 
-void stream_directory::record(uint64_t stream, policy::stream_origin origin)
+void stream_directory::record(uint64_t stream, const std::string& service, const policy::stream_origin& origin)
 {
     const time_point now = origin.beganAt;
+    m_versions.check(service, now);
     if (!policy::addOrigin(m_origins, stream, origin))
         return;
     tell(stream, m_origins.byStream.at(stream), now);
+    m_archive.add(service, stream, now);
 }
 
-void stream_directory::onVersionChanged(uint64_t target, time_point now)
+void stream_directory::onVersionChanged(uint64_t target, const std::string& service, time_point now)
 {
     const auto streams = policy::doubtOriginsOf(m_origins, target, now);
-    for (const uint64_t stream : streams)
+    for (const uint64_t stream : streams) {
         tell(stream, m_origins.byStream.at(stream), now);
+        m_archive.add(service, stream, now);
+    }
     if (!streams.empty())
         logLine(log_level::Info, logComponent, "A target restarted with another software version; it is doubtful which one began its last streams.", { { "target", textOfHash(target) }, { "streams", std::to_string(streams.size()) } });
 }
 
-void stream_directory::find(uint64_t stream, time_point now, on_origin onFound)
+void stream_directory::find(uint64_t stream, const std::string& service, time_point now, on_origin onFound)
 {
     if (const auto* origin = policy::findOrigin(m_origins, stream, now)) {
-        onFound({ *origin, true, m_ownName });
+        onFound({ *origin, true, m_ownName, false });
         return;
     }
     // The entry that began the stream may itself be one of those that keep it, so one more than the copies may know it.
@@ -91,19 +101,18 @@
         position->second.waiting.push_back(std::move(onFound));
         return;
     }
-    search newSearch { {}, {}, true, now + maxSearchTime };
+    search newSearch { service, {}, {}, true, now + maxSearchTime };
     for (const auto entry : others) {
         if (m_searches.size() < maxSearches && m_callbacks.send(entry, wire::stream_query { stream }))
             newSearch.asked.emplace_back(entry);
         else
             newSearch.isComplete = false;
     }
-    if (newSearch.asked.empty()) {
-        onFound({ std::nullopt, newSearch.isComplete, {} });
-        return;
-    }
     newSearch.waiting.push_back(std::move(onFound));
-    m_searches.emplace(stream, std::move(newSearch));
+    if (newSearch.asked.empty())
+        searchStore(stream, std::move(newSearch));
+    else
+        m_searches.emplace(stream, std::move(newSearch));
 }
 
 bool stream_directory::handle(const wire::message& message, std::string_view from, const std::function<void(wire::message)>& reply, time_point now)
@@ -126,18 +135,50 @@
 
 void stream_directory::finish(uint64_t stream, std::string_view knownBy, time_point now)
 {
-    const auto finished = m_searches.extract(stream);
+    auto finished = m_searches.extract(stream);
     if (finished.empty())
         return;
-    const search& ended = finished.mapped();
-    found_origin found { {}, ended.isComplete && ended.asked.empty(), {} };
-    if (const auto* origin = policy::findOrigin(m_origins, stream, now))
-        found = { *origin, true, std::string(knownBy) };
-    m_metrics.count("stream_searches_total", { { "outcome", found.origin ? "found" : "unknown" } });
+    search& ended = finished.mapped();
+    const auto* origin = policy::findOrigin(m_origins, stream, now);
+    if (!origin) {
+        searchStore(stream, std::move(ended));
+        return;
+    }
+    m_metrics.count("stream_searches_total", { { "outcome", "found" } });
+    const found_origin found { *origin, true, std::string(knownBy), false };
     for (const auto& onFound : ended.waiting)
         onFound(found);
 }
 
+void stream_directory::searchStore(uint64_t stream, search ended)
+{
+    const bool isComplete = ended.isComplete && ended.asked.empty();
+    m_versions.load([this, stream, isComplete, service = std::move(ended.service), waiting = std::move(ended.waiting)] {
+        m_archive.read([this, stream, isComplete, service, waiting] {
+            const found_origin found = concludeFromStore(stream, service, isComplete);
+            for (const auto& onFound : waiting)
+                onFound(found);
+        });
+    });
+}
+
+stream_directory::found_origin stream_directory::concludeFromStore(uint64_t stream, const std::string& service, bool isComplete)
+{
+    const time_point now = monotonicNow();
+    found_origin found { std::nullopt, isComplete, {}, false };
+    if (const auto* origin = policy::findOrigin(m_origins, stream, now))
+        found = { *origin, true, "store", false };
+    else if (m_versions.mayHaveHadSeveral(service, now)) {
+        const auto version = m_versions.versionBeforeStart(service, now);
+        if (version)
+            found = { policy::stream_origin { *version, 0, now }, true, "versions", false };
+        else
+            found.mayHaveHadOtherVersions = true;
+    }
+    m_metrics.count("stream_searches_total", { { "outcome", found.origin ? "found" : "unknown" } });
+    return found;
+}
+
 void stream_directory::sendKept(std::string_view entry, time_point now) const
 {
     size_t sent = 0;
@@ -154,6 +195,7 @@
 void stream_directory::tick(time_point now)
 {
     policy::removeExpiredOrigins(m_origins, now);
+    m_archive.tick(now);
     std::vector<uint64_t> overdue;
     for (const auto& [stream, search] : m_searches) {
         if (now >= search.endsAt)
--- a/src/gateway/stream_directory.hpp
+++ b/src/gateway/stream_directory.hpp
@@ -1,6 +1,8 @@
 /// Software versions that began streams, shared among the entries, so that a caller may continue its stream at any of them.
 #pragma once
 
+#include "gateway/origin_archive.hpp"
+#include "gateway/version_history.hpp"
 #include "policy/stream_origins.hpp"
 #include "telemetry/metrics.hpp"
 #include "wire/message.hpp"
@@ -13,7 +15,8 @@
 namespace bilberryseam::gateway {
 
 /// Each origin is kept by the entry that began the stream and by two others, which the hash of the stream selects. An entry
-/// that does not know a stream asks those.
+/// that does not know a stream asks those. If none of them knows it, which proves nothing since they may have started a moment
+/// ago, it reads the store.
 class stream_directory {
 public:
     struct callbacks {
@@ -24,6 +27,10 @@
         std::function<void(std::string_view entry)> flush;
         /// @return All entries that keep origins, with this one if it does.
         std::function<std::span<const std::string>()> keepers;
+        /// @return Number of entries of the deployment.
+        std::function<size_t()> entryCount;
+        /// @return The versions of the listed targets of a service.
+        version_history::listed_versions listedVersions;
     };
     /// The result of a search.
     struct found_origin {
@@ -31,19 +38,25 @@
         std::optional<policy::stream_origin> origin;
         /// All entries that may know the stream have responded, or one of them knows it.
         bool isCertain = false;
-        /// The entry that knows the stream; empty if none does.
+        /// The entry that knows the stream, or what the origin was concluded from; empty if it is not known.
         std::string knownBy;
+        /// The origin is not known, and the stream may have begun at a version that is not listed now.
+        bool mayHaveHadOtherVersions = false;
     };
     using on_origin = std::function<void(const found_origin& found)>;
 
-    stream_directory(metrics& metrics, std::string ownName, callbacks callbacks);
+    stream_directory(metrics& metrics, platform::store_client& store, std::string ownName, callbacks callbacks);
 
     /// Records the origin of a stream, and tells the entries that keep it.
-    void record(uint64_t stream, policy::stream_origin origin);
+    /// @param service  Service that runs the stream.
+    void record(uint64_t stream, const std::string& service, const policy::stream_origin& origin);
     /// Records that a target restarted with another version, so that streams which it began lately are doubtful.
-    void onVersionChanged(uint64_t target, time_point now);
+    void onVersionChanged(uint64_t target, const std::string& service, time_point now);
     /// Finds the origin of a stream; `onFound` may be called at once.
-    void find(uint64_t stream, time_point now, on_origin onFound);
+    /// @param service  Service that runs the stream.
+    void find(uint64_t stream, const std::string& service, time_point now, on_origin onFound);
+    /// @return Whether a stream of the service whose origin is not known may have begun at a version that is not listed now.
+    [[nodiscard]] bool mayHaveHadOtherVersions(const std::string& service, time_point now) { return m_versions.mayHaveHadSeveral(service, now); }
 
     /// Handles a message of another entry.
     /// @param from   Name of the entry.
@@ -60,6 +73,7 @@
 private:
     /// A search that waits for responses of other entries.
     struct search {
+        std::string service;
         std::vector<on_origin> waiting;
         /// Entries that have not responded.
         std::vector<std::string> asked;
@@ -71,11 +85,16 @@
     [[nodiscard]] std::vector<std::string_view> othersFor(uint64_t stream, size_t count) const;
     /// @param knownBy  The entry that sent the origin; empty if none did.
     void finish(uint64_t stream, std::string_view knownBy, time_point now);
+    /// Ends a search that found nothing at the other entries.
+    void searchStore(uint64_t stream, search ended);
+    [[nodiscard]] found_origin concludeFromStore(uint64_t stream, const std::string& service, bool isComplete);
 
     metrics& m_metrics;
     std::string m_ownName;
     callbacks m_callbacks;
     policy::stream_origin_table m_origins;
     std::map<uint64_t, search> m_searches;
+    version_history m_versions;
+    origin_archive m_archive;
 };
 }
--- a/src/policy/stream_origins.cpp
+++ b/src/policy/stream_origins.cpp
@@ -54,8 +54,10 @@
     }
 }
 
-continuation decideContinuation(const stream_origin* origin, const std::set<std::string_view>& versions) noexcept
+continuation decideContinuation(const stream_origin* origin, const std::set<std::string_view>& versions, bool mayHaveHadOtherVersions) noexcept
 {
+    if (!origin && mayHaveHadOtherVersions)
+        return continuation::OriginUnknown;
     const bool isVersioned = std::any_of(versions.begin(), versions.end(), [](std::string_view version) { return !version.empty(); });
     if (!isVersioned)
         return continuation::Unrestricted;
--- a/src/policy/stream_origins.hpp
+++ b/src/policy/stream_origins.hpp
@@ -63,13 +63,14 @@
     Pinned,
     /// No target in service has that version.
     VersionGone,
-    /// It is not known which version began the stream, and several are in service.
+    /// It is not known which version began the stream, and it may be another one than a target's.
     OriginUnknown,
 };
 
-/// @param origin    The stream's origin; null if no entry knows it.
-/// @param versions  Versions of the targets in service; empty texts for targets that state none.
-[[nodiscard]] continuation decideContinuation(const stream_origin* origin, const std::set<std::string_view>& versions) noexcept;
+/// @param origin                    The stream's origin; null if it is not known.
+/// @param versions                  Versions of the targets in service; empty texts for targets that state none.
+/// @param mayHaveHadOtherVersions   A stream without a known origin may have begun at a version that is not in service.
+[[nodiscard]] continuation decideContinuation(const stream_origin* origin, const std::set<std::string_view>& versions, bool mayHaveHadOtherVersions = false) noexcept;
 
 /// @return The entries that keep the origin of a stream, best first: at most `count` of `entries`.
 [[nodiscard]] std::vector<std::string_view> originKeepers(std::span<const std::string> entries, uint64_t stream, size_t count);
--- /dev/null
+++ b/tests/process/gateway_all_killed_test.cpp
@@ -0,0 +1,171 @@
+/// Streams that callers take up again after all gateways were killed and started again, beside a release.
+#include "support/versioned_fleet.hpp"
+
+#include <criterion/criterion.h>
+#include <csignal>
+
+using namespace bilberryseam;
+using namespace bilberryseam::tests;
+
+namespace {
+constexpr size_t gatewayCount = 3;
+constexpr size_t streamCount = 6;
+
+/// Streams that begin at v1, and gateways that are all killed.
+struct killed_fleet {
+    explicit killed_fleet(int slot)
+        : fleet(slot, gatewayCount)
+    {
+        fleet.add("t-1", "v1");
+        fleet.add("t-2", "v1");
+        fleet.waitUntilReady();
+    }
+
+    /// Begins streams whose callers lose their connections.
+    void beginStreams()
+    {
+        for (size_t i = 0; i < streamCount; ++i)
+            fleet.begin(idOf(i), i % gatewayCount)->call.reset();
+    }
+
+    void killGateways()
+    {
+        for (size_t gateway = 0; gateway < gatewayCount; ++gateway)
+            fleet.deployment.signal(gateway, SIGKILL);
+        fleet.deployment.waitUntil([this] { return hasEnded(0) && hasEnded(1) && hasEnded(2); }, "the end of the gateways");
+    }
+
+    void restartGateways()
+    {
+        for (size_t gateway = 0; gateway < gatewayCount; ++gateway)
+            fleet.deployment.restartGateway(gateway);
+        for (size_t gateway = 0; gateway < gatewayCount; ++gateway)
+            fleet.deployment.waitUntilReady(gateway);
+    }
+
+    /// Lists the targets of v1 as draining, or removes their records.
+    void retireOldVersion(bool isRemoved)
+    {
+        auto engine = fleet.engines.begin();
+        for (const std::string id : { "t-1", "t-2" }) {
+            if (isRemoved)
+                fleet.deployment.unlistTarget(id);
+            else
+                fleet.deployment.listTarget(engine->target(), "model", "draining");
+            ++engine;
+        }
+    }
+
+    void expectWholeStreams()
+    {
+        for (size_t i = 0; i < streamCount; ++i) {
+            const auto resumed = fleet.resume(idOf(i), (i + 1) % gatewayCount);
+            cr_assert(isWholeStreamOf(*resumed, "v1"), "stream %zu, status %u: %s", i, resumed->head.status, resumed->body.c_str());
+        }
+    }
+
+    void expectRefusals()
+    {
+        for (size_t i = 0; i < streamCount; ++i) {
+            const auto resumed = fleet.resume(idOf(i), (i + 1) % gatewayCount);
+            cr_assert_eq(resumed->head.status, 503, "stream %zu, status %u: %s", i, resumed->head.status, resumed->body.c_str());
+        }
+    }
+
+    [[nodiscard]] static std::string idOf(size_t stream) { return "a-" + std::to_string(stream); }
+    [[nodiscard]] bool hasEnded(size_t gateway) { return fleet.deployment.hasExited(gateway); }
+
+    versioned_fleet fleet;
+};
+}
+
+// Guards against refusing each stream for which no gateway knows the version that began it.
+Test(gateway_all_killed, streams_go_on_at_their_version_while_both_serve)
+{
+    killed_fleet test(395);
+    test.beginStreams();
+    test.fleet.release("v2", 2);
+    test.killGateways();
+    test.restartGateways();
+    test.expectWholeStreams();
+}
+
+Test(gateway_all_killed, streams_that_began_beside_a_second_version_go_on_at_theirs)
+{
+    killed_fleet test(396);
+    test.fleet.release("v2", 2);
+    test.beginStreams();
+    test.fleet.deployment.runLoopFor(milliseconds(400));
+    test.killGateways();
+    test.restartGateways();
+    for (size_t i = 0; i < streamCount; ++i) {
+        const auto resumed = test.fleet.resume(killed_fleet::idOf(i), (i + 1) % gatewayCount);
+        const bool isWhole = isWholeStreamOf(*resumed, "v1") || isWholeStreamOf(*resumed, "v2");
+        cr_assert(isWhole, "stream %zu, status %u: %s", i, resumed->head.status, resumed->body.c_str());
+    }
+    // What the first events said is at the engines: each stream must have gone on at the version that began it.
+    std::map<std::string, std::set<std::string>> versionsByStream;
+    for (auto& engine : test.fleet.engines) {
+        for (const auto& request : engine.target().requests()) {
+            const auto resumes = http1::findHeader(request.head.headers, "Resumes");
+            versionsByStream[resumes ? std::string(*resumes) : request.id].insert(engine.behaviour().version);
+        }
+    }
+    for (const auto& [stream, versions] : versionsByStream)
+        cr_assert_eq(versions.size(), 1u, "stream %s ran at both versions", stream.c_str());
+}
+
+// Guards against continuing a stream at another version because its own is not in service any more.
+Test(gateway_all_killed, streams_of_a_version_that_drains_are_refused)
+{
+    killed_fleet test(397);
+    test.beginStreams();
+    test.fleet.release("v2", 2);
+    test.retireOldVersion(false);
+    test.killGateways();
+    test.restartGateways();
+    test.expectRefusals();
+}
+
+Test(gateway_all_killed, streams_of_a_version_that_is_gone_are_refused)
+{
+    killed_fleet test(398);
+    test.beginStreams();
+    test.fleet.release("v2", 2);
+    test.killGateways();
+    test.retireOldVersion(true);
+    test.restartGateways();
+    test.expectRefusals();
+}
+
+Test(gateway_all_killed, streams_are_refused_if_no_gateway_saw_the_version_that_serves_now)
+{
+    killed_fleet test(399);
+    test.beginStreams();
+    test.fleet.deployment.runLoopFor(milliseconds(500));
+    test.killGateways();
+    test.retireOldVersion(true);
+    test.fleet.release("v2", 2);
+    test.restartGateways();
+    test.expectRefusals();
+}
+
+Test(gateway_all_killed, streams_go_on_if_no_gateway_saw_the_second_version)
+{
+    killed_fleet test(400);
+    test.beginStreams();
+    test.fleet.deployment.runLoopFor(milliseconds(500));
+    test.killGateways();
+    test.fleet.release("v2", 2);
+    test.restartGateways();
+    test.expectWholeStreams();
+}
+
+Test(gateway_all_killed, streams_go_on_while_one_version_serves)
+{
+    killed_fleet test(401);
+    test.beginStreams();
+    test.killGateways();
+    test.restartGateways();
+    test.expectWholeStreams();
+}
