--- a/tests/process/gateway_all_killed_test.cpp
+++ b/tests/process/gateway_all_killed_test.cpp
@@ -169,3 +169,28 @@
     test.restartGateways();
     test.expectWholeStreams();
 }
+
+// Guards against origins that are kept only by gateways which were lost for good and are still listed.
+Test(gateway_all_killed, streams_go_on_although_gateways_that_were_lost_are_still_listed)
+{
+    versioned_fleet fleet(402, 2);
+    fleet.add("t-1", "v1");
+    fleet.add("t-2", "v1");
+    for (int i = 0; i < 24; ++i) {
+        const nlohmann::json record { { "peerListen", fleet.deployment.allocateAddress().toString() }, { "weight", 1 }, { "startedAtMs", i }, { "failureDomain", "north-1" } };
+        fleet.deployment.store().put("keyed.entries", "lost-" + std::to_string(i), record.dump());
+    }
+    fleet.waitUntilReady();
+    fleet.release("v2", 2);
+    std::vector<std::string> versions;
+    for (size_t i = 0; i < 12; ++i) {
+        const auto stream = fleet.begin("a-" + std::to_string(i), 0);
+        versions.push_back(*versionsIn(stream->body).begin());
+        stream->call.reset();
+    }
+    fleet.deployment.runLoopFor(milliseconds(500));
+    for (size_t i = 0; i < versions.size(); ++i) {
+        const auto resumed = fleet.resume("a-" + std::to_string(i), 1);
+        cr_assert(isWholeStreamOf(*resumed, versions[i]), "stream %zu, status %u: %s", i, resumed->head.status, resumed->body.c_str());
+    }
+}
