Odd records of another writer are rejected, not cut to other values

Operators of similar systems reported processes that end, or stop following the list, because of one odd record. Tests for each decoder show what happens here: deeply nested records of targets were rejected before, but a deeply nested list in a crash record ended the process (a recursive copy), numbers out of range became other numbers (slots, born, figures of crash records), port 0 and identifiers with line ends named usable targets, and such a record could hide the sound target at its address.

Numbers are now read with their range (wholeNumber), ports and identifiers are checked, lists are not copied.

--- a/src/gateway/crash_records.cpp
+++ b/src/gateway/crash_records.cpp
@@ -1,5 +1,7 @@
 #include "gateway/crash_records.hpp"
 
+#include "base/json_numbers.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -36,19 +38,34 @@
         return {};
     }
 
+    template <typename Number>
+    Number readNumber(const json& from, const char* name)
+    {
+        return wholeNumber<Number>(from.at(name), name);
+    }
+
+    /// @throws error (`InvalidMessage`) if the list is longer than on the wire.
+    const json& readList(const json& from, const char* name)
+    {
+        const json& list = from.at(name);
+        if (!list.is_array() || list.size() > maxItems)
+            throw invalidRecord(name, "The record has no valid list of segments.");
+        return list;
+    }
+
     wire::message readReport(const json& from)
     {
-        wire::crash_report report { from.at("id"), from.at("target"), from.at("ageMs"), {} };
-        for (const json& item : from.at("segments"))
-            report.segments.push_back({ item.at(0), item.at(1) });
+        wire::crash_report report { readNumber<uint64_t>(from, "id"), readNumber<uint64_t>(from, "target"), readNumber<uint32_t>(from, "ageMs"), {} };
+        for (const json& item : readList(from, "segments"))
+            report.segments.push_back({ wholeNumber<uint64_t>(item.at(0), "segments"), wholeNumber<uint32_t>(item.at(1), "segments") });
         return report;
     }
 
     wire::message readVerdict(const json& from)
     {
-        wire::segment_verdict verdict { from.at("segment"), {}, from.at("crashes"), from.at("ageMs"), from.at("trials"), from.at("nextTrialMs") };
-        for (const json& item : from.at("companions"))
-            verdict.companions.push_back({ item.get<uint64_t>() });
+        wire::segment_verdict verdict { readNumber<uint64_t>(from, "segment"), {}, readNumber<uint32_t>(from, "crashes"), readNumber<uint32_t>(from, "ageMs"), readNumber<uint32_t>(from, "trials"), readNumber<uint32_t>(from, "nextTrialMs") };
+        for (const json& item : readList(from, "companions"))
+            verdict.companions.push_back({ wholeNumber<uint64_t>(item, "companions") });
         return verdict;
     }
 
@@ -71,19 +88,19 @@
 {
     try {
         const json document = json::parse(text);
-        const wall_time writtenAt { milliseconds(document.at("writtenAtMs").get<int64_t>()) };
+        const wall_time writtenAt { milliseconds(wholeNumber<int64_t>(document.at("writtenAtMs"), "writtenAtMs", 0, latestUnixMs)) };
         const std::string kind = document.at("kind");
-        if (document.value("segments", json::array()).size() > maxItems || document.value("companions", json::array()).size() > maxItems)
-            return invalidRecord(key, "The record has too many segments.");
         if (kind == "report")
             return crash_record { readReport(document), writtenAt };
         if (kind == "verdict")
             return crash_record { readVerdict(document), writtenAt };
         if (kind == "survival")
-            return crash_record { wire::segment_survival { document.at("segment"), document.at("ageMs") }, writtenAt };
+            return crash_record { wire::segment_survival { readNumber<uint64_t>(document, "segment"), readNumber<uint32_t>(document, "ageMs") }, writtenAt };
         return invalidRecord(key, "The kind of the record is unknown.");
     } catch (const json::exception& problem) {
         return invalidRecord(key, problem.what());
+    } catch (const error& problem) {
+        return problem;
     }
 }
 
--- a/src/gateway/entry_directory.cpp
+++ b/src/gateway/entry_directory.cpp
@@ -1,5 +1,7 @@
 #include "gateway/entry_directory.hpp"
 
+#include "base/json_numbers.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -16,6 +18,8 @@
     /// Delay of an early read, so that several signs of new entries cause one read.
     constexpr milliseconds earlyReadDelay { 200 };
     constexpr milliseconds publishRetryDelay { 1000 };
+
+    constexpr double maxWeight = 1e6;
 }
 
 std::string entry_record::encode() const
@@ -27,9 +31,11 @@
 {
     try {
         const json document = json::parse(text);
-        entry_record record { std::string(name), ip_endpoint::parse(document.at("peerListen").get<std::string>(), name).value(), document.at("weight"), document.at("startedAtMs"), document.value("failureDomain", "") };
-        if (!(record.weight > 0))
-            return error(error_kind::InvalidMessage, "The weight in an entry's record is not positive.", "Run the same release on all entries.", name);
+        entry_record record { std::string(name), ip_endpoint::parse(document.at("peerListen").get<std::string>(), name).value(), document.at("weight"), wholeNumber<int64_t>(document.at("startedAtMs"), "startedAtMs", 0, latestUnixMs), document.value("failureDomain", "") };
+        if (!(record.weight > 0 && record.weight <= maxWeight))
+            return error(error_kind::InvalidMessage, "The weight in an entry's record is out of range.", "Run the same release on all entries.", name);
+        if (record.peerListen.port == 0)
+            return error(error_kind::InvalidMessage, "The port in an entry's record is zero.", "Run the same release on all entries.", name);
         return record;
     } catch (const json::exception& problem) {
         return error(error_kind::InvalidMessage, problem.what(), "Run the same release on all entries.", name);
--- a/src/platform/batch_call.cpp
+++ b/src/platform/batch_call.cpp
@@ -97,7 +97,7 @@
 std::optional<ip_endpoint> holderOf(std::string_view handle)
 {
     const auto endpoint = ip_endpoint::parse(handle.substr(0, handle.find('/')));
-    return endpoint ? std::optional(endpoint.value()) : std::nullopt;
+    return endpoint && endpoint.value().port != 0 ? std::optional(endpoint.value()) : std::nullopt;
 }
 
 std::string encodeReleaseCall(std::span<const std::string> handles)
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -1,5 +1,7 @@
 #include "platform/records.hpp"
 
+#include "base/json_numbers.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -201,20 +203,32 @@
         return it->get<std::string>();
     }
 
+    /// @return Whether a header field can hold the identifier.
+    bool isIdentifier(std::string_view id) noexcept
+    {
+        return !id.empty() && std::all_of(id.begin(), id.end(), [](char character) { return character > ' ' && character <= '~'; });
+    }
+
     deployment::target readTarget(std::string_view id, const json& from)
     {
+        constexpr uint32_t maxSlots = 1'000'000;
+        if (!isIdentifier(id))
+            throw invalidRecord("The identifier of a target is empty or has characters other than printable ASCII.", "id");
         deployment::target target;
         target.id = std::string(id);
         target.service = from.at("service");
         target.endpoint = ip_endpoint::parse(from.at("address").get<std::string>(), id).value();
+        if (target.endpoint.port == 0)
+            throw invalidRecord("The port of the target is zero.", id);
         target.failureDomain = from.at("zone");
-        target.slots = from.at("slots");
+        target.slots = wholeNumber<uint32_t>(from.at("slots"), "slots", 1, maxSlots);
         const std::string state = from.at("state");
         if (state != "ready" && state != "draining")
             throw invalidRecord("The state of the target is neither \"ready\" nor \"draining\".", id);
         target.isDraining = state == "draining";
         // "born" is the Unix time of the target's start in milliseconds.
-        target.startedAtMs = readOr<int64_t>(from, "born", 0);
+        if (const auto born = from.find("born"); born != from.end() && !born->is_null())
+            target.startedAtMs = wholeNumber<int64_t>(*born, "born", 0, latestUnixMs);
         target.softwareVersion = readSoftwareVersion(from);
         target.cold = readCold(from);
         return target;
