A refusal of another request is not taken for this one's

Operators of similar systems saw callers told "not run" for requests that ran (REFUSED), or such requests at a second target (TWICE), when a target wrote an earlier refusal once more. It could happen here: the statement that a request was not executed counted before the identifier in the response was compared.

A refusal that names another request is now a response that is not the request's own, and the idle connections to its target are closed. Refusals that name no request count as before.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -191,6 +191,9 @@
     if (!http1::isReceived(outcome) || !attempt->isOwnResponse() || isTruncatedStream) {
         const bool isCrash = isTruncatedStream || outcome == http1::call_outcome::NoResponse || outcome == http1::call_outcome::Truncated;
         policy::recordFailure(health, policy::call_failure::Failed, now);
+        // The response of this request may follow on the connection.
+        if (attempt->hasHead && !response.isForRequest)
+            m_context.client.closeIdleConnections(attempt->target->listed.endpoint);
         if (isCrash && !attempt->hasSurvived)
             recordCrash(*attempt, now);
         const std::string_view reason = isTruncatedStream ? "half_event" : "not_own_answer";
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -253,10 +253,13 @@
 {
     target_response response;
     response.status = head.status;
-    response.isForRequest = http1::findHeader(head.headers, requestIdName) == requestId;
+    const auto respondedId = http1::findHeader(head.headers, requestIdName);
+    response.isForRequest = respondedId == requestId;
     response.isSealed = http1::findHeader(head.headers, sealName).has_value();
-    response.isWrongTarget = head.status == http1::statusMisdirected;
-    response.isNotExecuted = isNotExecuted(head);
+    // A refusal of an earlier request that arrives once more says nothing about this one. Some refusals name no request.
+    const bool isForOtherRequest = respondedId && !response.isForRequest;
+    response.isWrongTarget = head.status == http1::statusMisdirected && !isForOtherRequest;
+    response.isNotExecuted = isNotExecuted(head) && !isForOtherRequest;
     response.isInputMissing = response.isNotExecuted && head.status == http1::statusConflict;
     response.isEncoded = http1::findHeader(head.headers, "Content-Encoding").has_value();
     return response;
