--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -395,7 +395,7 @@
     pool& pool = m_pools[service];
     pool.calls.remove(call);
     const bool hasResponse = http1::isReceived(outcome) && call->status == http1::statusOk;
-    const auto results = hasResponse ? platform::decodeTaskResults(call->body, call->tasks.size()) : result<std::vector<platform::task_result>>(error());
+    const auto results = hasResponse ? decodeResults(*call) : result<std::vector<platform::task_result>>(error());
     scheduleTick();
     if (results) {
         const double relativeDuration = asSeconds(now - call->startsAt) / asSeconds(call->expectedTime + networkTime);
@@ -429,6 +429,29 @@
         retry(service, task, platform::task_failure::Failed, wasSent);
 }
 
+result<std::vector<platform::task_result>> task_scheduler::decodeResults(const batch_call& call)
+{
+    auto results = platform::decodeTaskResults(call.body, call.tasks.size());
+    if (!results)
+        return results;
+    const auto taskOf = [&call](size_t i) { return policy::hashOfTask(call.tasks[i]->job->requestId, call.tasks[i]->job->stage, call.tasks[i]->index); };
+    for (size_t i = 0; i < call.tasks.size(); ++i) {
+        const std::string& handle = results.value()[i].handle;
+        if (handle.empty() || !policy::isOfOtherTask(m_handles, handle, taskOf(i)))
+            continue;
+        // The response to this call may follow on the connection.
+        m_context.client.closeIdleConnections(call.target->listed.endpoint);
+        m_context.counters.count("foreign_results_total", { { "service", call.tasks[i]->job->service } });
+        logLine(log_level::Warning, logComponent, "A target responded to a batch call with the result of another task.", { { "target", call.target->listed.id }, { "request", call.tasks[i]->job->requestId }, { "handle", handle } });
+        return error(error_kind::InvalidMessage, "The response has the result of another task.", "Check the target's version.", handle);
+    }
+    for (size_t i = 0; i < call.tasks.size(); ++i) {
+        if (const std::string& handle = results.value()[i].handle; !handle.empty())
+            policy::addHandle(m_handles, handle, taskOf(i));
+    }
+    return results;
+}
+
 void task_scheduler::applyResults(const std::shared_ptr<batch_call>& call, const std::vector<platform::task_result>& results)
 {
     const auto tasks = call->tasks;
--- a/src/gateway/task_scheduler.hpp
+++ b/src/gateway/task_scheduler.hpp
@@ -7,6 +7,7 @@
 #include "policy/account_share.hpp"
 #include "policy/batching.hpp"
 #include "policy/pool_admission.hpp"
+#include "policy/result_handles.hpp"
 #include "policy/work_value.hpp"
 
 #include <functional>
@@ -147,6 +148,8 @@
     void send(const std::string& service, pool& pool, const target_ptr& target, std::vector<task_ptr> tasks, time_point now);
     void onCallEnded(const std::string& service, const std::shared_ptr<batch_call>& call, http1::call_outcome outcome);
     void applyResults(const std::shared_ptr<batch_call>& call, const std::vector<platform::task_result>& results);
+    /// @return The results in the response to a call, or `InvalidMessage` if they are malformed or those of other tasks.
+    [[nodiscard]] result<std::vector<platform::task_result>> decodeResults(const batch_call& call);
     void retry(const std::string& service, const task_ptr& task, platform::task_failure failure, bool wasSent);
     /// @return Whether the result of a task is still needed, and the task is neither queued nor part of a call in progress.
     [[nodiscard]] static bool isAbandoned(const pool& pool, const queued_task& task);
@@ -158,6 +161,7 @@
     context& m_context;
     std::map<std::string, pool, std::less<>> m_pools;
     result_table m_results;
+    policy::result_handles m_handles;
     std::list<std::shared_ptr<http1::client_call>> m_releaseCalls;
     pool_reports m_reports;
     timer m_scheduledTick;
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -18,6 +18,7 @@
 #include "policy/planned_stop.hpp"
 #include "policy/pool_admission.hpp"
 #include "policy/pool_memory.hpp"
+#include "policy/result_handles.hpp"
 #include "policy/rate_limit.hpp"
 #include "policy/routing.hpp"
 #include "policy/spread.hpp"
--- a/tests/process/gateway_repeated_answer_test.cpp
+++ b/tests/process/gateway_repeated_answer_test.cpp
@@ -144,3 +144,40 @@
         cr_assert_geq(errors, 1u, "no target was asked to go on");
     }
 }
+
+// Guards against the results of other tasks as inputs of a request.
+Test(gateway_repeated_answer, a_repeated_response_of_a_pool_is_not_taken_for_that_of_the_next_call)
+{
+    deployment_fixture deployment(408);
+    auto& pool = deployment.addTarget("e-1", "encode");
+    auto& model = deployment.addTarget("m-1", "model");
+    size_t calls = 0;
+    std::list<std::shared_ptr<http1::tcp_stream>> connections;
+    std::list<timer> answers;
+    const auto bodyOf = [&pool](size_t call) { return nlohmann::json { { "items", { { { "handle", pool.endpoint().toString() + "/" + std::to_string(call) } } } } }.dump(); };
+    pool.setBatchCallHandler([&](std::shared_ptr<http1::exchange> exchange) {
+        const size_t call = ++calls;
+        if (call % 3 != 2) {
+            exchange->respond(200, { { "Content-Type", "application/json" } }, bodyOf(call));
+            return;
+        }
+        const auto respond = [](http1::tcp_stream& connection, const std::string& body) { connection.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body); };
+        const auto connection = connections.emplace_back(exchange->releaseConnection());
+        respond(*connection, bodyOf(call - 1));
+        answers.emplace_back().startOnce(milliseconds(200), [=] { respond(*connection, bodyOf(call)); });
+    });
+    const nlohmann::json stages { { { "service", "encode" }, { "after", nlohmann::json::array() }, { "bytes", 1000 } } };
+    const nlohmann::json profile { { "name", "encode" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 4 }, { "call_ms", 5 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 4 } } } };
+    deployment.configure(3, { deployment_fixture::route("/m/", "idempotent", "model", { { "stages", stages } }) }, { profile });
+    deployment.startGateway();
+    deployment.waitUntilReady();
+    for (int i = 0; i < 8; ++i)
+        cr_assert_eq(deployment.sendAndWait("GET", "/m/" + std::to_string(i), { { "X-Pieces", "1" }, { "X-Piece-Key", "k" } })->head.status, 200, "request %d", i);
+    cr_assert_geq(connections.size(), 2u, "no response was repeated");
+    std::map<std::string, std::string> requestsByInput;
+    for (const auto& request : model.requests()) {
+        const std::string input(http1::findHeader(request.head.headers, "X-Inputs").value_or(""));
+        const auto [position, isNew] = requestsByInput.emplace(input, request.id);
+        cr_assert(isNew || position->second == request.id, "%s was given to two requests", input.c_str());
+    }
+}
