--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <glib.h>
 
 namespace bilberryseam::platform {
 
@@ -119,6 +120,15 @@
         return http1::findHeader(headers, name);
     }
 
+    /// @return The value of a field that is passed on in JSON; empty if it is missing.
+    std::string readText(const http1::header_list& headers, std::string_view name)
+    {
+        const std::string_view text = findUnique(headers, name).value_or("");
+        if (!g_utf8_validate(text.data(), static_cast<gssize>(text.size()), nullptr))
+            throw invalidField(name, "is not UTF-8");
+        return std::string(text);
+    }
+
     std::string readHost(const http1::header_list& headers)
     {
         const auto host = findUnique(headers, "Host");
@@ -151,7 +161,7 @@
     {
         deployment::caller_request request;
         request.host = readHost(headers);
-        request.id = std::string(findUnique(headers, requestIdName).value_or(""));
+        request.id = readText(headers, requestIdName);
         if (request.id.empty())
             throw invalidField(requestIdName, "is missing");
         if (const auto deadline = findUnique(headers, deadlineName))
@@ -159,7 +169,7 @@
         request.apiKey = std::string(findUnique(headers, apiKeyName).value_or(""));
         request.generation = readPrompt(headers);
         forEachListItem(findUnique(headers, taskCountsName).value_or(""), [&](std::string_view item) { request.taskCounts.push_back(parseNumber<uint32_t>(item, taskCountsName)); });
-        request.taskKey = std::string(findUnique(headers, taskKeyName).value_or(""));
+        request.taskKey = readText(headers, taskKeyName);
         request.continuedRequest = std::string(findUnique(headers, continuedRequestName).value_or(""));
         return request;
     }
