A message nested too deeply no longer ends a side or a gateway

Entries and gateways lost a peer whenever somebody sent it one message of 1 MiB with nested arrays: the CBOR decoder calls itself for each level and ran out of stack. Messages above 4 KiB are now read by a SAX pass first, which stops at 200 levels; 500,000 values are the most that a message may hold, since a value takes 16 times its byte. Smaller messages cannot nest deeply enough.

Before, on: gateway_peer_crowd::a_deeply_nested_message and side_session_crowd::a_deeply_nested_message fail (the process is gone); with this change both pass.

--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,5 +1,7 @@
 #include "wire/codec.hpp"
 
+#include "base/json_shape.hpp"
+
 #include <cmath>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -214,8 +216,17 @@
         return bytes;
     }
 
+    /// Smaller messages can be neither nested too deeply nor hold too many values.
+    constexpr size_t uncheckedBytes = 4 * 1024;
+    constexpr size_t maxValuesPerMessage = 500000;
+
     json fromCbor(std::string_view bytes)
     {
+        if (bytes.size() > uncheckedBytes) {
+            const json_shape shape = shapeOf(bytes, json::input_format_t::cbor);
+            if (shape.isTooDeep || shape.values > maxValuesPerMessage)
+                throw error(error_kind::LimitExceeded, "A message holds too many values, or is nested too deeply.", "Run the same release on both ends.");
+        }
         json value = json::from_cbor(bytes.begin(), bytes.end(), true, false);
         if (value.is_discarded())
             fail("A message is not valid CBOR.");
