One budget a gateway for what its clients have it hold

Callers saw a gateway that ran out of memory, or that had no place for them. Cause: each connection was bounded, the sum of all was not; bodies in receipt, bytes behind requests, unread responses and receive buffers counted nowhere, and a crowd that stayed kept its connections.

policy/client_memory decides, on plain figures, who may hold more and who yields: the unfinished request that holds most for the longest time without progress, with 503 and Retry-After, which is true since it was not handed over. Small requests keep a quarter, the largest one is served in calm, unread responses and bytes behind requests get less the fewer is left, connections without progress yield their places, receive buffers are bounded. Bodies and write buffers no longer keep a second copy or their largest capacity. A listening socket pauses when the process has no descriptor left. Crowds show in at most one log line a second and in client_pressure_total and client_memory_bytes.

--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -4,6 +4,7 @@
 #include "deployment/deployment.hpp"
 #include "gateway/target_registry.hpp"
 #include "http1/client.hpp"
+#include "loop/client_memory_budget.hpp"
 #include "platform/store_client.hpp"
 #include "policy/budget.hpp"
 #include "policy/evacuation.hpp"
@@ -79,8 +80,8 @@
     std::map<std::string, policy::service_limit, std::less<>> serviceLimits;
     /// Requests that wait for a limited target, by service.
     std::map<std::string, size_t, std::less<>> waitingForLimits;
-    /// Bytes of the request bodies of open requests.
-    size_t heldBodyBytes = 0;
+    /// What the clients of all ports may have the gateway hold.
+    std::shared_ptr<client_memory_budget> clientMemory = std::make_shared<client_memory_budget>(policy::client_memory_limits());
 
     context(settings::gateway_settings initialSettings, target_registry::on_change onTargetChange)
         : settings(std::move(initialSettings))
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,6 +40,15 @@
         return versions;
     }
 
+    /// Operators and the platform send small requests on few connections.
+    http1::server_limits operatorLimits()
+    {
+        http1::server_limits limits;
+        limits.maxBodyBytes = 64 * 1024;
+        limits.maxConnections = 128;
+        return limits;
+    }
+
     milliseconds shareOf(milliseconds bound, double share)
     {
         return milliseconds(static_cast<int64_t>(static_cast<double>(bound.count()) * share));
@@ -62,17 +71,19 @@
             m_context.client.closeIdleConnections(target.listed.endpoint);
     })
     , m_scheduler(m_context)
+    , m_pressure(m_context.clientMemory, m_context.counters, logComponent)
 {
+    updateClientMemory();
     const auto limits = [this] { return serverLimits(); };
-    m_callers.emplace(settings.listen, limits, [this](std::shared_ptr<http1::exchange> exchange) { handleRequest(std::move(exchange)); });
-    m_callers->setOnRefused([this](unsigned status, std::string_view reason) {
-        m_context.counters.count("unread_requests_total", { { "status", std::to_string(status) } });
-        logLine(log_level::Warning, logComponent, reason, { { "status", std::to_string(status) } });
-    });
-    m_callers->setOverLimitHeaders({ platform::retryAfterHeader(detail::retryWhenFull) });
+    m_callers.emplace(
+        settings.listen, limits, [this](std::shared_ptr<http1::exchange> exchange) { handleRequest(std::move(exchange)); }, m_context.clientMemory);
     m_callers->setOnUnfinished([this](const http1::unfinished_connection& connection) { recordUnfinished(connection); });
     m_operators.emplace(
-        settings.operatorListen, [] { return http1::server_limits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleOperatorRequest(exchange); });
+        settings.operatorListen, [] { return operatorLimits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleOperatorRequest(exchange); }, m_context.clientMemory);
+    for (auto* server : { &*m_callers, &*m_operators }) {
+        server->setOverLimitHeaders({ platform::retryAfterHeader(detail::retryWhenFull) });
+        server->setOnRefused([this](unsigned status, std::string_view reason) { m_pressure.recordUnread(status, reason); });
+    }
     m_configurationFollower.emplace(m_context.store, std::string(platform::operatorTopic), platform::follow_options { readPause(std::min({ settings.bounds.configuration, settings.bounds.revocation, settings.bounds.evacuation })) }, configurationCallbacks());
     m_targetFollower.emplace(m_context.store, std::string(platform::targetTopic), platform::follow_options { milliseconds(0), readPause(settings.bounds.leaving) }, targetCallbacks());
     const int64_t startedAtMs = wallNow().time_since_epoch().count();
@@ -129,6 +140,7 @@
     m_context.settings.poolReports = settings.poolReports;
     m_context.settings.preferredDomainWait = settings.preferredDomainWait;
     m_context.settings.limits = settings.limits;
+    updateClientMemory();
     m_context.settings.regions = settings.regions;
     ++m_context.placementRules;
     m_context.settings.store = settings.store;
@@ -228,6 +240,7 @@
     logUnknownRegions(m_context, configuration);
     m_context.counters.count("configurations_total", { { "outcome", "in_force" } });
     m_context.counters.set("configuration_version", {}, static_cast<double>(configuration.version));
+    updateClientMemory();
     policy::changeIdleLimit(m_idleLimits, configuration.limits.idleTimeout, monotonicNow());
     m_pools->onMembersChanged();
     limitColdTargets(monotonicNow());
@@ -284,6 +297,15 @@
     return limits;
 }
 
+void gateway::updateClientMemory()
+{
+    policy::client_memory_limits limits;
+    limits.total = m_context.settings.limits.heldBytes();
+    const http1::server_limits serverLimits = this->serverLimits();
+    limits.largestRequest = policy::bytesOfLargestRequest(serverLimits.maxHeaderBytes, serverLimits.maxBodyBytes, serverLimits.bodyCopies);
+    m_context.clientMemory->setLimits(limits);
+}
+
 bool gateway::isReady(time_point now) const
 {
     return !m_isStopping && m_context.configuration && m_hasTargets && m_pools->isReady(now) && m_crashes->isReady() && areKeysFresh(now);
@@ -346,11 +368,13 @@
 
 void gateway::recordUnfinished(const http1::unfinished_connection& connection)
 {
-    std::string id;
-    if (connection.openRequest) {
-        if (const auto decoded = platform::decodeRequest(*connection.openRequest))
-            id = decoded.value().id;
+    if (!connection.openRequest) {
+        m_pressure.recordUnfinished(connection.reason);
+        return;
     }
+    std::string id;
+    if (const auto decoded = platform::decodeRequest(*connection.openRequest))
+        id = decoded.value().id;
     m_context.counters.count("unfinished_connections_total", { { "reason", std::string(connection.reason) } });
     logLine(log_level::Warning, logComponent, "A connection ended before its requests had complete responses.", { { "request", id }, { "reason", std::string(connection.reason) }, { "unanswered_bytes", std::to_string(connection.unansweredBytes) }, { "unsent_bytes", std::to_string(connection.unsentBytes) } });
 }
@@ -363,6 +387,7 @@
         m_context.counters.set("stream_origins", {}, static_cast<double>(m_streams->size()));
         m_context.counters.set("entry_connection_bytes", {}, static_cast<double>(m_pools->byteCount()));
         m_context.counters.set("open_requests", {}, static_cast<double>(m_openRuns.size()));
+        m_pressure.updateGauges();
         m_context.counters.set("connections_opened", {}, static_cast<double>(m_context.client.openedConnections()));
         exchange->respond(http1::statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.counters.serialize());
         return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -1,6 +1,7 @@
 /// An entry of a platform's deployment: accepts requests from callers and has targets execute them.
 #pragma once
 
+#include "execution/pressure_report.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/request_run.hpp"
@@ -54,6 +55,8 @@
     void recordRead(std::string_view topic, bool& isUnreachable, time_point sentAt);
     void recordFailedRead(std::string_view topic, bool& isUnreachable, std::string_view reason);
     [[nodiscard]] http1::server_limits serverLimits() const;
+    /// Applies the settings and the configuration to the memory that clients may have the gateway hold.
+    void updateClientMemory();
     /// @return True while API keys may be trusted: no removal of a key can have been missed for longer than the bound.
     [[nodiscard]] bool areKeysFresh(time_point now) const;
     [[nodiscard]] bool isReady(time_point now) const;
@@ -113,6 +116,7 @@
     std::optional<load_exchange> m_loads;
     std::list<std::shared_ptr<request_run>> m_openRuns;
     std::vector<std::shared_ptr<request_run>> m_finishedRuns;
+    execution::pressure_report m_pressure;
     std::optional<http1::server> m_callers;
     std::optional<http1::server> m_operators;
     std::optional<platform::topic_follower> m_configurationFollower;
--- a/src/gateway/request_acceptance.cpp
+++ b/src/gateway/request_acceptance.cpp
@@ -58,8 +58,6 @@
         return refusal;
     if (auto refusal = identifyAccount(request, now))
         return refusal;
-    if (m_context.heldBodyBytes > m_context.settings.limits.maxHeldBytes)
-        return acceptance_refusal { http1::statusUnavailable, "memory", detail::retryWhenFull, {} };
     return refusalByCrashes(request, target, now);
 }
 
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -11,9 +11,6 @@
 namespace {
     constexpr std::string_view logComponent = "request";
 
-    /// Bytes of a response that are buffered before it is relayed, so that an attempt that breaks off can be retried.
-    constexpr size_t maxBufferedBytes = 256 * 1024;
-
     /// Largest body of a response that is not relayed while it arrives.
     constexpr size_t maxUnrelayedBytes = 1024 * 1024;
 
@@ -61,11 +58,13 @@
         return;
     }
     attempt.buffer.append(bytes);
+    m_request.exchange->setBufferedBytes(attempt.buffer.size());
     // The other run is kept until this one is complete, or as large as the gateway buffers.
-    const bool isLarge = attempt.buffer.size() > (m_backup ? maxUnrelayedBytes : maxBufferedBytes);
+    const bool isLarge = attempt.buffer.size() > (m_backup ? maxUnrelayedBytes : m_request.exchange->pendingLimit());
     if (attempt.isRelayable() && (isLarge || m_request.exchange->isStarted())) {
         keepOnly(attempt);
         startRelay(attempt);
+        m_request.exchange->setBufferedBytes(0);
         relay(std::exchange(attempt.buffer, {}));
     }
     if (attempt.buffer.size() > maxUnrelayedBytes)
@@ -126,7 +125,7 @@
 void request_run::relay(std::string_view bytes)
 {
     m_request.exchange->writeChunk(bytes);
-    if (m_request.exchange->pendingBytes() >= detail::maxUnreadBytes && m_current)
+    if (m_request.exchange->pendingBytes() >= m_request.exchange->pendingLimit() && m_current)
         m_current->setReading(false, monotonicNow());
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -58,15 +58,11 @@
         m_memoryTokens = service->second.engine->memoryTokens;
         m_neededTokens = m_request.callerRequest.generation->promptTokens + m_request.callerRequest.generation->maxOutputTokens;
     }
-    m_context.heldBodyBytes += m_request.exchange->body().size();
     if (const auto last = http1::findHeader(m_request.exchange->head().headers, "Last-Event-Id"))
         m_lastEventId = *last;
 }
 
-request_run::~request_run()
-{
-    m_context.heldBodyBytes -= m_request.exchange->body().size();
-}
+request_run::~request_run() = default;
 
 void request_run::start()
 {
@@ -106,7 +102,7 @@
     }
     releaseUnneededResults(now);
     if (m_current && m_request.exchange->isStarted())
-        m_current->setReading(m_request.exchange->pendingBytes() < detail::maxUnreadBytes, now);
+        m_current->setReading(m_request.exchange->pendingBytes() < m_request.exchange->pendingLimit(), now);
     checkSilence(now);
 }
 
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -28,9 +28,6 @@
     /// A request for which no target is usable is refused this long after its arrival.
     constexpr milliseconds maxPlacementTime { 1500 };
 
-    /// Unsent bytes towards a caller at which the gateway stops reading from the target.
-    constexpr size_t maxUnreadBytes = 256 * 1024;
-
     /// Limit of how often the stages of one request are run.
     constexpr int maxStageRuns = 3;
 
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -172,10 +172,9 @@
         return;
     m_hasResponseBytes = true;
     parser_state& state = *m_parserState;
-    state.readBuffer.append(bytes);
     for (;;) {
         detail::beast::error_code problem;
-        state.readBuffer.erase(0, detail::feed(state.parser, state.readBuffer, problem));
+        detail::feedBuffered(state.parser, state.readBuffer, bytes, problem);
         if (problem && problem != detail::http::error::need_more) {
             finish(call_outcome::Malformed);
             return;
--- a/src/http1/detail/beast.hpp
+++ b/src/http1/detail/beast.hpp
@@ -53,4 +53,19 @@
     }
     return consumed;
 }
+
+/// Passes bytes to a parser, behind those that it has not consumed before.
+/// @param unconsumed  Receives the bytes that remain; occupies no memory if there are none.
+template <typename Parser>
+void feedBuffered(Parser& parser, std::string& unconsumed, std::string_view bytes, beast::error_code& problem)
+{
+    if (unconsumed.empty()) {
+        unconsumed.assign(bytes.substr(feed(parser, bytes, problem)));
+        return;
+    }
+    unconsumed.append(bytes);
+    unconsumed.erase(0, feed(parser, unconsumed, problem));
+    if (unconsumed.empty())
+        std::string().swap(unconsumed);
+}
 }
--- a/src/http1/server.hpp
+++ b/src/http1/server.hpp
@@ -3,6 +3,7 @@
 
 #include "http1/message.hpp"
 #include "http1/tcp_stream.hpp"
+#include "loop/client_memory_budget.hpp"
 #include "loop/timer.hpp"
 
 #include <functional>
@@ -26,6 +27,8 @@
     /// Largest number of open connections whose requests are handled. A request on a further one is refused; if there are too many
     /// of these as well, they are closed when they are accepted.
     size_t maxConnections = 2000;
+    /// Number of times that a body counts while its request is handled, for its copies.
+    size_t bodyCopies = 2;
 };
 
 /// A connection that ends while a request has no complete response.
@@ -78,6 +81,9 @@
     /// request has already been received; then the same applies to the next response.
     void closeAfterResponse();
 
+    /// Announces the close of the connection with this response, also if further requests have been received; they are not read.
+    void endConnection();
+
     /// @return How the client's connection ended before the response was complete; not set while it is open.
     [[nodiscard]] std::optional<close_reason> disconnectReason() const noexcept { return m_disconnectReason; }
 
@@ -85,6 +91,15 @@
     [[nodiscard]] bool isFinished() const noexcept { return m_isFinished; }
     /// @return Bytes of the response that are not yet handed to the kernel.
     [[nodiscard]] size_t pendingBytes() const;
+    /// @return Bytes of the response beyond which its source should wait for the client.
+    /// @param largest  Limit while there is enough memory.
+    [[nodiscard]] size_t pendingLimit(size_t largest = policy::maxUnsentBytes) const noexcept;
+    /// Counts bytes of the response that are kept elsewhere until they are written.
+    void setBufferedBytes(size_t bytes);
+
+    /// Counts `bytes` for the body and what is made of it, instead of the copies that the limits name.
+    /// @return False if they do not fit; the request should be refused.
+    [[nodiscard]] bool holdBody(size_t bytes);
 
     /// Sets a callback that runs once if the client disconnects before the response is complete.
     void setOnDisconnect(std::function<void()> onDisconnect) { m_onDisconnect = std::move(onDisconnect); }
@@ -97,6 +112,7 @@
     std::shared_ptr<detail::server_connection> m_connection;
     request_head m_head;
     std::string m_body;
+    size_t m_bufferedBytes = 0;
     time_point m_arrivedAt {};
     std::function<void()> m_onDisconnect;
     std::optional<close_reason> m_disconnectReason;
@@ -112,8 +128,9 @@
     /// @param address   Address to listen on.
     /// @param limits    Returns the current limits; called whenever they are applied.
     /// @param onRequest Called with each request after its whole body was received.
+    /// @param memory    What all clients of the process may have it hold; null for no limit.
     /// @throws error (`Unavailable`) if listening on the address fails.
-    server(const ip_endpoint& address, std::function<server_limits()> limits, handler onRequest);
+    server(const ip_endpoint& address, std::function<server_limits()> limits, handler onRequest, std::shared_ptr<client_memory_budget> memory = nullptr);
     server(const server&) = delete;
     server& operator=(const server&) = delete;
     ~server();
@@ -134,11 +151,18 @@
     /// @param headers  Header fields of the response.
     void refuseUnfinishedRequests(const header_list& headers);
 
-    /// Sets header fields of the response with status 503 to requests on connections beyond the limit.
+    /// Sets a function that returns the body of a response to a request that is refused before it reaches the handler; without
+    /// one, these responses have no body. The function may add header fields.
+    void setRefusalBody(std::function<std::string(unsigned status, header_list& headers)> refusalBody) { m_refusalBody = std::move(refusalBody); }
+
+    /// Sets header fields of the response with status 503 to requests for which there is no connection or no memory.
     void setOverLimitHeaders(header_list headers) { m_overLimitHeaders = std::move(headers); }
 
     [[nodiscard]] size_t connectionCount() const noexcept { return m_connections.size(); }
 
+    /// @return Number of connections with a request that is not completely received, or with a response that is not completely sent.
+    [[nodiscard]] size_t unfinishedConnections() const noexcept;
+
     /// Sets a callback for each request or connection that is refused before it reaches the handler. The status is 0 for a connection.
     void setOnRefused(std::function<void(unsigned status, std::string_view reason)> onRefused) { m_onRefused = std::move(onRefused); }
 
@@ -155,10 +179,14 @@
     void accept(std::shared_ptr<tcp_stream> stream);
     [[nodiscard]] bool isOverLimit() const;
     void checkConnections();
+    /// Closes connections that can yield their places to new ones.
+    void freePlaces(size_t count);
 
     std::function<server_limits()> m_limits;
     handler m_onRequest;
+    std::shared_ptr<client_memory_budget> m_memory;
     std::function<void(unsigned, std::string_view)> m_onRefused;
+    std::function<std::string(unsigned, header_list&)> m_refusalBody;
     std::function<void(const unfinished_connection&)> m_onUnfinished;
     std::list<std::shared_ptr<detail::server_connection>> m_connections;
     header_list m_overLimitHeaders;
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -15,9 +15,15 @@
 namespace bilberryseam::http1 {
 
 namespace {
-    constexpr size_t readBlockBytes = 32 * 1024;
+    /// A write buffer up to this size is kept when it is empty.
+    constexpr size_t keptWriteBufferBytes = 4 * 1024;
+
     constexpr int listenBacklog = 1024;
     constexpr int maxAcceptsPerDispatch = 64;
+    constexpr int acceptedReceiveBufferBytes = 64 * 1024;
+
+    /// Time for which nothing is accepted after the process had no descriptor left.
+    constexpr milliseconds noDescriptorPause { 100 };
 
     /// Idle time before the first keep-alive probe, time between probes, and number of unanswered probes that close the connection.
     constexpr int keepAliveIdleSeconds = 2;
@@ -233,8 +239,8 @@
 
 void tcp_stream::handleReadable()
 {
-    std::array<char, readBlockBytes> block;
-    const ssize_t count = recv(m_descriptor, block.data(), block.size(), 0);
+    std::array<char, maxReadBytes> block;
+    const ssize_t count = recv(m_descriptor, block.data(), m_readLimit, 0);
     if (count < 0) {
         if (!isTransientError())
             closeAndNotify(reasonOfError());
@@ -256,19 +262,21 @@
 {
     if (!isOpen())
         return;
-    const bool wasEmpty = m_writeBuffer.empty();
-    m_writeBuffer.append(bytes);
-    if (wasEmpty && !m_isConnecting)
-        flush();
-    else
+    if (!m_writeBuffer.empty() || m_isConnecting) {
+        m_writeBuffer.append(bytes);
         updateInterest();
+        return;
+    }
+    const size_t sentBytes = sendNow(bytes);
+    m_writeBuffer.append(bytes.substr(sentBytes));
+    onSent(sentBytes);
 }
 
-void tcp_stream::flush()
+size_t tcp_stream::sendNow(std::string_view bytes)
 {
     size_t sentBytes = 0;
-    while (sentBytes < m_writeBuffer.size()) {
-        const ssize_t count = send(m_descriptor, m_writeBuffer.data() + sentBytes, m_writeBuffer.size() - sentBytes, MSG_NOSIGNAL);
+    while (sentBytes < bytes.size()) {
+        const ssize_t count = send(m_descriptor, bytes.data() + sentBytes, bytes.size() - sentBytes, MSG_NOSIGNAL);
         if (count <= 0) {
             // A failed send consumes the error of a reset, so the next read reports the end of the data.
             if (count < 0 && !isTransientError() && !m_sendFailure)
@@ -278,7 +286,20 @@
         sentBytes += static_cast<size_t>(count);
         m_hasSent = true;
     }
+    return sentBytes;
+}
+
+void tcp_stream::flush()
+{
+    const size_t sentBytes = sendNow(m_writeBuffer);
     m_writeBuffer.erase(0, sentBytes);
+    if (m_writeBuffer.empty() && m_writeBuffer.capacity() > keptWriteBufferBytes)
+        std::string().swap(m_writeBuffer);
+    onSent(sentBytes);
+}
+
+void tcp_stream::onSent(size_t sentBytes)
+{
     if (sentBytes > 0)
         startPeerChecks();
     if (m_writeBuffer.empty() && m_isWriteShutdownRequested)
@@ -323,6 +344,12 @@
     updateInterest();
 }
 
+void tcp_stream::limitReceiveBuffer(size_t bytes) noexcept
+{
+    if (isOpen())
+        setOption(m_descriptor, SOL_SOCKET, SO_RCVBUF, static_cast<int>(bytes));
+}
+
 void tcp_stream::finishWriting()
 {
     m_isWriteShutdownRequested = true;
@@ -376,16 +403,30 @@
     socklen_t length = 0;
     const bool isValidAddress = fillAddress(address, storage, length);
     m_descriptor = isValidAddress ? socket(storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0) : -1;
-    if (m_descriptor >= 0)
+    if (m_descriptor >= 0) {
         setOption(m_descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+        // Accepted connections inherit it. Without a limit, the buffer of a fast sender grows to megabytes.
+        setOption(m_descriptor, SOL_SOCKET, SO_RCVBUF, acceptedReceiveBufferBytes);
+    }
     if (m_descriptor < 0 || bind(m_descriptor, reinterpret_cast<sockaddr*>(&storage), length) != 0 || listen(m_descriptor, listenBacklog) != 0) {
         const std::string reason = std::strerror(errno);
         stop();
         throw error(error_kind::Unavailable, "Cannot listen on " + address.toString() + ": " + reason + ".", "Choose a free address in the settings.");
     }
+    watch();
+}
+
+void tcp_listener::watch()
+{
     m_source = g_unix_fd_add(m_descriptor, G_IO_IN, &tcp_listener::dispatch, this);
 }
 
+void tcp_listener::pause()
+{
+    m_source = 0;
+    m_pause.startOnce(noDescriptorPause, [this] { watch(); });
+}
+
 tcp_listener::~tcp_listener()
 {
     stop();
@@ -393,6 +434,7 @@
 
 void tcp_listener::stop() noexcept
 {
+    m_pause.stop();
     if (m_source)
         g_source_remove(std::exchange(m_source, 0));
     if (m_descriptor >= 0)
@@ -417,7 +459,16 @@
 gboolean tcp_listener::dispatch(gint, GIOCondition, gpointer data)
 {
     auto* self = static_cast<tcp_listener*>(data);
-    for (int i = 0; i < maxAcceptsPerDispatch && self->m_descriptor >= 0 && self->acceptOne(); ++i) { }
+    for (int i = 0; i < maxAcceptsPerDispatch && self->m_descriptor >= 0; ++i) {
+        if (self->acceptOne())
+            continue;
+        // The connections that wait would make the source ready again at once.
+        if (errno == EMFILE || errno == ENFILE) {
+            self->pause();
+            return G_SOURCE_REMOVE;
+        }
+        break;
+    }
     return self->m_descriptor >= 0 ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 }
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -3,7 +3,9 @@
 
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
+#include "loop/timer.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <glib.h>
 #include <memory>
@@ -73,6 +75,12 @@
     /// Pauses or resumes reading.
     void setReading(bool isReading);
 
+    /// Sets the largest number of bytes that `onBytes` reports at once; at most `maxReadBytes`.
+    void setReadLimit(size_t bytes) noexcept { m_readLimit = std::clamp<size_t>(bytes, 1, maxReadBytes); }
+
+    /// Bounds what the kernel receives before it is read, for good; the kernel doubles the size for its own needs.
+    void limitReceiveBuffer(size_t bytes) noexcept;
+
     /// Selects what happens when the peer closes its sending side while written bytes are unsent: the connection ends at once, or
     /// once they are sent.
     void setSendsAfterEnd(bool isEnabled) noexcept { m_sendsAfterEnd = isEnabled; }
@@ -87,12 +95,17 @@
     void reset() noexcept;
 
 private:
+    static constexpr size_t maxReadBytes = 32 * 1024;
+
     tcp_stream(int descriptor, bool isConnecting);
 
     static gboolean dispatch(GSource* source, GSourceFunc, gpointer);
     void handleReady(GIOCondition ready);
     void handleReadable();
     void flush();
+    /// @return The number of bytes that the kernel has taken.
+    size_t sendNow(std::string_view bytes);
+    void onSent(size_t sentBytes);
     void closeAndNotify(close_reason reason);
     void updateInterest();
     void startPeerChecks();
@@ -105,6 +118,7 @@
     bool m_sendsAfterEnd = false;
     bool m_hasPeerEnded = false;
     bool m_hasSent = false;
+    size_t m_readLimit = maxReadBytes;
     std::optional<close_reason> m_sendFailure;
     bool m_isConnectFailurePending = false;
     /// Since this time, written bytes have been unacknowledged at each check.
@@ -134,9 +148,13 @@
     /// @return False if no connection could be accepted; `errno` tells why.
     bool acceptOne();
     static gboolean dispatch(gint descriptor, GIOCondition, gpointer self);
+    void watch();
+    /// Accepts nothing for a moment, as the process has no descriptor left.
+    void pause();
 
     int m_descriptor = -1;
     guint m_source = 0;
+    timer m_pause;
     std::function<void(std::shared_ptr<tcp_stream>)> m_onAccepted;
 };
 }
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -48,7 +48,7 @@
           "type": "object",
           "additionalProperties": false,
           "properties": {
-            "maxHeldBytes": { "type": "integer", "minimum": 1048576 },
+            @clientMemory@,
             "maxConnections": { "type": "integer", "minimum": 10, "maximum": 1000000 }
           }
         }
@@ -98,7 +98,7 @@
         settings.longPromptPlacement = document.value("longPromptPlacement", settings.longPromptPlacement);
         settings.bounds = readBounds(document.value("bounds", json::object()));
         const json limits = document.value("limits", json::object());
-        settings.limits.maxHeldBytes = limits.value("maxHeldBytes", settings.limits.maxHeldBytes);
+        settings.limits.memory = detail::readClientMemory(limits);
         settings.limits.maxConnections = limits.value("maxConnections", settings.limits.maxConnections);
         return settings;
     }
@@ -106,15 +106,17 @@
 
 result<gateway_settings> gateway_settings::fromFile(const std::string& path)
 {
-    return detail::settingsFromFile(path, json_schema(gatewaySchema), &readGateway);
+    return detail::settingsFromFile(path, json_schema(detail::withClientMemorySchema(gatewaySchema)), &readGateway);
 }
 
 json gateway_settings::toJson() const
 {
+    json limitsDocument { { "maxConnections", limits.maxConnections } };
+    detail::addClientMemory(limitsDocument, limits.memory);
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "operatorListen", operatorListen.toString() },
         { "peerListen", peerListen.toString() }, { "store", store.toString() }, { "processorShare", processorShare }, { "regions", regions },
         { "loadSharing", loadSharing }, { "loadTrends", loadTrends }, { "longPromptPlacement", longPromptPlacement }, { "poolAdmission", poolAdmission }, { "poolReports", poolReports }, { "preferredDomainWaitMs", preferredDomainWait.count() },
         { "bounds", { { "revocationMs", bounds.revocation.count() }, { "configurationMs", bounds.configuration.count() }, { "evacuationMs", bounds.evacuation.count() }, { "leavingMs", bounds.leaving.count() }, { "stopSeconds", asSeconds(bounds.stop) }, { "retryRatio", bounds.retryRatio }, { "retrySlack", bounds.retrySlack }, { "retryWindowSeconds", asSeconds(bounds.retryWindow) }, { "coldOverage", bounds.coldOverage }, { "coldSlack", bounds.coldSlack } } },
-        { "limits", { { "maxHeldBytes", limits.maxHeldBytes }, { "maxConnections", limits.maxConnections } } } };
+        { "limits", limitsDocument } };
 }
 }
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -4,6 +4,7 @@
 #include "base/endpoint.hpp"
 #include "base/result.hpp"
 #include "base/time.hpp"
+#include "settings/client_memory_settings.hpp"
 
 #include <map>
 #include <nlohmann/json.hpp>
@@ -36,9 +37,12 @@
 
 /// Limits of one process.
 struct gateway_limits {
-    /// Maximum bytes of request bodies in memory at the same time.
-    size_t maxHeldBytes = 48 * 1024 * 1024;
+    client_memory_settings memory;
+    /// Open connections of callers.
     size_t maxConnections = 1500;
+
+    /// @return Bytes that clients may have the gateway hold.
+    [[nodiscard]] size_t heldBytes() const noexcept { return memory.heldBytes(); }
 };
 
 /// All settings of a gateway process. The file is read at the start and again when it has changed.
