Sessions of peers draw on the budget

A port for sessions read up to 8 MiB a connection before it knew who sent it, and HTTP bodies of any kind; 40 connections took a gateway or a side to 308 MB. Now 16 KiB may arrive before a session exists, an unfinished message counts as received, a session and what its peer leaves unacknowledged count too, and the oldest connection without a hello yields to a new one instead of keeping it out.

--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -74,7 +74,8 @@
               [this](std::string_view rule) {
                   m_context.counters.count("peer_violations_total", { { "rule", std::string(rule) } });
                   logLine(log_level::Warning, logComponent, "A peer violated the protocol between entries.", { { "rule", std::string(rule) } });
-              } })
+              } },
+          context.clientMemory)
 {
     updateRankings();
 }
--- a/src/wire/server.cpp
+++ b/src/wire/server.cpp
@@ -8,14 +8,25 @@
 
 namespace bilberryseam::wire {
 
+namespace {
+    /// Largest opening handshake and hello.
+    constexpr size_t maxBytesBeforeSession = 16 * 1024;
+
+    /// Memory of a session apart from its messages.
+    constexpr size_t sessionBytes = 16 * 1024;
+}
+
 /// A session that outlives its connections.
 struct session_server::stored_session {
-    stored_session(session_channel::callbacks callbacks)
+    stored_session(session_channel::callbacks callbacks, std::shared_ptr<client_memory_budget> budget)
         : channel(std::move(callbacks))
+        , memory(std::move(budget), {})
     {
     }
 
     session_channel channel;
+    /// The session itself, and what its peer has not acknowledged.
+    client_memory_share memory;
     time_point detachedAt = monotonicNow();
     /// The peer violated the protocol; the next expiry check or hello removes the session.
     bool isInvalid = false;
@@ -29,11 +40,12 @@
     stored_session* session = nullptr;
 };
 
-session_server::session_server(const ip_endpoint& listen, std::string name, identifier incarnation, server_limits limits, callbacks callbacks)
+session_server::session_server(const ip_endpoint& listen, std::string name, identifier incarnation, server_limits limits, callbacks callbacks, std::shared_ptr<client_memory_budget> memory)
     : m_name(std::move(name))
     , m_incarnation(incarnation)
     , m_limits(limits)
     , m_callbacks(std::move(callbacks))
+    , m_memory(std::move(memory))
     , m_service(gobject_ptr<GSocketService>::adopt(g_socket_service_new()))
 {
     g_socket_listener_set_backlog(G_SOCKET_LISTENER(m_service.get()), listenBacklog);
@@ -66,15 +78,37 @@
 
 void session_server::startHandshake(GSocketConnection* connection)
 {
+    // Connections that never send a hello must not keep those out that do.
     if (m_pendingConnections.size() >= m_limits.maxConnectionsInHandshake) {
         m_callbacks.onViolation("too_many_connections");
-        return;
+        m_pendingConnections.pop_front();
     }
     auto* pendingConnection = m_pendingConnections.emplace_back(std::make_unique<pending_connection>()).get();
     websocket::callbacks callbacks;
     // After the handshake the session owns the connection, and these callbacks use only the session.
     const auto owner = std::make_shared<stored_session*>(nullptr);
-    callbacks.onMessage = [this, pendingConnection, owner](std::string_view bytes) {
+    const auto memory = std::make_shared<client_memory_share>(m_memory, [this, pendingConnection, owner] {
+        if (*owner) {
+            (*owner)->channel.detach();
+            (*owner)->detachedAt = monotonicNow();
+        } else {
+            removePending(pendingConnection);
+        }
+    });
+    struct message_progress {
+        size_t bytes = 0;
+        time_point at {};
+    };
+    callbacks.onUnfinished = [owner, memory, progress = std::make_shared<message_progress>()](size_t unfinishedBytes) {
+        if (!*owner && unfinishedBytes > maxBytesBeforeSession)
+            return false;
+        if (unfinishedBytes < progress->bytes || unfinishedBytes - progress->bytes >= policy::progressBytes)
+            *progress = { unfinishedBytes, monotonicNow() };
+        memory->setYielding(true, progress->at);
+        return memory->grow(policy::memory_use::Receiving, unfinishedBytes);
+    };
+    callbacks.onMessage = [this, pendingConnection, owner, memory](std::string_view bytes) {
+        memory->clear();
         if (*owner) {
             (*owner)->channel.receive(bytes);
             return;
@@ -97,6 +131,7 @@
         removePending(pendingConnection);
     });
     pendingConnection->connection = websocket::accept(connection, std::move(callbacks));
+    pendingConnection->connection->setMaxMessageBytes(maxBytesBeforeSession);
 }
 
 void session_server::removePending(pending_connection* pendingConnection)
@@ -120,6 +155,13 @@
     if (!isResumed && m_sessions.erase(peerHello.session) > 0)
         m_callbacks.onExpired(peerHello.session);
     stored_session& session = sessionFor(peerHello.session);
+    if (!session.memory.grow(policy::memory_use::Held, sessionBytes)) {
+        m_callbacks.onViolation("too_many_sessions");
+        m_sessions.erase(peerHello.session);
+        pendingConnection->timeout.startOnce(milliseconds(0), [this, pendingConnection] { removePending(pendingConnection); });
+        return;
+    }
+    pendingConnection->connection->setMaxMessageBytes(maxWebsocketMessageBytes);
     pendingConnection->connection->send(encodeWelcome({ protocolVersion, m_incarnation, m_name, isResumed, session.channel.receivedSequence() }));
     if (!session.channel.attach(std::move(pendingConnection->connection), isResumed ? peerHello.receivedSequence : 0)) {
         m_callbacks.onViolation("false_acknowledgement");
@@ -142,7 +184,7 @@
     // The channel detaches by itself only after its peer violated the protocol.
     callbacks.onDetached = [this, id](std::string_view) { markInvalid(id); };
     callbacks.onViolation = m_callbacks.onViolation;
-    session = std::make_unique<stored_session>(std::move(callbacks));
+    session = std::make_unique<stored_session>(std::move(callbacks), m_memory);
     return *session;
 }
 
@@ -167,6 +209,7 @@
 void session_server::removeExpired()
 {
     const time_point now = monotonicNow();
+    endLargestBacklogs();
     std::vector<identifier> expiredIds;
     for (const auto& [id, session] : m_sessions) {
         const bool isExpired = !session->channel.isAttached() && now - session->detachedAt > m_limits.sessionExpiry;
@@ -179,6 +222,23 @@
     }
 }
 
+void session_server::endLargestBacklogs()
+{
+    std::vector<stored_session*> sessions;
+    std::vector<size_t> backlogs;
+    for (const auto& [id, session] : m_sessions) {
+        session->memory.set(policy::memory_use::Unsent, session->channel.unacknowledgedBytes());
+        sessions.push_back(session.get());
+        backlogs.push_back(session->channel.unacknowledgedBytes());
+    }
+    if (!m_memory)
+        return;
+    for (const size_t index : policy::yieldingBacklogs(m_memory->memory(), backlogs)) {
+        m_memory->report(pressure_event::Yielded);
+        sessions[index]->isInvalid = true;
+    }
+}
+
 bool session_server::isAllAcknowledged(time_point now, milliseconds grace) const noexcept
 {
     return std::none_of(m_sessions.begin(), m_sessions.end(), [&](const auto& item) {
--- a/src/wire/server.hpp
+++ b/src/wire/server.hpp
@@ -3,6 +3,7 @@
 
 #include "base/endpoint.hpp"
 #include "base/identifier.hpp"
+#include "loop/client_memory_budget.hpp"
 #include "loop/gobject_ptr.hpp"
 #include "wire/session_channel.hpp"
 
@@ -35,7 +36,8 @@
     };
 
     /// @throws error (`Unavailable`) if the address cannot be bound.
-    session_server(const ip_endpoint& listen, std::string name, identifier incarnation, server_limits limits, callbacks callbacks);
+    /// @param memory  What all clients of the process may have it hold; null for no limit.
+    session_server(const ip_endpoint& listen, std::string name, identifier incarnation, server_limits limits, callbacks callbacks, std::shared_ptr<client_memory_budget> memory = nullptr);
     ~session_server();
 
     /// Queues a message for a session; discards it if the session no longer exists.
@@ -65,11 +67,14 @@
     stored_session& sessionFor(identifier id);
     void markInvalid(identifier id);
     void removeExpired();
+    /// Ends the sessions whose peers leave most unacknowledged, if all together leave too much.
+    void endLargestBacklogs();
 
     std::string m_name;
     identifier m_incarnation;
     server_limits m_limits;
     callbacks m_callbacks;
+    std::shared_ptr<client_memory_budget> m_memory;
     gobject_ptr<GSocketService> m_service;
     std::unordered_map<identifier, std::unique_ptr<stored_session>> m_sessions;
     std::list<std::unique_ptr<pending_connection>> m_pendingConnections;
--- a/src/wire/websocket.cpp
+++ b/src/wire/websocket.cpp
@@ -75,6 +75,7 @@
     virtual void start() = 0;
     virtual void send(std::string_view message) = 0;
     virtual void processInput(const char* data, size_t size) = 0;
+    virtual void setMaxMessageBytes(size_t bytes) = 0;
 
     void close()
     {
@@ -110,8 +111,20 @@
             callback();
     }
 
+    /// @return False if the connection was closed.
+    bool countUnfinished(size_t size)
+    {
+        m_unfinishedBytes += size;
+        const auto callback = m_callbacks.onUnfinished;
+        if (!callback || callback(m_unfinishedBytes))
+            return !m_isClosed;
+        handleFailure("There is no memory for the message.");
+        return false;
+    }
+
     void handleMessage(std::string_view message)
     {
+        m_unfinishedBytes = 0;
         if (const auto callback = m_callbacks.onMessage)
             callback(message);
     }
@@ -203,6 +216,8 @@
     GSource* m_writeSource = nullptr;
     std::string m_output;
     size_t m_outputSent = 0;
+    /// Bytes received since the last complete message.
+    size_t m_unfinishedBytes = 0;
 };
 
 namespace {
@@ -238,10 +253,14 @@
         void processInput(const char* data, size_t size) override
         {
             const auto peer = m_peer;
+            if (!this->countUnfinished(size))
+                return;
             if (peer->read_all(data, size) < size || peer->get_state() == websocketpp::session::state::closed)
                 this->handleFailure("The peer broke the WebSocket protocol.");
         }
 
+        void setMaxMessageBytes(size_t bytes) override { m_peer->set_max_message_size(bytes); }
+
     private:
         connection_ptr makePeer()
         {
@@ -310,6 +329,11 @@
     return std::unique_ptr<websocket>(new websocket(impl));
 }
 
+void websocket::setMaxMessageBytes(size_t bytes)
+{
+    m_implementation->setMaxMessageBytes(bytes);
+}
+
 void websocket::send(std::string_view message)
 {
     m_implementation->send(message);
--- a/src/wire/websocket.hpp
+++ b/src/wire/websocket.hpp
@@ -20,6 +20,9 @@
         std::function<void()> onOpen;
         std::function<void(std::string_view message)> onMessage;
         std::function<void(std::string_view reason)> onClose;
+        /// Bytes were received that do not end a message, or the handshake; may be empty.
+        /// @return False if the connection is to be closed.
+        std::function<bool(size_t unfinishedBytes)> onUnfinished;
     };
 
     /// Runs the client's side of the opening handshake on a connected socket.
@@ -30,6 +33,9 @@
 
     ~websocket();
 
+    /// Sets the largest message that is accepted; at most `maxWebsocketMessageBytes`.
+    void setMaxMessageBytes(size_t bytes);
+
     /// Sends one binary message; bytes that the socket cannot accept now are buffered.
     void send(std::string_view message);
 
