Entries and operator ports of all daemons use the server with the budget

Four clients with a body without end took an entry over 260 MB in a third of a second, at its port for callers or its operator port, and sides and entries to 2.5 GB with small chunks: libsoup reads whole bodies before any limit applies, with no limit of connections or time. One request nested 200,000 levels deep ended an entry. caller_server and operator_server now use http1::server like the gateway, so that limits, timeouts, refusals and the budget exist once. Parsed input counts 64 bytes a value. Refusals of an entry keep their JSON outcome. Streams are sent in chunks and still close the connection after the last event. New settings, checked and documented: machineMemoryMb, maxHeldBytes, maxConnections, receiveTimeoutMs, idleTimeoutMs.

--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -1,13 +1,12 @@
 #include "entry/caller_server.hpp"
-#include "base/json_text.hpp"
 
+#include "base/json_shape.hpp"
+#include "base/json_text.hpp"
 #include "entry/request_reader.hpp"
-#include "loop/disconnect_watch.hpp"
 #include "telemetry/log.hpp"
 
 #include <algorithm>
-#include <cerrno>
-#include <sys/socket.h>
+#include <glib.h>
 
 namespace bilberryseam::entry {
 
@@ -20,7 +19,8 @@
     /// Another entry can take the request at once.
     constexpr milliseconds retryAfterStop { 1000 };
 
-    constexpr const char* exchangeKey = "bilberryseam-exchange";
+    /// Delay after which callers may retry if the entry holds too many connections or bytes.
+    constexpr milliseconds retryWhenFull { 1000 };
 
     json outcomeToJson(const outcome& result, identifier id)
     {
@@ -45,40 +45,58 @@
         return "event: " + std::string(name) + "\ndata: " + dumpText(data) + "\n\n";
     }
 
-    void setRetryAfter(SoupServerMessage* message, milliseconds retryAfter)
+    std::string jsonBody(const json& body)
     {
-        if (retryAfter.count() <= 0)
-            return;
-        const auto wholeSeconds = std::chrono::ceil<seconds>(retryAfter).count();
-        soup_message_headers_replace(soup_server_message_get_response_headers(message), "Retry-After", std::to_string(wholeSeconds).c_str());
+        return dumpText(body) + "\n";
     }
-}
 
-/// One HTTP request and its run.
-class caller_server::exchange {
-public:
-    exchange(caller_server& server, SoupServerMessage* message)
-        : m_server(server)
-        , m_message(gobject_ptr<SoupServerMessage>::share(message))
+    http1::header_list headersOf(const outcome& result, identifier id)
+    {
+        http1::header_list headers { { "Content-Type", "application/json" }, { "Bilberryseam-Request", id.toString() }, { "Bilberryseam-Outcome", std::string(nameOf(result.kind)) } };
+        if (result.retryAfter.count() > 0)
+            headers.emplace_back("Retry-After", std::to_string(std::chrono::ceil<seconds>(result.retryAfter).count()));
+        return headers;
+    }
+
+    std::string_view headerOf(const http1::exchange& exchange, std::string_view name)
     {
-        ++m_server.m_receiving;
-        g_object_set_data(G_OBJECT(message), exchangeKey, this);
-        m_finishedHandler = g_signal_connect(message, "finished", G_CALLBACK(+[](SoupServerMessage*, gpointer self) { static_cast<exchange*>(self)->onMessageFinished(); }), this);
-        m_bodyWrittenHandler = g_signal_connect(message, "wrote-body-data", G_CALLBACK(+[](SoupServerMessage*, guint count, gpointer self) { static_cast<exchange*>(self)->onBodyWritten(count); }), this);
+        return http1::findHeader(exchange.head().headers, name).value_or(std::string_view());
     }
 
-    ~exchange()
+    /// @return The path of a request target with its percent-encoded characters decoded; empty if they are malformed.
+    std::string decodedPathOf(std::string_view target)
     {
-        g_signal_handler_disconnect(m_message.get(), m_finishedHandler);
-        g_signal_handler_disconnect(m_message.get(), m_bodyWrittenHandler);
+        const std::string path(http1::pathOf(target));
+        char* decoded = g_uri_unescape_string(path.c_str(), nullptr);
+        std::string result = decoded ? decoded : "";
+        g_free(decoded);
+        return result;
     }
 
-    /// The request has been read, or never will be.
-    void stopReceiving()
+    /// @return The outcome of a request that was refused before it was received whole.
+    outcome unreadOutcome(unsigned status)
     {
-        if (std::exchange(m_isReceiving, false))
-            --m_server.m_receiving;
+        switch (status) {
+        case http1::statusBodyTooLarge:
+            return { outcome_kind::NotRun, outcome_reason::BodyTooLarge, "", milliseconds(0), "The body is larger than this entry allows.", {} };
+        case http1::statusUnavailable:
+            return { outcome_kind::NotRun, outcome_reason::Overloaded, "", retryWhenFull, "This entry has no room for the request.", {} };
+        default:
+            return { outcome_kind::NotRun, outcome_reason::BadRequest, "", milliseconds(0), "The request is malformed, too large, or was not received in time.", {} };
+        }
     }
+}
+
+/// One HTTP request and its run.
+class caller_server::exchange {
+public:
+    exchange(caller_server& server, std::shared_ptr<http1::exchange> connection)
+        : m_server(server)
+        , m_connection(std::move(connection))
+    {
+    }
+
+    [[nodiscard]] http1::exchange& connection() noexcept { return *m_connection; }
 
     void run(request request)
     {
@@ -87,8 +105,7 @@
         m_arrivedAt = request.arrivedAt;
         m_pipeline = request.pipeline->name;
         m_account = request.account->name;
-        soup_server_message_pause(m_message.get());
-        m_disconnectWatch.emplace(m_message.get(), [this] { onCallerDisconnected(); });
+        m_connection->setOnDisconnect([this] { onCallerDisconnected(); });
         m_request = std::move(request);
         m_server.m_admission.submit(*m_request, [this](const admission_decision& decision) { handleAdmission(decision); });
     }
@@ -97,8 +114,10 @@
     {
         m_id = id;
         m_arrivedAt = monotonicNow();
+        m_isFinished = true;
         recordOutcome(result);
         respond(result);
+        m_server.removeExchange(this);
     }
 
     void onCapacityChanged()
@@ -112,8 +131,10 @@
     /// Ends the request because the entry stops.
     void end()
     {
-        if (m_request && !m_isFinished)
-            cancel(outcome_reason::Stopping, retryAfterStop);
+        if (!m_request || m_isFinished)
+            return;
+        m_connection->endConnection();
+        cancel(outcome_reason::Stopping, retryAfterStop);
     }
 
 private:
@@ -156,50 +177,31 @@
     void startStream()
     {
         m_hasStreamStarted = true;
-        auto* headers = soup_server_message_get_response_headers(m_message.get());
-        soup_server_message_set_status(m_message.get(), 200, nullptr);
-        // The outcome event and the end of the connection delimit the stream: chunked encoding would take three writes per token.
-        soup_message_headers_set_encoding(headers, SOUP_ENCODING_EOF);
-        soup_message_headers_replace(headers, "Content-Type", "text/event-stream");
-        soup_message_headers_replace(headers, "Bilberryseam-Request", m_id.toString().c_str());
-        soup_message_body_set_accumulate(soup_server_message_get_response_body(m_message.get()), FALSE);
+        m_connection->endConnection();
+        m_connection->startChunked(http1::statusOk, { { "Content-Type", "text/event-stream" }, { "Bilberryseam-Request", m_id.toString() } });
     }
 
     void writeOutput(std::string_view text)
     {
         if (!m_hasStreamStarted)
             startStream();
-        append(eventText("output", { { "text", text } }));
-        if (m_unreadBytes > m_server.m_settings.limits.maxUnreadBytes)
+        m_connection->writeChunk(eventText("output", { { "text", text } }));
+        if (m_connection->pendingBytes() > m_connection->pendingLimit(m_server.m_settings.limits.maxUnreadBytes))
             cancel(outcome_reason::SlowReader);
     }
 
-    void append(const std::string& bytes)
-    {
-        m_unreadBytes += bytes.size();
-        soup_message_body_append(soup_server_message_get_response_body(m_message.get()), SOUP_MEMORY_COPY, bytes.data(), bytes.size());
-        soup_server_message_unpause(m_message.get());
-    }
-
-    void onBodyWritten(size_t count)
-    {
-        m_unreadBytes -= std::min(m_unreadBytes, count);
-    }
-
     void finish(const outcome& result)
     {
         if (std::exchange(m_isFinished, true))
             return;
         recordOutcome(result);
-        m_disconnectWatch.reset();
+        m_server.removeExchange(this);
         if (m_isCallerDisconnected)
             return;
-        if (!m_hasStreamStarted && !(m_isStreamed && result.kind == outcome_kind::Answered)) {
+        if (!m_hasStreamStarted && !(m_isStreamed && result.kind == outcome_kind::Answered))
             respond(result);
-        } else {
+        else
             finishStream(result);
-        }
-        soup_server_message_unpause(m_message.get());
     }
 
     void finishStream(const outcome& result)
@@ -210,18 +212,13 @@
         // The text has already been sent in output events.
         if (m_hasStreamStarted && finalOutcome.output.is_object())
             finalOutcome.output.erase("text");
-        append(eventText("outcome", outcomeToJson(finalOutcome, m_id)));
-        soup_message_body_complete(soup_server_message_get_response_body(m_message.get()));
+        m_connection->writeChunk(eventText("outcome", outcomeToJson(finalOutcome, m_id)));
+        m_connection->finishChunked();
     }
 
     void respond(const outcome& result)
     {
-        if (m_server.m_isStopping)
-            soup_message_headers_replace(soup_server_message_get_response_headers(m_message.get()), "Connection", "close");
-        setRetryAfter(m_message.get(), result.retryAfter);
-        soup_message_headers_replace(soup_server_message_get_response_headers(m_message.get()), "Bilberryseam-Request", m_id.toString().c_str());
-        soup_message_headers_replace(soup_server_message_get_response_headers(m_message.get()), "Bilberryseam-Outcome", std::string(nameOf(result.kind)).c_str());
-        setJsonResponse(m_message.get(), httpStatusOf(result), outcomeToJson(result, m_id));
+        m_connection->respond(httpStatusOf(result), headersOf(result, m_id), jsonBody(outcomeToJson(result, m_id)));
     }
 
     void recordOutcome(const outcome& result)
@@ -237,27 +234,13 @@
 
     void onCallerDisconnected()
     {
-        if (std::exchange(m_isCallerDisconnected, true))
+        if (std::exchange(m_isCallerDisconnected, true) || m_isFinished)
             return;
         cancel(outcome_reason::CallerDisconnected);
-        // Writing the remaining data fails, which makes libsoup finish the message.
-        if (m_hasStreamStarted)
-            soup_message_body_complete(soup_server_message_get_response_body(m_message.get()));
-        soup_server_message_unpause(m_message.get());
-    }
-
-    void onMessageFinished()
-    {
-        if (m_request && !m_isFinished && !std::exchange(m_isCallerDisconnected, true))
-            cancel(outcome_reason::CallerDisconnected);
-        stopReceiving();
-        m_server.removeExchange(this);
     }
 
     caller_server& m_server;
-    gobject_ptr<SoupServerMessage> m_message;
-    gulong m_finishedHandler = 0;
-    gulong m_bodyWrittenHandler = 0;
+    std::shared_ptr<http1::exchange> m_connection;
     identifier m_id;
     time_point m_arrivedAt {};
     std::string m_pipeline;
@@ -265,57 +248,69 @@
     std::optional<request> m_request;
     time_point m_admittedSince {};
     std::shared_ptr<pipeline_run> m_run;
-    std::optional<disconnect_watch> m_disconnectWatch;
-    size_t m_unreadBytes = 0;
-    bool m_isReceiving = true;
     bool m_isStreamed = false;
     bool m_hasStreamStarted = false;
     bool m_isCallerDisconnected = false;
     bool m_isFinished = false;
 };
 
-caller_server::caller_server(const settings::entry_settings& settings, run_context& context, callbacks callbacks)
+caller_server::caller_server(const settings::entry_settings& settings, run_context& context, std::shared_ptr<client_memory_budget> memory, execution::pressure_report& pressure, callbacks callbacks)
     : m_settings(settings)
     , m_context(context)
     , m_callbacks(std::move(callbacks))
     , m_admission(context)
-    , m_server(gobject_ptr<SoupServer>::adopt(soup_server_new(nullptr, nullptr)))
+    , m_server(
+          settings.listen, [this] { return serverLimits(); }, [this](std::shared_ptr<http1::exchange> connection) { handle(std::move(connection)); }, std::move(memory))
 {
-    soup_server_add_early_handler(m_server.get(), "/", &caller_server::startReceiving, this, nullptr);
-    soup_server_add_handler(m_server.get(), "/", &caller_server::handle, this, nullptr);
-    listenOn(m_server.get(), settings.listen);
+    m_server.setOnRefused([&pressure](unsigned status, std::string_view reason) { pressure.recordUnread(status, reason); });
+    m_server.setRefusalBody([this](unsigned status, http1::header_list& headers) {
+        const outcome result = unreadOutcome(status);
+        const identifier id = m_context.identifiers.next();
+        m_context.counters.count("requests_total", { { "outcome", std::string(nameOf(result.kind)) }, { "reason", std::string(nameOf(result.reason)) } });
+        for (auto& header : headersOf(result, id))
+            headers.push_back(std::move(header));
+        return jsonBody(outcomeToJson(result, id));
+    });
 }
 
-caller_server::~caller_server()
+caller_server::~caller_server() = default;
+
+http1::server_limits caller_server::serverLimits() const
 {
-    soup_server_disconnect(m_server.get());
+    http1::server_limits limits;
+    limits.maxBodyBytes = m_settings.limits.maxBodyBytes;
+    limits.maxConnections = m_settings.limits.maxConnections;
+    limits.headerTimeout = m_settings.limits.receiveTimeout;
+    limits.idleTimeout = m_settings.limits.idleTimeout;
+    limits.bodyCopies = bodyCopies;
+    return limits;
 }
 
-void caller_server::startReceiving(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer self)
+void caller_server::stopKeepingConnections() noexcept
 {
-    auto* server = static_cast<caller_server*>(self);
-    server->m_exchanges.push_back(std::make_unique<exchange>(*server, message));
+    m_server.setCloseAfterResponse(true);
 }
 
-void caller_server::handle(SoupServer*, SoupServerMessage* message, const char* path, GHashTable*, gpointer self)
+void caller_server::handle(std::shared_ptr<http1::exchange> connection)
 {
-    auto* server = static_cast<caller_server*>(self);
-    exchange& newExchange = *static_cast<exchange*>(g_object_get_data(G_OBJECT(message), exchangeKey));
-    newExchange.stopReceiving();
+    m_exchanges.push_back(std::make_unique<exchange>(*this, std::move(connection)));
+    exchange& newExchange = *m_exchanges.back();
     try {
-        server->handleRequest(newExchange, message, path);
+        handleRequest(newExchange);
     } catch (const std::exception& exception) {
         // One request must neither end the process nor leave its caller without a response.
-        server->m_context.counters.count("internal_errors_total");
+        m_context.counters.count("internal_errors_total");
         logLine(log_level::Error, logComponent, "Handling a request threw an exception.", { { "detail", exception.what() } });
         newExchange.refuse({}, { outcome_kind::NotRun, outcome_reason::BadRequest, "", milliseconds(0), "The request cannot be handled.", {} });
     }
 }
 
-void caller_server::handleRequest(exchange& newExchange, SoupServerMessage* message, std::string_view path)
+void caller_server::handleRequest(exchange& newExchange)
 {
     const identifier id = m_context.identifiers.next();
-    if (!path.starts_with(pipelinePath) || std::string_view(soup_server_message_get_method(message)) != "POST") {
+    http1::exchange& connection = newExchange.connection();
+    const std::string path = decodedPathOf(connection.head().target);
+    if (!std::string_view(path).starts_with(pipelinePath) || connection.head().method != "POST") {
         newExchange.refuse(id, { outcome_kind::NotRun, outcome_reason::UnknownPipeline, "", milliseconds(0), "Use POST /v1/pipelines/NAME.", {} });
         return;
     }
@@ -324,12 +319,21 @@
         newExchange.refuse(id, { outcome_kind::NotRun, outcome_reason::NotReady, "", milliseconds(1000), "No configuration is in force here yet.", {} });
         return;
     }
-    if (m_exchanges.size() - m_receiving > m_settings.limits.maxRequests) {
+    if (m_exchanges.size() > m_settings.limits.maxRequests) {
         newExchange.refuse(id, { outcome_kind::NotRun, outcome_reason::Overloaded, "", milliseconds(1000), "This entry has too many open requests.", {} });
         return;
     }
-    const raw_request raw { path.substr(pipelinePath.size()), headerOf(message, "Bilberryseam-Account"), headerOf(message, "Bilberryseam-Deadline-Ms"),
-        headerOf(message, "Idempotency-Key"), headerOf(message, "Bilberryseam-Priority"), bodyOf(message) };
+    const raw_request raw { std::string_view(path).substr(pipelinePath.size()), headerOf(connection, "Bilberryseam-Account"), headerOf(connection, "Bilberryseam-Deadline-Ms"),
+        headerOf(connection, "Idempotency-Key"), headerOf(connection, "Bilberryseam-Priority"), connection.body() };
+    const json_shape shape = shapeOf(raw.body);
+    if (shape.isTooDeep) {
+        newExchange.refuse(id, { outcome_kind::NotRun, outcome_reason::BadRequest, "", milliseconds(0), "The body is nested too deeply.", {} });
+        return;
+    }
+    if (!connection.holdBody(bodyCopies * raw.body.size() + bytesPerJsonValue * shape.values)) {
+        newExchange.refuse(id, { outcome_kind::NotRun, outcome_reason::Overloaded, "", retryWhenFull, "This entry has no room for the request.", {} });
+        return;
+    }
     auto requestOrRefusal = readRequest(raw, *state, m_settings.limits, id, monotonicNow(), wallNow());
     if (const auto* refusal = std::get_if<outcome>(&requestOrRefusal))
         newExchange.refuse(id, *refusal);
@@ -347,22 +351,9 @@
     m_cleanupTimer.startWhenIdle([this] { m_finishedExchanges.clear(); });
 }
 
-bool caller_server::stopListening()
+size_t caller_server::openRequests() const noexcept
 {
-    if (!m_isListening)
-        return true;
-    const std::unique_ptr<GSList, decltype(&g_slist_free)> listeners(soup_server_get_listeners(m_server.get()), &g_slist_free);
-    for (const GSList* item = listeners.get(); item; item = item->next) {
-        if (g_socket_condition_check(static_cast<GSocket*>(item->data), G_IO_IN) != 0)
-            return false;
-    }
-    for (const GSList* item = listeners.get(); item; item = item->next) {
-        // soup_server_disconnect would also close the connections, and g_socket_shutdown refuses a listening socket.
-        if (::shutdown(g_socket_get_fd(static_cast<GSocket*>(item->data)), SHUT_RD) != 0)
-            logLine(log_level::Error, logComponent, "A listening socket cannot be closed.", { { "detail", g_strerror(errno) } });
-    }
-    m_isListening = false;
-    return true;
+    return std::max(m_exchanges.size(), m_server.unfinishedConnections());
 }
 
 void caller_server::endRequests()
@@ -375,6 +366,7 @@
     std::stable_partition(exchanges.begin(), exchanges.end(), [](const exchange* item) { return !item->isAdmitted(); });
     for (exchange* item : exchanges)
         item->end();
+    m_server.refuseUnfinishedRequests({});
 }
 
 void caller_server::onCapacityChanged()
--- a/src/execution/operator_server.cpp
+++ b/src/execution/operator_server.cpp
@@ -1,59 +1,76 @@
 #include "execution/operator_server.hpp"
 
-#include "loop/deferred_response.hpp"
+#include "base/json_text.hpp"
 
 namespace bilberryseam::execution {
 
 using nlohmann::json;
 
-operator_server::operator_server(const ip_endpoint& listen, metrics& metrics, callbacks callbacks)
+namespace {
+    /// Operators send release notes and short commands, on few connections.
+    http1::server_limits operatorLimits()
+    {
+        http1::server_limits limits;
+        limits.maxBodyBytes = 1024 * 1024;
+        limits.headerTimeout = milliseconds(10000);
+        limits.idleTimeout = milliseconds(60000);
+        limits.maxConnections = 128;
+        return limits;
+    }
+
+    void respondJson(http1::exchange& exchange, unsigned status, const json& body)
+    {
+        exchange.respond(status, { { "Content-Type", "application/json" } }, dumpText(body) + "\n");
+    }
+
+    void callHandler(const operator_server::handler& handle, const std::shared_ptr<http1::exchange>& exchange, std::string_view input)
+    {
+        handle(input, [exchange](unsigned status, const json& body) { respondJson(*exchange, status, body); });
+    }
+}
+
+operator_server::operator_server(const ip_endpoint& listen, metrics& metrics, std::shared_ptr<client_memory_budget> memory, pressure_report& pressure, callbacks callbacks)
     : m_metrics(metrics)
+    , m_pressure(pressure)
     , m_callbacks(std::move(callbacks))
-    , m_server(gobject_ptr<SoupServer>::adopt(soup_server_new(nullptr, nullptr)))
+    , m_server(
+          listen, [] { return operatorLimits(); }, [this](std::shared_ptr<http1::exchange> exchange) { handleRequest(exchange); }, std::move(memory))
 {
-    soup_server_add_handler(m_server.get(), "/", &operator_server::handle, this, nullptr);
-    listenOn(m_server.get(), listen);
+    m_server.setOverLimitHeaders({ { "Retry-After", "1" } });
+    m_server.setOnRefused([this](unsigned status, std::string_view reason) { m_pressure.recordUnread(status, reason); });
 }
 
-void operator_server::handle(SoupServer*, SoupServerMessage* message, const char* path, GHashTable*, gpointer self)
+void operator_server::handleRequest(const std::shared_ptr<http1::exchange>& exchange)
 {
-    static_cast<operator_server*>(self)->handleRequest(message, path);
+    if (exchange->head().method != "POST") {
+        handleGet(exchange);
+        return;
+    }
+    const auto position = m_postHandlers.find(http1::pathOf(exchange->head().target));
+    if (position == m_postHandlers.end())
+        respondJson(*exchange, http1::statusNotFound, { { "error", "There is no such command." } });
+    else
+        callHandler(position->second, exchange, exchange->body());
 }
 
-void operator_server::handleRequest(SoupServerMessage* message, const std::string& path)
+void operator_server::handleGet(const std::shared_ptr<http1::exchange>& exchange)
 {
-    const std::string_view method = soup_server_message_get_method(message);
-    if (method == "POST") {
-        const auto position = m_postHandlers.find(path);
-        if (position == m_postHandlers.end()) {
-            setJsonResponse(message, 404, { { "error", "There is no such command." } });
-            return;
-        }
-        callHandler(position->second, message, bodyOf(message));
-        return;
-    }
+    const std::string_view target = exchange->head().target;
+    const std::string_view path = http1::pathOf(target);
     if (path == "/metrics") {
-        const std::string text = m_metrics.serialize();
-        soup_server_message_set_status(message, 200, nullptr);
-        soup_server_message_set_response(message, "text/plain; version=0.0.4", SOUP_MEMORY_COPY, text.data(), text.size());
+        m_pressure.updateGauges();
+        exchange->respond(http1::statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.serialize());
     } else if (path == "/healthz") {
-        setJsonResponse(message, 200, { { "healthy", true } });
+        respondJson(*exchange, http1::statusOk, { { "healthy", true } });
     } else if (path == "/readyz") {
         const bool isReady = m_callbacks.isReady();
-        setJsonResponse(message, isReady ? 200 : 503, { { "ready", isReady } });
+        respondJson(*exchange, isReady ? http1::statusOk : http1::statusUnavailable, { { "ready", isReady } });
     } else if (path == "/status") {
-        setJsonResponse(message, 200, m_callbacks.status());
+        respondJson(*exchange, http1::statusOk, m_callbacks.status());
     } else if (const auto position = m_getHandlers.find(path); position != m_getHandlers.end()) {
-        const char* query = g_uri_get_query(soup_server_message_get_uri(message));
-        callHandler(position->second, message, query ? query : "");
+        callHandler(position->second, exchange, path.size() < target.size() ? target.substr(path.size() + 1) : std::string_view());
     } else {
-        setJsonResponse(message, 404, { { "error", "There is no such page." } });
+        respondJson(*exchange, http1::statusNotFound, { { "error", "There is no such page." } });
     }
 }
-
-void operator_server::callHandler(const handler& requestHandler, SoupServerMessage* message, std::string_view input)
-{
-    const auto reply = std::make_shared<deferred_response>(message);
-    requestHandler(input, [reply](unsigned status, const json& body) { reply->respond(status, body); });
-}
 }
--- a/src/execution/operator_server.hpp
+++ b/src/execution/operator_server.hpp
@@ -1,11 +1,13 @@
 /// The HTTP server of a daemon for operators: metrics, health, readiness, status.
 #pragma once
 
-#include "loop/http.hpp"
+#include "execution/pressure_report.hpp"
+#include "http1/server.hpp"
 #include "telemetry/metrics.hpp"
 
 #include <functional>
 #include <map>
+#include <nlohmann/json.hpp>
 
 namespace bilberryseam::execution {
 
@@ -17,8 +19,10 @@
         std::function<nlohmann::json()> status;
     };
 
+    /// @param memory    What all clients of the process may have it hold.
+    /// @param pressure  Reports requests that are refused unread; must outlive the server.
     /// @throws error (`Unavailable`) if the address cannot be bound.
-    operator_server(const ip_endpoint& listen, metrics& metrics, callbacks callbacks);
+    operator_server(const ip_endpoint& listen, metrics& metrics, std::shared_ptr<client_memory_budget> memory, pressure_report& pressure, callbacks callbacks);
 
     /// Sends the response to one request; called exactly once, possibly after the handler has returned.
     using responder = std::function<void(unsigned status, const nlohmann::json& body)>;
@@ -33,14 +37,14 @@
     void onGet(const std::string& path, handler handle) { m_getHandlers[path] = std::move(handle); }
 
 private:
-    static void handle(SoupServer* server, SoupServerMessage* message, const char* path, GHashTable* query, gpointer self);
-    void handleRequest(SoupServerMessage* message, const std::string& path);
-    static void callHandler(const handler& requestHandler, SoupServerMessage* message, std::string_view input);
+    void handleRequest(const std::shared_ptr<http1::exchange>& exchange);
+    void handleGet(const std::shared_ptr<http1::exchange>& exchange);
 
     metrics& m_metrics;
+    pressure_report& m_pressure;
     callbacks m_callbacks;
-    gobject_ptr<SoupServer> m_server;
-    std::map<std::string, handler> m_postHandlers;
-    std::map<std::string, handler> m_getHandlers;
+    std::map<std::string, handler, std::less<>> m_postHandlers;
+    std::map<std::string, handler, std::less<>> m_getHandlers;
+    http1::server m_server;
 };
 }
--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -25,13 +25,15 @@
     public:
         explicit entry_process(const settings::entry_settings& settings)
             : m_settings(settings)
+            , m_clientMemory(std::make_shared<client_memory_budget>(memoryLimits(settings.limits)))
+            , m_pressure(m_clientMemory, m_metrics, logComponent)
             , m_sideLinks(settings.name, m_metrics, linkCallbacks())
             , m_suspicions(
                   m_metrics, settings.name, [this](const wire::message& message) { m_sideLinks.postToAll(message); }, {})
             , m_context { m_sideLinks, m_metrics, m_suspicions, settings.region, identifier_generator::fromSystem(), std::mt19937_64(std::random_device {}()), {}, {}, {}, settings.limits.targetInactivityTimeout }
             , m_follower(settings.platform, m_metrics, true, { [this](const configuration::state& state) { applyConfiguration(state); }, [this](identifier peer, wire::message message) { m_sideLinks.post(peer, std::move(message)); } })
-            , m_callers(m_settings, m_context, { [this] { return m_follower.isReady() ? &m_follower.current() : nullptr; } })
-            , m_operators(settings.operatorListen, m_metrics, { [this] { return m_follower.isReady() && !m_isStopping; }, [this] { return status(); } })
+            , m_callers(m_settings, m_context, m_clientMemory, m_pressure, { [this] { return m_follower.isReady() ? &m_follower.current() : nullptr; } })
+            , m_operators(settings.operatorListen, m_metrics, m_clientMemory, m_pressure, { [this] { return m_follower.isReady() && !m_isStopping; }, [this] { return status(); } })
             , m_publisher(settings.platform)
         {
             if (settings.platform.instanceList)
@@ -48,6 +50,11 @@
         }
 
     private:
+        static policy::client_memory_limits memoryLimits(const settings::entry_limits& limits)
+        {
+            return { limits.memory.heldBytes(), policy::bytesOfLargestRequest(http1::server_limits().maxHeaderBytes, limits.maxBodyBytes, entry::bodyCopies) };
+        }
+
         entry::side_links::callbacks linkCallbacks()
         {
             entry::side_links::callbacks callbacks;
@@ -98,12 +105,14 @@
             if (phase == policy::stop_phase::Accepting)
                 return;
             // A connection that was accepted last may not have been read yet, so the process does not exit in the same check.
-            const bool wasListening = std::exchange(m_isListening, !m_callers.stopListening());
-            if (wasListening && !m_isListening)
+            const bool wasListening = std::exchange(m_isListening, false);
+            if (wasListening) {
+                m_callers.stopListening();
                 logLine(log_level::Info, logComponent, "New connections are refused.", { { "open", std::to_string(m_callers.openRequests()) } });
+            }
             if (phase == policy::stop_phase::Overdue)
                 endRequests();
-            const bool isDone = m_callers.openRequests() == 0 && !wasListening;
+            const bool isDone = !wasListening && m_callers.openRequests() == 0 && m_callers.closeIdleConnections();
             if (isDone || elapsed > limit + responseGrace)
                 m_loop.quit();
         }
@@ -118,6 +127,8 @@
         main_loop m_loop;
         metrics m_metrics;
         settings::entry_settings m_settings;
+        std::shared_ptr<client_memory_budget> m_clientMemory;
+        execution::pressure_report m_pressure;
         entry::side_links m_sideLinks;
         execution::suspicion_exchange m_suspicions;
         entry::run_context m_context;
--- a/src/programs/side.cpp
+++ b/src/programs/side.cpp
@@ -22,6 +22,8 @@
     public:
         explicit side_process(const settings::side_settings& settings)
             : m_settings(settings)
+            , m_clientMemory(std::make_shared<client_memory_budget>(memoryLimits(settings.limits)))
+            , m_pressure(m_clientMemory, m_metrics, logComponent)
             , m_suspicions(
                   m_metrics, settings.name, [this](const wire::message& message) { m_server->postToAll(message); }, [this] { m_dispatcher.refuseQuarantined(); })
             , m_dispatcher(settings, m_metrics, m_suspicions, { [this](identifier session, wire::message message) { m_server->post(session, std::move(message)); }, [this](const wire::message& message) { m_server->postToAll(message); }, [this] { return m_server->sessionCount(); } })
@@ -30,9 +32,9 @@
                                                                    m_reconciler.applyConfiguration(state);
                                                                },
                                                                   [this](identifier peer, wire::message message) { m_server->post(peer, std::move(message)); } })
-            , m_server(std::make_unique<wire::session_server>(settings.listen, settings.name, identifier_generator::fromSystem().next(), wire::server_limits {}, serverCallbacks()))
+            , m_server(std::make_unique<wire::session_server>(settings.listen, settings.name, identifier_generator::fromSystem().next(), wire::server_limits {}, serverCallbacks(), m_clientMemory))
             , m_reconciler(settings, m_metrics, [this](std::function<void()> done) { m_follower.refresh(std::move(done)); })
-            , m_operators(settings.operatorListen, m_metrics, { [this] { return m_follower.isReady() && !m_isStopping; }, [this] { return status(); } })
+            , m_operators(settings.operatorListen, m_metrics, m_clientMemory, m_pressure, { [this] { return m_follower.isReady() && !m_isStopping; }, [this] { return status(); } })
         {
             if (settings.platform.instanceList)
                 m_instances.emplace(*settings.platform.instanceList, settings.platform.instanceListPeriod, [this](const platform::leaving_instances& leaving) { m_dispatcher.setDraining(side::drain_reason::InstanceList, leaving.contains(m_settings.instance)); });
@@ -49,6 +51,11 @@
         }
 
     private:
+        static policy::client_memory_limits memoryLimits(const settings::side_limits& limits)
+        {
+            return { limits.memory.heldBytes(), wire::maxWebsocketMessageBytes };
+        }
+
         wire::session_server::callbacks serverCallbacks()
         {
             wire::session_server::callbacks callbacks;
@@ -118,6 +125,8 @@
         main_loop m_loop;
         metrics m_metrics;
         settings::side_settings m_settings;
+        std::shared_ptr<client_memory_budget> m_clientMemory;
+        execution::pressure_report m_pressure;
         execution::suspicion_exchange m_suspicions;
         side::call_dispatcher m_dispatcher;
         execution::configuration_follower m_follower;
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -39,6 +39,10 @@
           "type": "object",
           "additionalProperties": false,
           "properties": {
+            @clientMemory@,
+            "maxConnections": { "type": "integer", "minimum": 10, "maximum": 1000000 },
+            "receiveTimeoutMs": { "type": "integer", "minimum": 100, "maximum": 3600000 },
+            "idleTimeoutMs": { "type": "integer", "minimum": 100, "maximum": 3600000 },
             "maxRequests": { "type": "integer", "minimum": 1, "maximum": 1000000 },
             "maxBodyBytes": { "type": "integer", "minimum": 1, "maximum": 4000000 },
             "maxUnreadBytes": { "type": "integer", "minimum": 1024, "maximum": 1000000000 },
@@ -56,6 +60,10 @@
         if (!document.contains("limits"))
             return limits;
         const json& values = document["limits"];
+        limits.memory = detail::readClientMemory(values);
+        limits.maxConnections = values.value("maxConnections", limits.maxConnections);
+        limits.receiveTimeout = milliseconds(values.value("receiveTimeoutMs", limits.receiveTimeout.count()));
+        limits.idleTimeout = milliseconds(values.value("idleTimeoutMs", limits.idleTimeout.count()));
         limits.maxRequests = values.value("maxRequests", limits.maxRequests);
         limits.maxBodyBytes = values.value("maxBodyBytes", limits.maxBodyBytes);
         limits.maxUnreadBytes = values.value("maxUnreadBytes", limits.maxUnreadBytes);
@@ -120,13 +128,15 @@
 
 result<entry_settings> entry_settings::fromFile(const std::string& path)
 {
-    return detail::settingsFromFile(path, json_schema(detail::withPlatformSchema(entrySchema)), &readEntry);
+    return detail::settingsFromFile(path, json_schema(detail::withClientMemorySchema(detail::withPlatformSchema(entrySchema))), &readEntry);
 }
 
 json entry_settings::toJson() const
 {
+    json limitsDocument { { "maxRequests", limits.maxRequests }, { "maxBodyBytes", limits.maxBodyBytes }, { "maxUnreadBytes", limits.maxUnreadBytes }, { "idempotencyWindowMs", limits.idempotencyWindow.count() }, { "targetSilenceMs", limits.targetInactivityTimeout.count() }, { "drainTimeoutMs", limits.drainTimeout.count() }, { "maxConnections", limits.maxConnections }, { "receiveTimeoutMs", limits.receiveTimeout.count() }, { "idleTimeoutMs", limits.idleTimeout.count() } };
+    detail::addClientMemory(limitsDocument, limits.memory);
     return { { "name", name }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() },
         { "operatorListen", operatorListen.toString() }, { "platform", detail::platformToJson(platform) },
-        { "limits", { { "maxRequests", limits.maxRequests }, { "maxBodyBytes", limits.maxBodyBytes }, { "maxUnreadBytes", limits.maxUnreadBytes }, { "idempotencyWindowMs", limits.idempotencyWindow.count() }, { "targetSilenceMs", limits.targetInactivityTimeout.count() }, { "drainTimeoutMs", limits.drainTimeout.count() } } } };
+        { "limits", limitsDocument } };
 }
 }
--- a/src/settings/entry_settings.hpp
+++ b/src/settings/entry_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
+#include "settings/client_memory_settings.hpp"
 
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -38,6 +39,13 @@
     milliseconds targetInactivityTimeout { 10000 };
     /// Longest time that a planned shutdown waits for requests in progress.
     milliseconds drainTimeout { 60000 };
+    client_memory_settings memory;
+    /// Open connections of callers.
+    size_t maxConnections = 20000;
+    /// Longest time for the head of a request, and between two reads of its body.
+    milliseconds receiveTimeout { 30000 };
+    /// Longest time that a connection is open without a request.
+    milliseconds idleTimeout { 60000 };
 };
 
 /// All settings of an entry.
--- a/src/settings/side_settings.cpp
+++ b/src/settings/side_settings.cpp
@@ -24,6 +24,7 @@
           "type": "object",
           "additionalProperties": false,
           "properties": {
+            @clientMemory@,
             "maxCalls": { "type": "integer", "minimum": 1, "maximum": 1000000 },
             "idempotencyWindowMs": { "type": "integer", "minimum": 1000, "maximum": 86400000 },
             "targetSilenceMs": { "type": "integer", "minimum": 10, "maximum": 600000 },
@@ -39,6 +40,7 @@
         if (!document.contains("limits"))
             return limits;
         const json& values = document["limits"];
+        limits.memory = detail::readClientMemory(values);
         limits.maxCalls = values.value("maxCalls", limits.maxCalls);
         limits.idempotencyWindow = milliseconds(values.value("idempotencyWindowMs", limits.idempotencyWindow.count()));
         limits.targetInactivityTimeout = milliseconds(values.value("targetSilenceMs", limits.targetInactivityTimeout.count()));
@@ -59,13 +61,15 @@
 
 result<side_settings> side_settings::fromFile(const std::string& path)
 {
-    return detail::settingsFromFile(path, json_schema(detail::withPlatformSchema(sideSchema)), &readSide);
+    return detail::settingsFromFile(path, json_schema(detail::withClientMemorySchema(detail::withPlatformSchema(sideSchema))), &readSide);
 }
 
 json side_settings::toJson() const
 {
+    json limitsDocument { { "maxCalls", limits.maxCalls }, { "idempotencyWindowMs", limits.idempotencyWindow.count() }, { "targetSilenceMs", limits.targetInactivityTimeout.count() }, { "drainTimeoutMs", limits.drainTimeout.count() } };
+    detail::addClientMemory(limitsDocument, limits.memory);
     return { { "name", name }, { "instance", instance }, { "region", region }, { "failureDomain", failureDomain }, { "listen", listen.toString() }, { "advertise", advertise.toString() },
         { "operatorListen", operatorListen.toString() }, { "platform", detail::platformToJson(platform) },
-        { "limits", { { "maxCalls", limits.maxCalls }, { "idempotencyWindowMs", limits.idempotencyWindow.count() }, { "targetSilenceMs", limits.targetInactivityTimeout.count() }, { "drainTimeoutMs", limits.drainTimeout.count() } } } };
+        { "limits", limitsDocument } };
 }
 }
--- a/src/settings/side_settings.hpp
+++ b/src/settings/side_settings.hpp
@@ -15,6 +15,7 @@
     milliseconds targetInactivityTimeout { 10000 };
     /// Longest time that a planned shutdown waits for calls in progress.
     milliseconds drainTimeout { 60000 };
+    client_memory_settings memory;
 };
 
 /// All settings of a side.
