A request that states four billion tasks no longer ends a gateway

One request with X-Pieces: made the gateway allocate a handle for each task and ended it; 200 requests with 10,000 tasks each kept it from answering an ordinary one. A request may now state 10,000 tasks in all stages, the limit that owners of pools had already, else it gets 400; tasks count 512 bytes each in the budget, else 503 with Retry-After. Violations of the protocol between processes, one log line for each before, are part of the line that a crowd causes once a second.

Before: gateway_caller_crowd/one_request_with_four_billion_tasks and requests_with_many_tasks fail on; now both pass.

--- a/src/deployment/caller_request.hpp
+++ b/src/deployment/caller_request.hpp
@@ -11,6 +11,9 @@
 
 namespace bilberryseam::deployment {
 
+/// Largest number of tasks of all stages of one request.
+constexpr uint32_t maxTasksPerRequest = 10000;
+
 /// A section of a prompt that other requests may share.
 struct prompt_segment {
     std::string id;
--- a/src/execution/pressure_report.hpp
+++ b/src/execution/pressure_report.hpp
@@ -25,6 +25,9 @@
     /// Counts a connection that ended before its requests, of which none was handed over, had responses.
     void recordUnfinished(std::string_view reason);
 
+    /// Records that somebody violated the protocol between processes; the caller counts it.
+    void recordViolation(std::string_view rule) { add("protocol: " + std::string(rule)); }
+
     /// Sets the gauges of what clients have the process hold.
     void updateGauges();
 
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "deployment/deployment.hpp"
+#include "execution/pressure_report.hpp"
 #include "gateway/target_registry.hpp"
 #include "http1/client.hpp"
 #include "loop/client_memory_budget.hpp"
@@ -81,6 +82,7 @@
     /// Requests that wait for a limited target, by service.
     std::map<std::string, size_t, std::less<>> waitingForLimits;
     /// What the clients of all ports may have the gateway hold.
+    execution::pressure_report* pressure = nullptr;
     std::shared_ptr<client_memory_budget> clientMemory = std::make_shared<client_memory_budget>(policy::client_memory_limits());
 
     context(settings::gateway_settings initialSettings, target_registry::on_change onTargetChange)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,6 +73,7 @@
     , m_scheduler(m_context)
     , m_pressure(m_context.clientMemory, m_context.counters, logComponent)
 {
+    m_context.pressure = &m_pressure;
     updateClientMemory();
     const auto limits = [this] { return serverLimits(); };
     m_callers.emplace(
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -69,6 +69,9 @@
     /// Completes the request from the configuration, or refuses it.
     /// @return False if it was refused.
     [[nodiscard]] bool accept(accepted_request& request, time_point now);
+    /// Counts the tasks of the request among what its client has the gateway hold.
+    /// @return False if there is no memory for them.
+    [[nodiscard]] bool holdTasks(const accepted_request& request) const;
     /// Completes the request from the configuration; changes nothing else.
     /// @param target  Request target, as the caller sends it.
     /// @return Why the request is refused before any part of it runs; nothing if it may run.
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -1,6 +1,7 @@
 #include "gateway/pool_router.hpp"
 
 #include "base/hash.hpp"
+#include "deployment/caller_request.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/detail/pool_router_peer.hpp"
 #include "gateway/load_exchange.hpp"
@@ -73,7 +74,7 @@
               [this](identifier session) { onSessionExpired(session); },
               [this](std::string_view rule) {
                   m_context.counters.count("peer_violations_total", { { "rule", std::string(rule) } });
-                  logLine(log_level::Warning, logComponent, "A peer violated the protocol between entries.", { { "rule", std::string(rule) } });
+                  m_context.pressure->recordViolation(rule);
               } },
           context.clientMemory)
 {
@@ -366,9 +367,8 @@
 
 void pool_router::hostJob(identifier session, wire::start_tasks& message)
 {
-    constexpr uint32_t maxTasks = 10000;
     const bool isServed = m_scheduler.hasPool(message.service) && !m_isStopping && !m_context.targets.ofService(message.service).empty();
-    if (!isServed || message.taskCount > maxTasks) {
+    if (!isServed || message.taskCount > deployment::maxTasksPerRequest) {
         m_server.post(session, wire::tasks_refused { message.jobNumber });
         return;
     }
--- a/src/gateway/request_acceptance.cpp
+++ b/src/gateway/request_acceptance.cpp
@@ -3,6 +3,8 @@
 #include "gateway/gateway.hpp"
 #include "policy/stop_schedule.hpp"
 
+#include <numeric>
+
 namespace bilberryseam::gateway {
 
 namespace {
@@ -15,6 +17,9 @@
     /// route or key may be new.
     constexpr double possiblyNewShare = 0.6;
 
+    /// Memory of a task in the queue of a pool, with its result handle and its part of a batch call.
+    constexpr size_t bytesPerTask = 512;
+
     constexpr milliseconds retryWhenNotReady { 500 };
     constexpr milliseconds retryElsewhere { 50 };
 
@@ -29,13 +34,22 @@
     return now - m_context.configurationCheckedAt < m_context.settings.bounds.revocation - revocationMargin;
 }
 
+bool gateway::holdTasks(const accepted_request& request) const
+{
+    const auto& counts = request.callerRequest.taskCounts;
+    const size_t tasks = std::accumulate(counts.begin(), counts.end(), size_t(0));
+    return tasks == 0 || request.exchange->holdBody(serverLimits().bodyCopies * request.exchange->body().size() + tasks * bytesPerTask);
+}
+
 bool gateway::accept(accepted_request& request, time_point now)
 {
     http1::exchange& exchange = *request.exchange;
     const std::string& id = request.callerRequest.id;
     if (m_isStopping)
         exchange.closeAfterResponse();
-    const auto refusal = refusalOf(request, exchange.head().target, now);
+    auto refusal = refusalOf(request, exchange.head().target, now);
+    if (!refusal && !holdTasks(request))
+        refusal = acceptance_refusal { http1::statusUnavailable, "memory", detail::retryWhenFull, {} };
     if (!refusal)
         return true;
     if (refusal->segment) {
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -168,7 +168,13 @@
             request.deadline = milliseconds(parseNumber<uint32_t>(*deadline, deadlineName));
         request.apiKey = std::string(findUnique(headers, apiKeyName).value_or(""));
         request.generation = readPrompt(headers);
-        forEachListItem(findUnique(headers, taskCountsName).value_or(""), [&](std::string_view item) { request.taskCounts.push_back(parseNumber<uint32_t>(item, taskCountsName)); });
+        uint64_t taskCount = 0;
+        forEachListItem(findUnique(headers, taskCountsName).value_or(""), [&](std::string_view item) {
+            request.taskCounts.push_back(parseNumber<uint32_t>(item, taskCountsName));
+            taskCount += request.taskCounts.back();
+            if (taskCount > deployment::maxTasksPerRequest)
+                throw invalidField(taskCountsName, "states too many tasks");
+        });
         request.taskKey = readText(headers, taskKeyName);
         request.continuedRequest = std::string(findUnique(headers, continuedRequestName).value_or(""));
         return request;
--- a/src/programs/side.cpp
+++ b/src/programs/side.cpp
@@ -71,7 +71,7 @@
             };
             callbacks.onViolation = [this](std::string_view rule) {
                 m_metrics.count("protocol_violations_total", { { "rule", std::string(rule) } });
-                logLine(log_level::Warning, logComponent, "A peer violated the protocol.", { { "rule", std::string(rule) } });
+                m_pressure.recordViolation(rule);
             };
             return callbacks;
         }
--- a/tests/crowd/gateway_crowd_test.cpp
+++ b/tests/crowd/gateway_crowd_test.cpp
@@ -184,3 +184,44 @@
     test.run(crowd);
     test.check(1);
 }
+
+namespace {
+/// A gateway with a route of one stage.
+struct stage_crowd_test {
+    explicit stage_crowd_test(int slot)
+        : test(slot)
+    {
+        test.deployment.addTarget("e-1", "encode");
+        const nlohmann::json stages { { { "service", "encode" }, { "after", nlohmann::json::array() }, { "bytes", 1000 } } };
+        const nlohmann::json pool { { "name", "encode" }, { "pieces", { { "slots", 1 }, { "queue", 2 }, { "batch", 4 }, { "call_ms", 5 }, { "item_ms", 1 }, { "headroom_mb", 10 }, { "handle_s", 4 } } } };
+        test.deployment.configure(4, { deployment_fixture::route("/m/", "idempotent", "model"), deployment_fixture::route("/staged/", "idempotent", "model", { { "stages", stages }, { "timeout_ms", 30000 } }) }, { pool });
+        const http1::header_list onePiece { { "X-Pieces", "1" }, { "X-Piece-Key", "k" } };
+        test.deployment.waitUntil([&] { return test.deployment.sendAndWait("GET", "/staged/1", onePiece)->head.status == 200; }, "the route with a stage");
+    }
+
+    /// @param pieces  Number of tasks that each client states.
+    [[nodiscard]] static client_script scriptOf(const std::string& pieces)
+    {
+        return { .start = "GET /staged/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: crowd\r\nX-Deadline-Ms: 30000\r\nX-Piece-Key: k\r\nX-Pieces: " + pieces + "\r\n\r\n" };
+    }
+
+    gateway_crowd_test test;
+};
+}
+
+Test(gateway_caller_crowd, one_request_with_four_billion_tasks)
+{
+    stage_crowd_test stages(235);
+    client_crowd crowd(stages.test.deployment.listenAddress(0), 1, stage_crowd_test::scriptOf("4000000000"));
+    stages.test.run(crowd);
+    cr_assert_eq(crowd.countResponses("HTTP/1.1 400"), 1u);
+    stages.test.check(1);
+}
+
+Test(gateway_caller_crowd, requests_with_many_tasks)
+{
+    stage_crowd_test stages(236);
+    client_crowd crowd(stages.test.deployment.listenAddress(0), 200, stage_crowd_test::scriptOf("10000"));
+    stages.test.run(crowd);
+    stages.test.check(200);
+}
