The table of cached prefixes forgets those that have expired

Gateways kept an entry for each prompt prefix that any caller had ever named and a target had processed, at each target, for good: an entry expired after 60 s for decisions, but was never removed. The table now holds 64 Ki prefixes a target; when it is full, expired ones are removed. Decisions do not change, as expired prefixes counted for nothing.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -82,7 +82,7 @@
     if (!m_request.callerRequest.generation || attempt.response.status != http1::statusOk)
         return;
     for (const uint64_t hash : deployment::prefixHashes(*m_request.callerRequest.generation))
-        attempt.target->cachedPrefixes[hash] = attempt.firstByteAt;
+        rememberPrefix(*attempt.target, hash, attempt.firstByteAt);
     if (!m_backup)
         cancelAndReleaseStages();
 }
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -17,7 +17,6 @@
     constexpr size_t maxLoggedBytes = 40;
 
     /// A prompt segment counts as cached at a target for this long after it was last processed there.
-    constexpr seconds cachedPrefixLifetime { 60 };
 
     /// Pause before another search for a target when none is usable.
     constexpr milliseconds placementRetryDelay { 40 };
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -41,6 +41,17 @@
     }
 }
 
+void rememberPrefix(target_state& target, uint64_t hash, time_point now)
+{
+    auto& prefixes = target.cachedPrefixes;
+    if (prefixes.size() >= maxCachedPrefixes && !prefixes.contains(hash)) {
+        std::erase_if(prefixes, [now](const auto& item) { return now - item.second > cachedPrefixLifetime; });
+        if (prefixes.size() >= maxCachedPrefixes)
+            return;
+    }
+    prefixes[hash] = now;
+}
+
 target_registry::target_registry(on_change onChange)
     : m_onChange(std::move(onChange))
 {
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -95,6 +95,16 @@
     [[nodiscard]] std::optional<double> ownRate(time_point now) const noexcept;
 };
 
+/// How long a prefix counts as cached at the target that processed it.
+constexpr seconds cachedPrefixLifetime { 60 };
+
+/// Largest number of prefixes that are remembered for one target; a prompt has at most 1,000.
+constexpr size_t maxCachedPrefixes = 64 * 1024;
+
+/// Records that the target has processed a prompt prefix. Expired prefixes make room for new ones; if there are none, a new one is
+/// not recorded.
+void rememberPrefix(target_state& target, uint64_t hash, time_point now);
+
 using target_ptr = std::shared_ptr<target_state>;
 
 /// Holds the target list and defers removals that may only come from an outage of the store.
