--- a/src/policy/client_memory.cpp
+++ b/src/policy/client_memory.cpp
@@ -117,6 +117,11 @@
     return std::clamp(shareOf(memory.limits.total, receiveBufferShare) / (connections + 1), minReceiveBufferBytes, maxReceiveBufferBytes);
 }
 
+size_t maxSessions(const client_memory& memory) noexcept
+{
+    return shareOf(memory.limits.total, sessionShare) / sessionBytes;
+}
+
 std::vector<size_t> yieldingBacklogs(const client_memory& memory, std::span<const size_t> backlogs)
 {
     const size_t limit = shareOf(memory.limits.total, unsentShare);
--- a/src/policy/client_memory.hpp
+++ b/src/policy/client_memory.hpp
@@ -131,6 +131,15 @@
 /// @return Bytes that the kernel may receive for a further one before they are read: the more there are, the fewer.
 [[nodiscard]] size_t receiveBufferLimit(const client_memory& memory, size_t connections) noexcept;
 
+/// Memory of a session of another process, apart from its messages.
+constexpr size_t sessionBytes = 10 * 1024;
+
+/// Share of the memory for sessions.
+constexpr double sessionShare = 0.5;
+
+/// @return Number of sessions that one server may keep, so that sessions leave memory for requests.
+[[nodiscard]] size_t maxSessions(const client_memory& memory) noexcept;
+
 /// @param backlogs  Unacknowledged bytes of each session of one server; they count as unsent.
 /// @return Indices of the sessions that end, the largest first, so that unsent bytes stay within their share.
 [[nodiscard]] std::vector<size_t> yieldingBacklogs(const client_memory& memory, std::span<const size_t> backlogs);
--- a/src/wire/server.cpp
+++ b/src/wire/server.cpp
@@ -12,8 +12,6 @@
     /// Largest opening handshake and hello.
     constexpr size_t maxBytesBeforeSession = 16 * 1024;
 
-    /// Memory of a session apart from its messages.
-    constexpr size_t sessionBytes = 16 * 1024;
 }
 
 /// A session that outlives its connections.
@@ -143,7 +141,8 @@
 {
     const result<hello> decodedHello = decodeHello(bytes);
     const bool isSupported = decodedHello && decodedHello.value().version == protocolVersion;
-    if (!isSupported || m_sessions.size() >= m_limits.maxSessions) {
+    const bool isKnown = isSupported && m_sessions.contains(decodedHello.value().session);
+    if (!isSupported || (!isKnown && m_sessions.size() >= maxSessions())) {
         m_callbacks.onViolation(isSupported ? "too_many_sessions" : decodedHello ? "version"
                                                                                  : "bad_hello");
         pendingConnection->timeout.startOnce(milliseconds(0), [this, pendingConnection] { removePending(pendingConnection); });
@@ -155,12 +154,7 @@
     if (!isResumed && m_sessions.erase(peerHello.session) > 0)
         m_callbacks.onExpired(peerHello.session);
     stored_session& session = sessionFor(peerHello.session);
-    if (!session.memory.grow(policy::memory_use::Held, sessionBytes)) {
-        m_callbacks.onViolation("too_many_sessions");
-        m_sessions.erase(peerHello.session);
-        pendingConnection->timeout.startOnce(milliseconds(0), [this, pendingConnection] { removePending(pendingConnection); });
-        return;
-    }
+    session.memory.set(policy::memory_use::Held, policy::sessionBytes);
     pendingConnection->connection->setMaxMessageBytes(maxWebsocketMessageBytes);
     pendingConnection->connection->send(encodeWelcome({ protocolVersion, m_incarnation, m_name, isResumed, session.channel.receivedSequence() }));
     if (!session.channel.attach(std::move(pendingConnection->connection), isResumed ? peerHello.receivedSequence : 0)) {
@@ -174,6 +168,11 @@
     m_callbacks.onAttached(peerHello.session, isResumed);
 }
 
+size_t session_server::maxSessions() const noexcept
+{
+    return m_memory ? std::min(m_limits.maxSessions, policy::maxSessions(m_memory->memory())) : m_limits.maxSessions;
+}
+
 session_server::stored_session& session_server::sessionFor(identifier id)
 {
     auto& session = m_sessions[id];
--- a/src/wire/server.hpp
+++ b/src/wire/server.hpp
@@ -64,6 +64,7 @@
     void startHandshake(GSocketConnection* connection);
     void removePending(pending_connection* pendingConnection);
     void handleHello(pending_connection* pendingConnection, std::string_view bytes);
+    [[nodiscard]] size_t maxSessions() const noexcept;
     stored_session& sessionFor(identifier id);
     void markInvalid(identifier id);
     void removeExpired();
--- a/tests/crowd/gateway_crowd_test.cpp
+++ b/tests/crowd/gateway_crowd_test.cpp
@@ -176,6 +176,23 @@
     test.check(40);
 }
 
+Test(gateway_peer_crowd, sessions_that_stay)
+{
+    // In waves, since connections without a hello are limited, too.
+    constexpr size_t waves = 10;
+    constexpr size_t wave = 200;
+    gateway_crowd_test test(237);
+    std::list<client_crowd> crowds;
+    for (size_t i = 0; i < waves; ++i) {
+        crowds.emplace_back(test.deployment.peerAddress(0), wave, client_script(), [i](size_t index) {
+            return webSocketStart(wire::encodeHello({ wire::protocolVersion, { 9, i * wave + index }, "crowd", {}, 0 }));
+        });
+        test.run(crowds.back());
+    }
+    // Half of the bytes that clients may have the gateway hold, and connections that have sent no hello yet.
+    test.check(16 * 1024 * 1024 / 2 / (10 * 1024) + 256);
+}
+
 Test(gateway_peer_crowd, a_deeply_nested_message)
 {
     gateway_crowd_test test(234);
--- a/tests/unit/client_memory_test.cpp
+++ b/tests/unit/client_memory_test.cpp
@@ -178,6 +178,19 @@
     cr_assert_lt(receiveBufferLimit(memory, 1500), maxReceiveBufferBytes / 4);
 }
 
+Test(client_memory, sessions_leave_memory_for_requests)
+{
+    body_replay replay;
+    for (size_t i = 0; i < maxSessions(replay.memory); ++i) {
+        const holder_id id = replay.connect();
+        setHeld(replay.memory, id, memory_use::Held, sessionBytes);
+        replay.memory.holders[id].canYield = false;
+    }
+    replay.now += seconds(100);
+    cr_assert(replay.serve(1000));
+    cr_assert(replay.serve(bodyBytes));
+}
+
 Test(client_memory, the_largest_backlogs_end_first)
 {
     client_memory memory { limits, {}, {} };
