--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -21,7 +21,7 @@
 
     constexpr int listenBacklog = 1024;
     constexpr int maxAcceptsPerDispatch = 64;
-    constexpr size_t maxReceiveBufferBytes = 256 * 1024;
+    constexpr size_t maxReceiveBufferBytes = 128 * 1024;
 
     /// Time for which nothing is accepted after the process had no descriptor left.
     constexpr milliseconds noDescriptorPause { 100 };
--- a/src/policy/client_memory.hpp
+++ b/src/policy/client_memory.hpp
@@ -126,7 +126,7 @@
 
 /// Largest receive buffer that the kernel keeps for one connection: several of the largest segments, which have 64 KiB on loopback,
 /// since TCP opens a closed window only for a whole one.
-constexpr size_t maxReceiveBufferBytes = 256 * 1024;
+constexpr size_t maxReceiveBufferBytes = 128 * 1024;
 
 /// @param connections  Number of open connections of the server.
 /// @return Bytes that the kernel may receive for a further one before they are read: the more there are, the fewer.
