--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -1,5 +1,7 @@
 #include "http1/tcp_stream.hpp"
 
+#include "policy/client_memory.hpp"
+
 #include <arpa/inet.h>
 #include <array>
 #include <bit>
@@ -21,7 +23,6 @@
 
     constexpr int listenBacklog = 1024;
     constexpr int maxAcceptsPerDispatch = 64;
-    constexpr size_t maxReceiveBufferBytes = 128 * 1024;
 
     /// Time for which nothing is accepted after the process had no descriptor left.
     constexpr milliseconds noDescriptorPause { 100 };
@@ -407,7 +408,7 @@
     if (m_descriptor >= 0) {
         setOption(m_descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
         // Without a limit, the buffer of a fast sender grows to megabytes.
-        limitReceiveBuffers(maxReceiveBufferBytes);
+        limitReceiveBuffers(policy::maxReceiveBufferBytes);
     }
     if (m_descriptor < 0 || bind(m_descriptor, reinterpret_cast<sockaddr*>(&storage), length) != 0 || listen(m_descriptor, listenBacklog) != 0) {
         const std::string reason = std::strerror(errno);
