--- a/review/6/case.py
+++ b/review/6/case.py
@@ -115,7 +115,7 @@
     headers = [("Host", "kurs.example"), ("X-Attempt-Id", identifier), ("X-Deadline-Ms", "12000"), ("X-Pieces", str(pieces)), ("X-Piece-Key", new_id()[:12])]
     record(f"client: sends {identifier} with {pieces} pieces to {gateway.name}")
     try:
-        status, answer_headers, _ = await asyncio.wait_for(standins.call(gateway.front, "POST", f"/{service}/1", headers, b"prompt"), 12)
+        status, answer_headers, _ = await asyncio.wait_for(standins.call(gateway.front, "POST", f"/{service}/{identifier}", headers, b"prompt"), 12)
         record(f"client: {identifier} got {status}{' sealed' if header(answer_headers, 'X-Response-Seal') else ''}")
         counts[status] = counts.get(status, 0) + 1
     except (EOFError, OSError, ConnectionError, asyncio.TimeoutError) as problem:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -75,7 +75,7 @@
         self.record(f"client: sends {identifier} to {gateway.name} after event {self.last}, resumes {self.first_attempt if self.last else None}")
         reader, writer = await asyncio.wait_for(asyncio.open_connection(HOST, gateway.front), 1)
         try:
-            writer.write(("POST /antrag/1 HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in headers) + "Content-Length: 6\r\n\r\nprompt").encode())
+            writer.write((f"POST /antrag/{identifier} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in headers) + "Content-Length: 6\r\n\r\nprompt").encode())
             first_line, answer = await read_head(reader)
             status = int(first_line.split(" ")[1])
             if status != 200:
