Review: most streams cannot be taken up again after lost answers

Cause: a broken answer makes the version of its replica doubtful for 10 s, and a stream that begins meanwhile stays of unknown version for good.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,132 +1,162 @@
-"""One request names 2,400 pieces. The other clients use plain requests on kept connections."""
+"""Replicas of two software versions serve side by side, and some of them lose answers for two times 4 s. Afterwards clients lose
+their own connections in the middle of their streams and take the streams up again at other gateways."""
 import asyncio
-import json
 import os
 import random
+import re
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
 import standins
-from standins import HOST, Gateway, Replica, Store, header, new_id, read_body, read_head, response, run_case
+from standins import HOST, Gateway, Replica, Store, header, new_id, read_chunk, read_head, reset, response, run_case
 
 SEED = int(os.environ.get("SEED", "1"))
-PIECES = 2400
-CLIENTS = 24
-# The stage service `raum-plan` of the site file, with its replicas.
-STAGE_REPLICAS = 43
-STAGE = {"slots": 1, "queue": 2, "batch": 44, "call_ms": 150.0, "item_ms": 2.9, "headroom_mb": 0.77, "handle_s": 4.0, "link_mbps": 10000}
-RESULT_BYTES = 6000
-
-
-class StageReplica(Replica):
-    def __init__(self, *arguments):
-        super().__init__(*arguments, slots=1)
-        self.slot, self.waiting = asyncio.Lock(), 0
+EVENTS = 24
+PAUSE_S = 0.25
+DEADLINE_S = 8.0
+# A client that has its stream for so long loses its connection.
+EVENTS_BEFORE_BREAK = 8
+# The first try to take a stream up, and those after a refusal.
+TRIES = 3
+STREAMS_PER_S = 24
+# The site file has `answer_lost`, how = "reset", with share = 0.6, x = 0.4 and for_s = 4.0. It comes twice.
+REPLICAS = 8
+LOSING = [(0, 1, 2, 4, 5), (2, 3, 5, 6, 7)]
+LOST_SHARE = 0.4
+LOSING_S = 4.0
+
+
+class StreamReplica(Replica):
+    is_losing, luck = False, random.Random(SEED + 1)
 
     async def run(self, request, connection):
-        if request.path == "/v1/report":
-            return response(200, [("Content-Type", "application/json")], json.dumps({"waiting": self.waiting, "busy": self.slot.locked(), "free_mb": STAGE["headroom_mb"]}).encode())
-        if request.path == "/v1/stage-free":
-            return response(200)
-        if request.path != "/v1/stage-run":
+        if request.method != "POST":
             return response(404)
-        if self.waiting >= STAGE["queue"]:
-            return response(503, [("X-Not-Executed", "1")])
-        items = json.loads(request.body)["items"]
-        self.waiting += 1
-        async with self.slot:
-            self.waiting -= 1
-            await asyncio.sleep((STAGE["call_ms"] + STAGE["item_ms"] * len(items)) / 1000)
-        self.record(f"{self.id}: made {len(items)} pieces")
-        return response(200, [("Content-Type", "application/json")], json.dumps({"items": [{"handle": f"{self.address}/{random.getrandbits(44):011x}"} for _ in items]}).encode())
-
-
-class ModelReplica(Replica):
-    async def run(self, request, connection):
-        self.record(f"{self.id}: runs {request.header('X-Attempt-Id')} with {len((request.header('X-Inputs') or '').split(','))} inputs")
-        return response(200, [("Content-Type", "text/event-stream")] + self.own_headers(request), b"id: 1\ndata: x\n\n")
-
-
-class PlainReplica(Replica):
-    def __init__(self, began, *arguments):
-        super().__init__(*arguments, slots=24)
-        self.began = began
-
-    async def run(self, request, connection):
-        identifier = request.header("X-Attempt-Id")
-        if identifier is None:
-            return response(400, [("X-Not-Executed", "1")])
-        self.began[identifier] = self.id
-        await asyncio.sleep(0.25)
-        return response(200, self.own_headers(request), b"done")
-
-
-async def client(number, gateway, record, began, cut, until):
-    """Sends one request after the other on one connection until it ends."""
-    reader, writer = await asyncio.open_connection(HOST, gateway.front)
-    sent = 0
-    try:
-        while record.now() < until:
-            identifier = new_id()
-            headers = [("Host", "lesen.example"), ("X-Attempt-Id", identifier), ("X-Deadline-Ms", "5000")]
-            writer.write((f"GET /lesen/{identifier} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in headers) + "\r\n").encode())
-            sent += 1
-            try:
-                first, answer = await asyncio.wait_for(read_head(reader), 6)
-                await asyncio.wait_for(read_body(reader, answer), 6)
-            except (EOFError, ConnectionError, OSError) as problem:
-                is_passed_on = identifier in began
-                record(f"client {number}: {identifier}, request {sent} of the connection to {gateway.name}, got {type(problem).__name__}; {'it had been passed on to ' + began[identifier] if is_passed_on else 'no replica got it'}")
-                if is_passed_on and sent > 1:
-                    cut.append(f"{identifier} at {gateway.name}")
-                return
-            if header(answer, "Connection", "").lower() == "close":
+        first = int(request.header("Last-Event-Id") or 0) + 1
+        self.record(f"{self.id} ({self.version}): runs {request.header('X-Attempt-Id')} from event {first}, resumes {request.header('Resumes')}")
+        if self.is_losing and self.luck.random() < LOST_SHARE:
+            await asyncio.sleep(0.1)
+            self.record(f"{self.id} ({self.version}): loses the answer to {request.header('X-Attempt-Id')}")
+            reset(connection)
+            return None
+        head = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")] + self.own_headers(request)
+        connection.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in head) + "\r\n").encode())
+        for number in range(first, EVENTS + 1):
+            event = f"id: {number}\ndata: token of {self.version}\n\n".encode()
+            connection.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await connection.drain()
+            if connection.is_closing():
+                return None
+            await asyncio.sleep(PAUSE_S)
+        connection.write(b"0\r\n\r\n")
+        return None
+
+
+class Stream:
+    """A client's stream: a first part, and its tries to take it up at another gateway."""
+
+    def __init__(self, record, gateways, luck):
+        self.record, self.luck = record, luck
+        self.first_gateway, self.second_gateway = luck.sample(gateways, 2)
+        self.last, self.first_attempt, self.versions = 0, None, set()
+        self.has_begun = self.was_taken_up = self.goes_on = False
+
+    async def run(self):
+        deadline = time.monotonic() + DEADLINE_S
+        status = await self.attempt(self.first_gateway, deadline, EVENTS_BEFORE_BREAK)
+        self.has_begun = self.last > 0
+        if self.last < EVENTS_BEFORE_BREAK:
+            self.record(f"client: a stream at {self.first_gateway.name} ended with {status} after event {self.last}")
+            return
+        self.was_taken_up = True
+        for _ in range(TRIES):
+            status = await self.attempt(self.second_gateway, deadline, EVENTS)
+            self.goes_on = self.last > EVENTS_BEFORE_BREAK
+            if self.goes_on or status != 503:
                 return
-    finally:
-        writer.close()
+            await asyncio.sleep(0.5)
+
+    async def attempt(self, gateway, deadline, until_event):
+        """One try, up to an event at which the client's connection ends.
+        @return The status, or what ended the answer."""
+        identifier = new_id()
+        headers = [("Host", "antrag.example"), ("X-Attempt-Id", identifier), ("X-Deadline-Ms", str(max(1, int((deadline - time.monotonic()) * 1000))))]
+        if self.last:
+            headers += [("Last-Event-Id", str(self.last)), ("Resumes", self.first_attempt)]
+        writer = None
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(HOST, gateway.front), 1)
+            writer.write((f"POST /antrag/{identifier} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in headers) + "Content-Length: 6\r\n\r\nprompt").encode())
+            first_line, answer = await asyncio.wait_for(read_head(reader), DEADLINE_S)
+            status = int(first_line.split(" ")[1])
+            self.record(f"client: {identifier} at {gateway.name} after event {self.last}, resumes {self.first_attempt if self.last else None}: {status}, Retry-After {header(answer, 'Retry-After')}")
+            if status != 200:
+                return status
+            self.first_attempt = self.first_attempt or identifier
+            while chunk := await asyncio.wait_for(read_chunk(reader), DEADLINE_S):
+                for number, version in re.findall(r"id: (\d+)\ndata: token of (\w+)\n\n", chunk.decode()):
+                    self.last = int(number)
+                    self.versions.add(version)
+                if self.last >= until_event:
+                    break
+            return status
+        except (EOFError, OSError, ConnectionError, asyncio.TimeoutError) as problem:
+            return type(problem).__name__
+        finally:
+            if writer:
+                writer.close()
 
 
 async def case(record, folder, has_trouble, gateways):
     store = Store(record)
     await store.start()
-    plain = {"health_path": "/healthz", "max_conns": 680, "protocol": "h1", "tls": False}
-    routes = [
-        {"name": "r-antrag", "host": "antrag.example", "path_prefix": "/antrag/", "kind": "streaming", "timeout_ms": 8000, "target_latency_ms": 1900, "priority": 0, "service": "kurs-llm", "max_attempts": 2, "stages": [{"service": "raum-plan", "after": [], "bytes": RESULT_BYTES}], "public": True, "sticky": False, "resumable": True, "gap_aim_ms": 500},
-        {"name": "r-lesen", "host": "lesen.example", "path_prefix": "/lesen/", "kind": "idempotent", "timeout_ms": 2500, "target_latency_ms": 300, "priority": 2, "service": "buchen-app", "max_attempts": 2, "public": True, "sticky": False, "resumable": False},
-    ]
-    services = [{"name": "kurs-llm", **plain}, {"name": "buchen-app", **plain}, {"name": "raum-plan", **plain, "pieces": STAGE}]
-    await store.put("keyed.op", "config", {"version": 3, "routes": routes, "services": services, "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}, "tenants": [{"name": "bozi300", "api_keys": ["9dnn2ctnfzs989anu6ws"], "priority": 1}]})
-    zones, began, cut = list(standins.ZONES), {}, []
-    replicas = [StageReplica(store, record, f"i-stage-{i}", "raum-plan", zones[i % 3]) for i in range(STAGE_REPLICAS)]
-    replicas += [ModelReplica(store, record, f"i-model-{i}", "kurs-llm", zone) for i, zone in enumerate(zones)]
-    replicas += [PlainReplica(began, store, record, f"i-plain-{i}", "buchen-app", zone) for i, zone in enumerate(zones)]
+    route = {"name": "r-antrag", "host": "antrag.example", "path_prefix": "/antrag/", "kind": "streaming", "timeout_ms": 8000, "target_latency_ms": 1900, "priority": 0, "service": "kurs-llm", "max_attempts": 2, "public": True, "sticky": False, "resumable": True, "gap_aim_ms": 250}
+    services = [{"name": "kurs-llm", "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "tls": False}]
+    await store.put("keyed.op", "config", {"version": 3, "routes": [route], "services": services, "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}, "tenants": [{"name": "bozi300", "api_keys": ["9dnn2ctnfzs989anu6ws"], "priority": 1}]})
+    zones, luck = list(standins.ZONES), random.Random(SEED)
+    replicas = [StreamReplica(store, record, f"i-{i}", "kurs-llm", zones[i % len(zones)], "v1" if i < REPLICAS // 2 else "v2") for i in range(REPLICAS)]
     for replica in replicas:
         await replica.start()
-    gateways += [Gateway(store, record, f"frontend-{i + 1}", zone, folder) for i, zone in enumerate(zones)]
+    gateways += [Gateway(store, record, f"frontend-{i + 1}", zone, folder) for i, zone in enumerate(zones + zones[:1])]
     for gateway in gateways:
         await gateway.start()
     for gateway in gateways:
         await gateway.wait_until_ready()
-    until = record.now() + 10
-    clients = [asyncio.ensure_future(client(i, gateways[i % len(gateways)], record, began, cut, until)) for i in range(CLIENTS)]
-    # A machine is in touch after 3 s.
-    await asyncio.sleep(5)
-    identifier, pieces = new_id(), PIECES if has_trouble else 16
-    headers = [("Host", "antrag.example"), ("X-Attempt-Id", identifier), ("X-Deadline-Ms", "8000"), ("X-Pieces", str(pieces)), ("X-Piece-Key", new_id()[:12])]
-    record(f"client: sends {identifier} with {pieces} pieces to {gateways[0].name}")
-    try:
-        status, _, _ = await asyncio.wait_for(standins.call(gateways[0].front, "POST", "/antrag/1", headers, b"prompt"), 9)
-        record(f"client: {identifier} got {status}")
-    except (EOFError, ConnectionError, OSError) as problem:
-        record(f"client: {identifier} got {type(problem).__name__}")
-    await asyncio.gather(*clients)
-    ended = [gateway.name for gateway in gateways if gateway.process.returncode is not None]
-    for gateway in gateways:
-        if gateway.name in ended:
-            with open(gateway.log_path, encoding="utf-8", errors="replace") as file:
-                record(f"gateway {gateway.name}: ended by itself with status {gateway.process.returncode}; its last line: {file.readlines()[-1].strip()[:120]}")
-    record(f"{len(began)} plain requests were passed on; {len(cut)} of them on kept connections were cut without an answer; gateways that ended by themselves: {ended}")
-    return [f"LOST: {len(cut)} requests from kept connections had been passed on to sound replicas and got no answer: {cut}"] if len(cut) > 3 else []
+    # Replicas and gateways have run for so long that no start of theirs is new.
+    await asyncio.sleep(12)
+
+    async def begin_streams(duration_s):
+        streams, tasks = [], []
+        for _ in range(int(duration_s * STREAMS_PER_S)):
+            streams.append(Stream(record, gateways, luck))
+            tasks.append(asyncio.ensure_future(streams[-1].run()))
+            await asyncio.sleep(1 / STREAMS_PER_S)
+        return streams, tasks
+
+    traffic = asyncio.ensure_future(begin_streams(2.0 + LOSING_S * len(LOSING) + 1.0))
+    await asyncio.sleep(2.0)
+    for group in LOSING:
+        for i, replica in enumerate(replicas):
+            replica.is_losing = has_trouble and i in group
+        record(f"replicas that lose answers: {[replica.id for replica in replicas if replica.is_losing]}")
+        await asyncio.sleep(LOSING_S)
+    for replica in replicas:
+        replica.is_losing = False
+    record("no replica loses answers any more")
+    _, earlier = await traffic
+    record("the streams that begin from here are counted")
+    streams, tasks = await begin_streams(3.0)
+    await asyncio.gather(*earlier, *tasks)
+    begun = sum(stream.has_begun for stream in streams)
+    taken_up = [stream for stream in streams if stream.was_taken_up]
+    going_on = sum(stream.goes_on for stream in taken_up)
+    mixed = sum(len(stream.versions) > 1 for stream in streams)
+    record(f"{len(streams)} new streams, {begun} began; {len(taken_up)} were taken up again, {going_on} went on; {mixed} with events of two versions")
+    if len(taken_up) < 12 or begun < len(streams) / 2:
+        raise standins.CannotRun("too few streams began or were taken up again")
+    is_broken = going_on / len(taken_up) < begun / len(streams) / 2
+    return [f"LOST: {going_on} of {len(taken_up)} streams that were taken up again went on, {begun} of {len(streams)} new ones began"] if is_broken else []
 
 
 if __name__ == "__main__":
