--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -15,8 +15,9 @@
 import urllib.parse
 
 REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
-# The tests of the project use 127.0.0.1 and 127.1.0.1.
-HOST = "127.52.0.1"
+# A loopback address for each process, so that cases which run at the same time don't take each other's ports. The tests of the
+# project use 127.0.0.1 and 127.1.0.1.
+HOST = f"127.52.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
 ZONES = {"muc-ost": "obb-region", "nue-sued": "frk-region", "aug-nord": "swb-region"}
 BOUNDS = {"seed_lag_s": 3, "reuse_after_s": 2, "stable_window_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2500, "grace_s": 8, "loss_slack_ms": 200, "config_ms": 2500, "rollback_slack_ms": 250, "max_stretch_ms": 5000, "strict_revoke": True, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 54, "recover_s": 12, "pass_ms": 200, "reuse_window_s": 10}
 LIMITS = {"cpu_share": 0.19, "cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0}
