Streams begin only at software versions that the store has recorded

Cause: a gateway passed on first events of a version that no durable record named, and believed the record afterwards. Related paths with the same cause: a gateway that had never written the record, a store that returns from an older copy, a version that joins and leaves in the outage.

Change: a resumable stream begins only at an acknowledged version while a target of one is in service; versions are recorded when they are listed and again in another era of the store; a gateway without the record uses the version that has run longest; a record is not believed if another version has run longer.

--- a/src/fakes/platform_store.cpp
+++ b/src/fakes/platform_store.cpp
@@ -169,6 +169,10 @@
     }
     const std::string path(http1::pathOf(exchange->head().target));
     const std::string name = queryParameter(*exchange, "topic");
+    if (m_faults.refusedTopics.contains(name)) {
+        respond(std::move(exchange), 503, {});
+        return;
+    }
     if (path == "/v1/log-newest")
         respondWithNewest(std::move(exchange), m_topics[name]);
     else if (path == "/v1/log-read")
--- a/src/fakes/platform_store.hpp
+++ b/src/fakes/platform_store.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
     uint32_t truncatedReads = 0;
     /// Number of appends that are refused with status 503.
     uint32_t refusedAppends = 0;
+    /// Topics whose calls get status 503, as if only their partitions were down.
+    std::set<std::string> refusedTopics = {};
 };
 
 /// In-memory store that listens on one port.
@@ -41,7 +44,7 @@
     void restoreOlderCopy(const std::string& topic, size_t lostRecords);
     /// Removes the records of a topic; the newest value of each key stays available.
     void truncateHistory(const std::string& topic);
-    void setFaults(store_faults faults) { m_faults = faults; }
+    void setFaults(store_faults faults) { m_faults = std::move(faults); }
 
     /// Changes faults and content as given in JSON: `down`, `delayMs`, `lostAppendAnswers`, `refusedAppends`, `trim` (topic
     /// and the offset before which records are removed) and `put` (topic, key and value). Missing keys keep their values.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include "policy/stop_schedule.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace bilberryseam::gateway {
 
@@ -14,6 +15,8 @@
     constexpr std::string_view logComponent = "gateway";
 
     constexpr milliseconds tickPeriod { 25 };
+    /// Time between two checks whether the store has the listed versions of each service with resumable streams.
+    constexpr milliseconds versionCheckPeriod { 500 };
 
     /// Bytes of an identifier from outside that are logged.
     constexpr size_t maxLoggedBytes = 40;
@@ -32,12 +35,17 @@
     /// All entries know of a new one within this time.
     constexpr milliseconds stableEntriesTime { 5000 };
 
-    version_history::version_set versionsOf(std::span<const target_ptr> targets)
+    version_history::listings listingsOf(std::span<const target_ptr> targets)
     {
-        version_history::version_set versions;
-        for (const auto& target : targets)
-            versions.insert(target->listed.softwareVersion);
-        return versions;
+        version_history::listings listings;
+        for (const auto& target : targets) {
+            auto& listing = listings[target->listed.softwareVersion];
+            listing.isInService = listing.isInService || target->isInService();
+            const int64_t startMs = target->listed.startedAtMs;
+            if (startMs > 0 && (listing.firstStartMs == 0 || startMs < listing.firstStartMs))
+                listing.firstStartMs = startMs;
+        }
+        return listings;
     }
 
     /// Operators and the platform send small requests on few connections.
@@ -105,7 +113,7 @@
             [this](std::string_view entry) { m_pools->flush(entry); },
             [this] { return m_pools->originKeepers(); },
             [this] { return m_directory->others().size() + 1; },
-            [this](std::string_view service) { return versionsOf(m_context.targets.ofService(service)); } });
+            [this](std::string_view service) { return listingsOf(m_context.targets.ofService(service)); } });
     m_context.streams = &*m_streams;
     m_relay.emplace(m_context.counters, settings.name,
         topic_relay::callbacks { [this](std::string_view entry, wire::message message) { return m_pools->send(entry, std::move(message)); },
@@ -445,6 +453,20 @@
         m_context, [this, now](const target_state& target) { return coldMembershipOf(target, now); }, now);
 }
 
+void gateway::checkVersions(time_point now)
+{
+    if (now < m_nextVersionCheckAt || !m_context.configuration || !m_hasTargets)
+        return;
+    m_nextVersionCheckAt = now + versionCheckPeriod;
+    std::set<std::string_view> checked;
+    for (const auto& route : m_context.configuration->routes) {
+        for (const auto& choice : route.services) {
+            if (route.isResumable && checked.insert(choice.service).second)
+                m_streams->checkVersions(choice.service, now);
+        }
+    }
+}
+
 void gateway::tick()
 {
     const time_point now = monotonicNow();
@@ -461,6 +483,7 @@
     m_pools->tick(now);
     m_crashes->tick(now);
     m_streams->tick(now);
+    checkVersions(now);
     if (m_loads)
         m_loads->tick(now);
     std::vector<std::shared_ptr<request_run>> runs(m_openRuns.begin(), m_openRuns.end());
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -101,6 +101,8 @@
     void limitColdTargets(time_point now);
     /// Has the target list read again if the process was frozen.
     void checkForFreeze(time_point now);
+    /// Records the versions of the services with resumable streams in the store, from time to time.
+    void checkVersions(time_point now);
     void tick();
     void stop();
     /// Performs the steps of a planned stop that are due.
@@ -128,6 +130,7 @@
     bool m_isConfigurationUnreachable = false;
     bool m_isTargetListUnreachable = false;
     bool m_hasTargets = false;
+    time_point m_nextVersionCheckAt {};
     time_point m_wokeAt {};
     timer m_tick;
     bool m_isStopping = false;
--- a/src/gateway/request_continuation.cpp
+++ b/src/gateway/request_continuation.cpp
@@ -92,6 +92,8 @@
 
 bool request_run::mayRunAt(const target_state& target) const
 {
+    if (!m_origin && isStream() && m_request.route->isResumable)
+        return m_context.streams->mayBegin(m_request.service, target.listed.softwareVersion, m_context.lastTickAt);
     if (!m_origin || m_origin->softwareVersion.empty())
         return true;
     const time_point now = monotonicNow();
--- a/src/gateway/stream_directory.hpp
+++ b/src/gateway/stream_directory.hpp
@@ -29,7 +29,7 @@
         std::function<std::span<const std::string>()> keepers;
         /// @return Number of entries of the deployment.
         std::function<size_t()> entryCount;
-        /// @return The versions of the listed targets of a service.
+        /// What the listed targets of a service say about their versions.
         version_history::listed_versions listedVersions;
     };
     /// The result of a search.
@@ -58,6 +58,11 @@
     /// @return Whether a stream of the service whose origin is not known may have begun at a version that is not listed now.
     [[nodiscard]] bool mayHaveHadOtherVersions(const std::string& service, time_point now) { return m_versions.mayHaveHadSeveral(service, now); }
 
+    /// Records the listed versions of a service before a stream begins at one of them.
+    void checkVersions(const std::string& service, time_point now) { m_versions.check(service, now); }
+    /// @return Whether a stream of the service may begin at a version; see `version_history::mayBegin`.
+    [[nodiscard]] bool mayBegin(const std::string& service, std::string_view version, time_point now) { return m_versions.mayBegin(service, version, now); }
+
     /// Handles a message of another entry.
     /// @param from   Name of the entry.
     /// @param reply  Sends a response to it.
--- a/src/gateway/version_history.cpp
+++ b/src/gateway/version_history.cpp
@@ -16,6 +16,10 @@
 
     constexpr milliseconds loadTimeout { 500 };
     constexpr milliseconds writeRetryDelay { 500 };
+    /// Pause after a failed read.
+    constexpr milliseconds loadRetryDelay { 250 };
+    /// After an outage in which this process started, others that started too read the record before it is replaced.
+    constexpr milliseconds firstWriteDelay { 1000 };
 
     /// Callers come back with the streams that a restart broke off within this time after it.
     constexpr seconds restartTime { 15 };
@@ -30,6 +34,21 @@
 
 namespace detail {
 
+    const std::string* longestRunningVersion(const version_history::listings& listed, bool isOnlyInService) noexcept
+    {
+        const std::string* longest = nullptr;
+        int64_t firstStartMs = 0;
+        for (const auto& [version, listing] : listed) {
+            if (listing.firstStartMs <= 0 || (isOnlyInService && !listing.isInService))
+                continue;
+            if (!longest || listing.firstStartMs < firstStartMs) {
+                longest = &version;
+                firstStartMs = listing.firstStartMs;
+            }
+        }
+        return longest;
+    }
+
     std::string encodeVersionRecord(const version_record& record)
     {
         return json { { "versions", record.versions }, { "changedAtMs", record.changedAt.time_since_epoch().count() } }.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -78,6 +97,7 @@
 {
     if (!page.isOk) {
         logLine(log_level::Warning, logComponent, "The versions that targets had before could not be read.", { { "problem", page.detail } });
+        m_nextLoadAt = monotonicNow() + loadRetryDelay;
         finishLoad();
         return;
     }
@@ -88,6 +108,9 @@
         return;
     }
     m_isLoaded = true;
+    if (m_nextLoadAt != time_point())
+        m_firstWriteAt = monotonicNow() + firstWriteDelay;
+    m_beginnings.clear();
     finishLoad();
 }
 
@@ -105,6 +128,8 @@
     state.versions = record.versions;
     state.changedAt = record.changedAt;
     state.isWritten = true;
+    state.recorded = record.versions;
+    state.recordedEra = m_store.era();
     if (record.versions.size() > 1)
         state.severalSeenAt = now;
     else if (age < policy::streamOriginLifetime)
@@ -124,15 +149,18 @@
 {
     // What earlier processes saw must not be overwritten before it is known.
     if (!m_isLoaded) {
-        if (!m_loadCall)
+        if (!m_loadCall && now >= m_nextLoadAt)
             load([] {});
         return;
     }
-    version_set listed = m_listed(service);
+    version_set listed;
+    for (const auto& [version, listing] : m_listed(service))
+        listed.insert(version);
     if (listed.empty())
         return;
     const auto [position, isNew] = m_services.try_emplace(service);
     service_state& state = position->second;
+    checkEra(service, state);
     const bool isChanged = !isNew && state.versions != listed;
     if (isChanged || listed.size() > 1)
         state.severalSeenAt = now;
@@ -144,9 +172,50 @@
     }
     state.versions = std::move(listed);
     state.isWritten = false;
+    if (now >= m_firstWriteAt)
+        write(service);
+    else
+        m_writeRetry.startOnce(std::chrono::ceil<milliseconds>(m_firstWriteAt - now), [this] { writePending(); });
+}
+
+void version_history::checkEra(const std::string& service, service_state& state)
+{
+    if (state.recorded.empty() || state.recordedEra == m_store.era())
+        return;
+    logLine(log_level::Info, logComponent, "The store returned from an older copy; the software versions of a service are written again.", { { "service", service } });
+    state.recorded.clear();
+    state.isWritten = false;
+    m_beginnings.erase(service);
     write(service);
 }
 
+bool version_history::mayBegin(const std::string& service, std::string_view version, time_point now)
+{
+    auto position = m_beginnings.find(service);
+    if (position == m_beginnings.end() || position->second.decidedAt != now) {
+        check(service, now);
+        position = m_beginnings.insert_or_assign(service, beginnings { versionsToBegin(service), now }).first;
+    }
+    const auto& versions = position->second.versions;
+    return versions.empty() || versions.contains(std::string(version));
+}
+
+version_history::version_set version_history::versionsToBegin(const std::string& service) const
+{
+    const listings listed = m_listed(service);
+    if (!m_isLoaded) {
+        // A version that joined while the store could not record it has not run for as long as one that is recorded.
+        const std::string* longest = detail::longestRunningVersion(listed, true);
+        return longest ? version_set { *longest } : version_set {};
+    }
+    const auto state = m_services.find(service);
+    if (state == m_services.end())
+        return {};
+    const version_set& recorded = state->second.recorded;
+    const bool isAnyInService = std::any_of(listed.begin(), listed.end(), [&recorded](const auto& item) { return item.second.isInService && recorded.contains(item.first); });
+    return isAnyInService ? recorded : version_set {};
+}
+
 void version_history::write(const std::string& service)
 {
     service_state& state = m_services.at(service);
@@ -154,6 +223,11 @@
     m_writes[service] = platform::putKey(m_store, topic, service, text, [this, service, written = state.versions](bool isAcknowledged) {
         service_state& current = m_services.at(service);
         current.isWritten = isAcknowledged && current.versions == written;
+        if (isAcknowledged) {
+            current.recorded = written;
+            current.recordedEra = m_store.era();
+            m_beginnings.erase(service);
+        }
         if (!current.isWritten)
             m_writeRetry.startOnce(writeRetryDelay, [this] { writePending(); });
     });
@@ -179,11 +253,19 @@
     return !m_isLoaded || hadSeveral(service, now);
 }
 
-std::optional<std::string> version_history::versionBeforeStart(std::string_view service, time_point now) const
+std::optional<std::string> version_history::versionBeforeStart(const std::string& service, time_point now)
 {
     const auto position = m_versionsBeforeStart.find(service);
     if (position == m_versionsBeforeStart.end() || now - m_startedAt > restartTime)
         return std::nullopt;
+    // Another version that has run for longer shows that the record could not be renewed.
+    const listings listed = m_listed(service);
+    const std::string* longest = detail::longestRunningVersion(listed, false);
+    if (longest && *longest != position->second) {
+        logLine(log_level::Warning, logComponent, "The recorded software version of a service is not the one that has run longest; it proves nothing about streams of unknown origin.", { { "service", service }, { "recorded", position->second }, { "longest", *longest } });
+        m_versionsBeforeStart.erase(position);
+        return std::nullopt;
+    }
     return position->second;
 }
 }
--- a/src/gateway/version_history.hpp
+++ b/src/gateway/version_history.hpp
@@ -23,8 +23,16 @@
 class version_history {
 public:
     using version_set = std::set<std::string>;
-    /// @return The versions of the listed targets of a service, with an empty text for targets that state none.
-    using listed_versions = std::function<version_set(std::string_view service)>;
+    /// What the records of a service's targets say about one version.
+    struct listing {
+        /// Earliest start of a target, in Unix milliseconds; zero if none is stated.
+        int64_t firstStartMs = 0;
+        bool isInService = false;
+    };
+    /// By version, with an empty text for targets that state none.
+    using listings = std::map<std::string, listing, std::less<>>;
+    /// @return What the listed targets of a service say.
+    using listed_versions = std::function<listings(std::string_view service)>;
     using on_loaded = std::function<void()>;
 
     /// Begins to read what earlier processes wrote.
@@ -39,13 +47,18 @@
     /// Compares the listed versions of a service with the known ones, and writes them if they have changed.
     void check(const std::string& service, time_point now);
 
+    /// A stream begins only at a version that the store is known to have, so that its origin can be concluded later. If no such
+    /// version is in service, it may begin at any.
+    /// @param now  Time of the decision; what was found out is used again for the same time.
+    [[nodiscard]] bool mayBegin(const std::string& service, std::string_view version, time_point now);
+
     /// @return Whether several versions are known to have been listed within the lifetime of a stream.
     [[nodiscard]] bool hadSeveral(const std::string& service, time_point now);
     /// @return Whether several versions were listed within the lifetime of a stream, or this is not known.
     [[nodiscard]] bool mayHaveHadSeveral(const std::string& service, time_point now);
 
     /// @return The version that began the streams which were in progress when this process started, if there was only one.
-    [[nodiscard]] std::optional<std::string> versionBeforeStart(std::string_view service, time_point now) const;
+    [[nodiscard]] std::optional<std::string> versionBeforeStart(const std::string& service, time_point now);
 
 private:
     struct service_state {
@@ -55,11 +68,23 @@
         /// Time at which several versions were last known to be listed.
         std::optional<time_point> severalSeenAt;
         bool isWritten = false;
+        /// The versions that the store has acknowledged last, and its era then.
+        version_set recorded;
+        uint64_t recordedEra = platform::noEra;
+    };
+    /// The versions at which streams of a service may begin.
+    struct beginnings {
+        /// Empty if they may begin at any version.
+        version_set versions;
+        time_point decidedAt {};
     };
 
     void handlePage(const platform::newest_page& page);
     void applyRecord(const std::string& service, std::string_view text);
     void finishLoad();
+    /// Writes the record again if the store may have lost it.
+    void checkEra(const std::string& service, service_state& state);
+    [[nodiscard]] version_set versionsToBegin(const std::string& service) const;
     void write(const std::string& service);
     void writePending();
 
@@ -68,14 +93,20 @@
     time_point m_startedAt;
     std::map<std::string, service_state, std::less<>> m_services;
     std::map<std::string, std::string, std::less<>> m_versionsBeforeStart;
+    std::map<std::string, beginnings, std::less<>> m_beginnings;
     bool m_isLoaded = false;
     std::vector<on_loaded> m_waiting;
     platform::store_call m_loadCall;
+    time_point m_nextLoadAt {};
+    time_point m_firstWriteAt {};
     std::map<std::string, platform::store_call, std::less<>> m_writes;
     timer m_writeRetry;
 };
 
 namespace detail {
+    /// @return The version of the target that started first, or null if no start is stated.
+    [[nodiscard]] const std::string* longestRunningVersion(const version_history::listings& listed, bool isOnlyInService) noexcept;
+
     struct version_record {
         version_history::version_set versions;
         /// Zero if the versions never changed.
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -157,9 +157,10 @@
     request.headers.push_back({ "Host", m_endpoint.toString() });
     const auto response = std::make_shared<response_data>();
     http1::client_call::callbacks callbacks;
-    callbacks.onHead = [response](const http1::response_head& head) {
+    callbacks.onHead = [this, response](const http1::response_head& head) {
         response->status = head.status;
         response->era = eraOf(head);
+        m_era = std::max(m_era, response->era);
     };
     callbacks.onBody = [response](std::string_view bytes) { response->body.append(bytes); };
     callbacks.onEnd = [response, done = std::move(done)](http1::call_outcome outcome) { done(outcome, response->status, response->body, response->era); };
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -104,6 +104,8 @@
     /// Changes the address for subsequent calls.
     void setEndpoint(ip_endpoint endpoint) { m_endpoint = std::move(endpoint); }
     [[nodiscard]] const ip_endpoint& endpoint() const noexcept { return m_endpoint; }
+    /// @return The newest era that a response stated; see `noEra`.
+    [[nodiscard]] uint64_t era() const noexcept { return m_era; }
 
     /// Appends records in order, all or none. The client never retries an append.
     [[nodiscard]] store_call append(std::string_view topic, std::span<const std::string> records, on_append done);
@@ -119,6 +121,7 @@
     [[nodiscard]] store_call send(http1::outgoing_request request, milliseconds timeout, on_response done);
 
     ip_endpoint m_endpoint;
+    uint64_t m_era = noEra;
     http1::client m_client;
 };
 
--- a/tests/process/gateway_all_killed_test.cpp
+++ b/tests/process/gateway_all_killed_test.cpp
@@ -72,6 +72,28 @@
         }
     }
 
+    void setRefusedTopics(std::set<std::string> topics) { fleet.deployment.store().setFaults({ .refusedTopics = std::move(topics) }); }
+
+    /// Takes each stream up again and checks that no stream ran at two versions.
+    /// @return How many went on.
+    size_t resumeAtOneVersion(size_t count)
+    {
+        size_t goingOn = 0;
+        for (size_t i = 0; i < count; ++i)
+            goingOn += fleet.resume(idOf(i), (i + 1) % gatewayCount)->head.status == 200;
+        // What the first events said is at the engines: each stream must have gone on at the version that began it.
+        std::map<std::string, std::set<std::string>> versionsByStream;
+        for (auto& engine : fleet.engines) {
+            for (const auto& request : engine.target().requests()) {
+                const auto resumes = http1::findHeader(request.head.headers, "Resumes");
+                versionsByStream[resumes ? std::string(*resumes) : request.id].insert(engine.behaviour().version);
+            }
+        }
+        for (const auto& [stream, versions] : versionsByStream)
+            cr_assert_eq(versions.size(), 1u, "stream %s ran at both versions", stream.c_str());
+        return goingOn;
+    }
+
     [[nodiscard]] static std::string idOf(size_t stream) { return "a-" + std::to_string(stream); }
     [[nodiscard]] bool hasEnded(size_t gateway) { return fleet.deployment.hasExited(gateway); }
 
@@ -103,16 +125,7 @@
         const bool isWhole = isWholeStreamOf(*resumed, "v1") || isWholeStreamOf(*resumed, "v2");
         cr_assert(isWhole, "stream %zu, status %u: %s", i, resumed->head.status, resumed->body.c_str());
     }
-    // What the first events said is at the engines: each stream must have gone on at the version that began it.
-    std::map<std::string, std::set<std::string>> versionsByStream;
-    for (auto& engine : test.fleet.engines) {
-        for (const auto& request : engine.target().requests()) {
-            const auto resumes = http1::findHeader(request.head.headers, "Resumes");
-            versionsByStream[resumes ? std::string(*resumes) : request.id].insert(engine.behaviour().version);
-        }
-    }
-    for (const auto& [stream, versions] : versionsByStream)
-        cr_assert_eq(versions.size(), 1u, "stream %s ran at both versions", stream.c_str());
+    cr_assert_eq(test.resumeAtOneVersion(streamCount), streamCount);
 }
 
 // Guards against continuing a stream at another version because its own is not in service any more.
@@ -194,3 +207,81 @@
         cr_assert(isWholeStreamOf(*resumed, versions[i]), "stream %zu, status %u: %s", i, resumed->head.status, resumed->body.c_str());
     }
 }
+
+namespace {
+constexpr size_t outageStreamCount = 24;
+
+struct outage {
+    int slot = 0;
+    std::set<std::string> topics;
+    bool isSecondVersionGone = false;
+    bool areKilledTwice = false;
+    bool expectsContinuation = false;
+};
+
+/// A second version joins while topics of the store are down and streams begin; then all gateways are killed and started again.
+void runOutage(const outage& outage)
+{
+    killed_fleet test(outage.slot);
+    const int64_t startedAtMs = wallNow().time_since_epoch().count();
+    const auto stateStarts = [&](const std::vector<std::string>& ids, int64_t atMs) {
+        for (const auto& id : ids)
+            test.fleet.deployment.changeRecord(id, { { "born", atMs } });
+        test.fleet.deployment.runLoopFor(milliseconds(1500));
+    };
+    stateStarts({ "t-1", "t-2" }, startedAtMs);
+    // The record of the versions is written with the first stream.
+    test.fleet.begin("first")->call.reset();
+    test.fleet.deployment.runLoopFor(milliseconds(300));
+    test.setRefusedTopics(outage.topics);
+    test.fleet.release("v2", 2);
+    stateStarts({ "new-v2-0", "new-v2-1" }, startedAtMs + 1000);
+    const auto beginAll = [&](size_t first, size_t count) {
+        for (size_t i = first; i < first + count; ++i)
+            test.fleet.begin(killed_fleet::idOf(i), i % gatewayCount)->call.reset();
+    };
+    beginAll(0, outage.areKilledTwice ? outageStreamCount / 2 : outageStreamCount);
+    if (outage.areKilledTwice) {
+        test.killGateways();
+        test.restartGateways();
+        beginAll(outageStreamCount / 2, outageStreamCount / 2);
+    }
+    test.killGateways();
+    if (outage.isSecondVersionGone) {
+        for (const std::string id : { "new-v2-0", "new-v2-1" })
+            test.fleet.deployment.unlistTarget(id);
+    }
+    test.restartGateways();
+    test.setRefusedTopics({});
+    test.fleet.deployment.runLoopFor(milliseconds(300));
+    const size_t goingOn = test.resumeAtOneVersion(outageStreamCount);
+    if (outage.expectsContinuation)
+        cr_assert_geq(goingOn, outageStreamCount / 2, "%zu of %zu streams go on", goingOn, outageStreamCount);
+}
+}
+
+// Guards against concluding from a record that could not be renewed that all streams began at the version it names (review/7).
+Test(gateway_all_killed, streams_stay_at_their_version_although_it_could_not_be_recorded)
+{
+    runOutage({ 470, { "keyed.versions", "stream-origins" }, false, false, true });
+}
+
+Test(gateway_all_killed, streams_stay_at_their_version_although_only_the_versions_could_not_be_recorded)
+{
+    runOutage({ 471, { "keyed.versions" }, false, false, true });
+}
+
+Test(gateway_all_killed, streams_stay_at_their_version_although_only_the_origins_could_not_be_recorded)
+{
+    runOutage({ 472, { "stream-origins" } });
+}
+
+Test(gateway_all_killed, streams_stay_at_their_version_although_an_unrecorded_one_is_gone)
+{
+    runOutage({ 473, { "keyed.versions", "stream-origins" }, true, false, true });
+}
+
+Test(gateway_all_killed, streams_stay_at_their_version_although_gateways_are_killed_twice_while_it_cannot_be_recorded)
+{
+    runOutage({ 474, { "keyed.versions", "stream-origins" }, false, true });
+}
--- a/tests/unit/stream_archive_test.cpp
+++ b/tests/unit/stream_archive_test.cpp
@@ -24,7 +24,11 @@
         , listed(std::move(listedVersions))
         , streams(counters, store, "e-1",
               stream_directory::callbacks { [](std::string_view, wire::message) { return false; }, [](std::string_view) {}, [] { return std::span<const std::string>(); },
-                  [] { return size_t { 1 }; }, [this](std::string_view) { return listed; } })
+                  [] { return size_t { 1 }; }, [this](std::string_view) {
+                      version_history::listings listings;
+                      for (const auto& version : listed)
+                          listings[version] = { startsMs.contains(version) ? startsMs.at(version) : 0, true };
+                      return listings; } })
     {
         ticks.startEvery(milliseconds(25), [this] { streams.tick(monotonicNow()); });
     }
@@ -45,6 +49,7 @@
     metrics counters;
     platform::store_client store;
     version_history::version_set listed;
+    std::map<std::string, int64_t> startsMs;
     stream_directory streams;
     timer ticks;
 };
@@ -176,3 +181,66 @@
     const int after = test.store.counts()["appends"];
     cr_assert_leq(after - before, 3, "%d appends", after - before);
 }
+
+// Guards against beginning streams at a version that the store does not have, of which nothing is known after a restart.
+Test(stream_archive, streams_begin_only_at_recorded_versions_while_one_is_in_service)
+{
+    archive_test test(1595);
+    auto first = test.start({ "v1" });
+    first->begin(1, "v1");
+    archive_test::settle();
+    test.store.setFaults({ .refusedTopics = { "keyed.versions" } });
+    first->listed = { "v1", "v2" };
+    cr_assert(first->streams.mayBegin(service, "v1", monotonicNow()));
+    cr_assert(!first->streams.mayBegin(service, "v2", monotonicNow()));
+    first->listed = { "v2" };
+    cr_assert(first->streams.mayBegin(service, "v2", monotonicNow()), "no recorded version is in service");
+    first->listed = { "v1", "v2" };
+    test.store.setFaults({});
+    archive_test::settle();
+    cr_assert(first->streams.mayBegin(service, "v2", monotonicNow()));
+}
+
+Test(stream_archive, versions_are_recorded_again_after_the_store_returned_from_an_older_copy)
+{
+    archive_test test(1596);
+    auto first = test.start({ "v1" });
+    first->begin(1, "v1");
+    archive_test::settle();
+    first->listed = { "v1", "v2" };
+    first->begin(2, "v2");
+    archive_test::settle();
+    test.store.restoreOlderCopy("keyed.versions", 1);
+    cr_assert_eq(test.store.newest("keyed.versions", service).find("v2"), std::string::npos);
+    // The answer to any call tells the era.
+    first->find(99);
+    archive_test::settle();
+    cr_assert(first->streams.mayBegin(service, "v2", monotonicNow()));
+    cr_assert_neq(test.store.newest("keyed.versions", service).find("v2"), std::string::npos);
+    first.reset();
+    auto second = test.start({ "v1" });
+    cr_assert(!second->find(3).origin);
+}
+
+Test(stream_archive, a_process_that_cannot_read_the_versions_begins_streams_at_the_one_that_has_run_longest)
+{
+    archive_test test(1597);
+    test.store.setFaults({ .refusedTopics = { "keyed.versions" } });
+    auto first = test.start({ "v1", "v2" });
+    first->startsMs = { { "v1", 2000 }, { "v2", 1000 } };
+    cr_assert(first->streams.mayBegin(service, "v2", monotonicNow()));
+    cr_assert(!first->streams.mayBegin(service, "v1", monotonicNow()));
+}
+
+Test(stream_archive, a_recorded_version_proves_nothing_if_another_one_has_run_longer)
+{
+    archive_test test(1598);
+    auto first = test.start({ "v1" });
+    first->begin(1, "v1");
+    archive_test::settle();
+    first.reset();
+    auto second = test.start({ "v1", "v2" });
+    second->startsMs = { { "v1", 2000 }, { "v2", 1000 } };
+    const auto found = second->find(1);
+    cr_assert(!found.origin && found.mayHaveHadOtherVersions);
+}
