Later records of a target end the doubt about its version

Cause: a broken connection makes the version of its target doubtful for 10 s. Streams that began meanwhile lost their version for good, and the target continued none, although later records of the same run showed that it had not restarted.

Change: an origin keeps version, run and evidence. A proven origin stays when the target restarts later.

--- a/src/fakes/platform_engine.cpp
+++ b/src/fakes/platform_engine.cpp
@@ -83,6 +83,10 @@
             return;
         }
     }
+    if (m_behaviour.isLosingResponses) {
+        exchange->abort();
+        return;
+    }
     const auto request = std::make_shared<running_request>();
     if (m_behaviour.isResuming)
         request->nextEvent = firstEventOf(exchange->head());
--- a/src/fakes/platform_engine.hpp
+++ b/src/fakes/platform_engine.hpp
@@ -39,6 +39,8 @@
     random_silences silences;
     /// Software version that the text of each event names; empty for events without one.
     std::string version;
+    /// Runs requests and closes their connections without a response.
+    bool isLosingResponses = false;
     /// Continues a request with `Last-Event-Id` after that event.
     bool isResuming = false;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -113,7 +113,8 @@
             [this](std::string_view entry) { m_pools->flush(entry); },
             [this] { return m_pools->originKeepers(); },
             [this] { return m_directory->others().size() + 1; },
-            [this](std::string_view service) { return listingsOf(m_context.targets.ofService(service)); } });
+            [this](std::string_view service) { return listingsOf(m_context.targets.ofService(service)); },
+            [this](uint64_t target) { return m_context.targets.runOf(target); } });
     m_context.streams = &*m_streams;
     m_relay.emplace(m_context.counters, settings.name,
         topic_relay::callbacks { [this](std::string_view entry, wire::message message) { return m_pools->send(entry, std::move(message)); },
@@ -220,7 +221,7 @@
         return target && m_context.targets.isListed(target.value());
     };
     callbacks.onReadSuccess = [this](time_point sentAt) {
-        m_context.targets.onStoreReachable(monotonicNow());
+        m_context.targets.onStoreReachable(monotonicNow(), sentAt);
         if (sentAt >= m_wokeAt)
             m_context.targetsUncertainUntil = {};
         recordRead(platform::targetTopic, m_isTargetListUnreachable, sentAt);
@@ -453,6 +454,16 @@
         m_context, [this, now](const target_state& target) { return coldMembershipOf(target, now); }, now);
 }
 
+void gateway::checkVersionsOf(const std::string& service, time_point now)
+{
+    m_streams->checkVersions(service, now);
+    const auto& targets = m_context.targets.ofService(service);
+    const auto isDoubtful = [now](const target_ptr& target) { return target->mayHaveRestarted(now); };
+    // Only a new record of the same run shows that a target whose connection broke has not restarted.
+    if (std::any_of(targets.begin(), targets.end(), isDoubtful) && listingsOf(targets).size() > 1)
+        m_targetFollower->readStoreNext();
+}
+
 void gateway::checkVersions(time_point now)
 {
     if (now < m_nextVersionCheckAt || !m_context.configuration || !m_hasTargets)
@@ -462,7 +473,7 @@
     for (const auto& route : m_context.configuration->routes) {
         for (const auto& choice : route.services) {
             if (route.isResumable && checked.insert(choice.service).second)
-                m_streams->checkVersions(choice.service, now);
+                checkVersionsOf(choice.service, now);
         }
     }
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -103,6 +103,7 @@
     void checkForFreeze(time_point now);
     /// Records the versions of the services with resumable streams in the store, from time to time.
     void checkVersions(time_point now);
+    void checkVersionsOf(const std::string& service, time_point now);
     void tick();
     void stop();
     /// Performs the steps of a planned stop that are due.
--- a/src/gateway/origin_archive.cpp
+++ b/src/gateway/origin_archive.cpp
@@ -47,7 +47,7 @@
     {
         json streams = json::array();
         for (const auto& item : origins.streams)
-            streams.push_back({ item.stream, item.softwareVersion, item.target, item.age.count() });
+            streams.push_back({ item.stream, item.softwareVersion, item.target, item.age.count(), item.run, static_cast<uint32_t>(item.evidence) });
         return json { { "service", origins.service }, { "writtenAtMs", origins.writtenAt.time_since_epoch().count() }, { "streams", std::move(streams) } }.dump(-1, ' ', false, json::error_handler_t::replace);
     }
 
@@ -63,6 +63,11 @@
                 return invalidRecord("The record has no valid list of streams.");
             for (const json& item : streams) {
                 archived_origins::item origin { item.at(0), item.at(1), item.at(2), milliseconds(std::clamp<int64_t>(item.at(3), 0, maxAgeMs)) };
+                // Earlier releases write no more than that.
+                if (item.size() > 4) {
+                    origin.run = item.at(4);
+                    origin.evidence = policy::evidenceOf(item.at(5));
+                }
                 if (origin.softwareVersion.size() > maxVersionBytes)
                     origin.softwareVersion.clear();
                 origins.streams.push_back(std::move(origin));
@@ -117,7 +122,7 @@
             const auto* origin = m_callbacks.find(stream, now);
             if (!origin)
                 continue;
-            record.streams.push_back({ stream, origin->softwareVersion, origin->target, std::chrono::duration_cast<milliseconds>(now - origin->beganAt) });
+            record.streams.push_back({ stream, origin->softwareVersion, origin->target, std::chrono::duration_cast<milliseconds>(now - origin->beganAt), origin->run, origin->evidence });
             streams.push_back(stream);
         }
         records.push_back(detail::encodeArchivedOrigins(record));
@@ -200,8 +205,11 @@
     }
     const auto& record = decoded.value();
     const milliseconds elapsed = std::clamp<milliseconds>(wallNow() - record.writtenAt, milliseconds(0), policy::streamOriginLifetime);
-    for (const auto& item : record.streams)
-        m_callbacks.onOrigin(item.stream, { item.softwareVersion, item.target, now - elapsed - item.age });
+    for (const auto& item : record.streams) {
+        // The clocks of the processes differ. What is doubtful must not pass for older than it is.
+        const milliseconds age = item.evidence == policy::origin_evidence::Doubtful ? item.age : elapsed + item.age;
+        m_callbacks.onOrigin(item.stream, { item.softwareVersion, item.target, now - age, item.run, item.evidence });
+    }
 }
 
 void origin_archive::finishRead(std::string_view outcome)
--- a/src/gateway/origin_archive.hpp
+++ b/src/gateway/origin_archive.hpp
@@ -85,6 +85,8 @@
             uint64_t target = 0;
             /// Time from the stream's first event until the record was written.
             milliseconds age { 0 };
+            uint64_t run = 0;
+            policy::origin_evidence evidence = policy::origin_evidence::Record;
         };
         std::vector<item> streams;
     };
--- a/src/gateway/request_continuation.cpp
+++ b/src/gateway/request_continuation.cpp
@@ -11,6 +11,9 @@
     /// Delay after which callers may retry if an entry that may know the beginning of the stream did not respond.
     constexpr milliseconds retryUnknownOrigin { 200 };
 
+    /// Time between two searches for an origin that a later record may prove.
+    constexpr milliseconds originRetryDelay { 250 };
+
     constexpr std::string_view versionGoneText = "The software version that began this stream is no longer in service. Start a new request without the fields that continue a stream.\n";
     constexpr std::string_view originUnknownText = "It is not known which software version began this stream, and several are in service. Start a new request without the fields that continue a stream.\n";
 
@@ -30,6 +33,14 @@
     }
 }
 
+void request_run::retryOrigin(time_point now)
+{
+    if (m_originRetryAt == time_point() || now < m_originRetryAt)
+        return;
+    m_originRetryAt = {};
+    findOrigin();
+}
+
 bool request_run::isContinuation() const noexcept
 {
     return isStream() && m_request.route->isResumable && (!m_lastEventId.empty() || !m_request.callerRequest.continuedRequest.empty());
@@ -60,10 +71,16 @@
     m_hasSeveralVersions = versions.size() > 1;
     const auto decision = policy::decideContinuation(origin, versions, found.mayHaveHadOtherVersions);
     const time_point now = monotonicNow();
+    // The next record of the target may prove which version began the stream.
+    const bool mayBeProven = origin && !origin->softwareVersion.empty() && !origin->isCertain();
+    if (decision == policy::continuation::OriginUnknown && mayBeProven && now < std::min(m_deadline, m_arrivedAt + detail::maxPlacementTime)) {
+        m_originRetryAt = now + originRetryDelay;
+        return;
+    }
     m_context.counters.count("continued_streams_total", { { "decision", std::string(nameOf(decision)) } });
-    logLine(log_level::Info, logComponent, "A caller continues a stream.", { { "request", m_request.callerRequest.id }, { "began_at_version", origin ? origin->softwareVersion : "" }, { "began_at_target", origin ? textOfHash(origin->target) : "" }, { "began_ms_ago", origin ? std::to_string(asMilliseconds(now - origin->beganAt)) : "" }, { "decision", std::string(nameOf(decision)) }, { "known_by", found.knownBy }, { "certain", found.isCertain ? "true" : "false" }, { "versions_in_service", std::to_string(versions.size()) }, { "searched_ms", std::to_string(asMilliseconds(now - m_arrivedAt)) } });
+    logLine(log_level::Info, logComponent, "A caller continues a stream.", { { "request", m_request.callerRequest.id }, { "began_at_version", origin ? origin->softwareVersion : "" }, { "evidence", origin ? std::string(nameOf(origin->evidence)) : "" }, { "began_at_target", origin ? textOfHash(origin->target) : "" }, { "began_ms_ago", origin ? std::to_string(asMilliseconds(now - origin->beganAt)) : "" }, { "decision", std::string(nameOf(decision)) }, { "known_by", found.knownBy }, { "certain", found.isCertain ? "true" : "false" }, { "versions_in_service", std::to_string(versions.size()) }, { "searched_ms", std::to_string(asMilliseconds(now - m_arrivedAt)) } });
     if (decision == policy::continuation::VersionGone || decision == policy::continuation::OriginUnknown)
-        refuseContinuation(decision, found.isCertain);
+        refuseContinuation(decision, found.isCertain && !mayBeProven);
     else
         startStages();
 }
@@ -94,7 +111,7 @@
 {
     if (!m_origin && isStream() && m_request.route->isResumable)
         return m_context.streams->mayBegin(m_request.service, target.listed.softwareVersion, m_context.lastTickAt);
-    if (!m_origin || m_origin->softwareVersion.empty())
+    if (!m_origin || !m_origin->isCertain())
         return true;
     const time_point now = monotonicNow();
     return target.listed.softwareVersion == m_origin->softwareVersion && !target.mayHaveRestarted(now) && !(m_hasSeveralVersions && target.mayHaveMissedRestart(now));
@@ -109,8 +126,11 @@
     m_hasSeveralVersions = versionsInService().size() > 1;
     // A target that is not trusted to continue a stream is not trusted to have begun one at the version in its record either.
     const bool mayBeOtherVersion = attempt.target->mayHaveRestarted(now) || attempt.target->mayHaveMissedRestart(now);
-    const bool isDoubtful = attempt.target->isVersionChanged || (m_hasSeveralVersions && mayBeOtherVersion);
-    m_origin = { isDoubtful ? std::string() : attempt.softwareVersion, attempt.target->hash, now };
+    const bool isDoubtful = m_hasSeveralVersions && mayBeOtherVersion;
+    // The record named another version since the request was sent.
+    const bool isUnknown = attempt.target->isVersionChanged;
+    const bool isStartStated = attempt.target->listed.startedAtMs > 0;
+    m_origin = { isUnknown ? std::string() : attempt.softwareVersion, attempt.target->hash, now, isStartStated ? attempt.target->incarnation : 0, isDoubtful ? policy::origin_evidence::Doubtful : policy::origin_evidence::Record };
     m_context.streams->record(streamKey(), m_request.service, *m_origin);
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -99,6 +99,7 @@
         dispatch();
         return;
     }
+    retryOrigin(now);
     releaseUnneededResults(now);
     if (m_current && m_request.exchange->isStarted())
         m_current->setReading(m_request.exchange->pendingBytes() < m_request.exchange->pendingLimit(), now);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -177,6 +177,8 @@
     [[nodiscard]] bool mayRunAt(const target_state& target) const;
     /// Records the version that wrote the first event, before the event is passed on.
     void recordOrigin(const target_attempt& attempt);
+    /// Searches again for an origin that was doubtful.
+    void retryOrigin(time_point now);
     void refuseContinuation(policy::continuation decision, bool isCertain);
 
     // Attempts.
@@ -389,6 +391,8 @@
     std::optional<policy::stream_origin> m_origin;
     /// The target that began the stream for this request.
     target_ptr m_originTarget;
+    /// Time of the next search for a doubtful origin; not set if there is none.
+    time_point m_originRetryAt {};
     /// When the origin became known, targets in service had several versions.
     bool m_hasSeveralVersions = false;
     int m_attempts = 0;
--- a/src/gateway/stream_directory.cpp
+++ b/src/gateway/stream_directory.cpp
@@ -22,6 +22,9 @@
     /// Origins that are sent to an entry that has started; more would occupy both while callers wait.
     constexpr size_t maxResent = 500;
 
+    /// Time between two checks which origins are proven.
+    constexpr milliseconds proofPeriod { 250 };
+
     /// Longest version in a message of another entry.
     constexpr size_t maxVersionBytes = 64;
 
@@ -32,8 +35,9 @@
 
     wire::message toMessage(uint64_t stream, const policy::stream_origin& origin, time_point now)
     {
-        return wire::stream_begun { stream, origin.softwareVersion, origin.target, ageOf(origin, now) };
+        return wire::stream_begun { stream, origin.softwareVersion, origin.target, ageOf(origin, now), origin.run, static_cast<uint32_t>(origin.evidence) };
     }
+
 }
 
 stream_directory::stream_directory(metrics& metrics, platform::store_client& store, std::string ownName, callbacks callbacks)
@@ -43,7 +47,7 @@
     , m_versions(store, m_callbacks.listedVersions)
     , m_archive(metrics, store,
           origin_archive::callbacks { [this](const std::string& service, time_point now) { return m_versions.hadSeveral(service, now); },
-              [this](uint64_t stream, time_point now) { return policy::findOrigin(m_origins, stream, now); },
+              [this](uint64_t stream, time_point now) { return lookUp(stream, now); },
               [this](uint64_t stream, policy::stream_origin origin) { policy::addOrigin(m_origins, stream, origin); },
               m_callbacks.entryCount })
 {
@@ -88,9 +92,22 @@
         logLine(log_level::Info, logComponent, "A target restarted with another software version; it is doubtful which one began its last streams.", { { "target", textOfHash(target) }, { "streams", std::to_string(streams.size()) } });
 }
 
+const policy::stream_origin* stream_directory::lookUp(uint64_t stream, time_point now)
+{
+    const auto* origin = policy::findOrigin(m_origins, stream, now);
+    if (!origin || origin->isCertain() || origin->softwareVersion.empty())
+        return origin;
+    // The doubt is about one run at one moment; a record of that run which was written later ends it.
+    const policy::target_run* run = m_callbacks.runOf(origin->target);
+    if (run && policy::isProvenBy(*origin, *run, now, wallNow()))
+        m_origins.byStream.at(stream).evidence = policy::origin_evidence::LaterRecord;
+    return origin;
+}
+
 void stream_directory::find(uint64_t stream, const std::string& service, time_point now, on_origin onFound)
 {
-    if (const auto* origin = policy::findOrigin(m_origins, stream, now)) {
+    // Another entry may have seen a record that proves a doubtful origin.
+    if (const auto* origin = lookUp(stream, now); origin && origin->isCertain()) {
         onFound({ *origin, true, m_ownName, false });
         return;
     }
@@ -119,27 +136,36 @@
 {
     if (const auto* begun = std::get_if<wire::stream_begun>(&message)) {
         const bool isPlausible = begun->softwareVersion.size() <= maxVersionBytes;
-        policy::addOrigin(m_origins, begun->stream, { isPlausible ? begun->softwareVersion : "", begun->target, now - milliseconds(begun->ageMs) });
-        finish(begun->stream, from, now);
+        policy::addOrigin(m_origins, begun->stream, { isPlausible ? begun->softwareVersion : "", begun->target, now - milliseconds(begun->ageMs), begun->run, policy::evidenceOf(begun->evidence) });
+        onResponse(begun->stream, from, now);
     } else if (const auto* query = std::get_if<wire::stream_query>(&message)) {
-        const auto* origin = policy::findOrigin(m_origins, query->stream, now);
+        const auto* origin = lookUp(query->stream, now);
         reply(origin ? toMessage(query->stream, *origin, now) : wire::stream_unknown { query->stream });
     } else if (const auto* unknown = std::get_if<wire::stream_unknown>(&message)) {
-        const auto position = m_searches.find(unknown->stream);
-        if (position != m_searches.end() && std::erase(position->second.asked, from) > 0 && position->second.asked.empty())
-            finish(unknown->stream, {}, now);
+        onResponse(unknown->stream, from, now);
     } else
         return false;
     return true;
 }
 
+void stream_directory::onResponse(uint64_t stream, std::string_view from, time_point now)
+{
+    const auto position = m_searches.find(stream);
+    if (position == m_searches.end())
+        return;
+    const bool wasAsked = std::erase(position->second.asked, from) > 0;
+    const auto* origin = lookUp(stream, now);
+    if ((origin && origin->isCertain()) || (wasAsked && position->second.asked.empty()))
+        finish(stream, origin ? from : std::string_view(), now);
+}
+
 void stream_directory::finish(uint64_t stream, std::string_view knownBy, time_point now)
 {
     auto finished = m_searches.extract(stream);
     if (finished.empty())
         return;
     search& ended = finished.mapped();
-    const auto* origin = policy::findOrigin(m_origins, stream, now);
+    const auto* origin = lookUp(stream, now);
     if (!origin) {
         searchStore(stream, std::move(ended));
         return;
@@ -166,7 +192,7 @@
 {
     const time_point now = monotonicNow();
     found_origin found { std::nullopt, isComplete, {}, false };
-    if (const auto* origin = policy::findOrigin(m_origins, stream, now))
+    if (const auto* origin = lookUp(stream, now))
         found = { *origin, true, "store", false };
     else if (m_versions.mayHaveHadSeveral(service, now)) {
         const auto version = m_versions.versionBeforeStart(service, now);
@@ -195,6 +221,10 @@
 void stream_directory::tick(time_point now)
 {
     policy::removeExpiredOrigins(m_origins, now);
+    if (now >= m_nextProofAt) {
+        m_nextProofAt = now + proofPeriod;
+        policy::proveOrigins(m_origins, m_callbacks.runOf, now, wallNow());
+    }
     m_archive.tick(now);
     std::vector<uint64_t> overdue;
     for (const auto& [stream, search] : m_searches) {
--- a/src/gateway/stream_directory.hpp
+++ b/src/gateway/stream_directory.hpp
@@ -31,6 +31,8 @@
         std::function<size_t()> entryCount;
         /// What the listed targets of a service say about their versions.
         version_history::listed_versions listedVersions;
+        /// What the target list says about the runs of targets.
+        policy::run_lookup runOf;
     };
     /// The result of a search.
     struct found_origin {
@@ -87,7 +89,11 @@
     };
 
     void tell(uint64_t stream, const policy::stream_origin& origin, time_point now) const;
+    /// @return The origin of a stream by all that this entry knows, or null.
+    [[nodiscard]] const policy::stream_origin* lookUp(uint64_t stream, time_point now);
     [[nodiscard]] std::vector<std::string_view> othersFor(uint64_t stream, size_t count) const;
+    /// Handles the response of an entry to a search, after what it says was applied.
+    void onResponse(uint64_t stream, std::string_view from, time_point now);
     /// @param knownBy  The entry that sent the origin; empty if none did.
     void finish(uint64_t stream, std::string_view knownBy, time_point now);
     /// Ends a search that found nothing at the other entries.
@@ -101,5 +107,6 @@
     std::map<uint64_t, search> m_searches;
     version_history m_versions;
     origin_archive m_archive;
+    time_point m_nextProofAt {};
 };
 }
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -74,9 +74,27 @@
     return true;
 }
 
-void target_registry::renewRun(target_state& state, time_point now) const
+void target_registry::noteRun(target_state& state, time_point now)
+{
+    const deployment::target& listed = state.listed;
+    // After the return of the store, records may be written again on behalf of targets that have ended.
+    const bool isReturning = m_hasStoreReturned && now - m_storeReachableSince < returnGrace;
+    if (m_recordsWrittenAfter == time_point() || isReturning || listed.startedAtMs <= 0)
+        return;
+    state.writtenAfter = std::max(state.writtenAfter, m_recordsWrittenAfter);
+    m_runs[state.hash] = { state.incarnation, listed.softwareVersion, wall_time(milliseconds(listed.startedAtMs)), state.writtenAfter };
+}
+
+const policy::target_run* target_registry::runOf(uint64_t target) const noexcept
+{
+    const auto position = m_runs.find(target);
+    return position == m_runs.end() ? nullptr : &position->second;
+}
+
+void target_registry::renewRun(target_state& state, time_point now)
 {
     state.listedAt = now;
+    noteRun(state, now);
     // The record was written after the time in which restarts went unnoticed, so the target still was in this run.
     if (!m_isCatchingUp && !m_mayHaveMissedRestarts)
         state.restartMissedUntil = {};
@@ -115,6 +133,7 @@
     state->listed = listed;
     state->recordText.clear();
     state->listedAt = now;
+    noteRun(*state, now);
     state->isRemoved = false;
     state->isReplaced = false;
     // Without a start, a restarted target cannot be told from one that leaves.
@@ -226,6 +245,8 @@
 
 void target_registry::applyAll(const std::vector<deployment::target>& listed, time_point now)
 {
+    // The records of a list may be old.
+    m_recordsWrittenAfter = {};
     bool isOutOfDate = false;
     std::set<std::string, std::less<>> presentIds;
     for (const auto& item : listed) {
@@ -249,8 +270,9 @@
         state->restartMissedUntil = now + policy::targetRecordLag;
 }
 
-void target_registry::onStoreReachable(time_point now)
+void target_registry::onStoreReachable(time_point now, time_point freshAsOf)
 {
+    m_recordsWrittenAfter = std::exchange(m_freshAsOf, freshAsOf);
     m_isCatchingUp = std::exchange(m_mayHaveMissedRestarts, false);
     if (!std::exchange(m_isStoreUnreachable, false))
         return;
@@ -261,6 +283,10 @@
 void target_registry::tick(time_point now)
 {
     dropFormers(now);
+    if (now >= m_nextRunCleanupAt) {
+        m_nextRunCleanupAt = now + policy::targetRecordLag;
+        std::erase_if(m_runs, [now](const auto& item) { return now - item.second.writtenAfter > policy::streamOriginLifetime; });
+    }
     if (m_isStoreUnreachable || m_deferredRemovals.empty() || now - m_storeReachableSince < returnGrace)
         return;
     bool isOutOfDate = false;
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -46,6 +46,8 @@
     /// Time at which a connection to the target last failed or broke off. It may have restarted since, with another version
     /// than the one in its record.
     time_point lastBrokenAt {};
+    /// A record of this run was written after this time.
+    time_point writtenAfter {};
     /// Until then, the target may have restarted once more than its record says: this process could not notice a restart for a
     /// time, and the target was listed then or had started shortly before it was. A later record of the same run ends this.
     time_point restartMissedUntil {};
@@ -83,7 +85,7 @@
     std::unordered_map<uint64_t, time_point> cachedPrefixes;
 
     /// @return Whether the record may be older than a restart of the target.
-    [[nodiscard]] bool mayHaveRestarted(time_point now) const noexcept { return lastBrokenAt != time_point() && now - lastBrokenAt < policy::targetRecordLag; }
+    [[nodiscard]] bool mayHaveRestarted(time_point now) const noexcept { return lastBrokenAt != time_point() && now - lastBrokenAt < policy::targetRecordLag && writtenAfter < lastBrokenAt + policy::recordWriteTime; }
     /// @return Whether this process may have missed a restart of the target.
     [[nodiscard]] bool mayHaveMissedRestart(time_point now) const noexcept { return now < restartMissedUntil; }
     [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !isLeaving && !listed.isDraining; }
@@ -129,7 +131,10 @@
     /// The list could not be read. Records that expire from now until shortly after the store returns may be renewed soon.
     void onStoreUnreachable() noexcept { m_isStoreUnreachable = true; }
     /// Called after a successful read, before its records are applied.
-    void onStoreReachable(time_point now);
+    /// @param freshAsOf  Every record that the store had acknowledged then has been read; not set if this is not known.
+    void onStoreReachable(time_point now, time_point freshAsOf = {});
+    /// @return The newest run of the target with this hash; null if no record stated its start lately.
+    [[nodiscard]] const policy::target_run* runOf(uint64_t target) const noexcept;
     /// The process was frozen: it has not noticed which targets restarted meanwhile.
     void onFrozen(time_point now);
     /// Carries out deferred removals.
@@ -172,7 +177,9 @@
     void decideEndpoint(const ip_endpoint& endpoint);
 
     /// Applies that a record states the same run again.
-    void renewRun(target_state& state, time_point now) const;
+    void renewRun(target_state& state, time_point now);
+    /// Notes when the record of the state was written at the earliest.
+    void noteRun(target_state& state, time_point now);
     /// Determines what an unlisted or restarted target's state knows about a restart that its record does not name yet.
     void applyDoubt(target_state& state, const target_state* previous, time_point now) const;
 
@@ -221,6 +228,12 @@
     std::map<std::string, time_point, std::less<>> m_deferredRemovals;
     bool m_isStoreUnreachable = false;
     time_point m_storeReachableSince {};
+    /// `freshAsOf` of the last read, and of the one before: the records of the last read were written after it.
+    time_point m_freshAsOf {};
+    time_point m_recordsWrittenAfter {};
+    /// By the hash of the target.
+    std::unordered_map<uint64_t, policy::target_run> m_runs;
+    time_point m_nextRunCleanupAt {};
     bool m_hasStoreReturned = false;
     /// From the start of the process or a freeze until the next successful read. During an outage of the store alone, broken
     /// connections show restarts.
--- a/src/platform/topic_follower.hpp
+++ b/src/platform/topic_follower.hpp
@@ -85,6 +85,9 @@
     /// hold the response until there is a record.
     void restartRead();
 
+    /// Makes the next read of changes one of the store, since what a peer tells leaves out repetitions.
+    void readStoreNext() noexcept { m_mustReadStore = true; }
+
     [[nodiscard]] const std::string& topic() const noexcept { return m_topic; }
     /// @return Era of the store in which the newest records were read.
     [[nodiscard]] uint64_t era() const noexcept { return m_era; }
--- a/src/policy/stream_origins.cpp
+++ b/src/policy/stream_origins.cpp
@@ -15,19 +15,69 @@
     constexpr size_t entriesPerKeeper = 16;
 }
 
+origin_evidence evidenceOf(uint32_t number) noexcept
+{
+    return number > static_cast<uint32_t>(origin_evidence::LaterRecord) ? origin_evidence::Doubtful : static_cast<origin_evidence>(number);
+}
+
+std::string_view nameOf(origin_evidence evidence) noexcept
+{
+    switch (evidence) {
+    case origin_evidence::Doubtful:
+        return "doubtful";
+    case origin_evidence::Record:
+        return "record";
+    case origin_evidence::LaterRecord:
+        return "later_record";
+    }
+    return "doubtful";
+}
+
 bool addOrigin(stream_origin_table& table, uint64_t stream, const stream_origin& origin)
 {
     const auto [position, isNew] = table.byStream.try_emplace(stream, origin);
     if (isNew) {
         table.order.push_back(stream);
+        if (origin.evidence != origin_evidence::LaterRecord && !origin.softwareVersion.empty())
+            table.unproven.push_back(stream);
+        return true;
+    }
+    stream_origin& known = position->second;
+    const bool isProof = origin.evidence == origin_evidence::LaterRecord && !origin.softwareVersion.empty();
+    const bool isKnownProven = known.evidence == origin_evidence::LaterRecord && !known.softwareVersion.empty();
+    if (isProof && !isKnownProven) {
+        known.softwareVersion = origin.softwareVersion;
+        known.evidence = origin_evidence::LaterRecord;
         return true;
     }
-    if (position->second.softwareVersion == origin.softwareVersion || position->second.softwareVersion.empty())
+    if (known.softwareVersion == origin.softwareVersion || known.softwareVersion.empty() || (isKnownProven && !isProof))
         return false;
-    position->second.softwareVersion.clear();
+    known.softwareVersion.clear();
     return true;
 }
 
+bool isProvenBy(const stream_origin& origin, const target_run& run, time_point now, wall_time wallTime) noexcept
+{
+    if (origin.softwareVersion.empty() || run.softwareVersion != origin.softwareVersion || run.writtenAfter < origin.beganAt + recordWriteTime)
+        return false;
+    const wall_time beganAt = wallTime - std::chrono::ceil<milliseconds>(now - origin.beganAt);
+    return (origin.run != 0 && run.run == origin.run) || run.startedAt + recordWriteTime <= beganAt;
+}
+
+void proveOrigins(stream_origin_table& table, const run_lookup& runOf, time_point now, wall_time wallTime)
+{
+    std::erase_if(table.unproven, [&](uint64_t stream) {
+        const auto position = table.byStream.find(stream);
+        if (position == table.byStream.end() || position->second.softwareVersion.empty() || now - position->second.beganAt > targetRecordLag)
+            return true;
+        stream_origin& origin = position->second;
+        const target_run* run = runOf(origin.target);
+        if (run && isProvenBy(origin, *run, now, wallTime))
+            origin.evidence = origin_evidence::LaterRecord;
+        return origin.evidence == origin_evidence::LaterRecord;
+    });
+}
+
 const stream_origin* findOrigin(const stream_origin_table& table, uint64_t stream, time_point now) noexcept
 {
     const auto position = table.byStream.find(stream);
@@ -38,7 +88,7 @@
 {
     std::vector<uint64_t> streams;
     for (auto& [stream, origin] : table.byStream) {
-        if (origin.target != target || now - origin.beganAt > targetRecordLag || origin.softwareVersion.empty())
+        if (origin.target != target || now - origin.beganAt > targetRecordLag || origin.softwareVersion.empty() || origin.evidence == origin_evidence::LaterRecord)
             continue;
         origin.softwareVersion.clear();
         streams.push_back(stream);
@@ -63,7 +113,7 @@
         return continuation::Unrestricted;
     if (!origin)
         return versions.size() > 1 ? continuation::OriginUnknown : continuation::Unrestricted;
-    if (origin->softwareVersion.empty())
+    if (!origin->isCertain())
         return continuation::OriginUnknown;
     return versions.contains(origin->softwareVersion) ? continuation::Pinned : continuation::VersionGone;
 }
--- a/src/policy/stream_origins.hpp
+++ b/src/policy/stream_origins.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <set>
 #include <span>
@@ -24,31 +25,74 @@
 /// A target's record may be older than its present incarnation by this much.
 constexpr seconds targetRecordLag { 10 };
 
+/// A record may still be on its way to the store for so long when its target ends.
+constexpr milliseconds recordWriteTime { 500 };
+
+/// What shows that the target that began a stream had the version that its record names.
+enum class origin_evidence : uint8_t {
+    /// The target may have restarted since its record was written.
+    Doubtful,
+    /// The record, with no sign of a restart.
+    Record,
+    /// A record of the same run that was written after the stream began.
+    LaterRecord,
+};
+
+/// @return The evidence with this number in a message; an unknown one is doubtful.
+[[nodiscard]] origin_evidence evidenceOf(uint32_t number) noexcept;
+/// @return The name used in logs.
+[[nodiscard]] std::string_view nameOf(origin_evidence evidence) noexcept;
+
 struct stream_origin {
-    /// Empty if it is doubtful which version began the stream.
+    /// Empty if records of different versions make it unknown which one began the stream.
     std::string softwareVersion;
     /// Hash of the identifier of the target that began it.
     uint64_t target = 0;
     time_point beganAt {};
+    /// Hash of the target's identifier and start in its record then; zero if the start is not stated.
+    uint64_t run = 0;
+    origin_evidence evidence = origin_evidence::Record;
 
+    [[nodiscard]] bool isCertain() const noexcept { return !softwareVersion.empty() && evidence != origin_evidence::Doubtful; }
     bool operator==(const stream_origin&) const = default;
 };
 
+/// The newest run of a target that its records name.
+struct target_run {
+    /// See `stream_origin::run`.
+    uint64_t run = 0;
+    std::string softwareVersion;
+    wall_time startedAt {};
+    /// A record of the run was written after this time.
+    time_point writtenAfter {};
+};
+
+/// @return Whether a record of the run shows that the run began the stream.
+[[nodiscard]] bool isProvenBy(const stream_origin& origin, const target_run& run, time_point now, wall_time wallTime) noexcept;
+
 /// Origins by the hash of the request that brought a stream's first event.
 struct stream_origin_table {
     std::unordered_map<uint64_t, stream_origin> byStream;
     /// Streams in the order in which they were added.
     std::deque<uint64_t> order;
+    /// Streams whose origins a later record may still prove.
+    std::deque<uint64_t> unproven;
 };
 
-/// Adds an origin, or makes a known one doubtful. An origin that names another version than the known one is doubtful, too.
+/// Adds an origin, or what another entry knows about it. If two name different versions, and no later record proves one of them,
+/// the version is unknown from then on.
 /// @return True if the table changed.
 bool addOrigin(stream_origin_table& table, uint64_t stream, const stream_origin& origin);
 
 /// @return The origin of a stream, or null.
 [[nodiscard]] const stream_origin* findOrigin(const stream_origin_table& table, uint64_t stream, time_point now) noexcept;
 
-/// Makes the origins doubtful that a target began while its record may have named its previous incarnation.
+/// @return The newest run of the target with this hash; null if no record states its start.
+using run_lookup = std::function<const target_run*(uint64_t target)>;
+/// Decides the origins that records written since then prove.
+void proveOrigins(stream_origin_table& table, const run_lookup& runOf, time_point now, wall_time wallTime);
+
+/// Makes the versions unknown of the streams that a target began while its record may have named its previous run.
 /// @return The streams concerned.
 std::vector<uint64_t> doubtOriginsOf(stream_origin_table& table, uint64_t target, time_point now);
 
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -319,7 +319,7 @@
     void visitFields(Visitor& visit) { visit(segment, ageMs); }
 };
 
-/// Between entries: a target has begun a stream. An empty version states that it is doubtful which one did.
+/// Between entries: a target has begun a stream. An empty version states that it is unknown which one did.
 struct stream_begun {
     /// Hash of the caller's request that brought the first event.
     uint64_t stream = 0;
@@ -327,9 +327,13 @@
     /// Hash of the target's identifier.
     uint64_t target = 0;
     uint32_t ageMs = 0;
+    /// Hash of the target's identifier and start; zero if the start is not stated.
+    uint64_t run = 0;
+    /// Value of `policy::origin_evidence`.
+    uint32_t evidence = 0;
 
     template <typename Visitor>
-    void visitFields(Visitor& visit) { visit(stream, softwareVersion, target, ageMs); }
+    void visitFields(Visitor& visit) { visit(stream, softwareVersion, target, ageMs, run, evidence); }
 };
 
 /// Between entries: which version began this stream?
--- a/tests/unit/stream_archive_test.cpp
+++ b/tests/unit/stream_archive_test.cpp
@@ -28,7 +28,8 @@
                       version_history::listings listings;
                       for (const auto& version : listed)
                           listings[version] = { startsMs.contains(version) ? startsMs.at(version) : 0, true };
-                      return listings; } })
+                      return listings; },
+                  [](uint64_t) -> const policy::target_run* { return nullptr; } })
     {
         ticks.startEvery(milliseconds(25), [this] { streams.tick(monotonicNow()); });
     }
@@ -43,7 +44,7 @@
 
     void begin(uint64_t stream, const std::string& version)
     {
-        streams.record(stream, service, { version, 7, monotonicNow() });
+        streams.record(stream, service, { .softwareVersion = version, .target = 7, .beganAt = monotonicNow() });
     }
 
     metrics counters;
--- a/tests/unit/stream_origins_test.cpp
+++ b/tests/unit/stream_origins_test.cpp
@@ -111,3 +111,38 @@
     cr_assert_eq(originKeeperCount(30), 4u);
     cr_assert_eq(originKeeperCount(300), 18u);
 }
+
+// Guards against a doubt about one run at one moment that lasts although later records of the run refute it (review/10).
+Test(stream_origins, a_later_record_of_the_same_run_proves_a_doubtful_origin)
+{
+    constexpr uint64_t run = 70;
+    const wall_time wallTime { milliseconds(1'700'000'000'000) };
+    const time_point now = start + seconds(5);
+    const stream_origin origin { "v1", 7, start, run, origin_evidence::Doubtful };
+    cr_assert(decideContinuation(&origin, { "v1", "v2" }) == continuation::OriginUnknown);
+    const wall_time startedAt = wallTime - seconds(100);
+    cr_assert(isProvenBy(origin, { run, "v1", startedAt, start + recordWriteTime }, now, wallTime));
+    cr_assert(!isProvenBy(origin, { run, "v1", startedAt, start + recordWriteTime - milliseconds(1) }, now, wallTime), "the record may be older than the stream");
+    cr_assert(!isProvenBy(origin, { run, "v2", startedAt, now }, now, wallTime));
+    // Another run of the version proves it only if it had started before.
+    cr_assert(isProvenBy(origin, { run + 1, "v1", wallTime - seconds(6), now }, now, wallTime));
+    cr_assert(!isProvenBy(origin, { run + 1, "v1", wallTime - seconds(4), now }, now, wallTime));
+}
+
+Test(stream_origins, what_a_later_record_proved_stays_after_the_target_restarted_with_another_version)
+{
+    constexpr uint64_t run = 70;
+    const wall_time wallTime { milliseconds(1'700'000'000'000) };
+    stream_origin_table table;
+    addOrigin(table, 1, { "v1", 7, start, run, origin_evidence::Doubtful });
+    addOrigin(table, 2, { "v1", 7, start + seconds(2), run, origin_evidence::Record });
+    const target_run first { run, "v1", wallTime - seconds(100), start + seconds(1) };
+    const auto runOf = [&first](uint64_t target) { return target == 7 ? &first : nullptr; };
+    proveOrigins(table, runOf, start + seconds(2), wallTime);
+    cr_assert(findOrigin(table, 1, start)->isCertain());
+    cr_assert(doubtOriginsOf(table, 7, start + seconds(3)) == std::vector<uint64_t> { 2 });
+    cr_assert(findOrigin(table, 1, start)->isCertain());
+    // What another entry proved is taken over.
+    cr_assert(addOrigin(table, 2, { "v1", 7, start + seconds(2), run, origin_evidence::LaterRecord }));
+    cr_assert(findOrigin(table, 2, start + seconds(3))->isCertain());
+}
