Batch calls use connections that carried nothing before

Cause: the response to a batch call has no identity, and the first one on a kept connection was taken for the own one. It was recognised as another's only if it had as many items and a known handle; otherwise the connection went back to the idle ones with the own response still to come, which the next call got.

Change: batch calls and queries of a pool's load use unused connections, which are kept for releases only. Idle connections with unread bytes are not used.

--- a/src/gateway/pool_reports.cpp
+++ b/src/gateway/pool_reports.cpp
@@ -62,7 +62,7 @@
         if (report)
             applyReport(service, *target, { report.value().running, report.value().waiting, report.value().freeBytes }, ownUse(*target), limits, monotonicNow());
     };
-    *position = sendToTarget(m_context, target, request, { false, connectTimeout, responseTimeout, maxResponseBytes }, std::move(callbacks));
+    *position = sendToTarget(m_context, target, request, { .connectTimeout = connectTimeout, .timeout = responseTimeout, .maxResponseBytes = maxResponseBytes, .isOnUnusedConnection = true }, std::move(callbacks));
 }
 
 void pool_reports::applyReport(const std::string& service, target_state& target, const policy::pool_report& report, const policy::own_use& own, const policy::pool_limits& limits, time_point now) const
--- a/src/gateway/task_scheduler.cpp
+++ b/src/gateway/task_scheduler.cpp
@@ -381,7 +381,7 @@
     callbacks.onBody = [call](std::string_view bytes) { call->body.append(bytes); };
     callbacks.onEnd = [this, service, call](http1::call_outcome outcome) { onCallEnded(service, call, outcome); };
     call->silentAt = call->startsAt + std::max(minSilentCallTime, call->expectedTime * silentCallFactor);
-    call->call = sendToTarget(m_context, target, request, { .connectTimeout = targetConnectTimeout, .maxResponseBytes = maxResultBytes }, std::move(callbacks));
+    call->call = sendToTarget(m_context, target, request, { .connectTimeout = targetConnectTimeout, .maxResponseBytes = maxResultBytes, .isOnUnusedConnection = true }, std::move(callbacks));
     logLine(log_level::Info, logComponent, "A batch call was sent to a target of its pool.", { { "service", service }, { "target", target->listed.id }, { "pieces", std::to_string(items.size()) }, { "waiting", std::to_string(pool.queue.size()) }, { "free_bytes", std::to_string(static_cast<int64_t>(profile->resultMemoryBytes - target->heldBytes)) }, { "first_request", call->tasks.front()->job->requestId } });
     m_context.counters.count("piece_calls_total", { { "service", service } });
     m_context.counters.count("pieces_total", { { "service", service } }, static_cast<double>(items.size()));
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -229,7 +229,9 @@
     parser_state& state = *m_parserState;
     const bool isReusable = state.parser.keep_alive() && !state.parser.need_eof() && !hasExtraBytes && !m_options.isOnNewConnection && m_stream->pendingBytes() == 0;
     const milliseconds lifetime = isReusable ? idleLifetimeOf(state.head.headers) : milliseconds(0);
-    if (lifetime.count() > 0) {
+    // Calls on unused connections leave one connection, so that they do not pile up.
+    const bool isSurplus = m_options.isOnUnusedConnection && m_owner->hasIdleConnection(m_server);
+    if (lifetime.count() > 0 && !isSurplus) {
         m_stream->setReading(true);
         m_owner->storeIdleConnection(m_server, m_stream, lifetime);
         m_stream.reset();
@@ -288,7 +290,7 @@
 std::shared_ptr<client_call> client::send(const ip_endpoint& server, const outgoing_request& request, const call_options& options, client_call::callbacks callbacks)
 {
     const auto call = std::make_shared<client_call>(*this, server, std::move(callbacks));
-    std::shared_ptr<tcp_stream> reusedStream = options.isOnNewConnection ? nullptr : popIdleConnection(server);
+    std::shared_ptr<tcp_stream> reusedStream = options.isOnNewConnection || options.isOnUnusedConnection ? nullptr : popIdleConnection(server);
     if (!reusedStream)
         ++m_openedConnections;
     call->start(request, options, std::move(reusedStream));
@@ -304,12 +306,22 @@
     while (!it->second.empty()) {
         idle_connection connection = std::move(it->second.back());
         it->second.pop_back();
-        if (connection.stream->isOpen() && connection.expiresAt > now)
+        // Bytes that are unread belong to an earlier request.
+        if (connection.stream->isOpen() && connection.expiresAt > now && connection.stream->unreadBytes() == 0)
             return connection.stream;
     }
     return nullptr;
 }
 
+bool client::hasIdleConnection(const ip_endpoint& server) const
+{
+    const auto position = m_idleConnections.find(server);
+    if (position == m_idleConnections.end())
+        return false;
+    const auto isUsable = [now = monotonicNow()](const idle_connection& item) { return item.stream->isOpen() && item.expiresAt > now; };
+    return std::any_of(position->second.begin(), position->second.end(), isUsable);
+}
+
 void client::storeIdleConnection(const ip_endpoint& server, std::shared_ptr<tcp_stream> stream, milliseconds lifetime)
 {
     // Bytes received on an idle connection belong to no request, so the connection cannot be reused.
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -80,6 +80,9 @@
     milliseconds timeout { 0 };
     /// Largest accepted response body, in bytes.
     uint64_t maxResponseBytes = 256ull * 1024 * 1024;
+    /// Uses a connection that carried no request before, and keeps it for later ones. A late response to an earlier request
+    /// cannot arrive on it, which matters if nothing in a response tells which request it belongs to.
+    bool isOnUnusedConnection = false;
 };
 
 class client;
@@ -158,6 +161,7 @@
         time_point expiresAt {};
     };
 
+    [[nodiscard]] bool hasIdleConnection(const ip_endpoint& server) const;
     [[nodiscard]] std::shared_ptr<tcp_stream> popIdleConnection(const ip_endpoint& server);
     void storeIdleConnection(const ip_endpoint& server, std::shared_ptr<tcp_stream> stream, milliseconds lifetime);
     void removeExpired();
