The newest connection of batch calls is the one that is kept

A call on an unused connection closed it if another one was idle. The idle connection is now replaced by the newest one, whose server keeps it open the longest; their number stays the same.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -229,9 +229,10 @@
     parser_state& state = *m_parserState;
     const bool isReusable = state.parser.keep_alive() && !state.parser.need_eof() && !hasExtraBytes && !m_options.isOnNewConnection && m_stream->pendingBytes() == 0;
     const milliseconds lifetime = isReusable ? idleLifetimeOf(state.head.headers) : milliseconds(0);
-    // Calls on unused connections leave one connection, so that they do not pile up.
-    const bool isSurplus = m_options.isOnUnusedConnection && m_owner->hasIdleConnection(m_server);
-    if (lifetime.count() > 0 && !isSurplus) {
+    if (lifetime.count() > 0) {
+        // Calls on unused connections must not make the number of idle ones grow.
+        if (m_options.isOnUnusedConnection)
+            m_owner->dropIdleConnection(m_server);
         m_stream->setReading(true);
         m_owner->storeIdleConnection(m_server, m_stream, lifetime);
         m_stream.reset();
@@ -313,13 +314,11 @@
     return nullptr;
 }
 
-bool client::hasIdleConnection(const ip_endpoint& server) const
+void client::dropIdleConnection(const ip_endpoint& server)
 {
     const auto position = m_idleConnections.find(server);
-    if (position == m_idleConnections.end())
-        return false;
-    const auto isUsable = [now = monotonicNow()](const idle_connection& item) { return item.stream->isOpen() && item.expiresAt > now; };
-    return std::any_of(position->second.begin(), position->second.end(), isUsable);
+    if (position != m_idleConnections.end() && !position->second.empty())
+        position->second.pop_back();
 }
 
 void client::storeIdleConnection(const ip_endpoint& server, std::shared_ptr<tcp_stream> stream, milliseconds lifetime)
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -161,7 +161,8 @@
         time_point expiresAt {};
     };
 
-    [[nodiscard]] bool hasIdleConnection(const ip_endpoint& server) const;
+    /// Closes one idle connection to a server, if there is one.
+    void dropIdleConnection(const ip_endpoint& server);
     [[nodiscard]] std::shared_ptr<tcp_stream> popIdleConnection(const ip_endpoint& server);
     void storeIdleConnection(const ip_endpoint& server, std::shared_ptr<tcp_stream> stream, milliseconds lifetime);
     void removeExpired();
