An exception of a callback no longer ends the process

Cause: Boost.Beast throws for a field value of 65,534 bytes or more, and nothing caught an exception between a callback of the main loop and `main`. A field of this size under a large max_header_bytes had the same end.

Change: heads are written without Boost.Beast; a received field that the parser cannot hold is refused with 431; callbacks of the main loop run under `runGuarded`, which ends the connection or call concerned; events that several requests share are guarded for each request.

--- a/src/gateway/request_continuation.cpp
+++ b/src/gateway/request_continuation.cpp
@@ -57,7 +57,7 @@
 {
     m_context.streams->find(streamKey(), m_request.service, monotonicNow(), [weak = weak_from_this()](const stream_directory::found_origin& found) {
         if (const auto self = weak.lock())
-            self->onOrigin(found);
+            self->runGuarded([&] { self->onOrigin(found); });
     });
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -4,6 +4,7 @@
 #include "gateway/load_exchange.hpp"
 #include "gateway/target_eligibility.hpp"
 #include "gateway/target_pauses.hpp"
+#include "loop/callback_guard.hpp"
 #include "policy/placement_search.hpp"
 
 #include <algorithm>
@@ -64,6 +65,11 @@
 request_run::~request_run() = default;
 
 void request_run::start()
+{
+    runGuarded([this] { begin(); });
+}
+
+void request_run::begin()
 {
     const std::weak_ptr<request_run> weak = weak_from_this();
     m_request.exchange->setOnDisconnect([weak] {
@@ -84,7 +90,25 @@
         startStages();
 }
 
+void request_run::runGuarded(const std::function<void()>& function) noexcept
+{
+    const auto keepAlive = shared_from_this();
+    if (bilberryseam::runGuarded("request", function) || m_isFinished)
+        return;
+    bilberryseam::runGuarded("request", [this] {
+        logLine(log_level::Error, logComponent, "The request is given up after an internal error.", { { "request", m_request.callerRequest.id }, { "sends", std::to_string(m_sends) } });
+        // What was done before the exception is not known.
+        m_mayHaveRun = m_mayHaveRun || m_sends > 0;
+        finishWithoutResponse("internal_error");
+    });
+}
+
 void request_run::tick(time_point now)
+{
+    runGuarded([this, now] { handleTick(now); });
+}
+
+void request_run::handleTick(time_point now)
 {
     if (m_isFinished)
         return;
@@ -350,9 +374,9 @@
     m_triedTargets.push_back(target->listed.id);
 
     http1::client_call::callbacks callbacks;
-    callbacks.onHead = [this, &attempt](const http1::response_head& responseHead) { onHead(attempt, responseHead); };
-    callbacks.onBody = [this, &attempt](std::string_view bytes) { onBytes(attempt, bytes); };
-    callbacks.onEnd = [this, &attempt](http1::call_outcome outcome) { onAttemptEnded(attempt, outcome); };
+    callbacks.onHead = [this, &attempt](const http1::response_head& responseHead) { runGuarded([&] { onHead(attempt, responseHead); }); };
+    callbacks.onBody = [this, &attempt](std::string_view bytes) { runGuarded([&] { onBytes(attempt, bytes); }); };
+    callbacks.onEnd = [this, &attempt](http1::call_outcome outcome) { runGuarded([&] { onAttemptEnded(attempt, outcome); }); };
     const bool needsNewConnection = !m_request.route->isRetryable();
     attempt.call = sendToTarget(m_context, target, request, { needsNewConnection }, std::move(callbacks));
     m_context.counters.count("sends_total", { { "service", m_request.service } });
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -164,6 +164,11 @@
     /// @return Bytes of the results of the final stages in each failure domain.
     [[nodiscard]] bytes_by_domain resultBytesByDomain() const;
 
+    /// Calls a function on behalf of the request. An exception ends the request alone, and not what others have in the same event.
+    void runGuarded(const std::function<void()>& function) noexcept;
+    void begin();
+    void handleTick(time_point now);
+
     // Continued streams; in request_continuation.cpp.
     /// @return True if the caller has the beginning of the stream already.
     [[nodiscard]] bool isContinuation() const noexcept;
--- a/src/gateway/request_stages.cpp
+++ b/src/gateway/request_stages.cpp
@@ -225,7 +225,7 @@
     const std::weak_ptr<request_run> weak = weak_from_this();
     job->onTaskFinished = [weak, index](uint32_t task, const task_outcome& outcome) {
         if (const auto self = weak.lock())
-            self->onTaskFinished(index, task, outcome);
+            self->runGuarded([&] { self->onTaskFinished(index, task, outcome); });
     };
     progress.job = job;
     m_pools.run(job);
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -21,17 +21,13 @@
 
     std::string serialize(const outgoing_request& request, bool isClosing)
     {
-        detail::http::request<detail::http::empty_body> message;
-        message.version(11);
-        message.method_string(request.method);
-        message.target(request.target);
-        for (const auto& [name, value] : request.headers)
-            message.insert(name, value);
+        header_list ownFields;
         if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD" && request.method != "DELETE"))
-            message.set(detail::http::field::content_length, std::to_string(request.body.size()));
+            ownFields.emplace_back("Content-Length", std::to_string(request.body.size()));
+        header_list headers = request.headers;
         if (isClosing)
-            message.insert(detail::http::field::connection, "close");
-        return detail::serializeHead(message) + request.body;
+            headers.emplace_back("Connection", "close");
+        return detail::serializeHead(request.method + " " + request.target + " HTTP/1.1", headers, ownFields) + request.body;
     }
 
     milliseconds idleLifetimeOf(const header_list& headers)
--- a/src/http1/detail/beast.hpp
+++ b/src/http1/detail/beast.hpp
@@ -8,7 +8,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 namespace bilberryseam::http1::detail {
@@ -26,17 +26,11 @@
     return headers;
 }
 
-/// @return The serialized start line and header fields of a message.
-template <bool IsRequest>
-[[nodiscard]] std::string serializeHead(http::message<IsRequest, http::empty_body>& message)
-{
-    http::serializer<IsRequest, http::empty_body> serializer(message);
-    serializer.split(true);
-    std::string bytes;
-    beast::error_code problem;
-    serializer.next(problem, [&](beast::error_code&, const auto& buffers) { bytes = beast::buffers_to_string(buffers); });
-    return bytes;
-}
+/// @return The start line, the header fields and the empty line of a message. Boost.Beast cannot hold values over 65,533 bytes.
+/// @param ownFields  Replace fields of the same name in `headers`.
+[[nodiscard]] std::string serializeHead(std::string_view startLine, const header_list& headers, const header_list& ownFields);
+
+[[nodiscard]] std::string statusLine(unsigned status);
 
 /// Passes bytes to a parser until it is done, fails or consumes no more.
 /// @return The number of consumed bytes; `problem` is empty, `need_more`, or the failure.
@@ -46,7 +40,13 @@
     size_t consumed = 0;
     while (consumed < bytes.size() && !parser.is_done()) {
         problem = {};
-        const size_t count = parser.put(boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), problem);
+        size_t count = 0;
+        try {
+            count = parser.put(boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), problem);
+        } catch (const std::length_error&) {
+            // The parser throws for a field that it cannot hold.
+            problem = http::error::header_limit;
+        }
         consumed += count;
         if (problem || count == 0)
             break;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -27,13 +27,10 @@
 void exchange::sendHead(unsigned status, header_list&& headers, std::string_view framingName, std::string_view framingValue, std::string_view body)
 {
     m_isStarted = true;
-    detail::http::response<detail::http::empty_body> message(static_cast<detail::http::status>(status), 11);
-    for (const auto& [name, value] : headers)
-        message.insert(name, value);
-    message.insert(std::string(framingName), std::string(framingValue));
+    header_list ownFields { { std::string(framingName), std::string(framingValue) } };
     if (m_connection->decideClose())
-        message.set(detail::http::field::connection, "close");
-    std::string bytes = detail::serializeHead(message);
+        ownFields.emplace_back("Connection", "close");
+    std::string bytes = detail::serializeHead(detail::statusLine(status), headers, ownFields);
     bytes.append(body);
     m_connection->stream().write(bytes);
     m_connection->countUnsent(m_bufferedBytes);
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -215,12 +215,7 @@
             m_server->m_onRefused(status, reason);
         header_list allHeaders = headers;
         const std::string body = m_server->m_refusalBody ? m_server->m_refusalBody(status, allHeaders) : std::string();
-        http::response<http::empty_body> message(static_cast<http::status>(status), 11);
-        for (const auto& [name, value] : allHeaders)
-            message.insert(name, value);
-        message.set(http::field::connection, "close");
-        message.set(http::field::content_length, std::to_string(body.size()));
-        m_stream->write(serializeHead(message) + body);
+        m_stream->write(serializeHead(statusLine(status), allHeaders, { { "Connection", "close" }, { "Content-Length", std::to_string(body.size()) } }) + body);
         startLingering();
     }
 
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -1,5 +1,6 @@
 #include "http1/tcp_stream.hpp"
 
+#include "loop/callback_guard.hpp"
 #include "policy/client_memory.hpp"
 
 #include <arpa/inet.h>
@@ -193,17 +194,24 @@
 gboolean tcp_stream::dispatch(GSource* source, GSourceFunc, gpointer)
 {
     const auto self = reinterpret_cast<stream_source*>(source)->stream->shared_from_this();
-    if (self->m_isConnectFailurePending) {
-        self->closeAndNotify(close_reason::ConnectFailed);
-        return G_SOURCE_REMOVE;
+    // After an exception, it is not known what the owner has done with the bytes so far.
+    if (!runGuarded("connection", [&] { self->handleEvents(source); }))
+        runGuarded("connection", [&] { self->closeAndNotify(close_reason::Reset); });
+    return self->isOpen() ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+}
+
+void tcp_stream::handleEvents(GSource* source)
+{
+    if (m_isConnectFailurePending) {
+        closeAndNotify(close_reason::ConnectFailed);
+        return;
     }
     if (const gint64 checkAt = g_source_get_ready_time(source); checkAt >= 0 && g_get_monotonic_time() >= checkAt)
-        self->checkPeer();
-    if (!self->isOpen())
-        return G_SOURCE_REMOVE;
-    if (const GIOCondition ready = g_source_query_unix_fd(source, self->m_descriptorTag); ready != 0)
-        self->handleReady(ready);
-    return self->isOpen() ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+        checkPeer();
+    if (!isOpen())
+        return;
+    if (const GIOCondition ready = g_source_query_unix_fd(source, m_descriptorTag); ready != 0)
+        handleReady(ready);
 }
 
 void tcp_stream::handleReady(GIOCondition ready)
@@ -470,7 +478,9 @@
 {
     auto* self = static_cast<tcp_listener*>(data);
     for (int i = 0; i < maxAcceptsPerDispatch && self->m_descriptor >= 0; ++i) {
-        if (self->acceptOne())
+        bool isAccepted = true;
+        runGuarded("listener", [&] { isAccepted = self->acceptOne(); });
+        if (isAccepted)
             continue;
         // The connections that wait would make the source ready again at once.
         if (errno == EMFILE || errno == ENFILE) {
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -100,6 +100,7 @@
     tcp_stream(int descriptor, bool isConnecting);
 
     static gboolean dispatch(GSource* source, GSourceFunc, gpointer);
+    void handleEvents(GSource* source);
     void handleReady(GIOCondition ready);
     void handleReadable();
     void flush();
--- a/src/loop/disconnect_watch.cpp
+++ b/src/loop/disconnect_watch.cpp
@@ -1,5 +1,7 @@
 #include "loop/disconnect_watch.hpp"
 
+#include "loop/callback_guard.hpp"
+
 #include <cerrno>
 #include <sys/socket.h>
 
@@ -35,7 +37,7 @@
     // With data of a pipelined request in the socket, a later disconnect can no longer be detected.
     watch->stop();
     if (const auto onDisconnect = watch->m_onDisconnect; count <= 0)
-        onDisconnect();
+        runGuarded("disconnect", onDisconnect);
     return G_SOURCE_REMOVE;
 }
 }
--- a/src/loop/http.cpp
+++ b/src/loop/http.cpp
@@ -1,5 +1,7 @@
 #include "loop/http.hpp"
+
 #include "base/json_text.hpp"
+#include "loop/callback_guard.hpp"
 
 #include "base/error.hpp"
 #include "loop/timer.hpp"
@@ -58,7 +60,13 @@
         static void onSent(GObject* source, GAsyncResult* asyncResult, gpointer data)
         {
             const auto self = takeReference(data);
+            runGuarded("http", [&] { self->handleSent(source, asyncResult); });
+        }
+
+        void handleSent(GObject* source, GAsyncResult* asyncResult)
+        {
             GError* failure = nullptr;
+            const auto self = shared_from_this();
             self->m_stream = gobject_ptr<GInputStream>::adopt(soup_session_send_finish(SOUP_SESSION(source), asyncResult, &failure));
             if (!self->m_stream) {
                 self->fail(failure, self->m_wroteHeaders ? exchange_outcome::NoResponse : exchange_outcome::NotSent);
@@ -89,7 +97,13 @@
         static void onRead(GObject*, GAsyncResult* asyncResult, gpointer data)
         {
             const auto self = takeReference(data);
+            runGuarded("http", [&] { self->handleRead(asyncResult); });
+        }
+
+        void handleRead(GAsyncResult* asyncResult)
+        {
             GError* failure = nullptr;
+            const auto self = shared_from_this();
             const gssize count = g_input_stream_read_finish(self->m_stream.get(), asyncResult, &failure);
             if (count < 0) {
                 self->fail(failure, exchange_outcome::Truncated);
--- a/src/loop/main_loop.cpp
+++ b/src/loop/main_loop.cpp
@@ -1,5 +1,7 @@
 #include "loop/main_loop.hpp"
 
+#include "loop/callback_guard.hpp"
+
 #include <csignal>
 #include <glib-unix.h>
 
@@ -21,7 +23,7 @@
 {
     m_onTerminate = std::move(function);
     const auto handler = [](void* self) -> gboolean {
-        static_cast<main_loop*>(self)->m_onTerminate();
+        runGuarded("signal", static_cast<main_loop*>(self)->m_onTerminate);
         return G_SOURCE_CONTINUE;
     };
     g_unix_signal_add(SIGTERM, handler, this);
--- a/src/loop/timer.cpp
+++ b/src/loop/timer.cpp
@@ -1,5 +1,7 @@
 #include "loop/timer.hpp"
 
+#include "loop/callback_guard.hpp"
+
 namespace bilberryseam {
 
 void timer::startOnce(milliseconds delay, std::function<void()> function)
@@ -43,12 +45,12 @@
     auto* owner = static_cast<timer*>(self);
     if (owner->m_isRepeating) {
         const auto function = owner->m_function;
-        function();
+        runGuarded("timer", function);
         return G_SOURCE_CONTINUE;
     }
     const auto function = std::move(owner->m_function);
     owner->stop();
-    function();
+    runGuarded("timer", function);
     return G_SOURCE_REMOVE;
 }
 }
--- a/src/programs/daemon_main.hpp
+++ b/src/programs/daemon_main.hpp
@@ -1,6 +1,7 @@
 /// Common main function of the daemons: reads the command line and settings, starts logging and runs the process.
 #pragma once
 
+#include "loop/callback_guard.hpp"
 #include "settings/command_line.hpp"
 #include "telemetry/log.hpp"
 
@@ -32,6 +33,9 @@
         if (options->isPrintOnly || options->isCheckOnly)
             return 0;
         startLogging(format, level);
+        setExceptionHandler([](std::string_view source, const std::exception& problem) {
+            logLine(log_level::Error, "process", "A callback of the main loop failed; what it worked on is given up.", { { "source", std::string(source) }, { "problem", problem.what() } });
+        });
         // A fixed threshold returns freed bodies to the system. By default, it rises to the largest block that was freed.
         constexpr int largeBlockBytes = 128 * 1024;
         mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
--- a/src/wire/server.cpp
+++ b/src/wire/server.cpp
@@ -1,5 +1,7 @@
 #include "wire/server.hpp"
 
+#include "loop/callback_guard.hpp"
+
 #include "base/error.hpp"
 #include "loop/http.hpp"
 #include "wire/codec.hpp"
@@ -70,7 +72,7 @@
 
 gboolean session_server::onIncoming(GSocketService*, GSocketConnection* connection, GObject*, gpointer self)
 {
-    static_cast<session_server*>(self)->startHandshake(connection);
+    runGuarded("session", [&] { static_cast<session_server*>(self)->startHandshake(connection); });
     return TRUE;
 }
 
--- a/src/wire/session.cpp
+++ b/src/wire/session.cpp
@@ -1,5 +1,7 @@
 #include "wire/session.hpp"
 
+#include "loop/callback_guard.hpp"
+
 #include "wire/codec.hpp"
 
 namespace bilberryseam::wire {
@@ -44,7 +46,7 @@
         const std::unique_ptr<connect_attempt> attempt(static_cast<connect_attempt*>(data));
         // A cancelled attempt may outlive its session.
         if (!g_cancellable_is_cancelled(attempt->cancellable.get()))
-            onConnected(source, outcome, attempt->owner);
+            runGuarded("session", [&] { onConnected(source, outcome, attempt->owner); });
         else if (GSocketConnection* lateConnection = g_socket_client_connect_finish(G_SOCKET_CLIENT(source), outcome, nullptr))
             g_object_unref(lateConnection);
     };
--- a/src/wire/websocket.cpp
+++ b/src/wire/websocket.cpp
@@ -1,5 +1,7 @@
 #include "wire/websocket.hpp"
 
+#include "loop/callback_guard.hpp"
+
 #include <websocketpp/client.hpp>
 #include <websocketpp/concurrency/none.hpp>
 #include <websocketpp/config/core.hpp>
@@ -159,18 +161,19 @@
         GError* failure = nullptr;
         const gssize count = g_socket_receive(self->m_socket, block, sizeof block, nullptr, &failure);
         if (count > 0) {
-            self->processInput(block, static_cast<size_t>(count));
+            if (!runGuarded("websocket", [&] { self->processInput(block, static_cast<size_t>(count)); }))
+                runGuarded("websocket", [&] { self->handleFailure("A message could not be handled."); });
             return G_SOURCE_CONTINUE;
         }
         if (count == 0) {
-            self->handleFailure("The peer closed the connection.");
+            runGuarded("websocket", [&] { self->handleFailure("The peer closed the connection."); });
             return G_SOURCE_REMOVE;
         }
         const bool isTransient = g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
         const std::string text = failure->message;
         g_error_free(failure);
         if (!isTransient)
-            self->handleFailure(text);
+            runGuarded("websocket", [&] { self->handleFailure(text); });
         return G_SOURCE_CONTINUE;
     }
 
