A status that the protocol does not have is no answer

The gateway passed 000, 099 and 777 on, with and without a length, also behind a 100; the product's own client took them for answers, too.

Cause: the parsers accept each number of three digits. Change: both clients end such a call as a broken response; 600 to 999 likewise.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -190,6 +190,10 @@
         handleBytes({});
         return;
     }
+    if (state.parser.is_header_done() && !isFinalStatus(state.parser.get().result_int())) {
+        finish(call_outcome::Malformed);
+        return;
+    }
     if (state.parser.is_header_done() && !m_isHeadComplete) {
         m_isHeadComplete = true;
         m_trace.framing = state.framing();
--- a/src/http1/message.hpp
+++ b/src/http1/message.hpp
@@ -28,6 +28,9 @@
     header_list headers;
 };
 
+/// @return Whether a final response may have this status; others are no responses of the protocol.
+[[nodiscard]] constexpr bool isFinalStatus(unsigned status) noexcept { return status >= 200 && status <= 599; }
+
 /// @return True if the names are equal, ignoring case.
 [[nodiscard]] bool isSameName(std::string_view left, std::string_view right) noexcept;
 
--- a/src/loop/http.cpp
+++ b/src/loop/http.cpp
@@ -73,6 +73,12 @@
                 return;
             }
             self->m_response.status = soup_message_get_status(self->m_message.get());
+            const bool isFinalStatus = self->m_response.status >= 200 && self->m_response.status <= 599;
+            if (!isFinalStatus) {
+                self->m_response.detail = "The response has a status that the protocol does not have.";
+                self->finish(exchange_outcome::Truncated);
+                return;
+            }
             if (const char* retryAfter = soup_message_headers_get_list(soup_message_get_response_headers(self->m_message.get()), "Retry-After"))
                 self->m_response.retryAfter = retryAfter;
             self->readStatedLength();
