--- a/tests/process/gateway_broken_response_test.cpp
+++ b/tests/process/gateway_broken_response_test.cpp
@@ -14,7 +14,8 @@
 /// A target that sends the same bytes as soon as the head of a request has arrived, and reads nothing more.
 class hasty_target {
 public:
-    enum class ending { Reset, Close };
+    enum class ending { Reset,
+        Close };
 
     explicit hasty_target(deployment_fixture& deployment)
         : m_endpoint(deployment.allocateAddress())
