--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -81,8 +81,13 @@
     const bool isReturning = m_hasStoreReturned && now - m_storeReachableSince < returnGrace;
     if (m_recordsWrittenAfter == time_point() || isReturning || listed.startedAtMs <= 0)
         return;
+    const wall_time startedAt { milliseconds(listed.startedAtMs) };
+    const auto known = m_runs.find(state.hash);
+    // A late write of an earlier run proves nothing.
+    if (known != m_runs.end() && known->second.startedAt > startedAt)
+        return;
     state.writtenAfter = std::max(state.writtenAfter, m_recordsWrittenAfter);
-    m_runs[state.hash] = { state.incarnation, listed.softwareVersion, wall_time(milliseconds(listed.startedAtMs)), state.writtenAfter };
+    m_runs[state.hash] = { state.incarnation, listed.softwareVersion, startedAt, state.writtenAfter };
 }
 
 const policy::target_run* target_registry::runOf(uint64_t target) const noexcept
--- a/tests/unit/missed_restart_test.cpp
+++ b/tests/unit/missed_restart_test.cpp
@@ -54,6 +54,31 @@
     cr_assert(!state.mayHaveMissedRestart(fixture.now + policy::targetRecordLag));
 }
 
+// Guards against a record that was read anew, or written by an earlier run, and passes for a sign of life.
+Test(missed_restart, only_a_record_written_after_a_read_shows_that_a_run_is_alive)
+{
+    registry_fixture fixture;
+    const auto first = runOf("v1", unixMilliseconds(seconds(60)));
+    const auto second = runOf("v2", unixMilliseconds(seconds(2)));
+    const auto readAt = [&](const deployment::target& listed, milliseconds after) {
+        fixture.registry.onStoreReachable(fixture.now + after, fixture.now + after);
+        fixture.registry.apply(listed, fixture.now + after);
+        return fixture.registry.ofService("model").at(0);
+    };
+    const auto state = readAt(first, seconds(0));
+    cr_assert_null(fixture.registry.runOf(state->hash), "the first record may be old");
+    state->lastBrokenAt = fixture.now + milliseconds(100);
+    readAt(first, seconds(1));
+    cr_assert_eq(fixture.registry.runOf(state->hash)->writtenAfter, fixture.now);
+    cr_assert(state->mayHaveRestarted(fixture.now + seconds(1)), "the record may have been written before the connection broke");
+    readAt(first, seconds(2));
+    cr_assert(!state->mayHaveRestarted(fixture.now + seconds(2)));
+    readAt(second, seconds(3));
+    cr_assert_eq(fixture.registry.runOf(state->hash)->softwareVersion, "v2");
+    readAt(first, seconds(4));
+    cr_assert_eq(fixture.registry.runOf(state->hash)->softwareVersion, "v2", "a late write of the earlier run");
+}
+
 Test(missed_restart, a_run_that_began_long_before_the_first_read_is_not_doubtful)
 {
     registry_fixture fixture;
