--- a/tests/support/test_host.hpp
+++ b/tests/support/test_host.hpp
@@ -14,20 +14,20 @@
 }
 
 constexpr int portsPerSlot = 150;
-/// Slots from here on use the ports of the first ones at another address; ports above are ephemeral.
-constexpr int firstSlotOfSecondHost = 205;
+/// Further slots use the ports of the first ones at further addresses; ports above are ephemeral.
+constexpr int slotsPerHost = 205;
 
 [[nodiscard]] inline std::string hostOfSlot(int slot)
 {
     std::string host = testHost();
-    if (slot >= firstSlotOfSecondHost)
-        host.replace(0, std::string("127.0.").size(), "127.1.");
+    if (const int index = slot / slotsPerHost; index > 0)
+        host.replace(0, std::string("127.0.").size(), "127." + std::to_string(index) + ".");
     return host;
 }
 
 [[nodiscard]] constexpr int firstPortOfSlot(int slot) noexcept
 {
     constexpr int firstPort = 2000;
-    return firstPort + slot % firstSlotOfSecondHost * portsPerSlot;
+    return firstPort + slot % slotsPerHost * portsPerSlot;
 }
 }
