Stand-in targets send long streams in blocks, so that unread responses are tested

Cause, from the logs: the stand-in makes each response of 60,000 tokens in one go, 200 of them one after another, on the one loop that all its targets and its store share. For about 10 s no target sent anything ("has sent nothing for the inactivity timeout" for all 200 calls); the ordinary request was responded to at 9 to 10 s, its deadline is 10 s. So the verdict hung on the speed of the machine. And the test did not test what it says: the crowd's requests ended at their deadline without a byte, so there never was an unread response.

Change: a stream without pauses is sent 500 tokens at a time, the next block once the last is written, which is also what a real target does for a caller that does not read. The test logs the response to its ordinary request. Its checks and bounds are as they were; the product is not touched.

--- a/src/fakes/fake_target.cpp
+++ b/src/fakes/fake_target.cpp
@@ -12,6 +12,9 @@
 namespace {
     constexpr uint32_t defaultTokens = 16;
 
+    /// Tokens of a stream without pauses that are sent in one go, so that long streams do not block the process.
+    constexpr uint32_t tokensPerBlock = 500;
+
     /// Words depend only on the prompt and their index, so that tests can compare a resumed stream with a complete one.
     std::string wordAt(const std::string& prompt, uint32_t index)
     {
@@ -42,7 +45,6 @@
     /// Rest of the event within which the stream paused.
     std::string heldBytes;
     bool isComplete = false;
-    gulong finishedHandler = 0;
     timer tokenTimer;
     std::optional<disconnect_watch> disconnectWatch;
 };
@@ -73,7 +75,7 @@
     m_restartTimer.startOnce(milliseconds(0), [this] {
         soup_server_disconnect(m_server.get());
         for (auto& [raw, open] : m_streams)
-            g_signal_handler_disconnect(open->message.get(), open->finishedHandler);
+            g_signal_handlers_disconnect_by_data(open->message.get(), this);
         m_streams.clear();
         m_restartTimer.startOnce(m_behaviour.restartTime, [this] { startServer(); });
     });
@@ -219,14 +221,15 @@
     open->silence = drawSilence();
     if (open->silence.count() > 0)
         open->silentToken = open->nextToken + m_behaviour.silence.afterTokens.value_or(static_cast<uint32_t>(m_random() % std::max(1u, open->count - std::min(open->count, open->nextToken))));
-    open->finishedHandler = g_signal_connect(message, "finished", G_CALLBACK(+[](SoupServerMessage* ended, gpointer self) {
+    g_signal_connect(message, "finished", G_CALLBACK(+[](SoupServerMessage* ended, gpointer self) {
+        auto* owner = static_cast<fake_target*>(self);
+        if (stream* const found = owner->findStream(ended))
+            owner->onStreamFinished(found); }),
+        this);
+    g_signal_connect(message, "wrote-chunk", G_CALLBACK(+[](SoupServerMessage* written, gpointer self) {
         auto* owner = static_cast<fake_target*>(self);
-        for (auto& [raw, candidate] : owner->m_streams) {
-            if (candidate->message.get() == ended) {
-                owner->onStreamFinished(raw);
-                return;
-            }
-        } }),
+        if (stream* const found = owner->findStream(written))
+            owner->onBlockWritten(*found); }),
         this);
     m_streams[open] = std::move(newStream);
     m_maxRunning = std::max(m_maxRunning, ++m_running);
@@ -250,13 +253,26 @@
 void fake_target::startTokens(stream& open)
 {
     if (m_behaviour.tokenTime.count() == 0) {
-        sendTokens(open, open.count);
+        sendTokens(open, tokensPerBlock);
         return;
     }
     open.tokenTimer.startEvery(m_behaviour.tokenTime, [this, &open] { sendTokens(open, 1); });
     sendTokens(open, 1);
 }
 
+fake_target::stream* fake_target::findStream(const SoupServerMessage* message)
+{
+    const auto found = std::find_if(m_streams.begin(), m_streams.end(), [&](const auto& item) { return item.second->message.get() == message; });
+    return found == m_streams.end() ? nullptr : found->first;
+}
+
+void fake_target::onBlockWritten(stream& open)
+{
+    // A running timer continues the stream itself.
+    if (!open.isComplete && !open.tokenTimer.isRunning())
+        open.tokenTimer.startOnce(milliseconds(0), [this, &open] { sendTokens(open, tokensPerBlock); });
+}
+
 std::string fake_target::startSilence(stream& open, std::string bytes)
 {
     const milliseconds silence = std::exchange(open.silence, milliseconds(0));
@@ -316,7 +332,7 @@
     if (!ended->isComplete)
         ++m_cancelled;
     m_running -= std::min(m_running, 1u);
-    g_signal_handler_disconnect(ended->message.get(), ended->finishedHandler);
+    g_signal_handlers_disconnect_by_data(ended->message.get(), this);
     m_streams.erase(ended);
 }
 
--- a/src/fakes/fake_target.hpp
+++ b/src/fakes/fake_target.hpp
@@ -86,6 +86,9 @@
     void startStream(SoupServerMessage* message, const nlohmann::json& request);
     void startTokens(stream& open);
     void sendTokens(stream& open, uint32_t count);
+    /// @return Null if the message has no stream.
+    [[nodiscard]] stream* findStream(const SoupServerMessage* message);
+    void onBlockWritten(stream& open);
     /// @return The bytes to send before the pause; the rest of the event follows after it.
     std::string startSilence(stream& open, std::string bytes);
     [[nodiscard]] milliseconds drawSilence();
--- a/tests/crowd/entry_crowd_test.cpp
+++ b/tests/crowd/entry_crowd_test.cpp
@@ -52,7 +52,9 @@
     /// @param maxDescriptors  Descriptors that the clients may have each process open.
     void check(size_t maxDescriptors)
     {
-        checkEqual(deployment.sendAndWait({ .pipeline = "ordinary" })->outcomeName(), "answered");
+        const auto ordinary = deployment.sendAndWait({ .pipeline = "ordinary" });
+        cr_log_info("ordinary request: status %d, %s", ordinary->reply.status, ordinary->reply.body.c_str());
+        checkEqual(ordinary->outcomeName(), "answered");
         cr_assert(deployment.get(deployment.entryOperator(), "/readyz")["ready"].get<bool>());
         cr_assert(deployment.get(deployment.sideOperator("llm-1"), "/readyz")["ready"].get<bool>());
         for (process_watch* watch : { &entryWatch, &sideWatch }) {
