Guards at the gateway's SIGHUP and at writes of a websocket

The `finished` handler of a libsoup response, which the postmortem also named, only sets a flag and cannot throw; it stays as it is.

Change: `onHangup` beside `main_loop::onTerminate`, used by the gateway; a guard in `onWritable`.

Measured: callback_guard/a_hangup_is_handled_again_after_an_exception fails with the unguarded call ("Caught an unexpected exception"), passes with the guard; callback_guard 5 of 5.

--- a/src/loop/main_loop.cpp
+++ b/src/loop/main_loop.cpp
@@ -29,4 +29,15 @@
     g_unix_signal_add(SIGTERM, handler, this);
     g_unix_signal_add(SIGINT, handler, this);
 }
+
+void onHangup(std::function<void()> function)
+{
+    using function_pointer = std::function<void()>*;
+    const auto handler = [](void* self) -> gboolean {
+        runGuarded("signal", *static_cast<function_pointer>(self));
+        return G_SOURCE_CONTINUE;
+    };
+    const auto destroy = [](void* self) { delete static_cast<function_pointer>(self); };
+    g_unix_signal_add_full(G_PRIORITY_DEFAULT, SIGHUP, handler, new std::function<void()>(std::move(function)), destroy);
+}
 }
--- a/src/loop/main_loop.hpp
+++ b/src/loop/main_loop.hpp
@@ -24,4 +24,7 @@
     GMainLoop* m_loop;
     std::function<void()> m_onTerminate;
 };
+
+/// Calls `function` from the main loop at each SIGHUP, until the process ends.
+void onHangup(std::function<void()> function);
 }
--- a/src/programs/gateway.cpp
+++ b/src/programs/gateway.cpp
@@ -2,9 +2,7 @@
 #include "gateway/gateway.hpp"
 #include "programs/daemon_main.hpp"
 
-#include <csignal>
 #include <fstream>
-#include <glib-unix.h>
 #include <sstream>
 
 namespace bilberryseam {
@@ -32,11 +30,7 @@
             , m_gateway(settings)
         {
             m_settingsCheck.startEvery(settingsCheckPeriod, [this] { checkSettings(); });
-            const auto onHangup = [](void* self) -> gboolean {
-                static_cast<gateway_process*>(self)->checkSettings();
-                return G_SOURCE_CONTINUE;
-            };
-            g_unix_signal_add(SIGHUP, onHangup, this);
+            onHangup([this] { checkSettings(); });
         }
 
         void run() { m_gateway.run(); }
--- a/src/wire/websocket.cpp
+++ b/src/wire/websocket.cpp
@@ -181,7 +181,7 @@
     {
         const auto self = static_cast<implementation*>(data)->shared_from_this();
         self->stopSource(self->m_writeSource);
-        self->writeOutput();
+        runGuarded("websocket", [&] { self->writeOutput(); });
         return G_SOURCE_REMOVE;
     }
 
--- a/tests/unit/callback_guard_test.cpp
+++ b/tests/unit/callback_guard_test.cpp
@@ -2,6 +2,7 @@
 #include "http1/client.hpp"
 #include "http1/server.hpp"
 #include "loop/callback_guard.hpp"
+#include "loop/main_loop.hpp"
 #include "loop/timer.hpp"
 #include "support/raw_client.hpp"
 #include "support/test_host.hpp"
@@ -49,6 +50,22 @@
     cr_assert_geq(exceptions.count, 4u);
 }
 
+// Guards against the end of a process by an exception while it reloads its settings.
+Test(callback_guard, a_hangup_is_handled_again_after_an_exception)
+{
+    exception_counter exceptions;
+    size_t calls = 0;
+    onHangup([&] {
+        ++calls;
+        throw std::runtime_error("hangup");
+    });
+    for (size_t i = 1; i <= 2; ++i) {
+        std::raise(SIGHUP);
+        tests::runUntil([&] { return calls == i; }, testTimeout, "the hangup");
+    }
+    cr_assert_eq(exceptions.count, 2u);
+}
+
 Test(callback_guard, an_exception_of_a_request_handler_ends_its_connection_alone)
 {
     exception_counter exceptions;
