--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -29,6 +29,7 @@
     time_point refilledAt {};
 };
 
+class configuration_exchange;
 class crash_watch;
 class load_exchange;
 class stream_directory;
@@ -45,6 +46,8 @@
     time_point configurationCheckedAt {};
     policy::suspicion_table suspicions;
     /// Set while the gateway runs.
+    configuration_exchange* configurations = nullptr;
+    /// Set while the gateway runs.
     crash_watch* crashes = nullptr;
     /// Set while the gateway runs.
     stream_directory* streams = nullptr;
--- a/src/gateway/detail/pool_router_peer.hpp
+++ b/src/gateway/detail/pool_router_peer.hpp
@@ -9,6 +9,8 @@
     entry_record record;
     uint64_t jobs = 0;
     bool isObsolete = false;
+    /// It has responded to the query for a newer configuration.
+    bool hasStatedConfiguration = false;
     /// The owner refused a job and gets no further ones before this time.
     time_point refusedUntil {};
     /// When the connection was lost, until it returns.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,9 +79,11 @@
             m_context.client.closeIdleConnections(target.listed.endpoint);
     })
     , m_scheduler(m_context)
+    , m_configurations(m_context.counters, [this](std::string_view text) { applyConfiguration(text); })
     , m_pressure(m_context.clientMemory, m_context.counters, logComponent)
 {
     m_context.pressure = &m_pressure;
+    m_context.configurations = &m_configurations;
     updateClientMemory();
     const auto limits = [this] { return serverLimits(); };
     m_callers.emplace(
@@ -246,6 +248,7 @@
     const std::string previousVersion = m_context.configuration ? std::to_string(m_context.configuration->version) : "none";
     m_context.configuration = std::make_shared<const deployment::configuration>(std::move(decoded.value()));
     const auto& configuration = *m_context.configuration;
+    m_configurations.setInForce(static_cast<uint64_t>(configuration.version), text);
     ++m_context.placementRules;
     logUnknownRegions(m_context, configuration);
     m_context.counters.count("configurations_total", { { "outcome", "in_force" } });
@@ -318,7 +321,7 @@
 
 bool gateway::isReady(time_point now) const
 {
-    return !m_isStopping && m_context.configuration && m_hasTargets && m_pools->isReady(now) && m_crashes->isReady() && areKeysFresh(now);
+    return !m_isStopping && m_isConfigurationConfirmed && m_hasTargets && m_pools->isReady(now) && m_crashes->isReady() && areKeysFresh(now);
 }
 
 // Requests.
@@ -492,6 +495,7 @@
     endPauses(m_context, now);
     m_scheduler.tick(now);
     m_pools->tick(now);
+    m_isConfigurationConfirmed = m_isConfigurationConfirmed || (m_context.configuration && m_pools->hasAskedEntries(now));
     m_crashes->tick(now);
     m_streams->tick(now);
     checkVersions(now);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "execution/pressure_report.hpp"
+#include "gateway/configuration_exchange.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/request_run.hpp"
@@ -116,6 +117,7 @@
     task_scheduler m_scheduler;
     std::optional<entry_directory> m_directory;
     std::optional<pool_router> m_pools;
+    configuration_exchange m_configurations;
     std::optional<crash_watch> m_crashes;
     std::optional<stream_directory> m_streams;
     std::optional<topic_relay> m_relay;
@@ -131,6 +133,8 @@
     bool m_isConfigurationUnreachable = false;
     bool m_isTargetListUnreachable = false;
     bool m_hasTargets = false;
+    /// The other entries were asked for a newer configuration, so that the one in force may be used.
+    bool m_isConfigurationConfirmed = false;
     time_point m_nextVersionCheckAt {};
     time_point m_wokeAt {};
     timer m_tick;
--- a/src/gateway/pool_router.cpp
+++ b/src/gateway/pool_router.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "deployment/caller_request.hpp"
+#include "gateway/configuration_exchange.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/detail/pool_router_peer.hpp"
 #include "gateway/load_exchange.hpp"
@@ -69,6 +70,7 @@
                   if (isResumed)
                       return;
                   m_directory.scheduleRead();
+                  m_server.post(session, m_context.configurations->query());
                   m_context.crashes->sendAll([this, session](wire::message message) { m_server.post(session, std::move(message)); }, monotonicNow());
               },
               [this](identifier session) { onSessionExpired(session); },
@@ -131,6 +133,15 @@
     return isConnected || now - m_membersSince > maxConnectionWait;
 }
 
+bool pool_router::hasAskedEntries(time_point now) const
+{
+    if (!m_hasMembers)
+        return false;
+    const bool isDirectoryKnown = m_directory.readAt() != time_point();
+    const bool haveAllStated = std::all_of(m_peers.begin(), m_peers.end(), [](const auto& item) { return item.second->hasStatedConfiguration; });
+    return (isDirectoryKnown && haveAllStated) || now - m_membersSince > maxConnectionWait;
+}
+
 void pool_router::run(const job_ptr& job)
 {
     if (peer* owner = usableOwner(job->service))
@@ -280,7 +291,9 @@
 {
     countMessages("received", message, 1);
     const auto reply = [this, &name](wire::message response) { static_cast<void>(send(name, std::move(response))); };
-    if (m_context.crashes->handle(message, name, monotonicNow()) || m_context.streams->handle(message, name, reply, monotonicNow()) || m_context.relay->handle(message, reply, monotonicNow()) || (m_context.loads && m_context.loads->handle(message, name, reply, monotonicNow())))
+    if (const auto sender = m_peers.find(name); sender != m_peers.end() && std::holds_alternative<wire::configuration_records>(message))
+        sender->second->hasStatedConfiguration = true;
+    if (m_context.configurations->handle(message, reply) || m_context.crashes->handle(message, name, monotonicNow()) || m_context.streams->handle(message, name, reply, monotonicNow()) || m_context.relay->handle(message, reply, monotonicNow()) || (m_context.loads && m_context.loads->handle(message, name, reply, monotonicNow())))
         return;
     if (const auto* suspicion = std::get_if<wire::crash_suspicion>(&message)) {
         handleSuspicion(*suspicion);
@@ -349,7 +362,7 @@
 {
     countMessages("received", message, 1);
     const auto reply = [this, session](wire::message response) { m_server.post(session, std::move(response)); };
-    if (m_context.crashes->handle(message, "connected_entry", monotonicNow()) || m_context.streams->handle(message, "connected_entry", reply, monotonicNow()) || m_context.relay->handle(message, reply, monotonicNow()) || (m_context.loads && m_context.loads->handle(message, "connected_entry", reply, monotonicNow())))
+    if (m_context.configurations->handle(message, reply) || m_context.crashes->handle(message, "connected_entry", monotonicNow()) || m_context.streams->handle(message, "connected_entry", reply, monotonicNow()) || m_context.relay->handle(message, reply, monotonicNow()) || (m_context.loads && m_context.loads->handle(message, "connected_entry", reply, monotonicNow())))
         return;
     if (auto* jobRequest = std::get_if<wire::start_tasks>(&message)) {
         hostJob(session, *jobRequest);
--- a/src/gateway/pool_router.hpp
+++ b/src/gateway/pool_router.hpp
@@ -72,6 +72,9 @@
     void onMembersChanged();
     /// @return True once the connections to the other owners are established, or this entry has waited for them long enough.
     [[nodiscard]] bool isReady(time_point now) const;
+    /// @return True once all entries that this one connects to were asked whether they have a newer configuration, or too
+    /// much time has passed since this entry got its own.
+    [[nodiscard]] bool hasAskedEntries(time_point now) const;
     /// From now on this entry refuses jobs of other entries.
     void setStopping() noexcept { m_isStopping = true; }
     /// @return True if no job of another entry runs here, and the others have received all results.
--- a/src/gateway/pool_router_peers.cpp
+++ b/src/gateway/pool_router_peers.cpp
@@ -1,5 +1,6 @@
 /// The connections to other entries, and messages to all of them.
 #include "base/hash.hpp"
+#include "gateway/configuration_exchange.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/detail/pool_router_peer.hpp"
 #include "gateway/stream_directory.hpp"
@@ -233,6 +234,7 @@
             // A peer that has kept the session has its state, too.
             if (isResumed)
                 return;
+            m_peers.at(name)->session->post(m_context.configurations->query());
             m_context.streams->sendKept(name, monotonicNow());
             m_context.crashes->sendAll([this, name](wire::message message) { m_peers.at(name)->session->post(std::move(message)); }, monotonicNow());
         };
--- a/src/gateway/request_acceptance.cpp
+++ b/src/gateway/request_acceptance.cpp
@@ -68,6 +68,8 @@
         return acceptance_refusal { http1::statusUnavailable, "stopping", retryElsewhere, {} };
     if (!request.configuration)
         return acceptance_refusal { http1::statusUnavailable, "no_configuration", retryWhenNotReady, {} };
+    if (!m_isConfigurationConfirmed)
+        return acceptance_refusal { http1::statusUnavailable, "configuration_unconfirmed", retryWhenNotReady, {} };
     if (auto refusal = findRoute(request, target, now))
         return refusal;
     if (auto refusal = identifyAccount(request, now))
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -155,7 +155,7 @@
     void visitFields(Visitor& visit) { visit(target, queued, running, capacity, expectedWaitMs, isDraining, isDown, entries); }
 };
 
-/// Both directions: the configuration offset in force at the sender.
+/// Both directions: the configuration offset in force at the sender. Between entries of a platform: its version.
 struct configuration_offset {
     uint64_t offset = 0;
     /// The sender requests the records from its offset on.
@@ -176,7 +176,8 @@
     void visitFields(Visitor& visit) { visit(offset, appendedMs, text); }
 };
 
-/// Both directions: what a peer that is behind lacks: a snapshot, records after it, or both.
+/// Both directions: what a peer that is behind lacks: a snapshot, records after it, or both. Between entries of a platform:
+/// the text of a newer configuration, or nothing if the sender has none.
 struct configuration_records {
     /// A snapshot of the fold; empty if the records alone suffice.
     std::string snapshot;
