Configurations of other gateways are applied by the next tick

It changes which gateways are connected, which can destroy that connection while it is in use (the sender was not needed before, and is with the new configuration).

--- a/src/gateway/configuration_exchange.cpp
+++ b/src/gateway/configuration_exchange.cpp
@@ -2,9 +2,9 @@
 
 namespace bilberryseam::gateway {
 
-configuration_exchange::configuration_exchange(metrics& metrics, std::function<void(std::string_view text)> apply)
+configuration_exchange::configuration_exchange(metrics& metrics, std::function<void(std::string_view text)> onReceived)
     : m_metrics(metrics)
-    , m_apply(std::move(apply))
+    , m_onReceived(std::move(onReceived))
 {
 }
 
@@ -30,7 +30,7 @@
         return false;
     if (!response->snapshot.empty()) {
         m_metrics.count("configurations_from_entries_total");
-        m_apply(response->snapshot);
+        m_onReceived(response->snapshot);
     }
     return true;
 }
--- a/src/gateway/configuration_exchange.hpp
+++ b/src/gateway/configuration_exchange.hpp
@@ -12,8 +12,8 @@
 
 class configuration_exchange {
 public:
-    /// @param apply  Called with the text of a configuration that another entry has; it need not be newer or valid.
-    configuration_exchange(metrics& metrics, std::function<void(std::string_view text)> apply);
+    /// @param onReceived  Called with the text of a configuration that another entry has; it need not be newer or valid.
+    configuration_exchange(metrics& metrics, std::function<void(std::string_view text)> onReceived);
 
     /// Records which configuration this entry has.
     void setInForce(uint64_t version, std::string_view text);
@@ -28,7 +28,7 @@
 
 private:
     metrics& m_metrics;
-    std::function<void(std::string_view text)> m_apply;
+    std::function<void(std::string_view text)> m_onReceived;
     uint64_t m_version = 0;
     std::string m_text;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,7 +79,7 @@
             m_context.client.closeIdleConnections(target.listed.endpoint);
     })
     , m_scheduler(m_context)
-    , m_configurations(m_context.counters, [this](std::string_view text) { applyConfiguration(text); })
+    , m_configurations(m_context.counters, [this](std::string_view text) { m_receivedConfigurations.emplace_back(text); })
     , m_pressure(m_context.clientMemory, m_context.counters, logComponent)
 {
     m_context.pressure = &m_pressure;
@@ -260,6 +260,13 @@
     logLine(log_level::Info, logComponent, "A newer configuration came into force.", { { "version", std::to_string(configuration.version) }, { "before", previousVersion }, { "routes", std::to_string(configuration.routes.size()) }, { "keys", std::to_string(configuration.accountsByApiKey.size()) } });
 }
 
+void gateway::confirmConfiguration(time_point now)
+{
+    for (const std::string& text : std::exchange(m_receivedConfigurations, {}))
+        applyConfiguration(text);
+    m_isConfigurationConfirmed = m_isConfigurationConfirmed || (m_context.configuration && m_pools->hasAskedEntries(now));
+}
+
 void gateway::applyTarget(const platform::keyed_record& record)
 {
     const time_point now = monotonicNow();
@@ -495,7 +502,7 @@
     endPauses(m_context, now);
     m_scheduler.tick(now);
     m_pools->tick(now);
-    m_isConfigurationConfirmed = m_isConfigurationConfirmed || (m_context.configuration && m_pools->hasAskedEntries(now));
+    confirmConfiguration(now);
     m_crashes->tick(now);
     m_streams->tick(now);
     checkVersions(now);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -52,6 +52,8 @@
     platform::follow_callbacks configurationCallbacks();
     platform::follow_callbacks targetCallbacks();
     void applyConfiguration(std::string_view text);
+    /// Applies what other entries have sent, and checks whether all of them were asked.
+    void confirmConfiguration(time_point now);
     void applyTarget(const platform::keyed_record& record);
     void recordRead(std::string_view topic, bool& isUnreachable, time_point sentAt);
     void recordFailedRead(std::string_view topic, bool& isUnreachable, std::string_view reason);
@@ -133,6 +135,8 @@
     bool m_isConfigurationUnreachable = false;
     bool m_isTargetListUnreachable = false;
     bool m_hasTargets = false;
+    /// Texts from other entries. They are applied by the next tick, as a configuration may end the connection that brought it.
+    std::vector<std::string> m_receivedConfigurations;
     /// The other entries were asked for a newer configuration, so that the one in force may be used.
     bool m_isConfigurationConfirmed = false;
     time_point m_nextVersionCheckAt {};
--- a/tests/unit/configuration_exchange_test.cpp
+++ b/tests/unit/configuration_exchange_test.cpp
@@ -10,8 +10,8 @@
 namespace {
 struct exchange_test {
     metrics counters;
-    std::string applied;
-    configuration_exchange exchange { counters, [this](std::string_view text) { applied = text; } };
+    std::string received;
+    configuration_exchange exchange { counters, [this](std::string_view text) { received = text; } };
 
     /// @return The text in the response to a query by an entry with a version.
     std::optional<std::string> responseTo(uint64_t version)
@@ -36,12 +36,12 @@
     cr_assert(test.responseTo(5) == "");
 }
 
-Test(configuration_exchange, a_response_is_applied_and_an_empty_one_is_not)
+Test(configuration_exchange, a_response_is_received_unless_it_is_empty)
 {
     exchange_test test;
     cr_assert(test.exchange.handle(wire::configuration_records {}, {}));
-    cr_assert(test.applied.empty());
+    cr_assert(test.received.empty());
     cr_assert(test.exchange.handle(wire::configuration_records { "text of 5", {} }, {}));
-    cr_assert(test.applied == "text of 5");
+    cr_assert(test.received == "text of 5");
     cr_assert_not(test.exchange.handle(wire::stream_query {}, {}));
 }
