--- a/tests/process/gateway_lost_answers_test.cpp
+++ b/tests/process/gateway_lost_answers_test.cpp
@@ -59,6 +59,19 @@
         }
     }
 
+    /// The first target restarts after responses were lost, and streams begin. Its record names the new run after a delay.
+    fakes::platform_engine& beginStreamsBesideRestart(const std::string& version, milliseconds recordDelay)
+    {
+        loseResponses();
+        auto& restarted = fleet.engines.front();
+        restarted.behaviour().restartDelay = milliseconds(200);
+        silentRecords = { restarted.target().id() };
+        fleet.deployment.restartEngine(restarted, "model", version, recordDelay);
+        fleet.deployment.runLoopFor(milliseconds(2000));
+        beginStreams();
+        return restarted;
+    }
+
     /// Takes all streams up again at other gateways.
     /// @return How many go on.
     size_t resumeStreams()
@@ -118,13 +131,7 @@
 Test(gateway_lost_answers, streams_are_not_joined_if_a_target_restarts_beside_lost_responses)
 {
     losing_fleet test(482);
-    test.loseResponses();
-    auto& restarted = test.fleet.engines.front();
-    restarted.behaviour().restartDelay = milliseconds(200);
-    test.silentRecords = { restarted.target().id() };
-    test.fleet.deployment.restartEngine(restarted, "model", "v2", milliseconds(6000));
-    test.fleet.deployment.runLoopFor(milliseconds(2000));
-    test.beginStreams();
+    auto& restarted = test.beginStreamsBesideRestart("v2", milliseconds(6000));
     test.fleet.deployment.runLoopFor(milliseconds(1500));
     size_t begunAtRestarted = 0;
     for (const auto& request : restarted.target().requests())
@@ -137,13 +144,7 @@
 Test(gateway_lost_answers, streams_go_on_if_a_target_restarts_with_the_same_version_beside_lost_responses)
 {
     losing_fleet test(483);
-    test.loseResponses();
-    auto& restarted = test.fleet.engines.front();
-    restarted.behaviour().restartDelay = milliseconds(200);
-    test.silentRecords = { restarted.target().id() };
-    test.fleet.deployment.restartEngine(restarted, "model", "v1", milliseconds(2500));
-    test.fleet.deployment.runLoopFor(milliseconds(2000));
-    test.beginStreams();
+    test.beginStreamsBesideRestart("v1", milliseconds(2500));
     test.fleet.deployment.runLoopFor(milliseconds(1000));
     test.silentRecords.clear();
     test.fleet.deployment.runLoopFor(milliseconds(2500));
