--- a/src/fakes/platform_store.cpp
+++ b/src/fakes/platform_store.cpp
@@ -118,6 +118,12 @@
         addRecord(name, std::move(record));
 }
 
+void platform_store::returnFromCopy()
+{
+    ++m_era;
+    m_topics = m_copy;
+}
+
 void platform_store::truncateHistory(const std::string& name)
 {
     topic& topicRecords = m_topics[name];
--- a/src/fakes/platform_store.hpp
+++ b/src/fakes/platform_store.hpp
@@ -42,6 +42,12 @@
     void put(const std::string& topic, const std::string& key, const std::string& value);
     /// Returns from an older copy that lacks the newest records of a topic: the era rises, and their offsets are given out again.
     void restoreOlderCopy(const std::string& topic, size_t lostRecords);
+    /// States an era in each response from now on, as a store does that may return from a copy.
+    void setEra(uint64_t era) { m_era = era; }
+    /// Keeps a copy of all topics.
+    void keepCopy() { m_copy = m_topics; }
+    /// Returns from the copy: the era rises, and what was written since is gone.
+    void returnFromCopy();
     /// Removes the records of a topic; the newest value of each key stays available.
     void truncateHistory(const std::string& topic);
     void setFaults(store_faults faults) { m_faults = std::move(faults); }
@@ -92,6 +98,7 @@
     static void trim(topic& topic, uint64_t before);
 
     std::map<std::string, topic> m_topics;
+    std::map<std::string, topic> m_copy;
     std::vector<waiting_read> m_waitingReads;
     std::vector<std::shared_ptr<http1::exchange>> m_unansweredExchanges;
     std::vector<std::unique_ptr<delayed_response>> m_delayedResponses;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -110,7 +110,8 @@
             [this](time_point firstCrashAt) { onVerdict(firstCrashAt); },
             [this](uint64_t segment) { return m_pools->rankFor(textOfHash(segment)); } });
     m_context.crashes = &*m_crashes;
-    m_streams.emplace(m_context.counters, m_context.store, settings.name,
+    m_recovery.emplace(m_context.counters, m_context.store, settings.name, [this] { return m_streams->areVersionsRecorded(); });
+    m_streams.emplace(m_context.counters, m_context.store, *m_recovery, settings.name,
         stream_directory::callbacks { [this](std::string_view entry, wire::message message) { return m_pools->send(entry, std::move(message)); },
             [this](std::string_view entry) { m_pools->flush(entry); },
             [this] { return m_pools->originKeepers(); },
@@ -223,6 +224,7 @@
         return target && m_context.targets.isListed(target.value());
     };
     callbacks.onReadSuccess = [this](time_point sentAt) {
+        m_recovery->onTargetsRead(sentAt, monotonicNow());
         m_context.targets.onStoreReachable(monotonicNow(), sentAt);
         if (sentAt >= m_wokeAt)
             m_context.targetsUncertainUntil = {};
@@ -504,6 +506,8 @@
     m_pools->tick(now);
     confirmConfiguration(now);
     m_crashes->tick(now);
+    if (m_recovery->tick(now))
+        m_targetFollower->restartRead();
     m_streams->tick(now);
     checkVersions(now);
     if (m_loads)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -121,6 +121,7 @@
     std::optional<pool_router> m_pools;
     configuration_exchange m_configurations;
     std::optional<crash_watch> m_crashes;
+    std::optional<recovery_watch> m_recovery;
     std::optional<stream_directory> m_streams;
     std::optional<topic_relay> m_relay;
     std::optional<load_exchange> m_loads;
--- a/src/gateway/request_continuation.cpp
+++ b/src/gateway/request_continuation.cpp
@@ -142,8 +142,10 @@
         return;
     }
     http1::header_list headers { { "Content-Type", "text/plain; charset=utf-8" } };
-    if (!isCertain)
-        headers.push_back(platform::retryAfterHeader(retryUnknownOrigin));
+    const bool isUnknown = decision == policy::continuation::OriginUnknown && !m_origin;
+    const milliseconds conclusion = isUnknown ? m_context.streams->timeUntilConclusion(m_request.service, monotonicNow()) : milliseconds(0);
+    if (!isCertain || conclusion.count() > 0)
+        headers.push_back(platform::retryAfterHeader(std::max(retryUnknownOrigin, conclusion)));
     m_request.exchange->respond(http1::statusUnavailable, std::move(headers), decision == policy::continuation::VersionGone ? versionGoneText : originUnknownText);
     finish("refused", reason, http1::statusUnavailable);
 }
--- a/src/gateway/stream_directory.cpp
+++ b/src/gateway/stream_directory.cpp
@@ -40,11 +40,11 @@
 
 }
 
-stream_directory::stream_directory(metrics& metrics, platform::store_client& store, std::string ownName, callbacks callbacks)
+stream_directory::stream_directory(metrics& metrics, platform::store_client& store, recovery_watch& recovery, std::string ownName, callbacks callbacks)
     : m_metrics(metrics)
     , m_ownName(std::move(ownName))
     , m_callbacks(std::move(callbacks))
-    , m_versions(store, m_callbacks.listedVersions)
+    , m_versions(store, recovery, m_callbacks.listedVersions)
     , m_archive(metrics, store,
           origin_archive::callbacks { [this](const std::string& service, time_point now) { return m_versions.hadSeveral(service, now); },
               [this](uint64_t stream, time_point now) { return lookUp(stream, now); },
--- a/src/gateway/stream_directory.hpp
+++ b/src/gateway/stream_directory.hpp
@@ -47,7 +47,7 @@
     };
     using on_origin = std::function<void(const found_origin& found)>;
 
-    stream_directory(metrics& metrics, platform::store_client& store, std::string ownName, callbacks callbacks);
+    stream_directory(metrics& metrics, platform::store_client& store, recovery_watch& recovery, std::string ownName, callbacks callbacks);
 
     /// Records the origin of a stream, and tells the entries that keep it.
     /// @param service  Service that runs the stream.
@@ -60,6 +60,11 @@
     /// @return Whether a stream of the service whose origin is not known may have begun at a version that is not listed now.
     [[nodiscard]] bool mayHaveHadOtherVersions(const std::string& service, time_point now) { return m_versions.mayHaveHadSeveral(service, now); }
 
+    /// @return Time after which the origin of a stream that is not known may be concluded; zero if it will not be.
+    [[nodiscard]] milliseconds timeUntilConclusion(const std::string& service, time_point now) { return m_versions.recoveryTimeLeft(service, now); }
+    /// @return Whether the store has acknowledged the versions of all services in its present era.
+    [[nodiscard]] bool areVersionsRecorded() { return m_versions.isRecorded(); }
+
     /// Records the listed versions of a service before a stream begins at one of them.
     void checkVersions(const std::string& service, time_point now) { m_versions.check(service, now); }
     /// @return Whether a stream of the service may begin at a version; see `version_history::mayBegin`.
--- a/src/gateway/version_history.cpp
+++ b/src/gateway/version_history.cpp
@@ -73,8 +73,9 @@
     }
 }
 
-version_history::version_history(platform::store_client& store, listed_versions listed)
+version_history::version_history(platform::store_client& store, recovery_watch& recovery, listed_versions listed)
     : m_store(store)
+    , m_recovery(recovery)
     , m_listed(std::move(listed))
     , m_startedAt(monotonicNow())
 {
@@ -89,8 +90,14 @@
         return;
     }
     m_waiting.push_back(std::move(onLoaded));
-    if (!m_loadCall)
-        m_loadCall = m_store.newest(topic, {}, loadTimeout, [this](const platform::newest_page& page) { handlePage(page); });
+    // The mark counts only for what is read after it.
+    if (!std::exchange(m_isLoading, true))
+        m_recovery.afterMarkRead([this] { readPage({}); });
+}
+
+void version_history::readPage(std::string_view after)
+{
+    m_loadCall = m_store.newest(topic, after, loadTimeout, [this](const platform::newest_page& page) { handlePage(page); });
 }
 
 void version_history::handlePage(const platform::newest_page& page)
@@ -103,8 +110,11 @@
     }
     for (const auto& [service, text] : page.values)
         applyRecord(service, text);
+    // An older copy may name a version that is not the only one any more.
+    if (!m_recovery.isMarked(page.era))
+        m_versionsBeforeStart.clear();
     if (page.hasMore) {
-        m_loadCall = m_store.newest(topic, page.lastKey, loadTimeout, [this](const platform::newest_page& next) { handlePage(next); });
+        readPage(page.lastKey);
         return;
     }
     m_isLoaded = true;
@@ -141,6 +151,7 @@
 void version_history::finishLoad()
 {
     m_loadCall.reset();
+    m_isLoading = false;
     for (const auto& onLoaded : std::exchange(m_waiting, {}))
         onLoaded();
 }
@@ -149,7 +160,7 @@
 {
     // What earlier processes saw must not be overwritten before it is known.
     if (!m_isLoaded) {
-        if (!m_loadCall && now >= m_nextLoadAt)
+        if (!m_isLoading && now >= m_nextLoadAt)
             load([] {});
         return;
     }
@@ -220,12 +231,12 @@
 {
     service_state& state = m_services.at(service);
     const std::string text = detail::encodeVersionRecord({ state.versions, state.changedAt });
-    m_writes[service] = platform::putKey(m_store, topic, service, text, [this, service, written = state.versions](bool isAcknowledged) {
+    m_writes[service] = platform::putKey(m_store, topic, service, text, [this, service, written = state.versions, era = m_store.era()](bool isAcknowledged) {
         service_state& current = m_services.at(service);
         current.isWritten = isAcknowledged && current.versions == written;
         if (isAcknowledged) {
             current.recorded = written;
-            current.recordedEra = m_store.era();
+            current.recordedEra = era;
             m_beginnings.erase(service);
         }
         if (!current.isWritten)
@@ -250,7 +261,24 @@
 
 bool version_history::mayHaveHadSeveral(const std::string& service, time_point now)
 {
-    return !m_isLoaded || hadSeveral(service, now);
+    return !m_isLoaded || hadSeveral(service, now) || m_recovery.isRecovering(now);
+}
+
+milliseconds version_history::recoveryTimeLeft(const std::string& service, time_point now)
+{
+    return m_isLoaded && !hadSeveral(service, now) ? m_recovery.timeLeft(now) : milliseconds(0);
+}
+
+bool version_history::isRecorded()
+{
+    if (!m_isLoaded)
+        return false;
+    bool isRecorded = true;
+    for (auto& [service, state] : m_services) {
+        checkEra(service, state);
+        isRecorded = isRecorded && state.isWritten && state.recordedEra == m_store.era();
+    }
+    return isRecorded;
 }
 
 std::optional<std::string> version_history::versionBeforeStart(const std::string& service, time_point now)
--- a/src/gateway/version_history.hpp
+++ b/src/gateway/version_history.hpp
@@ -1,6 +1,7 @@
 /// The software versions that a service's targets had lately, kept in the platform's store.
 #pragma once
 
+#include "gateway/recovery_watch.hpp"
 #include "loop/timer.hpp"
 #include "platform/store_client.hpp"
 #include "policy/stream_origins.hpp"
@@ -36,7 +37,7 @@
     using on_loaded = std::function<void()>;
 
     /// Begins to read what earlier processes wrote.
-    version_history(platform::store_client& store, listed_versions listed);
+    version_history(platform::store_client& store, recovery_watch& recovery, listed_versions listed);
     version_history(const version_history&) = delete;
     version_history& operator=(const version_history&) = delete;
 
@@ -57,6 +58,13 @@
     /// @return Whether several versions were listed within the lifetime of a stream, or this is not known.
     [[nodiscard]] bool mayHaveHadSeveral(const std::string& service, time_point now);
 
+    /// @return Time after which the store's recovery is over, if nothing else makes it unknown whether several versions were listed;
+    /// otherwise zero.
+    [[nodiscard]] milliseconds recoveryTimeLeft(const std::string& service, time_point now);
+
+    /// @return Whether the store has acknowledged the versions of each service in its present era.
+    [[nodiscard]] bool isRecorded();
+
     /// @return The version that began the streams which were in progress when this process started, if there was only one.
     [[nodiscard]] std::optional<std::string> versionBeforeStart(const std::string& service, time_point now);
 
@@ -79,6 +87,7 @@
         time_point decidedAt {};
     };
 
+    void readPage(std::string_view after);
     void handlePage(const platform::newest_page& page);
     void applyRecord(const std::string& service, std::string_view text);
     void finishLoad();
@@ -89,12 +98,14 @@
     void writePending();
 
     platform::store_client& m_store;
+    recovery_watch& m_recovery;
     listed_versions m_listed;
     time_point m_startedAt;
     std::map<std::string, service_state, std::less<>> m_services;
     std::map<std::string, std::string, std::less<>> m_versionsBeforeStart;
     std::map<std::string, beginnings, std::less<>> m_beginnings;
     bool m_isLoaded = false;
+    bool m_isLoading = false;
     std::vector<on_loaded> m_waiting;
     platform::store_call m_loadCall;
     time_point m_nextLoadAt {};
--- a/tests/unit/stream_archive_test.cpp
+++ b/tests/unit/stream_archive_test.cpp
@@ -22,7 +22,8 @@
     process(const ip_endpoint& storeAddress, version_history::version_set listedVersions)
         : store(storeAddress)
         , listed(std::move(listedVersions))
-        , streams(counters, store, "e-1",
+        , recovery(counters, store, "e-1", [] { return true; })
+        , streams(counters, store, recovery, "e-1",
               stream_directory::callbacks { [](std::string_view, wire::message) { return false; }, [](std::string_view) {}, [] { return std::span<const std::string>(); },
                   [] { return size_t { 1 }; }, [this](std::string_view) {
                       version_history::listings listings;
@@ -51,6 +52,7 @@
     platform::store_client store;
     version_history::version_set listed;
     std::map<std::string, int64_t> startsMs;
+    gateway::recovery_watch recovery;
     stream_directory streams;
     timer ticks;
 };
@@ -245,3 +247,32 @@
     const auto found = second->find(1);
     cr_assert(!found.origin && found.mayHaveHadOtherVersions);
 }
+
+// Guards against an older copy of the record that names the versions, which passes for the newest one (review/12).
+Test(stream_archive, the_versions_of_an_older_copy_prove_nothing_about_streams_of_unknown_origin)
+{
+    archive_test test(1605);
+    test.store.setEra(1);
+    auto first = test.start({ "v1" });
+    first->begin(1, "v1");
+    archive_test::settle();
+    test.store.put("keyed.recovery", "era", gateway::detail::encodeEraMark(1));
+    test.store.keepCopy();
+    first.reset();
+    auto sound = test.start({ "v2" });
+    cr_assert_eq(sound->find(9).origin.value().softwareVersion, "v1");
+    archive_test::settle();
+    sound.reset();
+    test.store.returnFromCopy();
+    auto second = test.start({ "v1" });
+    const auto found = second->find(9);
+    cr_assert(!found.origin && found.mayHaveHadOtherVersions);
+    cr_assert_gt(second->streams.timeUntilConclusion(service, monotonicNow()).count(), 0);
+    second->recovery.onTargetsRead(monotonicNow() + policy::recordRewriteTime, monotonicNow());
+    const auto later = second->find(9);
+    cr_assert(!later.origin && !later.mayHaveHadOtherVersions, "the records are back");
+    second->listed = { "v1", "v2" };
+    const auto joined = second->find(9);
+    cr_assert(!joined.origin && joined.mayHaveHadOtherVersions);
+    cr_assert_eq(second->streams.timeUntilConclusion(service, monotonicNow()).count(), 0);
+}
