--- a/src/deployment/deployment.hpp
+++ b/src/deployment/deployment.hpp
@@ -203,6 +203,9 @@
     [[nodiscard]] bool isRepetitionOf(const cold_statement& other) const noexcept { return left == other.left && isMalformed == other.isMalformed && (left.count() == 0 || sequence == other.sequence); }
 };
 
+/// Longest text that identifies a software version.
+constexpr size_t maxSoftwareVersionBytes = 256;
+
 /// A target as the platform lists it: one server of a service.
 struct target {
     /// Identifies this incarnation of the target.
@@ -214,7 +217,8 @@
     bool isDraining = false;
     /// Unix time of its start in milliseconds; zero if not given.
     int64_t startedAtMs = 0;
-    /// Version of its software; empty if it is not known. Responses of different versions cannot be joined.
+    /// Identifies the version of its software: the stated text, or a digest of a long one; empty if none is stated. Responses of
+    /// different versions cannot be joined.
     std::string softwareVersion;
     cold_statement cold;
 
--- a/src/gateway/origin_archive.cpp
+++ b/src/gateway/origin_archive.cpp
@@ -1,6 +1,7 @@
 #include "gateway/origin_archive.hpp"
 
 #include "base/result.hpp"
+#include "deployment/deployment.hpp"
 #include "telemetry/log.hpp"
 
 #include <algorithm>
@@ -32,8 +33,6 @@
     constexpr size_t maxStreams = 1000;
     /// Most streams that wait to be written; the newest are kept.
     constexpr size_t maxPending = 20000;
-    /// Longest version in a record.
-    constexpr size_t maxVersionBytes = 64;
 
     error invalidRecord(std::string_view problem)
     {
@@ -68,7 +67,7 @@
                     origin.run = item.at(4);
                     origin.evidence = policy::evidenceOf(item.at(5));
                 }
-                if (origin.softwareVersion.size() > maxVersionBytes)
+                if (origin.softwareVersion.size() > deployment::maxSoftwareVersionBytes)
                     origin.softwareVersion.clear();
                 origins.streams.push_back(std::move(origin));
             }
--- a/src/gateway/stream_directory.cpp
+++ b/src/gateway/stream_directory.cpp
@@ -25,9 +25,6 @@
     /// Time between two checks which origins are proven.
     constexpr milliseconds proofPeriod { 250 };
 
-    /// Longest version in a message of another entry.
-    constexpr size_t maxVersionBytes = 64;
-
     uint32_t ageOf(const policy::stream_origin& origin, time_point now)
     {
         return static_cast<uint32_t>(std::clamp<int64_t>(asMilliseconds(now - origin.beganAt), 0, std::numeric_limits<uint32_t>::max()));
@@ -135,7 +132,7 @@
 bool stream_directory::handle(const wire::message& message, std::string_view from, const std::function<void(wire::message)>& reply, time_point now)
 {
     if (const auto* begun = std::get_if<wire::stream_begun>(&message)) {
-        const bool isPlausible = begun->softwareVersion.size() <= maxVersionBytes;
+        const bool isPlausible = begun->softwareVersion.size() <= deployment::maxSoftwareVersionBytes;
         policy::addOrigin(m_origins, begun->stream, { isPlausible ? begun->softwareVersion : "", begun->target, now - milliseconds(begun->ageMs), begun->run, policy::evidenceOf(begun->evidence) });
         onResponse(begun->stream, from, now);
     } else if (const auto* query = std::get_if<wire::stream_query>(&message)) {
--- a/src/gateway/stream_directory.hpp
+++ b/src/gateway/stream_directory.hpp
@@ -1,6 +1,7 @@
 /// Software versions that began streams, shared among the entries, so that a caller may continue its stream at any of them.
 #pragma once
 
+#include "deployment/deployment.hpp"
 #include "gateway/origin_archive.hpp"
 #include "gateway/version_history.hpp"
 #include "policy/stream_origins.hpp"
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <glib.h>
 #include <nlohmann/json.hpp>
 
 namespace bilberryseam::platform {
@@ -193,14 +194,16 @@
         }
     }
 
-    /// @return The version of a target's software; empty if it is missing, no text or longer than any real one.
-    std::string readSoftwareVersion(const json& from)
+    /// @return What identifies the version of a target's software; empty if it states none.
+    /// @throws error (`InvalidMessage`) if it is no text: it must not pass for a target that states none.
+    std::string readSoftwareVersion(const json& from, std::string_view id)
     {
-        constexpr size_t maxBytes = 64;
         const auto it = from.find("version");
-        if (it == from.end() || !it->is_string() || it->get_ref<const std::string&>().size() > maxBytes)
+        if (it == from.end())
             return {};
-        return it->get<std::string>();
+        if (!it->is_string())
+            throw invalidRecord("The software version of the target is no text.", id);
+        return identityOfVersion(it->get_ref<const std::string&>());
     }
 
     /// @return Whether a header field can hold the identifier.
@@ -229,7 +232,7 @@
         // "born" is the Unix time of the target's start in milliseconds.
         if (const auto born = from.find("born"); born != from.end() && !born->is_null())
             target.startedAtMs = wholeNumber<int64_t>(*born, "born", 0, latestUnixMs);
-        target.softwareVersion = readSoftwareVersion(from);
+        target.softwareVersion = readSoftwareVersion(from, id);
         target.cold = readCold(from);
         return target;
     }
@@ -276,6 +279,18 @@
     return std::string(text.substr(0, first)).append(text.substr(end));
 }
 
+std::string identityOfVersion(std::string_view version)
+{
+    // Digests are longer than the versions that stand for themselves, so that no version equals the digest of another one.
+    constexpr size_t maxPlainBytes = 64;
+    if (version.size() <= maxPlainBytes)
+        return std::string(version);
+    char* digest = g_compute_checksum_for_data(G_CHECKSUM_SHA512, reinterpret_cast<const guchar*>(version.data()), version.size());
+    std::string identity = std::string("sha512:").append(digest);
+    g_free(digest);
+    return identity;
+}
+
 std::optional<std::string_view> evacuatedDomainOf(std::string_view key) noexcept
 {
     if (!key.starts_with(evacuationPrefix))
--- a/src/platform/records.hpp
+++ b/src/platform/records.hpp
@@ -31,6 +31,9 @@
 /// target. Empty if the text must be decoded to know that.
 [[nodiscard]] std::string withoutSequence(std::string_view text);
 
+/// @return A text of at most `deployment::maxSoftwareVersionBytes` that is equal for equal versions only.
+[[nodiscard]] std::string identityOfVersion(std::string_view version);
+
 /// @param id  Key of the record.
 /// @return The target, or `InvalidMessage` if the record does not describe a usable target.
 [[nodiscard]] result<deployment::target> decodeTarget(std::string_view id, std::string_view text);
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -120,8 +120,7 @@
             const json document = json::parse(body);
             for (const json& item : document.at("items")) {
                 page.lastKey = item.at("key");
-                if (auto value = decodeBase64(item.at("value")))
-                    page.values[page.lastKey] = std::move(*value);
+                page.values[page.lastKey] = decodeBase64(item.at("value")).value_or(std::string());
             }
             page.hasMore = document.value("has_more", false) && !page.lastKey.empty();
             // "end" is the offset of the next record, not of the last one.
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -67,7 +67,7 @@
 /// One page of the newest records of a keyed topic, ordered by key.
 struct newest_page {
     bool isOk = false;
-    /// Values by key, without those that cannot be decoded.
+    /// Values by key; empty ones cannot be decoded.
     std::map<std::string, std::string> values;
     /// Last key of the page; the next page begins after it.
     std::string lastKey;
--- a/tests/unit/odd_records_test.cpp
+++ b/tests/unit/odd_records_test.cpp
@@ -90,7 +90,7 @@
         cr_assert(!decoder.accepts(std::string(depth, '[')), "%s", decoder.name);
         const json sound = json::parse(decoder.sound);
         for (const auto& [name, value] : sound.items()) {
-            // Whether it is accepted depends on the field: the version of a target may be of any type.
+            // Whether it is accepted depends on the field: some are not read.
             static_cast<void>(decoder.accepts(withField(decoder.sound, name, nestedArrays())));
             static_cast<void>(decoder.accepts(withField(decoder.sound, name, nestedObjects())));
         }
--- a/tests/unit/stream_archive_test.cpp
+++ b/tests/unit/stream_archive_test.cpp
@@ -1,6 +1,7 @@
 /// What the store tells about the origins of streams after all entries that knew them have ended.
 #include "fakes/platform_store.hpp"
 #include "gateway/stream_directory.hpp"
+#include "platform/records.hpp"
 #include "support/test_host.hpp"
 #include "support/wait.hpp"
 
@@ -170,6 +171,29 @@
     cr_assert_eq(second->find(1).origin.value().softwareVersion, "");
 }
 
+// Guards against versions in records of the archive that are dropped for their length (review/11).
+Test(stream_archive, an_origin_with_a_long_version_is_found_by_the_next_process)
+{
+    archive_test test(1606);
+    const std::string version = platform::identityOfVersion(std::string(10000, 'v'));
+    auto first = test.start({ "v1", version });
+    first->begin(1, version);
+    archive_test::settle();
+    first.reset();
+    auto second = test.start({ "v1", version });
+    cr_assert_eq(second->find(1).origin.value().softwareVersion, version);
+}
+
+// Guards against a record of the versions that cannot be decoded and passes for one that was never written.
+Test(stream_archive, a_record_that_cannot_be_decoded_may_have_named_several_versions)
+{
+    archive_test test(1607);
+    test.store.put("keyed.versions", service, "{}");
+    auto first = test.start({ "v1" });
+    const auto found = first->find(1);
+    cr_assert(!found.origin && found.mayHaveHadOtherVersions);
+}
+
 // A release with a second version makes as many records as there are batches, not one for each stream.
 Test(stream_archive, origins_are_written_in_batches)
 {
