--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -32,6 +32,7 @@
 class configuration_exchange;
 class crash_watch;
 class load_exchange;
+class recovery_watch;
 class stream_directory;
 class topic_relay;
 
@@ -50,6 +51,8 @@
     /// Set while the gateway runs.
     crash_watch* crashes = nullptr;
     /// Set while the gateway runs.
+    recovery_watch* recovery = nullptr;
+    /// Set while the gateway runs.
     stream_directory* streams = nullptr;
     /// Set while the gateway runs.
     topic_relay* relay = nullptr;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -111,6 +111,7 @@
             [this](uint64_t segment) { return m_pools->rankFor(textOfHash(segment)); } });
     m_context.crashes = &*m_crashes;
     m_recovery.emplace(m_context.counters, m_context.store, settings.name, [this] { return m_streams->areVersionsRecorded(); });
+    m_context.recovery = &*m_recovery;
     m_streams.emplace(m_context.counters, m_context.store, *m_recovery, settings.name,
         stream_directory::callbacks { [this](std::string_view entry, wire::message message) { return m_pools->send(entry, std::move(message)); },
             [this](std::string_view entry) { m_pools->flush(entry); },
@@ -225,6 +226,7 @@
     };
     callbacks.onReadSuccess = [this](time_point sentAt) {
         m_recovery->onTargetsRead(sentAt, monotonicNow());
+        m_context.targets.setRecovering(m_recovery->isRecovering(monotonicNow()));
         m_context.targets.onStoreReachable(monotonicNow(), sentAt);
         if (sentAt >= m_wokeAt)
             m_context.targetsUncertainUntil = {};
@@ -508,6 +510,7 @@
     m_crashes->tick(now);
     if (m_recovery->tick(now))
         m_targetFollower->restartRead();
+    m_context.targets.setRecovering(m_recovery->isRecovering(now));
     m_streams->tick(now);
     checkVersions(now);
     if (m_loads)
--- a/src/gateway/request_continuation.cpp
+++ b/src/gateway/request_continuation.cpp
@@ -2,6 +2,9 @@
 #include "gateway/request_run.hpp"
 
 #include "base/hash.hpp"
+#include "gateway/recovery_watch.hpp"
+
+#include <algorithm>
 
 namespace bilberryseam::gateway {
 
@@ -17,6 +20,8 @@
     constexpr std::string_view versionGoneText = "The software version that began this stream is no longer in service. Start a new request without the fields that continue a stream.\n";
     constexpr std::string_view originUnknownText = "It is not known which software version began this stream, and several are in service. Start a new request without the fields that continue a stream.\n";
 
+    constexpr std::string_view recoveringText = "The platform's store is back from an older copy. It is not known yet which targets have the software version that began this stream.\n";
+
     std::string_view nameOf(policy::continuation decision)
     {
         switch (decision) {
@@ -81,10 +86,27 @@
     logLine(log_level::Info, logComponent, "A caller continues a stream.", { { "request", m_request.callerRequest.id }, { "began_at_version", origin ? origin->softwareVersion : "" }, { "evidence", origin ? std::string(nameOf(origin->evidence)) : "" }, { "began_at_target", origin ? textOfHash(origin->target) : "" }, { "began_ms_ago", origin ? std::to_string(asMilliseconds(now - origin->beganAt)) : "" }, { "decision", std::string(nameOf(decision)) }, { "known_by", found.knownBy }, { "certain", found.isCertain ? "true" : "false" }, { "versions_in_service", std::to_string(versions.size()) }, { "searched_ms", std::to_string(asMilliseconds(now - m_arrivedAt)) } });
     if (decision == policy::continuation::VersionGone || decision == policy::continuation::OriginUnknown)
         refuseContinuation(decision, found.isCertain && !mayBeProven);
+    else if (decision == policy::continuation::Pinned && waitsForRecovery(now))
+        refuseUntilRecovered(now);
     else
         startStages();
 }
 
+bool request_run::waitsForRecovery(time_point now) const
+{
+    if (now + m_context.recovery->timeLeft(now) <= std::min(m_deadline, m_arrivedAt + detail::maxPlacementTime))
+        return false;
+    const auto& targets = m_context.targets.ofService(m_request.service);
+    const auto isOfVersion = [this](const target_ptr& target) { return target->isInService() && target->listed.softwareVersion == m_origin->softwareVersion; };
+    return std::none_of(targets.begin(), targets.end(), [&](const target_ptr& target) { return isOfVersion(target) && !target->mayBeOlderRecord; });
+}
+
+void request_run::refuseUntilRecovered(time_point now)
+{
+    m_request.exchange->respond(http1::statusUnavailable, { { "Content-Type", "text/plain; charset=utf-8" }, platform::retryAfterHeader(m_context.recovery->timeLeft(now)) }, recoveringText);
+    finish("refused", "store_recovering", http1::statusUnavailable);
+}
+
 std::set<std::string_view> request_run::versionsInService() const
 {
     std::set<std::string_view> versions;
@@ -95,6 +117,14 @@
     return versions;
 }
 
+void request_run::updateOrigin(time_point now)
+{
+    if (!m_origin || m_origin->isCertain() || m_origin->softwareVersion.empty())
+        return;
+    if (const auto* proven = m_context.streams->known(streamKey(), now); proven && proven->isCertain())
+        m_origin = *proven;
+}
+
 policy::continuation request_run::continuationNow() const
 {
     if (!m_origin) {
@@ -114,7 +144,7 @@
     if (!m_origin || !m_origin->isCertain())
         return true;
     const time_point now = monotonicNow();
-    return target.listed.softwareVersion == m_origin->softwareVersion && !target.mayHaveRestarted(now) && !(m_hasSeveralVersions && target.mayHaveMissedRestart(now));
+    return target.listed.softwareVersion == m_origin->softwareVersion && !target.mayHaveRestarted(now) && !target.mayBeOlderRecord && !(m_hasSeveralVersions && target.mayHaveMissedRestart(now));
 }
 
 void request_run::recordOrigin(const target_attempt& attempt)
@@ -126,7 +156,8 @@
     m_hasSeveralVersions = versionsInService().size() > 1;
     // A target that is not trusted to continue a stream is not trusted to have begun one at the version in its record either.
     const bool mayBeOtherVersion = attempt.target->mayHaveRestarted(now) || attempt.target->mayHaveMissedRestart(now);
-    const bool isDoubtful = m_hasSeveralVersions && mayBeOtherVersion;
+    // An older copy of the store may lack the second version.
+    const bool isDoubtful = (m_hasSeveralVersions && mayBeOtherVersion) || attempt.target->mayBeOlderRecord;
     // The record named another version since the request was sent.
     const bool isUnknown = attempt.target->isVersionChanged;
     const bool isStartStated = attempt.target->listed.startedAtMs > 0;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -298,6 +298,7 @@
         waitForTarget(now);
         return;
     }
+    updateOrigin(now);
     if (const auto decision = continuationNow(); decision == policy::continuation::VersionGone || decision == policy::continuation::OriginUnknown) {
         refuseContinuation(decision, true);
         return;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -177,7 +177,12 @@
     void findOrigin();
     void onOrigin(const stream_directory::found_origin& found);
     [[nodiscard]] std::set<std::string_view> versionsInService() const;
+    /// Takes over that a later record has proven a doubtful origin.
+    void updateOrigin(time_point now);
     [[nodiscard]] policy::continuation continuationNow() const;
+    /// @return Whether the records of all targets that may continue the stream may be older ones, for longer than it may wait.
+    [[nodiscard]] bool waitsForRecovery(time_point now) const;
+    void refuseUntilRecovered(time_point now);
     /// @return True if a target of this version may run the request.
     [[nodiscard]] bool mayRunAt(const target_state& target) const;
     /// Records the version that wrote the first event, before the event is passed on.
--- a/src/gateway/stream_directory.hpp
+++ b/src/gateway/stream_directory.hpp
@@ -58,6 +58,8 @@
     /// Finds the origin of a stream; `onFound` may be called at once.
     /// @param service  Service that runs the stream.
     void find(uint64_t stream, const std::string& service, time_point now, on_origin onFound);
+    /// @return What this entry knows about the origin of a stream, or null.
+    [[nodiscard]] const policy::stream_origin* known(uint64_t stream, time_point now) { return lookUp(stream, now); }
     /// @return Whether a stream of the service whose origin is not known may have begun at a version that is not listed now.
     [[nodiscard]] bool mayHaveHadOtherVersions(const std::string& service, time_point now) { return m_versions.mayHaveHadSeveral(service, now); }
 
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "platform/batch_call.hpp"
 #include "platform/ingress.hpp"
+#include "policy/store_recovery.hpp"
 #include "policy/stream_origins.hpp"
 
 #include <algorithm>
@@ -10,8 +11,8 @@
 namespace bilberryseam::gateway {
 
 namespace {
-    /// Records that expired during an outage of the store are renewed within about two seconds of its return.
-    constexpr milliseconds returnGrace { 2300 };
+    /// Records that expired during an outage of the store are renewed within this time after its return.
+    constexpr milliseconds returnGrace = policy::recordRewriteTime;
 
     /// A target without a record keeps its state for this long.
     constexpr milliseconds formerTargetLifetime { platform::longestPause };
@@ -60,7 +61,8 @@
 void target_registry::apply(const deployment::target& listed, time_point now, std::string recordText)
 {
     updateIndexesIf(applyWithoutIndexes(listed, now));
-    m_targets.at(listed.id)->recordText = std::move(recordText);
+    if (const auto position = m_targets.find(listed.id); position != m_targets.end() && isSameRun(position->second->listed, listed))
+        position->second->recordText = std::move(recordText);
 }
 
 bool target_registry::renew(std::string_view id, std::string_view recordText, time_point now)
@@ -70,6 +72,7 @@
         return false;
     if (const auto deferred = m_deferredRemovals.find(id); deferred != m_deferredRemovals.end())
         m_deferredRemovals.erase(deferred);
+    m_formerRunRecords.erase(position->first);
     renewRun(*position->second, now);
     return true;
 }
@@ -78,7 +81,7 @@
 {
     const deployment::target& listed = state.listed;
     // After the return of the store, records may be written again on behalf of targets that have ended.
-    const bool isReturning = m_hasStoreReturned && now - m_storeReachableSince < returnGrace;
+    const bool isReturning = m_isRecovering || (m_hasStoreReturned && now - m_storeReachableSince < returnGrace);
     if (m_recordsWrittenAfter == time_point() || isReturning || listed.startedAtMs <= 0)
         return;
     const wall_time startedAt { milliseconds(listed.startedAtMs) };
@@ -101,8 +104,39 @@
     state.listedAt = now;
     noteRun(state, now);
     // The record was written after the time in which restarts went unnoticed, so the target still was in this run.
-    if (!m_isCatchingUp && !m_mayHaveMissedRestarts)
+    if (!m_isCatchingUp && !m_mayHaveMissedRestarts && !m_isApplyingList)
         state.restartMissedUntil = {};
+    if (!m_isRecovering && !m_isApplyingList)
+        state.mayBeOlderRecord = false;
+}
+
+void target_registry::setRecovering(bool isRecovering)
+{
+    if (!std::exchange(m_isRecovering, isRecovering) || isRecovering)
+        return;
+    for (const auto& [id, state] : m_targets)
+        state->mayBeOlderRecord = false;
+    for (const auto& former : m_formers)
+        former.state->mayBeOlderRecord = false;
+}
+
+target_ptr target_registry::laterRunOf(const deployment::target& listed) const
+{
+    const auto position = m_targets.find(listed.id);
+    const former_target* const former = position == m_targets.end() ? lastFormer(listed.id) : nullptr;
+    const target_ptr known = position != m_targets.end() ? position->second : former ? former->state
+                                                                                     : nullptr;
+    return known && isStartKnown(listed) && listed.startedAtMs < known->listed.startedAtMs ? known : nullptr;
+}
+
+bool target_registry::removeReplaced(time_point now)
+{
+    if (m_isRecovering)
+        return false;
+    bool isOutOfDate = false;
+    for (const auto& id : std::exchange(m_formerRunRecords, {}))
+        isOutOfDate |= removeNow(id, "lapsed", now);
+    return isOutOfDate;
 }
 
 bool target_registry::applyWithoutIndexes(const deployment::target& listed, time_point now)
@@ -111,6 +145,15 @@
     const auto position = m_targets.find(listed.id);
     if (position != m_targets.end())
         position->second->recordText.clear();
+    const target_ptr laterRun = laterRunOf(listed);
+    if (laterRun && m_isRecovering) {
+        if (m_formerRunRecords.insert(listed.id).second)
+            m_onChange(*laterRun, "former_run_ignored");
+        // Until the later run is written again, it is not certain which one is there.
+        laterRun->restartMissedUntil = now + policy::targetRecordLag;
+        return false;
+    }
+    m_formerRunRecords.erase(listed.id);
     if (position != m_targets.end() && isSameRun(position->second->listed, listed)) {
         renewRun(*position->second, now);
         const auto previousCold = std::exchange(position->second->listed.cold, listed.cold);
@@ -141,6 +184,8 @@
     noteRun(*state, now);
     state->isRemoved = false;
     state->isReplaced = false;
+    // A write of the former run may have been late.
+    state->mayBeOlderRecord = m_isRecovering || laterRun;
     // Without a start, a restarted target cannot be told from one that leaves.
     state->isLeaving = state->isLeaving && isStartKnown(listed);
     m_targets[listed.id] = state;
@@ -237,6 +282,8 @@
 
 bool target_registry::removeOrDefer(std::string_view id, time_point now)
 {
+    if (const auto former = m_formerRunRecords.find(id); former != m_formerRunRecords.end())
+        m_formerRunRecords.erase(former);
     const auto position = m_targets.find(id);
     if (position == m_targets.end())
         return false;
@@ -252,12 +299,15 @@
 {
     // The records of a list may be old.
     m_recordsWrittenAfter = {};
+    m_isApplyingList = true;
     bool isOutOfDate = false;
     std::set<std::string, std::less<>> presentIds;
     for (const auto& item : listed) {
         presentIds.insert(item.id);
         isOutOfDate |= applyWithoutIndexes(item, now);
     }
+    m_isApplyingList = false;
+    std::erase_if(m_formerRunRecords, [&presentIds](const std::string& id) { return !presentIds.contains(id); });
     std::vector<std::string> absentIds;
     for (const auto& [id, state] : m_targets) {
         if (!presentIds.contains(id))
@@ -292,6 +342,7 @@
         m_nextRunCleanupAt = now + policy::targetRecordLag;
         std::erase_if(m_runs, [now](const auto& item) { return now - item.second.writtenAfter > policy::streamOriginLifetime; });
     }
+    updateIndexesIf(removeReplaced(now));
     if (m_isStoreUnreachable || m_deferredRemovals.empty() || now - m_storeReachableSince < returnGrace)
         return;
     bool isOutOfDate = false;
@@ -325,13 +376,13 @@
 bool target_registry::isListed(const deployment::target& listed) const
 {
     const auto position = m_targets.find(listed.id);
-    return position != m_targets.end() && position->second->listed.isSameApartFromCold(listed) && listed.cold.isRepetitionOf(position->second->listed.cold) && !m_deferredRemovals.contains(listed.id);
+    return position != m_targets.end() && position->second->listed.isSameApartFromCold(listed) && listed.cold.isRepetitionOf(position->second->listed.cold) && !m_deferredRemovals.contains(listed.id) && !m_formerRunRecords.contains(listed.id);
 }
 
 bool target_registry::isKnownRecord(std::string_view id, std::string_view recordText) const
 {
     const auto position = m_targets.find(id);
-    return position != m_targets.end() && !recordText.empty() && position->second->recordText == recordText && !m_deferredRemovals.contains(id);
+    return position != m_targets.end() && !recordText.empty() && position->second->recordText == recordText && !m_deferredRemovals.contains(id) && !m_formerRunRecords.contains(id);
 }
 
 void target_registry::forEachService(const std::function<void(const std::string&, std::span<const target_ptr>)>& visit) const
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -51,6 +51,9 @@
     /// Until then, the target may have restarted once more than its record says: this process could not notice a restart for a
     /// time, and the target was listed then or had started shortly before it was. A later record of the same run ends this.
     time_point restartMissedUntil {};
+    /// A later run may be there: the record was read while the store may just have returned from an older copy, or names an earlier
+    /// start than the one before it.
+    bool mayBeOlderRecord = false;
     /// The address responded as another target; stays set until the record names another address or service.
     bool isReplaced = false;
     policy::target_health health;
@@ -87,7 +90,7 @@
     /// @return Whether the record may be older than a restart of the target.
     [[nodiscard]] bool mayHaveRestarted(time_point now) const noexcept { return lastBrokenAt != time_point() && now - lastBrokenAt < policy::targetRecordLag && writtenAfter < lastBrokenAt + policy::recordWriteTime; }
     /// @return Whether this process may have missed a restart of the target.
-    [[nodiscard]] bool mayHaveMissedRestart(time_point now) const noexcept { return now < restartMissedUntil; }
+    [[nodiscard]] bool mayHaveMissedRestart(time_point now) const noexcept { return mayBeOlderRecord || now < restartMissedUntil; }
     [[nodiscard]] bool isInService() const noexcept { return !isRemoved && !isReplaced && !isLeaving && !listed.isDraining; }
     /// @return Whether the limits of the target, stated or for its cold time, allow a request now.
     [[nodiscard]] bool canSendNow(time_point now) const noexcept { return policy::canSend(limit, now) && policy::canSend(coldStart, now); }
@@ -133,6 +136,8 @@
     /// Called after a successful read, before its records are applied.
     /// @param freshAsOf  Every record that the store had acknowledged then has been read; not set if this is not known.
     void onStoreReachable(time_point now, time_point freshAsOf = {});
+    /// Records may be older than ones that the store had before, until this is called with false.
+    void setRecovering(bool isRecovering);
     /// @return The newest run of the target with this hash; null if no record stated its start lately.
     [[nodiscard]] const policy::target_run* runOf(uint64_t target) const noexcept;
     /// The process was frozen: it has not noticed which targets restarted meanwhile.
@@ -178,6 +183,11 @@
 
     /// Applies that a record states the same run again.
     void renewRun(target_state& state, time_point now);
+    /// @return The state of a later run of the target than the one that a record names, or null.
+    [[nodiscard]] target_ptr laterRunOf(const deployment::target& listed) const;
+    /// Removes targets of which a store that has recovered only has records of former runs.
+    /// @return Whether the indexes are out of date.
+    [[nodiscard]] bool removeReplaced(time_point now);
     /// Notes when the record of the state was written at the earliest.
     void noteRun(target_state& state, time_point now);
     /// Determines what an unlisted or restarted target's state knows about a restart that its record does not name yet.
@@ -226,6 +236,11 @@
     std::deque<former_target> m_formers;
     /// Deferred removals by target, with the time at which they were reported.
     std::map<std::string, time_point, std::less<>> m_deferredRemovals;
+    /// Targets of which the store, while it recovers, has a record of a former run.
+    std::set<std::string, std::less<>> m_formerRunRecords;
+    bool m_isRecovering = false;
+    /// A whole list is being applied; its records may be old.
+    bool m_isApplyingList = false;
     bool m_isStoreUnreachable = false;
     time_point m_storeReachableSince {};
     /// `freshAsOf` of the last read, and of the one before: the records of the last read were written after it.
--- a/tests/unit/missed_restart_test.cpp
+++ b/tests/unit/missed_restart_test.cpp
@@ -132,3 +132,86 @@
         cr_assert_eq(state.mayHaveMissedRestart(fixture.now), startedAtMs > 0);
     }
 }
+
+namespace {
+/// A registry that knows the second of two runs, of which an older copy of the store has the first.
+struct older_copy_fixture : registry_fixture {
+    older_copy_fixture()
+    {
+        read(first);
+        read(second);
+    }
+
+    /// The store returns with these records, and the list is read anew.
+    void returnWith(const std::vector<deployment::target>& records)
+    {
+        now += seconds(1);
+        registry.onStoreUnreachable();
+        registry.onStoreReachable(now, now);
+        registry.setRecovering(true);
+        registry.applyAll(records, now);
+        registry.tick(now);
+    }
+
+    [[nodiscard]] const target_state& listed() const { return *registry.ofService("model").at(0); }
+
+    const deployment::target first = runOf("v1", unixMilliseconds(seconds(600)));
+    const deployment::target second = runOf("v2", unixMilliseconds(seconds(300)));
+};
+}
+
+// Guards against a record of an older copy that replaces the later run of a target (review/13).
+Test(missed_restart, a_record_of_a_former_run_is_ignored_while_the_store_recovers)
+{
+    older_copy_fixture fixture;
+    for (int i = 0; i < 2; ++i) {
+        fixture.returnWith({ fixture.first });
+        cr_assert_eq(fixture.listed().listed.softwareVersion, "v2");
+        cr_assert(fixture.listed().mayHaveMissedRestart(fixture.now), "the later run is not written again");
+    }
+    fixture.registry.apply(fixture.second, fixture.now);
+    cr_assert(!fixture.listed().mayHaveMissedRestart(fixture.now));
+    fixture.registry.setRecovering(false);
+    fixture.registry.tick(fixture.now + seconds(3));
+    cr_assert_eq(fixture.listed().listed.softwareVersion, "v2");
+}
+
+Test(missed_restart, a_later_run_that_is_not_written_again_is_gone)
+{
+    older_copy_fixture fixture;
+    fixture.returnWith({ fixture.first });
+    fixture.registry.setRecovering(false);
+    fixture.registry.tick(fixture.now + seconds(3));
+    cr_assert(fixture.registry.ofService("model").empty());
+    fixture.returnWith({ fixture.first });
+    cr_assert(fixture.registry.ofService("model").empty(), "the former run has ended");
+}
+
+Test(missed_restart, a_later_start_is_believed_whatever_its_version)
+{
+    older_copy_fixture fixture;
+    fixture.returnWith({ fixture.first });
+    fixture.registry.apply(runOf("v1", unixMilliseconds(seconds(1))), fixture.now);
+    cr_assert_eq(fixture.listed().listed.softwareVersion, "v1");
+}
+
+Test(missed_restart, records_that_are_listed_while_the_store_recovers_may_be_older_ones)
+{
+    registry_fixture fixture;
+    fixture.registry.setRecovering(true);
+    const auto listed = runOf("v1", unixMilliseconds(seconds(600)));
+    cr_assert(fixture.read(listed).mayHaveMissedRestart(fixture.now + seconds(60)));
+    cr_assert(fixture.read(listed).mayBeOlderRecord, "records may be written again for targets that have ended");
+    fixture.registry.setRecovering(false);
+    cr_assert(!fixture.read(listed).mayBeOlderRecord);
+}
+
+// Guards against a late write of a former run of a target.
+Test(missed_restart, a_record_of_a_former_run_is_doubtful_until_it_is_renewed)
+{
+    older_copy_fixture fixture;
+    cr_assert(fixture.read(fixture.first).mayBeOlderRecord);
+    cr_assert(!fixture.read(fixture.second).mayBeOlderRecord);
+    cr_assert(fixture.read(fixture.first).mayBeOlderRecord);
+    cr_assert(!fixture.read(fixture.first).mayBeOlderRecord, "its run is alive");
+}
