--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -185,7 +185,10 @@
             applyEvacuation(m_context, *domain, record.value, monotonicNow());
     };
     callbacks.onReadSuccess = [this](time_point sentAt) {
-        m_context.configurationCheckedAt = sentAt;
+        // An older copy proves nothing about keys that were taken away after it was made.
+        m_isConfigurationReadDue = !m_recovery->isReadComplete(sentAt, monotonicNow());
+        if (!m_isConfigurationReadDue)
+            m_context.configurationCheckedAt = sentAt;
         if (sentAt >= m_wokeAt)
             m_context.evacuationsUncertainUntil = {};
         recordRead(platform::operatorTopic, m_isConfigurationUnreachable, sentAt);
@@ -510,6 +513,10 @@
     m_crashes->tick(now);
     if (m_recovery->tick(now))
         m_targetFollower->restartRead();
+    if (m_isConfigurationReadDue && m_recovery->isReadComplete(now, now)) {
+        m_isConfigurationReadDue = false;
+        m_configurationFollower->restartRead();
+    }
     m_context.targets.setRecovering(m_recovery->isRecovering(now));
     m_streams->tick(now);
     checkVersions(now);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -134,6 +134,8 @@
     std::optional<platform::topic_follower> m_targetFollower;
     policy::idle_limits m_idleLimits;
     bool m_isConfigurationUnreachable = false;
+    /// What was read of the operator's topic may be older than what the store had before its return.
+    bool m_isConfigurationReadDue = false;
     bool m_isTargetListUnreachable = false;
     bool m_hasTargets = false;
     /// Texts from other entries. They are applied by the next tick, as a configuration may end the connection that brought it.
--- a/src/gateway/recovery_watch.cpp
+++ b/src/gateway/recovery_watch.cpp
@@ -58,12 +58,17 @@
     return isRecovering(now) ? policy::rewriteTimeLeft(m_recovery, now) + targetReadTime : milliseconds(0);
 }
 
+bool recovery_watch::isReadComplete(time_point freshAsOf, time_point now)
+{
+    observeEra(now);
+    return policy::isReadComplete(m_recovery, freshAsOf);
+}
+
 void recovery_watch::observeEra(time_point now)
 {
     if (!policy::observeEra(m_recovery, m_store.era(), now))
         return;
     m_isTargetReadDue = true;
-    policy::observeMark(m_recovery, m_markedEra);
     m_metrics.count("store_eras_total");
     logLine(log_level::Info, logComponent, "The store is in an era that this process has not met before.", { { "era", std::to_string(m_recovery.era) }, { "may_lack_records", policy::isRecovering(m_recovery) ? "true" : "false" } });
 }
@@ -116,7 +121,7 @@
         const auto mark = page.values.find(std::string(key));
         if (mark != page.values.end() && detail::decodeEraMark(mark->second) == page.era) {
             m_markedEra = page.era;
-            policy::observeMark(m_recovery, m_markedEra);
+            policy::observeMark(m_recovery, m_markedEra, now);
         }
     } else {
         logLine(log_level::Warning, logComponent, "It could not be read in which era the records of the store were complete.", { { "problem", page.detail } });
--- a/src/gateway/recovery_watch.hpp
+++ b/src/gateway/recovery_watch.hpp
@@ -34,6 +34,9 @@
     /// @return Whether a mark shows that what is read in this era from now on is complete.
     [[nodiscard]] bool isMarked(uint64_t era) const noexcept { return era == platform::noEra || era == m_markedEra; }
 
+    /// @param freshAsOf  Everything that the store had acknowledged then has been read of a topic.
+    /// @return Whether that is also all that it had acknowledged before it returned from a copy.
+    [[nodiscard]] bool isReadComplete(time_point freshAsOf, time_point now);
     /// @param freshAsOf  Every record of the target list that the store had acknowledged then has been read.
     void onTargetsRead(time_point freshAsOf, time_point now);
     /// Reads and writes the mark when it is due.
--- a/src/gateway/request_acceptance.cpp
+++ b/src/gateway/request_acceptance.cpp
@@ -3,6 +3,7 @@
 #include "gateway/gateway.hpp"
 #include "policy/stop_schedule.hpp"
 
+#include <algorithm>
 #include <numeric>
 
 namespace bilberryseam::gateway {
@@ -114,7 +115,7 @@
     if (!configuration.hasAccounts || request.route->isPublic)
         return std::nullopt;
     if (!areKeysFresh(now))
-        return acceptance_refusal { http1::statusUnavailable, "keys_old", retryElsewhere, {} };
+        return acceptance_refusal { http1::statusUnavailable, "keys_old", std::max(retryElsewhere, m_context.recovery->timeLeft(now)), {} };
     const auto position = configuration.accountsByApiKey.find(request.callerRequest.apiKey);
     if (position == configuration.accountsByApiKey.end())
         return refusalOfUnknown(http1::statusUnauthorized, "unknown_key", now);
--- a/src/policy/store_recovery.hpp
+++ b/src/policy/store_recovery.hpp
@@ -23,6 +23,8 @@
     time_point eraSeenAt {};
     /// All records that are written again are known to be back, and were read.
     bool isComplete = false;
+    /// What is read from then on lacks nothing that was acknowledged before, and is no older.
+    time_point completeFrom {};
 };
 
 /// Applies the era of a response; a newer one begins a new recovery.
@@ -30,7 +32,8 @@
 bool observeEra(store_recovery& recovery, uint64_t era, time_point now) noexcept;
 
 /// Applies that the store has a mark of a process that knew this era for long enough.
-void observeMark(store_recovery& recovery, uint64_t markedEra) noexcept;
+/// @param readAt  Time of the response with the mark.
+void observeMark(store_recovery& recovery, uint64_t markedEra, time_point readAt) noexcept;
 
 /// Applies a read of the target list.
 /// @param freshAsOf  Every record that the store had acknowledged then has been read.
@@ -40,6 +43,10 @@
 /// @return Whether records may be missing, or may be older than ones that the store had before.
 [[nodiscard]] bool isRecovering(const store_recovery& recovery) noexcept;
 
+/// @param freshAsOf  Everything that the store had acknowledged then has been read.
+/// @return Whether it is also all that the store had acknowledged before its return.
+[[nodiscard]] bool isReadComplete(const store_recovery& recovery, time_point freshAsOf) noexcept;
+
 /// @return Time until records are back at the latest; zero if they are, or only have to be read.
 [[nodiscard]] milliseconds rewriteTimeLeft(const store_recovery& recovery, time_point now) noexcept;
 }
--- a/tests/unit/store_recovery_test.cpp
+++ b/tests/unit/store_recovery_test.cpp
@@ -45,16 +45,16 @@
 Test(store_recovery, a_mark_of_the_same_era_completes_a_recovery_and_one_of_another_era_does_not)
 {
     store_recovery recovery = metAt(7, start);
-    policy::observeMark(recovery, 6);
+    policy::observeMark(recovery, 6, start);
     cr_assert(policy::isRecovering(recovery));
-    policy::observeMark(recovery, 7);
+    policy::observeMark(recovery, 7, start);
     cr_assert(!policy::isRecovering(recovery));
 }
 
 Test(store_recovery, each_further_return_begins_anew)
 {
     store_recovery recovery = metAt(7, start);
-    policy::observeMark(recovery, 7);
+    policy::observeMark(recovery, 7, start);
     cr_assert(!policy::observeEra(recovery, 7, start + seconds(5)));
     cr_assert(!policy::observeEra(recovery, 6, start + seconds(5)), "a late response");
     cr_assert(!policy::isRecovering(recovery));
@@ -64,6 +64,19 @@
     cr_assert(!policy::observeTargetRead(recovery, start + seconds(5) + recordRewriteTime));
 }
 
+Test(store_recovery, reads_prove_nothing_about_the_time_before_a_return_until_records_are_back)
+{
+    cr_assert(policy::isReadComplete(store_recovery {}, start), "a store without eras");
+    store_recovery recovery = metAt(7, start);
+    cr_assert(!policy::isReadComplete(recovery, start + recordRewriteTime - milliseconds(1)));
+    cr_assert(policy::isReadComplete(recovery, start + recordRewriteTime));
+    policy::observeMark(recovery, 7, start + milliseconds(200));
+    cr_assert(!policy::isReadComplete(recovery, start + milliseconds(199)), "the mark may have been written after the read");
+    cr_assert(policy::isReadComplete(recovery, start + milliseconds(200)));
+    policy::observeEra(recovery, 8, start + seconds(5));
+    cr_assert(!policy::isReadComplete(recovery, start + seconds(5)));
+}
+
 namespace {
 /// Processes that watch one store.
 struct watch_test {
