Logs name the start in a target's record and the age of a connection

The logs could not tell whether a target had restarted since its record was written: they named its software version, not the start that the record states, and not whether the request went over a connection that was older than the record.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -261,8 +261,11 @@
 {
     const http1::response_trace& trace = attempt.call->trace();
     const std::string_view connection = trace.connectionEnd ? nameOf(*trace.connectionEnd) : "open";
+    const time_point connectedAt = attempt.call->connectedAt();
+    // Positive if an earlier request used the connection.
+    const std::string connectedBefore = connectedAt == time_point() ? "" : std::to_string(asMilliseconds(attempt.sentAt - connectedAt));
     m_context.counters.count("responses_total", { { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "end", std::string(nameOf(outcome)) } });
-    logLine(log_level::Info, logComponent, "The response of a target ended.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(attempt.hasHead ? attempt.head.status : 0) }, { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "body_bytes", std::to_string(trace.bodyBytes) }, { "inside_event", attempt.events.isAtBoundary() ? "false" : "true" }, { "unsent_bytes", std::to_string(trace.unsentBytes) }, { "stated_limit", attempt.hasHead ? std::string(platform::decodeLimit(attempt.head).text.value_or("")) : "" }, { "retry_after", attempt.hasHead ? platform::decodePause(attempt.head).text : "" }, { "not_executed", attempt.response.isNotExecuted ? "true" : "false" } });
+    logLine(log_level::Info, logComponent, "The response of a target ended.", { { "request", m_request.callerRequest.id }, { "target", attempt.target->listed.id }, { "end", std::string(nameOf(outcome)) }, { "status", std::to_string(attempt.hasHead ? attempt.head.status : 0) }, { "framing", std::string(nameOf(trace.framing)) }, { "connection", std::string(connection) }, { "connected_ms_before", connectedBefore }, { "body_bytes", std::to_string(trace.bodyBytes) }, { "inside_event", attempt.events.isAtBoundary() ? "false" : "true" }, { "unsent_bytes", std::to_string(trace.unsentBytes) }, { "stated_limit", attempt.hasHead ? std::string(platform::decodeLimit(attempt.head).text.value_or("")) : "" }, { "retry_after", attempt.hasHead ? platform::decodePause(attempt.head).text : "" }, { "not_executed", attempt.response.isNotExecuted ? "true" : "false" } });
 }
 
 bool request_run::isStreamTruncated(const target_attempt& attempt, http1::call_outcome outcome) const noexcept
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -384,7 +384,7 @@
     if (m_context.loads)
         m_context.loads->recordSend(m_request.service, m_prefixHash, m_request.callerRequest.id, *target, m_loadChoice, now);
     recordPrompt(attempt, now);
-    logLine(log_level::Info, logComponent, "The request was sent to a target.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "send", std::to_string(m_sends) }, { "left_ms", std::to_string(call.timeLeft.count()) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target->listedAt)) }, { "software_version", target->listed.softwareVersion }, { "after_event", m_lastEventId.substr(0, maxLoggedBytes) }, { "in_flight", std::to_string(target->inFlight) }, { "beside_a_silent_target", m_backup ? "true" : "false" } });
+    logLine(log_level::Info, logComponent, "The request was sent to a target.", { { "request", m_request.callerRequest.id }, { "target", target->listed.id }, { "send", std::to_string(m_sends) }, { "left_ms", std::to_string(call.timeLeft.count()) }, { "listed_ms_ago", std::to_string(asMilliseconds(now - target->listedAt)) }, { "software_version", target->listed.softwareVersion }, { "started_at_ms", std::to_string(target->listed.startedAtMs) }, { "after_event", m_lastEventId.substr(0, maxLoggedBytes) }, { "in_flight", std::to_string(target->inFlight) }, { "beside_a_silent_target", m_backup ? "true" : "false" } });
 }
 
 // End of the request.
--- a/src/gateway/target_pauses.cpp
+++ b/src/gateway/target_pauses.cpp
@@ -139,7 +139,7 @@
 
 void logRecordChange(const target_state& target, std::string_view change, time_point now)
 {
-    logLine(log_level::Info, logComponent, "The record of a target in the target list changed.", { { "target", target.listed.id }, { "change", std::string(change) }, { "service", target.listed.service }, { "address", target.listed.endpoint.toString() }, { "failure_domain", target.listed.failureDomain }, { "software_version", target.listed.softwareVersion }, { "pause_left_ms", std::to_string(std::max<int64_t>(0, asMilliseconds(target.pause.until - now))) }, { "says_it_leaves", target.isLeaving ? "true" : "false" } });
+    logLine(log_level::Info, logComponent, "The record of a target in the target list changed.", { { "target", target.listed.id }, { "change", std::string(change) }, { "service", target.listed.service }, { "address", target.listed.endpoint.toString() }, { "failure_domain", target.listed.failureDomain }, { "software_version", target.listed.softwareVersion }, { "started_at_ms", std::to_string(target.listed.startedAtMs) }, { "pause_left_ms", std::to_string(std::max<int64_t>(0, asMilliseconds(target.pause.until - now))) }, { "says_it_leaves", target.isLeaving ? "true" : "false" } });
 }
 
 std::string textOfUnavailable(const context& context, std::span<const target_ptr> targets, const deployment::permitted_regions& regions, time_point now)
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -235,6 +235,7 @@
             m_owner->dropIdleConnection(m_server);
         m_stream->setReading(true);
         m_owner->storeIdleConnection(m_server, m_stream, lifetime);
+        m_connectedAt = m_stream->connectedAt();
         m_stream.reset();
     }
     finish(call_outcome::Complete);
--- a/src/http1/client.hpp
+++ b/src/http1/client.hpp
@@ -103,6 +103,9 @@
     /// Pauses or resumes reading the response.
     void setReading(bool isReading);
 
+    /// @return When the connection was established, which may have been for an earlier request; not set before that.
+    [[nodiscard]] time_point connectedAt() const noexcept { return m_stream ? m_stream->connectedAt() : m_connectedAt; }
+
     /// @return How the response arrived; complete when `onEnd` runs.
     [[nodiscard]] const response_trace& trace() const noexcept { return m_trace; }
 
@@ -124,6 +127,8 @@
     std::shared_ptr<callbacks> m_callbacks;
     call_options m_options;
     std::shared_ptr<tcp_stream> m_stream;
+    /// See `connectedAt`; set when the connection is no longer the call's.
+    time_point m_connectedAt {};
     std::unique_ptr<parser_state> m_parserState;
     timer m_connectTimer;
     timer m_timeoutTimer;
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -225,6 +225,7 @@
             return;
         }
         m_isConnecting = false;
+        m_connectedAt = monotonicNow();
         setTimeoutIfStateIsUnknown(m_descriptor);
         if (const auto callback = m_callbacks.onConnected)
             callback();
--- a/src/http1/tcp_stream.hpp
+++ b/src/http1/tcp_stream.hpp
@@ -69,6 +69,9 @@
     /// @return Bytes that the kernel has received and `onBytes` has not reported yet; 0 if the connection is closed.
     [[nodiscard]] size_t unreadBytes() const noexcept;
 
+    /// @return When the connection was established; not set before that, nor for an accepted one.
+    [[nodiscard]] time_point connectedAt() const noexcept { return m_connectedAt; }
+
     /// @return True once any byte has been handed to the kernel.
     [[nodiscard]] bool hasSent() const noexcept { return m_hasSent; }
 
@@ -114,6 +117,7 @@
 
     int m_descriptor;
     bool m_isConnecting;
+    time_point m_connectedAt {};
     bool m_isReading = true;
     bool m_isWriteShutdownRequested = false;
     bool m_sendsAfterEnd = false;
