Streams beside an older copy begin in tests when a first one is served, not at readiness

The two tests of gateway_older_runs that waited for it began their streams after the doubt about first records.

Both tests also fail if the record of the later run is written again before all streams have begun (and, where streams must not be joined, before the crash).

--- a/tests/process/gateway_older_runs_test.cpp
+++ b/tests/process/gateway_older_runs_test.cpp
@@ -51,14 +51,53 @@
         listedIds.insert("restarts");
     }
 
+    [[nodiscard]] caller_ptr sendNext()
+    {
+        const std::string number = std::to_string(sentCount++);
+        return deployment.send("POST", "/m/" + number, { { "X-Attempt-Id", "a-" + number }, { "X-Deadline-Ms", "20000" } });
+    }
+
     void beginStreams(size_t count = parallelStreams)
     {
         for (size_t i = 0; i < count; ++i) {
-            streams.push_back(deployment.send("POST", "/m/" + std::to_string(streams.size()), { { "X-Attempt-Id", "a-" + std::to_string(streams.size()) }, { "X-Deadline-Ms", "20000" } }));
+            streams.push_back(sendNext());
             deployment.runLoopFor(milliseconds(20));
         }
     }
 
+    /// Sends a stream again while the gateway does not listen yet or refuses it, until one begins.
+    void beginFirstStream()
+    {
+        caller_ptr first;
+        while (!first || first->isFinished) {
+            // Only a stream that was not run is sent again.
+            const bool isRefused = !first || first->outcome == http1::call_outcome::NotSent || (first->outcome == http1::call_outcome::Complete && first->head.status == 503);
+            cr_assert(isRefused, "the first stream ended with status %u", first->head.status);
+            deployment.runLoopFor(milliseconds(20));
+            first = sendNext();
+            deployment.waitUntil([&] { return first->isFinished || !first->body.empty(); }, "the first event of a stream");
+        }
+        streams.push_back(first);
+    }
+
+    /// Has the store return from its copy while the gateway starts, and begins streams as soon as the gateway serves one.
+    void beginStreamsBesideReturn()
+    {
+        deployment.store().keepCopy();
+        restartAs("v2");
+        leave();
+        deployment.signal(0, SIGKILL);
+        deployment.waitUntil([&] { return deployment.hasExited(0); }, "the end of the gateway");
+        comeBack();
+        deployment.restartGateway(0);
+        beginFirstStream();
+        beginStreams();
+        checkRestartIsMissing();
+    }
+
+    /// Checks that the store still has only the former run of the target that restarted, so that the time was not too long.
+    void checkRestartIsMissing() const { cr_assert(!listedIds.contains("restarts"), "the record was written again before"); }
+
     void leave()
     {
         writtenAgain.stop();
@@ -108,6 +147,7 @@
     std::set<std::string> listedIds { "stays-0", "stays-1", "restarts", "newer-0", "newer-1" };
     std::string written;
     std::vector<caller_ptr> streams;
+    size_t sentCount = 0;
     timer heartbeat;
     timer writtenAgain;
 };
@@ -172,16 +212,9 @@
 Test(gateway_older_runs, streams_that_begin_at_a_gateway_that_starts_beside_an_older_copy_are_not_joined)
 {
     restarting_fleet test(527);
-    test.deployment.store().keepCopy();
-    test.restartAs("v2");
-    test.leave();
-    test.deployment.signal(0, SIGKILL);
-    test.deployment.waitUntil([&] { return test.deployment.hasExited(0); }, "the end of the gateway");
-    test.comeBack();
-    test.deployment.restartGateway(0);
-    test.deployment.waitUntilReady();
-    test.beginStreams();
+    test.beginStreamsBesideReturn();
     test.deployment.runLoopFor(milliseconds(200));
+    test.checkRestartIsMissing();
     test.crash("stays-0");
     test.crash("stays-1");
     test.finish();
@@ -191,15 +224,7 @@
 Test(gateway_older_runs, streams_that_begin_beside_an_older_copy_go_on_once_records_are_back)
 {
     restarting_fleet test(528);
-    test.deployment.store().keepCopy();
-    test.restartAs("v2");
-    test.leave();
-    test.deployment.signal(0, SIGKILL);
-    test.deployment.waitUntil([&] { return test.deployment.hasExited(0); }, "the end of the gateway");
-    test.comeBack();
-    test.deployment.restartGateway(0);
-    test.deployment.waitUntilReady();
-    test.beginStreams();
+    test.beginStreamsBesideReturn();
     // The records are back, and each target has renewed its own.
     test.deployment.runLoopFor(writtenAgainAfter + milliseconds(3000));
     test.crash("newer-0");
