A gateway without keys is ready beside an older copy of the store

Cause: readiness asked for the proof that no key was taken away, which an older copy cannot give.

With accounts nothing changes, nor does what is served; a long outage still ends readiness.

Why it is allowed: what readiness announces is served anyway. A gateway that starts has asked the others for a newer configuration; CONFIG does not hold for a machine that has just started, and ROUTE allows what any configuration allowed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -190,6 +190,7 @@
     callbacks.onReadSuccess = [this](time_point sentAt) {
         // An older copy proves nothing about keys that were taken away after it was made.
         m_isConfigurationReadDue = !m_recovery->isReadComplete(sentAt, monotonicNow());
+        m_configurationReadAt = sentAt;
         if (!m_isConfigurationReadDue)
             m_context.configurationCheckedAt = sentAt;
         if (sentAt >= m_wokeAt)
@@ -338,7 +339,7 @@
 
 bool gateway::isReady(time_point now) const
 {
-    return !m_isStopping && m_isConfigurationConfirmed && m_hasTargets && m_pools->isReady(now) && m_crashes->isReady() && areKeysFresh(now);
+    return !m_isStopping && m_isConfigurationConfirmed && m_hasTargets && m_pools->isReady(now) && m_crashes->isReady() && isConfigurationFresh(now);
 }
 
 // Requests.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -62,6 +62,8 @@
     void updateClientMemory();
     /// @return True while API keys may be trusted: no removal of a key can have been missed for longer than the bound.
     [[nodiscard]] bool areKeysFresh(time_point now) const;
+    /// @return True while the configuration may be served to all callers.
+    [[nodiscard]] bool isConfigurationFresh(time_point now) const;
     [[nodiscard]] bool isReady(time_point now) const;
 
     // Requests.
@@ -138,6 +140,8 @@
     bool m_isConfigurationUnreachable = false;
     /// What was read of the operator's topic may be older than what the store had before its return.
     bool m_isConfigurationReadDue = false;
+    /// Start of the last successful read of the operator's topic, also if that is an older copy.
+    time_point m_configurationReadAt {};
     bool m_isTargetListUnreachable = false;
     bool m_hasTargets = false;
     /// Texts from other entries. They are applied by the next tick, as a configuration may end the connection that brought it.
--- a/src/gateway/request_acceptance.cpp
+++ b/src/gateway/request_acceptance.cpp
@@ -35,6 +35,14 @@
     return now - m_context.configurationCheckedAt < m_context.settings.bounds.revocation - revocationMargin;
 }
 
+bool gateway::isConfigurationFresh(time_point now) const
+{
+    // Only keys need a proof that nothing was taken away; other requests are served beside an older copy, too.
+    if (!m_context.configuration || m_context.configuration->hasAccounts)
+        return areKeysFresh(now);
+    return now - m_configurationReadAt < m_context.settings.bounds.revocation - revocationMargin;
+}
+
 bool gateway::holdTasks(const accepted_request& request) const
 {
     const auto& counts = request.callerRequest.taskCounts;
--- a/tests/process/gateway_older_copy_test.cpp
+++ b/tests/process/gateway_older_copy_test.cpp
@@ -197,3 +197,73 @@
     cr_assert_lt(asMilliseconds(monotonicNow() - startedAt), 1500);
     cr_assert_eq(statusWith(test.deployment, "key-1", 0), 200);
 }
+
+namespace {
+/// A gateway that starts beside an older copy takes what it reads for complete after this time.
+constexpr milliseconds recoveryTime { 2300 };
+
+/// A gateway at a configuration without keys, and a store that keeps a copy of the same state.
+struct no_keys_test {
+    explicit no_keys_test(int slot)
+        : deployment(slot)
+    {
+        deployment.store().setEra(1);
+        deployment.addTarget("t-1", "pages");
+        deployment.configure(3, routes);
+        deployment.startGateway({ { "revocationMs", revocation.count() } });
+        deployment.waitUntilReady();
+        // Longer than records take to come back, so that the gateway marks the era as complete.
+        deployment.runLoopFor(milliseconds(4500));
+        deployment.store().keepCopy();
+        deployment.store().setFaults({ .isDown = true });
+    }
+
+    /// Checks that the gateway serves and is ready so soon after a moment that the store has not recovered.
+    void checkReadiness(time_point since)
+    {
+        deployment.waitUntil([&] { return deployment.sendAndWait("GET", "/p/1")->head.status == 200; }, "a request that is served");
+        deployment.waitUntilReady();
+        cr_assert_lt(asMilliseconds(monotonicNow() - since), recoveryTime.count());
+    }
+
+    deployment_fixture deployment;
+};
+}
+
+// Guards against a gateway that waits for a proof about keys where there are none.
+Test(gateway_older_copy, a_gateway_without_keys_that_starts_is_ready_before_the_store_has_recovered)
+{
+    no_keys_test test(550);
+    test.deployment.signal(0, SIGKILL);
+    test.deployment.waitUntil([&] { return test.deployment.hasExited(0); }, "the end of the gateway");
+    test.deployment.store().returnFromCopy();
+    test.deployment.store().setFaults({});
+    const time_point startedAt = monotonicNow();
+    test.deployment.restartGateway(0);
+    test.checkReadiness(startedAt);
+}
+
+Test(gateway_older_copy, a_gateway_without_keys_that_ran_on_is_ready_before_the_store_has_recovered)
+{
+    no_keys_test test(551);
+    test.deployment.waitUntil([&] { return !test.deployment.isReady(); }, "the end of readiness");
+    test.deployment.store().returnFromCopy();
+    test.deployment.store().setFaults({});
+    test.checkReadiness(monotonicNow());
+}
+
+// Guards against readiness at which keys are refused.
+Test(gateway_older_copy, a_gateway_with_keys_that_starts_is_ready_once_the_store_has_recovered)
+{
+    lost_removal_test test(552);
+    test.deployment.signal(0, SIGKILL);
+    test.deployment.waitUntil([&] { return test.deployment.hasExited(0); }, "the end of the gateway");
+    test.deployment.runLoopFor(milliseconds(2300));
+    test.comeBack();
+    const time_point startedAt = monotonicNow();
+    test.deployment.restartGateway(0);
+    test.deployment.waitUntilReady();
+    cr_assert_geq(asMilliseconds(monotonicNow() - startedAt), recoveryTime.count());
+    cr_assert_eq(statusWith(test.deployment, "key-1", 0), 200);
+    cr_assert_eq(statusWith(test.deployment, "key-2", 0), 401);
+}
