--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -101,7 +101,8 @@
 
 bool target_registry::isUncontradicted(uint64_t target, std::string_view service, std::string_view version, time_point since) const
 {
-    if (freshAsOf() < since)
+    const bool isIgnored = std::any_of(m_ignoredRecords.begin(), m_ignoredRecords.end(), [target](const auto& item) { return hashOf(item.first) == target; });
+    if (freshAsOf() < since || isIgnored)
         return false;
     const policy::target_run* run = runOf(target);
     const auto names = [&](const target_ptr& state) { return state->hash != target || state->listed.softwareVersion == version; };
@@ -149,9 +150,50 @@
     return isOutOfDate;
 }
 
+bool target_registry::ignoreRemoved(const deployment::target& listed, time_point now)
+{
+    const former_target* const former = m_targets.contains(listed.id) ? nullptr : lastFormer(listed.id);
+    const bool isRemovedRun = former && former->isRemovalCertain && isStartKnown(listed) && former->state->listed.startedAtMs == listed.startedAtMs;
+    // A list does not show when its records were written.
+    if (!isRemovedRun || !(m_isRecovering || (m_isApplyingList && m_ignoredRecords.contains(listed.id)))) {
+        m_ignoredRecords.erase(listed.id);
+        return false;
+    }
+    const auto [position, isNew] = m_ignoredRecords.try_emplace(listed.id);
+    if (isNew)
+        m_onChange(*former->state, "removed_run_ignored");
+    if (m_isRecovering)
+        position->second.since = now;
+    position->second.listed = listed;
+    position->second.isRenewed = !m_isApplyingList;
+    return true;
+}
+
+bool target_registry::applyIgnored(time_point now)
+{
+    if (m_isRecovering || m_ignoredRecords.empty())
+        return false;
+    // The store drops the record of a silent target, and a peer may not relay heartbeats that say nothing new to it.
+    constexpr milliseconds keptTime = policy::recordRewriteTime + policy::targetRecordLag;
+    std::vector<deployment::target> renewed;
+    for (const auto& [id, record] : m_ignoredRecords) {
+        const bool isKept = !m_isStoreUnreachable && now - std::max(record.since, m_storeReachableSince) >= keptTime;
+        if (record.isRenewed || isKept)
+            renewed.push_back(record.listed);
+    }
+    // They may have been written earlier than what was read last.
+    m_recordsWrittenAfter = {};
+    bool isOutOfDate = false;
+    for (const auto& listed : renewed)
+        isOutOfDate |= applyWithoutIndexes(listed, now);
+    return isOutOfDate;
+}
+
 bool target_registry::applyWithoutIndexes(const deployment::target& listed, time_point now)
 {
     m_deferredRemovals.erase(listed.id);
+    if (ignoreRemoved(listed, now))
+        return false;
     const auto position = m_targets.find(listed.id);
     if (position != m_targets.end())
         position->second->recordText.clear();
@@ -181,7 +223,7 @@
     target_ptr state = takeFormer(listed);
     if (isRestarted) {
         previous->isRemoved = true;
-        addFormer(previous, now);
+        addFormer({ previous, now }, now);
     }
     if (!state) {
         state = makeState(listed, previous.get());
@@ -271,9 +313,9 @@
     return state;
 }
 
-void target_registry::addFormer(const target_ptr& state, time_point now)
+void target_registry::addFormer(former_target former, time_point now)
 {
-    m_formers.push_back({ state, now });
+    m_formers.push_back(std::move(former));
     dropFormers(now);
 }
 
@@ -294,6 +336,8 @@
 {
     if (const auto former = m_formerRunRecords.find(id); former != m_formerRunRecords.end())
         m_formerRunRecords.erase(former);
+    if (const auto ignored = m_ignoredRecords.find(id); ignored != m_ignoredRecords.end())
+        m_ignoredRecords.erase(ignored);
     const auto position = m_targets.find(id);
     if (position == m_targets.end())
         return false;
@@ -302,7 +346,7 @@
         m_deferredRemovals.emplace(std::string(id), now);
         return false;
     }
-    return removeNow(position->first, "removed", now);
+    return removeNow(position->first, "removed", now, !isUncertain && !m_isRecovering);
 }
 
 void target_registry::applyAll(const std::vector<deployment::target>& listed, time_point now)
@@ -318,6 +362,7 @@
     }
     m_isApplyingList = false;
     std::erase_if(m_formerRunRecords, [&presentIds](const std::string& id) { return !presentIds.contains(id); });
+    std::erase_if(m_ignoredRecords, [&presentIds](const auto& item) { return !presentIds.contains(item.first); });
     std::vector<std::string> absentIds;
     for (const auto& [id, state] : m_targets) {
         if (!presentIds.contains(id))
@@ -353,6 +398,7 @@
         std::erase_if(m_runs, [now](const auto& item) { return now - item.second.writtenAfter > policy::streamOriginLifetime; });
     }
     updateIndexesIf(removeReplaced(now));
+    updateIndexesIf(applyIgnored(now));
     if (m_isStoreUnreachable || m_deferredRemovals.empty() || now - m_storeReachableSince < returnGrace)
         return;
     bool isOutOfDate = false;
@@ -386,13 +432,13 @@
 bool target_registry::isListed(const deployment::target& listed) const
 {
     const auto position = m_targets.find(listed.id);
-    return position != m_targets.end() && position->second->listed.isSameApartFromCold(listed) && listed.cold.isRepetitionOf(position->second->listed.cold) && !m_deferredRemovals.contains(listed.id) && !m_formerRunRecords.contains(listed.id);
+    return !m_isRecovering && position != m_targets.end() && position->second->listed.isSameApartFromCold(listed) && listed.cold.isRepetitionOf(position->second->listed.cold) && !m_deferredRemovals.contains(listed.id) && !m_formerRunRecords.contains(listed.id);
 }
 
 bool target_registry::isKnownRecord(std::string_view id, std::string_view recordText) const
 {
     const auto position = m_targets.find(id);
-    return position != m_targets.end() && !recordText.empty() && position->second->recordText == recordText && !m_deferredRemovals.contains(id) && !m_formerRunRecords.contains(id);
+    return !m_isRecovering && position != m_targets.end() && !recordText.empty() && position->second->recordText == recordText && !m_deferredRemovals.contains(id) && !m_formerRunRecords.contains(id);
 }
 
 void target_registry::forEachService(const std::function<void(const std::string&, std::span<const target_ptr>)>& visit) const
@@ -414,7 +460,7 @@
     return position == m_byEndpoint.end() ? nullptr : position->second;
 }
 
-bool target_registry::removeNow(const std::string& id, std::string_view reason, time_point now)
+bool target_registry::removeNow(const std::string& id, std::string_view reason, time_point now, bool isCertain)
 {
     const auto position = m_targets.find(id);
     if (position == m_targets.end())
@@ -423,7 +469,7 @@
     m_changedIds.insert(position->first);
     m_targets.erase(position);
     state->isRemoved = true;
-    addFormer(state, now);
+    addFormer({ state, now, isCertain }, now);
     m_onChange(*state, reason);
     return true;
 }
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -158,7 +158,8 @@
     [[nodiscard]] std::span<const policy::placement_outline> outlinesOf(std::string_view service) const;
     /// @return The failure domains that the outlines refer to.
     [[nodiscard]] std::span<const std::string> failureDomains() const noexcept { return m_failureDomains; }
-    /// @return Whether a record says what is known already, and no removal of the target is deferred.
+    /// @return Whether a record says what is known already, and no removal of the target is deferred. Never while the store recovers,
+    /// when other processes may wait for the target to renew its record.
     [[nodiscard]] bool isListed(const deployment::target& listed) const;
     /// @return Whether `isListed` is known to hold for the target in a record with this text.
     [[nodiscard]] bool isKnownRecord(std::string_view id, std::string_view recordText) const;
@@ -175,7 +176,8 @@
     [[nodiscard]] bool applyWithoutIndexes(const deployment::target& listed, time_point now);
     /// @return Whether the indexes are out of date.
     [[nodiscard]] bool removeOrDefer(std::string_view id, time_point now);
-    [[nodiscard]] bool removeNow(const std::string& id, std::string_view reason, time_point now);
+    /// @param isCertain  The removal was read while the store was stable.
+    [[nodiscard]] bool removeNow(const std::string& id, std::string_view reason, time_point now, bool isCertain = false);
     void updateIndexesIf(bool isNeeded);
     /// Moves a target to the place in the indexes that its record names, or removes it from them.
     void reindex(const std::string& id);
@@ -192,6 +194,11 @@
     /// Removes targets of which a store that has recovered only has records of former runs.
     /// @return Whether the indexes are out of date.
     [[nodiscard]] bool removeReplaced(time_point now);
+    /// Decides whether a record does not count, because the store may have it from before the removal of its run.
+    [[nodiscard]] bool ignoreRemoved(const deployment::target& listed, time_point now);
+    /// Applies the ignored records that count after all.
+    /// @return Whether the indexes are out of date.
+    [[nodiscard]] bool applyIgnored(time_point now);
     /// Notes when the record of the state was written at the earliest.
     void noteRun(target_state& state, time_point now);
     /// Determines what an unlisted or restarted target's state knows about a restart that its record does not name yet.
@@ -224,13 +231,22 @@
     struct former_target {
         target_ptr state;
         time_point since {};
+        /// The removal was read while the store was stable.
+        bool isRemovalCertain = false;
+    };
+    /// The record of a run whose removal had been read when the store returned from a copy.
+    struct ignored_record {
+        deployment::target listed;
+        time_point since {};
+        /// It was written again after the return.
+        bool isRenewed = false;
     };
     /// @return The newest state without a record of this target, or null.
     [[nodiscard]] const former_target* lastFormer(std::string_view id) const noexcept;
     /// Takes the state without a record that has the same start and version out of the table.
     /// @return The state, or null.
     [[nodiscard]] target_ptr takeFormer(const deployment::target& listed);
-    void addFormer(const target_ptr& state, time_point now);
+    void addFormer(former_target former, time_point now);
     void dropFormers(time_point now);
     /// Applies the record of a target that has the same start and version as the state.
     /// @return Whether the indexes are out of date.
@@ -242,6 +258,7 @@
     std::map<std::string, time_point, std::less<>> m_deferredRemovals;
     /// Targets of which the store, while it recovers, has a record of a former run.
     std::set<std::string, std::less<>> m_formerRunRecords;
+    std::map<std::string, ignored_record, std::less<>> m_ignoredRecords;
     bool m_isRecovering = false;
     /// A whole list is being applied; its records may be old.
     bool m_isApplyingList = false;
