The silence soak's targets renew their records at each heartbeat

Its targets wrote a record only when something changed; the protocol has them write one each heartbeat. A gateway that waits for a later record of a run therefore never saw one. The checks are unchanged.

--- a/tests/soak/silence_soak_test.cpp
+++ b/tests/soak/silence_soak_test.cpp
@@ -3,6 +3,7 @@
 /// folder for logs; BILBERRYSEAM_SOAK_VERSIONS=0 leaves out the check that a stream has events of one software version only.
 #include "soak/attempt_checks.hpp"
 #include "soak/gateway_faults.hpp"
+#include "soak/record_heartbeats.hpp"
 #include "soak/seeds.hpp"
 #include "soak/soak_configuration.hpp"
 
@@ -96,6 +97,7 @@
         // Gateways that start do not trust records of targets that have just started.
         constexpr seconds runningTime { 60 };
         list(index, "ready", unixMilliseconds() - milliseconds(runningTime).count());
+        m_heartbeats.start(id, recordHeartbeat * (index + 1) / (modelCount + pageCount));
     }
 
     unsigned randomBelow(unsigned below) { return static_cast<unsigned>(m_random() % below); }
@@ -113,11 +115,15 @@
     {
         if (!isListening) {
             m_history.addCrash(engine);
+            m_heartbeats.stop(engineAt(engine).target().id());
             return;
         }
-        m_actions.schedule(milliseconds(randomBelow(1000)), [this, engine, startedAtMs = unixMilliseconds()] {
-            if (engineAt(engine).isUp() && startedAtMs > m_startedAtMs[engine])
+        m_actions.schedule(milliseconds(randomBelow(1000)), [this, engine, startedAtMs = unixMilliseconds(), run = engineAt(engine).crashCount()] {
+            if (engineAt(engine).isUp() && startedAtMs > m_startedAtMs[engine]) {
                 list(engine, "ready", startedAtMs);
+                if (run == engineAt(engine).crashCount())
+                    m_heartbeats.start(engineAt(engine).target().id());
+            }
         });
     }
 
@@ -429,6 +435,7 @@
     std::list<fakes::platform_engine> m_engines;
     std::vector<std::string> m_services;
     std::map<size_t, int64_t> m_startedAtMs;
+    record_heartbeats m_heartbeats { m_deployment };
     std::vector<fakes::platform_target*> m_encoders;
     soak_callers m_callers;
     /// Actions that also run after the last fault.
