--- a/src/gateway/request_proof.cpp
+++ b/src/gateway/request_proof.cpp
@@ -25,8 +25,14 @@
     const policy::target_run* run = m_context.targets.runOf(claim.target);
     if (run && policy::isProvenBy(claim, *run, now, wallNow()))
         return true;
+    if (claim.evidence != policy::origin_evidence::Record)
+        return false;
+    // A run of another version in between, of which there is no record, is likely only where several versions serve.
+    const bool isSuccessor = run && run->softwareVersion == claim.softwareVersion && run->writtenAfter >= claim.beganAt + policy::recordWriteTime;
+    if (isSuccessor && !m_context.streams->mayHaveHadOtherVersions(m_request.service, now))
+        return true;
     // Another run would have written a record by now if it had lasted.
-    return claim.evidence == policy::origin_evidence::Record && m_context.targets.isUncontradicted(claim.target, m_request.service, claim.softwareVersion, claim.beganAt + policy::longestRecordPause);
+    return m_context.targets.isUncontradicted(claim.target, claim.run, m_request.service, claim.beganAt + policy::longestRecordPause);
 }
 
 bool request_run::mustHold(target_attempt& attempt, time_point now) const
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -99,15 +99,15 @@
     return position == m_runs.end() ? nullptr : &position->second;
 }
 
-bool target_registry::isUncontradicted(uint64_t target, std::string_view service, std::string_view version, time_point since) const
+bool target_registry::isUncontradicted(uint64_t target, uint64_t run, std::string_view service, time_point since) const
 {
     const bool isIgnored = std::any_of(m_ignoredRecords.begin(), m_ignoredRecords.end(), [target](const auto& item) { return hashOf(item.first) == target; });
     if (freshAsOf() < since || isIgnored)
         return false;
-    const policy::target_run* run = runOf(target);
-    const auto names = [&](const target_ptr& state) { return state->hash != target || state->listed.softwareVersion == version; };
+    const policy::target_run* newest = runOf(target);
+    const auto isSame = [&](const target_ptr& state) { return state->hash != target || state->incarnation == run; };
     const auto& targets = ofService(service);
-    return (!run || run->softwareVersion == version) && std::all_of(targets.begin(), targets.end(), names);
+    return (!newest || newest->run == run) && std::all_of(targets.begin(), targets.end(), isSame);
 }
 
 void target_registry::renewRun(target_state& state, time_point now)
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -140,8 +140,9 @@
     void setRecovering(bool isRecovering);
     /// @return The newest run of the target with this hash; null if no record stated its start lately.
     [[nodiscard]] const policy::target_run* runOf(uint64_t target) const noexcept;
-    /// @return Whether all records that the store had acknowledged at `since` were read, and none of the target names another version.
-    [[nodiscard]] bool isUncontradicted(uint64_t target, std::string_view service, std::string_view version, time_point since) const;
+    /// @return Whether all records that the store had acknowledged at `since` were read, and none of the target names another run.
+    /// @param run  See `policy::stream_origin::run`.
+    [[nodiscard]] bool isUncontradicted(uint64_t target, uint64_t run, std::string_view service, time_point since) const;
     /// @return Every record that the store had acknowledged then has been read; not set if this is not known.
     [[nodiscard]] time_point freshAsOf() const noexcept { return m_isRecovering ? time_point() : m_freshAsOf; }
     /// The process was frozen: it has not noticed which targets restarted meanwhile.
--- a/src/policy/stream_origins.hpp
+++ b/src/policy/stream_origins.hpp
@@ -73,8 +73,8 @@
     time_point writtenAfter {};
 };
 
-/// @return Whether a record of the run shows that the stream began at its version: it was written later, and names the same run,
-/// one that had started before, or, if there was no sign of a restart, the one that followed.
+/// @return Whether a record of the run shows that the stream began at its version: it was written later, and names the same run or
+/// one that had started before. Behind the run that began a stream, others may have ended without a record.
 [[nodiscard]] bool isProvenBy(const stream_origin& origin, const target_run& run, time_point now, wall_time wallTime) noexcept;
 
 /// Origins by the hash of the request that brought a stream's first event.
