A run that started after a stream does not pass for an earlier one by the age of an archived origin

Cause: an origin from the archive that is not proven counts as younger than it is, since clocks differ, so that no record before the stream proves it; the same age was used to decide whether a run had started before the stream. An origin now states by how much it may be older; other gateways read such origins from the archive themselves. The unit test fails without it.

--- a/src/gateway/origin_archive.cpp
+++ b/src/gateway/origin_archive.cpp
@@ -205,9 +205,10 @@
     const auto& record = decoded.value();
     const milliseconds elapsed = std::clamp<milliseconds>(wallNow() - record.writtenAt, milliseconds(0), policy::streamOriginLifetime);
     for (const auto& item : record.streams) {
-        // The clocks of the processes differ. What is doubtful must not pass for older than it is.
-        const milliseconds age = item.evidence == policy::origin_evidence::LaterRecord ? elapsed + item.age : item.age;
-        m_callbacks.onOrigin(item.stream, { item.softwareVersion, item.target, now - age, item.run, item.evidence });
+        // The clocks of the processes differ. What is not proven must pass neither for older nor for younger than it is.
+        const bool isProven = item.evidence == policy::origin_evidence::LaterRecord;
+        const milliseconds age = isProven ? elapsed + item.age : item.age;
+        m_callbacks.onOrigin(item.stream, { item.softwareVersion, item.target, now - age, item.run, item.evidence, isProven ? milliseconds(0) : elapsed });
     }
 }
 
--- a/src/gateway/stream_directory.cpp
+++ b/src/gateway/stream_directory.cpp
@@ -35,6 +35,11 @@
         return wire::stream_begun { stream, origin.softwareVersion, origin.target, ageOf(origin, now), origin.run, static_cast<uint32_t>(origin.evidence) };
     }
 
+    /// @return False for what only the archive tells, which others read themselves: messages state no uncertainty.
+    bool isTellable(const policy::stream_origin& origin) noexcept
+    {
+        return origin.uncertainty.count() == 0 || origin.evidence == policy::origin_evidence::LaterRecord;
+    }
 }
 
 stream_directory::stream_directory(metrics& metrics, platform::store_client& store, recovery_watch& recovery, std::string ownName, callbacks callbacks)
@@ -137,7 +142,7 @@
         onResponse(begun->stream, from, now);
     } else if (const auto* query = std::get_if<wire::stream_query>(&message)) {
         const auto* origin = lookUp(query->stream, now);
-        reply(origin ? toMessage(query->stream, *origin, now) : wire::stream_unknown { query->stream });
+        reply(origin && isTellable(*origin) ? toMessage(query->stream, *origin, now) : wire::stream_unknown { query->stream });
     } else if (const auto* unknown = std::get_if<wire::stream_unknown>(&message)) {
         onResponse(unknown->stream, from, now);
     } else
@@ -208,7 +213,7 @@
     for (auto stream = m_origins.order.rbegin(); stream != m_origins.order.rend() && sent < maxResent; ++stream) {
         const auto* origin = policy::findOrigin(m_origins, *stream, now);
         const auto keepers = policy::originKeepers(m_callbacks.keepers(), *stream, copies + 1);
-        if (!origin || std::find(keepers.begin(), keepers.end(), entry) == keepers.end())
+        if (!origin || !isTellable(*origin) || std::find(keepers.begin(), keepers.end(), entry) == keepers.end())
             continue;
         static_cast<void>(m_callbacks.send(entry, toMessage(*stream, *origin, now)));
         ++sent;
--- a/src/policy/stream_origins.cpp
+++ b/src/policy/stream_origins.cpp
@@ -60,7 +60,7 @@
 {
     if (origin.softwareVersion.empty() || run.softwareVersion != origin.softwareVersion || run.writtenAfter < origin.beganAt + recordWriteTime)
         return false;
-    const wall_time beganAt = wallTime - std::chrono::ceil<milliseconds>(now - origin.beganAt);
+    const wall_time beganAt = wallTime - std::chrono::ceil<milliseconds>(now - origin.beganAt) - origin.uncertainty;
     return (origin.run != 0 && run.run == origin.run) || run.startedAt + recordWriteTime <= beganAt;
 }
 
--- a/src/policy/stream_origins.hpp
+++ b/src/policy/stream_origins.hpp
@@ -55,6 +55,8 @@
     /// Hash of the target's identifier and start in its record then; zero if the start is not stated.
     uint64_t run = 0;
     origin_evidence evidence = origin_evidence::Record;
+    /// The stream may have begun earlier than `beganAt` by so much.
+    milliseconds uncertainty { 0 };
 
     /// A record shows what the target was when it was written, so only a later one is a proof. Without starts in records there is none.
     [[nodiscard]] bool isCertain() const noexcept { return !softwareVersion.empty() && (evidence == origin_evidence::LaterRecord || (evidence == origin_evidence::Record && run == 0)); }
--- a/tests/unit/stream_origins_test.cpp
+++ b/tests/unit/stream_origins_test.cpp
@@ -165,3 +165,17 @@
     // A run of another version may have begun the stream, and ended before it wrote a record.
     cr_assert(!isProvenBy(origin, { run + 1, "v1", wallTime - seconds(4), now }, now, wallTime));
 }
+
+// Guards against an origin in the archive whose age is not known, and a run that started after the stream but passes for an earlier one.
+Test(stream_origins, a_run_proves_no_stream_that_may_have_begun_before_it)
+{
+    const wall_time wallTime { milliseconds(1'700'000'000'000) };
+    const time_point now = start + seconds(5);
+    const target_run later { 71, "v1", wallTime - seconds(7), now };
+    stream_origin origin { "v1", 7, start, 70, origin_evidence::Doubtful };
+    cr_assert(isProvenBy(origin, later, now, wallTime));
+    origin.uncertainty = seconds(3);
+    cr_assert(!isProvenBy(origin, later, now, wallTime));
+    origin.run = later.run;
+    cr_assert(isProvenBy(origin, later, now, wallTime), "it is the run at which the stream began");
+}
