One comparison for what was read within the time for revocations; declarations beside their file

Cause: readiness without keys wrote the comparison of areKeysFresh again, and two declarations of request_continuation.cpp stood under the heading of request_proof.cpp. Change: both call isWithinRevocation; the declarations are back. No behaviour changes.

--- a/src/gateway/request_acceptance.cpp
+++ b/src/gateway/request_acceptance.cpp
@@ -28,11 +28,16 @@
     {
         return hashOf(body, hashOf(target, hashOf(key)));
     }
+
+    bool isWithinRevocation(const context& context, time_point readAt, time_point now) noexcept
+    {
+        return now - readAt < context.settings.bounds.revocation - revocationMargin;
+    }
 }
 
 bool gateway::areKeysFresh(time_point now) const
 {
-    return now - m_context.configurationCheckedAt < m_context.settings.bounds.revocation - revocationMargin;
+    return isWithinRevocation(m_context, m_context.configurationCheckedAt, now);
 }
 
 bool gateway::isConfigurationFresh(time_point now) const
@@ -40,7 +45,7 @@
     // Only keys need a proof that nothing was taken away; other requests are served beside an older copy, too.
     if (!m_context.configuration || m_context.configuration->hasAccounts)
         return areKeysFresh(now);
-    return now - m_configurationReadAt < m_context.settings.bounds.revocation - revocationMargin;
+    return isWithinRevocation(m_context, m_configurationReadAt, now);
 }
 
 bool gateway::holdTasks(const accepted_request& request) const
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -194,6 +194,10 @@
     /// Waits for a record that proves the origin.
     /// @return False if there is nothing to wait for, or no time.
     [[nodiscard]] bool awaitProof(time_point now);
+    /// Searches again for an origin that was doubtful.
+    void retryOrigin(time_point now);
+    void refuseContinuation(policy::continuation decision, bool isCertain);
+
     // Events that continue a stream; in request_proof.cpp.
     /// @return Whether it is known which software version wrote what was sent over a connection since then.
     [[nodiscard]] bool isProven(const policy::stream_origin& claim, time_point now) const;
@@ -207,12 +211,9 @@
     [[nodiscard]] std::optional<std::string_view> dropReason(const target_attempt& attempt, time_point now) const;
     /// Passes held events on, or ends an attempt whose run turns out to be another one.
     void checkHeld(time_point now);
+    /// Passes on the events that an attempt holds, if there are any.
     void passOnHeld(target_attempt& attempt);
 
-    /// Searches again for an origin that was doubtful.
-    void retryOrigin(time_point now);
-    void refuseContinuation(policy::continuation decision, bool isCertain);
-
     // Attempts.
     /// What the placement of the request depends on, apart from the targets.
     struct placement_inputs {
