Tests of a removed target share their return from the copy

Cause: three places of gateway_older_removal/* repeated the same four steps. Change: recoverFromCopy; steps, times and assertions are the same.

--- a/tests/process/gateway_older_removal_test.cpp
+++ b/tests/process/gateway_older_removal_test.cpp
@@ -84,6 +84,15 @@
         comeBack();
     }
 
+    /// Returns from the copy; the removal is written again in time, and the store recovers.
+    void recoverFromCopy()
+    {
+        comeBackFromCopy();
+        deployment.runLoopFor(writtenAgainAfter);
+        unlist();
+        deployment.runLoopFor(recovered);
+    }
+
     [[nodiscard]] size_t arrivalsSince(const std::string& id, time_point since) const
     {
         const auto& arrivals = targets.at(id)->arrivals();
@@ -124,10 +133,7 @@
     leaving_fleet test(545);
     test.remove();
     test.leave();
-    test.comeBackFromCopy();
-    test.deployment.runLoopFor(writtenAgainAfter);
-    test.unlist();
-    test.deployment.runLoopFor(recovered);
+    test.recoverFromCopy();
     test.checkUnused();
     test.finish();
 }
@@ -137,18 +143,12 @@
     leaving_fleet test(546);
     test.remove();
     test.leave();
-    test.comeBackFromCopy();
-    test.deployment.runLoopFor(writtenAgainAfter);
-    test.unlist();
-    test.deployment.runLoopFor(recovered);
+    test.recoverFromCopy();
     test.leave();
     test.comeBackFromCopy();
     test.deployment.runLoopFor(milliseconds(500));
     test.leave();
-    test.comeBackFromCopy();
-    test.deployment.runLoopFor(writtenAgainAfter);
-    test.unlist();
-    test.deployment.runLoopFor(recovered);
+    test.recoverFromCopy();
     test.checkUnused();
     test.finish();
 }
